--- /dev/null
+++ b/components/platform/src/lib.rs
@@ -0,0 +1,16 @@
+//! Client of the platform's key-value service and VM list, and the head of the configuration.
+
+mod claims;
+mod head;
+mod store;
+
+pub use claims::{Claim, ClaimState, claim, close_claim, read_claim};
+pub use head::{Head, MAX_RECENT, catalogue_at, publish, read_head, settle, snapshot_key};
+pub use store::{Entry, ListedVm, Store, VmState, Write};
+
+/// Key of the head of the configuration.
+pub const HEAD_KEY: &str = "saddlerail/head";
+/// Keys below this hold one catalogue each.
+pub const SNAPSHOT_PREFIX: &str = "saddlerail/catalogues/";
+/// Keys below this hold one claim on a caller's request id each.
+pub const CLAIM_PREFIX: &str = "saddlerail/claims/";
--- /dev/null
+++ b/components/routing/src/lane.rs
@@ -0,0 +1,189 @@
+//! The requests that wait for a slot at one set of targets.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use ids::{CustomerName, Priority};
+use slotmap::new_key_type;
+
+use crate::target::TargetKey;
+
+new_key_type! {
+    /// Key of a lane in the router's arena.
+    pub(crate) struct LaneKey;
+}
+
+/// Number of a waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WaitId(pub u64);
+
+/// One grant in this many goes to the least urgent class that waits, so that long work finishes.
+const FLOOR_EVERY: u64 = 10;
+
+/// A request that waits for a slot.
+#[derive(Debug, Clone)]
+pub(crate) struct Waiting {
+    pub(crate) id: WaitId,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: Priority,
+    /// When the stage must begin at the latest to be of use.
+    pub(crate) start_by: Instant,
+    pub(crate) exclude: Vec<TargetKey>,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) since: Instant,
+}
+
+/// Order in which a customer's requests of one class are served: the least time left first.
+type ByTimeLeft = BTreeMap<(Instant, WaitId), Waiting>;
+
+/// A queue ordered by class, then by the customer that had least for its share, then by time
+/// left.
+#[derive(Debug, Default)]
+pub(crate) struct Lane {
+    pub(crate) targets: Vec<TargetKey>,
+    classes: BTreeMap<Priority, HashMap<CustomerName, ByTimeLeft>>,
+    len: usize,
+    grants: u64,
+    /// What each customer was given for its share; the classic start-time fair queue.
+    served: HashMap<CustomerName, f64>,
+    /// The virtual time: what the customer served last had been given.
+    virtual_time: f64,
+    /// Mean time that a grant holds its slot, in seconds.
+    hold: Option<f64>,
+}
+
+/// Weight of a new sample of the time that a slot is held.
+const HOLD_WEIGHT: f64 = 0.1;
+
+impl Lane {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        let class = self.classes.entry(waiting.priority).or_default();
+        let queue = class.entry(waiting.customer.clone()).or_default();
+        queue.insert((waiting.start_by, waiting.id), waiting);
+        self.len += 1;
+    }
+
+    /// Requests that would be served before a new one of this priority.
+    pub(crate) fn ahead_of(&self, priority: Priority) -> usize {
+        let classes = self.classes.range(..=priority);
+        classes
+            .flat_map(|(_, class)| class.values())
+            .map(BTreeMap::len)
+            .sum()
+    }
+
+    /// Waiting requests of the customer at this priority or a more urgent one, and customers
+    /// that wait there.
+    pub(crate) fn ahead_of_customer(
+        &self,
+        priority: Priority,
+        customer: &CustomerName,
+    ) -> (usize, usize) {
+        let classes = || {
+            self.classes
+                .range(..=priority)
+                .flat_map(|(_, class)| class.iter())
+        };
+        let own = classes()
+            .filter(|(name, _)| *name == customer)
+            .map(|(_, q)| q.len())
+            .sum();
+        let others = classes().filter(|(name, _)| *name != customer).count();
+        (own, others)
+    }
+
+    /// The request to serve next, left where it is.
+    pub(crate) fn head(&self) -> Option<&Waiting> {
+        let class = self.next_class()?;
+        let queue = self.classes.get(&class)?.get(&self.next_customer(class)?)?;
+        queue.values().next()
+    }
+
+    /// Takes the request out of the queue.
+    pub(crate) fn remove(&mut self, waiting: &Waiting) -> Option<Waiting> {
+        let class = self.classes.get_mut(&waiting.priority)?;
+        let queue = class.get_mut(&waiting.customer)?;
+        let found = queue.remove(&(waiting.start_by, waiting.id));
+        if queue.is_empty() {
+            class.remove(&waiting.customer);
+        }
+        if class.is_empty() {
+            self.classes.remove(&waiting.priority);
+        }
+        self.len -= usize::from(found.is_some());
+        found
+    }
+
+    /// Counts a grant to the customer.
+    pub(crate) fn granted(&mut self, customer: &CustomerName, share: u32) {
+        self.grants += 1;
+        let start = self.start_of(customer);
+        self.virtual_time = self.virtual_time.max(start);
+        self.served
+            .insert(customer.clone(), start + 1.0 / f64::from(share.max(1)));
+    }
+
+    /// Takes out every request that is too late to be of use.
+    pub(crate) fn take_late(&mut self, now: Instant) -> Vec<Waiting> {
+        let queues = self.classes.values().flat_map(|class| class.values());
+        let late: Vec<Waiting> = queues
+            .flat_map(|queue| queue.values().take_while(|w| w.start_by <= now))
+            .cloned()
+            .collect();
+        late.into_iter()
+            .filter_map(|waiting| self.remove(&waiting))
+            .collect()
+    }
+
+    /// Takes out every request.
+    pub(crate) fn take_all(&mut self) -> Vec<Waiting> {
+        self.len = 0;
+        let classes = std::mem::take(&mut self.classes).into_values();
+        classes
+            .flat_map(HashMap::into_values)
+            .flat_map(BTreeMap::into_values)
+            .collect()
+    }
+
+    pub(crate) fn held(&mut self, took: Duration) {
+        let seconds = took.as_secs_f64();
+        let hold = self.hold.get_or_insert(seconds);
+        *hold += HOLD_WEIGHT * (seconds - *hold);
+    }
+
+    /// Mean time that a grant holds its slot.
+    pub(crate) fn hold(&self) -> Option<Duration> {
+        self.hold.map(Duration::from_secs_f64)
+    }
+
+    fn next_class(&self) -> Option<Priority> {
+        let floor = self.grants % FLOOR_EVERY == FLOOR_EVERY - 1;
+        let mut classes = self.classes.keys();
+        if floor {
+            classes.next_back().copied()
+        } else {
+            classes.next().copied()
+        }
+    }
+
+    fn next_customer(&self, class: Priority) -> Option<CustomerName> {
+        let customers = self.classes.get(&class)?.iter();
+        let order = |a: &(&CustomerName, &ByTimeLeft), b: &(&CustomerName, &ByTimeLeft)| {
+            let by_share = self.start_of(a.0).total_cmp(&self.start_of(b.0));
+            by_share.then_with(|| a.1.keys().next().cmp(&b.1.keys().next()))
+        };
+        customers.min_by(order).map(|(name, _)| name.clone())
+    }
+
+    fn start_of(&self, customer: &CustomerName) -> f64 {
+        self.served
+            .get(customer)
+            .copied()
+            .unwrap_or(0.0)
+            .max(self.virtual_time)
+    }
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,23 @@
+//! Decisions of an entry VM: which target runs a call, how many calls a target gets, in which
+//! order requests wait, when a request is refused and when a call is tried again.
+//!
+//! Everything here is plain state and functions of the time that is passed in; the daemon's
+//! runtime calls them from one thread. `docs/design/routing.md` gives the ways weighed.
+
+mod admission;
+mod choice;
+mod ejection;
+mod lane;
+mod limit;
+mod retry;
+mod router;
+mod target;
+mod times;
+
+pub use choice::Policy;
+pub use lane::WaitId;
+pub use retry::RetryBudget;
+pub use router::{
+    Admission, CallEnd, Grant, Refused, Router, SlotAnswer, SlotRequest, TargetDump, Update,
+};
+pub use target::{LoadReport, TargetKey};
--- /dev/null
+++ b/components/routing/src/limit.rs
@@ -0,0 +1,74 @@
+//! How many calls at once this VM sends to one target, learned from latency and load reports.
+
+use std::time::{Duration, Instant};
+
+/// A call this many times longer than unloaded shows that the target is overloaded.
+const SLOW_RATIO: f64 = 2.0;
+/// Factor on a slow answer.
+const SLOW_FACTOR: f64 = 0.9;
+/// Factor when the target declines a call.
+const DECLINED_FACTOR: f64 = 0.7;
+/// The limit may rise to this many times the slots that the target's owner names.
+const MOST_PER_SLOT: f64 = 2.0;
+/// Least time between two decreases, so that one burst counts once.
+const DECREASE_PAUSE: Duration = Duration::from_millis(100);
+
+/// What an ended call shows about its target.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Signal {
+    /// It took `ratio` times its unloaded time; `queued` calls waited at the target.
+    Answered { ratio: f64, queued: u32 },
+    /// The target was too busy to run it.
+    Declined,
+}
+
+/// A learned limit on calls at once: additive increase, multiplicative decrease.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limit {
+    value: f64,
+    most: f64,
+    decreased: Option<Instant>,
+}
+
+impl Limit {
+    pub(crate) fn new(slots: u32) -> Self {
+        let slots = f64::from(slots.max(1));
+        Limit {
+            value: slots,
+            most: slots * MOST_PER_SLOT,
+            decreased: None,
+        }
+    }
+
+    pub(crate) fn allows(&self, in_flight: u32) -> bool {
+        f64::from(in_flight) + 1.0 <= self.value.max(1.0) + 1e-9
+    }
+
+    pub(crate) fn value(&self) -> f64 {
+        self.value
+    }
+
+    /// Learns from a call that ended while `in_flight` calls, itself included, were under way.
+    pub(crate) fn learn(&mut self, signal: Signal, in_flight: u32, now: Instant) {
+        match signal {
+            Signal::Declined => self.decrease(DECLINED_FACTOR, now),
+            Signal::Answered { ratio, queued } if queued > 0 || ratio > SLOW_RATIO => {
+                self.decrease(SLOW_FACTOR, now);
+            }
+            Signal::Answered { .. } => {
+                let used = f64::from(in_flight) >= 0.8 * self.value;
+                if used {
+                    self.value = (self.value + 1.0 / self.value).min(self.most);
+                }
+            }
+        }
+    }
+
+    fn decrease(&mut self, factor: f64, now: Instant) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < DECREASE_PAUSE;
+        if !self.decreased.is_some_and(recent) {
+            self.value = (self.value * factor).max(1.0);
+            self.decreased = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/src/target.rs
@@ -0,0 +1,83 @@
+//! What a VM knows of one target.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use catalogue::Target;
+use ids::{HallName, TargetName};
+use slotmap::new_key_type;
+
+use crate::ejection::Health;
+use crate::limit::Limit;
+
+new_key_type! {
+    /// Key of a target in the router's arena.
+    pub struct TargetKey;
+}
+
+/// A report of load older than this says nothing.
+const REPORT_LIFE: Duration = Duration::from_secs(3);
+
+/// A target's own word on its load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct LoadReport {
+    /// Calls that it runs.
+    pub running: u32,
+    /// Calls that wait at it.
+    pub queued: u32,
+}
+
+/// State of one target.
+#[derive(Debug)]
+pub(crate) struct TargetState {
+    pub(crate) name: TargetName,
+    pub(crate) hall: HallName,
+    pub(crate) address: SocketAddr,
+    pub(crate) slots: u32,
+    pub(crate) in_flight: u32,
+    pub(crate) by_peers: u32,
+    pub(crate) limit: Limit,
+    pub(crate) health: Health,
+    pub(crate) leaving: bool,
+    report: Option<(LoadReport, Instant)>,
+    pub(crate) calls: u64,
+}
+
+impl TargetState {
+    pub(crate) fn new(target: &Target) -> Self {
+        TargetState {
+            name: target.name.clone(),
+            hall: target.hall.clone(),
+            address: target.address,
+            slots: target.slots,
+            in_flight: 0,
+            by_peers: 0,
+            limit: Limit::new(target.slots),
+            health: Health::default(),
+            leaving: false,
+            report: None,
+            calls: 0,
+        }
+    }
+
+    pub(crate) fn has_room(&self) -> bool {
+        !self.leaving && self.limit.allows(self.in_flight)
+    }
+
+    pub(crate) fn set_report(&mut self, report: LoadReport, now: Instant) {
+        self.report = Some((report, now));
+    }
+
+    /// Load for comparison: calls known for each slot.
+    ///
+    /// The own count is exact, the peers' about a second old, the report as late as the target
+    /// makes it, so the larger of the last two stands for what others send.
+    pub(crate) fn load(&self, now: Instant) -> f64 {
+        let fresh = self
+            .report
+            .filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_LIFE);
+        let reported = fresh.map_or(0, |(r, _)| r.running + r.queued);
+        let others = self.by_peers.max(reported.saturating_sub(self.in_flight));
+        f64::from(self.in_flight + others) / f64::from(self.slots)
+    }
+}
--- /dev/null
+++ b/components/target_calls/src/stream.rs
@@ -0,0 +1,129 @@
+//! A target's stream of tokens as server-sent events.
+
+use std::io::{BufRead, BufReader, Read};
+
+use ids::AttemptId;
+use serde::Deserialize;
+use ureq::{Body, BodyReader};
+
+use crate::call::CallFailure;
+
+/// Longest event, in bytes.
+const MAX_EVENT: u64 = 64 * 1024;
+
+/// What a stream brings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StreamEvent {
+    /// The token with this number, counted from 1.
+    Token(u64, String),
+    /// The stream's end was seen: it is whole.
+    End(StreamEnd),
+}
+
+/// A stream's last event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct StreamEnd {
+    /// Tokens from the first, those before a resumption included.
+    pub tokens: u64,
+    /// What the target charges.
+    pub cost: u64,
+}
+
+#[derive(Deserialize)]
+struct TokenData {
+    attempt: String,
+    token: String,
+}
+
+/// Reads tokens in order; a gap, a repetition or another attempt's token is a failure.
+pub struct TokenStream {
+    lines: BufReader<BodyReader<'static>>,
+    attempt: AttemptId,
+    last: u64,
+}
+
+impl std::fmt::Debug for TokenStream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "TokenStream({}, {})", self.attempt, self.last)
+    }
+}
+
+#[derive(Default)]
+struct RawEvent {
+    kind: String,
+    id: Option<u64>,
+    data: String,
+}
+
+impl TokenStream {
+    pub(crate) fn new(body: Body, attempt: AttemptId, last: Option<u64>) -> Self {
+        let lines = BufReader::new(body.into_reader());
+        TokenStream {
+            lines,
+            attempt,
+            last: last.unwrap_or(0),
+        }
+    }
+
+    /// Waits for the next event.
+    ///
+    /// # Errors
+    /// `Crossed` for another attempt's token, else `MayHaveRun`: the stream was cut or broken.
+    pub fn next_event(&mut self) -> Result<StreamEvent, CallFailure> {
+        let broken = |problem: String| CallFailure::MayHaveRun(problem);
+        let event = self.read_event()?;
+        if event.kind == "end" {
+            let end: StreamEnd = serde_json::from_str(&event.data)
+                .map_err(|e| broken(format!("the stream's end can't be read: {e}")))?;
+            if end.tokens != self.last {
+                return Err(broken(format!(
+                    "{} tokens came of {}",
+                    self.last, end.tokens
+                )));
+            }
+            return Ok(StreamEvent::End(end));
+        }
+        let data: TokenData = serde_json::from_str(&event.data)
+            .map_err(|e| broken(format!("a token can't be read: {e}")))?;
+        if data.attempt != self.attempt.as_str() {
+            let problem = format!("a token names attempt {}", data.attempt);
+            return Err(CallFailure::Crossed(problem));
+        }
+        if event.id != Some(self.last + 1) {
+            return Err(broken(format!(
+                "token {:?} came after {}",
+                event.id, self.last
+            )));
+        }
+        self.last += 1;
+        Ok(StreamEvent::Token(self.last, data.token))
+    }
+
+    fn read_event(&mut self) -> Result<RawEvent, CallFailure> {
+        let mut event = RawEvent::default();
+        let mut line = String::new();
+        loop {
+            line.clear();
+            let read = (&mut self.lines).take(MAX_EVENT).read_line(&mut line);
+            let count =
+                read.map_err(|e| CallFailure::MayHaveRun(format!("the stream broke: {e}")))?;
+            if count == 0 || !line.ends_with('\n') {
+                let problem = "the stream was cut before its end".to_owned();
+                return Err(CallFailure::MayHaveRun(problem));
+            }
+            let text = line.trim_end_matches(['\r', '\n']);
+            if text.is_empty() {
+                if event.data.is_empty() {
+                    continue;
+                }
+                return Ok(event);
+            }
+            match text.split_once(':').map(|(k, v)| (k, v.trim_start())) {
+                Some(("event", v)) => v.clone_into(&mut event.kind),
+                Some(("id", v)) => event.id = v.parse().ok(),
+                Some(("data", v)) => event.data.push_str(v),
+                _ => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,7 @@
+//! Logs and metrics of a process.
+
+mod logs;
+mod metrics;
+
+pub use logs::{LogSetup, root_logger};
+pub use metrics::{Metrics, metric_names};
--- /dev/null
+++ b/components/telemetry/src/metrics.rs
@@ -0,0 +1,163 @@
+//! Counters and histograms, shown as a page that a common scraper reads.
+
+use std::time::Duration;
+
+use errors::{Error, Result};
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the time histograms, in seconds.
+const SECONDS: [f64; 14] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
+
+/// Names of all metrics, as the code gives them.
+pub mod metric_names {
+    /// Requests answered, by service, customer and outcome.
+    pub const REQUESTS: &str = "saddlerail_requests";
+    /// Seconds from a request's arrival to its answer, by service and outcome.
+    pub const REQUEST_SECONDS: &str = "saddlerail_request_seconds";
+    /// Attempts ended, by stage, target and end.
+    pub const ATTEMPTS: &str = "saddlerail_attempts";
+    /// What targets charged, by stage, customer and whether the request was answered whole.
+    pub const COST: &str = "saddlerail_stage_cost";
+    /// Answers that named another attempt, dropped.
+    pub const CROSSED: &str = "saddlerail_crossed_answers";
+    /// Bytes of control messages, by direction.
+    pub const CONTROL_BYTES: &str = "saddlerail_control_bytes";
+    /// Calls to the platform, by kind and result.
+    pub const PLATFORM_CALLS: &str = "saddlerail_platform_calls";
+    /// Requests in work.
+    pub const IN_WORK: &str = "saddlerail_requests_in_work";
+    /// Revision in force.
+    pub const REVISION: &str = "saddlerail_revision";
+    /// All of them, for the test that keeps the docs true.
+    pub const ALL: [&str; 9] = [
+        REQUESTS,
+        REQUEST_SECONDS,
+        ATTEMPTS,
+        COST,
+        CROSSED,
+        CONTROL_BYTES,
+        PLATFORM_CALLS,
+        IN_WORK,
+        REVISION,
+    ];
+}
+
+/// The process's metrics.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    request_seconds: Histogram<f64>,
+    attempts: Counter<u64>,
+    cost: Counter<u64>,
+    crossed: Counter<u64>,
+    control_bytes: Counter<u64>,
+    platform_calls: Counter<u64>,
+    in_work: Gauge<u64>,
+    revision: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Metrics with nothing counted yet.
+    ///
+    /// # Errors
+    /// `BadInput` if the exporter can't be set up.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .map_err(|e| Error::bad_input("metrics", e.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("saddlerail");
+        Ok(Metrics {
+            registry,
+            requests: meter.u64_counter(metric_names::REQUESTS).build(),
+            request_seconds: meter
+                .f64_histogram(metric_names::REQUEST_SECONDS)
+                .with_boundaries(SECONDS.to_vec())
+                .build(),
+            attempts: meter.u64_counter(metric_names::ATTEMPTS).build(),
+            cost: meter.u64_counter(metric_names::COST).build(),
+            crossed: meter.u64_counter(metric_names::CROSSED).build(),
+            control_bytes: meter.u64_counter(metric_names::CONTROL_BYTES).build(),
+            platform_calls: meter.u64_counter(metric_names::PLATFORM_CALLS).build(),
+            in_work: meter.u64_gauge(metric_names::IN_WORK).build(),
+            revision: meter.u64_gauge(metric_names::REVISION).build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts an answered request.
+    pub fn request_ended(&self, service: &str, customer: &str, outcome: &str, took: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        let outcome = KeyValue::new("outcome", outcome.to_owned());
+        let customer = KeyValue::new("customer", customer.to_owned());
+        self.request_seconds
+            .record(took.as_secs_f64(), &[service.clone(), outcome.clone()]);
+        self.requests.add(1, &[service, customer, outcome]);
+    }
+
+    /// Counts an ended attempt.
+    pub fn attempt_ended(&self, stage: &str, target: &str, end: &'static str) {
+        let labels = [
+            KeyValue::new("stage", stage.to_owned()),
+            KeyValue::new("target", target.to_owned()),
+            KeyValue::new("end", end),
+        ];
+        self.attempts.add(1, &labels);
+    }
+
+    /// Adds what a target charged for a stage.
+    pub fn stage_charged(&self, stage: &str, customer: &str, whole: bool, cost: u64) {
+        let labels = [
+            KeyValue::new("stage", stage.to_owned()),
+            KeyValue::new("customer", customer.to_owned()),
+            KeyValue::new("whole", whole),
+        ];
+        self.cost.add(cost, &labels);
+    }
+
+    /// Counts an answer that named another attempt.
+    pub fn answer_crossed(&self, target: &str) {
+        self.crossed
+            .add(1, &[KeyValue::new("target", target.to_owned())]);
+    }
+
+    /// Adds bytes of control messages.
+    pub fn control_bytes(&self, sent: u64, received: u64) {
+        self.control_bytes
+            .add(sent, &[KeyValue::new("direction", "sent")]);
+        self.control_bytes
+            .add(received, &[KeyValue::new("direction", "received")]);
+    }
+
+    /// Counts a call to the platform.
+    pub fn platform_call(&self, kind: &'static str, ok: bool) {
+        let labels = [KeyValue::new("kind", kind), KeyValue::new("ok", ok)];
+        self.platform_calls.add(1, &labels);
+    }
+
+    /// Sets the requests in work and the revision in force.
+    pub fn set_state(&self, in_work: u64, revision: u64) {
+        self.in_work.record(in_work, &[]);
+        self.revision.record(revision, &[]);
+    }
+
+    /// The page for the scraper.
+    ///
+    /// # Errors
+    /// `BadInput` if a metric can't be written as text.
+    pub fn page(&self) -> Result<String> {
+        let mut buf = Vec::new();
+        TextEncoder::new()
+            .encode(&self.registry.gather(), &mut buf)
+            .map_err(|e| Error::bad_input("metrics", e.to_string()))?;
+        Ok(String::from_utf8_lossy(&buf).into_owned())
+    }
+}
--- /dev/null
+++ b/daemon/src/callers.rs
@@ -0,0 +1,93 @@
+//! The callers' side: one task for each connection, one thread for each request in work.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use http_server::{Body, BodyProblem, read_body};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response};
+use ids::RequestId;
+use outcomes::{Reason, Refusal};
+use serde::de::IgnoredAny;
+use tokio::sync::watch;
+
+use crate::answer::{self, AnswerPort};
+use crate::pipeline::{self, Pipeline};
+use crate::request;
+
+/// What every request needs.
+pub(crate) struct CallersSide {
+    pub(crate) pipeline: Pipeline,
+    /// Turns true when the time to finish is over.
+    pub(crate) cut: watch::Receiver<bool>,
+}
+
+/// Answers one request.
+pub(crate) async fn handle(side: Arc<CallersSide>, req: Request<Incoming>) -> Response<Body> {
+    let arrived = Instant::now();
+    match take(&side, req, arrived).await {
+        Ok(answer) => answer,
+        Err((id, refusal)) => answer::refused(&id, Vec::new(), &refusal),
+    }
+}
+
+async fn take(
+    side: &Arc<CallersSide>,
+    req: Request<Incoming>,
+    arrived: Instant,
+) -> Result<Response<Body>, (RequestId, Refusal)> {
+    let limits = &side.pipeline.cfg.limits;
+    let id = request::request_id(req.headers()).map_err(|r| (RequestId::mint(), r))?;
+    let with_id = |refusal: Refusal| (id.0.clone(), refusal);
+    if !req.uri().path().starts_with(request::SERVICES_PATH) {
+        let refusal = Refusal::not_run(Reason::UnknownService, req.uri().path().to_owned());
+        return Err(with_id(refusal));
+    }
+    if req.method() != Method::POST {
+        let refusal = Refusal::not_run(Reason::BadRequest, "expected method POST");
+        return Err(with_id(refusal));
+    }
+    let asked = request::parse(
+        req.uri().path(),
+        req.headers(),
+        id.clone(),
+        arrived,
+        limits.deadline_ms,
+    )
+    .map_err(with_id)?;
+    let body = read_body(req.into_body(), limits.body_bytes, limits.body_wait())
+        .await
+        .map_err(|problem| with_id(body_refusal(problem, limits.body_bytes)))?;
+    serde_json::from_slice::<IgnoredAny>(&body)
+        .map_err(|e| with_id(Refusal::not_run(Reason::BadRequest, format!("body: {e}"))))?;
+
+    let repeatable = asked.repeatable;
+    let (port, head) = AnswerPort::new(asked.id.clone());
+    let worker = Arc::clone(side);
+    tokio::task::spawn_blocking(move || pipeline::run(&worker.pipeline, &asked, &body, port));
+    let mut cut = side.cut.clone();
+    tokio::select! {
+        answer = head => answer.map_err(|_| with_id(stopped(repeatable))),
+        _ = cut.wait_for(|cut| *cut) => Err(with_id(stopped(repeatable))),
+    }
+}
+
+/// The answer to a request that was still in work when the time to finish was over.
+fn stopped(repeatable: bool) -> Refusal {
+    let detail = "the time to finish was over";
+    if repeatable {
+        Refusal::failed(Reason::Stopping, detail)
+    } else {
+        Refusal::unknown(Reason::Stopping, detail)
+    }
+}
+
+fn body_refusal(problem: BodyProblem, limit: usize) -> Refusal {
+    match problem {
+        BodyProblem::TooLarge => {
+            Refusal::not_run(Reason::BodyTooLarge, format!("the limit is {limit} bytes"))
+        }
+        BodyProblem::TooSlow => Refusal::not_run(Reason::BadRequest, "the body came too slowly"),
+        BodyProblem::Broken => Refusal::not_run(Reason::BadRequest, "the body was cut"),
+    }
+}
--- /dev/null
+++ b/daemon/src/dispatcher.rs
@@ -0,0 +1,601 @@
+//! The actor that holds the shared state of a VM and takes its decisions.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use catalogue::Service;
+use ids::{
+    AttemptId, CustomerName, Incarnation, Priority, RequestId, Revision, ServiceName, TargetName,
+    VmName,
+};
+use journal::{AttemptEnd, AttemptRecord, Journal, RequestRecord, Submission};
+use membership::{Advert, Pace, Roster};
+use outcomes::{Outcome, Reason, Refusal};
+use platform::{ListedVm, VmState};
+use routing::{
+    Admission, CallEnd, Grant, LoadReport, Policy, Router, SlotAnswer, SlotRequest, TargetKey,
+    Update,
+};
+use settings::Settings;
+use slog::{Logger, debug, info};
+use stakker::{CX, after};
+use telemetry::Metrics;
+use tokio::sync::{Notify, oneshot};
+
+use crate::dump::{FleetVm, StateDump};
+use crate::in_force::{History, InForce};
+use crate::leaving::Leaving;
+use crate::waiting::{Granted, SlotReply, WaitingThread, WaitingThreads};
+
+/// Time between two looks at the queues.
+const TICK: Duration = Duration::from_millis(20);
+/// Time between two looks at what grows old: marks, adverts, peers' loads.
+const SLOW_TICK: Duration = Duration::from_millis(500);
+/// VMs of a hall that read the platform for all.
+const READERS: usize = 2;
+/// Partners of a round in the own hall.
+const NEAR_PARTNERS: usize = 2;
+/// Partners of a round in other halls.
+const FAR_PARTNERS: usize = 1;
+/// Attempts to use when a slot is refused for want of configuration.
+const NO_CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+
+/// What the dispatcher is started with.
+pub(crate) struct Setup {
+    pub(crate) cfg: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Wakes the peer links when there is something to tell at once.
+    pub(crate) news: Arc<Notify>,
+}
+
+/// A request at its begin.
+#[derive(Debug, Clone)]
+pub(crate) struct BeginAsk {
+    pub(crate) id: RequestId,
+    pub(crate) service: ServiceName,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: Option<Priority>,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+}
+
+/// A request that was begun: the configuration it keeps and its number.
+#[derive(Debug, Clone)]
+pub(crate) struct Begun {
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) priority: Priority,
+    pub(crate) submission: Submission,
+}
+
+impl Begun {
+    /// The service as it stood when the request began.
+    pub(crate) fn service<'a>(&'a self, name: &ServiceName) -> Option<&'a Service> {
+        self.in_force.catalogue.services.get(name)
+    }
+}
+
+/// A stage's call that needs a slot.
+#[derive(Debug, Clone)]
+pub(crate) struct SlotAsk {
+    pub(crate) id: RequestId,
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) submission: Submission,
+    pub(crate) service: ServiceName,
+    pub(crate) stage: usize,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: Priority,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) exclude: Vec<TargetKey>,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) attempt_number: u32,
+}
+
+/// A call that ended.
+#[derive(Debug)]
+pub(crate) struct EndedCall {
+    pub(crate) submission: Submission,
+    pub(crate) service: ServiceName,
+    pub(crate) stage: ids::StageName,
+    pub(crate) target: TargetKey,
+    pub(crate) target_name: TargetName,
+    pub(crate) attempt: AttemptId,
+    pub(crate) end: CallEnd,
+    pub(crate) record: AttemptEnd,
+    pub(crate) took: Duration,
+    pub(crate) load: Option<LoadReport>,
+    pub(crate) leaving: bool,
+}
+
+/// What a round of exchanges starts from.
+#[derive(Debug)]
+pub(crate) struct Round {
+    pub(crate) own: Advert,
+    pub(crate) known: Vec<(VmName, Incarnation, u64)>,
+    pub(crate) partners: Vec<std::net::SocketAddr>,
+    pub(crate) interval: Duration,
+}
+
+/// Everything that others ask of the dispatcher.
+pub(crate) enum Message {
+    Begin(BeginAsk, oneshot::Sender<Result<Begun, Refusal>>),
+    Admit(BeginAsk, Begun, oneshot::Sender<Admission>),
+    Slot(SlotAsk, oneshot::Sender<SlotReply>),
+    CallEnded(Box<EndedCall>),
+    MayRetry(u32, oneshot::Sender<bool>),
+    Ended {
+        submission: Submission,
+        outcome: Outcome,
+        reason: Option<Reason>,
+        took: Duration,
+    },
+    Offer(Box<InForce>),
+    Current(Revision, oneshot::Sender<CatalogueView>),
+    StartRound(oneshot::Sender<Round>),
+    Heard {
+        adverts: Vec<Advert>,
+        bytes: u64,
+    },
+    Answered(Vec<Advert>),
+    NewsFor(
+        Vec<(VmName, Incarnation, u64)>,
+        oneshot::Sender<(Advert, Vec<Advert>)>,
+    ),
+    Listed(Vec<ListedVm>),
+    ReadsPlatform(oneshot::Sender<(bool, Revision)>),
+    Drain,
+    InWork(oneshot::Sender<usize>),
+    Ready(oneshot::Sender<bool>),
+    Dump(oneshot::Sender<StateDump>),
+    Explain(RequestId, oneshot::Sender<Vec<RequestRecord>>),
+}
+
+/// The configuration in force and, if still kept, the one that a peer has.
+pub(crate) type CatalogueView = (Option<Arc<InForce>>, Option<Arc<InForce>>);
+
+/// Shared state and decisions of a VM.
+pub(crate) struct Dispatcher {
+    setup: Arc<Setup>,
+    router: Router,
+    journal: Journal,
+    waiting: WaitingThreads,
+    history: History,
+    roster: Roster,
+    pace: Pace,
+    leaving: Leaving,
+    listed_peers: Vec<std::net::SocketAddr>,
+    sequence: u64,
+    in_work: usize,
+    draining: bool,
+}
+
+impl Dispatcher {
+    pub(crate) fn init(cx: CX![], setup: Arc<Setup>) -> Option<Self> {
+        let policy = match setup.cfg.policy {
+            settings::Policy::Adaptive => Policy::Adaptive,
+            settings::Policy::RoundRobin => Policy::RoundRobin,
+            settings::Policy::FirstInOrder => Policy::FirstInOrder,
+        };
+        after!(TICK, [cx], tick());
+        after!(SLOW_TICK, [cx], slow_tick());
+        Some(Dispatcher {
+            router: Router::new(policy, setup.cfg.hall.clone(), rand::random(), cx.now()),
+            setup,
+            journal: Journal::default(),
+            waiting: WaitingThreads::default(),
+            history: History::default(),
+            roster: Roster::default(),
+            pace: Pace::default(),
+            leaving: Leaving::default(),
+            listed_peers: Vec::new(),
+            sequence: 0,
+            in_work: 0,
+            draining: false,
+        })
+    }
+
+    pub(crate) fn handle(&mut self, cx: CX![], message: Message) {
+        let now = cx.now();
+        match message {
+            Message::Begin(ask, reply) => answer(reply, self.begin(ask)),
+            Message::Admit(ask, begun, reply) => answer(reply, self.admit(&ask, &begun, now)),
+            Message::Slot(ask, reply) => self.slot(ask, reply, now),
+            Message::CallEnded(ended) => self.call_ended(*ended, now),
+            Message::MayRetry(tries, reply) => answer(reply, self.router.may_retry(tries, now)),
+            Message::Ended {
+                submission,
+                outcome,
+                reason,
+                took,
+            } => {
+                self.ended(submission, outcome, reason, took);
+            }
+            Message::Offer(offered) => self.offer(*offered, now),
+            Message::Current(have, reply) => answer(reply, self.current(have)),
+            Message::StartRound(reply) => answer(reply, self.start_round(now)),
+            Message::Heard { adverts, bytes } => {
+                self.pace.round_took(bytes);
+                self.heard(adverts, now);
+            }
+            Message::Answered(adverts) => self.heard(adverts, now),
+            Message::NewsFor(known, reply) => answer(reply, self.news_for(known)),
+            Message::Listed(vms) => self.listed(&vms, now),
+            Message::ReadsPlatform(reply) => answer(reply, self.reads_platform(now)),
+            Message::Drain => self.drain(),
+            Message::InWork(reply) => answer(reply, self.in_work),
+            Message::Ready(reply) => {
+                answer(reply, !self.draining && self.history.current().is_some());
+            }
+            Message::Dump(reply) => answer(reply, self.dump(now)),
+            Message::Explain(id, reply) => {
+                answer(reply, self.journal.find(&id).cloned().collect());
+            }
+        }
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        let updates = self.router.tick(now);
+        self.send(updates);
+        after!(TICK, [cx], tick());
+    }
+
+    fn slow_tick(&mut self, cx: CX![]) {
+        let now = cx.now();
+        self.leaving.forget_old(now);
+        self.roster.forget_old(now);
+        self.spread_peer_word(now);
+        let revision = self.history.revision().0;
+        self.setup.metrics.set_state(self.in_work as u64, revision);
+        after!(SLOW_TICK, [cx], slow_tick());
+    }
+
+    fn begin(&mut self, ask: BeginAsk) -> Result<Begun, Refusal> {
+        let Some(in_force) = self.history.current().cloned() else {
+            let refusal = Refusal::not_run(Reason::NoConfiguration, "no revision is known yet");
+            return Err(refusal.come_back_in(NO_CONFIGURATION_WAIT));
+        };
+        let Some(service) = in_force.catalogue.services.get(&ask.service) else {
+            return Err(Refusal::not_run(
+                Reason::UnknownService,
+                ask.service.to_string(),
+            ));
+        };
+        if !in_force.catalogue.customers.contains_key(&ask.customer) {
+            return Err(Refusal::not_run(
+                Reason::UnknownCustomer,
+                ask.customer.to_string(),
+            ));
+        }
+        let limit = self.setup.cfg.limits.requests;
+        if self.in_work >= limit {
+            let detail = format!("{limit} requests are in work");
+            return Err(Refusal::not_run(Reason::QueueFull, detail)
+                .come_back_in(Duration::from_millis(200)));
+        }
+        let priority = ask.priority.unwrap_or(service.priority);
+        let deadline = ask.deadline.saturating_duration_since(ask.arrived);
+        let submission = self.journal.open(RequestRecord {
+            request_id: ask.id,
+            service: ask.service,
+            customer: ask.customer,
+            priority,
+            revision: in_force.revision,
+            deadline_ms: millis(deadline),
+            attempts: Vec::new(),
+            outcome: None,
+            reason: None,
+            took_ms: None,
+        });
+        self.in_work += 1;
+        Ok(Begun {
+            in_force,
+            priority,
+            submission,
+        })
+    }
+
+    fn admit(&self, ask: &BeginAsk, begun: &Begun, now: Instant) -> Admission {
+        let Some(service) = begun.service(&ask.service) else {
+            return Ok(());
+        };
+        self.router
+            .admit(service, &ask.customer, begun.priority, ask.deadline, now)
+    }
+
+    fn slot(&mut self, ask: SlotAsk, reply: oneshot::Sender<SlotReply>, now: Instant) {
+        let in_force = Arc::clone(&ask.in_force);
+        let Some(service) = in_force.catalogue.services.get(&ask.service) else {
+            return;
+        };
+        let req = SlotRequest {
+            service,
+            stage: ask.stage,
+            customer: &ask.customer,
+            priority: ask.priority,
+            deadline: ask.deadline,
+            exclude: ask.exclude.clone(),
+            prefix: ask.prefix,
+        };
+        match self.router.request_slot(&req, now) {
+            SlotAnswer::Granted(grant) => self.grant(&ask, grant, reply, now),
+            SlotAnswer::Queued(id) => self.waiting.add(id, WaitingThread { ask, reply }),
+            SlotAnswer::Refused(refused) => answer(reply, Err(refused)),
+        }
+    }
+
+    /// Writes the choice down, then lets the call be sent.
+    fn grant(
+        &mut self,
+        ask: &SlotAsk,
+        grant: Grant,
+        reply: oneshot::Sender<SlotReply>,
+        now: Instant,
+    ) {
+        let stages = ask
+            .in_force
+            .catalogue
+            .services
+            .get(&ask.service)
+            .map(|s| &s.stages);
+        let Some(stage) = stages.and_then(|stages| stages.get(ask.stage)) else {
+            return;
+        };
+        let attempt = AttemptId::new(&ask.id, ask.stage, ask.attempt_number);
+        let record = AttemptRecord {
+            attempt: attempt.to_string(),
+            stage: stage.name.clone(),
+            target: grant.name.clone(),
+            why: grant.why.clone(),
+            chosen_at_ms: millis(now.saturating_duration_since(ask.arrived)),
+            took_ms: None,
+            end: AttemptEnd::Running,
+        };
+        debug!(self.setup.log, "attempt"; "request" => %ask.id, "attempt" => %attempt,
+            "stage" => %stage.name, "target" => %grant.name, "why" => &grant.why);
+        self.journal.chose(ask.submission, record);
+        let (target, service, stage) = (grant.target, ask.service.clone(), stage.name.clone());
+        if reply.send(Ok(Granted { grant, attempt })).is_err() {
+            // The thread has given up; the slot goes to the next.
+            let end = CallEnd::GivenUp;
+            let updates =
+                self.router
+                    .release(target, (&service, &stage), end, Duration::ZERO, None, now);
+            self.send(updates);
+        }
+    }
+
+    fn send(&mut self, updates: Vec<Update>) {
+        let now = Instant::now();
+        for update in updates {
+            match update {
+                Update::Granted(id, grant) => {
+                    if let Some(thread) = self.waiting.take(id) {
+                        self.grant(&thread.ask, grant, thread.reply, now);
+                    }
+                }
+                Update::Refused(id, refused) => {
+                    if let Some(thread) = self.waiting.take(id) {
+                        answer(thread.reply, Err(refused));
+                    }
+                }
+            }
+        }
+    }
+
+    fn call_ended(&mut self, ended: EndedCall, now: Instant) {
+        debug!(self.setup.log, "attempt ended"; "attempt" => %ended.attempt,
+            "stage" => %ended.stage, "target" => %ended.target_name, "end" => ?ended.record,
+            "took_ms" => millis(ended.took));
+        self.journal.attempt_ended(
+            ended.submission,
+            ended.attempt.as_str(),
+            millis(ended.took),
+            ended.record,
+        );
+        if ended.leaving && self.leaving.note(ended.target_name.clone(), now) {
+            info!(self.setup.log, "target leaving"; "target" => %ended.target_name,
+                "word" => "its own answer");
+            self.router.set_leaving(&ended.target_name, true);
+            self.setup.news.notify_one();
+        }
+        let of = (&ended.service, &ended.stage);
+        let updates = self
+            .router
+            .release(ended.target, of, ended.end, ended.took, ended.load, now);
+        self.send(updates);
+    }
+
+    fn ended(
+        &mut self,
+        submission: Submission,
+        outcome: Outcome,
+        reason: Option<Reason>,
+        took: Duration,
+    ) {
+        self.in_work = self.in_work.saturating_sub(1);
+        self.journal
+            .ended(submission, outcome, reason, millis(took));
+        if let Some(id) = self.waiting.of(submission) {
+            self.waiting.take(id);
+            self.router.forget(id);
+        }
+    }
+
+    fn offer(&mut self, offered: InForce, now: Instant) {
+        let Some(taken) = self.history.take(offered) else {
+            return;
+        };
+        info!(self.setup.log, "configuration in force"; "revision" => taken.revision.0,
+            "source" => ?taken.source, "targets" => taken.catalogue.targets.len(),
+            "services" => taken.catalogue.services.len());
+        let updates = self.router.apply(&taken.catalogue, now);
+        self.send(updates);
+        self.spread_peer_word(now);
+        self.setup.news.notify_one();
+    }
+
+    fn current(&self, have: Revision) -> CatalogueView {
+        (
+            self.history.current().cloned(),
+            self.history.at(have).cloned(),
+        )
+    }
+
+    fn advert(&self) -> Advert {
+        let loads = self.router.own_loads();
+        Advert {
+            vm: self.setup.cfg.vm.clone(),
+            hall: self.setup.cfg.hall.clone(),
+            peers: self.setup.cfg.peers,
+            operations: self.setup.cfg.operations,
+            incarnation: self.setup.incarnation,
+            sequence: self.sequence,
+            revision: self.history.revision(),
+            draining: self.draining,
+            loads: loads
+                .map(|(name, calls)| (Roster::target_hash(name), calls))
+                .collect(),
+            leaving: self.leaving.first_hand().cloned().collect(),
+        }
+    }
+
+    fn start_round(&mut self, now: Instant) -> Round {
+        self.sequence += 1;
+        let known = self.roster.digest();
+        let known = known.map(|(vm, inc, seq)| (vm.clone(), inc, seq)).collect();
+        let hall = &self.setup.cfg.hall;
+        let mut partners = self.roster.partners(hall, NEAR_PARTNERS, FAR_PARTNERS);
+        if self
+            .roster
+            .fresh(self.pace.interval(), now)
+            .next()
+            .is_none()
+        {
+            let others = self.setup.cfg.seeds.iter().chain(&self.listed_peers);
+            partners.extend(others.filter(|a| **a != self.setup.cfg.peers));
+        } else if let Some(listed) = self.unheard_peer() {
+            partners.push(listed);
+        }
+        partners.dedup();
+        Round {
+            own: self.advert(),
+            known,
+            partners,
+            interval: self.pace.interval(),
+        }
+    }
+
+    /// A listed peer that was not heard of; halls that were cut off find each other by it.
+    fn unheard_peer(&self) -> Option<std::net::SocketAddr> {
+        let heard = |a: &std::net::SocketAddr| {
+            self.roster
+                .all(Duration::ZERO, Instant::now())
+                .any(|(advert, _)| advert.peers == *a)
+        };
+        let unheard = self.listed_peers.iter().find(|a| !heard(a));
+        unheard.copied().filter(|a| *a != self.setup.cfg.peers)
+    }
+
+    fn heard(&mut self, adverts: Vec<Advert>, now: Instant) {
+        let own = self.setup.cfg.vm.clone();
+        for advert in adverts.into_iter().filter(|a| a.vm != own) {
+            self.roster.merge(advert, now);
+        }
+        self.spread_peer_word(now);
+    }
+
+    /// Lets the router know what peers say of loads and of leaving targets.
+    fn spread_peer_word(&mut self, now: Instant) {
+        let interval = self.pace.interval();
+        let by_hash = self.roster.loads(interval, now);
+        let names: Vec<TargetName> = self.router.target_names().cloned().collect();
+        let loads = names.iter().filter_map(|name| {
+            by_hash
+                .get(&Roster::target_hash(name))
+                .map(|calls| (name.clone(), *calls))
+        });
+        self.router.set_peer_loads(&loads.collect());
+        let said = self
+            .roster
+            .fresh(interval, now)
+            .flat_map(|a| a.leaving.iter());
+        let leaving = self.leaving.all(said);
+        for name in &names {
+            self.router.set_leaving(name, leaving.contains(name));
+        }
+    }
+
+    fn news_for(&self, known: Vec<(VmName, Incarnation, u64)>) -> (Advert, Vec<Advert>) {
+        let known = known
+            .into_iter()
+            .map(|(vm, inc, seq)| (vm, (inc, seq)))
+            .collect();
+        (self.advert(), self.roster.news(&known))
+    }
+
+    fn listed(&mut self, vms: &[ListedVm], now: Instant) {
+        self.listed_peers = vms
+            .iter()
+            .filter(|vm| vm.entry)
+            .map(|vm| vm.address)
+            .collect();
+        let leaving = vms
+            .iter()
+            .filter(|vm| !vm.entry && vm.state == VmState::Leaving);
+        let names: Vec<TargetName> = leaving
+            .filter_map(|vm| TargetName::new(&vm.name).ok())
+            .collect();
+        for name in names {
+            if self.leaving.note(name.clone(), now) {
+                info!(self.setup.log, "target leaving"; "target" => %name, "word" => "VM list");
+                self.setup.news.notify_one();
+            }
+        }
+        self.spread_peer_word(now);
+    }
+
+    fn reads_platform(&self, now: Instant) -> (bool, Revision) {
+        let own = (&self.setup.cfg.vm, &self.setup.cfg.hall);
+        let reads = self
+            .roster
+            .reads_platform(own, READERS, self.pace.interval(), now);
+        (reads, self.history.revision())
+    }
+
+    fn drain(&mut self) {
+        self.draining = true;
+        self.setup.news.notify_one();
+    }
+
+    fn dump(&self, now: Instant) -> StateDump {
+        let interval = self.pace.interval();
+        StateDump {
+            vm: self.setup.cfg.vm.clone(),
+            hall: self.setup.cfg.hall.clone(),
+            incarnation: self.setup.incarnation,
+            revision: self.history.revision(),
+            source: self.history.current().map(|c| c.source),
+            draining: self.draining,
+            in_work: self.in_work,
+            waiting: self.router.waiting(),
+            retries_left: self.router.retries_left(),
+            records: self.journal.len(),
+            round_interval_ms: millis(interval),
+            reads_platform: self.reads_platform(now).0,
+            targets: self.router.dump(now),
+            vms: self.roster.all(interval, now).map(FleetVm::of).collect(),
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn answer<T>(reply: oneshot::Sender<T>, value: T) {
+    // Whoever asked may have given up; then the answer has no use.
+    let _ = reply.send(value);
+}
--- /dev/null
+++ b/daemon/src/dump.rs
@@ -0,0 +1,55 @@
+//! A process's state as shown on request.
+
+use std::net::SocketAddr;
+
+use ids::{HallName, Incarnation, Revision, VmName};
+use membership::{Advert, AdvertAge};
+use routing::TargetDump;
+use serde::Serialize;
+
+use crate::in_force::Source;
+
+/// Everything an operator may want to see of one VM.
+#[derive(Debug, Serialize)]
+pub(crate) struct StateDump {
+    pub(crate) vm: VmName,
+    pub(crate) hall: HallName,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) revision: Revision,
+    pub(crate) source: Option<Source>,
+    pub(crate) draining: bool,
+    pub(crate) in_work: usize,
+    pub(crate) waiting: usize,
+    pub(crate) retries_left: f64,
+    pub(crate) records: usize,
+    pub(crate) round_interval_ms: u64,
+    pub(crate) reads_platform: bool,
+    pub(crate) targets: Vec<TargetDump>,
+    pub(crate) vms: Vec<FleetVm>,
+}
+
+/// Another VM as this one knows it.
+#[derive(Debug, Serialize)]
+pub(crate) struct FleetVm {
+    vm: VmName,
+    hall: HallName,
+    operations: SocketAddr,
+    incarnation: Incarnation,
+    revision: Revision,
+    draining: bool,
+    age: AdvertAge,
+}
+
+impl FleetVm {
+    pub(crate) fn of((advert, age): (&Advert, AdvertAge)) -> Self {
+        FleetVm {
+            vm: advert.vm.clone(),
+            hall: advert.hall.clone(),
+            operations: advert.operations,
+            incarnation: advert.incarnation,
+            revision: advert.revision,
+            draining: advert.draining,
+            age,
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/leaving.rs
@@ -0,0 +1,43 @@
+//! Which targets are leaving, by first-hand word or by word from peers; the first word wins.
+
+use std::collections::{HashMap, HashSet};
+use std::time::{Duration, Instant};
+
+use ids::TargetName;
+
+/// A first-hand word holds for this long after it was last heard.
+const LIFE: Duration = Duration::from_secs(60);
+
+/// First-hand words on leaving: from the VM list or from the target itself.
+///
+/// Only these are passed on, so that two VMs can't keep a word alive between them.
+#[derive(Debug, Default)]
+pub(crate) struct Leaving {
+    first_hand: HashMap<TargetName, Instant>,
+}
+
+impl Leaving {
+    /// Notes a first-hand word; says whether it is new.
+    pub(crate) fn note(&mut self, name: TargetName, now: Instant) -> bool {
+        self.first_hand.insert(name, now).is_none()
+    }
+
+    /// Drops words that are too old.
+    pub(crate) fn forget_old(&mut self, now: Instant) {
+        self.first_hand
+            .retain(|_, at| now.saturating_duration_since(*at) < LIFE);
+    }
+
+    /// The first-hand words, to pass on.
+    pub(crate) fn first_hand(&self) -> impl Iterator<Item = &TargetName> {
+        self.first_hand.keys()
+    }
+
+    /// All targets that leave, with what peers say.
+    pub(crate) fn all<'a>(
+        &'a self,
+        peers: impl Iterator<Item = &'a TargetName>,
+    ) -> HashSet<&'a TargetName> {
+        self.first_hand.keys().chain(peers).collect()
+    }
+}
--- /dev/null
+++ b/daemon/src/messages.rs
@@ -0,0 +1,15 @@
+//! What the daemon says to a person who starts it.
+
+use std::path::Path;
+
+use errors::Error;
+
+/// The settings were checked and can be taken.
+pub fn settings_fine(path: &Path) {
+    println!("{}: settings are fine", path.display());
+}
+
+/// The daemon can't go on.
+pub fn failed(e: &Error) {
+    eprintln!("saddleraild: {e}");
+}
--- /dev/null
+++ b/daemon/src/operations.rs
@@ -0,0 +1,129 @@
+//! The operations page: health, readiness, metrics, the state dump and explanations.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+
+use errors::{Error, Result};
+use ids::RequestId;
+use slog::{Logger, warn};
+use telemetry::Metrics;
+use tiny_http::{Header, Method, Request, Response, Server};
+
+use crate::dispatcher::Message;
+use crate::runtime::{Desk, Gone};
+
+/// Path before the request id of an explanation.
+const EXPLAIN_PATH: &str = "/explain/";
+
+/// What the page needs.
+pub(crate) struct Operations {
+    pub(crate) desk: Desk,
+    pub(crate) metrics: Arc<Metrics>,
+    pub(crate) log: Logger,
+}
+
+struct Page {
+    status: u16,
+    kind: &'static str,
+    text: String,
+}
+
+/// Starts the page's thread.
+///
+/// # Errors
+/// `Io` if the address can't be listened on.
+pub(crate) fn start(page: Operations, address: SocketAddr) -> Result<()> {
+    let server = Server::http(address).map_err(|e| {
+        Error::io(
+            format!("listening on {address}"),
+            std::io::Error::other(e.to_string()),
+        )
+    })?;
+    thread::spawn(move || page.serve(server, address));
+    Ok(())
+}
+
+impl Operations {
+    fn serve(&self, mut server: Server, address: SocketAddr) {
+        loop {
+            match server.recv() {
+                Ok(req) => self.answer(req),
+                Err(e) => {
+                    // Its accept loop ends at the first error, so a new one is needed.
+                    warn!(self.log, "operations page failed"; "problem" => %e);
+                    drop(server);
+                    server = loop {
+                        thread::sleep(std::time::Duration::from_millis(100));
+                        if let Ok(again) = Server::http(address) {
+                            break again;
+                        }
+                    };
+                }
+            }
+        }
+    }
+
+    fn answer(&self, req: Request) {
+        let page = match (req.method(), req.url()) {
+            (Method::Get, "/live") => text(200, "alive"),
+            (Method::Get, "/ready") => self.ready(),
+            (Method::Get, "/metrics") => self.metrics_page(),
+            (Method::Get, "/state") => self.json(self.desk.ask(Message::Dump)),
+            (Method::Get, url) if url.starts_with(EXPLAIN_PATH) => self.explain(url),
+            (Method::Get, _) => text(404, "no such page"),
+            _ => text(405, "expected method GET"),
+        };
+        let kind = Header::from_bytes("content-type", page.kind);
+        let mut rx = Response::from_string(page.text).with_status_code(page.status);
+        if let Ok(kind) = kind {
+            rx.add_header(kind);
+        }
+        // An operator that is gone needs no answer.
+        let _ = req.respond(rx);
+    }
+
+    fn ready(&self) -> Page {
+        match self.desk.ask(Message::Ready) {
+            Ok(true) => text(200, "ready"),
+            Ok(false) | Err(Gone) => text(503, "not ready"),
+        }
+    }
+
+    fn metrics_page(&self) -> Page {
+        match self.metrics.page() {
+            Ok(page) => Page {
+                status: 200,
+                kind: "text/plain; version=0.0.4",
+                text: page,
+            },
+            Err(e) => text(500, &e.to_string()),
+        }
+    }
+
+    fn explain(&self, url: &str) -> Page {
+        match RequestId::new(url.trim_start_matches(EXPLAIN_PATH)) {
+            Ok(id) => self.json(self.desk.ask(|reply| Message::Explain(id, reply))),
+            Err(e) => text(400, &e.to_string()),
+        }
+    }
+
+    fn json<T: serde::Serialize>(&self, value: std::result::Result<T, Gone>) -> Page {
+        match value {
+            Ok(value) => Page {
+                status: 200,
+                kind: "application/json",
+                text: serde_json::to_string(&value).unwrap_or_default(),
+            },
+            Err(Gone) => text(503, "the process is ending"),
+        }
+    }
+}
+
+fn text(status: u16, text: &str) -> Page {
+    Page {
+        status,
+        kind: "text/plain",
+        text: format!("{text}\n"),
+    }
+}
--- /dev/null
+++ b/daemon/src/pipeline.rs
@@ -0,0 +1,573 @@
+//! A request's way through its stages, written straight down on a thread of its own.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use catalogue::{Service, Stage};
+use ids::Incarnation;
+use journal::AttemptEnd;
+use outcomes::{Answer, Outcome, Reason, Refusal, StageRun};
+use platform::{Claim, ClaimState, Store};
+use routing::{CallEnd, LoadReport, Refused, TargetKey};
+use settings::Settings;
+use slog::{Logger, debug, info};
+use target_calls::{CallFailure, CallRequest, Caller, PlainAnswer, StreamEvent, TargetWord};
+use telemetry::Metrics;
+
+use crate::answer::AnswerPort;
+use crate::dispatcher::{BeginAsk, Begun, EndedCall, Message, SlotAsk};
+use crate::request::CallerRequest;
+use crate::runtime::{Desk, Gone};
+use crate::waiting::Granted;
+
+/// When to ask again where nothing better is known.
+const SOON: Duration = Duration::from_millis(500);
+
+/// What the threads of all requests share.
+pub(crate) struct Pipeline {
+    pub(crate) cfg: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) desk: Desk,
+    pub(crate) caller: Caller,
+    pub(crate) store: Store,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Arc<Metrics>,
+}
+
+/// What is known of one request so far.
+struct Progress<'a> {
+    shared: &'a Pipeline,
+    req: &'a CallerRequest,
+    begun: &'a Begun,
+    /// Stages that ran, and attempts that may have run (with no cost).
+    runs: Vec<StageRun>,
+    /// Whether a call was sent whose end was not seen.
+    may_have_run: bool,
+    attempts: u32,
+}
+
+/// Answers one request.
+pub(crate) fn run(shared: &Pipeline, req: &CallerRequest, body: &[u8], port: AnswerPort) {
+    let ask = BeginAsk {
+        id: req.id.clone(),
+        service: req.service.clone(),
+        customer: req.customer.clone(),
+        priority: req.priority,
+        arrived: req.arrived,
+        deadline: req.deadline,
+    };
+    let begun = match shared.desk.ask(|reply| Message::Begin(ask.clone(), reply)) {
+        Ok(Ok(begun)) => begun,
+        Ok(Err(refusal)) => {
+            note_end(shared, req, refusal.outcome, Some(refusal.reason));
+            return port.refuse(Vec::new(), &refusal);
+        }
+        Err(Gone) => return port.refuse(Vec::new(), &stopping()),
+    };
+    let claim = match claim_id(shared, req) {
+        Ok(claim) => claim,
+        Err(refusal) => return end_refused(shared, req, &begun, Vec::new(), port, &refusal),
+    };
+    let mut progress = Progress {
+        shared,
+        req,
+        begun: &begun,
+        runs: Vec::new(),
+        may_have_run: false,
+        attempts: 0,
+    };
+    let mut port = port;
+    let result = progress
+        .admit(&ask)
+        .and_then(|service| progress.run_stages(service, body, &mut port));
+    let runs = progress.runs;
+    match result {
+        Ok(output) => {
+            close(shared, req, claim.as_ref(), ClaimState::Ended);
+            charge(shared, req, &runs, true);
+            let answer = Answer::whole(req.id.clone(), runs, output);
+            port.finish(&answer);
+            end(shared, req, &begun, Outcome::Whole, None);
+        }
+        Err(refusal) => {
+            let refusal = close_refused(shared, req, claim.as_ref(), refusal);
+            charge(shared, req, &runs, false);
+            end_refused(shared, req, &begun, runs, port, &refusal);
+        }
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal::not_run(Reason::Stopping, "the process is ending").come_back_in(SOON)
+}
+
+/// A request that may not be repeated under a caller's id is claimed before anything runs.
+fn claim_id(shared: &Pipeline, req: &CallerRequest) -> Result<Option<Claim>, Refusal> {
+    if req.repeatable || !req.own_id {
+        return Ok(None);
+    }
+    let claimed = platform::claim(&shared.store, &req.id, &shared.cfg.vm, shared.incarnation);
+    shared.metrics.platform_call("claim", claimed.is_ok());
+    match claimed {
+        Ok(Ok(mine)) => Ok(Some(mine)),
+        Ok(Err(other)) if other.state == ClaimState::Refused => {
+            let detail = "an earlier submission was refused; it never will run under this id";
+            Err(Refusal::not_run(Reason::IdTaken, detail))
+        }
+        Ok(Err(other)) => {
+            let detail = format!("claimed by {} ({:?})", other.vm, other.state);
+            Err(Refusal::unknown(Reason::IdTaken, detail))
+        }
+        Err(e) => {
+            // Another submission may have run elsewhere, so "not run" can't be told.
+            let detail = format!("{e}; this submission ran nothing and may be sent again");
+            Err(Refusal::unknown(Reason::StoreOut, detail).come_back_in(SOON))
+        }
+    }
+}
+
+fn close(shared: &Pipeline, req: &CallerRequest, claim: Option<&Claim>, state: ClaimState) -> bool {
+    claim.is_none_or(|mine| {
+        let closed = platform::close_claim(&shared.store, &req.id, mine, state);
+        shared.metrics.platform_call("close claim", closed);
+        closed
+    })
+}
+
+/// Closes the claim of a refused request; "not run" is told only once no other VM can run it.
+fn close_refused(
+    shared: &Pipeline,
+    req: &CallerRequest,
+    claim: Option<&Claim>,
+    refusal: Refusal,
+) -> Refusal {
+    if refusal.outcome != Outcome::NotRun {
+        close(shared, req, claim, ClaimState::Ended);
+        return refusal;
+    }
+    // The claim was never given back, so nobody else runs the request either way.
+    close(shared, req, claim, ClaimState::Refused);
+    refusal
+}
+
+fn charge(shared: &Pipeline, req: &CallerRequest, runs: &[StageRun], whole: bool) {
+    for run in runs {
+        let cost = run.cost.unwrap_or(0);
+        shared
+            .metrics
+            .stage_charged(run.stage.as_str(), req.customer.as_str(), whole, cost);
+    }
+}
+
+fn end_refused(
+    shared: &Pipeline,
+    req: &CallerRequest,
+    begun: &Begun,
+    runs: Vec<StageRun>,
+    port: AnswerPort,
+    refusal: &Refusal,
+) {
+    info!(shared.log, "request refused"; "request" => %req.id, "service" => %req.service,
+        "customer" => %req.customer, "outcome" => refusal.outcome.as_str(),
+        "reason" => ?refusal.reason, "detail" => &refusal.detail);
+    port.refuse(runs, refusal);
+    end(shared, req, begun, refusal.outcome, Some(refusal.reason));
+}
+
+fn end(
+    shared: &Pipeline,
+    req: &CallerRequest,
+    begun: &Begun,
+    outcome: Outcome,
+    reason: Option<Reason>,
+) {
+    let took = req.arrived.elapsed();
+    shared.desk.tell(Message::Ended {
+        submission: begun.submission,
+        outcome,
+        reason,
+        took,
+    });
+    debug!(shared.log, "request ended"; "request" => %req.id, "service" => %req.service,
+        "outcome" => outcome.as_str(), "took_ms" => took.as_millis());
+    note_end(shared, req, outcome, reason);
+}
+
+fn note_end(shared: &Pipeline, req: &CallerRequest, outcome: Outcome, reason: Option<Reason>) {
+    // Names that no configuration knows would let callers fill the metrics' memory.
+    let known = !matches!(
+        reason,
+        Some(Reason::UnknownService | Reason::UnknownCustomer)
+    );
+    let (service, customer) = if known {
+        (req.service.as_str(), req.customer.as_str())
+    } else {
+        ("?", "?")
+    };
+    shared
+        .metrics
+        .request_ended(service, customer, outcome.as_str(), req.arrived.elapsed());
+}
+
+/// Why an attempt did not bring the stage's output.
+enum Miss {
+    /// Try another target: the call did not run, or the request may be repeated.
+    TryAgain(String),
+    /// Give up.
+    GiveUp(Refusal),
+}
+
+impl<'a> Progress<'a> {
+    fn admit(&self, ask: &BeginAsk) -> Result<&'a Service, Refusal> {
+        let admission = self
+            .shared
+            .desk
+            .ask(|reply| Message::Admit(ask.clone(), self.begun.clone(), reply))
+            .map_err(|Gone| stopping())?;
+        admission.map_err(|refused| self.refusal_of(refused))?;
+        let unknown = || Refusal::not_run(Reason::UnknownService, self.req.service.to_string());
+        self.begun.service(&self.req.service).ok_or_else(unknown)
+    }
+
+    fn run_stages(
+        &mut self,
+        service: &Service,
+        body: &[u8],
+        port: &mut AnswerPort,
+    ) -> Result<Option<serde_json::Value>, Refusal> {
+        let mut input = body.to_vec();
+        let last = service.stages.len().saturating_sub(1);
+        for (index, stage) in service.stages.iter().enumerate() {
+            if !port.is_open() {
+                return Err(self.give_up(Reason::CallerGone, "before the next stage", None));
+            }
+            let to_caller = index == last && self.req.wants_stream;
+            let answer = if stage.streams {
+                self.run_stream(stage, index, &input, to_caller.then_some(&mut *port))?
+            } else {
+                self.run_call(stage, index, &input)?
+            };
+            input = answer.output;
+        }
+        if Instant::now() > self.req.deadline {
+            return Err(self.give_up(Reason::DeadlinePassed, "after the last stage", None));
+        }
+        Ok((!port.has_begun()).then(|| serde_json::from_slice(&input).unwrap_or_default()))
+    }
+
+    /// Runs a stage that answers at once.
+    fn run_call(
+        &mut self,
+        stage: &Stage,
+        index: usize,
+        input: &[u8],
+    ) -> Result<PlainAnswer, Refusal> {
+        let mut tried = Vec::new();
+        loop {
+            let granted = self.slot(index, &tried)?;
+            let began = Instant::now();
+            let outcome = self
+                .shared
+                .caller
+                .call(&self.call_request(stage, &granted, input, None));
+            self.call_ended(
+                stage,
+                &granted,
+                began,
+                outcome.result.as_ref().err(),
+                outcome.word,
+            );
+            match outcome.result {
+                Ok(answer) => {
+                    self.ran(stage, &granted, Some(answer.cost));
+                    return Ok(answer);
+                }
+                Err(failure) => self.next_try(stage, &granted, failure, &mut tried)?,
+            }
+        }
+    }
+
+    /// Runs a stage that streams; resumes at the next token after a cut.
+    fn run_stream(
+        &mut self,
+        stage: &Stage,
+        index: usize,
+        input: &[u8],
+        mut port: Option<&mut AnswerPort>,
+    ) -> Result<PlainAnswer, Refusal> {
+        let mut tried = Vec::new();
+        let mut text = String::new();
+        let mut tokens = 0;
+        loop {
+            let granted = self.slot(index, &tried)?;
+            let began = Instant::now();
+            let resume_after = (tokens > 0).then_some(tokens);
+            let req = self.call_request(stage, &granted, input, resume_after);
+            let outcome = self.shared.caller.open_stream(&req);
+            let word = outcome.word;
+            let result = outcome.result.map(|mut stream| {
+                loop {
+                    match stream.next_event() {
+                        Ok(StreamEvent::Token(number, token)) => {
+                            tokens = number;
+                            text.push_str(&token);
+                            let sent = port.as_mut().map(|port| port.token(number, &token));
+                            if matches!(sent, Some(Err(_))) {
+                                break Err(None);
+                            }
+                        }
+                        Ok(StreamEvent::End(end)) => break Ok(end),
+                        Err(failure) => break Err(Some(failure)),
+                    }
+                }
+            });
+            let failure = match result {
+                Ok(Ok(end)) => {
+                    self.call_ended(stage, &granted, began, None, word);
+                    self.ran(stage, &granted, Some(end.cost));
+                    let output = serde_json::json!({ "text": text }).to_string().into_bytes();
+                    return Ok(PlainAnswer {
+                        output,
+                        cost: end.cost,
+                    });
+                }
+                Ok(Err(None)) => {
+                    self.shared
+                        .caller
+                        .cancel(granted.grant.address, &granted.attempt);
+                    let gone = CallFailure::MayHaveRun("the caller is gone".to_owned());
+                    self.given_up(stage, &granted, began, &gone);
+                    self.ran(stage, &granted, None);
+                    self.may_have_run = true;
+                    return Err(self.give_up(Reason::CallerGone, "during a stream", None));
+                }
+                Ok(Err(Some(failure))) | Err(failure) => failure,
+            };
+            self.call_ended(stage, &granted, began, Some(&failure), word);
+            self.next_try(stage, &granted, failure, &mut tried)?;
+        }
+    }
+
+    fn slot(&mut self, stage: usize, tried: &[TargetKey]) -> Result<Granted, Refusal> {
+        self.attempts += 1;
+        let ask = SlotAsk {
+            id: self.req.id.clone(),
+            in_force: Arc::clone(&self.begun.in_force),
+            submission: self.begun.submission,
+            service: self.req.service.clone(),
+            stage,
+            customer: self.req.customer.clone(),
+            priority: self.begun.priority,
+            arrived: self.req.arrived,
+            deadline: self.req.deadline,
+            exclude: tried.to_vec(),
+            prefix: self.req.prefix.as_ref().map(|prefix| hash_of(prefix)),
+            attempt_number: self.attempts,
+        };
+        let reply = self.shared.desk.ask(|reply| Message::Slot(ask, reply));
+        match reply {
+            Ok(Ok(granted)) => Ok(granted),
+            Ok(Err(refused)) => Err(self.refusal_of(refused)),
+            Err(Gone) => Err(self.give_up(Reason::Stopping, "the process is ending", Some(SOON))),
+        }
+    }
+
+    fn call_request<'b>(
+        &self,
+        stage: &'b Stage,
+        granted: &'b Granted,
+        input: &'b [u8],
+        last_token: Option<u64>,
+    ) -> CallRequest<'b> {
+        CallRequest {
+            address: granted.grant.address,
+            stage: &stage.name,
+            attempt: &granted.attempt,
+            input,
+            left: self.req.deadline.saturating_duration_since(Instant::now()),
+            priority: self.begun.priority,
+            // On a fresh connection a failed connect proves that the call did not run.
+            reuse: self.req.repeatable,
+            last_token,
+        }
+    }
+
+    fn call_ended(
+        &self,
+        stage: &Stage,
+        granted: &Granted,
+        began: Instant,
+        failure: Option<&CallFailure>,
+        word: TargetWord,
+    ) {
+        let (end, record, name) = match failure {
+            None => (CallEnd::Answered, AttemptEnd::Answered, "answered"),
+            Some(CallFailure::NotSent(problem)) => {
+                let problem = problem.clone();
+                (
+                    CallEnd::Unreachable,
+                    AttemptEnd::NotSent { problem },
+                    "not sent",
+                )
+            }
+            Some(CallFailure::Declined(problem)) => {
+                let problem = problem.clone();
+                (
+                    CallEnd::Declined,
+                    AttemptEnd::Declined { problem },
+                    "declined",
+                )
+            }
+            Some(CallFailure::Crossed(problem)) => {
+                self.shared
+                    .metrics
+                    .answer_crossed(granted.grant.name.as_str());
+                let problem = problem.clone();
+                (CallEnd::Failed, AttemptEnd::Failed { problem }, "crossed")
+            }
+            Some(CallFailure::MayHaveRun(problem)) => {
+                let problem = problem.clone();
+                (CallEnd::Failed, AttemptEnd::Failed { problem }, "failed")
+            }
+        };
+        self.tell_ended(stage, granted, began, (end, record, name), word);
+    }
+
+    fn given_up(&self, stage: &Stage, granted: &Granted, began: Instant, why: &CallFailure) {
+        let problem = format!("{why:?}");
+        let end = (CallEnd::GivenUp, AttemptEnd::Failed { problem }, "given up");
+        self.tell_ended(stage, granted, began, end, TargetWord::default());
+    }
+
+    fn tell_ended(
+        &self,
+        stage: &Stage,
+        granted: &Granted,
+        began: Instant,
+        (end, record, name): (CallEnd, AttemptEnd, &'static str),
+        word: TargetWord,
+    ) {
+        let target = &granted.grant.name;
+        self.shared
+            .metrics
+            .attempt_ended(stage.name.as_str(), target.as_str(), name);
+        let ended = EndedCall {
+            submission: self.begun.submission,
+            service: self.req.service.clone(),
+            stage: stage.name.clone(),
+            target: granted.grant.target,
+            target_name: target.clone(),
+            attempt: granted.attempt.clone(),
+            end,
+            record,
+            took: began.elapsed(),
+            load: word
+                .load
+                .map(|(running, queued)| LoadReport { running, queued }),
+            leaving: word.leaving,
+        };
+        self.shared.desk.tell(Message::CallEnded(Box::new(ended)));
+    }
+
+    fn ran(&mut self, stage: &Stage, granted: &Granted, cost: Option<u64>) {
+        let (stage, target) = (stage.name.clone(), granted.grant.name.clone());
+        self.runs.push(StageRun {
+            stage,
+            target,
+            cost,
+        });
+    }
+
+    /// Decides whether a failed attempt is followed by another one.
+    fn next_try(
+        &mut self,
+        stage: &Stage,
+        granted: &Granted,
+        failure: CallFailure,
+        tried: &mut Vec<TargetKey>,
+    ) -> Result<(), Refusal> {
+        tried.push(granted.grant.target);
+        match self.judge(stage, granted, failure) {
+            Miss::GiveUp(refusal) => Err(refusal),
+            Miss::TryAgain(problem) => {
+                let tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
+                let allowed = self
+                    .shared
+                    .desk
+                    .ask(|reply| Message::MayRetry(tries, reply));
+                if !matches!(allowed, Ok(true)) {
+                    let detail = format!("{problem}; no further try is allowed now");
+                    return Err(self.give_up(Reason::TargetFailed, &detail, Some(SOON)));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn judge(&mut self, stage: &Stage, granted: &Granted, failure: CallFailure) -> Miss {
+        let name = &granted.grant.name;
+        match failure {
+            CallFailure::NotSent(problem) | CallFailure::Declined(problem) => {
+                Miss::TryAgain(format!("stage {} at {name}: {problem}", stage.name))
+            }
+            CallFailure::Crossed(problem) | CallFailure::MayHaveRun(problem) => {
+                self.ran(stage, granted, None);
+                self.may_have_run = true;
+                let detail = format!("stage {} at {name}: {problem}", stage.name);
+                if Instant::now() >= self.req.deadline {
+                    self.shared
+                        .caller
+                        .cancel(granted.grant.address, &granted.attempt);
+                    Miss::GiveUp(self.give_up(Reason::DeadlinePassed, &detail, None))
+                } else if self.req.repeatable {
+                    Miss::TryAgain(detail)
+                } else {
+                    Miss::GiveUp(self.give_up(Reason::TargetFailed, &detail, None))
+                }
+            }
+        }
+    }
+
+    fn refusal_of(&self, refused: Refused) -> Refusal {
+        let (reason, detail, wait) = match refused {
+            Refused::TooLate { come_back } => (
+                Reason::TooLate,
+                "the stages left need more time than is left",
+                come_back,
+            ),
+            Refused::QueueFull { come_back } => (
+                Reason::QueueFull,
+                "too many wait for the stage's targets",
+                come_back,
+            ),
+            Refused::NoTarget { come_back } => (
+                Reason::NoTarget,
+                "every target that the selectors allow was tried or is out",
+                come_back,
+            ),
+        };
+        self.give_up(reason, detail, Some(wait))
+    }
+
+    /// The refusal that goes with what is known of this request.
+    fn give_up(&self, reason: Reason, detail: &str, come_back: Option<Duration>) -> Refusal {
+        let refusal = if self.may_have_run && !self.req.repeatable {
+            Refusal::unknown(reason, detail)
+        } else if self.may_have_run || !self.runs.is_empty() {
+            Refusal::failed(reason, detail)
+        } else {
+            Refusal::not_run(reason, detail)
+        };
+        match come_back.filter(|_| refusal.outcome != Outcome::Unknown) {
+            Some(wait) => refusal.come_back_in(wait),
+            None => refusal,
+        }
+    }
+}
+
+fn hash_of(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/daemon/src/waiting.rs
@@ -0,0 +1,50 @@
+//! Requests that wait for a slot and how to reach their threads.
+
+use std::collections::HashMap;
+
+use journal::Submission;
+use routing::{Grant, Refused, WaitId};
+use tokio::sync::oneshot;
+
+use crate::dispatcher::SlotAsk;
+
+/// Answer to a request for a slot.
+pub(crate) type SlotReply = Result<Granted, Refused>;
+
+/// A slot and the id of the attempt that uses it.
+#[derive(Debug)]
+pub(crate) struct Granted {
+    pub(crate) grant: Grant,
+    pub(crate) attempt: ids::AttemptId,
+}
+
+/// One request that waits.
+#[derive(Debug)]
+pub(crate) struct WaitingThread {
+    pub(crate) ask: SlotAsk,
+    pub(crate) reply: oneshot::Sender<SlotReply>,
+}
+
+/// All that wait, by their number in the router.
+#[derive(Debug, Default)]
+pub(crate) struct WaitingThreads {
+    by_id: HashMap<WaitId, WaitingThread>,
+}
+
+impl WaitingThreads {
+    pub(crate) fn add(&mut self, id: WaitId, thread: WaitingThread) {
+        self.by_id.insert(id, thread);
+    }
+
+    pub(crate) fn take(&mut self, id: WaitId) -> Option<WaitingThread> {
+        self.by_id.remove(&id)
+    }
+
+    /// Those of one submission; there is at most one.
+    pub(crate) fn of(&self, submission: Submission) -> Option<WaitId> {
+        self.by_id
+            .iter()
+            .find(|(_, t)| t.ask.submission == submission)
+            .map(|(id, _)| *id)
+    }
+}
--- /dev/null
+++ b/load/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder until arrivals are sent.
+
+fn main() {}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,245 @@
+//! Arguments and exit codes; `docs/operators/tool.md` documents both.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use catalogue::ObjectKey;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use errors::Error;
+
+/// Something failed that is no case below.
+const FAILED: u8 = 1;
+/// The input can't be taken.
+const BAD_INPUT: u8 = 2;
+/// Another change was accepted first.
+const REFUSED: u8 = 3;
+/// It is not known whether the change was accepted.
+const UNKNOWN: u8 = 4;
+/// Not in force everywhere within the time given.
+const TIMED_OUT: u8 = 5;
+/// The platform or a daemon can't be reached.
+const UNREACHABLE: u8 = 6;
+/// `diff` and `apply --dry-run` found something that would change.
+pub(crate) const DIFFERS: u8 = 10;
+
+/// The exit code that goes with an error.
+pub(crate) fn exit_code_of(e: &Error) -> ExitCode {
+    ExitCode::from(match e {
+        Error::BadInput { .. } => BAD_INPUT,
+        Error::ChangeRefused { .. } | Error::StoreConflict { .. } => REFUSED,
+        Error::ChangeUnknown { .. } => UNKNOWN,
+        Error::TimedOut { .. } => TIMED_OUT,
+        Error::StoreOut(_) | Error::Unreachable { .. } => UNREACHABLE,
+        Error::Io { .. } => FAILED,
+    })
+}
+
+/// How lists and dumps are printed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Output {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+/// The chosen output.
+pub(crate) fn output_of(args: &ArgMatches) -> Output {
+    match args.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Output::Json,
+        _ => Output::Text,
+    }
+}
+
+/// The whole command line.
+pub(crate) fn command() -> Command {
+    Command::new("saddlerail")
+        .version(env!("CARGO_PKG_VERSION"))
+        .about("Steers and inspects a saddlerail fleet")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(address("platform", "SADDLERAIL_PLATFORM", "The platform's store").global(true))
+        .arg(address("vm", "SADDLERAIL_VM", "A daemon's operations page").global(true))
+        .arg(
+            Arg::new("output")
+                .long("output")
+                .value_name("FORMAT")
+                .value_parser(["text", "json"])
+                .default_value("text")
+                .global(true)
+                .help("Format of what is printed"),
+        )
+        .subcommands([apply(), diff(), list(), show(), remove(), label()])
+        .subcommands([
+            history(),
+            rollback(),
+            settle(),
+            wait(),
+            state(),
+            explain(),
+            completions(),
+        ])
+}
+
+fn address(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .env(variable)
+        .value_name("ADDRESS")
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn files() -> Arg {
+    Arg::new("file")
+        .short('f')
+        .long("file")
+        .value_name("FILE")
+        .action(ArgAction::Append)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("YAML file with objects; may be given several times")
+}
+
+fn wait_flag() -> Arg {
+    Arg::new("wait")
+        .long("wait")
+        .action(ArgAction::SetTrue)
+        .help("Return once the change is in force on every VM")
+}
+
+fn timeout() -> Arg {
+    Arg::new("timeout-ms")
+        .long("timeout-ms")
+        .value_name("MS")
+        .default_value("5000")
+        .value_parser(value_parser!(u64))
+        .help("Longest wait for a change to be in force")
+}
+
+fn object(name: &'static str) -> Arg {
+    Arg::new(name)
+        .value_name("KIND/NAME")
+        .required(true)
+        .value_parser(value_parser!(ObjectKey))
+        .help("Object, such as target/enc-1")
+}
+
+fn apply() -> Command {
+    Command::new("apply")
+        .about("Add or change objects; all of them or none")
+        .args([files(), wait_flag(), timeout()])
+        .arg(
+            Arg::new("dry-run")
+                .long("dry-run")
+                .action(ArgAction::SetTrue)
+                .help("Check and show what would change, but change nothing"),
+        )
+}
+
+fn diff() -> Command {
+    Command::new("diff")
+        .about("Show what applying the files would change")
+        .arg(files())
+}
+
+fn list() -> Command {
+    Command::new("list")
+        .about("List objects")
+        .arg(
+            Arg::new("kind")
+                .required(true)
+                .value_parser(["service", "target", "customer"]),
+        )
+        .arg(
+            Arg::new("label")
+                .short('l')
+                .long("label")
+                .value_name("KEY=VALUE")
+                .action(ArgAction::Append)
+                .help("Only objects with this label"),
+        )
+}
+
+fn show() -> Command {
+    Command::new("show")
+        .about("Print one object as YAML or JSON")
+        .arg(object("object"))
+}
+
+fn remove() -> Command {
+    Command::new("remove")
+        .about("Remove objects; all of them or none")
+        .arg(object("object").num_args(1..))
+        .args([wait_flag(), timeout()])
+}
+
+fn label() -> Command {
+    Command::new("label")
+        .about("Set or remove labels of one object")
+        .arg(object("object"))
+        .arg(
+            Arg::new("labels")
+                .value_name("KEY=VALUE or KEY-")
+                .required(true)
+                .num_args(1..)
+                .help("Labels to set, or to remove with a dash at the end"),
+        )
+        .args([wait_flag(), timeout()])
+}
+
+fn history() -> Command {
+    Command::new("history").about("List the latest accepted changes")
+}
+
+fn rollback() -> Command {
+    Command::new("rollback")
+        .about("Make an earlier revision's content the newest revision")
+        .arg(
+            Arg::new("to")
+                .long("to")
+                .value_name("REVISION")
+                .required(true)
+                .value_parser(value_parser!(u64)),
+        )
+        .args([wait_flag(), timeout()])
+}
+
+fn settle() -> Command {
+    Command::new("settle")
+        .about("Tell whether a change whose answer was lost was accepted")
+        .arg(Arg::new("change").value_name("CHANGE-ID").required(true))
+}
+
+fn wait() -> Command {
+    Command::new("wait")
+        .about("Wait until a revision is in force on every VM; name those that miss it")
+        .arg(
+            Arg::new("revision")
+                .long("revision")
+                .value_parser(value_parser!(u64))
+                .help("Revision; the accepted one if not given"),
+        )
+        .arg(timeout())
+}
+
+fn state() -> Command {
+    Command::new("state").about("Dump the state of one daemon")
+}
+
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Tell which targets each stage of a request tried, why, and how it ended")
+        .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
+}
+
+fn completions() -> Command {
+    Command::new("completions")
+        .about("Print a completion script")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(clap_complete::Shell)),
+        )
+}
--- /dev/null
+++ b/src/cmd/completions.rs
@@ -0,0 +1,12 @@
+//! `saddlerail completions`: print a completion script.
+
+use clap::ArgMatches;
+use clap_complete::{Shell, generate};
+
+use crate::cli::command;
+
+pub(crate) fn run(args: &ArgMatches) {
+    if let Some(shell) = args.get_one::<Shell>("shell") {
+        generate(*shell, &mut command(), "saddlerail", &mut std::io::stdout());
+    }
+}
--- /dev/null
+++ b/src/cmd/diff.rs
@@ -0,0 +1,36 @@
+//! `saddlerail diff`: show what applying files would change.
+
+use std::process::ExitCode;
+
+use catalogue::{Change, diff};
+use clap::ArgMatches;
+use errors::Result;
+use serde_json::json;
+
+use crate::cli::{DIFFERS, Output, output_of};
+use crate::context::{accepted, documents, store};
+use crate::messages;
+
+pub(crate) fn run(args: &ArgMatches) -> Result<ExitCode> {
+    let documents = documents(args)?;
+    let before = accepted(&store(args)?)?.catalogue;
+    let mut after = before.clone();
+    documents
+        .into_iter()
+        .for_each(|document| after.put(document));
+    Ok(report(args, &diff(&before, &after)))
+}
+
+/// Prints the changes; the exit code tells whether there are any.
+pub(crate) fn report(args: &ArgMatches, changes: &[Change]) -> ExitCode {
+    match output_of(args) {
+        Output::Json => println!("{}", json!(changes)),
+        Output::Text if changes.is_empty() => messages::nothing_changes(),
+        Output::Text => messages::changes(changes),
+    }
+    if changes.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(DIFFERS)
+    }
+}
--- /dev/null
+++ b/src/cmd/history.rs
@@ -0,0 +1,22 @@
+//! `saddlerail history`: list the latest accepted changes.
+
+use clap::ArgMatches;
+use errors::Result;
+use platform::read_head;
+use serde_json::json;
+
+use crate::cli::{Output, output_of};
+use crate::context::store;
+
+pub(crate) fn run(args: &ArgMatches) -> Result<()> {
+    let (head, _) = read_head(&store(args)?)?;
+    match output_of(args) {
+        Output::Json => println!("{}", json!(head)),
+        Output::Text => {
+            head.recent
+                .iter()
+                .for_each(|(change, revision)| println!("{revision:>8} {change}"));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/show.rs
@@ -0,0 +1,23 @@
+//! `saddlerail show`: print one object.
+
+use catalogue::ObjectKey;
+use clap::ArgMatches;
+use errors::{Error, Result};
+use serde_json::json;
+
+use crate::cli::{Output, output_of};
+use crate::context::{accepted, store};
+
+pub(crate) fn run(args: &ArgMatches) -> Result<()> {
+    let accepted = accepted(&store(args)?)?;
+    let Some(key) = args.get_one::<ObjectKey>("object") else {
+        return Ok(());
+    };
+    let found = accepted.catalogue.documents().find(|d| d.key() == *key);
+    let document = found.ok_or_else(|| Error::bad_input(key.to_string(), "no such object"))?;
+    match output_of(args) {
+        Output::Json => println!("{}", json!(document)),
+        Output::Text => print!("{}", catalogue::to_yaml(&document)?),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/state.rs
@@ -0,0 +1,49 @@
+//! `saddlerail state`: dump the state of one daemon.
+
+use clap::ArgMatches;
+use errors::Result;
+use serde_json::Value;
+
+use crate::cli::{Output, output_of};
+use crate::context::{page, vm};
+
+pub(crate) fn run(args: &ArgMatches) -> Result<()> {
+    let state = page(vm(args)?, "/state")?;
+    match output_of(args) {
+        Output::Json => println!("{state}"),
+        Output::Text => print_text(&state),
+    }
+    Ok(())
+}
+
+fn print_text(state: &Value) {
+    let Some(fields) = state.as_object() else {
+        return;
+    };
+    for (name, value) in fields.iter().filter(|(_, v)| !v.is_array()) {
+        println!("{name:<18} {}", plain(value));
+    }
+    for (name, rows) in fields
+        .iter()
+        .filter_map(|(n, v)| v.as_array().map(|rows| (n, rows)))
+    {
+        println!("\n{name}");
+        for row in rows.iter().filter_map(Value::as_object) {
+            let cells: Vec<String> = row
+                .iter()
+                .map(|(key, value)| format!("{key}={}", plain(value)))
+                .collect();
+            println!("  {}", cells.join(" "));
+        }
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Number(number) if number.is_f64() => {
+            format!("{:.2}", number.as_f64().unwrap_or_default())
+        }
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/src/context.rs
@@ -0,0 +1,139 @@
+//! What the subcommands share: the platform, daemons, and how a change is made.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use catalogue::{Catalogue, Document, check, diff, parse_documents};
+use clap::ArgMatches;
+use errors::{Error, Result};
+use ids::Revision;
+use platform::{Head, Store, catalogue_at, publish, read_head};
+use serde_json::Value;
+
+use crate::cmd::wait::wait_everywhere;
+use crate::messages;
+
+/// Longest wait for a daemon's page.
+const PAGE_WAIT: Duration = Duration::from_secs(2);
+
+/// The platform's store.
+pub(crate) fn store(args: &ArgMatches) -> Result<Store> {
+    let address = args.get_one::<SocketAddr>("platform");
+    let missing = || {
+        Error::bad_input(
+            "--platform",
+            "missing: expected the store's address, or set SADDLERAIL_PLATFORM",
+        )
+    };
+    address.map(|a| Store::new(*a)).ok_or_else(missing)
+}
+
+/// Operations page of the daemon to ask.
+pub(crate) fn vm(args: &ArgMatches) -> Result<SocketAddr> {
+    let missing = || {
+        Error::bad_input(
+            "--vm",
+            "missing: expected a daemon's operations address, or set SADDLERAIL_VM",
+        )
+    };
+    args.get_one::<SocketAddr>("vm")
+        .copied()
+        .ok_or_else(missing)
+}
+
+/// A page of a daemon as JSON.
+pub(crate) fn page(address: SocketAddr, path: &str) -> Result<Value> {
+    let what = || format!("the daemon at {address}");
+    let unreachable = |e: ureq::Error| Error::Unreachable {
+        what: what(),
+        problem: e.to_string(),
+    };
+    let call = ureq::get(format!("http://{address}{path}"));
+    let call = call.config().timeout_global(Some(PAGE_WAIT)).build();
+    let text = call
+        .call()
+        .map_err(unreachable)?
+        .body_mut()
+        .read_to_string()
+        .map_err(unreachable)?;
+    serde_json::from_str(&text).map_err(|e| Error::Unreachable {
+        what: what(),
+        problem: e.to_string(),
+    })
+}
+
+/// The accepted configuration as read at one moment.
+pub(crate) struct Accepted {
+    pub(crate) head: Head,
+    pub(crate) version: u64,
+    pub(crate) catalogue: Catalogue,
+}
+
+/// Reads the accepted configuration.
+pub(crate) fn accepted(store: &Store) -> Result<Accepted> {
+    let (head, version) = read_head(store)?;
+    let catalogue = catalogue_at(store, &head)?;
+    Ok(Accepted {
+        head,
+        version,
+        catalogue,
+    })
+}
+
+/// Reads the objects of the files named on the command line.
+pub(crate) fn documents(args: &ArgMatches) -> Result<Vec<Document>> {
+    let mut documents = Vec::new();
+    for path in args.get_many::<PathBuf>("file").into_iter().flatten() {
+        let shown = path.display().to_string();
+        let text =
+            std::fs::read_to_string(path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
+        documents.extend(parse_documents(&text).map_err(|e| e.within(&shown))?);
+    }
+    let mut seen = std::collections::BTreeSet::new();
+    match documents
+        .iter()
+        .map(Document::key)
+        .find(|key| !seen.insert(key.clone()))
+    {
+        Some(key) => Err(Error::bad_input(
+            key.to_string(),
+            "stands twice in the files",
+        )),
+        None => Ok(documents),
+    }
+}
+
+/// Checks and makes a change, and waits for it if asked to.
+pub(crate) fn change(
+    args: &ArgMatches,
+    store: &Store,
+    before: &Accepted,
+    after: &Catalogue,
+) -> Result<()> {
+    check(after)?;
+    let changes = diff(&before.catalogue, after);
+    messages::changes(&changes);
+    if changes.is_empty() {
+        messages::nothing_changes();
+        return Ok(());
+    }
+    let change_id = ids::RequestId::mint().to_string();
+    let base = (&before.head, before.version);
+    let revision = publish(store, base, &before.catalogue, after, &change_id)?;
+    messages::accepted(revision);
+    if args.get_flag("wait") {
+        wait_for(args, store, revision)
+    } else {
+        Ok(())
+    }
+}
+
+/// Waits for a revision as the command line says.
+pub(crate) fn wait_for(args: &ArgMatches, store: &Store, revision: Revision) -> Result<()> {
+    let millis = args
+        .get_one::<u64>("timeout-ms")
+        .copied()
+        .unwrap_or_default();
+    wait_everywhere(store, vm(args)?, revision, Duration::from_millis(millis))
+}
--- /dev/null
+++ b/standins/src/bin/standin-platform.rs
@@ -0,0 +1,239 @@
+//! Stand-in of the platform: compare-and-swap, leases, watches and the VM list, with faults that
+//! are switched at run time through `PUT /faults`.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use clap::{Arg, Command, value_parser};
+use http_server::Body;
+use hyper::header::HeaderValue;
+use hyper::{Method, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use standins::{Asked, json, raw};
+use tokio::sync::Notify;
+
+/// Faults; each holds until it is set otherwise.
+#[derive(Debug, Clone, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+struct Faults {
+    /// Every call is answered 503.
+    outage: bool,
+    /// Every call waits this long first.
+    delay_ms: u64,
+    /// Writes take effect, but this many answers are lost.
+    lose_answers: u64,
+    /// The VM list shows what it was this long ago.
+    list_lag_ms: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Value {
+    bytes: Vec<u8>,
+    version: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct Lease {
+    holder: String,
+    fence: u64,
+    #[serde(skip)]
+    until: Option<Instant>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    values: BTreeMap<String, Value>,
+    leases: BTreeMap<String, Lease>,
+    lists: Vec<(Option<Instant>, serde_json::Value)>,
+    faults: Faults,
+    reads: u64,
+    writes: u64,
+    watches: u64,
+}
+
+#[derive(Default)]
+struct Platform {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+impl Platform {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn answer(&self, asked: Asked) -> Response<Body> {
+        match (&asked.method, asked.path.as_str()) {
+            (&Method::PUT, "/faults") => return self.set_faults(&asked),
+            (&Method::PUT, "/vms") => return self.set_list(&asked),
+            (&Method::GET, "/counts") => return self.counts(),
+            _ => {}
+        }
+        let faults = self.state().faults.clone();
+        tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        if faults.outage {
+            return raw(503, b"outage".to_vec());
+        }
+        let key = asked.path.trim_start_matches("/kv/").to_owned();
+        match (&asked.method, asked.path.as_str()) {
+            (&Method::GET, "/vms") => self.list(),
+            (&Method::GET, path) if path.starts_with("/kv/") => self.read(&key, &asked).await,
+            (_, path) if path.starts_with("/kv/") => self.write(&key, &asked).await,
+            (&Method::PUT, path) if path.starts_with("/leases/") => self.lease(&asked),
+            _ => raw(404, b"no such path".to_vec()),
+        }
+    }
+
+    fn set_faults(&self, asked: &Asked) -> Response<Body> {
+        match serde_json::from_slice(&asked.body) {
+            Ok(faults) => {
+                self.state().faults = faults;
+                self.changed.notify_waiters();
+                json(200, &"set")
+            }
+            Err(e) => json(400, &e.to_string()),
+        }
+    }
+
+    fn set_list(&self, asked: &Asked) -> Response<Body> {
+        match serde_json::from_slice(&asked.body) {
+            Ok(list) => {
+                self.state().lists.push((Some(Instant::now()), list));
+                json(200, &"set")
+            }
+            Err(e) => json(400, &e.to_string()),
+        }
+    }
+
+    fn counts(&self) -> Response<Body> {
+        let state = self.state();
+        let counts = json!({
+            "reads": state.reads, "writes": state.writes, "watches": state.watches,
+            "keys": state.values.len(),
+        });
+        json(200, &counts)
+    }
+
+    fn list(&self) -> Response<Body> {
+        let mut state = self.state();
+        state.reads += 1;
+        let lag = Duration::from_millis(state.faults.list_lag_ms);
+        let old_enough = |at: &Option<Instant>| at.is_none_or(|at| at.elapsed() >= lag);
+        let seen = state.lists.iter().rev().find(|(at, _)| old_enough(at));
+        json(200, &seen.map_or(json!([]), |(_, list)| list.clone()))
+    }
+
+    async fn read(&self, key: &str, asked: &Asked) -> Response<Body> {
+        let until = Instant::now() + Duration::from_millis(asked.number("wait_ms"));
+        let seen = asked.query.get("watch").and_then(|v| v.parse::<u64>().ok());
+        {
+            let mut state = self.state();
+            state.reads += 1;
+            state.watches += u64::from(seen.is_some());
+        }
+        loop {
+            let changed = self.changed.notified();
+            let value = self.state().values.get(key).cloned();
+            let version = value.as_ref().map_or(0, |v| v.version);
+            if self.state().faults.outage {
+                return raw(503, b"outage".to_vec());
+            }
+            if seen != Some(version) || Instant::now() >= until {
+                return value.map_or_else(
+                    || raw(404, Vec::new()),
+                    |v| versioned(raw(200, v.bytes), v.version),
+                );
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            let _ = tokio::time::timeout(left.min(Duration::from_millis(50)), changed).await;
+        }
+    }
+
+    async fn write(&self, key: &str, asked: &Asked) -> Response<Body> {
+        let (rx, lost) = {
+            let mut state = self.state();
+            state.writes += 1;
+            let rx = apply(&mut state, key, asked);
+            let lost = state.faults.lose_answers > 0;
+            state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+            (rx, lost)
+        };
+        self.changed.notify_waiters();
+        if lost {
+            // The client gives up long before.
+            tokio::time::sleep(Duration::from_secs(60)).await;
+        }
+        rx
+    }
+
+    fn lease(&self, asked: &Asked) -> Response<Body> {
+        let name = asked.path.trim_start_matches("/leases/").to_owned();
+        let holder = String::from_utf8_lossy(&asked.body).into_owned();
+        let mut state = self.state();
+        state.writes += 1;
+        let now = Instant::now();
+        let old = state.leases.get(&name).cloned();
+        let held = old
+            .clone()
+            .filter(|l| l.until.is_some_and(|until| until > now));
+        if let Some(held) = held.as_ref().filter(|l| l.holder != holder) {
+            return json(409, held);
+        }
+        let fence = match (&held, &old) {
+            (Some(held), _) => held.fence,
+            (None, Some(old)) => old.fence + 1,
+            (None, None) => 1,
+        };
+        let until = Some(now + Duration::from_millis(asked.number("ttl_ms")));
+        let lease = Lease {
+            holder,
+            fence,
+            until,
+        };
+        state.leases.insert(name, lease.clone());
+        json(200, &lease)
+    }
+}
+
+fn apply(state: &mut State, key: &str, asked: &Asked) -> Response<Body> {
+    let found = state.values.get(key).map_or(0, |v| v.version);
+    if asked.number("expect") != found {
+        return versioned(raw(409, Vec::new()), found);
+    }
+    if asked.method == Method::DELETE {
+        state.values.remove(key);
+        return versioned(raw(200, Vec::new()), found);
+    }
+    let value = Value {
+        bytes: asked.body.to_vec(),
+        version: found + 1,
+    };
+    state.values.insert(key.to_owned(), value);
+    versioned(raw(200, Vec::new()), found + 1)
+}
+
+fn versioned(mut rx: Response<Body>, version: u64) -> Response<Body> {
+    rx.headers_mut()
+        .insert("x-version", HeaderValue::from(version));
+    rx
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let listen = Arg::new("listen").long("listen").required(true);
+    let args = Command::new("standin-platform")
+        .arg(listen.value_parser(value_parser!(SocketAddr)))
+        .get_matches();
+    let Some(address) = args.get_one::<SocketAddr>("listen") else {
+        return Ok(());
+    };
+    let platform = Arc::new(Platform::default());
+    standins::serve(*address, move |asked| {
+        let platform = Arc::clone(&platform);
+        async move { platform.answer(asked).await }
+    })
+    .await
+}
--- /dev/null
+++ b/standins/src/bin/standin-target.rs
@@ -0,0 +1,450 @@
+//! Stand-in of targets: plain services and stage pools, or model engines that stream tokens.
+//! One process can stand for several targets at ports that follow each other. Faults are
+//! switched at run time through `PUT /faults`; `GET /record` tells the calls that ran.
+
+use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use clap::{Arg, Command, value_parser};
+use http_server::{Body, Cut, streamed_body};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Response};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use standins::{Asked, json, raw};
+use tokio::sync::{mpsc, oneshot};
+
+/// How calls go wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+enum Fault {
+    #[default]
+    None,
+    /// Runs, then answers 500.
+    Error,
+    /// Runs and never answers.
+    Hang,
+    /// Runs and closes in the middle of the answer.
+    Cut,
+    /// Runs and names another attempt.
+    WrongId,
+    /// Answers 503 and does not run.
+    Busy,
+}
+
+/// Times and faults; each holds until it is set otherwise.
+#[derive(Debug, Clone, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+struct Switches {
+    fault: Fault,
+    /// Calls out of a hundred that the fault meets.
+    fault_percent: u8,
+    /// Time of a plain call, or to the first token.
+    service_ms: u64,
+    /// Time between tokens of one stream while nothing else runs.
+    token_ms: u64,
+    /// Tokens of an answer.
+    tokens: u64,
+    /// Extra time to the first token if the prefix is not cached.
+    prefill_ms: u64,
+    /// Declines all work and says that it leaves.
+    leaving: bool,
+    /// Age of the load that is reported.
+    report_lag_ms: u64,
+    /// Whether orders with a lower fence are refused.
+    checks_fence: bool,
+    /// One cache event in this many is lost; 0 loses none.
+    lose_event_every: u64,
+}
+
+impl Default for Switches {
+    fn default() -> Self {
+        Switches {
+            fault: Fault::None,
+            fault_percent: 100,
+            service_ms: 5,
+            token_ms: 5,
+            tokens: 20,
+            prefill_ms: 0,
+            leaving: false,
+            report_lag_ms: 500,
+            checks_fence: true,
+            lose_event_every: 5,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Serialize)]
+struct CallRecord {
+    attempt: String,
+    stage: String,
+    resumed_after: u64,
+    at_ms: u128,
+    ended: bool,
+    cost: u64,
+    prefix_hit: bool,
+}
+
+/// Order of the queue: priority, then arrival.
+type Turn = (u8, u64);
+
+#[derive(Debug, Default)]
+struct State {
+    switches: Switches,
+    running: u32,
+    queue: BTreeMap<Turn, oneshot::Sender<()>>,
+    arrivals: u64,
+    record: Vec<CallRecord>,
+    cancelled: HashSet<String>,
+    prefixes: VecDeque<u64>,
+    cache_events: Vec<serde_json::Value>,
+    cache_event_count: u64,
+    fence: u64,
+    orders: Vec<serde_json::Value>,
+    reported: (u32, u32),
+    reported_at: Option<Instant>,
+}
+
+struct Target {
+    engine: bool,
+    slots: u32,
+    cached_prefixes: usize,
+    state: Mutex<State>,
+    started: Instant,
+}
+
+/// A slot; gives itself to the next in the queue when dropped.
+struct Slot(Arc<Target>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut state = self.0.state();
+        while let Some((_, next)) = state.queue.pop_first() {
+            if next.send(()).is_ok() {
+                return;
+            }
+        }
+        state.running -= 1;
+    }
+}
+
+impl Target {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn slot(self: &Arc<Self>, priority: &str) -> Slot {
+        let class = match priority {
+            "interactive" => 0,
+            "standard" => 1,
+            _ => 2,
+        };
+        let wait = {
+            let mut state = self.state();
+            if state.running < self.slots {
+                state.running += 1;
+                None
+            } else {
+                let (tx, rx) = oneshot::channel();
+                state.arrivals += 1;
+                let turn = (class, state.arrivals);
+                state.queue.insert(turn, tx);
+                Some(rx)
+            }
+        };
+        if let Some(rx) = wait {
+            // Only a slot that is dropped ends the wait, and it sends.
+            let _ = rx.await;
+        }
+        Slot(Arc::clone(self))
+    }
+
+    /// The load as it was a while ago.
+    fn load(&self) -> String {
+        let mut state = self.state();
+        let lag = Duration::from_millis(state.switches.report_lag_ms);
+        if state.reported_at.is_none_or(|at| at.elapsed() >= lag) {
+            state.reported = (
+                state.running,
+                u32::try_from(state.queue.len()).unwrap_or(u32::MAX),
+            );
+            state.reported_at = Some(Instant::now());
+        }
+        format!("{}/{}", state.reported.0, state.reported.1)
+    }
+
+    async fn answer(self: Arc<Self>, asked: Asked) -> Response<Body> {
+        let path = asked.path.clone();
+        match (&asked.method, path.as_str()) {
+            (&Method::PUT, "/faults") => self.set_switches(&asked),
+            (&Method::GET, "/record") => json(200, &self.state().record),
+            (&Method::GET, "/v1/load") => json(200, &self.load()),
+            (&Method::GET, "/v1/cache-events") => json(200, &self.state().cache_events),
+            (&Method::POST, "/v1/orders") => self.order(&asked),
+            (&Method::GET, "/v1/orders") => json(200, &self.state().orders),
+            (&Method::DELETE, path) => {
+                let attempt = path.trim_start_matches("/v1/attempts/").to_owned();
+                self.state().cancelled.insert(attempt);
+                json(200, &"cancelled")
+            }
+            (&Method::POST, path) if path.starts_with("/v1/stages/") => self.stage(asked).await,
+            _ => raw(404, b"no such path".to_vec()),
+        }
+    }
+
+    fn set_switches(&self, asked: &Asked) -> Response<Body> {
+        match serde_json::from_slice(&asked.body) {
+            Ok(switches) => {
+                self.state().switches = switches;
+                json(200, &"set")
+            }
+            Err(e) => json(400, &e.to_string()),
+        }
+    }
+
+    fn order(&self, asked: &Asked) -> Response<Body> {
+        let Ok(order) = serde_json::from_slice::<serde_json::Value>(&asked.body) else {
+            return json(400, &"no order");
+        };
+        let fence = order["fence"].as_u64().unwrap_or(0);
+        let mut state = self.state();
+        if state.switches.checks_fence && fence < state.fence {
+            return json(409, &json!({ "fence": state.fence }));
+        }
+        state.fence = state.fence.max(fence);
+        state.orders.push(order);
+        json(200, &"taken")
+    }
+
+    async fn stage(self: Arc<Self>, asked: Asked) -> Response<Body> {
+        let switches = self.state().switches.clone();
+        let met = rand::random_range(0..100) < switches.fault_percent;
+        let fault = if met { switches.fault } else { Fault::None };
+        let attempt = asked.header("x-attempt-id");
+        let named = if fault == Fault::WrongId {
+            "somebody/0.0".to_owned()
+        } else {
+            attempt.clone()
+        };
+        if switches.leaving || fault == Fault::Busy {
+            return self.with_head(raw(503, Vec::new()), &named, switches.leaving);
+        }
+        let slot = self.slot(&asked.header("x-priority")).await;
+        let index = self.begin_record(&asked, &attempt);
+        if fault == Fault::Hang {
+            tokio::time::sleep(Duration::from_secs(3600)).await;
+        }
+        let streams = self.engine && asked.header("accept").contains("event-stream");
+        let hit = self.state().record[index].prefix_hit;
+        let prefill = if hit { 0 } else { switches.prefill_ms };
+        let first = Duration::from_millis(switches.service_ms + prefill);
+        tokio::time::sleep(first).await;
+        if fault == Fault::Error {
+            return self.with_head(raw(500, Vec::new()), &named, false);
+        }
+        if streams {
+            return self.stream(slot, &asked, index, fault, &named);
+        }
+        let input: serde_json::Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+        let output = json!({ "by": asked.path.rsplit('/').next(), "of": input });
+        let cost = if self.engine { switches.tokens } else { 1 };
+        if self.engine {
+            self.generate(switches.tokens, switches.token_ms).await;
+        }
+        self.end_record(index, cost);
+        drop(slot);
+        let body = json!({ "attempt": named, "output": output, "cost": cost });
+        let bytes = serde_json::to_vec(&body).unwrap_or_default();
+        if fault == Fault::Cut {
+            let (tx, rx) = mpsc::channel(2);
+            let _ = tx
+                .send(Ok(Bytes::from(bytes[..bytes.len() / 2].to_vec())))
+                .await;
+            let _ = tx.send(Err(Cut)).await;
+            return self.with_head(Response::new(streamed_body(rx)), &named, false);
+        }
+        self.with_head(raw(200, bytes), &named, false)
+    }
+
+    async fn generate(&self, tokens: u64, token_ms: u64) {
+        for _ in 0..tokens {
+            tokio::time::sleep(self.token_time(token_ms)).await;
+        }
+    }
+
+    /// A batch slows each of its streams a little.
+    fn token_time(&self, token_ms: u64) -> Duration {
+        let running = f64::from(self.state().running) / f64::from(self.slots);
+        Duration::from_millis(token_ms).mul_f64(1.0 + 0.5 * running)
+    }
+
+    fn stream(
+        self: Arc<Self>,
+        slot: Slot,
+        asked: &Asked,
+        index: usize,
+        fault: Fault,
+        named: &str,
+    ) -> Response<Body> {
+        let (tx, rx) = mpsc::channel(64);
+        let switches = self.state().switches.clone();
+        let first = asked.header("last-event-id").parse::<u64>().unwrap_or(0);
+        let seed = hash(&asked.body);
+        let (target, name) = (Arc::clone(&self), named.to_owned());
+        let attempt = asked.header("x-attempt-id");
+        tokio::spawn(async move {
+            let _slot = slot;
+            for number in first + 1..=switches.tokens {
+                if target.state().cancelled.contains(&attempt) {
+                    return;
+                }
+                if fault == Fault::Cut && number > first + switches.tokens / 2 {
+                    let _ = tx.send(Err(Cut)).await;
+                    return;
+                }
+                tokio::time::sleep(target.token_time(switches.token_ms)).await;
+                // The same input gives the same tokens on every engine.
+                let token = format!("w{} ", hash(&(seed + number).to_le_bytes()) % 1000);
+                let data = json!({ "attempt": name, "token": token });
+                let part = Bytes::from(format!("id: {number}\ndata: {data}\n\n"));
+                if tx.send(Ok(part)).await.is_err() {
+                    return;
+                }
+                target.state().record[index].cost += 1;
+            }
+            let cost = switches.tokens - first;
+            target.end_record(index, cost);
+            let end = json!({ "tokens": switches.tokens, "cost": cost });
+            let _ = tx
+                .send(Ok(Bytes::from(format!("event: end\ndata: {end}\n\n"))))
+                .await;
+        });
+        let mut rx = Response::new(streamed_body(rx));
+        rx.headers_mut()
+            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        self.with_head(rx, named, false)
+    }
+
+    fn with_head(&self, mut rx: Response<Body>, named: &str, leaving: bool) -> Response<Body> {
+        let value =
+            |text: &str| HeaderValue::from_str(text).unwrap_or(HeaderValue::from_static(""));
+        rx.headers_mut().insert("x-attempt-id", value(named));
+        rx.headers_mut().insert("x-load", value(&self.load()));
+        if leaving {
+            rx.headers_mut().insert("x-leaving", value("true"));
+        }
+        rx
+    }
+
+    fn begin_record(&self, asked: &Asked, attempt: &str) -> usize {
+        let mut state = self.state();
+        let prefix = hash(&asked.body[..asked.body.len().min(64)]);
+        let prefix_hit = state.prefixes.contains(&prefix);
+        state.prefixes.retain(|p| *p != prefix);
+        state.prefixes.push_front(prefix);
+        state.prefixes.truncate(self.cached_prefixes);
+        if !prefix_hit {
+            state.cache_event_count += 1;
+            let every = state.switches.lose_event_every;
+            if every == 0 || !state.cache_event_count.is_multiple_of(every) {
+                let event = json!({ "number": state.cache_event_count, "cached": prefix });
+                state.cache_events.push(event);
+            }
+        }
+        let resumed_after = asked.header("last-event-id").parse().unwrap_or(0);
+        state.record.push(CallRecord {
+            attempt: attempt.to_owned(),
+            stage: asked.path.rsplit('/').next().unwrap_or_default().to_owned(),
+            resumed_after,
+            at_ms: self.started.elapsed().as_millis(),
+            ended: false,
+            cost: 0,
+            prefix_hit,
+        });
+        state.record.len() - 1
+    }
+
+    fn end_record(&self, index: usize, cost: u64) {
+        let mut state = self.state();
+        state.record[index].ended = true;
+        state.record[index].cost = cost;
+    }
+}
+
+/// FNV-1a, so that every process gives the same tokens.
+fn hash(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| {
+        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
+    })
+}
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(value_parser!(u64))
+    };
+    Command::new("standin-target")
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr)),
+        )
+        .arg(
+            Arg::new("mode")
+                .long("mode")
+                .default_value("plain")
+                .value_parser(["plain", "engine"]),
+        )
+        .arg(number("count", "1"))
+        .arg(number("slots", "4"))
+        .arg(number("service-ms", "5"))
+        .arg(number("token-ms", "5"))
+        .arg(number("tokens", "20"))
+        .arg(number("prefill-ms", "0"))
+        .arg(number("cached-prefixes", "32"))
+}
+
+#[tokio::main]
+async fn main() -> std::io::Result<()> {
+    let args = command().get_matches();
+    let number = |name: &str| args.get_one::<u64>(name).copied().unwrap_or(0);
+    let Some(first) = args.get_one::<SocketAddr>("listen").copied() else {
+        return Ok(());
+    };
+    let switches = Switches {
+        service_ms: number("service-ms"),
+        token_ms: number("token-ms"),
+        tokens: number("tokens"),
+        prefill_ms: number("prefill-ms"),
+        ..Switches::default()
+    };
+    let mut servers = tokio::task::JoinSet::new();
+    for offset in 0..u16::try_from(number("count")).unwrap_or(1) {
+        let target = Arc::new(Target {
+            engine: args
+                .get_one::<String>("mode")
+                .is_some_and(|m| m == "engine"),
+            slots: u32::try_from(number("slots")).unwrap_or(1),
+            cached_prefixes: usize::try_from(number("cached-prefixes")).unwrap_or(0),
+            state: Mutex::new(State {
+                switches: switches.clone(),
+                ..State::default()
+            }),
+            started: Instant::now(),
+        });
+        let address = SocketAddr::new(first.ip(), first.port() + offset);
+        servers.spawn(standins::serve(address, move |asked| {
+            Arc::clone(&target).answer(asked)
+        }));
+    }
+    while let Some(ended) = servers.join_next().await {
+        ended??;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,100 @@
+//! What the stand-ins share: serving JSON over HTTP and reading query parameters.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_server::{Body, Bounds, read_body, whole_body};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Method, Request, Response};
+use serde::Serialize;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const MAX_BODY: usize = 16 << 20;
+const WAIT: Duration = Duration::from_secs(60);
+
+/// A request with its body read.
+#[derive(Debug)]
+pub struct Asked {
+    /// Method.
+    pub method: Method,
+    /// Path without the query.
+    pub path: String,
+    /// Query parameters.
+    pub query: HashMap<String, String>,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Asked {
+    /// A query parameter as a number; 0 if absent or no number.
+    pub fn number(&self, name: &str) -> u64 {
+        self.query
+            .get(name)
+            .and_then(|v| v.parse().ok())
+            .unwrap_or(0)
+    }
+
+    /// A header as text; empty if absent.
+    pub fn header(&self, name: &str) -> String {
+        self.headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+            .to_owned()
+    }
+}
+
+/// Serves until the process ends.
+pub async fn serve<H, F>(address: SocketAddr, handle: H) -> std::io::Result<()>
+where
+    H: Fn(Asked) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<Body>> + Send + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    let bounds = Bounds {
+        connections: 20_000,
+        head_wait: Duration::from_secs(600),
+    };
+    let (_running, stop) = watch::channel(false);
+    http_server::serve(listener, bounds, stop, move |req: Request<Incoming>| {
+        let handle = handle.clone();
+        async move {
+            let (head, body) = req.into_parts();
+            let pairs = head.uri.query().unwrap_or_default().split('&');
+            let query = pairs.filter_map(|pair| pair.split_once('='));
+            let query = query.map(|(k, v)| (k.to_owned(), v.to_owned())).collect();
+            let Ok(body) = read_body(body, MAX_BODY, WAIT).await else {
+                return json(400, &"body");
+            };
+            let path = head.uri.path().to_owned();
+            handle(Asked {
+                method: head.method,
+                path,
+                query,
+                headers: head.headers,
+                body,
+            })
+            .await
+        }
+    })
+    .await;
+    Ok(())
+}
+
+/// An answer with a status and a JSON body.
+pub fn json<T: Serialize>(status: u16, value: &T) -> Response<Body> {
+    raw(status, serde_json::to_vec(value).unwrap_or_default())
+}
+
+/// An answer with a status and a body as it is.
+pub fn raw(status: u16, body: Vec<u8>) -> Response<Body> {
+    let mut rx = Response::new(whole_body(body));
+    *rx.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    rx
+}
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,209 @@
+//! A request's way from a caller over four targets and back, with real processes.
+
+mod support;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::Value;
+use support::{agent, ask, get_json, usual_fleet, wait_until};
+
+#[test]
+fn answers_whole_over_four_stages() {
+    let fleet = usual_fleet(1);
+
+    let reply = ask("check", 5000)
+        .repeatable()
+        .send(fleet.vms[0].callers)
+        .expect("an answer");
+
+    assert_eq!((reply.status, reply.outcome.as_str()), (200, "whole"));
+    let stages = reply.body["stages"].as_array().expect("stages").len();
+    assert_eq!(stages, 4);
+    assert_eq!(
+        reply.body["output"]["text"]
+            .as_str()
+            .map(|t| t.split_whitespace().count()),
+        Some(16)
+    );
+    assert_eq!(fleet.records().len(), 4);
+}
+
+#[test]
+fn streams_every_token_and_the_outcome() {
+    let fleet = usual_fleet(1);
+
+    let ask = ask("check", 5000)
+        .repeatable()
+        .header("accept", "text/event-stream");
+    let reply = ask.send(fleet.vms[0].callers).expect("an answer");
+
+    assert_eq!((reply.status, reply.outcome.as_str()), (200, "streaming"));
+    let text = reply.body.as_str().expect("events").to_owned();
+    let ids: Vec<&str> = text
+        .lines()
+        .filter_map(|l| l.strip_prefix("id: "))
+        .collect();
+    assert_eq!(ids, (1..=16).map(|n| n.to_string()).collect::<Vec<_>>());
+    let last = text
+        .lines()
+        .rfind(|l| l.starts_with("data: "))
+        .expect("a last event");
+    let outcome: Value = serde_json::from_str(&last["data: ".len()..]).expect("JSON");
+    assert_eq!(outcome["outcome"], "whole");
+}
+
+#[test]
+fn refuses_bad_input_with_its_place_and_runs_nothing() {
+    let fleet = usual_fleet(1);
+    let to = fleet.vms[0].callers;
+    let big = format!("\"{}\"", "x".repeat(2 << 20));
+    let cases = [
+        (
+            ask("check", 5000).body("{\"a\":"),
+            400,
+            "bad-request",
+            "line 1",
+        ),
+        (ask("nothing", 5000), 404, "unknown-service", "nothing"),
+        (
+            ask("check", 5000).header("saddlerail-priority", "high"),
+            400,
+            "bad-request",
+            "background",
+        ),
+        (
+            ask("check", 5000).header("saddlerail-colour", "red"),
+            400,
+            "bad-request",
+            "saddlerail-colour",
+        ),
+        (
+            ask("check", 5000).header("saddlerail-repeatable", "maybe"),
+            400,
+            "bad-request",
+            "yes or no",
+        ),
+        (
+            ask("check", 5000).header("saddlerail-request-id", "a b"),
+            400,
+            "bad-request",
+            "request id",
+        ),
+        (
+            ask("check", 0),
+            400,
+            "bad-request",
+            "saddlerail-deadline-ms",
+        ),
+        (
+            ask("check", 99_999_999),
+            400,
+            "bad-request",
+            "saddlerail-deadline-ms",
+        ),
+        (
+            ask("check", 5000).body(&big),
+            413,
+            "body-too-large",
+            "1048576",
+        ),
+    ];
+
+    for (ask, status, reason, detail) in cases {
+        let reply = ask.send(to).expect("an answer");
+        assert_eq!(
+            (reply.status, reply.outcome.as_str()),
+            (status, "not-run"),
+            "{detail}"
+        );
+        assert_eq!(reply.body["reason"], reason);
+        let told = reply.body["detail"].as_str().unwrap_or_default();
+        assert!(told.contains(detail), "{told}");
+    }
+    let mut no_deadline = ask("check", 1);
+    no_deadline.headers.pop();
+    assert_eq!(no_deadline.send(to).expect("an answer").status, 400);
+    let mut no_customer = ask("check", 100);
+    no_customer.headers[0].1 = "nobody".to_owned();
+    assert_eq!(no_customer.send(to).expect("an answer").status, 403);
+    assert!(fleet.records().is_empty());
+}
+
+#[test]
+fn slow_heads_and_idle_connections_end_and_others_are_served() {
+    let mut fleet = support::Fleet::start(&support::usual_pools());
+    assert!(
+        fleet
+            .apply(&fleet.catalogue(support::SERVICES))
+            .status
+            .success()
+    );
+    let vm = fleet.start_vm("hall-a", "limits: {head_ms: 300, body_ms: 300}\n");
+    let to = fleet.vms[vm].callers;
+
+    let idle: Vec<TcpStream> = (0..1000)
+        .map(|_| TcpStream::connect(to).expect("idle"))
+        .collect();
+    let mut slow = TcpStream::connect(to).expect("slow");
+    slow.write_all(b"P").expect("one byte");
+    let mut half = TcpStream::connect(to).expect("half a body");
+    half.write_all(
+        b"POST /v1/services/hold HTTP/1.1\r\nhost: a\r\nsaddlerail-customer: small\r\n\
+          saddlerail-deadline-ms: 1000\r\ncontent-length: 100\r\n\r\n{",
+    )
+    .expect("head");
+    let served = ask("hold", 2000).repeatable().send(to).expect("an answer");
+
+    assert_eq!(served.outcome, "whole");
+    for mut connection in idle.into_iter().chain([slow]) {
+        connection
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .expect("set");
+        // Closed by the daemon, with or without a last word.
+        let _ = connection
+            .read_to_end(&mut Vec::new())
+            .expect("the end within the wait");
+    }
+    let mut answer = [0; 12];
+    half.read_exact(&mut answer).expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 400");
+}
+
+#[test]
+fn operations_page_tells_health_metrics_state_and_decisions() {
+    let fleet = usual_fleet(2);
+    let id = "explained-1";
+    let ask = ask("check", 5000)
+        .repeatable()
+        .header("saddlerail-request-id", id);
+    ask.send(fleet.vms[1].callers).expect("an answer");
+
+    let page = |path: &str| {
+        let url = format!("http://{}{path}", fleet.vms[1].operations);
+        agent()
+            .get(url)
+            .call()
+            .expect("a page")
+            .body_mut()
+            .read_to_string()
+            .expect("text")
+    };
+    assert_eq!(page("/live"), "alive\n");
+    assert_eq!(page("/ready"), "ready\n");
+    let metrics = page("/metrics");
+    assert!(metrics.contains("saddlerail_requests_total"), "{metrics}");
+    wait_until("the record is whole", || {
+        let records = get_json(fleet.vms[1].operations, "/explain/explained-1").expect("JSON");
+        records[0]["outcome"] == "whole"
+    });
+    // The tool asks the first VM, which finds the record at the second.
+    let told = fleet.tool(&["explain", id]);
+    let text = String::from_utf8_lossy(&told.stdout).into_owned();
+    assert!(
+        told.status.success() && text.matches("answered").count() == 4,
+        "{text}"
+    );
+    assert!(!fleet.tool(&["explain", "no-such-id"]).status.success());
+}
