--- a/components/catalogue/src/check.rs
+++ b/components/catalogue/src/check.rs
@@ -16,10 +16,7 @@
 /// # Errors
 /// `BadInput` for the first fault, with the object and field as its place.
 pub fn check(catalogue: &Catalogue) -> Result<()> {
-    catalogue
-        .services
-        .values()
-        .try_for_each(|s| check_service(catalogue, s))?;
+    catalogue.services.values().try_for_each(|s| check_service(catalogue, s))?;
     check_targets(catalogue)?;
     match catalogue.customers.values().find(|c| c.share == 0) {
         Some(c) => Err(Error::bad_input(
@@ -54,10 +51,7 @@
     if service.stages.is_empty() || service.stages.len() > MAX_STAGES {
         return Err(Error::bad_input(
             format!("{place}.stages"),
-            format!(
-                "expected 1 to {MAX_STAGES} stages, found {}",
-                service.stages.len()
-            ),
+            format!("expected 1 to {MAX_STAGES} stages, found {}", service.stages.len()),
         ));
     }
     let mut names = BTreeSet::new();
@@ -81,51 +75,28 @@
 fn check_stage(catalogue: &Catalogue, stage: &Stage, place: &str) -> Result<()> {
     check_selector(catalogue, &stage.select, &format!("{place}.select"))?;
     if catalogue.targets_of(stage).next().is_none() {
-        return Err(Error::bad_input(
-            format!("{place}.select"),
-            "matches no target",
-        ));
+        return Err(Error::bad_input(format!("{place}.select"), "matches no target"));
     }
     for (index, share) in stage.split.iter().enumerate() {
         let place = format!("{place}.split[{index}]");
         check_selector(catalogue, &share.select, &place)?;
-        if !catalogue
-            .targets_of(stage)
-            .any(|t| share.select.matches(&t.labels))
-        {
-            return Err(Error::bad_input(
-                place,
-                "matches none of the stage's targets",
-            ));
+        if !catalogue.targets_of(stage).any(|t| share.select.matches(&t.labels)) {
+            return Err(Error::bad_input(place, "matches none of the stage's targets"));
         }
     }
     if !stage.split.is_empty() && stage.split.iter().all(|s| s.weight == 0) {
-        return Err(Error::bad_input(
-            format!("{place}.split"),
-            "every weight is 0",
-        ));
+        return Err(Error::bad_input(format!("{place}.split"), "every weight is 0"));
     }
     Ok(())
 }
 
 fn check_selector(catalogue: &Catalogue, selector: &Selector, place: &str) -> Result<()> {
     if selector.is_empty() {
-        return Err(Error::bad_input(
-            place,
-            "has no condition: expected all, any or none",
-        ));
+        return Err(Error::bad_input(place, "has no condition: expected all, any or none"));
     }
-    let known = |key: &String| {
-        catalogue
-            .targets
-            .values()
-            .any(|t| t.labels.contains_key(key))
-    };
+    let known = |key: &String| catalogue.targets.values().any(|t| t.labels.contains_key(key));
     match selector.keys().find(|key| !known(key)) {
-        Some(key) => Err(Error::bad_input(
-            place,
-            format!("no target has a label \"{key}\""),
-        )),
+        Some(key) => Err(Error::bad_input(place, format!("no target has a label \"{key}\""))),
         None => Ok(()),
     }
 }
--- a/components/catalogue/src/diff.rs
+++ b/components/catalogue/src/diff.rs
@@ -48,20 +48,14 @@
     let removed = before
         .keys()
         .filter(|key| !after.contains_key(*key))
-        .map(|key| Change {
-            kind: ChangeKind::Removed,
-            object: key.clone(),
-        });
+        .map(|key| Change { kind: ChangeKind::Removed, object: key.clone() });
     let others = after.iter().filter_map(|(key, document)| {
         let kind = match before.get(key) {
             None => ChangeKind::Added,
             Some(old) if old != document => ChangeKind::Changed,
             Some(_) => return None,
         };
-        Some(Change {
-            kind,
-            object: key.clone(),
-        })
+        Some(Change { kind, object: key.clone() })
     });
     removed.chain(others).collect()
 }
--- a/components/catalogue/src/documents.rs
+++ b/components/catalogue/src/documents.rs
@@ -33,11 +33,8 @@
 
 impl ObjectKind {
     /// All kinds.
-    pub const ALL: [ObjectKind; 3] = [
-        ObjectKind::Service,
-        ObjectKind::Target,
-        ObjectKind::Customer,
-    ];
+    pub const ALL: [ObjectKind; 3] =
+        [ObjectKind::Service, ObjectKind::Target, ObjectKind::Customer];
 
     /// The kind's name in YAML and on the command line.
     pub fn as_str(self) -> &'static str {
@@ -70,14 +67,8 @@
     fn from_str(text: &str) -> Result<Self> {
         let problem = || Error::bad_input(text, "expected kind/name, such as target/enc-1");
         let (kind, name) = text.split_once('/').ok_or_else(problem)?;
-        let kind = ObjectKind::ALL
-            .into_iter()
-            .find(|k| k.as_str() == kind)
-            .ok_or_else(problem)?;
-        Ok(ObjectKey {
-            kind,
-            name: name.to_owned(),
-        })
+        let kind = ObjectKind::ALL.into_iter().find(|k| k.as_str() == kind).ok_or_else(problem)?;
+        Ok(ObjectKey { kind, name: name.to_owned() })
     }
 }
 
@@ -89,10 +80,7 @@
             Document::Target(x) => (ObjectKind::Target, x.name.as_str()),
             Document::Customer(x) => (ObjectKind::Customer, x.name.as_str()),
         };
-        ObjectKey {
-            kind,
-            name: name.to_owned(),
-        }
+        ObjectKey { kind, name: name.to_owned() }
     }
 }
 
@@ -102,10 +90,8 @@
 /// `BadInput` with line and column of the first thing that can't be taken.
 pub fn parse_documents(text: &str) -> Result<Vec<Document>> {
     serde_saphyr::from_multiple::<Document>(text).map_err(|e| {
-        let place = e
-            .location()
-            .map(|at| format!("{}:{}", at.line(), at.column()))
-            .unwrap_or_default();
+        let place =
+            e.location().map(|at| format!("{}:{}", at.line(), at.column())).unwrap_or_default();
         Error::bad_input(place, e.without_snippet().to_string())
     })
 }
--- a/components/catalogue/src/lib.rs
+++ b/components/catalogue/src/lib.rs
@@ -155,17 +155,12 @@
 
     /// Targets that may run the stage.
     pub fn targets_of<'a>(&'a self, stage: &'a Stage) -> impl Iterator<Item = &'a Target> {
-        self.targets
-            .values()
-            .filter(|t| stage.select.matches(&t.labels))
+        self.targets.values().filter(|t| stage.select.matches(&t.labels))
     }
 
     /// SHA-256 over the canonical JSON, in hexadecimal.
     pub fn digest(&self) -> String {
         let json = serde_json::to_vec(self).unwrap_or_default();
-        Sha256::digest(json)
-            .iter()
-            .map(|b| format!("{b:02x}"))
-            .collect()
+        Sha256::digest(json).iter().map(|b| format!("{b:02x}")).collect()
     }
 }
--- a/components/catalogue/src/selector.rs
+++ b/components/catalogue/src/selector.rs
@@ -40,9 +40,6 @@
 
     /// Every label key that the selector mentions.
     pub fn keys(&self) -> impl Iterator<Item = &String> {
-        self.all
-            .keys()
-            .chain(self.any.keys())
-            .chain(self.none.keys())
+        self.all.keys().chain(self.any.keys()).chain(self.none.keys())
     }
 }
--- a/components/catalogue/tests/documents.rs
+++ b/components/catalogue/tests/documents.rs
@@ -6,9 +6,7 @@
 
 fn catalogue_of(text: &str) -> Result<Catalogue, errors::Error> {
     let mut catalogue = Catalogue::default();
-    parse_documents(text)?
-        .into_iter()
-        .for_each(|document| catalogue.put(document));
+    parse_documents(text)?.into_iter().for_each(|document| catalogue.put(document));
     check(&catalogue)?;
     Ok(catalogue)
 }
@@ -16,10 +14,7 @@
 /// Each file holds the expected message behind `# expect: ` in its first line.
 fn refused(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read_to_string(path)?;
-    let expected = text
-        .lines()
-        .next()
-        .and_then(|l| l.strip_prefix("# expect: "));
+    let expected = text.lines().next().and_then(|l| l.strip_prefix("# expect: "));
     let expected = expected.ok_or("no expectation in the first line")?;
 
     let told = catalogue_of(&text).err().ok_or("was accepted")?.to_string();
--- a/components/errors/src/lib.rs
+++ b/components/errors/src/lib.rs
@@ -76,32 +76,24 @@
 impl Error {
     /// Input that can't be taken, with the place where it stands.
     pub fn bad_input(place: impl Into<String>, problem: impl Into<String>) -> Self {
-        Error::BadInput {
-            place: place.into(),
-            problem: problem.into(),
-        }
+        Error::BadInput { place: place.into(), problem: problem.into() }
     }
 
     /// A system error with what was being done.
     pub fn io(what: impl Into<String>, source: io::Error) -> Self {
-        Error::Io {
-            what: what.into(),
-            source,
-        }
+        Error::Io { what: what.into(), source }
     }
 
     /// The same error with `place` before its own place, where it has one.
     #[must_use]
     pub fn within(self, outer: &str) -> Self {
         match self {
-            Error::BadInput { place, problem } if place.is_empty() => Error::BadInput {
-                place: outer.to_owned(),
-                problem,
-            },
-            Error::BadInput { place, problem } => Error::BadInput {
-                place: format!("{outer}:{place}"),
-                problem,
-            },
+            Error::BadInput { place, problem } if place.is_empty() => {
+                Error::BadInput { place: outer.to_owned(), problem }
+            }
+            Error::BadInput { place, problem } => {
+                Error::BadInput { place: format!("{outer}:{place}"), problem }
+            }
             other => other,
         }
     }
--- a/components/http_server/src/lib.rs
+++ b/components/http_server/src/lib.rs
@@ -142,10 +142,7 @@
     let mut buf = BytesMut::new();
     let mut read = 0;
     while let Some(frame) = body.frame().await {
-        let data = frame
-            .map_err(|_| BodyProblem::Broken)?
-            .into_data()
-            .unwrap_or_default();
+        let data = frame.map_err(|_| BodyProblem::Broken)?.into_data().unwrap_or_default();
         read += data.len();
         if read > limit.saturating_mul(DROPPED_PER_LIMIT) {
             break;
@@ -154,18 +151,12 @@
             buf.extend_from_slice(&data);
         }
     }
-    if read > limit {
-        Err(BodyProblem::TooLarge)
-    } else {
-        Ok(buf.freeze())
-    }
+    if read > limit { Err(BodyProblem::TooLarge) } else { Ok(buf.freeze()) }
 }
 
 /// A body that is whole at once.
 pub fn whole_body(bytes: impl Into<Bytes>) -> Body {
-    Full::new(bytes.into())
-        .map_err(|never| match never {})
-        .boxed()
+    Full::new(bytes.into()).map_err(|never| match never {}).boxed()
 }
 
 /// A body whose parts come through the channel, each sent on at once. An `Err` cuts it.
@@ -185,8 +176,6 @@
         mut self: std::pin::Pin<&mut Self>,
         cx: &mut std::task::Context<'_>,
     ) -> std::task::Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.rx
-            .poll_recv(cx)
-            .map(|part| part.map(|p| p.map(Frame::data)))
+        self.rx.poll_recv(cx).map(|part| part.map(|p| p.map(Frame::data)))
     }
 }
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -192,11 +192,8 @@
 
 impl Priority {
     /// All priorities, most urgent first.
-    pub const ALL: [Priority; 3] = [
-        Priority::Interactive,
-        Priority::Standard,
-        Priority::Background,
-    ];
+    pub const ALL: [Priority; 3] =
+        [Priority::Interactive, Priority::Standard, Priority::Background];
 
     /// The priority's name on the wire.
     pub fn as_str(self) -> &'static str {
@@ -215,8 +212,6 @@
 
 /// Milliseconds of Unix time; for ids and records, never to measure a duration.
 pub fn unix_millis() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or(Duration::ZERO);
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/components/journal/src/lib.rs
+++ b/components/journal/src/lib.rs
@@ -148,10 +148,7 @@
 
     /// All submissions under one request id, oldest first.
     pub fn find<'a>(&'a self, id: &'a RequestId) -> impl Iterator<Item = &'a RequestRecord> + 'a {
-        let records = self
-            .order
-            .iter()
-            .filter_map(|number| self.records.get(number));
+        let records = self.order.iter().filter_map(|number| self.records.get(number));
         records.filter(move |record| record.request_id == *id)
     }
 
--- a/components/membership/src/roster.rs
+++ b/components/membership/src/roster.rs
@@ -70,17 +70,14 @@
         };
         let take = self.heard.get(&advert.vm).is_none_or(newer);
         if take {
-            self.heard
-                .insert(advert.vm.clone(), Heard { advert, at: now });
+            self.heard.insert(advert.vm.clone(), Heard { advert, at: now });
         }
         take
     }
 
     /// Name, incarnation and sequence of each advert, to be told only what is newer.
     pub fn digest(&self) -> impl Iterator<Item = (&VmName, Incarnation, u64)> {
-        self.heard
-            .values()
-            .map(|h| (&h.advert.vm, h.advert.incarnation, h.advert.sequence))
+        self.heard.values().map(|h| (&h.advert.vm, h.advert.incarnation, h.advert.sequence))
     }
 
     /// Adverts that are newer than the digest says, at most a few.
@@ -89,12 +86,7 @@
             let known = digest.get(&h.advert.vm);
             known.is_none_or(|known| (h.advert.incarnation, h.advert.sequence) > *known)
         };
-        self.heard
-            .values()
-            .filter(newer)
-            .take(MOST_NEWS)
-            .map(|h| h.advert.clone())
-            .collect()
+        self.heard.values().filter(newer).take(MOST_NEWS).map(|h| h.advert.clone()).collect()
     }
 
     /// Adverts with the age of each.
@@ -106,28 +98,18 @@
         self.heard.values().map(move |heard| {
             let silent = now.saturating_duration_since(heard.at);
             let stale = silent > interval * STALE_ROUNDS;
-            (
-                &heard.advert,
-                if stale {
-                    AdvertAge::Stale
-                } else {
-                    AdvertAge::Fresh
-                },
-            )
+            (&heard.advert, if stale { AdvertAge::Stale } else { AdvertAge::Fresh })
         })
     }
 
     /// Fresh adverts.
     pub fn fresh(&self, interval: Duration, now: Instant) -> impl Iterator<Item = &Advert> {
-        self.all(interval, now)
-            .filter(|(_, age)| *age == AdvertAge::Fresh)
-            .map(|(a, _)| a)
+        self.all(interval, now).filter(|(_, age)| *age == AdvertAge::Fresh).map(|(a, _)| a)
     }
 
     /// Drops adverts that were not heard of for long.
     pub fn forget_old(&mut self, now: Instant) {
-        self.heard
-            .retain(|_, h| now.saturating_duration_since(h.at) < FORGET_AFTER);
+        self.heard.retain(|_, h| now.saturating_duration_since(h.at) < FORGET_AFTER);
     }
 
     /// Random partners: `near` from the hall, `far` from the others; stale ones too, so that
@@ -136,9 +118,7 @@
         let mut rng = rand::rng();
         let of = |own: bool| {
             let adverts = self.heard.values().map(|h| &h.advert);
-            adverts
-                .filter(move |a| (a.hall == *hall) == own)
-                .map(|a| a.peers)
+            adverts.filter(move |a| (a.hall == *hall) == own).map(|a| a.peers)
         };
         let mut partners = of(true).sample(&mut rng, near);
         partners.extend(of(false).sample(&mut rng, far));
--- a/components/outcomes/src/lib.rs
+++ b/components/outcomes/src/lib.rs
@@ -100,32 +100,17 @@
 impl Refusal {
     /// A request of which nothing ran.
     pub fn not_run(reason: Reason, detail: impl Into<String>) -> Self {
-        Refusal {
-            outcome: Outcome::NotRun,
-            reason,
-            detail: detail.into(),
-            come_back: None,
-        }
+        Refusal { outcome: Outcome::NotRun, reason, detail: detail.into(), come_back: None }
     }
 
     /// A request of which some stages ran or may have run.
     pub fn failed(reason: Reason, detail: impl Into<String>) -> Self {
-        Refusal {
-            outcome: Outcome::Failed,
-            reason,
-            detail: detail.into(),
-            come_back: None,
-        }
+        Refusal { outcome: Outcome::Failed, reason, detail: detail.into(), come_back: None }
     }
 
     /// A request that may not be repeated and may have run.
     pub fn unknown(reason: Reason, detail: impl Into<String>) -> Self {
-        Refusal {
-            outcome: Outcome::Unknown,
-            reason,
-            detail: detail.into(),
-            come_back: None,
-        }
+        Refusal { outcome: Outcome::Unknown, reason, detail: detail.into(), come_back: None }
     }
 
     /// The same refusal with the time after which to ask again.
--- a/components/platform/src/claims.rs
+++ b/components/platform/src/claims.rs
@@ -74,18 +74,12 @@
     let decode = |value: &[u8]| {
         serde_json::from_slice(value).map_err(|e| Error::StoreOut(format!("claim {id}: {e}")))
     };
-    store
-        .get(&key_of(id))?
-        .map(|entry| decode(&entry.value))
-        .transpose()
+    store.get(&key_of(id))?.map(|entry| decode(&entry.value)).transpose()
 }
 
 /// Writes how a claimed request ended; says whether that is certain.
 pub fn close_claim(store: &Store, id: &RequestId, mine: &Claim, state: ClaimState) -> bool {
-    let closed = Claim {
-        state,
-        ..mine.clone()
-    };
+    let closed = Claim { state, ..mine.clone() };
     let json = serde_json::to_vec(&closed).unwrap_or_default();
     // A claim is written once at version 1 and closed once, by its holder only.
     match store.put(&key_of(id), 1, &json) {
--- a/components/platform/src/head.rs
+++ b/components/platform/src/head.rs
@@ -65,10 +65,7 @@
     let catalogue: Catalogue = serde_json::from_slice(&entry.value)
         .map_err(|e| Error::StoreOut(format!("{} holds no catalogue: {e}", head.snapshot)))?;
     if catalogue.digest() != head.digest {
-        return Err(Error::StoreOut(format!(
-            "{} has another digest",
-            head.snapshot
-        )));
+        return Err(Error::StoreOut(format!("{} has another digest", head.snapshot)));
     }
     Ok(catalogue)
 }
@@ -125,11 +122,7 @@
 /// `StoreOut` if the head can't be read.
 pub fn settle(store: &Store, change_id: &str) -> Result<Option<Revision>> {
     let (head, _) = read_head(store)?;
-    Ok(head
-        .recent
-        .iter()
-        .find(|(id, _)| id == change_id)
-        .map(|(_, revision)| *revision))
+    Ok(head.recent.iter().find(|(id, _)| id == change_id).map(|(_, revision)| *revision))
 }
 
 fn settle_lost(
@@ -168,10 +161,7 @@
 ) -> Error {
     match read_head(store) {
         Ok((_, version)) if version != base_version => refused(store, before),
-        _ => Error::ChangeUnknown {
-            change_id: change_id.to_owned(),
-            problem,
-        },
+        _ => Error::ChangeUnknown { change_id: change_id.to_owned(), problem },
     }
 }
 
@@ -179,19 +169,11 @@
     let now = read_head(store).and_then(|(head, _)| Ok((catalogue_at(store, &head)?, head)));
     match now {
         Ok((catalogue, head)) => {
-            let changes: Vec<String> = diff(before, &catalogue)
-                .iter()
-                .map(|change| format!("  {change}"))
-                .collect();
-            Error::ChangeRefused {
-                revision: head.revision.0,
-                changes: changes.join("\n"),
-            }
+            let changes: Vec<String> =
+                diff(before, &catalogue).iter().map(|change| format!("  {change}")).collect();
+            Error::ChangeRefused { revision: head.revision.0, changes: changes.join("\n") }
         }
-        Err(e) => Error::ChangeRefused {
-            revision: 0,
-            changes: format!("  (not readable: {e})"),
-        },
+        Err(e) => Error::ChangeRefused { revision: 0, changes: format!("  (not readable: {e})") },
     }
 }
 
@@ -201,20 +183,16 @@
     revision: Revision,
 ) -> Vec<(String, Revision)> {
     let newest = std::iter::once((change_id.to_owned(), revision));
-    newest
-        .chain(recent.iter().cloned())
-        .take(MAX_RECENT)
-        .collect()
+    newest.chain(recent.iter().cloned()).take(MAX_RECENT).collect()
 }
 
 fn write_snapshot(store: &Store, key: &str, catalogue: &Catalogue) -> Result<()> {
     let json = serde_json::to_vec(catalogue).unwrap_or_default();
     match store.put(key, 0, &json) {
         Write::Done { .. } => Ok(()),
-        Write::Conflict { .. } => Err(Error::bad_input(
-            "change id",
-            "this id was used for another change",
-        )),
+        Write::Conflict { .. } => {
+            Err(Error::bad_input("change id", "this id was used for another change"))
+        }
         Write::Refused(problem) => Err(Error::StoreOut(problem)),
         // The key is ours alone, so reading it back settles the write.
         Write::Unknown(problem) => match store.get(key)? {
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -85,10 +85,7 @@
             .timeout_global(Some(CALL_WAIT))
             .build()
             .new_agent();
-        Store {
-            agent,
-            base: format!("http://{address}"),
-        }
+        Store { agent, base: format!("http://{address}") }
     }
 
     /// Reads a value; `None` if absent.
@@ -118,19 +115,13 @@
 
     /// Writes if the version is still `expect`; 0 expects that the key is absent.
     pub fn put(&self, key: &str, expect: u64, value: &[u8]) -> Write {
-        let call = self
-            .agent
-            .put(self.url("kv", key))
-            .query("expect", expect.to_string());
+        let call = self.agent.put(self.url("kv", key)).query("expect", expect.to_string());
         write_of(call.send(value))
     }
 
     /// Deletes if the version is still `expect`.
     pub fn delete(&self, key: &str, expect: u64) -> Write {
-        let call = self
-            .agent
-            .delete(self.url("kv", key))
-            .query("expect", expect.to_string());
+        let call = self.agent.delete(self.url("kv", key)).query("expect", expect.to_string());
         write_of(call.call())
     }
 
@@ -140,11 +131,7 @@
     /// `StoreOut` if the platform did not answer with a list.
     pub fn vms(&self) -> Result<Vec<ListedVm>> {
         let out = |e: ureq::Error| Error::StoreOut(e.to_string());
-        let mut rx = self
-            .agent
-            .get(format!("{}/vms", self.base))
-            .call()
-            .map_err(out)?;
+        let mut rx = self.agent.get(format!("{}/vms", self.base)).call().map_err(out)?;
         let text = rx.body_mut().read_to_string().map_err(out)?;
         serde_json::from_str(&text).map_err(|e| Error::StoreOut(format!("VM list: {e}")))
     }
@@ -157,10 +144,7 @@
 type CallResult = std::result::Result<Response<ureq::Body>, ureq::Error>;
 
 fn version_of(rx: &Response<ureq::Body>) -> u64 {
-    let header = rx
-        .headers()
-        .get(VERSION_HEADER)
-        .and_then(|v| v.to_str().ok());
+    let header = rx.headers().get(VERSION_HEADER).and_then(|v| v.to_str().ok());
     header.and_then(|v| v.parse().ok()).unwrap_or(0)
 }
 
@@ -170,12 +154,7 @@
     match rx.status().as_u16() {
         200 => {
             let version = version_of(&rx);
-            let value = rx
-                .body_mut()
-                .with_config()
-                .limit(MAX_VALUE)
-                .read_to_vec()
-                .map_err(out)?;
+            let value = rx.body_mut().with_config().limit(MAX_VALUE).read_to_vec().map_err(out)?;
             Ok(Some(Entry { value, version }))
         }
         404 => Ok(None),
@@ -186,12 +165,8 @@
 fn write_of(result: CallResult) -> Write {
     match result {
         Ok(rx) => match rx.status().as_u16() {
-            200 => Write::Done {
-                version: version_of(&rx),
-            },
-            409 => Write::Conflict {
-                found: version_of(&rx),
-            },
+            200 => Write::Done { version: version_of(&rx) },
+            409 => Write::Conflict { found: version_of(&rx) },
             503 => Write::Refused("answered 503".to_owned()),
             other => Write::Unknown(format!("answered {other}")),
         },
--- a/components/routing/src/admission.rs
+++ b/components/routing/src/admission.rs
@@ -23,7 +23,5 @@
 
 /// When a request that needs `needed` and has `left` can be asked again.
 pub(crate) fn come_back(needed: Duration, left: Duration) -> Duration {
-    needed
-        .saturating_sub(left.mul_f64(FILL))
-        .clamp(LEAST_COME_BACK, MOST_COME_BACK)
+    needed.saturating_sub(left.mul_f64(FILL)).clamp(LEAST_COME_BACK, MOST_COME_BACK)
 }
--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -38,28 +38,16 @@
     now: Instant,
     rng: &mut SmallRng,
 ) -> Option<(TargetKey, String)> {
-    let near: Vec<Candidate<'_>> = candidates
-        .iter()
-        .copied()
-        .filter(|(_, t)| t.hall == *own_hall)
-        .collect();
-    let (among, place) = if near.is_empty() {
-        (candidates, "other hall")
-    } else {
-        (near.as_slice(), "own hall")
-    };
+    let near: Vec<Candidate<'_>> =
+        candidates.iter().copied().filter(|(_, t)| t.hall == *own_hall).collect();
+    let (among, place) =
+        if near.is_empty() { (candidates, "other hall") } else { (near.as_slice(), "own hall") };
     let home = prefix.and_then(|prefix| home_of(among, prefix, now));
     if let Some((key, load)) = home {
-        return Some((
-            key,
-            format!("{place}, prefix home, load {load:.2} of {}", among.len()),
-        ));
+        return Some((key, format!("{place}, prefix home, load {load:.2} of {}", among.len())));
     }
     let (key, load) = less_loaded_of_two(among, now, rng)?;
-    Some((
-        key,
-        format!("{place}, load {load:.2}, less of two from {}", among.len()),
-    ))
+    Some((key, format!("{place}, load {load:.2}, less of two from {}", among.len())))
 }
 
 fn less_loaded_of_two(
@@ -80,9 +68,7 @@
 
 /// The prefix's home by rendezvous hashing, if it is not loaded beyond the bound.
 fn home_of(among: &[Candidate<'_>], prefix: u64, now: Instant) -> Option<(TargetKey, f64)> {
-    let (key, home) = among
-        .iter()
-        .max_by_key(|(_, t)| rendezvous(prefix, t.name.as_str()))?;
+    let (key, home) = among.iter().max_by_key(|(_, t)| rendezvous(prefix, t.name.as_str()))?;
     let total: f64 = among.iter().map(|(_, t)| t.load(now)).sum();
     let mean = total / among.len() as f64;
     let load = home.load(now);
--- a/components/routing/src/lane.rs
+++ b/components/routing/src/lane.rs
@@ -6,7 +6,9 @@
 use ids::{CustomerName, Priority};
 use slotmap::new_key_type;
 
+use crate::admission;
 use crate::target::TargetKey;
+use crate::usage::Usage;
 
 new_key_type! {
     /// Key of a lane in the router's arena.
@@ -48,13 +50,9 @@
     served: HashMap<CustomerName, f64>,
     /// The virtual time: what the customer served last had been given.
     virtual_time: f64,
-    /// Mean time that a grant holds its slot, in seconds.
-    hold: Option<f64>,
+    pub(crate) usage: Usage,
 }
 
-/// Weight of a new sample of the time that a slot is held.
-const HOLD_WEIGHT: f64 = 0.1;
-
 impl Lane {
     pub(crate) fn len(&self) -> usize {
         self.len
@@ -67,35 +65,6 @@
         self.len += 1;
     }
 
-    /// Requests that would be served before a new one of this priority.
-    pub(crate) fn ahead_of(&self, priority: Priority) -> usize {
-        let classes = self.classes.range(..=priority);
-        classes
-            .flat_map(|(_, class)| class.values())
-            .map(BTreeMap::len)
-            .sum()
-    }
-
-    /// Waiting requests of the customer at this priority or a more urgent one, and customers
-    /// that wait there.
-    pub(crate) fn ahead_of_customer(
-        &self,
-        priority: Priority,
-        customer: &CustomerName,
-    ) -> (usize, usize) {
-        let classes = || {
-            self.classes
-                .range(..=priority)
-                .flat_map(|(_, class)| class.iter())
-        };
-        let own = classes()
-            .filter(|(name, _)| *name == customer)
-            .map(|(_, q)| q.len())
-            .sum();
-        let others = classes().filter(|(name, _)| *name != customer).count();
-        (own, others)
-    }
-
     /// The request to serve next, left where it is.
     pub(crate) fn head(&self) -> Option<&Waiting> {
         let class = self.next_class()?;
@@ -119,12 +88,12 @@
     }
 
     /// Counts a grant to the customer.
-    pub(crate) fn granted(&mut self, customer: &CustomerName, share: u32) {
+    pub(crate) fn granted(&mut self, customer: &CustomerName, class: Priority, share: u32) {
         self.grants += 1;
+        self.usage.granted(class);
         let start = self.start_of(customer);
         self.virtual_time = self.virtual_time.max(start);
-        self.served
-            .insert(customer.clone(), start + 1.0 / f64::from(share.max(1)));
+        self.served.insert(customer.clone(), start + 1.0 / f64::from(share.max(1)));
     }
 
     /// Takes out every request that is too late to be of use.
@@ -134,40 +103,50 @@
             .flat_map(|queue| queue.values().take_while(|w| w.start_by <= now))
             .cloned()
             .collect();
-        late.into_iter()
-            .filter_map(|waiting| self.remove(&waiting))
-            .collect()
+        late.into_iter().filter_map(|waiting| self.remove(&waiting)).collect()
     }
 
     /// Takes out every request.
     pub(crate) fn take_all(&mut self) -> Vec<Waiting> {
         self.len = 0;
         let classes = std::mem::take(&mut self.classes).into_values();
-        classes
-            .flat_map(HashMap::into_values)
-            .flat_map(BTreeMap::into_values)
-            .collect()
+        classes.flat_map(HashMap::into_values).flat_map(BTreeMap::into_values).collect()
+    }
+
+    /// Time that a new request waits, with `slots` slots in all.
+    pub(crate) fn wait(
+        &self,
+        customer: &CustomerName,
+        class: Priority,
+        slots: f64,
+        now: Instant,
+    ) -> Duration {
+        let hold = |class: Priority| self.usage.hold(class).unwrap_or_default();
+        let urgent = Priority::ALL.into_iter().filter(|c| *c < class);
+        let urgent: Duration =
+            urgent.map(|c| admission::wait_behind(self.waiting(c), slots, hold(c))).sum();
+        // A customer with few waiting requests is served in turn with the others, so it waits for
+        // its own queue times the customers that wait, at most for the whole queue.
+        let queues = self.classes.get(&class);
+        let own = queues.and_then(|q| q.get(customer)).map_or(0, BTreeMap::len);
+        let others = queues.map_or(0, |q| q.keys().filter(|name| *name != customer).count());
+        let ahead = self.waiting(class).min(own * (others + 1) + others);
+        let left = self.usage.left_for(class, slots, now);
+        urgent + admission::wait_behind(ahead + 1, left, hold(class))
     }
 
-    pub(crate) fn held(&mut self, took: Duration) {
-        let seconds = took.as_secs_f64();
-        let hold = self.hold.get_or_insert(seconds);
-        *hold += HOLD_WEIGHT * (seconds - *hold);
+    fn waiting(&self, class: Priority) -> usize {
+        self.classes.get(&class).map_or(0, |c| c.values().map(BTreeMap::len).sum())
     }
 
-    /// Mean time that a grant holds its slot.
-    pub(crate) fn hold(&self) -> Option<Duration> {
-        self.hold.map(Duration::from_secs_f64)
+    /// Whether the next grant is the one in a few that goes to the least urgent class.
+    pub(crate) fn at_floor(&self) -> bool {
+        self.grants % FLOOR_EVERY == FLOOR_EVERY - 1
     }
 
     fn next_class(&self) -> Option<Priority> {
-        let floor = self.grants % FLOOR_EVERY == FLOOR_EVERY - 1;
         let mut classes = self.classes.keys();
-        if floor {
-            classes.next_back().copied()
-        } else {
-            classes.next().copied()
-        }
+        if self.at_floor() { classes.next_back().copied() } else { classes.next().copied() }
     }
 
     fn next_customer(&self, class: Priority) -> Option<CustomerName> {
@@ -180,10 +159,6 @@
     }
 
     fn start_of(&self, customer: &CustomerName) -> f64 {
-        self.served
-            .get(customer)
-            .copied()
-            .unwrap_or(0.0)
-            .max(self.virtual_time)
+        self.served.get(customer).copied().unwrap_or(0.0).max(self.virtual_time)
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -11,13 +11,16 @@
 mod limit;
 mod retry;
 mod router;
+mod shares;
 mod target;
 mod times;
+mod usage;
 
 pub use choice::Policy;
 pub use lane::WaitId;
 pub use retry::RetryBudget;
 pub use router::{
-    Admission, CallEnd, Grant, Refused, Router, SlotAnswer, SlotRequest, TargetDump, Update,
+    Admission, CallEnd, Grant, Refused, Router, Slot, SlotAnswer, SlotRequest, TargetDump, Update,
 };
+pub use shares::Sharer;
 pub use target::{LoadReport, TargetKey};
--- a/components/routing/src/limit.rs
+++ b/components/routing/src/limit.rs
@@ -1,9 +1,12 @@
-//! How many calls at once this VM sends to one target, learned from latency and load reports.
+//! How many calls at once a target can run, learned from latency and load reports.
 
 use std::time::{Duration, Instant};
 
 /// A call this many times longer than unloaded shows that the target is overloaded.
-const SLOW_RATIO: f64 = 2.0;
+const SLOW_RATIO: f64 = 3.0;
+/// Only answers faster than this many times unloaded let the limit rise above the slots that
+/// the target's owner names.
+const FAST_RATIO: f64 = 1.2;
 /// Factor on a slow answer.
 const SLOW_FACTOR: f64 = 0.9;
 /// Factor when the target declines a call.
@@ -26,39 +29,31 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Limit {
     value: f64,
-    most: f64,
+    slots: f64,
     decreased: Option<Instant>,
 }
 
 impl Limit {
     pub(crate) fn new(slots: u32) -> Self {
         let slots = f64::from(slots.max(1));
-        Limit {
-            value: slots,
-            most: slots * MOST_PER_SLOT,
-            decreased: None,
-        }
-    }
-
-    pub(crate) fn allows(&self, in_flight: u32) -> bool {
-        f64::from(in_flight) + 1.0 <= self.value.max(1.0) + 1e-9
+        Limit { value: slots, slots, decreased: None }
     }
 
     pub(crate) fn value(&self) -> f64 {
         self.value
     }
 
-    /// Learns from a call that ended while `in_flight` calls, itself included, were under way.
-    pub(crate) fn learn(&mut self, signal: Signal, in_flight: u32, now: Instant) {
+    /// Learns from a call that ended; `filled` says that the target was used to the limit.
+    pub(crate) fn learn(&mut self, signal: Signal, filled: bool, now: Instant) {
         match signal {
             Signal::Declined => self.decrease(DECLINED_FACTOR, now),
             Signal::Answered { ratio, queued } if queued > 0 || ratio > SLOW_RATIO => {
                 self.decrease(SLOW_FACTOR, now);
             }
-            Signal::Answered { .. } => {
-                let used = f64::from(in_flight) >= 0.8 * self.value;
-                if used {
-                    self.value = (self.value + 1.0 / self.value).min(self.most);
+            Signal::Answered { ratio, .. } => {
+                let most = if ratio < FAST_RATIO { self.slots * MOST_PER_SLOT } else { self.slots };
+                if filled && self.value < most {
+                    self.value = (self.value + 1.0 / self.value).min(most);
                 }
             }
         }
--- a/components/routing/src/retry.rs
+++ b/components/routing/src/retry.rs
@@ -21,10 +21,7 @@
 impl RetryBudget {
     /// A budget at the start of the process.
     pub fn new(now: Instant) -> Self {
-        RetryBudget {
-            saved: AT_START,
-            last: now,
-        }
+        RetryBudget { saved: AT_START, last: now }
     }
 
     /// Adds what a success earns.
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Selector, Service, Stage};
-use ids::{CustomerName, HallName, Priority, ServiceName, StageName, TargetName};
+use ids::{CustomerName, HallName, Priority, ServiceName, StageName, TargetName, VmName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use serde::Serialize;
@@ -16,6 +16,7 @@
 use crate::lane::{Lane, LaneKey, WaitId, Waiting};
 use crate::limit::Signal;
 use crate::retry::RetryBudget;
+use crate::shares::{self, Sharer};
 use crate::target::{LoadReport, TargetKey, TargetState};
 use crate::times::StageTimes;
 
@@ -43,11 +44,20 @@
     pub prefix: Option<u64>,
 }
 
-/// A slot at a target; it must be given back with [`Router::release`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Grant {
+/// A slot that is held at a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Slot {
     /// The target.
     pub target: TargetKey,
+    lane: LaneKey,
+    class: Priority,
+}
+
+/// A target to call, with the slot to do it; the slot must be given back with [`Router::release`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// The slot.
+    pub slot: Slot,
     /// Its name.
     pub name: TargetName,
     /// Where to call it.
@@ -125,7 +135,9 @@
     pub in_flight: u32,
     /// Calls under way from other VMs, as last heard.
     pub by_peers: u32,
-    /// Learned limit.
+    /// Slots dealt to this VM.
+    pub dealt: u32,
+    /// Learned limit for all VMs together.
     pub limit: f64,
     /// Load for each slot.
     pub load: f64,
@@ -152,14 +164,21 @@
     budget: RetryBudget,
     next_wait: u64,
     turn: usize,
+    own: VmName,
+    sharers: Vec<Sharer>,
+    /// VMs that have calls under way, this one included.
+    busy: usize,
 }
 
 impl Router {
     /// A router that knows no target yet.
-    pub fn new(policy: Policy, hall: HallName, seed: u64, now: Instant) -> Self {
+    pub fn new(policy: Policy, own: Sharer, seed: u64, now: Instant) -> Self {
         Router {
             policy,
-            hall,
+            hall: own.hall.clone(),
+            own: own.vm.clone(),
+            sharers: vec![own],
+            busy: 1,
             rng: SmallRng::seed_from_u64(seed),
             targets: SlotMap::with_key(),
             by_name: BTreeMap::new(),
@@ -178,11 +197,8 @@
     /// Requests that wait are given a slot or told that their lane is gone.
     pub fn apply(&mut self, catalogue: &Catalogue, now: Instant) -> Vec<Update> {
         self.apply_targets(catalogue);
-        self.shares = catalogue
-            .customers
-            .values()
-            .map(|c| (c.name.clone(), c.share))
-            .collect();
+        self.deal();
+        self.shares = catalogue.customers.values().map(|c| (c.name.clone(), c.share)).collect();
         let mut updates = self.apply_lanes(catalogue);
         updates.extend(self.serve_all(now));
         updates
@@ -214,9 +230,7 @@
                     .targets_of(stage)
                     .filter(|t| share.is_none_or(|s| s.matches(&t.labels)))
                     .filter_map(|t| self.by_name.get(&t.name).copied());
-                wanted
-                    .entry(lane_name(&stage.select, share))
-                    .or_insert(allowed.collect());
+                wanted.entry(lane_name(&stage.select, share)).or_insert(allowed.collect());
             }
         }
         let mut updates = Vec::new();
@@ -224,22 +238,14 @@
         self.lane_of.retain(|name, key| {
             let keep = wanted.contains_key(name);
             if !keep && let Some(mut lane) = lanes.remove(*key) {
-                let refused = Refused::NoTarget {
-                    come_back: admission::LEAST_COME_BACK,
-                };
-                updates.extend(
-                    lane.take_all()
-                        .iter()
-                        .map(|w| Update::Refused(w.id, refused)),
-                );
+                let refused = Refused::NoTarget { come_back: admission::LEAST_COME_BACK };
+                updates.extend(lane.take_all().iter().map(|w| Update::Refused(w.id, refused)));
             }
             keep
         });
         for (name, targets) in wanted {
-            let key = *self
-                .lane_of
-                .entry(name)
-                .or_insert_with(|| self.lanes.insert(Lane::default()));
+            let key =
+                *self.lane_of.entry(name).or_insert_with(|| self.lanes.insert(Lane::default()));
             if let Some(lane) = self.lanes.get_mut(key) {
                 lane.targets = targets;
             }
@@ -264,23 +270,19 @@
             .stages
             .iter()
             .filter_map(|stage| self.lane(stage, None))
-            .map(|lane| self.wait_in(lane, customer, priority))
+            .map(|lane| self.wait_in(lane, customer, priority, now))
             .sum();
         let needed = waits + self.time_from(service, 0, now);
         if admission::fits(needed, left) {
             return Ok(());
         }
-        Err(Refused::TooLate {
-            come_back: admission::come_back(needed, left),
-        })
+        Err(Refused::TooLate { come_back: admission::come_back(needed, left) })
     }
 
     /// Finds a slot for a stage's call.
     pub fn request_slot(&mut self, req: &SlotRequest<'_>, now: Instant) -> SlotAnswer {
         let Some(stage) = req.service.stages.get(req.stage) else {
-            return SlotAnswer::Refused(Refused::NoTarget {
-                come_back: Duration::ZERO,
-            });
+            return SlotAnswer::Refused(Refused::NoTarget { come_back: Duration::ZERO });
         };
         let share = self.pick_share(stage);
         let Some(lane_key) = self.lane_of.get(&lane_name(&stage.select, share)).copied() else {
@@ -296,12 +298,7 @@
             let come_back = admission::come_back(after, left);
             return SlotAnswer::Refused(Refused::TooLate { come_back });
         }
-        self.slot_or_queue(
-            lane_key,
-            req,
-            req.deadline.checked_sub(after).unwrap_or(now),
-            now,
-        )
+        self.slot_or_queue(lane_key, req, req.deadline.checked_sub(after).unwrap_or(now), now)
     }
 
     fn slot_or_queue(
@@ -316,15 +313,14 @@
             return SlotAnswer::Refused(Refused::NoTarget { come_back });
         };
         if lane.len() == 0
-            && let Some(grant) = self.grant_from(lane_key, &req.exclude, req.prefix, now)
+            && let Some(grant) =
+                self.grant_from(lane_key, req.priority, &req.exclude, req.prefix, now)
         {
-            self.count_grant(lane_key, req.customer);
+            self.count_grant(lane_key, req.customer, req.priority);
             return SlotAnswer::Granted(grant);
         }
         let Some(lane) = self.lanes.get(lane_key) else {
-            return SlotAnswer::Refused(Refused::NoTarget {
-                come_back: Duration::ZERO,
-            });
+            return SlotAnswer::Refused(Refused::NoTarget { come_back: Duration::ZERO });
         };
         let usable = |key: &&TargetKey| {
             !req.exclude.contains(key) && self.targets.get(**key).is_some_and(|t| !t.leaving)
@@ -333,13 +329,13 @@
             let come_back = self.next_probe(lane, now);
             return SlotAnswer::Refused(Refused::NoTarget { come_back });
         }
-        let wait = self.wait_in(lane, req.customer, req.priority);
+        let wait = self.wait_in(lane, req.customer, req.priority, now);
         let left = start_by.saturating_duration_since(now);
         if !admission::fits(wait, left) {
             let come_back = admission::come_back(wait, left);
             return SlotAnswer::Refused(Refused::TooLate { come_back });
         }
-        if lane.len() as f64 >= QUEUE_PER_SLOT * self.slots_of(lane) {
+        if lane.len() as f64 >= QUEUE_PER_SLOT * self.slots_of(lane, now) {
             let come_back = admission::come_back(wait, Duration::ZERO);
             return SlotAnswer::Refused(Refused::QueueFull { come_back });
         }
@@ -363,7 +359,7 @@
     /// Takes a slot back, learns from the call and serves whoever waits for it.
     pub fn release(
         &mut self,
-        key: TargetKey,
+        slot: Slot,
         (service, stage): (&ServiceName, &StageName),
         end: CallEnd,
         took: Duration,
@@ -374,6 +370,7 @@
         if end == CallEnd::Answered {
             self.budget.succeeded();
         }
+        let key = slot.target;
         if let Some(target) = self.targets.get_mut(key) {
             let in_flight = target.in_flight;
             target.in_flight = in_flight.saturating_sub(1);
@@ -383,25 +380,18 @@
             let queued = report.map_or(0, |r| r.queued);
             match end {
                 CallEnd::Answered => {
-                    target
-                        .limit
-                        .learn(Signal::Answered { ratio, queued }, in_flight, now);
+                    let filled = f64::from(in_flight) >= 0.8 * target.allowance(self.busy, now);
+                    target.limit.learn(Signal::Answered { ratio, queued }, filled, now);
                     target.health.answered(ratio, now);
                 }
-                CallEnd::Declined => target.limit.learn(Signal::Declined, in_flight, now),
+                CallEnd::Declined => target.limit.learn(Signal::Declined, true, now),
                 CallEnd::Unreachable => target.health.failed(true, now),
                 CallEnd::Failed => target.health.failed(false, now),
                 CallEnd::GivenUp => {}
             }
         }
-        for lane in self
-            .lanes
-            .values_mut()
-            .filter(|lane| lane.targets.contains(&key))
-        {
-            if end == CallEnd::Answered {
-                lane.held(took);
-            }
+        if let Some(lane) = self.lanes.get_mut(slot.lane) {
+            lane.usage.released(slot.class, (end == CallEnd::Answered).then_some(took), now);
         }
         self.eject_if_slow(key, now);
         self.serve_lanes_of(key, now)
@@ -418,11 +408,8 @@
     /// Takes a waiting request out, for instance because its caller is gone.
     pub fn forget(&mut self, id: WaitId) {
         for lane in self.lanes.values_mut() {
-            let kept: Vec<Waiting> = lane
-                .take_all()
-                .into_iter()
-                .filter(|waiting| waiting.id != id)
-                .collect();
+            let kept: Vec<Waiting> =
+                lane.take_all().into_iter().filter(|waiting| waiting.id != id).collect();
             kept.into_iter().for_each(|waiting| lane.push(waiting));
         }
     }
@@ -432,16 +419,12 @@
         let mut updates = Vec::new();
         let keys: Vec<LaneKey> = self.lanes.keys().collect();
         for key in keys {
-            let late = self
-                .lanes
-                .get_mut(key)
-                .map(|l| l.take_late(now))
-                .unwrap_or_default();
+            let late = self.lanes.get_mut(key).map(|l| l.take_late(now)).unwrap_or_default();
             let Some(lane) = self.lanes.get(key) else {
                 continue;
             };
             for waiting in late {
-                let wait = self.wait_in(lane, &waiting.customer, waiting.priority);
+                let wait = self.wait_in(lane, &waiting.customer, waiting.priority, now);
                 let come_back = admission::come_back(wait, Duration::ZERO);
                 updates.push(Update::Refused(waiting.id, Refused::TooLate { come_back }));
             }
@@ -452,10 +435,7 @@
 
     /// Marks targets that are leaving, or that are no longer.
     pub fn set_leaving(&mut self, name: &TargetName, leaving: bool) -> bool {
-        let target = self
-            .by_name
-            .get(name)
-            .and_then(|key| self.targets.get_mut(*key));
+        let target = self.by_name.get(name).and_then(|key| self.targets.get_mut(*key));
         target.is_some_and(|target| std::mem::replace(&mut target.leaving, leaving) != leaving)
     }
 
@@ -464,8 +444,26 @@
         self.targets.values().filter(|t| t.leaving).map(|t| &t.name)
     }
 
-    /// Sets the calls that other VMs have under way, by target; absent means none.
-    pub fn set_peer_loads(&mut self, loads: &HashMap<TargetName, u32>) {
+    /// Sets the VMs that share the targets' slots, this one included.
+    pub fn set_sharers(&mut self, mut sharers: Vec<Sharer>) {
+        sharers.sort();
+        if sharers != self.sharers {
+            self.sharers = sharers;
+            self.deal();
+        }
+    }
+
+    fn deal(&mut self) {
+        for target in self.targets.values_mut() {
+            let of = (&target.name, &target.hall, target.slots);
+            target.dealt = shares::dealt(of, &self.own, &self.sharers);
+        }
+    }
+
+    /// Sets the calls that other VMs have under way, by target, where absent means none, and how
+    /// many other VMs have any.
+    pub fn set_peer_loads(&mut self, loads: &HashMap<TargetName, u32>, busy_peers: usize) {
+        self.busy = busy_peers + 1;
         for target in self.targets.values_mut() {
             target.by_peers = loads.get(&target.name).copied().unwrap_or(0);
         }
@@ -473,10 +471,7 @@
 
     /// Calls under way from here, by target, where there are any.
     pub fn own_loads(&self) -> impl Iterator<Item = (&TargetName, u32)> {
-        self.targets
-            .values()
-            .filter(|t| t.in_flight > 0)
-            .map(|t| (&t.name, t.in_flight))
+        self.targets.values().filter(|t| t.in_flight > 0).map(|t| (&t.name, t.in_flight))
     }
 
     /// Names of all targets.
@@ -501,23 +496,18 @@
             hall: t.hall.clone(),
             in_flight: t.in_flight,
             by_peers: t.by_peers,
+            dealt: t.dealt,
             limit: t.limit.value(),
             load: t.load(now),
             leaving: t.leaving,
             ejected: !t.health.usable(now),
             calls: t.calls,
         };
-        self.by_name
-            .values()
-            .filter_map(|key| self.targets.get(*key))
-            .map(dump)
-            .collect()
+        self.by_name.values().filter_map(|key| self.targets.get(*key)).map(dump).collect()
     }
 
     fn lane(&self, stage: &Stage, share: Option<&Selector>) -> Option<&Lane> {
-        self.lane_of
-            .get(&lane_name(&stage.select, share))
-            .and_then(|key| self.lanes.get(*key))
+        self.lane_of.get(&lane_name(&stage.select, share)).and_then(|key| self.lanes.get(*key))
     }
 
     fn pick_share<'a>(&mut self, stage: &'a Stage) -> Option<&'a Selector> {
@@ -535,100 +525,114 @@
         None
     }
 
-    /// Mean time of the stages from `first` on; 0 for those with no fresh estimate.
+    /// Expected time of the stages from `first` on; 0 for those with no fresh estimate.
     fn time_from(&self, service: &Service, first: usize, now: Instant) -> Duration {
         let estimate = |stage: &Stage| {
-            let times = self
-                .times
-                .get(&(service.name.clone(), stage.name.clone()))?;
-            (times.age(now) < admission::ESTIMATE_LIFE).then(|| times.mean())
+            let times = self.times.get(&(service.name.clone(), stage.name.clone()))?;
+            (times.age(now) < admission::ESTIMATE_LIFE).then(|| times.expected())
         };
         service.stages.iter().skip(first).filter_map(estimate).sum()
     }
 
     /// Time that a new request waits in the lane, as far as can be told.
-    fn wait_in(&self, lane: &Lane, customer: &CustomerName, priority: Priority) -> Duration {
-        let Some(hold) = lane.hold() else {
-            return Duration::ZERO;
-        };
-        // A customer with few waiting requests is served in turn with the others, so it waits for
-        // its own queue times the customers that wait, at most for the whole queue.
-        let (own, others) = lane.ahead_of_customer(priority, customer);
-        let in_turn = own * (others + 1) + others;
-        let ahead = lane.ahead_of(priority).min(in_turn);
-        if ahead == 0 && lane.targets.iter().any(|k| self.has_room(*k)) {
+    fn wait_in(
+        &self,
+        lane: &Lane,
+        customer: &CustomerName,
+        priority: Priority,
+        now: Instant,
+    ) -> Duration {
+        let slots = self.slots_of(lane, now);
+        let idle = slots - self.in_flight(lane) - lane.usage.headroom(priority, now);
+        if lane.len() == 0 && idle >= 0.5 {
             return Duration::ZERO;
         }
-        admission::wait_behind(ahead + 1, self.slots_of(lane), hold)
+        lane.wait(customer, priority, slots, now)
     }
 
-    fn has_room(&self, key: TargetKey) -> bool {
-        self.targets.get(key).is_some_and(TargetState::has_room)
+    /// Calls under way from here to the lane's targets.
+    fn in_flight(&self, lane: &Lane) -> f64 {
+        let states = lane.targets.iter().filter_map(|key| self.targets.get(*key));
+        f64::from(states.map(|t| t.in_flight).sum::<u32>())
     }
 
-    fn slots_of(&self, lane: &Lane) -> f64 {
+    /// Slots of the lane that this VM may use.
+    fn slots_of(&self, lane: &Lane, now: Instant) -> f64 {
         let states = lane.targets.iter().filter_map(|key| self.targets.get(*key));
-        states
-            .filter(|t| !t.leaving)
-            .map(|t| t.limit.value())
-            .sum::<f64>()
-            .max(1.0)
+        let usable = states.filter(|t| !t.leaving && t.health.usable(now));
+        usable.map(|t| t.allowance(self.busy, now)).sum::<f64>().max(1.0)
     }
 
     fn next_probe(&self, lane: &Lane, now: Instant) -> Duration {
-        let untils = lane
-            .targets
-            .iter()
-            .filter_map(|key| self.targets.get(*key)?.health.until());
-        let wait = untils
-            .min()
-            .map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
+        let untils = lane.targets.iter().filter_map(|key| self.targets.get(*key)?.health.until());
+        let wait = untils.min().map_or(Duration::ZERO, |u| u.saturating_duration_since(now));
         wait.max(admission::LEAST_COME_BACK)
     }
 
     fn grant_from(
         &mut self,
-        lane: LaneKey,
+        lane_key: LaneKey,
+        class: Priority,
         exclude: &[TargetKey],
         prefix: Option<u64>,
         now: Instant,
     ) -> Option<Grant> {
-        let lane = self.lanes.get(lane)?;
+        let lane = self.lanes.get(lane_key)?;
+        let headroom = lane.usage.headroom(class, now);
+        if headroom > 0.0 && !lane.at_floor() {
+            let idle = self.slots_of(lane, now) - self.in_flight(lane);
+            if idle - 0.5 < headroom {
+                return None;
+            }
+        }
         let allowed = || {
             let keys = lane.targets.iter().filter(|key| !exclude.contains(key));
             keys.filter_map(|key| self.targets.get(*key).map(|state| (*key, state)))
         };
-        let mut candidates: Vec<Candidate<'_>> = allowed()
-            .filter(|(_, t)| t.has_room() && t.health.usable(now))
-            .collect();
-        if candidates.is_empty() && !allowed().any(|(_, t)| !t.leaving && t.health.usable(now)) {
-            // All are out: try the one whose time ends first rather than none.
-            let soonest = allowed()
-                .filter(|(_, t)| t.has_room())
-                .min_by_key(|(_, t)| t.health.until());
-            candidates.extend(soonest);
+        let free = |t: &TargetState| t.has_room(self.busy, now) && t.health.usable(now);
+        let mut candidates: Vec<Candidate<'_>> = allowed().filter(|(_, t)| free(t)).collect();
+        if candidates.is_empty() {
+            candidates.extend(self.last_resort(lane, allowed(), now));
         }
         let (key, why) = choice::choose(&candidates, &self.hall, prefix, now, &mut self.rng)?;
-        self.take_slot(key, why)
+        self.take_slot(Slot { target: key, lane: lane_key, class }, why)
     }
 
-    fn take_slot(&mut self, key: TargetKey, why: String) -> Option<Grant> {
-        let target = self.targets.get_mut(key)?;
+    /// Where no target has room: one call to the best of them if this VM has none under way in
+    /// the lane, so that no VM is shut out, nor all targets for having failed.
+    fn last_resort<'a>(
+        &self,
+        lane: &Lane,
+        allowed: impl Iterator<Item = Candidate<'a>>,
+        now: Instant,
+    ) -> Option<Candidate<'a>> {
+        let in_lane = lane.targets.iter().filter_map(|key| self.targets.get(*key));
+        if in_lane.map(|t| t.in_flight).sum::<u32>() > 0 {
+            return None;
+        }
+        let staying = allowed.filter(|(_, t)| !t.leaving);
+        staying.min_by(|(_, a), (_, b)| {
+            let out = |t: &TargetState| t.health.until().filter(|until| *until > now);
+            out(a).cmp(&out(b)).then_with(|| a.load(now).total_cmp(&b.load(now)))
+        })
+    }
+
+    fn take_slot(&mut self, slot: Slot, why: String) -> Option<Grant> {
+        let target = self.targets.get_mut(slot.target)?;
         target.in_flight += 1;
         target.calls += 1;
-        Some(Grant {
-            target: key,
-            name: target.name.clone(),
-            address: target.address,
-            why,
-        })
+        Some(Grant { slot, name: target.name.clone(), address: target.address, why })
     }
 
-    fn baseline_slot(&mut self, lane: LaneKey, req: &SlotRequest<'_>, now: Instant) -> SlotAnswer {
-        let refused = SlotAnswer::Refused(Refused::NoTarget {
-            come_back: admission::LEAST_COME_BACK,
-        });
-        let Some(lane) = self.lanes.get(lane) else {
+    fn baseline_slot(
+        &mut self,
+        lane_key: LaneKey,
+        req: &SlotRequest<'_>,
+        now: Instant,
+    ) -> SlotAnswer {
+        let refused =
+            SlotAnswer::Refused(Refused::NoTarget { come_back: admission::LEAST_COME_BACK });
+        let Some(lane) = self.lanes.get(lane_key) else {
             return refused;
         };
         let usable: Vec<TargetKey> = lane
@@ -641,10 +645,7 @@
                     || self.targets.get(*key).is_some_and(|t| t.health.usable(now))
             })
             .collect();
-        let fresh = usable
-            .iter()
-            .filter(|key| !req.exclude.contains(key))
-            .copied();
+        let fresh = usable.iter().filter(|key| !req.exclude.contains(key)).copied();
         let fresh: Vec<TargetKey> = fresh.collect();
         let among = if fresh.is_empty() { &usable } else { &fresh };
         if among.is_empty() {
@@ -655,14 +656,14 @@
             Policy::RoundRobin | Policy::Adaptive => (self.turn % among.len(), "in turn"),
         };
         self.turn = self.turn.wrapping_add(1);
-        self.take_slot(among[index], why.to_owned())
-            .map_or(refused, SlotAnswer::Granted)
+        let slot = Slot { target: among[index], lane: lane_key, class: req.priority };
+        self.take_slot(slot, why.to_owned()).map_or(refused, SlotAnswer::Granted)
     }
 
-    fn count_grant(&mut self, lane: LaneKey, customer: &CustomerName) {
+    fn count_grant(&mut self, lane: LaneKey, customer: &CustomerName, class: Priority) {
         let share = self.shares.get(customer).copied().unwrap_or(1);
         if let Some(lane) = self.lanes.get_mut(lane) {
-            lane.granted(customer, share);
+            lane.granted(customer, class, share);
         }
     }
 
@@ -694,19 +695,12 @@
             let states = lane.targets.iter().filter_map(|k| self.targets.get(*k));
             let mut ratios: Vec<f64> = states.clone().filter_map(|t| t.health.ratio()).collect();
             ratios.sort_by(f64::total_cmp);
-            let median = ratios
-                .get(ratios.len().saturating_sub(1) / 2)
-                .copied()
-                .unwrap_or(ratio);
+            let median = ratios.get(ratios.len().saturating_sub(1) / 2).copied().unwrap_or(ratio);
             let out = states.filter(|t| !t.health.usable(now)).count();
             let room = (out + 1) as f64 <= MOST_EJECTED * lane.targets.len() as f64;
             ratios.len() > 1 && ratio > SLOW_AGAINST_PEERS * median && room
         };
-        let slow = self
-            .lanes
-            .values()
-            .filter(|l| l.targets.contains(&key))
-            .any(slow_in);
+        let slow = self.lanes.values().filter(|l| l.targets.contains(&key)).any(slow_in);
         if slow && let Some(target) = self.targets.get_mut(key) {
             target.health.eject(now);
         }
@@ -731,12 +725,13 @@
         let mut open = lanes.to_vec();
         while let Some((index, waiting)) = self.most_urgent(&open) {
             let lane_key = open[index];
-            match self.grant_from(lane_key, &waiting.exclude, waiting.prefix, now) {
+            match self.grant_from(lane_key, waiting.priority, &waiting.exclude, waiting.prefix, now)
+            {
                 Some(grant) => {
                     if let Some(lane) = self.lanes.get_mut(lane_key) {
                         lane.remove(&waiting);
                     }
-                    self.count_grant(lane_key, &waiting.customer);
+                    self.count_grant(lane_key, &waiting.customer, waiting.priority);
                     updates.push(Update::Granted(waiting.id, grant));
                 }
                 None => drop(open.swap_remove(index)),
--- a/components/routing/src/target.rs
+++ b/components/routing/src/target.rs
@@ -15,6 +15,8 @@
     pub struct TargetKey;
 }
 
+/// An allowance is rounded to whole calls, so that fractions even out over the targets.
+const HALF_A_SLOT: f64 = 0.5;
 /// A report of load older than this says nothing.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 
@@ -36,6 +38,8 @@
     pub(crate) slots: u32,
     pub(crate) in_flight: u32,
     pub(crate) by_peers: u32,
+    /// Slots dealt to this VM.
+    pub(crate) dealt: u32,
     pub(crate) limit: Limit,
     pub(crate) health: Health,
     pub(crate) leaving: bool,
@@ -52,6 +56,7 @@
             slots: target.slots,
             in_flight: 0,
             by_peers: 0,
+            dealt: target.slots,
             limit: Limit::new(target.slots),
             health: Health::default(),
             leaving: false,
@@ -60,8 +65,18 @@
         }
     }
 
-    pub(crate) fn has_room(&self) -> bool {
-        !self.leaving && self.limit.allows(self.in_flight)
+    /// Calls that this VM may have under way: its own share, and its part of what others leave
+    /// idle, with `busy` VMs that may want it.
+    pub(crate) fn allowance(&self, busy: usize, now: Instant) -> f64 {
+        let limit = self.limit.value();
+        let dealt = f64::from(self.dealt) * limit / f64::from(self.slots);
+        let dealt = if self.dealt > 0 { dealt.max(1.0) } else { dealt };
+        let idle = limit - f64::from(self.others(now)) - dealt;
+        dealt + idle.max(0.0) / busy.max(1) as f64
+    }
+
+    pub(crate) fn has_room(&self, busy: usize, now: Instant) -> bool {
+        !self.leaving && f64::from(self.in_flight) + HALF_A_SLOT <= self.allowance(busy, now)
     }
 
     pub(crate) fn set_report(&mut self, report: LoadReport, now: Instant) {
@@ -69,15 +84,17 @@
     }
 
     /// Load for comparison: calls known for each slot.
+    pub(crate) fn load(&self, now: Instant) -> f64 {
+        f64::from(self.in_flight + self.others(now)) / f64::from(self.slots)
+    }
+
+    /// Calls under way from other VMs.
     ///
     /// The own count is exact, the peers' about a second old, the report as late as the target
     /// makes it, so the larger of the last two stands for what others send.
-    pub(crate) fn load(&self, now: Instant) -> f64 {
-        let fresh = self
-            .report
-            .filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_LIFE);
+    fn others(&self, now: Instant) -> u32 {
+        let fresh = self.report.filter(|(_, at)| now.saturating_duration_since(*at) < REPORT_LIFE);
         let reported = fresh.map_or(0, |(r, _)| r.running + r.queued);
-        let others = self.by_peers.max(reported.saturating_sub(self.in_flight));
-        f64::from(self.in_flight + others) / f64::from(self.slots)
+        self.by_peers.max(reported.saturating_sub(self.in_flight))
     }
 }
--- a/components/routing/src/times.rs
+++ b/components/routing/src/times.rs
@@ -9,10 +9,15 @@
 /// Weight of a sample above the baseline; small, so that the baseline stays low under load.
 const UP_WEIGHT: f64 = 0.005;
 
+/// Spreads above the mean that a stage is given.
+const SPREADS: f64 = 2.0;
+
 /// Running mean and unloaded baseline of one stage's times, in seconds.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StageTimes {
     mean: f64,
+    /// Mean distance from the mean.
+    spread: f64,
     baseline: f64,
     last: Instant,
 }
@@ -20,27 +25,21 @@
 impl StageTimes {
     pub(crate) fn first(took: Duration, now: Instant) -> Self {
         let seconds = took.as_secs_f64();
-        StageTimes {
-            mean: seconds,
-            baseline: seconds,
-            last: now,
-        }
+        StageTimes { mean: seconds, spread: 0.0, baseline: seconds, last: now }
     }
 
     pub(crate) fn add(&mut self, took: Duration, now: Instant) {
         let seconds = took.as_secs_f64();
+        self.spread += MEAN_WEIGHT * ((seconds - self.mean).abs() - self.spread);
         self.mean += MEAN_WEIGHT * (seconds - self.mean);
-        let weight = if seconds < self.baseline {
-            DOWN_WEIGHT
-        } else {
-            UP_WEIGHT
-        };
+        let weight = if seconds < self.baseline { DOWN_WEIGHT } else { UP_WEIGHT };
         self.baseline += weight * (seconds - self.baseline);
         self.last = now;
     }
 
-    pub(crate) fn mean(&self) -> Duration {
-        Duration::from_secs_f64(self.mean)
+    /// Time that nearly all take.
+    pub(crate) fn expected(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + SPREADS * self.spread)
     }
 
     /// How many times longer than unloaded `took` is.
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -143,10 +143,8 @@
 /// `BadInput` with line, column and what was expected.
 pub fn parse(text: &str) -> Result<Settings> {
     let cfg: Settings = serde_saphyr::from_str(text).map_err(|e| {
-        let place = e
-            .location()
-            .map(|at| format!("{}:{}", at.line(), at.column()))
-            .unwrap_or_default();
+        let place =
+            e.location().map(|at| format!("{}:{}", at.line(), at.column())).unwrap_or_default();
         Error::bad_input(place, e.without_snippet().to_string())
     })?;
     check(&cfg).map_err(|(key, problem)| Error::bad_input(place_of(text, key), problem))?;
@@ -179,29 +177,16 @@
         }
     }
     let ranges: [(&'static str, u64, u64, u64); 8] = [
-        (
-            "limits.connections",
-            cfg.limits.connections as u64,
-            1,
-            100_000,
-        ),
+        ("limits.connections", cfg.limits.connections as u64, 1, 100_000),
         ("limits.requests", cfg.limits.requests as u64, 1, 16_384),
-        (
-            "limits.body_bytes",
-            cfg.limits.body_bytes as u64,
-            1,
-            1 << 30,
-        ),
+        ("limits.body_bytes", cfg.limits.body_bytes as u64, 1, 1 << 30),
         ("limits.head_ms", cfg.limits.head_ms, 1, 600_000),
         ("limits.body_ms", cfg.limits.body_ms, 1, 600_000),
         ("limits.deadline_ms", cfg.limits.deadline_ms, 1, 86_400_000),
         ("limits.notice_ms", cfg.limits.notice_ms, 0, 600_000),
         ("limits.stop_ms", cfg.limits.stop_ms, 1, 3_600_000),
     ];
-    match ranges
-        .iter()
-        .find(|(_, value, least, most)| value < least || value > most)
-    {
+    match ranges.iter().find(|(_, value, least, most)| value < least || value > most) {
         Some((key, value, least, most)) => {
             Err((key, format!("expected {least} to {most}, found {value}")))
         }
--- a/components/target_calls/src/call.rs
+++ b/components/target_calls/src/call.rs
@@ -113,10 +113,7 @@
 
 impl Default for Caller {
     fn default() -> Self {
-        Caller {
-            pooled: agent(IDLE_PER_TARGET, IDLE),
-            fresh: agent(0, 0),
-        }
+        Caller { pooled: agent(IDLE_PER_TARGET, IDLE), fresh: agent(0, 0) }
     }
 }
 
@@ -140,10 +137,7 @@
             Ok(answered) => answered,
             Err(failed) => return failed,
         };
-        CallOutcome {
-            result: read_plain(rx, req.attempt),
-            word,
-        }
+        CallOutcome { result: read_plain(rx, req.attempt), word }
     }
 
     /// Calls a stage for a stream of tokens.
@@ -157,15 +151,9 @@
             .get("content-type")
             .is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
         let result = if is_stream {
-            Ok(TokenStream::new(
-                rx.into_body(),
-                req.attempt.clone(),
-                req.last_token,
-            ))
+            Ok(TokenStream::new(rx.into_body(), req.attempt.clone(), req.last_token))
         } else {
-            Err(CallFailure::MayHaveRun(
-                "answered with something that is no stream".to_owned(),
-            ))
+            Err(CallFailure::MayHaveRun("answered with something that is no stream".to_owned()))
         };
         CallOutcome { result, word }
     }
@@ -173,12 +161,7 @@
     /// Tells a target that an attempt is no longer wanted; whether it heard is not known.
     pub fn cancel(&self, address: SocketAddr, attempt: &AttemptId) {
         let url = format!("http://{address}/v1/attempts/{attempt}");
-        let call = self
-            .pooled
-            .delete(url)
-            .config()
-            .timeout_global(Some(CONNECT_WAIT))
-            .build();
+        let call = self.pooled.delete(url).config().timeout_global(Some(CONNECT_WAIT)).build();
         // Only saves work at the target; nothing depends on it.
         let _ = call.call();
     }
@@ -200,11 +183,7 @@
             call = call.header(LAST_EVENT_HEADER, last.to_string());
         }
         evidence::reset();
-        let result = call
-            .config()
-            .timeout_global(Some(req.left))
-            .build()
-            .send(req.input);
+        let result = call.config().timeout_global(Some(req.left)).build().send(req.input);
         let rx = result.map_err(|e| CallOutcome {
             result: Err(failure_of(&e)),
             word: TargetWord::default(),
@@ -212,10 +191,7 @@
         let word = word_of(&rx);
         match check_head(&rx, req.attempt) {
             Ok(()) => Ok((rx, word)),
-            Err(failure) => Err(CallOutcome {
-                result: Err(failure),
-                word,
-            }),
+            Err(failure) => Err(CallOutcome { result: Err(failure), word }),
         }
     }
 }
@@ -237,19 +213,14 @@
         let (running, queued) = v.split_once('/')?;
         Some((running.parse().ok()?, queued.parse().ok()?))
     });
-    TargetWord {
-        load,
-        leaving: header(rx, LEAVING_HEADER) == Some("true"),
-    }
+    TargetWord { load, leaving: header(rx, LEAVING_HEADER) == Some("true") }
 }
 
 /// A target declines with 429 or 503 and the attempt's id; any other status may have run.
 fn check_head(rx: &Response<Body>, attempt: &AttemptId) -> Result<(), CallFailure> {
     let named = header(rx, ATTEMPT_HEADER).unwrap_or("none");
     if named != attempt.as_str() {
-        return Err(CallFailure::Crossed(format!(
-            "the answer names attempt {named}"
-        )));
+        return Err(CallFailure::Crossed(format!("the answer names attempt {named}")));
     }
     match rx.status().as_u16() {
         200 => Ok(()),
@@ -269,15 +240,9 @@
     let body: AnswerBody = serde_json::from_slice(&bytes)
         .map_err(|e| may_have_run(format!("the answer can't be read: {e}")))?;
     if body.attempt != attempt.as_str() {
-        return Err(CallFailure::Crossed(format!(
-            "the answer names attempt {}",
-            body.attempt
-        )));
+        return Err(CallFailure::Crossed(format!("the answer names attempt {}", body.attempt)));
     }
-    Ok(PlainAnswer {
-        output: body.output.get().as_bytes().to_vec(),
-        cost: body.cost,
-    })
+    Ok(PlainAnswer { output: body.output.get().as_bytes().to_vec(), cost: body.cost })
 }
 
 /// Output of a stage as JSON, for callers that want it parsed.
--- a/components/target_calls/src/stream.rs
+++ b/components/target_calls/src/stream.rs
@@ -58,11 +58,7 @@
 impl TokenStream {
     pub(crate) fn new(body: Body, attempt: AttemptId, last: Option<u64>) -> Self {
         let lines = BufReader::new(body.into_reader());
-        TokenStream {
-            lines,
-            attempt,
-            last: last.unwrap_or(0),
-        }
+        TokenStream { lines, attempt, last: last.unwrap_or(0) }
     }
 
     /// Waits for the next event.
@@ -76,10 +72,7 @@
             let end: StreamEnd = serde_json::from_str(&event.data)
                 .map_err(|e| broken(format!("the stream's end can't be read: {e}")))?;
             if end.tokens != self.last {
-                return Err(broken(format!(
-                    "{} tokens came of {}",
-                    self.last, end.tokens
-                )));
+                return Err(broken(format!("{} tokens came of {}", self.last, end.tokens)));
             }
             return Ok(StreamEvent::End(end));
         }
@@ -90,10 +83,7 @@
             return Err(CallFailure::Crossed(problem));
         }
         if event.id != Some(self.last + 1) {
-            return Err(broken(format!(
-                "token {:?} came after {}",
-                event.id, self.last
-            )));
+            return Err(broken(format!("token {:?} came after {}", event.id, self.last)));
         }
         self.last += 1;
         Ok(StreamEvent::Token(self.last, data.token))
--- a/components/telemetry/src/logs.rs
+++ b/components/telemetry/src/logs.rs
@@ -16,15 +16,8 @@
 
 /// The process's logger; `level` is the least severe level written.
 pub fn root_logger(level: Level, vm: &str) -> LogSetup {
-    let lines = slog_logfmt::Logfmt::new(std::io::stderr())
-        .build()
-        .ignore_res();
-    let (drain, guard) = slog_async::Async::new(lines)
-        .chan_size(QUEUE_LEN)
-        .build_with_guard();
+    let lines = slog_logfmt::Logfmt::new(std::io::stderr()).build().ignore_res();
+    let (drain, guard) = slog_async::Async::new(lines).chan_size(QUEUE_LEN).build_with_guard();
     let drain = drain.filter_level(level).ignore_res();
-    LogSetup {
-        log: Logger::root(drain, o!("vm" => vm.to_owned())),
-        guard,
-    }
+    LogSetup { log: Logger::root(drain, o!("vm" => vm.to_owned())), guard }
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -9,9 +9,8 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 /// Bounds of the time histograms, in seconds.
-const SECONDS: [f64; 14] = [
-    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
-];
+const SECONDS: [f64; 14] =
+    [0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0];
 
 /// Names of all metrics, as the code gives them.
 pub mod metric_names {
@@ -98,8 +97,7 @@
         let service = KeyValue::new("service", service.to_owned());
         let outcome = KeyValue::new("outcome", outcome.to_owned());
         let customer = KeyValue::new("customer", customer.to_owned());
-        self.request_seconds
-            .record(took.as_secs_f64(), &[service.clone(), outcome.clone()]);
+        self.request_seconds.record(took.as_secs_f64(), &[service.clone(), outcome.clone()]);
         self.requests.add(1, &[service, customer, outcome]);
     }
 
@@ -125,16 +123,13 @@
 
     /// Counts an answer that named another attempt.
     pub fn answer_crossed(&self, target: &str) {
-        self.crossed
-            .add(1, &[KeyValue::new("target", target.to_owned())]);
+        self.crossed.add(1, &[KeyValue::new("target", target.to_owned())]);
     }
 
     /// Adds bytes of control messages.
     pub fn control_bytes(&self, sent: u64, received: u64) {
-        self.control_bytes
-            .add(sent, &[KeyValue::new("direction", "sent")]);
-        self.control_bytes
-            .add(received, &[KeyValue::new("direction", "received")]);
+        self.control_bytes.add(sent, &[KeyValue::new("direction", "sent")]);
+        self.control_bytes.add(received, &[KeyValue::new("direction", "received")]);
     }
 
     /// Counts a call to the platform.
--- a/daemon/src/answer.rs
+++ b/daemon/src/answer.rs
@@ -16,12 +16,7 @@
 
 /// A whole answer.
 pub(crate) fn whole(answer: &Answer) -> Response<Body> {
-    with_head(
-        200,
-        answer.outcome.as_str(),
-        &answer.request_id,
-        json_body(answer),
-    )
+    with_head(200, answer.outcome.as_str(), &answer.request_id, json_body(answer))
 }
 
 /// A refusal.
@@ -32,8 +27,7 @@
     if let Some(wait) = refusal.come_back {
         // The header has whole seconds; the body has the exact milliseconds.
         let seconds = wait.as_secs() + u64::from(wait.subsec_nanos() > 0);
-        rx.headers_mut()
-            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+        rx.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
     }
     rx
 }
@@ -68,14 +62,7 @@
     /// A port and the receiver of the answer's head.
     pub(crate) fn new(id: RequestId) -> (Self, oneshot::Receiver<Response<Body>>) {
         let (tx, rx) = oneshot::channel();
-        (
-            AnswerPort {
-                id,
-                head: Some(tx),
-                parts: None,
-            },
-            rx,
-        )
+        (AnswerPort { id, head: Some(tx), parts: None }, rx)
     }
 
     /// Whether the caller still waits.
@@ -103,10 +90,7 @@
             head.send(answer).map_err(|_| CallerGone)?;
             self.parts = Some(tx);
         }
-        self.part(format!(
-            "id: {number}\ndata: {}\n\n",
-            json!({ "token": token })
-        ))
+        self.part(format!("id: {number}\ndata: {}\n\n", json!({ "token": token })))
     }
 
     /// Ends with the whole answer.
@@ -140,8 +124,6 @@
 
     fn part(&self, text: String) -> Result<(), CallerGone> {
         let parts = self.parts.as_ref().ok_or(CallerGone)?;
-        parts
-            .blocking_send(Ok(Bytes::from(text)))
-            .map_err(|_| CallerGone)
+        parts.blocking_send(Ok(Bytes::from(text))).map_err(|_| CallerGone)
     }
 }
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -47,14 +47,9 @@
         let refusal = Refusal::not_run(Reason::BadRequest, "expected method POST");
         return Err(with_id(refusal));
     }
-    let asked = request::parse(
-        req.uri().path(),
-        req.headers(),
-        id.clone(),
-        arrived,
-        limits.deadline_ms,
-    )
-    .map_err(with_id)?;
+    let asked =
+        request::parse(req.uri().path(), req.headers(), id.clone(), arrived, limits.deadline_ms)
+            .map_err(with_id)?;
     let body = read_body(req.into_body(), limits.body_bytes, limits.body_wait())
         .await
         .map_err(|problem| with_id(body_refusal(problem, limits.body_bytes)))?;
--- a/daemon/src/dispatcher.rs
+++ b/daemon/src/dispatcher.rs
@@ -5,16 +5,16 @@
 
 use catalogue::Service;
 use ids::{
-    AttemptId, CustomerName, Incarnation, Priority, RequestId, Revision, ServiceName, TargetName,
-    VmName,
+    AttemptId, CustomerName, HallName, Incarnation, Priority, RequestId, Revision, ServiceName,
+    TargetName, VmName,
 };
 use journal::{AttemptEnd, AttemptRecord, Journal, RequestRecord, Submission};
 use membership::{Advert, Pace, Roster};
 use outcomes::{Outcome, Reason, Refusal};
 use platform::{ListedVm, VmState};
 use routing::{
-    Admission, CallEnd, Grant, LoadReport, Policy, Router, SlotAnswer, SlotRequest, TargetKey,
-    Update,
+    Admission, CallEnd, Grant, LoadReport, Policy, Router, Sharer, Slot, SlotAnswer, SlotRequest,
+    TargetKey, Update,
 };
 use settings::Settings;
 use slog::{Logger, debug, info};
@@ -99,7 +99,7 @@
     pub(crate) submission: Submission,
     pub(crate) service: ServiceName,
     pub(crate) stage: ids::StageName,
-    pub(crate) target: TargetKey,
+    pub(crate) slot: Slot,
     pub(crate) target_name: TargetName,
     pub(crate) attempt: AttemptId,
     pub(crate) end: CallEnd,
@@ -125,24 +125,13 @@
     Slot(SlotAsk, oneshot::Sender<SlotReply>),
     CallEnded(Box<EndedCall>),
     MayRetry(u32, oneshot::Sender<bool>),
-    Ended {
-        submission: Submission,
-        outcome: Outcome,
-        reason: Option<Reason>,
-        took: Duration,
-    },
+    Ended { submission: Submission, outcome: Outcome, reason: Option<Reason>, took: Duration },
     Offer(Box<InForce>),
     Current(Revision, oneshot::Sender<CatalogueView>),
     StartRound(oneshot::Sender<Round>),
-    Heard {
-        adverts: Vec<Advert>,
-        bytes: u64,
-    },
+    Heard { adverts: Vec<Advert>, bytes: u64 },
     Answered(Vec<Advert>),
-    NewsFor(
-        Vec<(VmName, Incarnation, u64)>,
-        oneshot::Sender<(Advert, Vec<Advert>)>,
-    ),
+    NewsFor(Vec<(VmName, Incarnation, u64)>, oneshot::Sender<(Advert, Vec<Advert>)>),
     Listed(Vec<ListedVm>),
     ReadsPlatform(oneshot::Sender<(bool, Revision)>),
     Drain,
@@ -178,10 +167,11 @@
             settings::Policy::RoundRobin => Policy::RoundRobin,
             settings::Policy::FirstInOrder => Policy::FirstInOrder,
         };
+        let own = Sharer { vm: setup.cfg.vm.clone(), hall: setup.cfg.hall.clone() };
         after!(TICK, [cx], tick());
         after!(SLOW_TICK, [cx], slow_tick());
         Some(Dispatcher {
-            router: Router::new(policy, setup.cfg.hall.clone(), rand::random(), cx.now()),
+            router: Router::new(policy, own, rand::random(), cx.now()),
             setup,
             journal: Journal::default(),
             waiting: WaitingThreads::default(),
@@ -204,12 +194,7 @@
             Message::Slot(ask, reply) => self.slot(ask, reply, now),
             Message::CallEnded(ended) => self.call_ended(*ended, now),
             Message::MayRetry(tries, reply) => answer(reply, self.router.may_retry(tries, now)),
-            Message::Ended {
-                submission,
-                outcome,
-                reason,
-                took,
-            } => {
+            Message::Ended { submission, outcome, reason, took } => {
                 self.ended(submission, outcome, reason, took);
             }
             Message::Offer(offered) => self.offer(*offered, now),
@@ -258,16 +243,10 @@
             return Err(refusal.come_back_in(NO_CONFIGURATION_WAIT));
         };
         let Some(service) = in_force.catalogue.services.get(&ask.service) else {
-            return Err(Refusal::not_run(
-                Reason::UnknownService,
-                ask.service.to_string(),
-            ));
+            return Err(Refusal::not_run(Reason::UnknownService, ask.service.to_string()));
         };
         if !in_force.catalogue.customers.contains_key(&ask.customer) {
-            return Err(Refusal::not_run(
-                Reason::UnknownCustomer,
-                ask.customer.to_string(),
-            ));
+            return Err(Refusal::not_run(Reason::UnknownCustomer, ask.customer.to_string()));
         }
         let limit = self.setup.cfg.limits.requests;
         if self.in_work >= limit {
@@ -290,19 +269,14 @@
             took_ms: None,
         });
         self.in_work += 1;
-        Ok(Begun {
-            in_force,
-            priority,
-            submission,
-        })
+        Ok(Begun { in_force, priority, submission })
     }
 
     fn admit(&self, ask: &BeginAsk, begun: &Begun, now: Instant) -> Admission {
         let Some(service) = begun.service(&ask.service) else {
             return Ok(());
         };
-        self.router
-            .admit(service, &ask.customer, begun.priority, ask.deadline, now)
+        self.router.admit(service, &ask.customer, begun.priority, ask.deadline, now)
     }
 
     fn slot(&mut self, ask: SlotAsk, reply: oneshot::Sender<SlotReply>, now: Instant) {
@@ -334,12 +308,7 @@
         reply: oneshot::Sender<SlotReply>,
         now: Instant,
     ) {
-        let stages = ask
-            .in_force
-            .catalogue
-            .services
-            .get(&ask.service)
-            .map(|s| &s.stages);
+        let stages = ask.in_force.catalogue.services.get(&ask.service).map(|s| &s.stages);
         let Some(stage) = stages.and_then(|stages| stages.get(ask.stage)) else {
             return;
         };
@@ -356,13 +325,12 @@
         debug!(self.setup.log, "attempt"; "request" => %ask.id, "attempt" => %attempt,
             "stage" => %stage.name, "target" => %grant.name, "why" => &grant.why);
         self.journal.chose(ask.submission, record);
-        let (target, service, stage) = (grant.target, ask.service.clone(), stage.name.clone());
+        let (slot, service, stage) = (grant.slot, ask.service.clone(), stage.name.clone());
         if reply.send(Ok(Granted { grant, attempt })).is_err() {
             // The thread has given up; the slot goes to the next.
             let end = CallEnd::GivenUp;
             let updates =
-                self.router
-                    .release(target, (&service, &stage), end, Duration::ZERO, None, now);
+                self.router.release(slot, (&service, &stage), end, Duration::ZERO, None, now);
             self.send(updates);
         }
     }
@@ -402,9 +370,7 @@
             self.setup.news.notify_one();
         }
         let of = (&ended.service, &ended.stage);
-        let updates = self
-            .router
-            .release(ended.target, of, ended.end, ended.took, ended.load, now);
+        let updates = self.router.release(ended.slot, of, ended.end, ended.took, ended.load, now);
         self.send(updates);
     }
 
@@ -416,8 +382,7 @@
         took: Duration,
     ) {
         self.in_work = self.in_work.saturating_sub(1);
-        self.journal
-            .ended(submission, outcome, reason, millis(took));
+        self.journal.ended(submission, outcome, reason, millis(took));
         if let Some(id) = self.waiting.of(submission) {
             self.waiting.take(id);
             self.router.forget(id);
@@ -438,10 +403,7 @@
     }
 
     fn current(&self, have: Revision) -> CatalogueView {
-        (
-            self.history.current().cloned(),
-            self.history.at(have).cloned(),
-        )
+        (self.history.current().cloned(), self.history.at(have).cloned())
     }
 
     fn advert(&self) -> Advert {
@@ -455,9 +417,7 @@
             sequence: self.sequence,
             revision: self.history.revision(),
             draining: self.draining,
-            loads: loads
-                .map(|(name, calls)| (Roster::target_hash(name), calls))
-                .collect(),
+            loads: loads.map(|(name, calls)| (Roster::target_hash(name), calls)).collect(),
             leaving: self.leaving.first_hand().cloned().collect(),
         }
     }
@@ -468,32 +428,20 @@
         let known = known.map(|(vm, inc, seq)| (vm.clone(), inc, seq)).collect();
         let hall = &self.setup.cfg.hall;
         let mut partners = self.roster.partners(hall, NEAR_PARTNERS, FAR_PARTNERS);
-        if self
-            .roster
-            .fresh(self.pace.interval(), now)
-            .next()
-            .is_none()
-        {
+        if self.roster.fresh(self.pace.interval(), now).next().is_none() {
             let others = self.setup.cfg.seeds.iter().chain(&self.listed_peers);
             partners.extend(others.filter(|a| **a != self.setup.cfg.peers));
         } else if let Some(listed) = self.unheard_peer() {
             partners.push(listed);
         }
         partners.dedup();
-        Round {
-            own: self.advert(),
-            known,
-            partners,
-            interval: self.pace.interval(),
-        }
+        Round { own: self.advert(), known, partners, interval: self.pace.interval() }
     }
 
     /// A listed peer that was not heard of; halls that were cut off find each other by it.
     fn unheard_peer(&self) -> Option<std::net::SocketAddr> {
         let heard = |a: &std::net::SocketAddr| {
-            self.roster
-                .all(Duration::ZERO, Instant::now())
-                .any(|(advert, _)| advert.peers == *a)
+            self.roster.all(Duration::ZERO, Instant::now()).any(|(advert, _)| advert.peers == *a)
         };
         let unheard = self.listed_peers.iter().find(|a| !heard(a));
         unheard.copied().filter(|a| *a != self.setup.cfg.peers)
@@ -513,41 +461,36 @@
         let by_hash = self.roster.loads(interval, now);
         let names: Vec<TargetName> = self.router.target_names().cloned().collect();
         let loads = names.iter().filter_map(|name| {
-            by_hash
-                .get(&Roster::target_hash(name))
-                .map(|calls| (name.clone(), *calls))
+            by_hash.get(&Roster::target_hash(name)).map(|calls| (name.clone(), *calls))
         });
-        self.router.set_peer_loads(&loads.collect());
-        let said = self
-            .roster
-            .fresh(interval, now)
-            .flat_map(|a| a.leaving.iter());
+        let busy = self.roster.fresh(interval, now).filter(|a| !a.loads.is_empty()).count();
+        self.router.set_peer_loads(&loads.collect(), busy);
+        self.router.set_sharers(self.sharers(now));
+        let said = self.roster.fresh(interval, now).flat_map(|a| a.leaving.iter());
         let leaving = self.leaving.all(said);
         for name in &names {
             self.router.set_leaving(name, leaving.contains(name));
         }
     }
 
+    /// The VMs that share the targets: this one and all that were heard of lately and stay.
+    fn sharers(&self, now: Instant) -> Vec<Sharer> {
+        let of = |vm: &VmName, hall: &HallName| Sharer { vm: vm.clone(), hall: hall.clone() };
+        let staying = self.roster.fresh(self.pace.interval(), now).filter(|a| !a.draining);
+        let own = of(&self.setup.cfg.vm, &self.setup.cfg.hall);
+        staying.map(|a| of(&a.vm, &a.hall)).chain([own]).collect()
+    }
+
     fn news_for(&self, known: Vec<(VmName, Incarnation, u64)>) -> (Advert, Vec<Advert>) {
-        let known = known
-            .into_iter()
-            .map(|(vm, inc, seq)| (vm, (inc, seq)))
-            .collect();
+        let known = known.into_iter().map(|(vm, inc, seq)| (vm, (inc, seq))).collect();
         (self.advert(), self.roster.news(&known))
     }
 
     fn listed(&mut self, vms: &[ListedVm], now: Instant) {
-        self.listed_peers = vms
-            .iter()
-            .filter(|vm| vm.entry)
-            .map(|vm| vm.address)
-            .collect();
-        let leaving = vms
-            .iter()
-            .filter(|vm| !vm.entry && vm.state == VmState::Leaving);
-        let names: Vec<TargetName> = leaving
-            .filter_map(|vm| TargetName::new(&vm.name).ok())
-            .collect();
+        self.listed_peers = vms.iter().filter(|vm| vm.entry).map(|vm| vm.address).collect();
+        let leaving = vms.iter().filter(|vm| !vm.entry && vm.state == VmState::Leaving);
+        let names: Vec<TargetName> =
+            leaving.filter_map(|vm| TargetName::new(&vm.name).ok()).collect();
         for name in names {
             if self.leaving.note(name.clone(), now) {
                 info!(self.setup.log, "target leaving"; "target" => %name, "word" => "VM list");
@@ -559,9 +502,7 @@
 
     fn reads_platform(&self, now: Instant) -> (bool, Revision) {
         let own = (&self.setup.cfg.vm, &self.setup.cfg.hall);
-        let reads = self
-            .roster
-            .reads_platform(own, READERS, self.pace.interval(), now);
+        let reads = self.roster.reads_platform(own, READERS, self.pace.interval(), now);
         (reads, self.history.revision())
     }
 
--- a/daemon/src/leaving.rs
+++ b/daemon/src/leaving.rs
@@ -24,8 +24,7 @@
 
     /// Drops words that are too old.
     pub(crate) fn forget_old(&mut self, now: Instant) {
-        self.first_hand
-            .retain(|_, at| now.saturating_duration_since(*at) < LIFE);
+        self.first_hand.retain(|_, at| now.saturating_duration_since(*at) < LIFE);
     }
 
     /// The first-hand words, to pass on.
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -34,10 +34,7 @@
 
 fn main() -> ExitCode {
     let args = command().get_matches();
-    let path = args
-        .get_one::<PathBuf>("settings")
-        .cloned()
-        .unwrap_or_default();
+    let path = args.get_one::<PathBuf>("settings").cloned().unwrap_or_default();
     let cfg = match settings::load(&path) {
         Ok(cfg) => cfg,
         Err(e) => {
--- a/daemon/src/operations.rs
+++ b/daemon/src/operations.rs
@@ -35,10 +35,7 @@
 /// `Io` if the address can't be listened on.
 pub(crate) fn start(page: Operations, address: SocketAddr) -> Result<()> {
     let server = Server::http(address).map_err(|e| {
-        Error::io(
-            format!("listening on {address}"),
-            std::io::Error::other(e.to_string()),
-        )
+        Error::io(format!("listening on {address}"), std::io::Error::other(e.to_string()))
     })?;
     thread::spawn(move || page.serve(server, address));
     Ok(())
@@ -92,11 +89,7 @@
 
     fn metrics_page(&self) -> Page {
         match self.metrics.page() {
-            Ok(page) => Page {
-                status: 200,
-                kind: "text/plain; version=0.0.4",
-                text: page,
-            },
+            Ok(page) => Page { status: 200, kind: "text/plain; version=0.0.4", text: page },
             Err(e) => text(500, &e.to_string()),
         }
     }
@@ -121,9 +114,5 @@
 }
 
 fn text(status: u16, text: &str) -> Page {
-    Page {
-        status,
-        kind: "text/plain",
-        text: format!("{text}\n"),
-    }
+    Page { status, kind: "text/plain", text: format!("{text}\n") }
 }
--- a/daemon/src/peer_links.rs
+++ b/daemon/src/peer_links.rs
@@ -54,11 +54,7 @@
     let log = links.log.clone();
     let service = PeerServer::new(links).max_encoding_message_size(MAX_MESSAGE);
     let incoming = TcpListenerStream::new(listener);
-    if let Err(e) = Server::builder()
-        .add_service(service)
-        .serve_with_incoming(incoming)
-        .await
-    {
+    if let Err(e) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
         warn!(log, "peer service ended"; "problem" => %e);
     }
 }
@@ -99,8 +95,7 @@
 
     /// Drops connections to peers that failed; a restarted VM has a new address or listener.
     fn drop_failed(&mut self, failed: &[SocketAddr]) {
-        self.by_address
-            .retain(|address, _| !failed.contains(address));
+        self.by_address.retain(|address, _| !failed.contains(address));
     }
 }
 
@@ -127,12 +122,7 @@
             Ok((_, Ok(news))) => {
                 sent += hello.encoded_len() as u64 + FRAMING_BYTES;
                 received += news.encoded_len() as u64 + FRAMING_BYTES;
-                heard.extend(
-                    news.own
-                        .into_iter()
-                        .chain(news.others)
-                        .filter_map(advert_from_wire),
-                );
+                heard.extend(news.own.into_iter().chain(news.others).filter_map(advert_from_wire));
             }
             Ok((address, Err(status))) => {
                 debug!(links.log, "peer silent"; "peer" => %address,
@@ -146,10 +136,7 @@
     links.metrics.control_bytes(sent, received);
     // What this VM answers to others in a round is as much again, on average.
     let bytes = 2 * (sent + received);
-    links.desk.tell(Message::Heard {
-        adverts: heard.clone(),
-        bytes,
-    });
+    links.desk.tell(Message::Heard { adverts: heard.clone(), bytes });
     heard
 }
 
@@ -187,9 +174,7 @@
         Ok(Ok(reply)) => reply.into_inner(),
         Ok(Err(_)) | Err(_) => return,
     };
-    links
-        .metrics
-        .control_bytes(FRAMING_BYTES, fetched.encoded_len() as u64 + FRAMING_BYTES);
+    links.metrics.control_bytes(FRAMING_BYTES, fetched.encoded_len() as u64 + FRAMING_BYTES);
     match catalogue_from_reply(&fetched, current.as_deref()) {
         Ok(offered) => links.desk.tell(Message::Offer(Box::new(offered))),
         Err(e) => warn!(links.log, "peer's catalogue not taken"; "peer" => %peer.vm,
@@ -219,8 +204,7 @@
             own: Some(advert_to_wire(own)),
             others: others.into_iter().map(advert_to_wire).collect(),
         };
-        self.metrics
-            .control_bytes(news.encoded_len() as u64 + FRAMING_BYTES, received);
+        self.metrics.control_bytes(news.encoded_len() as u64 + FRAMING_BYTES, received);
         Ok(Response::new(news))
     }
 
@@ -236,8 +220,7 @@
             .map_err(|Gone| ending())?;
         let current = current.ok_or_else(|| Status::not_found("no configuration in force"))?;
         let reply = catalogue_reply(&current, old.as_deref());
-        self.metrics
-            .control_bytes(reply.encoded_len() as u64 + FRAMING_BYTES, FRAMING_BYTES);
+        self.metrics.control_bytes(reply.encoded_len() as u64 + FRAMING_BYTES, FRAMING_BYTES);
         Ok(Response::new(reply))
     }
 }
--- a/daemon/src/peer_messages.rs
+++ b/daemon/src/peer_messages.rs
@@ -37,11 +37,7 @@
         sequence: advert.sequence,
         revision: Revision(advert.revision),
         draining: advert.draining,
-        loads: advert
-            .load_targets
-            .into_iter()
-            .zip(advert.load_calls)
-            .collect(),
+        loads: advert.load_targets.into_iter().zip(advert.load_calls).collect(),
         leaving: leaving.filter_map(std::result::Result::ok).collect(),
     })
 }
@@ -49,19 +45,11 @@
 pub(crate) fn known_to_wire(
     (vm, incarnation, sequence): (VmName, Incarnation, u64),
 ) -> wire::Known {
-    wire::Known {
-        vm: vm.into(),
-        incarnation: incarnation.0,
-        sequence,
-    }
+    wire::Known { vm: vm.into(), incarnation: incarnation.0, sequence }
 }
 
 pub(crate) fn known_from_wire(known: &wire::Known) -> Option<(VmName, Incarnation, u64)> {
-    Some((
-        VmName::new(&known.vm).ok()?,
-        Incarnation(known.incarnation),
-        known.sequence,
-    ))
+    Some((VmName::new(&known.vm).ok()?, Incarnation(known.incarnation), known.sequence))
 }
 
 /// The reply that leads a peer from `old`, if it is known here, to `now`.
@@ -76,18 +64,12 @@
         return reply;
     };
     let changes = diff(&old.catalogue, &now.catalogue);
-    let (gone, put): (Vec<_>, Vec<_>) = changes
-        .into_iter()
-        .partition(|change| change.kind == ChangeKind::Removed);
-    reply.removed = gone
-        .iter()
-        .map(|change| change.object.to_string())
-        .collect();
+    let (gone, put): (Vec<_>, Vec<_>) =
+        changes.into_iter().partition(|change| change.kind == ChangeKind::Removed);
+    reply.removed = gone.iter().map(|change| change.object.to_string()).collect();
     let is_put = |document: &Document| put.iter().any(|c| c.object == document.key());
     let documents = now.catalogue.documents().filter(is_put);
-    reply.changed = documents
-        .filter_map(|d| serde_json::to_vec(&d).ok())
-        .collect();
+    reply.changed = documents.filter_map(|d| serde_json::to_vec(&d).ok()).collect();
     reply
 }
 
@@ -113,9 +95,5 @@
     if catalogue.digest() != reply.digest {
         return Err(broken("its digest is another".to_owned()));
     }
-    Ok(InForce {
-        revision: Revision(reply.revision),
-        catalogue,
-        source: Source::Peer,
-    })
+    Ok(InForce { revision: Revision(reply.revision), catalogue, source: Source::Peer })
 }
--- a/daemon/src/pipeline.rs
+++ b/daemon/src/pipeline.rs
@@ -69,18 +69,11 @@
         Ok(claim) => claim,
         Err(refusal) => return end_refused(shared, req, &begun, Vec::new(), port, &refusal),
     };
-    let mut progress = Progress {
-        shared,
-        req,
-        begun: &begun,
-        runs: Vec::new(),
-        may_have_run: false,
-        attempts: 0,
-    };
+    let mut progress =
+        Progress { shared, req, begun: &begun, runs: Vec::new(), may_have_run: false, attempts: 0 };
     let mut port = port;
-    let result = progress
-        .admit(&ask)
-        .and_then(|service| progress.run_stages(service, body, &mut port));
+    let result =
+        progress.admit(&ask).and_then(|service| progress.run_stages(service, body, &mut port));
     let runs = progress.runs;
     match result {
         Ok(output) => {
@@ -154,9 +147,7 @@
 fn charge(shared: &Pipeline, req: &CallerRequest, runs: &[StageRun], whole: bool) {
     for run in runs {
         let cost = run.cost.unwrap_or(0);
-        shared
-            .metrics
-            .stage_charged(run.stage.as_str(), req.customer.as_str(), whole, cost);
+        shared.metrics.stage_charged(run.stage.as_str(), req.customer.as_str(), whole, cost);
     }
 }
 
@@ -183,12 +174,7 @@
     reason: Option<Reason>,
 ) {
     let took = req.arrived.elapsed();
-    shared.desk.tell(Message::Ended {
-        submission: begun.submission,
-        outcome,
-        reason,
-        took,
-    });
+    shared.desk.tell(Message::Ended { submission: begun.submission, outcome, reason, took });
     debug!(shared.log, "request ended"; "request" => %req.id, "service" => %req.service,
         "outcome" => outcome.as_str(), "took_ms" => took.as_millis());
     note_end(shared, req, outcome, reason);
@@ -196,18 +182,10 @@
 
 fn note_end(shared: &Pipeline, req: &CallerRequest, outcome: Outcome, reason: Option<Reason>) {
     // Names that no configuration knows would let callers fill the metrics' memory.
-    let known = !matches!(
-        reason,
-        Some(Reason::UnknownService | Reason::UnknownCustomer)
-    );
-    let (service, customer) = if known {
-        (req.service.as_str(), req.customer.as_str())
-    } else {
-        ("?", "?")
-    };
-    shared
-        .metrics
-        .request_ended(service, customer, outcome.as_str(), req.arrived.elapsed());
+    let known = !matches!(reason, Some(Reason::UnknownService | Reason::UnknownCustomer));
+    let (service, customer) =
+        if known { (req.service.as_str(), req.customer.as_str()) } else { ("?", "?") };
+    shared.metrics.request_ended(service, customer, outcome.as_str(), req.arrived.elapsed());
 }
 
 /// Why an attempt did not bring the stage's output.
@@ -267,17 +245,8 @@
         loop {
             let granted = self.slot(index, &tried)?;
             let began = Instant::now();
-            let outcome = self
-                .shared
-                .caller
-                .call(&self.call_request(stage, &granted, input, None));
-            self.call_ended(
-                stage,
-                &granted,
-                began,
-                outcome.result.as_ref().err(),
-                outcome.word,
-            );
+            let outcome = self.shared.caller.call(&self.call_request(stage, &granted, input, None));
+            self.call_ended(stage, &granted, began, outcome.result.as_ref().err(), outcome.word);
             match outcome.result {
                 Ok(answer) => {
                     self.ran(stage, &granted, Some(answer.cost));
@@ -327,15 +296,10 @@
                     self.call_ended(stage, &granted, began, None, word);
                     self.ran(stage, &granted, Some(end.cost));
                     let output = serde_json::json!({ "text": text }).to_string().into_bytes();
-                    return Ok(PlainAnswer {
-                        output,
-                        cost: end.cost,
-                    });
+                    return Ok(PlainAnswer { output, cost: end.cost });
                 }
                 Ok(Err(None)) => {
-                    self.shared
-                        .caller
-                        .cancel(granted.grant.address, &granted.attempt);
+                    self.shared.caller.cancel(granted.grant.address, &granted.attempt);
                     let gone = CallFailure::MayHaveRun("the caller is gone".to_owned());
                     self.given_up(stage, &granted, began, &gone);
                     self.ran(stage, &granted, None);
@@ -405,24 +369,14 @@
             None => (CallEnd::Answered, AttemptEnd::Answered, "answered"),
             Some(CallFailure::NotSent(problem)) => {
                 let problem = problem.clone();
-                (
-                    CallEnd::Unreachable,
-                    AttemptEnd::NotSent { problem },
-                    "not sent",
-                )
+                (CallEnd::Unreachable, AttemptEnd::NotSent { problem }, "not sent")
             }
             Some(CallFailure::Declined(problem)) => {
                 let problem = problem.clone();
-                (
-                    CallEnd::Declined,
-                    AttemptEnd::Declined { problem },
-                    "declined",
-                )
+                (CallEnd::Declined, AttemptEnd::Declined { problem }, "declined")
             }
             Some(CallFailure::Crossed(problem)) => {
-                self.shared
-                    .metrics
-                    .answer_crossed(granted.grant.name.as_str());
+                self.shared.metrics.answer_crossed(granted.grant.name.as_str());
                 let problem = problem.clone();
                 (CallEnd::Failed, AttemptEnd::Failed { problem }, "crossed")
             }
@@ -449,22 +403,18 @@
         word: TargetWord,
     ) {
         let target = &granted.grant.name;
-        self.shared
-            .metrics
-            .attempt_ended(stage.name.as_str(), target.as_str(), name);
+        self.shared.metrics.attempt_ended(stage.name.as_str(), target.as_str(), name);
         let ended = EndedCall {
             submission: self.begun.submission,
             service: self.req.service.clone(),
             stage: stage.name.clone(),
-            target: granted.grant.target,
+            slot: granted.grant.slot,
             target_name: target.clone(),
             attempt: granted.attempt.clone(),
             end,
             record,
             took: began.elapsed(),
-            load: word
-                .load
-                .map(|(running, queued)| LoadReport { running, queued }),
+            load: word.load.map(|(running, queued)| LoadReport { running, queued }),
             leaving: word.leaving,
         };
         self.shared.desk.tell(Message::CallEnded(Box::new(ended)));
@@ -472,11 +422,7 @@
 
     fn ran(&mut self, stage: &Stage, granted: &Granted, cost: Option<u64>) {
         let (stage, target) = (stage.name.clone(), granted.grant.name.clone());
-        self.runs.push(StageRun {
-            stage,
-            target,
-            cost,
-        });
+        self.runs.push(StageRun { stage, target, cost });
     }
 
     /// Decides whether a failed attempt is followed by another one.
@@ -487,15 +433,12 @@
         failure: CallFailure,
         tried: &mut Vec<TargetKey>,
     ) -> Result<(), Refusal> {
-        tried.push(granted.grant.target);
+        tried.push(granted.grant.slot.target);
         match self.judge(stage, granted, failure) {
             Miss::GiveUp(refusal) => Err(refusal),
             Miss::TryAgain(problem) => {
                 let tries = u32::try_from(tried.len()).unwrap_or(u32::MAX);
-                let allowed = self
-                    .shared
-                    .desk
-                    .ask(|reply| Message::MayRetry(tries, reply));
+                let allowed = self.shared.desk.ask(|reply| Message::MayRetry(tries, reply));
                 if !matches!(allowed, Ok(true)) {
                     let detail = format!("{problem}; no further try is allowed now");
                     return Err(self.give_up(Reason::TargetFailed, &detail, Some(SOON)));
@@ -516,9 +459,7 @@
                 self.may_have_run = true;
                 let detail = format!("stage {} at {name}: {problem}", stage.name);
                 if Instant::now() >= self.req.deadline {
-                    self.shared
-                        .caller
-                        .cancel(granted.grant.address, &granted.attempt);
+                    self.shared.caller.cancel(granted.grant.address, &granted.attempt);
                     Miss::GiveUp(self.give_up(Reason::DeadlinePassed, &detail, None))
                 } else if self.req.repeatable {
                     Miss::TryAgain(detail)
@@ -531,16 +472,12 @@
 
     fn refusal_of(&self, refused: Refused) -> Refusal {
         let (reason, detail, wait) = match refused {
-            Refused::TooLate { come_back } => (
-                Reason::TooLate,
-                "the stages left need more time than is left",
-                come_back,
-            ),
-            Refused::QueueFull { come_back } => (
-                Reason::QueueFull,
-                "too many wait for the stage's targets",
-                come_back,
-            ),
+            Refused::TooLate { come_back } => {
+                (Reason::TooLate, "the stages left need more time than is left", come_back)
+            }
+            Refused::QueueFull { come_back } => {
+                (Reason::QueueFull, "too many wait for the stage's targets", come_back)
+            }
             Refused::NoTarget { come_back } => (
                 Reason::NoTarget,
                 "every target that the selectors allow was tried or is out",
--- a/daemon/src/platform_reader.rs
+++ b/daemon/src/platform_reader.rs
@@ -88,11 +88,7 @@
                 continue;
             }
             last_look = Some(Instant::now());
-            let wait = if reads && seen > 0 {
-                WATCH_WAIT
-            } else {
-                Duration::ZERO
-            };
+            let wait = if reads && seen > 0 { WATCH_WAIT } else { Duration::ZERO };
             let result = self.look_at_head(&mut seen, in_force, wait);
             self.metrics.platform_call("head", result.is_ok());
             let absent = matches!(result, Ok(None));
@@ -122,11 +118,7 @@
         let (head, version) = read_head(&self.store)?;
         if head.revision > in_force {
             let catalogue = catalogue_at(&self.store, &head)?;
-            let offered = InForce {
-                revision: head.revision,
-                catalogue,
-                source: Source::Store,
-            };
+            let offered = InForce { revision: head.revision, catalogue, source: Source::Store };
             self.desk.tell(Message::Offer(Box::new(offered)));
         }
         *seen = version;
@@ -137,11 +129,7 @@
         let mut outage = Outage::new("VM list");
         let mut last_look: Option<Instant> = None;
         while let Ok((reads, _)) = self.desk.ask(Message::ReadsPlatform) {
-            let pause = if reads {
-                LIST_PAUSE
-            } else {
-                with_jitter(IDLE_LOOK)
-            };
+            let pause = if reads { LIST_PAUSE } else { with_jitter(IDLE_LOOK) };
             if last_look.is_some_and(|at| at.elapsed() < pause) {
                 thread::sleep(ROLE_CHECK.min(pause));
                 continue;
--- a/daemon/src/request.rs
+++ b/daemon/src/request.rs
@@ -79,9 +79,7 @@
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refusal> {
     let value = headers.get(name).map(|v| v.to_str());
-    value
-        .transpose()
-        .map_err(|_| bad_header(name, "expected printable ASCII"))
+    value.transpose().map_err(|_| bad_header(name, "expected printable ASCII"))
 }
 
 fn required<'a>(headers: &'a HeaderMap, name: &str, expected: &str) -> Result<&'a str, Refusal> {
@@ -93,20 +91,13 @@
     let value = required(headers, DEADLINE, &expected)?;
     let wrong = || bad_header(DEADLINE, &format!("expected {expected}, found \"{value}\""));
     let millis: u64 = value.parse().map_err(|_| wrong())?;
-    if (1..=longest).contains(&millis) {
-        Ok(millis)
-    } else {
-        Err(wrong())
-    }
+    if (1..=longest).contains(&millis) { Ok(millis) } else { Err(wrong()) }
 }
 
 fn parse_priority(value: &str) -> Result<Priority, Refusal> {
     Priority::from_name(value).ok_or_else(|| {
         let names = Priority::ALL.map(Priority::as_str).join(", ");
-        bad_header(
-            PRIORITY,
-            &format!("expected one of {names}, found \"{value}\""),
-        )
+        bad_header(PRIORITY, &format!("expected one of {names}, found \"{value}\""))
     })
 }
 
@@ -114,22 +105,12 @@
     match value {
         "yes" => Ok(true),
         "no" => Ok(false),
-        _ => Err(bad_header(
-            REPEATABLE,
-            &format!("expected yes or no, found \"{value}\""),
-        )),
+        _ => Err(bad_header(REPEATABLE, &format!("expected yes or no, found \"{value}\""))),
     }
 }
 
 fn refuse_unknown_headers(headers: &HeaderMap) -> Result<(), Refusal> {
-    let known = [
-        CUSTOMER,
-        DEADLINE,
-        PRIORITY,
-        REPEATABLE,
-        PREFIX_KEY,
-        REQUEST_ID_HEADER,
-    ];
+    let known = [CUSTOMER, DEADLINE, PRIORITY, REPEATABLE, PREFIX_KEY, REQUEST_ID_HEADER];
     let mut ours = headers.keys().map(hyper::header::HeaderName::as_str);
     match ours.find(|name| name.starts_with(PREFIX) && !known.contains(name)) {
         Some(name) => Err(bad_header(name, "not known")),
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -97,11 +97,7 @@
         metrics: Arc::clone(&metrics),
         news: Arc::clone(&news),
     });
-    let page = Operations {
-        desk: desk.clone(),
-        metrics: Arc::clone(&metrics),
-        log: log.clone(),
-    };
+    let page = Operations { desk: desk.clone(), metrics: Arc::clone(&metrics), log: log.clone() };
     operations::start(page, cfg.operations)?;
 
     let store = platform::Store::new(cfg.platform);
@@ -111,12 +107,8 @@
         log: log.clone(),
         metrics: Arc::clone(&metrics),
     });
-    let links = PeerLinks {
-        desk: desk.clone(),
-        log: log.clone(),
-        metrics: Arc::clone(&metrics),
-        news,
-    };
+    let links =
+        PeerLinks { desk: desk.clone(), log: log.clone(), metrics: Arc::clone(&metrics), news };
     tasks.spawn(peer_links::serve(links.clone(), peers_listener));
     tasks.spawn(peer_links::hold_rounds(links));
 
@@ -130,16 +122,10 @@
         metrics,
     };
     let side = Arc::new(CallersSide { pipeline, cut });
-    let bounds = Bounds {
-        connections: cfg.limits.connections,
-        head_wait: cfg.limits.head_wait(),
-    };
-    tasks.spawn(http_server::serve(
-        callers_listener,
-        bounds,
-        stop,
-        move |req| callers::handle(Arc::clone(&side), req),
-    ));
+    let bounds = Bounds { connections: cfg.limits.connections, head_wait: cfg.limits.head_wait() };
+    tasks.spawn(http_server::serve(callers_listener, bounds, stop, move |req| {
+        callers::handle(Arc::clone(&side), req)
+    }));
     Ok(desk)
 }
 
--- a/daemon/src/waiting.rs
+++ b/daemon/src/waiting.rs
@@ -42,9 +42,6 @@
 
     /// Those of one submission; there is at most one.
     pub(crate) fn of(&self, submission: Submission) -> Option<WaitId> {
-        self.by_id
-            .iter()
-            .find(|(_, t)| t.ask.submission == submission)
-            .map(|(id, _)| *id)
+        self.by_id.iter().find(|(_, t)| t.ask.submission == submission).map(|(id, _)| *id)
     }
 }
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -6,10 +6,7 @@
 /// Each file holds the expected message behind `# expect: ` in its first line.
 fn refused(path: &Path) -> datatest_stable::Result<()> {
     let text = std::fs::read_to_string(path)?;
-    let expected = text
-        .lines()
-        .next()
-        .and_then(|l| l.strip_prefix("# expect: "));
+    let expected = text.lines().next().and_then(|l| l.strip_prefix("# expect: "));
     let expected = expected.ok_or("no expectation in the first line")?;
 
     let run = Command::new(env!("CARGO_BIN_EXE_saddleraild"))
@@ -20,10 +17,7 @@
     let told = String::from_utf8(run.stderr)?;
     assert_eq!(run.status.code(), Some(2), "{told}");
     let place = format!("{}:", path.display());
-    assert!(
-        told.contains(&place) && told.contains(expected),
-        "expected {expected}, told {told}"
-    );
+    assert!(told.contains(&place) && told.contains(expected), "expected {expected}, told {told}");
     Ok(())
 }
 
@@ -33,11 +27,7 @@
         .args(["--check", "--settings"])
         .arg(path)
         .output()?;
-    assert!(
-        run.status.success(),
-        "{}",
-        String::from_utf8_lossy(&run.stderr)
-    );
+    assert!(run.status.success(), "{}", String::from_utf8_lossy(&run.stderr));
     Ok(())
 }
 
--- /dev/null
+++ b/load/src/fleet.rs
@@ -0,0 +1,54 @@
+//! Fleets for benchmarks: pools over halls, services and entry VMs.
+
+use standins::fleet::{Fleet, Pool};
+
+/// What to start.
+pub(crate) struct Layout<'a> {
+    pub(crate) halls: &'a [&'a str],
+    pub(crate) pools: &'a [Pool],
+    /// Slots that the catalogue says each target of a pool has.
+    pub(crate) slots: &'a [u32],
+    pub(crate) customers: &'a [(&'a str, u32)],
+    pub(crate) services: &'a str,
+    pub(crate) vms: usize,
+    pub(crate) policy: &'a str,
+}
+
+/// Starts it and waits until all VMs know each other and the configuration is in force.
+pub(crate) fn start(layout: &Layout<'_>) -> Fleet {
+    let mut fleet = Fleet::start(layout.pools);
+    let applied = fleet.apply(&catalogue(&fleet, layout));
+    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
+    let settings = format!(
+        "policy: {}\nlimits: {{requests: 4096, notice_ms: 200}}\nlog: warning\n",
+        layout.policy
+    );
+    let settings = settings.replace("log: warning\n", "");
+    for index in 0..layout.vms {
+        fleet.start_vm_unready(layout.halls[index % layout.halls.len()], &settings);
+    }
+    (0..layout.vms).for_each(|index| fleet.wait_ready(index));
+    fleet.list_vms(&[]);
+    fleet.wait_acquainted();
+    fleet
+}
+
+fn catalogue(fleet: &Fleet, layout: &Layout<'_>) -> String {
+    let customers = layout.customers.iter();
+    let mut documents: Vec<String> = customers
+        .map(|(name, share)| format!("customer: {{name: {name}, share: {share}}}"))
+        .collect();
+    for (pool, slots) in layout.pools.iter().zip(layout.slots) {
+        let start = format!("{}-", pool.name);
+        let of_pool = fleet.targets.iter().filter(|(name, _)| name.starts_with(&start));
+        for (index, (name, address)) in of_pool.enumerate() {
+            let hall = layout.halls[index % layout.halls.len()];
+            documents.push(format!(
+                "target: {{name: {name}, hall: {hall}, address: '{address}', slots: {slots}, \
+                 labels: {{pool: {}}}}}",
+                pool.name
+            ));
+        }
+    }
+    format!("{}\n---\n{}", documents.join("\n---\n"), layout.services)
+}
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,3 +1,65 @@
-//! Placeholder until arrivals are sent.
+//! `saddlerail-load`, the benchmark: real daemons before stand-in targets, on one machine.
 
-fn main() {}
+mod arrivals;
+mod client;
+mod fleet;
+mod overhead;
+mod process;
+mod report;
+mod run;
+mod scenario;
+mod slopes;
+
+use std::process::ExitCode;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+
+fn command() -> Command {
+    let seed = Arg::new("seed").long("seed").default_value("1").value_parser(value_parser!(u64));
+    let json = Arg::new("json").long("json").action(ArgAction::SetTrue);
+    let seconds = |default: &'static str| {
+        Arg::new("seconds").long("seconds").default_value(default).value_parser(value_parser!(u64))
+    };
+    let name = Arg::new("name").required(true).value_parser(scenario::NAMES);
+    let policies = Arg::new("policies")
+        .long("policies")
+        .value_delimiter(',')
+        .default_value("adaptive,round-robin,first-in-order");
+    let vms = Arg::new("vms").long("vms").value_delimiter(',').value_parser(value_parser!(usize));
+    Command::new("saddlerail-load")
+        .about("Measures saddlerail with open-loop arrivals")
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("overhead").about("What an entry VM adds to a call").arg(seconds("5")),
+        )
+        .subcommand(
+            Command::new("scenario")
+                .about("One scenario under several policies, on the same arrivals")
+                .args([name, policies, vms, seed, seconds("20"), json]),
+        )
+        .subcommand(Command::new("slopes").about("What docs/CAPACITY.md is worked out from"))
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let number = |args: &clap::ArgMatches, name: &str| args.get_one::<u64>(name).copied();
+    match matches.subcommand() {
+        Some(("overhead", args)) => overhead::measure(number(args, "seconds").unwrap_or(5)),
+        Some(("slopes", _)) => slopes::measure(),
+        Some(("scenario", args)) => {
+            let name = args.get_one::<String>("name").cloned().unwrap_or_default();
+            let policies = args.get_many::<String>("policies").into_iter().flatten().cloned();
+            let vms = args.get_many::<usize>("vms").into_iter().flatten().copied().collect();
+            let plan = scenario::Plan {
+                policies: policies.collect(),
+                vms,
+                seed: number(args, "seed").unwrap_or(1),
+                seconds: number(args, "seconds").unwrap_or(20),
+                json: args.get_flag("json"),
+            };
+            scenario::measure(&name, &plan);
+        }
+        _ => return ExitCode::FAILURE,
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/load/src/overhead.rs
@@ -0,0 +1,194 @@
+//! What an entry VM adds to a call, carries a second, adds between tokens, and holds in memory.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use standins::fleet::{Fleet, Pool};
+use tokio::runtime::Runtime;
+use tokio::task::JoinSet;
+
+use crate::client::{Connections, Post, connections, post};
+use crate::fleet::{Layout, start};
+use crate::process::{cpu, memory_mb};
+
+const CALLS: usize = 3000;
+const STREAMS: usize = 200;
+const CLOSED_LOOPS: [usize; 3] = [8, 32, 64];
+
+const SERVICES: &str = "\
+service: {name: one, stages: [{name: place, select: {all: {pool: plain}}}]}
+---
+service:
+  name: four
+  stages:
+    - {name: encode, select: {all: {pool: plain}}}
+    - {name: retrieve, select: {all: {pool: plain}}}
+    - {name: rerank, select: {all: {pool: plain}}}
+    - {name: generate, select: {all: {pool: plain}}}
+---
+service:
+  name: stream
+  stages: [{name: generate, select: {all: {pool: engine}}, streams: true}]
+";
+
+pub(crate) fn fleet_of_one() -> Fleet {
+    let plain = Pool { name: "plain", count: 4, args: &["--service-ms=0", "--slots=64"] };
+    let engine_args = &["--mode=engine", "--slots=256", "--service-ms=5", "--token-ms=20"];
+    let engine = Pool { name: "engine", count: 2, args: engine_args };
+    start(&Layout {
+        halls: &["hall-a"],
+        pools: &[plain, engine],
+        slots: &[64, 256],
+        customers: &[("small", 1)],
+        services: SERVICES,
+        vms: 1,
+        policy: "adaptive",
+    })
+}
+
+pub(crate) fn through_vm(to: SocketAddr, service: &str, tokens: u64) -> Post {
+    let headers = vec![
+        ("saddlerail-customer", "small".to_owned()),
+        ("saddlerail-deadline-ms", "60000".to_owned()),
+        ("saddlerail-repeatable", "yes".to_owned()),
+        ("accept", "text/event-stream".to_owned()),
+    ];
+    let body = format!("{{\"tokens\":{tokens}}}");
+    Post { to, path: format!("/v1/services/{service}"), headers, body }
+}
+
+fn direct(to: SocketAddr, stage: &str, tokens: u64) -> Post {
+    let headers = vec![
+        ("x-attempt-id", "direct/0.0".to_owned()),
+        ("x-priority", "standard".to_owned()),
+        ("accept", "text/event-stream".to_owned()),
+    ];
+    let body = format!("{{\"tokens\":{tokens}}}");
+    Post { to, path: format!("/v1/stages/{stage}"), headers, body }
+}
+
+fn micros() -> Histogram<u64> {
+    Histogram::new_with_max(600_000_000, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds are constants"))
+}
+
+fn in_micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX).max(1)
+}
+
+/// Prints all figures of one daemon.
+pub(crate) fn measure(seconds: u64) {
+    let fleet = fleet_of_one();
+    let tasks = Runtime::new().unwrap_or_else(|e| panic!("no runtime: {e}"));
+    let (vm, pid) = (fleet.vms[0].callers, fleet.pid(0));
+    println!("memory at rest: {:.1} MB", memory_mb(pid));
+
+    let connections = Arc::new(connections());
+    let target = fleet.target("plain-1");
+    // By turns, so that both see the same machine.
+    let (straight, through) = tasks.block_on(async {
+        let (mut straight, mut through) = (micros(), micros());
+        for _ in 0..CALLS {
+            time_one(&connections, &direct(target, "place", 0), &mut straight).await;
+            time_one(&connections, &through_vm(vm, "one", 0), &mut through).await;
+        }
+        (straight, through)
+    });
+    print_times("direct call", &straight);
+    print_times("through the VM", &through);
+    for quantile in [0.5, 0.99] {
+        let added = through
+            .value_at_quantile(quantile)
+            .saturating_sub(straight.value_at_quantile(quantile));
+        println!("added at {quantile}: {added} us");
+    }
+
+    for loops in CLOSED_LOOPS {
+        let before = cpu(pid);
+        let rate = tasks.block_on(closed_loops(&connections, vm, loops, seconds));
+        let used = (cpu(pid) - before).as_secs_f64() / seconds as f64;
+        println!(
+            "{loops} closed loops over four stages: {rate:.0} requests/s, {used:.2} cores, \
+             {:.0} us of a core a request, {:.1} MB",
+            1e6 * used / rate.max(1.0),
+            memory_mb(pid)
+        );
+    }
+
+    let engines = [fleet.target("engine-1"), fleet.target("engine-2")];
+    let posts = (0..STREAMS).map(|n| direct(engines[n % 2], "generate", 100)).collect();
+    let (gaps, _) = tasks.block_on(token_gaps(&connections, posts));
+    print_times("between tokens, direct", &gaps);
+    let posts = (0..STREAMS).map(|_| through_vm(vm, "stream", 100)).collect();
+    let before = cpu(pid);
+    let (through, tokens) = tasks.block_on(token_gaps(&connections, posts));
+    let used = (cpu(pid) - before).as_secs_f64();
+    print_times("between tokens, through the VM", &through);
+    println!(
+        "added between tokens at 0.95: {} us; {:.1} us of a core a token; memory {:.1} MB",
+        through.value_at_quantile(0.95).saturating_sub(gaps.value_at_quantile(0.95)),
+        1e6 * used / tokens.max(1) as f64,
+        memory_mb(pid)
+    );
+}
+
+async fn time_one(connections: &Connections, request: &Post, times: &mut Histogram<u64>) {
+    let began = Instant::now();
+    let reply = post(connections, request).await;
+    assert!(reply.is_some_and(|r| r.status == 200), "a call failed");
+    times.saturating_record(in_micros(began.elapsed()));
+}
+
+/// Requests a second that so many callers get, each sending the next when answered.
+pub(crate) async fn closed_loops(
+    connections: &Arc<Connections>,
+    vm: SocketAddr,
+    loops: usize,
+    seconds: u64,
+) -> f64 {
+    let done = Arc::new(AtomicU64::new(0));
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let mut callers = JoinSet::new();
+    for _ in 0..loops {
+        let (connections, done) = (Arc::clone(connections), Arc::clone(&done));
+        callers.spawn(async move {
+            while Instant::now() < end {
+                let reply = post(&connections, &through_vm(vm, "four", 0)).await;
+                assert!(reply.is_some_and(|r| r.status == 200), "a request was not answered whole");
+                done.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+    }
+    while callers.join_next().await.is_some() {}
+    done.load(Ordering::Relaxed) as f64 / seconds as f64
+}
+
+/// Times between the parts of all streams, held at once, and the number of parts.
+async fn token_gaps(connections: &Arc<Connections>, posts: Vec<Post>) -> (Histogram<u64>, u64) {
+    let mut streams = JoinSet::new();
+    for request in posts {
+        let connections = Arc::clone(connections);
+        streams.spawn(async move { post(&connections, &request).await });
+    }
+    let mut gaps = micros();
+    let mut parts = 0;
+    while let Some(joined) = streams.join_next().await {
+        let reply = joined.ok().flatten();
+        let reply = reply.unwrap_or_else(|| panic!("a stream was cut"));
+        parts += reply.parts.len() as u64;
+        reply.parts.windows(2).for_each(|w| gaps.saturating_record(in_micros(w[1] - w[0])));
+    }
+    (gaps, parts)
+}
+
+fn print_times(what: &str, times: &Histogram<u64>) {
+    println!(
+        "{what}: 50 {} us, 95 {} us, 99 {} us",
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.95),
+        times.value_at_quantile(0.99)
+    );
+}
--- /dev/null
+++ b/load/src/report.rs
@@ -0,0 +1,202 @@
+//! Tables of what became of the requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use outcomes::{Outcome, Reason};
+use serde::Serialize;
+use standins::fleet::Fleet;
+
+use crate::arrivals::Kind;
+use crate::run::Ended;
+
+/// One kind of requests under one policy.
+#[derive(Debug, Serialize)]
+pub(crate) struct KindRow {
+    kind: String,
+    customer: String,
+    sent: usize,
+    whole: usize,
+    attainment: f64,
+    p50_ms: u64,
+    p95_ms: u64,
+    p99_ms: u64,
+    not_run: usize,
+    failed: usize,
+    unknown: usize,
+    no_answer: usize,
+    told_p99_ms: u64,
+}
+
+/// All kinds under one policy, with what the targets' own records say.
+#[derive(Debug, Serialize)]
+pub(crate) struct Report {
+    pub(crate) policy: String,
+    pub(crate) vms: usize,
+    pub(crate) rows: Vec<KindRow>,
+    attainment: f64,
+    cost: u64,
+    cost_by_stage: BTreeMap<String, u64>,
+    cost_wasted_percent: f64,
+    cost_per_whole: f64,
+    tries_per_stage: f64,
+    prefix_hits_percent: f64,
+    reasons: BTreeMap<String, usize>,
+    /// Share of the refusals that were followed and then answered whole.
+    again_whole: Option<f64>,
+    /// Attainment by tenth of the run.
+    by_tenth: Vec<f64>,
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn times(values: impl Iterator<Item = Duration>) -> Histogram<u64> {
+    let mut histogram = Histogram::new_with_max(3_600_000, 3)
+        .unwrap_or_else(|_| unreachable!("the bounds are constants"));
+    values.for_each(|value| histogram.saturating_record(millis(value).max(1)));
+    histogram
+}
+
+fn row(kind: &Kind, ended: &[&Ended]) -> KindRow {
+    let deadline = Duration::from_millis(kind.deadline_ms);
+    let whole: Vec<&&Ended> =
+        ended.iter().filter(|e| e.outcome == Some(Outcome::Whole) && e.took <= deadline).collect();
+    let count = |outcome: Outcome| ended.iter().filter(|e| e.outcome == Some(outcome)).count();
+    let took = times(whole.iter().map(|e| e.took));
+    let not_run = ended.iter().filter(|e| e.outcome == Some(Outcome::NotRun));
+    KindRow {
+        kind: kind.label.to_owned(),
+        customer: kind.customer.to_owned(),
+        sent: ended.len(),
+        whole: whole.len(),
+        attainment: whole.len() as f64 / ended.len().max(1) as f64,
+        p50_ms: took.value_at_quantile(0.5),
+        p95_ms: took.value_at_quantile(0.95),
+        p99_ms: took.value_at_quantile(0.99),
+        not_run: count(Outcome::NotRun),
+        failed: count(Outcome::Failed),
+        unknown: count(Outcome::Unknown),
+        no_answer: ended.iter().filter(|e| e.outcome.is_none()).count(),
+        told_p99_ms: times(not_run.map(|e| e.took)).value_at_quantile(0.99),
+    }
+}
+
+/// Sets the callers' answers against the targets' records.
+pub(crate) fn report(policy: &str, kinds: &[Kind], ended: &[Ended], fleet: &Fleet) -> Report {
+    let of = |index: usize| -> Vec<&Ended> { ended.iter().filter(|e| e.kind == index).collect() };
+    let rows: Vec<KindRow> =
+        kinds.iter().enumerate().map(|(index, kind)| row(kind, &of(index))).collect();
+    let records = fleet.records();
+    let mut cost_by_stage: BTreeMap<String, u64> = BTreeMap::new();
+    for (_, call) in &records {
+        let stage = call["stage"].as_str().unwrap_or_default().to_owned();
+        *cost_by_stage.entry(stage).or_default() += call["cost"].as_u64().unwrap_or(0);
+    }
+    let cost: u64 = cost_by_stage.values().sum();
+    let in_time = |e: &&Ended| {
+        let deadline = Duration::from_millis(kinds[e.kind].deadline_ms);
+        e.outcome == Some(Outcome::Whole) && e.took <= deadline
+    };
+    let used: u64 = ended.iter().filter(in_time).map(|e| e.cost).sum();
+    let whole: usize = rows.iter().map(|r| r.whole).sum();
+    let mut seen: BTreeMap<String, usize> = BTreeMap::new();
+    for (_, call) in &records {
+        let attempt = call["attempt"].as_str().unwrap_or_default();
+        let stage = attempt.split('.').next().unwrap_or_default();
+        *seen.entry(stage.to_owned()).or_default() += 1;
+    }
+    let generated = records.iter().filter(|(name, _)| name.starts_with("modelo"));
+    let hits: Vec<bool> = generated.map(|(_, c)| c["prefix_hit"] == true).collect();
+    let percent = |part: usize, all: usize| 100.0 * part as f64 / all.max(1) as f64;
+    let mut reasons: BTreeMap<String, usize> = BTreeMap::new();
+    for reason in ended.iter().filter_map(|e| e.reason) {
+        *reasons.entry(reason_name(reason)).or_default() += 1;
+    }
+    let followed: Vec<bool> = ended.iter().filter_map(|e| e.again).collect();
+    let last = ended.iter().map(|e| e.at).max().unwrap_or_default();
+    let by_tenth = (0..10).map(|tenth| {
+        let part = |e: &&Ended| e.at.as_secs_f64() / last.as_secs_f64().max(1e-9) * 9.999;
+        let sent: Vec<&Ended> = ended.iter().filter(|e| part(e) as usize == tenth).collect();
+        sent.iter().copied().filter(in_time).count() as f64 / sent.len().max(1) as f64
+    });
+    Report {
+        by_tenth: by_tenth.collect(),
+        again_whole: (!followed.is_empty())
+            .then(|| followed.iter().filter(|w| **w).count() as f64 / followed.len() as f64),
+        policy: policy.to_owned(),
+        vms: fleet.vms.len(),
+        rows,
+        attainment: whole as f64 / ended.len().max(1) as f64,
+        cost,
+        cost_by_stage,
+        cost_wasted_percent: 100.0 * (cost.saturating_sub(used)) as f64 / cost.max(1) as f64,
+        cost_per_whole: cost as f64 / whole.max(1) as f64,
+        tries_per_stage: records.len() as f64 / seen.len().max(1) as f64,
+        prefix_hits_percent: percent(hits.iter().filter(|hit| **hit).count(), hits.len()),
+        reasons,
+    }
+}
+
+fn reason_name(reason: Reason) -> String {
+    serde_json::to_value(reason)
+        .ok()
+        .and_then(|v| v.as_str().map(str::to_owned))
+        .unwrap_or_default()
+}
+
+/// Prints a report as a table.
+pub(crate) fn print(report: &Report) {
+    println!(
+        "\npolicy {} with {} VMs: attainment {:.3}, cost {} ({:.1}% wasted, {:.1} a whole answer), \
+         {:.3} tries a stage, prefix hits {:.0}%",
+        report.policy,
+        report.vms,
+        report.attainment,
+        report.cost,
+        report.cost_wasted_percent,
+        report.cost_per_whole,
+        report.tries_per_stage,
+        report.prefix_hits_percent
+    );
+    println!(
+        "{:<18} {:<10} {:>6} {:>6} {:>7} {:>6} {:>6} {:>6} {:>8} {:>7} {:>7} {:>6} {:>9}",
+        "kind",
+        "customer",
+        "sent",
+        "whole",
+        "attain",
+        "p50",
+        "p95",
+        "p99",
+        "not-run",
+        "failed",
+        "unknown",
+        "none",
+        "told p99"
+    );
+    for r in &report.rows {
+        println!(
+            "{:<18} {:<10} {:>6} {:>6} {:>7.3} {:>6} {:>6} {:>6} {:>8} {:>7} {:>7} {:>6} {:>9}",
+            r.kind,
+            r.customer,
+            r.sent,
+            r.whole,
+            r.attainment,
+            r.p50_ms,
+            r.p95_ms,
+            r.p99_ms,
+            r.not_run,
+            r.failed,
+            r.unknown,
+            r.no_answer,
+            r.told_p99_ms
+        );
+    }
+    let tenths: Vec<String> = report.by_tenth.iter().map(|a| format!("{a:.2}")).collect();
+    println!("attainment by tenth of the run: {}", tenths.join(" "));
+    println!("cost by stage {:?}", report.cost_by_stage);
+    println!("reasons {:?}; asked again and whole {:?}", report.reasons, report.again_whole);
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -71,15 +71,7 @@
                 .help("Format of what is printed"),
         )
         .subcommands([apply(), diff(), list(), show(), remove(), label()])
-        .subcommands([
-            history(),
-            rollback(),
-            settle(),
-            wait(),
-            state(),
-            explain(),
-            completions(),
-        ])
+        .subcommands([history(), rollback(), settle(), wait(), state(), explain(), completions()])
 }
 
 fn address(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
@@ -139,19 +131,13 @@
 }
 
 fn diff() -> Command {
-    Command::new("diff")
-        .about("Show what applying the files would change")
-        .arg(files())
+    Command::new("diff").about("Show what applying the files would change").arg(files())
 }
 
 fn list() -> Command {
     Command::new("list")
         .about("List objects")
-        .arg(
-            Arg::new("kind")
-                .required(true)
-                .value_parser(["service", "target", "customer"]),
-        )
+        .arg(Arg::new("kind").required(true).value_parser(["service", "target", "customer"]))
         .arg(
             Arg::new("label")
                 .short('l')
@@ -163,9 +149,7 @@
 }
 
 fn show() -> Command {
-    Command::new("show")
-        .about("Print one object as YAML or JSON")
-        .arg(object("object"))
+    Command::new("show").about("Print one object as YAML or JSON").arg(object("object"))
 }
 
 fn remove() -> Command {
@@ -237,9 +221,5 @@
 fn completions() -> Command {
     Command::new("completions")
         .about("Print a completion script")
-        .arg(
-            Arg::new("shell")
-                .required(true)
-                .value_parser(value_parser!(clap_complete::Shell)),
-        )
+        .arg(Arg::new("shell").required(true).value_parser(value_parser!(clap_complete::Shell)))
 }
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -14,9 +14,7 @@
     let documents = documents(args)?;
     let before = accepted(&store)?;
     let mut after = before.catalogue.clone();
-    documents
-        .into_iter()
-        .for_each(|document| after.put(document));
+    documents.into_iter().for_each(|document| after.put(document));
     if args.get_flag("dry-run") {
         check(&after)?;
         return Ok(report(args, &diff(&before.catalogue, &after)));
--- a/src/cmd/diff.rs
+++ b/src/cmd/diff.rs
@@ -15,9 +15,7 @@
     let documents = documents(args)?;
     let before = accepted(&store(args)?)?.catalogue;
     let mut after = before.clone();
-    documents
-        .into_iter()
-        .for_each(|document| after.put(document));
+    documents.into_iter().for_each(|document| after.put(document));
     Ok(report(args, &diff(&before, &after)))
 }
 
@@ -28,9 +26,5 @@
         Output::Text if changes.is_empty() => messages::nothing_changes(),
         Output::Text => messages::changes(changes),
     }
-    if changes.is_empty() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(DIFFERS)
-    }
+    if changes.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(DIFFERS) }
 }
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -8,20 +8,14 @@
 use crate::context::{page, vm};
 
 pub(crate) fn run(args: &ArgMatches) -> Result<()> {
-    let id = args
-        .get_one::<String>("request")
-        .cloned()
-        .unwrap_or_default();
+    let id = args.get_one::<String>("request").cloned().unwrap_or_default();
     ids::RequestId::new(&id)?;
     let address = vm(args)?;
     let mut records = Vec::new();
     // The request may have come in at any VM, so all that this one knows are asked.
     for page_address in all_pages(&page(address, "/state")?, address) {
         let found = page(page_address, &format!("/explain/{id}"));
-        let found = found
-            .ok()
-            .and_then(|v| v.as_array().cloned())
-            .unwrap_or_default();
+        let found = found.ok().and_then(|v| v.as_array().cloned()).unwrap_or_default();
         records.extend(found.into_iter().map(|record| (page_address, record)));
     }
     if records.is_empty() {
@@ -32,9 +26,7 @@
             let values: Vec<Value> = records.into_iter().map(|(_, record)| record).collect();
             println!("{}", Value::Array(values));
         }
-        Output::Text => records
-            .iter()
-            .for_each(|(address, r)| print_text(&address.to_string(), r)),
+        Output::Text => records.iter().for_each(|(address, r)| print_text(&address.to_string(), r)),
     }
     Ok(())
 }
@@ -64,10 +56,7 @@
             cell(&attempt["end"]),
             cell(&attempt["took_ms"]),
             cell(&attempt["why"]),
-            attempt["problem"]
-                .as_str()
-                .map(|p| format!(" {p}"))
-                .unwrap_or_default(),
+            attempt["problem"].as_str().map(|p| format!(" {p}")).unwrap_or_default(),
         );
     }
     println!(
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -13,9 +13,7 @@
     match output_of(args) {
         Output::Json => println!("{}", json!(head)),
         Output::Text => {
-            head.recent
-                .iter()
-                .for_each(|(change, revision)| println!("{revision:>8} {change}"));
+            head.recent.iter().for_each(|(change, revision)| println!("{revision:>8} {change}"));
         }
     }
     Ok(())
--- a/src/cmd/label.rs
+++ b/src/cmd/label.rs
@@ -18,10 +18,7 @@
         Document::Service(x) => &mut x.labels,
         Document::Target(x) => &mut x.labels,
         Document::Customer(_) => {
-            return Err(Error::bad_input(
-                key.to_string(),
-                "customers have no labels",
-            ));
+            return Err(Error::bad_input(key.to_string(), "customers have no labels"));
         }
     };
     for text in args.get_many::<String>("labels").into_iter().flatten() {
--- a/src/cmd/list.rs
+++ b/src/cmd/list.rs
@@ -29,9 +29,7 @@
     let texts = args.get_many::<String>("label").into_iter().flatten();
     texts
         .map(|text| {
-            let pair = text
-                .split_once('=')
-                .map(|(k, v)| (k.to_owned(), v.to_owned()));
+            let pair = text.split_once('=').map(|(k, v)| (k.to_owned(), v.to_owned()));
             pair.ok_or_else(|| Error::bad_input(text.as_str(), "expected KEY=VALUE"))
         })
         .collect()
@@ -46,28 +44,16 @@
 }
 
 fn line(document: &Document) -> String {
-    let labels: Vec<String> = labels_of(document)
-        .iter()
-        .map(|(k, v)| format!("{k}={v}"))
-        .collect();
+    let labels: Vec<String> = labels_of(document).iter().map(|(k, v)| format!("{k}={v}")).collect();
     let labels = labels.join(",");
     match document {
         Document::Service(x) => {
             let stages: Vec<&str> = x.stages.iter().map(|s| s.name.as_str()).collect();
             let stages = stages.join(" > ");
-            format!(
-                "{:<24} {:<12} {stages}  {labels}",
-                x.name.as_str(),
-                x.priority.as_str()
-            )
+            format!("{:<24} {:<12} {stages}  {labels}", x.name.as_str(), x.priority.as_str())
         }
         Document::Target(x) => {
-            format!(
-                "{:<24} {:<10} {:<21} {labels}",
-                x.name.as_str(),
-                x.hall.as_str(),
-                x.address
-            )
+            format!("{:<24} {:<10} {:<21} {labels}", x.name.as_str(), x.hall.as_str(), x.address)
         }
         Document::Customer(x) => format!("{:<24} share {}", x.name.as_str(), x.share),
     }
--- a/src/cmd/rollback.rs
+++ b/src/cmd/rollback.rs
@@ -12,18 +12,9 @@
     let store = store(args)?;
     let before = accepted(&store)?;
     let to = Revision(args.get_one::<u64>("to").copied().unwrap_or_default());
-    let gone = || {
-        Error::bad_input(
-            format!("revision {to}"),
-            "is not kept; see saddlerail history",
-        )
-    };
-    let (change_id, _) = before
-        .head
-        .recent
-        .iter()
-        .find(|(_, revision)| *revision == to)
-        .ok_or_else(gone)?;
+    let gone = || Error::bad_input(format!("revision {to}"), "is not kept; see saddlerail history");
+    let (change_id, _) =
+        before.head.recent.iter().find(|(_, revision)| *revision == to).ok_or_else(gone)?;
     let entry = store.get(&snapshot_key(to, change_id))?.ok_or_else(gone)?;
     let after: Catalogue = serde_json::from_slice(&entry.value)
         .map_err(|e| Error::bad_input(format!("revision {to}"), e.to_string()))?;
--- a/src/cmd/settle.rs
+++ b/src/cmd/settle.rs
@@ -9,10 +9,7 @@
 use crate::messages;
 
 pub(crate) fn run(args: &ArgMatches) -> Result<()> {
-    let change = args
-        .get_one::<String>("change")
-        .cloned()
-        .unwrap_or_default();
+    let change = args.get_one::<String>("change").cloned().unwrap_or_default();
     let revision = platform::settle(&store(args)?, &change)?;
     match output_of(args) {
         Output::Json => println!("{}", json!({ "change": change, "revision": revision })),
--- a/src/cmd/state.rs
+++ b/src/cmd/state.rs
@@ -23,16 +23,11 @@
     for (name, value) in fields.iter().filter(|(_, v)| !v.is_array()) {
         println!("{name:<18} {}", plain(value));
     }
-    for (name, rows) in fields
-        .iter()
-        .filter_map(|(n, v)| v.as_array().map(|rows| (n, rows)))
-    {
+    for (name, rows) in fields.iter().filter_map(|(n, v)| v.as_array().map(|rows| (n, rows))) {
         println!("\n{name}");
         for row in rows.iter().filter_map(Value::as_object) {
-            let cells: Vec<String> = row
-                .iter()
-                .map(|(key, value)| format!("{key}={}", plain(value)))
-                .collect();
+            let cells: Vec<String> =
+                row.iter().map(|(key, value)| format!("{key}={}", plain(value))).collect();
             println!("  {}", cells.join(" "));
         }
     }
--- a/src/cmd/wait.rs
+++ b/src/cmd/wait.rs
@@ -46,10 +46,7 @@
                 messages::missing(&vm, &why);
             }
             let what = format!("revision {revision} in force everywhere");
-            return Err(Error::TimedOut {
-                what,
-                waited: timeout,
-            });
+            return Err(Error::TimedOut { what, waited: timeout });
         }
         thread::sleep(LOOK);
     }
@@ -81,11 +78,7 @@
         .into_iter()
         .filter_map(|(name, address)| why_missing(address, revision).map(|why| (name, why)))
         .collect();
-    Ok(if missing.is_empty() {
-        Ok(count)
-    } else {
-        Err(missing)
-    })
+    Ok(if missing.is_empty() { Ok(count) } else { Err(missing) })
 }
 
 fn why_missing(address: Option<SocketAddr>, revision: Revision) -> Option<String> {
--- a/src/context.rs
+++ b/src/context.rs
@@ -37,30 +37,19 @@
             "missing: expected a daemon's operations address, or set SADDLERAIL_VM",
         )
     };
-    args.get_one::<SocketAddr>("vm")
-        .copied()
-        .ok_or_else(missing)
+    args.get_one::<SocketAddr>("vm").copied().ok_or_else(missing)
 }
 
 /// A page of a daemon as JSON.
 pub(crate) fn page(address: SocketAddr, path: &str) -> Result<Value> {
     let what = || format!("the daemon at {address}");
-    let unreachable = |e: ureq::Error| Error::Unreachable {
-        what: what(),
-        problem: e.to_string(),
-    };
+    let unreachable = |e: ureq::Error| Error::Unreachable { what: what(), problem: e.to_string() };
     let call = ureq::get(format!("http://{address}{path}"));
     let call = call.config().timeout_global(Some(PAGE_WAIT)).build();
-    let text = call
-        .call()
-        .map_err(unreachable)?
-        .body_mut()
-        .read_to_string()
-        .map_err(unreachable)?;
-    serde_json::from_str(&text).map_err(|e| Error::Unreachable {
-        what: what(),
-        problem: e.to_string(),
-    })
+    let text =
+        call.call().map_err(unreachable)?.body_mut().read_to_string().map_err(unreachable)?;
+    serde_json::from_str(&text)
+        .map_err(|e| Error::Unreachable { what: what(), problem: e.to_string() })
 }
 
 /// The accepted configuration as read at one moment.
@@ -74,11 +63,7 @@
 pub(crate) fn accepted(store: &Store) -> Result<Accepted> {
     let (head, version) = read_head(store)?;
     let catalogue = catalogue_at(store, &head)?;
-    Ok(Accepted {
-        head,
-        version,
-        catalogue,
-    })
+    Ok(Accepted { head, version, catalogue })
 }
 
 /// Reads the objects of the files named on the command line.
@@ -91,15 +76,8 @@
         documents.extend(parse_documents(&text).map_err(|e| e.within(&shown))?);
     }
     let mut seen = std::collections::BTreeSet::new();
-    match documents
-        .iter()
-        .map(Document::key)
-        .find(|key| !seen.insert(key.clone()))
-    {
-        Some(key) => Err(Error::bad_input(
-            key.to_string(),
-            "stands twice in the files",
-        )),
+    match documents.iter().map(Document::key).find(|key| !seen.insert(key.clone())) {
+        Some(key) => Err(Error::bad_input(key.to_string(), "stands twice in the files")),
         None => Ok(documents),
     }
 }
@@ -122,18 +100,11 @@
     let base = (&before.head, before.version);
     let revision = publish(store, base, &before.catalogue, after, &change_id)?;
     messages::accepted(revision);
-    if args.get_flag("wait") {
-        wait_for(args, store, revision)
-    } else {
-        Ok(())
-    }
+    if args.get_flag("wait") { wait_for(args, store, revision) } else { Ok(()) }
 }
 
 /// Waits for a revision as the command line says.
 pub(crate) fn wait_for(args: &ArgMatches, store: &Store, revision: Revision) -> Result<()> {
-    let millis = args
-        .get_one::<u64>("timeout-ms")
-        .copied()
-        .unwrap_or_default();
+    let millis = args.get_one::<u64>("timeout-ms").copied().unwrap_or_default();
     wait_everywhere(store, vm(args)?, revision, Duration::from_millis(millis))
 }
--- a/src/messages.rs
+++ b/src/messages.rs
@@ -29,10 +29,7 @@
 }
 
 pub(crate) fn in_force(revision: Revision, vms: usize, took: Duration) {
-    println!(
-        "revision {revision} is in force on {vms} VMs after {} ms",
-        took.as_millis()
-    );
+    println!("revision {revision} is in force on {vms} VMs after {} ms", took.as_millis());
 }
 
 pub(crate) fn settled(change: &str, revision: Option<Revision>) {
--- a/standins/src/bin/standin-platform.rs
+++ b/standins/src/bin/standin-platform.rs
@@ -176,9 +176,7 @@
         state.writes += 1;
         let now = Instant::now();
         let old = state.leases.get(&name).cloned();
-        let held = old
-            .clone()
-            .filter(|l| l.until.is_some_and(|until| until > now));
+        let held = old.clone().filter(|l| l.until.is_some_and(|until| until > now));
         if let Some(held) = held.as_ref().filter(|l| l.holder != holder) {
             return json(409, held);
         }
@@ -188,11 +186,7 @@
             (None, None) => 1,
         };
         let until = Some(now + Duration::from_millis(asked.number("ttl_ms")));
-        let lease = Lease {
-            holder,
-            fence,
-            until,
-        };
+        let lease = Lease { holder, fence, until };
         state.leases.insert(name, lease.clone());
         json(200, &lease)
     }
@@ -207,17 +201,13 @@
         state.values.remove(key);
         return versioned(raw(200, Vec::new()), found);
     }
-    let value = Value {
-        bytes: asked.body.to_vec(),
-        version: found + 1,
-    };
+    let value = Value { bytes: asked.body.to_vec(), version: found + 1 };
     state.values.insert(key.to_owned(), value);
     versioned(raw(200, Vec::new()), found + 1)
 }
 
 fn versioned(mut rx: Response<Body>, version: u64) -> Response<Body> {
-    rx.headers_mut()
-        .insert("x-version", HeaderValue::from(version));
+    rx.headers_mut().insert("x-version", HeaderValue::from(version));
     rx
 }
 
--- a/standins/src/bin/standin-target.rs
+++ b/standins/src/bin/standin-target.rs
@@ -167,10 +167,7 @@
         let mut state = self.state();
         let lag = Duration::from_millis(state.switches.report_lag_ms);
         if state.reported_at.is_none_or(|at| at.elapsed() >= lag) {
-            state.reported = (
-                state.running,
-                u32::try_from(state.queue.len()).unwrap_or(u32::MAX),
-            );
+            state.reported = (state.running, u32::try_from(state.queue.len()).unwrap_or(u32::MAX));
             state.reported_at = Some(Instant::now());
         }
         format!("{}/{}", state.reported.0, state.reported.1)
@@ -220,15 +217,16 @@
     }
 
     async fn stage(self: Arc<Self>, asked: Asked) -> Response<Body> {
-        let switches = self.state().switches.clone();
+        let mut switches = self.state().switches.clone();
+        let input: serde_json::Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+        if let Some(tokens) = find(&input, "tokens").and_then(serde_json::Value::as_u64) {
+            switches.tokens = tokens;
+        }
         let met = rand::random_range(0..100) < switches.fault_percent;
         let fault = if met { switches.fault } else { Fault::None };
         let attempt = asked.header("x-attempt-id");
-        let named = if fault == Fault::WrongId {
-            "somebody/0.0".to_owned()
-        } else {
-            attempt.clone()
-        };
+        let named =
+            if fault == Fault::WrongId { "somebody/0.0".to_owned() } else { attempt.clone() };
         if switches.leaving || fault == Fault::Busy {
             return self.with_head(raw(503, Vec::new()), &named, switches.leaving);
         }
@@ -246,9 +244,8 @@
             return self.with_head(raw(500, Vec::new()), &named, false);
         }
         if streams {
-            return self.stream(slot, &asked, index, fault, &named);
+            return self.stream(slot, &asked, index, fault, &named, &switches);
         }
-        let input: serde_json::Value = serde_json::from_slice(&asked.body).unwrap_or_default();
         let output = json!({ "by": asked.path.rsplit('/').next(), "of": input });
         let cost = if self.engine { switches.tokens } else { 1 };
         if self.engine {
@@ -260,9 +257,7 @@
         let bytes = serde_json::to_vec(&body).unwrap_or_default();
         if fault == Fault::Cut {
             let (tx, rx) = mpsc::channel(2);
-            let _ = tx
-                .send(Ok(Bytes::from(bytes[..bytes.len() / 2].to_vec())))
-                .await;
+            let _ = tx.send(Ok(Bytes::from(bytes[..bytes.len() / 2].to_vec()))).await;
             let _ = tx.send(Err(Cut)).await;
             return self.with_head(Response::new(streamed_body(rx)), &named, false);
         }
@@ -288,9 +283,10 @@
         index: usize,
         fault: Fault,
         named: &str,
+        switches: &Switches,
     ) -> Response<Body> {
         let (tx, rx) = mpsc::channel(64);
-        let switches = self.state().switches.clone();
+        let switches = switches.clone();
         let first = asked.header("last-event-id").parse::<u64>().unwrap_or(0);
         let seed = hash(&asked.body);
         let (target, name) = (Arc::clone(&self), named.to_owned());
@@ -318,13 +314,10 @@
             let cost = switches.tokens - first;
             target.end_record(index, cost);
             let end = json!({ "tokens": switches.tokens, "cost": cost });
-            let _ = tx
-                .send(Ok(Bytes::from(format!("event: end\ndata: {end}\n\n"))))
-                .await;
+            let _ = tx.send(Ok(Bytes::from(format!("event: end\ndata: {end}\n\n")))).await;
         });
         let mut rx = Response::new(streamed_body(rx));
-        rx.headers_mut()
-            .insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        rx.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
         self.with_head(rx, named, false)
     }
 
@@ -341,7 +334,11 @@
 
     fn begin_record(&self, asked: &Asked, attempt: &str) -> usize {
         let mut state = self.state();
-        let prefix = hash(&asked.body[..asked.body.len().min(64)]);
+        let input: serde_json::Value = serde_json::from_slice(&asked.body).unwrap_or_default();
+        let prefix = match find(&input, "prefix") {
+            Some(prefix) => hash(prefix.to_string().as_bytes()),
+            None => hash(&asked.body),
+        };
         let prefix_hit = state.prefixes.contains(&prefix);
         state.prefixes.retain(|p| *p != prefix);
         state.prefixes.push_front(prefix);
@@ -374,19 +371,21 @@
     }
 }
 
+/// The value of a key in the caller's body, through the wrappings of earlier stages.
+fn find<'a>(input: &'a serde_json::Value, key: &str) -> Option<&'a serde_json::Value> {
+    input.get(key).or_else(|| find(input.get("of")?, key))
+}
+
 /// FNV-1a, so that every process gives the same tokens.
 fn hash(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| {
-        (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3)
-    })
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3))
 }
 
 fn command() -> Command {
     let number = |name: &'static str, default: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .default_value(default)
-            .value_parser(value_parser!(u64))
+        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64))
     };
     Command::new("standin-target")
         .arg(
@@ -395,12 +394,7 @@
                 .required(true)
                 .value_parser(value_parser!(SocketAddr)),
         )
-        .arg(
-            Arg::new("mode")
-                .long("mode")
-                .default_value("plain")
-                .value_parser(["plain", "engine"]),
-        )
+        .arg(Arg::new("mode").long("mode").default_value("plain").value_parser(["plain", "engine"]))
         .arg(number("count", "1"))
         .arg(number("slots", "4"))
         .arg(number("service-ms", "5"))
@@ -427,21 +421,14 @@
     let mut servers = tokio::task::JoinSet::new();
     for offset in 0..u16::try_from(number("count")).unwrap_or(1) {
         let target = Arc::new(Target {
-            engine: args
-                .get_one::<String>("mode")
-                .is_some_and(|m| m == "engine"),
+            engine: args.get_one::<String>("mode").is_some_and(|m| m == "engine"),
             slots: u32::try_from(number("slots")).unwrap_or(1),
             cached_prefixes: usize::try_from(number("cached-prefixes")).unwrap_or(0),
-            state: Mutex::new(State {
-                switches: switches.clone(),
-                ..State::default()
-            }),
+            state: Mutex::new(State { switches: switches.clone(), ..State::default() }),
             started: Instant::now(),
         });
         let address = SocketAddr::new(first.ip(), first.port() + offset);
-        servers.spawn(standins::serve(address, move |asked| {
-            Arc::clone(&target).answer(asked)
-        }));
+        servers.spawn(standins::serve(address, move |asked| Arc::clone(&target).answer(asked)));
     }
     while let Some(ended) = servers.join_next().await {
         ended??;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,7 @@
 //! What the stand-ins share: serving JSON over HTTP and reading query parameters.
 
+pub mod fleet;
+
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -34,19 +36,12 @@
 impl Asked {
     /// A query parameter as a number; 0 if absent or no number.
     pub fn number(&self, name: &str) -> u64 {
-        self.query
-            .get(name)
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(0)
+        self.query.get(name).and_then(|v| v.parse().ok()).unwrap_or(0)
     }
 
     /// A header as text; empty if absent.
     pub fn header(&self, name: &str) -> String {
-        self.headers
-            .get(name)
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or_default()
-            .to_owned()
+        self.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default().to_owned()
     }
 }
 
@@ -57,10 +52,7 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    let bounds = Bounds {
-        connections: 20_000,
-        head_wait: Duration::from_secs(600),
-    };
+    let bounds = Bounds { connections: 20_000, head_wait: Duration::from_secs(600) };
     let (_running, stop) = watch::channel(false);
     http_server::serve(listener, bounds, stop, move |req: Request<Incoming>| {
         let handle = handle.clone();
@@ -73,14 +65,7 @@
                 return json(400, &"body");
             };
             let path = head.uri.path().to_owned();
-            handle(Asked {
-                method: head.method,
-                path,
-                query,
-                headers: head.headers,
-                body,
-            })
-            .await
+            handle(Asked { method: head.method, path, query, headers: head.headers, body }).await
         }
     })
     .await;
--- a/standins/tests/platform.rs
+++ b/standins/tests/platform.rs
@@ -16,16 +16,8 @@
     let [.., high, low] = std::process::id().to_be_bytes();
     let address = format!("127.{}.{low}.250:7000", high.max(1));
     let mut command = Command::new(env!("CARGO_BIN_EXE_standin-platform"));
-    let _running = Running(
-        command
-            .arg(format!("--listen={address}"))
-            .spawn()
-            .expect("starts"),
-    );
-    let agent = ureq::Agent::config_builder()
-        .http_status_as_error(false)
-        .build()
-        .new_agent();
+    let _running = Running(command.arg(format!("--listen={address}")).spawn().expect("starts"));
+    let agent = ureq::Agent::config_builder().http_status_as_error(false).build().new_agent();
     let url = |query: &str| format!("http://{address}/kv/a/b{query}");
     let mut tries = 0;
     while agent.get(url("")).call().is_err() {
@@ -35,10 +27,7 @@
     }
 
     let put = |expect: u64, value: &str| {
-        let rx = agent
-            .put(url(&format!("?expect={expect}")))
-            .send(value)
-            .expect("an answer");
+        let rx = agent.put(url(&format!("?expect={expect}"))).send(value).expect("an answer");
         rx.status().as_u16()
     };
     assert_eq!(put(1, "x"), 409);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -13,18 +13,13 @@
 fn answers_whole_over_four_stages() {
     let fleet = usual_fleet(1);
 
-    let reply = ask("check", 5000)
-        .repeatable()
-        .send(fleet.vms[0].callers)
-        .expect("an answer");
+    let reply = ask("check", 5000).repeatable().send(fleet.vms[0].callers).expect("an answer");
 
     assert_eq!((reply.status, reply.outcome.as_str()), (200, "whole"));
     let stages = reply.body["stages"].as_array().expect("stages").len();
     assert_eq!(stages, 4);
     assert_eq!(
-        reply.body["output"]["text"]
-            .as_str()
-            .map(|t| t.split_whitespace().count()),
+        reply.body["output"]["text"].as_str().map(|t| t.split_whitespace().count()),
         Some(16)
     );
     assert_eq!(fleet.records().len(), 4);
@@ -34,22 +29,14 @@
 fn streams_every_token_and_the_outcome() {
     let fleet = usual_fleet(1);
 
-    let ask = ask("check", 5000)
-        .repeatable()
-        .header("accept", "text/event-stream");
+    let ask = ask("check", 5000).repeatable().header("accept", "text/event-stream");
     let reply = ask.send(fleet.vms[0].callers).expect("an answer");
 
     assert_eq!((reply.status, reply.outcome.as_str()), (200, "streaming"));
     let text = reply.body.as_str().expect("events").to_owned();
-    let ids: Vec<&str> = text
-        .lines()
-        .filter_map(|l| l.strip_prefix("id: "))
-        .collect();
+    let ids: Vec<&str> = text.lines().filter_map(|l| l.strip_prefix("id: ")).collect();
     assert_eq!(ids, (1..=16).map(|n| n.to_string()).collect::<Vec<_>>());
-    let last = text
-        .lines()
-        .rfind(|l| l.starts_with("data: "))
-        .expect("a last event");
+    let last = text.lines().rfind(|l| l.starts_with("data: ")).expect("a last event");
     let outcome: Value = serde_json::from_str(&last["data: ".len()..]).expect("JSON");
     assert_eq!(outcome["outcome"], "whole");
 }
@@ -60,12 +47,7 @@
     let to = fleet.vms[0].callers;
     let big = format!("\"{}\"", "x".repeat(2 << 20));
     let cases = [
-        (
-            ask("check", 5000).body("{\"a\":"),
-            400,
-            "bad-request",
-            "line 1",
-        ),
+        (ask("check", 5000).body("{\"a\":"), 400, "bad-request", "line 1"),
         (ask("nothing", 5000), 404, "unknown-service", "nothing"),
         (
             ask("check", 5000).header("saddlerail-priority", "high"),
@@ -91,33 +73,14 @@
             "bad-request",
             "request id",
         ),
-        (
-            ask("check", 0),
-            400,
-            "bad-request",
-            "saddlerail-deadline-ms",
-        ),
-        (
-            ask("check", 99_999_999),
-            400,
-            "bad-request",
-            "saddlerail-deadline-ms",
-        ),
-        (
-            ask("check", 5000).body(&big),
-            413,
-            "body-too-large",
-            "1048576",
-        ),
+        (ask("check", 0), 400, "bad-request", "saddlerail-deadline-ms"),
+        (ask("check", 99_999_999), 400, "bad-request", "saddlerail-deadline-ms"),
+        (ask("check", 5000).body(&big), 413, "body-too-large", "1048576"),
     ];
 
     for (ask, status, reason, detail) in cases {
         let reply = ask.send(to).expect("an answer");
-        assert_eq!(
-            (reply.status, reply.outcome.as_str()),
-            (status, "not-run"),
-            "{detail}"
-        );
+        assert_eq!((reply.status, reply.outcome.as_str()), (status, "not-run"), "{detail}");
         assert_eq!(reply.body["reason"], reason);
         let told = reply.body["detail"].as_str().unwrap_or_default();
         assert!(told.contains(detail), "{told}");
@@ -134,18 +97,11 @@
 #[test]
 fn slow_heads_and_idle_connections_end_and_others_are_served() {
     let mut fleet = support::Fleet::start(&support::usual_pools());
-    assert!(
-        fleet
-            .apply(&fleet.catalogue(support::SERVICES))
-            .status
-            .success()
-    );
+    assert!(fleet.apply(&fleet.catalogue(support::SERVICES)).status.success());
     let vm = fleet.start_vm("hall-a", "limits: {head_ms: 300, body_ms: 300}\n");
     let to = fleet.vms[vm].callers;
 
-    let idle: Vec<TcpStream> = (0..1000)
-        .map(|_| TcpStream::connect(to).expect("idle"))
-        .collect();
+    let idle: Vec<TcpStream> = (0..1000).map(|_| TcpStream::connect(to).expect("idle")).collect();
     let mut slow = TcpStream::connect(to).expect("slow");
     slow.write_all(b"P").expect("one byte");
     let mut half = TcpStream::connect(to).expect("half a body");
@@ -158,13 +114,9 @@
 
     assert_eq!(served.outcome, "whole");
     for mut connection in idle.into_iter().chain([slow]) {
-        connection
-            .set_read_timeout(Some(Duration::from_secs(10)))
-            .expect("set");
+        connection.set_read_timeout(Some(Duration::from_secs(10))).expect("set");
         // Closed by the daemon, with or without a last word.
-        let _ = connection
-            .read_to_end(&mut Vec::new())
-            .expect("the end within the wait");
+        let _ = connection.read_to_end(&mut Vec::new()).expect("the end within the wait");
     }
     let mut answer = [0; 12];
     half.read_exact(&mut answer).expect("an answer");
@@ -175,20 +127,12 @@
 fn operations_page_tells_health_metrics_state_and_decisions() {
     let fleet = usual_fleet(2);
     let id = "explained-1";
-    let ask = ask("check", 5000)
-        .repeatable()
-        .header("saddlerail-request-id", id);
+    let ask = ask("check", 5000).repeatable().header("saddlerail-request-id", id);
     ask.send(fleet.vms[1].callers).expect("an answer");
 
     let page = |path: &str| {
         let url = format!("http://{}{path}", fleet.vms[1].operations);
-        agent()
-            .get(url)
-            .call()
-            .expect("a page")
-            .body_mut()
-            .read_to_string()
-            .expect("text")
+        agent().get(url).call().expect("a page").body_mut().read_to_string().expect("text")
     };
     assert_eq!(page("/live"), "alive\n");
     assert_eq!(page("/ready"), "ready\n");
@@ -201,9 +145,6 @@
     // The tool asks the first VM, which finds the record at the second.
     let told = fleet.tool(&["explain", id]);
     let text = String::from_utf8_lossy(&told.stdout).into_owned();
-    assert!(
-        told.status.success() && text.matches("answered").count() == 4,
-        "{text}"
-    );
+    assert!(told.status.success() && text.matches("answered").count() == 4, "{text}");
     assert!(!fleet.tool(&["explain", "no-such-id"]).status.success());
 }
