Let background work give way on borrowed slots

Cause: nearly all heading checks that failed in quipu-burst came in the first second of the burst: background work of five VMs borrowed the slots of an engine whose own VM filled its dealt ones too, since what VMs know of each other is about a second old.

Change: background work leaves a quarter of a target's limit when it borrows and gives way on its own share where others were before it.

--- a/components/routing/src/grants.rs
+++ b/components/routing/src/grants.rs
@@ -24,7 +24,7 @@
         let lane = self.lanes.get(lane_key)?;
         let headroom = lane.usage.headroom(class, now);
         if headroom > 0.0 && !lane.at_floor() {
-            let idle = self.slots_of(lane, now) - self.in_flight(lane);
+            let idle = self.slots_of(lane, class, now) - self.in_flight(lane);
             if idle - HALF_A_SLOT < headroom {
                 return None;
             }
@@ -33,7 +33,7 @@
             let keys = lane.targets.iter().filter(|key| !exclude.contains(key));
             keys.filter_map(|key| self.targets.get(*key).map(|state| (*key, state)))
         };
-        let free = |t: &TargetState| t.has_room(self.busy, now) && t.health.usable(now);
+        let free = |t: &TargetState| t.has_room(class, self.busy, now) && t.health.usable(now);
         let mut candidates: Vec<Candidate<'_>> = allowed().filter(|(_, t)| free(t)).collect();
         if candidates.is_empty() {
             candidates.extend(self.last_resort(lane, allowed(), now));
--- a/components/routing/src/limit.rs
+++ b/components/routing/src/limit.rs
@@ -10,6 +10,8 @@
 const DECLINED_FACTOR: f64 = 0.7;
 /// Least time between two decreases, so that one burst counts once.
 const DECREASE_PAUSE: Duration = Duration::from_millis(100);
+/// The same for a decrease on a load report, which tells the same for as long as it is late.
+const REPORT_PAUSE: Duration = Duration::from_secs(1);
 
 /// What an ended call shows about its target.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,9 +44,12 @@
     /// Learns from a call that ended; `filled` says that the target was used to the limit.
     pub(crate) fn learn(&mut self, signal: Signal, filled: bool, now: Instant) {
         match signal {
-            Signal::Declined => self.decrease(DECLINED_FACTOR, now),
-            Signal::Answered { ratio, queued } if queued > 0 || ratio > SLOW_RATIO => {
-                self.decrease(SLOW_FACTOR, now);
+            Signal::Declined => self.decrease(DECLINED_FACTOR, DECREASE_PAUSE, now),
+            Signal::Answered { ratio, .. } if ratio > SLOW_RATIO => {
+                self.decrease(SLOW_FACTOR, DECREASE_PAUSE, now);
+            }
+            Signal::Answered { queued, .. } if queued > 0 => {
+                self.decrease(SLOW_FACTOR, REPORT_PAUSE, now);
             }
             Signal::Answered { .. } if filled => {
                 self.value = (self.value + 1.0 / self.value).min(self.slots);
@@ -53,8 +58,8 @@
         }
     }
 
-    fn decrease(&mut self, factor: f64, now: Instant) {
-        let recent = |at: Instant| now.saturating_duration_since(at) < DECREASE_PAUSE;
+    fn decrease(&mut self, factor: f64, pause: Duration, now: Instant) {
+        let recent = |at: Instant| now.saturating_duration_since(at) < pause;
         if !self.decreased.is_some_and(recent) {
             self.value = (self.value * factor).max(1.0);
             self.decreased = Some(now);
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Service, Stage};
-use ids::{CustomerName, HallName, Revision, ServiceName, StageName, TargetName, VmName};
+use ids::{CustomerName, HallName, Priority, Revision, ServiceName, StageName, TargetName, VmName};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use slotmap::SlotMap;
@@ -159,7 +159,7 @@
         earliest: Duration,
         now: Instant,
     ) -> Duration {
-        let slots = self.lanes.get(lane).map_or(1.0, |lane| self.slots_of(lane, now));
+        let slots = self.lanes.get(lane).map_or(1.0, |lane| self.slots_of(lane, req.priority, now));
         let Some(lane) = self.lanes.get_mut(lane) else { return earliest };
         let time = lane.book(req.customer, req.priority, now + earliest, slots, now);
         admission::bounded(time.saturating_duration_since(now))
@@ -227,7 +227,7 @@
             let come_back = self.book(lane_key, req, come_back, now);
             return SlotAnswer::Refused(Refused::TooLate { come_back });
         }
-        if lane.len() as f64 >= QUEUE_PER_SLOT * self.slots_of(lane, now) {
+        if lane.len() as f64 >= QUEUE_PER_SLOT * self.slots_of(lane, req.priority, now) {
             let come_back = admission::come_back(wait, Duration::ZERO);
             return SlotAnswer::Refused(Refused::QueueFull { come_back });
         }
@@ -273,7 +273,8 @@
             let queued = report.map_or(0, |r| r.queued);
             match end {
                 CallEnd::Answered => {
-                    let filled = f64::from(in_flight) >= 0.8 * target.allowance(self.busy, now);
+                    let filled =
+                        f64::from(in_flight) >= 0.8 * target.allowance(slot.class, self.busy, now);
                     target.limit.learn(Signal::Answered { ratio, queued }, filled, now);
                     target.health.answered(ratio, now);
                 }
@@ -317,7 +318,7 @@
                 continue;
             };
             for waiting in late {
-                let slots = self.slots_of(lane, now);
+                let slots = self.slots_of(lane, waiting.priority, now);
                 let (customer, class) = (&waiting.customer, waiting.priority);
                 let order = (waiting.returning, waiting.start_by);
                 let wait = lane.wait(customer, class, order, slots, now);
@@ -428,7 +429,7 @@
 
     /// Time that a new request waits in the lane, as far as can be told.
     fn wait_in(&self, lane: &Lane, req: &SlotRequest<'_>, now: Instant) -> Duration {
-        let slots = self.slots_of(lane, now);
+        let slots = self.slots_of(lane, req.priority, now);
         let idle = slots - self.in_flight(lane) - lane.usage.headroom(req.priority, now);
         if !lane.has_waiting_up_to(req.priority) && idle >= HALF_A_SLOT {
             return Duration::ZERO;
@@ -442,11 +443,11 @@
         f64::from(states.map(|t| t.in_flight).sum::<u32>())
     }
 
-    /// Slots of the lane that this VM may use.
-    pub(crate) fn slots_of(&self, lane: &Lane, now: Instant) -> f64 {
+    /// Slots of the lane that this VM may use for the class.
+    pub(crate) fn slots_of(&self, lane: &Lane, class: Priority, now: Instant) -> f64 {
         let states = lane.targets.iter().filter_map(|key| self.targets.get(*key));
         let usable = states.filter(|t| !t.leaving && t.health.usable(now));
-        usable.map(|t| t.allowance(self.busy, now)).sum::<f64>().max(1.0)
+        usable.map(|t| t.allowance(class, self.busy, now)).sum::<f64>().max(1.0)
     }
 
     fn next_probe(&self, lane: &Lane, now: Instant) -> Duration {
--- a/components/routing/src/target.rs
+++ b/components/routing/src/target.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use catalogue::Target;
-use ids::{HallName, TargetName};
+use ids::{HallName, Priority, TargetName};
 use slotmap::new_key_type;
 
 use crate::ejection::Health;
@@ -17,6 +17,8 @@
 
 /// An allowance is rounded to whole calls, so that fractions even out over the targets.
 pub(crate) const HALF_A_SLOT: f64 = 0.5;
+/// Part of a target's limit that background work does not borrow.
+const BORROW_RESERVE: f64 = 0.25;
 /// A report of load older than this says nothing.
 const REPORT_LIFE: Duration = Duration::from_secs(3);
 
@@ -72,18 +74,29 @@
             && self.slots == declared.slots
     }
 
-    /// Calls that this VM may have under way: its own share, and its part of what others leave
-    /// idle, with `busy` VMs that may want it.
-    pub(crate) fn allowance(&self, busy: usize, now: Instant) -> f64 {
+    /// Calls that this VM may have under way for a class: its own share, and its part of what
+    /// others leave idle, with `busy` VMs that may want it.
+    ///
+    /// Background work holds its slots long, and what is known of others is about a second old.
+    /// So it leaves a part of what looks idle, and gives way where others were before it.
+    pub(crate) fn allowance(&self, class: Priority, busy: usize, now: Instant) -> f64 {
         let limit = self.limit.value();
         let dealt = f64::from(self.dealt) * limit / f64::from(self.slots);
         let dealt = if self.dealt > 0 { dealt.max(1.0) } else { dealt };
-        let idle = limit - f64::from(self.others(now)) - dealt;
-        dealt + idle.max(0.0) / busy.max(1) as f64
+        let free = limit - f64::from(self.others(now));
+        let (own, idle) = match class {
+            Priority::Background => {
+                let own = if self.dealt > 0 { dealt.min(free.max(1.0)) } else { 0.0 };
+                (own, free - dealt - BORROW_RESERVE * limit)
+            }
+            Priority::Interactive | Priority::Standard => (dealt, free - dealt),
+        };
+        own + idle.max(0.0) / busy.max(1) as f64
     }
 
-    pub(crate) fn has_room(&self, busy: usize, now: Instant) -> bool {
-        !self.leaving && f64::from(self.in_flight) + HALF_A_SLOT <= self.allowance(busy, now)
+    pub(crate) fn has_room(&self, class: Priority, busy: usize, now: Instant) -> bool {
+        let allowance = self.allowance(class, busy, now);
+        !self.leaving && f64::from(self.in_flight) + HALF_A_SLOT <= allowance
     }
 
     pub(crate) fn set_report(&mut self, report: LoadReport, now: Instant) {
