Split the dispatcher, end calls of callers that are gone, random runs

Change: the dispatcher's messages, its part in requests and its part in the fleet are files of their own, claims too. Each token checks that the caller is still there. The tool asks one VM of each hall, so `wait` and `explain` find the whole fleet.

--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -330,10 +330,11 @@
         updates
     }
 
-    /// Marks targets that are leaving, or that are no longer.
-    pub fn set_leaving(&mut self, name: &TargetName, leaving: bool) {
-        let named = self.targets.values_mut().filter(|target| target.name == *name);
-        named.for_each(|target| target.leaving = leaving);
+    /// Marks the targets that are leaving, and no others.
+    pub fn set_leaving(&mut self, is_leaving: impl Fn(&TargetName) -> bool) {
+        for target in self.targets.values_mut() {
+            target.leaving = is_leaving(&target.name);
+        }
     }
 
     /// Names of the targets that are leaving.
@@ -357,12 +358,12 @@
         }
     }
 
-    /// Sets the calls that other VMs have under way, by target, where absent means none, and how
-    /// many other VMs have any.
-    pub fn set_peer_loads(&mut self, loads: &HashMap<TargetName, u32>, busy_peers: usize) {
+    /// Sets the calls that other VMs have under way at each target, and how many other VMs have
+    /// any.
+    pub fn set_peer_loads(&mut self, calls: impl Fn(&TargetName) -> u32, busy_peers: usize) {
         self.busy = busy_peers + 1;
         for target in self.targets.values_mut() {
-            target.by_peers = loads.get(&target.name).copied().unwrap_or(0);
+            target.by_peers = calls(&target.name);
         }
     }
 
--- a/components/routing/tests/decisions.rs
+++ b/components/routing/tests/decisions.rs
@@ -3,7 +3,7 @@
 // A helper that can't go on fails its test.
 #![allow(clippy::expect_used)]
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::time::{Duration, Instant};
 
 use catalogue::{Catalogue, Service, check, parse_documents};
@@ -253,7 +253,7 @@
     let mut bench = Bench::new(&[("t1", "hall-a", 4), ("t2", "hall-a", 4)]);
     let name = TargetName::new("t1").expect("name");
 
-    bench.router.set_leaving(&name, true);
+    bench.router.set_leaving(|target| *target == name);
 
     let targets: HashSet<String> = (0..4).map(|_| bench.grant().name.to_string()).collect();
     assert_eq!(targets, HashSet::from(["t2".to_owned()]));
@@ -431,7 +431,6 @@
         let mut bench = Bench::new(&[("t1", "hall-a", 2), ("t2", "hall-b", 2)]);
         let mut held: Vec<Slot> = Vec::new();
         let mut waiting: HashSet<WaitId> = HashSet::new();
-        let mut peers = HashMap::new();
         for (what, which) in steps {
             bench.now += MS * u32::from(which);
             let mut updates = Vec::new();
@@ -453,8 +452,7 @@
                     updates = bench.release(slot, ends[usize::from(which) % 3], MS * u32::from(which));
                 }
                 4 => {
-                    peers.insert(TargetName::new("t1").expect("name"), u32::from(which) % 4);
-                    bench.router.set_peer_loads(&peers, 1);
+                    bench.router.set_peer_loads(|_| u32::from(which) % 4, 1);
                 }
                 _ => updates = bench.router.tick(bench.now),
             }
--- /dev/null
+++ b/daemon/src/ask.rs
@@ -0,0 +1,155 @@
+//! What threads and tasks ask of the dispatcher.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use catalogue::Service;
+use ids::{
+    AttemptId, CustomerName, Incarnation, Priority, RequestId, Revision, ServiceName, StageName,
+    TargetName,
+};
+use journal::{AttemptEnd, RequestRecord, Submission};
+use membership::{Advert, Known, News};
+use outcomes::{Outcome, Reason, Refusal};
+use platform::ListedVm;
+use routing::{Admission, CallEnd, LoadReport, Slot, SlotRequest, TargetKey};
+use settings::Settings;
+use slog::Logger;
+use telemetry::Metrics;
+use tokio::sync::{Notify, oneshot};
+
+use crate::dump::{FleetView, StateDump};
+use crate::in_force::InForce;
+use crate::waiting::SlotReply;
+
+/// What the dispatcher is started with.
+pub(crate) struct Setup {
+    pub(crate) cfg: Settings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) log: Logger,
+    pub(crate) metrics: Arc<Metrics>,
+    /// Wakes the peer links when there is something to tell at once.
+    pub(crate) news: Arc<Notify>,
+}
+
+/// A request at its begin.
+#[derive(Debug, Clone)]
+pub(crate) struct BeginAsk {
+    pub(crate) id: RequestId,
+    pub(crate) service: ServiceName,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: Option<Priority>,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+}
+
+/// A request that was begun: the configuration it keeps and its number.
+#[derive(Debug, Clone)]
+pub(crate) struct Begun {
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) priority: Priority,
+    pub(crate) submission: Submission,
+}
+
+impl Begun {
+    /// The service as it stood when the request began.
+    pub(crate) fn service<'a>(&'a self, name: &ServiceName) -> Option<&'a Service> {
+        self.in_force.catalogue.services.get(name)
+    }
+}
+
+/// A stage's call that needs a slot.
+#[derive(Debug, Clone)]
+pub(crate) struct SlotAsk {
+    pub(crate) id: RequestId,
+    pub(crate) in_force: Arc<InForce>,
+    pub(crate) submission: Submission,
+    pub(crate) service: ServiceName,
+    pub(crate) stage: usize,
+    pub(crate) customer: CustomerName,
+    pub(crate) priority: Priority,
+    pub(crate) returning: bool,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) exclude: Vec<TargetKey>,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) attempt_number: u32,
+}
+
+impl SlotAsk {
+    /// The request to the router; `None` if the configuration does not have the service.
+    pub(crate) fn request(&self) -> Option<SlotRequest<'_>> {
+        Some(SlotRequest {
+            revision: self.in_force.revision,
+            service: self.in_force.catalogue.services.get(&self.service)?,
+            stage: self.stage,
+            customer: &self.customer,
+            priority: self.priority,
+            returning: self.returning,
+            deadline: self.deadline,
+            exclude: self.exclude.clone(),
+            prefix: self.prefix,
+        })
+    }
+}
+
+/// A call that ended.
+#[derive(Debug)]
+pub(crate) struct EndedCall {
+    pub(crate) submission: Submission,
+    pub(crate) service: ServiceName,
+    pub(crate) stage: StageName,
+    pub(crate) slot: Slot,
+    pub(crate) target_name: TargetName,
+    pub(crate) attempt: AttemptId,
+    pub(crate) end: CallEnd,
+    pub(crate) record: AttemptEnd,
+    pub(crate) took: Duration,
+    pub(crate) load: Option<LoadReport>,
+    pub(crate) leaving: bool,
+}
+
+/// What a round of exchanges starts from.
+#[derive(Debug)]
+pub(crate) struct Round {
+    pub(crate) own: Advert,
+    pub(crate) known: Vec<Known>,
+    pub(crate) to_announce: Vec<SocketAddr>,
+    pub(crate) partners: Vec<SocketAddr>,
+    pub(crate) interval: Duration,
+}
+
+/// Everything that others ask of the dispatcher.
+pub(crate) enum Message {
+    Begin(BeginAsk, oneshot::Sender<Result<Begun, Refusal>>),
+    Admit(SlotAsk, oneshot::Sender<Admission>),
+    Slot(SlotAsk, oneshot::Sender<SlotReply>),
+    CallEnded(Box<EndedCall>),
+    MayRetry(u32, oneshot::Sender<bool>),
+    Ended {
+        submission: Submission,
+        revision: Revision,
+        outcome: Outcome,
+        reason: Option<Reason>,
+        took: Duration,
+    },
+    Offer(Box<InForce>),
+    Current(Revision, oneshot::Sender<CatalogueView>),
+    StartRound(oneshot::Sender<Round>),
+    Heard(News),
+    RoundTook(u64),
+    NewsFor(Vec<Known>, oneshot::Sender<(Advert, News)>),
+    Listed(Vec<ListedVm>),
+    ReadsPlatform(oneshot::Sender<(bool, Revision)>),
+    Drain,
+    InWork(oneshot::Sender<usize>),
+    Ready(oneshot::Sender<bool>),
+    Dump(oneshot::Sender<StateDump>),
+    Fleet(oneshot::Sender<FleetView>),
+    Revision(oneshot::Sender<Revision>),
+    Explain(RequestId, oneshot::Sender<Vec<RequestRecord>>),
+}
+
+/// The configuration in force and, if still kept, the one that a peer has.
+pub(crate) type CatalogueView = (Option<Arc<InForce>>, Option<Arc<InForce>>);
--- a/daemon/src/dump.rs
+++ b/daemon/src/dump.rs
@@ -28,6 +28,15 @@
     pub(crate) vms: Vec<FleetVm>,
 }
 
+/// Who this VM is and whom it knows: the small part of the dump that the tool asks of many VMs.
+#[derive(Debug, Serialize)]
+pub(crate) struct FleetView {
+    pub(crate) vm: VmName,
+    pub(crate) hall: HallName,
+    pub(crate) revision: Revision,
+    pub(crate) vms: Vec<FleetVm>,
+}
+
 /// Another VM as this one knows it.
 #[derive(Debug, Serialize)]
 pub(crate) struct FleetVm {
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -2,9 +2,12 @@
 //! operators, around one dispatcher that holds the shared state and takes the decisions.
 
 mod answer;
+mod ask;
 mod callers;
+mod claim;
 mod dispatcher;
 mod dump;
+mod fleet;
 mod in_force;
 mod leaving;
 pub mod messages;
@@ -14,8 +17,10 @@
 mod pipeline;
 mod platform_reader;
 mod request;
+mod requests;
 mod runtime;
 mod start;
+mod units;
 mod waiting;
 
 pub use start::run;
--- a/daemon/src/operations.rs
+++ b/daemon/src/operations.rs
@@ -10,7 +10,7 @@
 use telemetry::Metrics;
 use tiny_http::{Header, Method, Request, Response, Server};
 
-use crate::dispatcher::Message;
+use crate::ask::Message;
 use crate::runtime::{Desk, Gone};
 
 /// Path before the request id of an explanation.
@@ -67,6 +67,8 @@
             (Method::Get, "/ready") => self.ready(),
             (Method::Get, "/metrics") => self.metrics_page(),
             (Method::Get, "/state") => self.json(self.desk.ask(Message::Dump)),
+            (Method::Get, "/vms") => self.json(self.desk.ask(Message::Fleet)),
+            (Method::Get, "/revision") => self.json(self.desk.ask(Message::Revision)),
             (Method::Get, url) if url.starts_with(EXPLAIN_PATH) => self.explain(url),
             (Method::Get, _) => text(404, "no such page"),
             _ => text(405, "expected method GET"),
--- a/daemon/src/peer_links.rs
+++ b/daemon/src/peer_links.rs
@@ -18,7 +18,7 @@
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
 
-use crate::dispatcher::{Message, Round};
+use crate::ask::{Message, Round};
 use crate::peer_messages::{
     advert_from_wire, catalogue_from_reply, catalogue_reply, hello, known_of, news_from_wire,
     news_to_wire,
--- a/daemon/src/pipeline.rs
+++ b/daemon/src/pipeline.rs
@@ -8,21 +8,24 @@
 use ids::Incarnation;
 use journal::AttemptEnd;
 use outcomes::{Answer, Outcome, Reason, Refusal, StageRun};
-use platform::{Claim, ClaimState, Store};
+use platform::{ClaimState, Store};
 use routing::{CallEnd, LoadReport, Refused, TargetKey};
 use settings::Settings;
 use slog::{Logger, debug, info};
-use target_calls::{CallFailure, CallRequest, Caller, PlainAnswer, StreamEvent, TargetWord};
+use target_calls::{
+    CallFailure, CallRequest, Caller, PlainAnswer, StreamEnd, StreamEvent, TargetWord, TokenStream,
+};
 use telemetry::Metrics;
 
 use crate::answer::AnswerPort;
-use crate::dispatcher::{BeginAsk, Begun, EndedCall, Message, SlotAsk};
+use crate::ask::{BeginAsk, Begun, EndedCall, Message, SlotAsk};
+use crate::claim::{claim_id, close, close_refused};
 use crate::request::CallerRequest;
 use crate::runtime::{Desk, Gone};
 use crate::waiting::Granted;
 
 /// When to ask again where nothing better is known.
-const SOON: Duration = Duration::from_millis(500);
+pub(crate) const SOON: Duration = Duration::from_millis(500);
 
 /// What the threads of all requests share.
 pub(crate) struct Pipeline {
@@ -83,7 +86,7 @@
             end(shared, req, &begun, Outcome::Whole, None);
         }
         Err(refusal) => {
-            let refusal = close_refused(shared, req, claim.as_ref(), refusal);
+            close_refused(shared, req, claim.as_ref(), &refusal);
             charge(shared, req, &runs, false);
             end_refused(shared, req, &begun, runs, port, &refusal);
         }
@@ -94,55 +97,6 @@
     Refusal::not_run(Reason::Stopping, "the process is ending").come_back_in(SOON)
 }
 
-/// A request that may not be repeated under a caller's id is claimed before anything runs.
-fn claim_id(shared: &Pipeline, req: &CallerRequest) -> Result<Option<Claim>, Refusal> {
-    if req.repeatable || !req.own_id {
-        return Ok(None);
-    }
-    let claimed = platform::claim(&shared.store, &req.id, &shared.cfg.vm, shared.incarnation);
-    shared.metrics.platform_call("claim", claimed.is_ok());
-    match claimed {
-        Ok(Ok(mine)) => Ok(Some(mine)),
-        Ok(Err(other)) if other.state == ClaimState::Refused => {
-            let detail = "an earlier submission was refused; it never will run under this id";
-            Err(Refusal::not_run(Reason::IdTaken, detail))
-        }
-        Ok(Err(other)) => {
-            let detail = format!("claimed by {} ({:?})", other.vm, other.state);
-            Err(Refusal::unknown(Reason::IdTaken, detail))
-        }
-        Err(e) => {
-            // Another submission may have run elsewhere, so "not run" can't be told.
-            let detail = format!("{e}; this submission ran nothing and may be sent again");
-            Err(Refusal::unknown(Reason::StoreOut, detail).come_back_in(SOON))
-        }
-    }
-}
-
-fn close(shared: &Pipeline, req: &CallerRequest, claim: Option<&Claim>, state: ClaimState) -> bool {
-    claim.is_none_or(|mine| {
-        let closed = platform::close_claim(&shared.store, &req.id, mine, state);
-        shared.metrics.platform_call("close claim", closed);
-        closed
-    })
-}
-
-/// Closes the claim of a refused request; "not run" is told only once no other VM can run it.
-fn close_refused(
-    shared: &Pipeline,
-    req: &CallerRequest,
-    claim: Option<&Claim>,
-    refusal: Refusal,
-) -> Refusal {
-    if refusal.outcome != Outcome::NotRun {
-        close(shared, req, claim, ClaimState::Ended);
-        return refusal;
-    }
-    // The claim was never given back, so nobody else runs the request either way.
-    close(shared, req, claim, ClaimState::Refused);
-    refusal
-}
-
 fn charge(shared: &Pipeline, req: &CallerRequest, runs: &[StageRun], whole: bool) {
     for run in runs {
         let cost = run.cost.unwrap_or(0);
@@ -196,6 +150,31 @@
     GiveUp(Refusal),
 }
 
+/// How the reading of a stream ended.
+enum StreamRead {
+    /// Its end was seen.
+    Whole(StreamEnd),
+    /// Nobody waits for it any more.
+    CallerGone,
+    /// It broke off, or was not ours.
+    Broken(CallFailure),
+}
+
+/// Reads a stream to its end; `on_token` says whether to go on.
+fn read_stream(mut stream: TokenStream, mut on_token: impl FnMut(u64, &str) -> bool) -> StreamRead {
+    loop {
+        match stream.next_event() {
+            Ok(StreamEvent::Token(number, token)) => {
+                if !on_token(number, &token) {
+                    return StreamRead::CallerGone;
+                }
+            }
+            Ok(StreamEvent::End(end)) => return StreamRead::Whole(end),
+            Err(failure) => return StreamRead::Broken(failure),
+        }
+    }
+}
+
 impl<'a> Progress<'a> {
     fn admit(&self) -> Result<&'a Service, Refusal> {
         let admission = self
@@ -222,7 +201,7 @@
             }
             let to_caller = index == last && self.req.wants_stream;
             let answer = if stage.streams {
-                self.run_stream(stage, index, &input, to_caller.then_some(&mut *port))?
+                self.run_stream(stage, index, &input, port, to_caller)?
             } else {
                 self.run_call(stage, index, &input)?
             };
@@ -263,7 +242,8 @@
         stage: &Stage,
         index: usize,
         input: &[u8],
-        mut port: Option<&mut AnswerPort>,
+        port: &mut AnswerPort,
+        to_caller: bool,
     ) -> Result<PlainAnswer, Refusal> {
         let mut tried = Vec::new();
         let mut text = String::new();
@@ -274,45 +254,43 @@
             let resume_after = (tokens > 0).then_some(tokens);
             let req = self.call_request(stage, &granted, input, resume_after);
             let outcome = self.shared.caller.open_stream(&req);
-            let word = outcome.word;
-            let result = outcome.result.map(|mut stream| {
-                loop {
-                    match stream.next_event() {
-                        Ok(StreamEvent::Token(number, token)) => {
-                            tokens = number;
-                            text.push_str(&token);
-                            let sent = port.as_mut().map(|port| port.token(number, &token));
-                            if matches!(sent, Some(Err(_))) {
-                                break Err(None);
-                            }
-                        }
-                        Ok(StreamEvent::End(end)) => break Ok(end),
-                        Err(failure) => break Err(Some(failure)),
-                    }
-                }
-            });
-            let failure = match result {
-                Ok(Ok(end)) => {
-                    self.call_ended(stage, &granted, began, None, word);
+            let read = match outcome.result {
+                Err(failure) => StreamRead::Broken(failure),
+                Ok(stream) => read_stream(stream, |number, token| {
+                    tokens = number;
+                    text.push_str(token);
+                    let sent = !to_caller || port.token(number, token).is_ok();
+                    sent && port.is_open()
+                }),
+            };
+            match read {
+                StreamRead::Whole(end) => {
+                    self.call_ended(stage, &granted, began, None, outcome.word);
                     self.ran(stage, &granted, Some(end.cost));
                     let output = serde_json::json!({ "text": text }).to_string().into_bytes();
                     return Ok(PlainAnswer { output, cost: end.cost });
                 }
-                Ok(Err(None)) => {
-                    self.shared.caller.cancel(granted.grant.address, &granted.attempt);
-                    let gone = CallFailure::MayHaveRun("the caller is gone".to_owned());
-                    self.given_up(stage, &granted, began, &gone);
-                    self.ran(stage, &granted, None);
-                    self.may_have_run = true;
-                    return Err(self.give_up(Reason::CallerGone, "during a stream", None));
+                StreamRead::CallerGone => {
+                    return Err(self.abandon(stage, &granted, began));
                 }
-                Ok(Err(Some(failure))) | Err(failure) => failure,
-            };
-            self.call_ended(stage, &granted, began, Some(&failure), word);
-            self.next_try(stage, &granted, failure, &mut tried)?;
+                StreamRead::Broken(failure) => {
+                    self.call_ended(stage, &granted, began, Some(&failure), outcome.word);
+                    self.next_try(stage, &granted, failure, &mut tried)?;
+                }
+            }
         }
     }
 
+    /// Gives up a call that nobody waits for any more, so that the target stops too.
+    fn abandon(&mut self, stage: &Stage, granted: &Granted, began: Instant) -> Refusal {
+        self.shared.caller.cancel(granted.grant.address, &granted.attempt);
+        let gone = CallFailure::MayHaveRun("the caller is gone".to_owned());
+        self.given_up(stage, granted, began, &gone);
+        self.ran(stage, granted, None);
+        self.may_have_run = true;
+        self.give_up(Reason::CallerGone, "during a stream", None)
+    }
+
     fn slot_ask(&self, stage: usize, tried: &[TargetKey]) -> SlotAsk {
         SlotAsk {
             id: self.req.id.clone(),
--- a/daemon/src/platform_reader.rs
+++ b/daemon/src/platform_reader.rs
@@ -14,7 +14,7 @@
 use slog::{Logger, info, warn};
 use telemetry::Metrics;
 
-use crate::dispatcher::Message;
+use crate::ask::Message;
 use crate::in_force::{InForce, Source};
 use crate::runtime::Desk;
 
--- /dev/null
+++ b/daemon/src/requests.rs
@@ -0,0 +1,158 @@
+//! The dispatcher's part in a request: begin, admission, slots, ended calls, the end.
+
+use std::time::{Duration, Instant};
+
+use ids::AttemptId;
+use journal::{AttemptEnd, AttemptRecord, RequestRecord, Submission};
+use outcomes::{Outcome, Reason, Refusal};
+use routing::{Admission, CallEnd, Grant, SlotAnswer, Update};
+use slog::{debug, info};
+use tokio::sync::oneshot;
+
+use crate::ask::{BeginAsk, Begun, EndedCall, SlotAsk};
+use crate::dispatcher::{Dispatcher, answer};
+use crate::units::millis;
+use crate::waiting::{Granted, SlotReply, WaitingThread};
+
+/// When to come back while no configuration is in force.
+const NO_CONFIGURATION_WAIT: Duration = Duration::from_secs(1);
+
+impl Dispatcher {
+    pub(crate) fn begin(&mut self, ask: BeginAsk) -> Result<Begun, Refusal> {
+        let Some(in_force) = self.history.current().cloned() else {
+            let refusal = Refusal::not_run(Reason::NoConfiguration, "no revision is known yet");
+            return Err(refusal.come_back_in(NO_CONFIGURATION_WAIT));
+        };
+        let Some(service) = in_force.catalogue.services.get(&ask.service) else {
+            return Err(Refusal::not_run(Reason::UnknownService, ask.service.to_string()));
+        };
+        if !in_force.catalogue.customers.contains_key(&ask.customer) {
+            return Err(Refusal::not_run(Reason::UnknownCustomer, ask.customer.to_string()));
+        }
+        let limit = self.setup.cfg.limits.requests;
+        if self.in_work >= limit {
+            let detail = format!("{limit} requests are in work");
+            return Err(Refusal::not_run(Reason::QueueFull, detail)
+                .come_back_in(Duration::from_millis(200)));
+        }
+        let priority = ask.priority.unwrap_or(service.priority);
+        let deadline = ask.deadline.saturating_duration_since(ask.arrived);
+        let submission = self.journal.open(RequestRecord {
+            request_id: ask.id,
+            service: ask.service,
+            customer: ask.customer,
+            priority,
+            revision: in_force.revision,
+            deadline_ms: millis(deadline),
+            attempts: Vec::new(),
+            outcome: None,
+            reason: None,
+            took_ms: None,
+        });
+        self.in_work += 1;
+        self.router.begin(in_force.revision);
+        Ok(Begun { in_force, priority, submission })
+    }
+
+    pub(crate) fn admit(&mut self, ask: &SlotAsk, now: Instant) -> Admission {
+        ask.request().map_or(Ok(()), |req| self.router.admit(&req, now))
+    }
+
+    pub(crate) fn slot(&mut self, ask: SlotAsk, reply: oneshot::Sender<SlotReply>, now: Instant) {
+        let Some(req) = ask.request() else { return };
+        match self.router.request_slot(&req, now) {
+            SlotAnswer::Granted(grant) => self.grant(&ask, grant, reply, now),
+            SlotAnswer::Queued(id) => self.waiting.add(id, WaitingThread { ask, reply }),
+            SlotAnswer::Refused(refused) => answer(reply, Err(refused)),
+        }
+    }
+
+    /// Writes the choice down, then lets the call be sent.
+    fn grant(
+        &mut self,
+        ask: &SlotAsk,
+        grant: Grant,
+        reply: oneshot::Sender<SlotReply>,
+        now: Instant,
+    ) {
+        let stages = ask.in_force.catalogue.services.get(&ask.service).map(|s| &s.stages);
+        let Some(stage) = stages.and_then(|stages| stages.get(ask.stage)) else {
+            return;
+        };
+        let attempt = AttemptId::new(&ask.id, ask.stage, ask.attempt_number);
+        let record = AttemptRecord {
+            attempt: attempt.to_string(),
+            stage: stage.name.clone(),
+            target: grant.name.clone(),
+            why: grant.why.clone(),
+            chosen_at_ms: millis(now.saturating_duration_since(ask.arrived)),
+            took_ms: None,
+            end: AttemptEnd::Running,
+        };
+        debug!(self.setup.log, "attempt"; "request" => %ask.id, "attempt" => %attempt,
+            "stage" => %stage.name, "target" => %grant.name, "why" => &grant.why);
+        self.journal.chose(ask.submission, record);
+        let (slot, service, stage) = (grant.slot, ask.service.clone(), stage.name.clone());
+        if reply.send(Ok(Granted { grant, attempt })).is_err() {
+            // The thread has given up; the slot goes to the next.
+            let end = CallEnd::GivenUp;
+            let updates =
+                self.router.release(slot, (&service, &stage), end, Duration::ZERO, None, now);
+            self.send(updates);
+        }
+    }
+
+    pub(crate) fn send(&mut self, updates: Vec<Update>) {
+        let now = Instant::now();
+        for update in updates {
+            match update {
+                Update::Granted(id, grant) => {
+                    if let Some(thread) = self.waiting.take(id) {
+                        self.grant(&thread.ask, grant, thread.reply, now);
+                    }
+                }
+                Update::Refused(id, refused) => {
+                    if let Some(thread) = self.waiting.take(id) {
+                        answer(thread.reply, Err(refused));
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn call_ended(&mut self, ended: EndedCall, now: Instant) {
+        debug!(self.setup.log, "attempt ended"; "attempt" => %ended.attempt,
+            "stage" => %ended.stage, "target" => %ended.target_name, "end" => ?ended.record,
+            "took_ms" => millis(ended.took));
+        self.journal.attempt_ended(
+            ended.submission,
+            ended.attempt.as_str(),
+            millis(ended.took),
+            ended.record,
+        );
+        if ended.leaving && self.leaving.note(ended.target_name.clone(), now) {
+            info!(self.setup.log, "target leaving"; "target" => %ended.target_name,
+                "word" => "its own answer");
+            self.spread_peer_word(now);
+            self.setup.news.notify_one();
+        }
+        let of = (&ended.service, &ended.stage);
+        let updates = self.router.release(ended.slot, of, ended.end, ended.took, ended.load, now);
+        self.send(updates);
+    }
+
+    pub(crate) fn ended(
+        &mut self,
+        submission: Submission,
+        outcome: Outcome,
+        reason: Option<Reason>,
+        took: Duration,
+    ) {
+        self.in_work = self.in_work.saturating_sub(1);
+        self.journal.ended(submission, outcome, reason, millis(took));
+        if let Some(id) = self.waiting.of(submission) {
+            self.waiting.take(id);
+            self.router.forget(id);
+        }
+    }
+}
--- a/daemon/src/runtime.rs
+++ b/daemon/src/runtime.rs
@@ -8,7 +8,8 @@
 use stakker::{Stakker, actor, call, ret_nop};
 use tokio::sync::oneshot;
 
-use crate::dispatcher::{Dispatcher, Message, Setup};
+use crate::ask::{Message, Setup};
+use crate::dispatcher::Dispatcher;
 
 /// Longest sleep of the dispatcher's thread.
 const LONGEST_SLEEP: Duration = Duration::from_millis(500);
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -16,8 +16,8 @@
 use tokio::runtime::Runtime;
 use tokio::sync::{Notify, watch};
 
+use crate::ask::{Message, Setup};
 use crate::callers::{self, CallersSide};
-use crate::dispatcher::{Message, Setup};
 use crate::operations::{self, Operations};
 use crate::peer_links::{self, PeerLinks};
 use crate::pipeline::Pipeline;
--- a/daemon/src/waiting.rs
+++ b/daemon/src/waiting.rs
@@ -6,7 +6,7 @@
 use routing::{Grant, Refused, WaitId};
 use tokio::sync::oneshot;
 
-use crate::dispatcher::SlotAsk;
+use crate::ask::SlotAsk;
 
 /// Answer to a request for a slot.
 pub(crate) type SlotReply = Result<Granted, Refused>;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod overhead;
 mod process;
+mod prove;
 mod report;
 mod run;
 mod scenario;
@@ -37,7 +38,24 @@
                 .about("One scenario under several policies, on the same arrivals")
                 .args([name, policies, vms, seed, seconds("20"), json]),
         )
-        .subcommand(Command::new("slopes").about("What docs/CAPACITY.md is worked out from"))
+        .subcommand(
+            Command::new("prove").about("Random failures, then the checks of the tests").args([
+                Arg::new("minutes")
+                    .long("minutes")
+                    .default_value("1")
+                    .value_parser(value_parser!(f64)),
+                Arg::new("seed").long("seed").value_parser(value_parser!(u64)),
+            ]),
+        )
+        .subcommand(
+            Command::new("slopes").about("What docs/CAPACITY.md is worked out from").arg(
+                Arg::new("sizes")
+                    .long("sizes")
+                    .value_delimiter(',')
+                    .default_value(slopes::SIZES)
+                    .help("VMs and targets of each fleet, such as 62x36"),
+            ),
+        )
 }
 
 fn main() -> ExitCode {
@@ -45,7 +63,17 @@
     let number = |args: &clap::ArgMatches, name: &str| args.get_one::<u64>(name).copied();
     match matches.subcommand() {
         Some(("overhead", args)) => overhead::measure(number(args, "seconds").unwrap_or(5)),
-        Some(("slopes", _)) => slopes::measure(),
+        Some(("slopes", args)) => {
+            let sizes = args.get_many::<String>("sizes").into_iter().flatten().cloned();
+            slopes::measure(&sizes.collect::<Vec<_>>());
+        }
+        Some(("prove", args)) => {
+            let minutes = args.get_one::<f64>("minutes").copied().unwrap_or(1.0);
+            let seed = number(args, "seed").unwrap_or_else(rand::random);
+            if !prove::prove(minutes, seed) {
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("scenario", args)) => {
             let name = args.get_one::<String>("name").cloned().unwrap_or_default();
             let policies = args.get_many::<String>("policies").into_iter().flatten().cloned();
--- a/load/src/slopes.rs
+++ b/load/src/slopes.rs
@@ -15,11 +15,18 @@
 
 const SERVICE: &str = "service: {name: one, stages: [{name: place, select: {all: {pool: t}}}]}";
 
-/// Prints the slopes.
-pub(crate) fn measure() {
+/// Sizes measured unless others are given: VMs and targets.
+pub(crate) const SIZES: &str = "6x36,12x36,24x36,62x36,6x370,6x740";
+
+/// Prints the slopes for sizes such as `62x36`, VMs and targets.
+pub(crate) fn measure(sizes: &[String]) {
     println!("control of an idle fleet, one hall, for each VM on average:");
-    for (vms, targets) in [(6, 36), (12, 36), (24, 36), (62, 36), (6, 370), (6, 740)] {
-        idle(vms, targets);
+    for size in sizes {
+        let numbers = size.split_once('x');
+        match numbers.and_then(|(vms, targets)| Some((vms.parse().ok()?, targets.parse().ok()?))) {
+            Some((vms, targets)) => idle(vms, targets),
+            None => println!("{size} is no size: expected VMs and targets, such as 62x36"),
+        }
     }
 }
 
@@ -64,9 +71,12 @@
     }
     let calls = (platform_calls(&fleet) - calls) / seconds;
     let memory: f64 = (0..vms).map(|i| memory_mb(fleet.pid(i))).sum::<f64>() / vms as f64;
+    let state = get_json(fleet.vms[0].operations, "/state").unwrap_or_default();
+    let interval = state["round_interval_ms"].as_u64().unwrap_or(0);
     let (spread, change_bytes) = change(&fleet);
     println!(
         "{vms:>3} VMs {targets:>4} targets: {:.2}% of a core, {memory:.1} MB, {:.0} B/s (most {most:.0}), \
+         a round every {interval} ms, \
          {calls:.1} calls/s at the platform, a change everywhere after {} ms, {change_bytes:.0} B a VM",
         100.0 * used / vms as f64,
         bytes / vms as f64,
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -6,14 +6,15 @@
 
 use crate::cli::{Output, output_of};
 use crate::context::{page, vm};
+use crate::fleet::known_vms;
 
 pub(crate) fn run(args: &ArgMatches) -> Result<()> {
     let id = args.get_one::<String>("request").cloned().unwrap_or_default();
     ids::RequestId::new(&id)?;
     let address = vm(args)?;
     let mut records = Vec::new();
-    // The request may have come in at any VM, so all that this one knows are asked.
-    for page_address in all_pages(&page(address, "/state")?, address) {
+    // The request may have come in at any VM, so all are asked.
+    for page_address in known_vms(address)?.into_values() {
         let found = page(page_address, &format!("/explain/{id}"));
         let found = found.ok().and_then(|v| v.as_array().cloned()).unwrap_or_default();
         records.extend(found.into_iter().map(|record| (page_address, record)));
@@ -31,12 +32,6 @@
     Ok(())
 }
 
-fn all_pages(state: &Value, own: std::net::SocketAddr) -> Vec<std::net::SocketAddr> {
-    let others = state["vms"].as_array().into_iter().flatten();
-    let others = others.filter_map(|vm| vm["operations"].as_str()?.parse().ok());
-    std::iter::once(own).chain(others).collect()
-}
-
 fn print_text(vm: &str, record: &Value) {
     println!(
         "{} at {vm}: {} for {}, {}, revision {}, deadline {} ms",
--- a/src/cmd/wait.rs
+++ b/src/cmd/wait.rs
@@ -9,9 +9,9 @@
 use errors::{Error, Result};
 use ids::Revision;
 use platform::{Store, VmState, read_head};
-use serde_json::Value;
 
 use crate::context::{page, store, wait_for};
+use crate::fleet::known_vms;
 use crate::messages;
 
 /// Time between two looks at the fleet.
@@ -58,15 +58,8 @@
     vm: SocketAddr,
     revision: Revision,
 ) -> Result<std::result::Result<usize, BTreeMap<String, String>>> {
-    let asked = page(vm, "/state")?;
-    let mut pages: BTreeMap<String, Option<SocketAddr>> = BTreeMap::new();
-    pages.insert(text(&asked["vm"]), Some(vm));
-    for other in asked["vms"].as_array().into_iter().flatten() {
-        let stale = other["age"] == "stale" || other["draining"] == true;
-        if !stale {
-            pages.insert(text(&other["vm"]), text(&other["operations"]).parse().ok());
-        }
-    }
+    let known = known_vms(vm)?.into_iter().map(|(name, address)| (name, Some(address)));
+    let mut pages: BTreeMap<String, Option<SocketAddr>> = known.collect();
     // The list may be out; what the daemons know must do then.
     for listed in store.vms().unwrap_or_default() {
         if listed.entry && listed.state == VmState::Live {
@@ -83,17 +76,13 @@
 
 fn why_missing(address: Option<SocketAddr>, revision: Revision) -> Option<String> {
     let Some(address) = address else {
-        return Some("listed by the platform, but not heard of by the daemon asked".to_owned());
+        return Some("listed by the platform, but not heard of by the daemons asked".to_owned());
     };
-    match page(address, "/state") {
-        Ok(state) => {
-            let found = state["revision"].as_u64().unwrap_or(0);
+    match page(address, "/revision") {
+        Ok(found) => {
+            let found = found.as_u64().unwrap_or(0);
             (found < revision.0).then(|| format!("has revision {found}"))
         }
         Err(e) => Some(e.to_string()),
     }
 }
-
-fn text(value: &Value) -> String {
-    value.as_str().unwrap_or_default().to_owned()
-}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod cmd;
 mod context;
+mod fleet;
 mod messages;
 
 use std::process::ExitCode;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the stand-ins share: serving JSON over HTTP and reading query parameters.
 
+pub mod callers;
 pub mod fleet;
 
 use std::collections::HashMap;
--- a/tests/evidence.rs
+++ b/tests/evidence.rs
@@ -6,28 +6,21 @@
 
 mod support;
 
-use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
 
-use serde_json::{Value, json};
-use support::{Ask, Fleet, Reply, ask, usual_fleet};
+use serde_json::json;
+use standins::callers::{Calls, Submission, calls_by_request, violations};
+use support::{Ask, Fleet, ask, usual_fleet};
 
 const CALLERS: usize = 8;
 const REQUESTS: usize = 40;
 
-struct Sent {
-    id: String,
-    number: usize,
-    repeatable: bool,
-    reply: Option<Reply>,
-}
-
 /// Many callers at once, every second request one that may not be repeated.
-fn send_many(fleet: &Fleet, service: &'static str) -> Vec<Sent> {
+fn send_many(fleet: &Fleet, service: &'static str) -> Vec<Submission> {
     let send = |caller: usize, index: usize| {
-        let number = caller * REQUESTS + index;
+        let number = (caller * REQUESTS + index) as u64;
         let repeatable = number.is_multiple_of(2);
         let id = format!("{service}-{number}");
         let ask = ask(service, 4000).body(&json!({ "q": number }).to_string());
@@ -36,8 +29,8 @@
         } else {
             ask.once(&id)
         };
-        let vm = &fleet.vms[number % fleet.vms.len()];
-        Sent { reply: ask.send(vm.callers), id, number, repeatable }
+        let vm = &fleet.vms[index % fleet.vms.len()];
+        Submission { reply: ask.send(vm.callers), id, number, repeatable }
     };
     thread::scope(|scope| {
         let callers: Vec<_> = (0..CALLERS)
@@ -49,66 +42,26 @@
     })
 }
 
-/// Calls that targets ran, by request id.
-fn calls_by_request(fleet: &Fleet) -> HashMap<String, Vec<(String, Value)>> {
-    let mut calls: HashMap<String, Vec<(String, Value)>> = HashMap::new();
-    for (target, call) in fleet.records() {
-        let attempt = call["attempt"].as_str().unwrap_or_default();
-        let id = attempt.split('/').next().unwrap_or_default().to_owned();
-        calls.entry(id).or_default().push((target, call));
-    }
-    calls
-}
-
-/// The innermost input in the outputs that wrap it.
-fn asked_number(output: &Value) -> Option<u64> {
-    output.get("q").map_or_else(|| asked_number(output.get("of")?), Value::as_u64)
-}
-
-fn check(sent: &[Sent], calls: &HashMap<String, Vec<(String, Value)>>) {
-    let none = Vec::new();
+/// Every answer came, nothing contradicts the records, and each attempt that reached a target is
+/// told to its caller, and no other.
+fn check(sent: &[Submission], calls: &Calls) {
+    assert_eq!(violations(sent, calls), Vec::<String>::new());
     for one in sent {
-        let calls = calls.get(&one.id).unwrap_or(&none);
         let reply = one.reply.as_ref().unwrap_or_else(|| panic!("{} got no answer", one.id));
-        match reply.outcome.as_str() {
-            "whole" => {
-                let asked = asked_number(&reply.body["output"]);
-                assert_eq!(asked, Some(one.number as u64), "{} got another's answer", one.id);
-                let charged: u64 = costs(&reply.body).sum();
-                let answered = calls.iter().filter(|(_, c)| c["ended"] == true);
-                let ran: u64 = answered.filter_map(|(_, c)| c["cost"].as_u64()).sum();
-                assert!(charged <= ran, "{}: charged {charged}, ran {ran}", one.id);
-                // What a failed attempt cost is not known; it is told as such, not as nothing.
-                let stages = reply.body["stages"].as_array().expect("stages");
-                if stages.iter().all(|s| s["cost"].is_u64()) {
-                    assert_eq!(charged, ran, "{}", one.id);
-                }
-            }
-            "not-run" => assert!(calls.is_empty(), "{} was told not run, ran {calls:?}", one.id),
-            "failed" => {}
-            "unknown" => assert!(!one.repeatable, "{} may be repeated", one.id),
-            other => panic!("{} was told {other}", one.id),
-        }
-        // Each attempt that reached a target is told to the caller, and no other.
-        let told = reply.targets();
-        let ran: Vec<String> = calls.iter().map(|(target, _)| target.clone()).collect();
-        let (mut a, mut b) = (told.clone(), ran.clone());
-        a.sort();
-        b.sort();
-        assert_eq!(a, b, "{}: {:?}", one.id, reply.body);
-        if !one.repeatable {
-            let mut stages: Vec<&Value> = calls.iter().map(|(_, c)| &c["stage"]).collect();
-            stages.dedup();
-            assert_eq!(stages.len(), calls.len(), "{} ran a stage twice: {calls:?}", one.id);
+        let calls = calls.get(&one.id).map(Vec::as_slice).unwrap_or_default();
+        if reply.outcome == "whole" {
+            let wraps = reply.body["output"]["of"]["q"].as_u64();
+            assert_eq!(wraps, Some(one.number), "{reply:?}");
         }
+        let mut told = reply.targets();
+        let mut ran: Vec<String> = calls.iter().map(|(target, _)| target.clone()).collect();
+        told.sort();
+        ran.sort();
+        assert_eq!(told, ran, "{}: {:?}", one.id, reply.body);
     }
 }
 
-fn costs(body: &Value) -> impl Iterator<Item = u64> + '_ {
-    body["stages"].as_array().into_iter().flatten().filter_map(|s| s["cost"].as_u64())
-}
-
-fn run_with(fault: &str, percent: u8) -> Vec<Sent> {
+fn run_with(fault: &str, percent: u8) -> Vec<Submission> {
     let fleet = usual_fleet(2);
     for target in ["plain-1", "plain-2", "plain-3"] {
         let switches = json!({ "fault": fault, "fault_percent": percent, "service_ms": 2 });
@@ -119,7 +72,7 @@
     sent
 }
 
-fn count(sent: &[Sent], outcome: &str) -> usize {
+fn count(sent: &[Submission], outcome: &str) -> usize {
     sent.iter().filter(|s| s.reply.as_ref().is_some_and(|r| r.outcome == outcome)).count()
 }
 
@@ -155,13 +108,13 @@
         fleet.set_faults(target, &json!({ "fault": "hang", "fault_percent": 50, "service_ms": 2 }));
     }
 
-    let sent: Vec<Sent> = (0..12)
+    let sent: Vec<Submission> = (0..12)
         .map(|number| {
             let id = format!("hang-{number}");
             let body = json!({ "q": number }).to_string();
             let ask = ask("hold", 400).repeatable().header("saddlerail-request-id", &id);
             let reply = ask.body(&body).send(fleet.vms[0].callers);
-            Sent { id, number, repeatable: true, reply }
+            Submission { id, number, repeatable: true, reply }
         })
         .collect();
 
@@ -238,3 +191,41 @@
         assert!(text.contains("\"outcome\":\"failed\""), "{text}");
     }
 }
+
+/// Whether its caller reads a stream or waits for the whole, a request ends with its caller.
+#[test]
+fn a_caller_that_is_gone_stops_the_engine() {
+    let fleet = usual_fleet(1);
+    for engine in ["engine-1", "engine-2"] {
+        let switches = json!({ "service_ms": 2, "token_ms": 5, "tokens": 2000 });
+        fleet.set_faults(engine, &switches);
+    }
+    let head = |accept: &str| {
+        format!(
+            "POST /v1/services/check HTTP/1.1\r\nhost: a\r\nsaddlerail-customer: small\r\n\
+             saddlerail-deadline-ms: 60000\r\naccept: {accept}\r\ncontent-length: 2\r\n\r\n{{}}"
+        )
+    };
+    let engines = |fleet: &Fleet| {
+        let records = fleet.records();
+        records.into_iter().filter(|(name, _)| name.starts_with("engine")).collect::<Vec<_>>()
+    };
+
+    let mut callers: Vec<TcpStream> = Vec::new();
+    for accept in ["text/event-stream", "application/json"] {
+        let mut caller = TcpStream::connect(fleet.vms[0].callers).expect("connect");
+        caller.write_all(head(accept).as_bytes()).expect("send");
+        callers.push(caller);
+    }
+    support::wait_until("both engines generate", || {
+        engines(&fleet).iter().filter(|(_, call)| call["cost"].as_u64() > Some(3)).count() == 2
+    });
+    drop(callers);
+
+    support::wait_until("nothing is in work any more", || {
+        let state = support::get_json(fleet.vms[0].operations, "/state").expect("state");
+        state["in_work"] == 0
+    });
+    let cost: u64 = engines(&fleet).iter().filter_map(|(_, call)| call["cost"].as_u64()).sum();
+    assert!(cost < 2000, "{cost} tokens of 4,000 were generated for nobody");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,76 +5,9 @@
 
 pub mod forwarder;
 
-use std::net::SocketAddr;
-
-use serde_json::Value;
+pub use standins::callers::{Ask, Reply, ask};
 pub use standins::fleet::{Fleet, LONG, Pool, agent, get_json, put_json, wait_until};
 
-/// A caller's answer.
-#[derive(Debug, Clone)]
-pub struct Reply {
-    pub status: u16,
-    pub outcome: String,
-    pub body: Value,
-}
-
-impl Reply {
-    pub fn targets(&self) -> Vec<String> {
-        let stages = self.body["stages"].as_array().cloned().unwrap_or_default();
-        stages.iter().map(|s| s["target"].as_str().unwrap_or_default().to_owned()).collect()
-    }
-}
-
-/// A caller's request to one VM.
-#[derive(Clone)]
-pub struct Ask<'a> {
-    pub service: &'a str,
-    pub headers: Vec<(&'a str, String)>,
-    pub body: String,
-}
-
-/// A request with the headers that are always needed.
-pub fn ask(service: &str, deadline_ms: u64) -> Ask<'_> {
-    let headers = vec![
-        ("saddlerail-customer", "small".to_owned()),
-        ("saddlerail-deadline-ms", deadline_ms.to_string()),
-    ];
-    Ask { service, headers, body: "{\"q\":1}".to_owned() }
-}
-
-impl<'a> Ask<'a> {
-    pub fn header(mut self, name: &'a str, value: &str) -> Self {
-        self.headers.push((name, value.to_owned()));
-        self
-    }
-
-    pub fn repeatable(self) -> Self {
-        self.header("saddlerail-repeatable", "yes")
-    }
-
-    pub fn once(self, id: &str) -> Self {
-        self.header("saddlerail-repeatable", "no").header("saddlerail-request-id", id)
-    }
-
-    pub fn body(mut self, body: &str) -> Self {
-        body.clone_into(&mut self.body);
-        self
-    }
-
-    /// Sends it; `None` if no whole answer came, as when the VM died.
-    pub fn send(&self, to: SocketAddr) -> Option<Reply> {
-        let mut call = agent().post(format!("http://{to}/v1/services/{}", self.service));
-        for (name, value) in &self.headers {
-            call = call.header(*name, value);
-        }
-        let mut rx = call.send(&self.body).ok()?;
-        let outcome = rx.headers().get("saddlerail-outcome")?.to_str().ok()?.to_owned();
-        let text = rx.body_mut().read_to_string().ok()?;
-        let body = serde_json::from_str(&text).unwrap_or(Value::String(text));
-        Some(Reply { status: rx.status().as_u16(), outcome, body })
-    }
-}
-
 /// A service of two plain stages and one of four with a stream at the end.
 pub const SERVICES: &str = "\
 service: {name: hold, priority: interactive, stages: [{name: place, select: {all: {pool: plain}}}]}
