--- a/daemon/src/request.rs
+++ b/components/caller_request/src/lib.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use hyper::HeaderMap;
+use http::HeaderMap;
 use ids::{CustomerName, Priority, RequestId, ServiceName};
 use outcomes::{REQUEST_ID_HEADER, Reason, Refusal};
 
@@ -15,29 +15,40 @@
 const RETURNING: &str = "saddlerail-returning";
 const PREFIX_KEY: &str = "saddlerail-prompt-prefix";
 /// Path before the service's name.
-pub(crate) const SERVICES_PATH: &str = "/v1/services/";
+pub const SERVICES_PATH: &str = "/v1/services/";
 
 /// A caller's request, but for its body.
 #[derive(Debug, Clone)]
-pub(crate) struct CallerRequest {
-    pub(crate) id: RequestId,
+pub struct CallerRequest {
+    /// The caller's own id, or one made here.
+    pub id: RequestId,
     /// Whether the caller gave the id, so that it may give it elsewhere too.
-    pub(crate) own_id: bool,
-    pub(crate) service: ServiceName,
-    pub(crate) customer: CustomerName,
-    pub(crate) priority: Option<Priority>,
-    pub(crate) repeatable: bool,
+    pub own_id: bool,
+    /// The service asked for.
+    pub service: ServiceName,
+    /// On whose behalf.
+    pub customer: CustomerName,
+    /// Priority; the service's if none.
+    pub priority: Option<Priority>,
+    /// Whether its calls may run more than once.
+    pub repeatable: bool,
     /// Whether it was refused before and comes back at the time told.
-    pub(crate) returning: bool,
-    pub(crate) wants_stream: bool,
+    pub returning: bool,
+    /// Whether the caller takes a stream.
+    pub wants_stream: bool,
     /// Text that names the prompt's prefix, for the choice of an engine that has it cached.
-    pub(crate) prefix: Option<String>,
-    pub(crate) arrived: Instant,
-    pub(crate) deadline: Instant,
+    pub prefix: Option<String>,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When its answer is of no use any more.
+    pub deadline: Instant,
 }
 
 /// The caller's id, or a new one; whether it is the caller's.
-pub(crate) fn request_id(headers: &HeaderMap) -> Result<(RequestId, bool), Refusal> {
+///
+/// # Errors
+/// `BadRequest` if it is no name.
+pub fn request_id(headers: &HeaderMap) -> Result<(RequestId, bool), Refusal> {
     match text(headers, REQUEST_ID_HEADER)? {
         Some(id) => RequestId::new(id).map(|id| (id, true)).map_err(bad),
         None => Ok((RequestId::mint(), false)),
@@ -45,7 +56,10 @@
 }
 
 /// Reads path and headers.
-pub(crate) fn parse(
+///
+/// # Errors
+/// `BadRequest` for the first thing that can't be taken, with the header and what was expected.
+pub fn parse(
     path: &str,
     headers: &HeaderMap,
     (id, own_id): (RequestId, bool),
@@ -117,7 +131,7 @@
 fn refuse_unknown_headers(headers: &HeaderMap) -> Result<(), Refusal> {
     let known =
         [CUSTOMER, DEADLINE, PRIORITY, REPEATABLE, RETURNING, PREFIX_KEY, REQUEST_ID_HEADER];
-    let mut ours = headers.keys().map(hyper::header::HeaderName::as_str);
+    let mut ours = headers.keys().map(http::HeaderName::as_str);
     match ours.find(|name| name.starts_with(PREFIX) && !known.contains(name)) {
         Some(name) => Err(bad_header(name, "not known")),
         None => Ok(()),
--- a/components/catalogue/src/lib.rs
+++ b/components/catalogue/src/lib.rs
@@ -81,6 +81,13 @@
     /// Calls that it can run at once, as its owner says; the learned limit starts from it.
     #[serde(default = "default_slots")]
     pub slots: u32,
+    /// The condition in which an engine should be, such as its model and version; the holder of
+    /// its hall's lease sees to it. Empty for targets that take no orders.
+    #[serde(default, skip_serializing_if = "Labels::is_empty")]
+    pub wanted: Labels,
+    /// Whether the target refuses orders with a lower fence than it has seen.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub checks_fence: bool,
 }
 
 /// Slots of a target that names none.
--- a/components/platform/src/store.rs
+++ b/components/platform/src/store.rs
@@ -125,6 +125,24 @@
         write_of(call.call())
     }
 
+    /// Asks for a lease; `None` if another holds it.
+    pub(crate) fn put_lease(
+        &self,
+        name: &str,
+        holder: &str,
+        ttl: Duration,
+    ) -> Result<Option<Vec<u8>>> {
+        let out = |e: ureq::Error| Error::StoreOut(e.to_string());
+        let call = self.agent.put(self.url("leases", name));
+        let call = call.query("ttl_ms", ttl.as_millis().to_string());
+        let mut rx = call.send(holder).map_err(out)?;
+        match rx.status().as_u16() {
+            200 => rx.body_mut().read_to_vec().map(Some).map_err(out),
+            409 => Ok(None),
+            other => Err(Error::StoreOut(format!("answered {other}"))),
+        }
+    }
+
     /// The platform's VM list, which may lag.
     ///
     /// # Errors
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -199,9 +199,12 @@
         start_by: Instant,
         now: Instant,
     ) -> SlotAnswer {
+        let slack = start_by.saturating_duration_since(now);
+        if let Some(lane) = self.lanes.get_mut(lane_key) {
+            lane.usage.asked(req.priority, slack);
+        }
         let Some(lane) = self.lanes.get(lane_key) else {
-            let come_back = admission::LEAST_COME_BACK;
-            return SlotAnswer::Refused(Refused::NoTarget { come_back });
+            return SlotAnswer::Refused(Refused::NoTarget { come_back: Duration::ZERO });
         };
         if !lane.has_waiting_up_to(req.priority)
             && let Some(grant) =
@@ -299,15 +302,6 @@
         }
     }
 
-    /// Takes a waiting request out, for instance because its caller is gone.
-    pub fn forget(&mut self, id: WaitId) {
-        for lane in self.lanes.values_mut() {
-            let kept: Vec<Waiting> =
-                lane.take_all().into_iter().filter(|waiting| waiting.id != id).collect();
-            kept.into_iter().for_each(|waiting| lane.push(waiting));
-        }
-    }
-
     /// Refuses whoever waited too long and gives slots that have become usable.
     pub fn tick(&mut self, now: Instant) -> Vec<Update> {
         let mut updates = Vec::new();
--- a/components/routing/src/usage.rs
+++ b/components/routing/src/usage.rs
@@ -10,6 +10,10 @@
 const WINDOW: f64 = 5.0;
 /// Standard deviations above the mean use of urgent classes that are kept free for them.
 const HEADROOM_SPREADS: f64 = 1.0;
+/// Of the slots that come free while an urgent call can wait, the share it can count on.
+const RELEASES_COUNTED: f64 = 0.2;
+/// Weight of a new sample of the time that a call could wait.
+const SLACK_WEIGHT: f64 = 0.05;
 /// Share of the slots that is counted on for a class however much the urgent ones use.
 const LEAST_SHARE: f64 = 0.1;
 
@@ -18,6 +22,8 @@
     in_flight: u32,
     /// Mean time that a call holds its slot, in seconds.
     hold: Option<f64>,
+    /// Mean time that a call could wait before it must begin, in seconds.
+    slack: Option<f64>,
     /// Seconds that slots were held, fading over the window.
     held: f64,
     last: Option<Instant>,
@@ -58,15 +64,34 @@
         self.classes[class as usize].hold.map(Duration::from_secs_f64)
     }
 
-    /// Slots to be left free for classes more urgent than this one.
+    /// Notes how long a call could wait before it must begin.
+    pub(crate) fn asked(&mut self, class: Priority, slack: Duration) {
+        let seconds = slack.as_secs_f64();
+        let mean = self.classes[class as usize].slack.get_or_insert(seconds);
+        *mean += SLACK_WEIGHT * (seconds - *mean);
+    }
+
+    /// Slots to be left free for classes more urgent than this one: their mean use and a
+    /// deviation, less what comes free in time anyway.
     pub(crate) fn headroom(&self, class: Priority, now: Instant) -> f64 {
+        let releases = self.releases();
         let needed = |usage: &ClassUsage| {
             let mean = usage.mean(now);
-            (mean + HEADROOM_SPREADS * mean.sqrt() - f64::from(usage.in_flight)).max(0.0)
+            let in_time = RELEASES_COUNTED * releases * usage.slack.unwrap_or(0.0);
+            let wanted = mean + HEADROOM_SPREADS * mean.sqrt();
+            (wanted - f64::from(usage.in_flight) - in_time).max(0.0)
         };
         self.classes[..class as usize].iter().map(needed).sum()
     }
 
+    /// Slots that come free a second.
+    fn releases(&self) -> f64 {
+        let of = |usage: &ClassUsage| {
+            usage.hold.map_or(0.0, |hold| f64::from(usage.in_flight) / hold.max(1e-3))
+        };
+        self.classes.iter().map(of).sum()
+    }
+
     /// Of `slots`, those that the classes more urgent than this one leave on average.
     pub(crate) fn left_for(&self, class: Priority, slots: f64, now: Instant) -> f64 {
         let urgent: f64 = self.classes[..class as usize].iter().map(|u| u.mean(now)).sum();
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -6,10 +6,10 @@
 
 use errors::{Error, Result};
 use ids::{HallName, VmName};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 /// Everything a daemon has to be told; `docs/operators/settings.md` lists each key.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     /// Name of this VM, unique in the fleet.
@@ -39,7 +39,7 @@
 }
 
 /// Bounds on what this daemon takes.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
     /// Callers' connections at once.
@@ -99,7 +99,7 @@
 }
 
 /// Which decisions are taken; the plain ones are kept to measure against.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// Load-aware choice, learned limits, admission, shares, retry budget, ejection.
@@ -112,7 +112,7 @@
 }
 
 /// Least severe log level written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum LogLevel {
     /// Only what needs somebody to act.
--- a/components/target_calls/src/stream.rs
+++ b/components/target_calls/src/stream.rs
@@ -56,7 +56,8 @@
 }
 
 impl TokenStream {
-    pub(crate) fn new(body: Body, attempt: AttemptId, last: Option<u64>) -> Self {
+    /// Reads a body as the stream of `attempt`, whose caller has the tokens up to `last`.
+    pub fn new(body: Body, attempt: AttemptId, last: Option<u64>) -> Self {
         let lines = BufReader::new(body.into_reader());
         TokenStream { lines, attempt, last: last.unwrap_or(0) }
     }
--- a/daemon/src/ask.rs
+++ b/daemon/src/ask.rs
@@ -142,6 +142,7 @@
     NewsFor(Vec<Known>, oneshot::Sender<(Advert, News)>),
     Listed(Vec<ListedVm>),
     ReadsPlatform(oneshot::Sender<(bool, Revision)>),
+    HoldsOrders(Option<u64>),
     Drain,
     InWork(oneshot::Sender<usize>),
     Ready(oneshot::Sender<bool>),
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -1,7 +1,7 @@
 //! The callers' side: one task for each connection, one thread for each request in work.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use http_server::{Body, BodyProblem, read_body};
 use hyper::body::Incoming;
@@ -9,15 +9,19 @@
 use ids::RequestId;
 use outcomes::{Reason, Refusal};
 use serde::de::IgnoredAny;
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 
 use crate::answer::{self, AnswerPort};
 use crate::pipeline::{self, Pipeline};
-use crate::request;
+
+/// When to ask again while as many requests as allowed are in work.
+const FULL_WAIT: Duration = Duration::from_millis(200);
 
 /// What every request needs.
 pub(crate) struct CallersSide {
     pub(crate) pipeline: Pipeline,
+    /// One permit for each request that may be in work.
+    pub(crate) free: Arc<Semaphore>,
     /// Turns true when the time to finish is over.
     pub(crate) cut: watch::Receiver<bool>,
 }
@@ -37,9 +41,9 @@
     arrived: Instant,
 ) -> Result<Response<Body>, (RequestId, Refusal)> {
     let limits = &side.pipeline.cfg.limits;
-    let id = request::request_id(req.headers()).map_err(|r| (RequestId::mint(), r))?;
+    let id = caller_request::request_id(req.headers()).map_err(|r| (RequestId::mint(), r))?;
     let with_id = |refusal: Refusal| (id.0.clone(), refusal);
-    if !req.uri().path().starts_with(request::SERVICES_PATH) {
+    if !req.uri().path().starts_with(caller_request::SERVICES_PATH) {
         let refusal = Refusal::not_run(Reason::UnknownService, req.uri().path().to_owned());
         return Err(with_id(refusal));
     }
@@ -47,19 +51,31 @@
         let refusal = Refusal::not_run(Reason::BadRequest, "expected method POST");
         return Err(with_id(refusal));
     }
-    let asked =
-        request::parse(req.uri().path(), req.headers(), id.clone(), arrived, limits.deadline_ms)
-            .map_err(with_id)?;
+    let asked = caller_request::parse(
+        req.uri().path(),
+        req.headers(),
+        id.clone(),
+        arrived,
+        limits.deadline_ms,
+    )
+    .map_err(with_id)?;
     let body = read_body(req.into_body(), limits.body_bytes, limits.body_wait())
         .await
         .map_err(|problem| with_id(body_refusal(problem, limits.body_bytes)))?;
     serde_json::from_slice::<IgnoredAny>(&body)
         .map_err(|e| with_id(Refusal::not_run(Reason::BadRequest, format!("body: {e}"))))?;
 
+    let permit = Arc::clone(&side.free).try_acquire_owned().map_err(|_| {
+        let detail = format!("{} requests are in work", limits.requests);
+        with_id(Refusal::not_run(Reason::QueueFull, detail).come_back_in(FULL_WAIT))
+    })?;
     let repeatable = asked.repeatable;
     let (port, head) = AnswerPort::new(asked.id.clone());
     let worker = Arc::clone(side);
-    tokio::task::spawn_blocking(move || pipeline::run(&worker.pipeline, &asked, &body, port));
+    tokio::task::spawn_blocking(move || {
+        pipeline::run(&worker.pipeline, &asked, &body, port);
+        drop(permit);
+    });
     let mut cut = side.cut.clone();
     tokio::select! {
         answer = head => answer.map_err(|_| with_id(stopped(repeatable))),
--- a/daemon/src/claim.rs
+++ b/daemon/src/claim.rs
@@ -1,10 +1,10 @@
 //! Claims on callers' own ids around a request's run.
 
+use caller_request::CallerRequest;
 use outcomes::{Outcome, Reason, Refusal};
 use platform::{Claim, ClaimState};
 
 use crate::pipeline::{Pipeline, SOON};
-use crate::request::CallerRequest;
 
 /// A request that may not be repeated under a caller's id is claimed before anything runs.
 pub(crate) fn claim_id(shared: &Pipeline, req: &CallerRequest) -> Result<Option<Claim>, Refusal> {
--- a/daemon/src/dispatcher.rs
+++ b/daemon/src/dispatcher.rs
@@ -38,6 +38,8 @@
     /// The revision that was told to some peers when it came into force.
     pub(crate) announced: ids::Revision,
     pub(crate) in_work: usize,
+    /// Fence under which this VM gives its hall's orders, if it does.
+    pub(crate) orders_fence: Option<u64>,
     pub(crate) draining: bool,
 }
 
@@ -65,6 +67,7 @@
             sequence: 0,
             announced: ids::Revision(0),
             in_work: 0,
+            orders_fence: None,
             draining: false,
         })
     }
@@ -92,6 +95,7 @@
             }
             Message::Listed(vms) => self.listed(vms, now),
             Message::ReadsPlatform(reply) => answer(reply, self.reads_platform(now)),
+            Message::HoldsOrders(fence) => self.orders_fence = fence,
             Message::Drain => self.drain(),
             Message::InWork(reply) => answer(reply, self.in_work),
             Message::Ready(reply) => {
@@ -134,6 +138,7 @@
             draining: self.draining,
             in_work: self.in_work,
             waiting: self.router.waiting(),
+            orders_fence: self.orders_fence,
             retries_left: self.router.retries_left(),
             records: self.journal.len(),
             round_interval_ms: millis(interval),
--- a/daemon/src/dump.rs
+++ b/daemon/src/dump.rs
@@ -20,6 +20,7 @@
     pub(crate) draining: bool,
     pub(crate) in_work: usize,
     pub(crate) waiting: usize,
+    pub(crate) orders_fence: Option<u64>,
     pub(crate) retries_left: f64,
     pub(crate) records: usize,
     pub(crate) round_interval_ms: u64,
--- a/daemon/src/operations.rs
+++ b/daemon/src/operations.rs
@@ -37,15 +37,20 @@
     let server = Server::http(address).map_err(|e| {
         Error::io(format!("listening on {address}"), std::io::Error::other(e.to_string()))
     })?;
+    let page = Arc::new(page);
     thread::spawn(move || page.serve(server, address));
     Ok(())
 }
 
 impl Operations {
-    fn serve(&self, mut server: Server, address: SocketAddr) {
+    fn serve(self: &Arc<Self>, mut server: Server, address: SocketAddr) {
         loop {
             match server.recv() {
-                Ok(req) => self.answer(req),
+                Ok(req) => {
+                    // A reader that is slow must not hold up the health checks.
+                    let page = Arc::clone(self);
+                    thread::spawn(move || page.answer(req));
+                }
                 Err(e) => {
                     // Its accept loop ends at the first error, so a new one is needed.
                     warn!(self.log, "operations page failed"; "problem" => %e);
--- a/daemon/src/pipeline.rs
+++ b/daemon/src/pipeline.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use caller_request::CallerRequest;
 use catalogue::{Service, Stage};
 use ids::Incarnation;
 use journal::AttemptEnd;
@@ -20,7 +21,6 @@
 use crate::answer::AnswerPort;
 use crate::ask::{BeginAsk, Begun, EndedCall, Message, SlotAsk};
 use crate::claim::{claim_id, close, close_refused};
-use crate::request::CallerRequest;
 use crate::runtime::{Desk, Gone};
 use crate::waiting::Granted;
 
--- a/daemon/src/requests.rs
+++ b/daemon/src/requests.rs
@@ -29,12 +29,6 @@
         if !in_force.catalogue.customers.contains_key(&ask.customer) {
             return Err(Refusal::not_run(Reason::UnknownCustomer, ask.customer.to_string()));
         }
-        let limit = self.setup.cfg.limits.requests;
-        if self.in_work >= limit {
-            let detail = format!("{limit} requests are in work");
-            return Err(Refusal::not_run(Reason::QueueFull, detail)
-                .come_back_in(Duration::from_millis(200)));
-        }
         let priority = ask.priority.unwrap_or(service.priority);
         let deadline = ask.deadline.saturating_duration_since(ask.arrived);
         let submission = self.journal.open(RequestRecord {
@@ -150,9 +144,5 @@
     ) {
         self.in_work = self.in_work.saturating_sub(1);
         self.journal.ended(submission, outcome, reason, millis(took));
-        if let Some(id) = self.waiting.of(submission) {
-            self.waiting.take(id);
-            self.router.forget(id);
-        }
     }
 }
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -14,11 +14,12 @@
 use telemetry::{LogSetup, Metrics, root_logger};
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 
 use crate::ask::{Message, Setup};
 use crate::callers::{self, CallersSide};
 use crate::operations::{self, Operations};
+use crate::orders::{self, OrderGiver};
 use crate::peer_links::{self, PeerLinks};
 use crate::pipeline::Pipeline;
 use crate::platform_reader::{self, PlatformReader};
@@ -107,6 +108,14 @@
         log: log.clone(),
         metrics: Arc::clone(&metrics),
     });
+    orders::start(OrderGiver {
+        vm: cfg.vm.clone(),
+        hall: cfg.hall.clone(),
+        incarnation,
+        store: store.clone(),
+        desk: desk.clone(),
+        log: log.clone(),
+    });
     let links =
         PeerLinks { desk: desk.clone(), log: log.clone(), metrics: Arc::clone(&metrics), news };
     tasks.spawn(peer_links::serve(links.clone(), peers_listener));
@@ -121,7 +130,8 @@
         log: log.clone(),
         metrics,
     };
-    let side = Arc::new(CallersSide { pipeline, cut });
+    let free = Arc::new(Semaphore::new(cfg.limits.requests));
+    let side = Arc::new(CallersSide { pipeline, free, cut });
     let bounds = Bounds { connections: cfg.limits.connections, head_wait: cfg.limits.head_wait() };
     tasks.spawn(http_server::serve(callers_listener, bounds, stop, move |req| {
         callers::handle(Arc::clone(&side), req)
--- a/daemon/src/waiting.rs
+++ b/daemon/src/waiting.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 
-use journal::Submission;
 use routing::{Grant, Refused, WaitId};
 use tokio::sync::oneshot;
 
@@ -39,9 +38,4 @@
     pub(crate) fn take(&mut self, id: WaitId) -> Option<WaitingThread> {
         self.by_id.remove(&id)
     }
-
-    /// Those of one submission; there is at most one.
-    pub(crate) fn of(&self, submission: Submission) -> Option<WaitId> {
-        self.by_id.iter().find(|(_, t)| t.ask.submission == submission).map(|(id, _)| *id)
-    }
 }
--- /dev/null
+++ b/daemon/tests/pages.rs
@@ -0,0 +1,56 @@
+//! The operators' pages name what the code has, and nothing else.
+
+// A helper that can't go on fails its test.
+#![allow(clippy::expect_used)]
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use telemetry::metric_names;
+
+fn page(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/operators").join(name);
+    fs::read_to_string(path).expect("the page")
+}
+
+/// First cells of a page's table rows, without their backticks.
+fn first_cells(page: &str) -> BTreeSet<String> {
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
+    rows.filter_map(|row| row.split_once("` |").map(|(cell, _)| cell.to_owned())).collect()
+}
+
+#[test]
+fn the_settings_page_has_every_key() {
+    let text = "vm: v\nhall: h\ncallers: 127.0.0.1:1\npeers: 127.0.0.1:2\n\
+                operations: 127.0.0.1:3\nplatform: 127.0.0.1:4\n";
+    let cfg = serde_json::to_value(settings::parse(text).expect("settings")).expect("JSON");
+    let mut keys = BTreeSet::new();
+    for (key, value) in cfg.as_object().expect("a map") {
+        match value.as_object() {
+            Some(inner) => keys.extend(inner.keys().map(|k| format!("{key}.{k}"))),
+            None => drop(keys.insert(key.clone())),
+        }
+    }
+    assert_eq!(first_cells(&page("settings.md")), keys);
+}
+
+#[test]
+fn the_settings_page_has_the_defaults() {
+    let defaults = serde_json::to_value(settings::Limits::default()).expect("JSON");
+    let page = page("settings.md");
+    for (key, value) in defaults.as_object().expect("a map") {
+        let row = page.lines().find(|l| l.starts_with(&format!("| `limits.{key}`")));
+        let cells: Vec<&str> = row.expect("a row").split('|').map(str::trim).collect();
+        assert_eq!(cells[4], value.to_string(), "limits.{key}");
+    }
+}
+
+#[test]
+fn the_signals_page_has_every_metric() {
+    let named = first_cells(&page("signals.md"));
+    let metrics: BTreeSet<String> = metric_names::ALL.iter().map(|&m| m.to_owned()).collect();
+    let on_page: BTreeSet<String> =
+        named.into_iter().filter(|n| n.starts_with("saddlerail_")).collect();
+    assert_eq!(on_page, metrics);
+}
--- a/standins/src/bin/standin-target.rs
+++ b/standins/src/bin/standin-target.rs
@@ -102,7 +102,7 @@
     /// Attempt and output of the last plain answer.
     answered: Option<(String, serde_json::Value)>,
     prefixes: VecDeque<u64>,
-    cache_events: Vec<serde_json::Value>,
+    cache_events: Vec<(u128, serde_json::Value)>,
     cache_event_count: u64,
     fence: u64,
     orders: Vec<serde_json::Value>,
@@ -181,7 +181,8 @@
             (&Method::PUT, "/faults") => self.set_switches(&asked),
             (&Method::GET, "/record") => json(200, &self.state().record),
             (&Method::GET, "/v1/load") => json(200, &self.load()),
-            (&Method::GET, "/v1/cache-events") => json(200, &self.state().cache_events),
+            (&Method::GET, "/v1/cache-events") => json(200, &self.cache_events()),
+            (&Method::GET, "/v1/condition") => self.condition(),
             (&Method::POST, "/v1/orders") => self.order(&asked),
             (&Method::GET, "/v1/orders") => json(200, &self.state().orders),
             (&Method::DELETE, path) => {
@@ -204,6 +205,21 @@
         }
     }
 
+    /// Cache events that are old enough to be told.
+    fn cache_events(&self) -> Vec<serde_json::Value> {
+        let state = self.state();
+        let lag = u128::from(state.switches.report_lag_ms);
+        let until = self.started.elapsed().as_millis().saturating_sub(lag);
+        let told = state.cache_events.iter().filter(|(at, _)| *at <= until);
+        told.map(|(_, event)| event.clone()).collect()
+    }
+
+    /// What the last order that was taken wants.
+    fn condition(&self) -> Response<Body> {
+        let none = json!({ "fence": 0, "wanted": {} });
+        json(200, self.state().orders.last().unwrap_or(&none))
+    }
+
     fn order(&self, asked: &Asked) -> Response<Body> {
         let Ok(order) = serde_json::from_slice::<serde_json::Value>(&asked.body) else {
             return json(400, &"no order");
@@ -352,7 +368,7 @@
             let every = state.switches.lose_event_every;
             if every == 0 || !state.cache_event_count.is_multiple_of(every) {
                 let event = json!({ "number": state.cache_event_count, "cached": prefix });
-                state.cache_events.push(event);
+                state.cache_events.push((self.started.elapsed().as_millis(), event));
             }
         }
         let resumed_after = asked.header("last-event-id").parse().unwrap_or(0);
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,137 @@
+//! Orders to engines: under a lease with a fence, from one holder a hall, frozen ones included.
+
+// A helper that can't go on fails its test.
+#![allow(clippy::expect_used)]
+
+mod support;
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use support::{Fleet, agent, get_json, put_json, usual_fleet, wait_until};
+
+const ENGINE: &str = "engine-1";
+
+/// Declares the engine's wanted model anew.
+fn want(fleet: &Fleet, model: &str, checks_fence: bool) {
+    let text = format!(
+        "target: {{name: {ENGINE}, hall: hall-a, address: '{}', labels: {{pool: engine}}, \
+         wanted: {{model: {model}}}, checks_fence: {checks_fence}}}\n",
+        fleet.target(ENGINE)
+    );
+    let applied = fleet.apply(&text);
+    assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
+}
+
+fn orders(fleet: &Fleet) -> Vec<Value> {
+    let orders = get_json(fleet.target(ENGINE), "/v1/orders").expect("orders");
+    orders.as_array().cloned().unwrap_or_default()
+}
+
+fn model(fleet: &Fleet) -> String {
+    let condition = get_json(fleet.target(ENGINE), "/v1/condition").expect("a condition");
+    condition["wanted"]["model"].as_str().unwrap_or_default().to_owned()
+}
+
+fn fence(fleet: &Fleet, vm: usize) -> Option<u64> {
+    get_json(fleet.vms[vm].operations, "/state")?["orders_fence"].as_u64()
+}
+
+/// Two VMs in the engine's hall, and one in the other.
+fn fleet() -> Fleet {
+    let mut fleet = usual_fleet(2);
+    fleet.start_vm("hall-a", "");
+    fleet.list_vms(&[]);
+    fleet.wait_acquainted();
+    fleet
+}
+
+#[test]
+fn an_engine_follows_its_wanted_condition_under_one_holder() {
+    let fleet = fleet();
+    want(&fleet, "m1", true);
+    wait_until("m1 is ordered", || model(&fleet) == "m1");
+    want(&fleet, "m2", true);
+    wait_until("m2 is ordered", || model(&fleet) == "m2");
+
+    let holders = (0..3).filter(|vm| fence(&fleet, *vm).is_some()).count();
+    assert_eq!(holders, 1);
+    assert_eq!(fence(&fleet, 1), None, "a VM of the other hall");
+    let fences: Vec<Value> = orders(&fleet).iter().map(|o| o["fence"].clone()).collect();
+    assert_eq!(fences, [1, 1]);
+}
+
+#[test]
+fn a_holder_that_was_frozen_past_its_lease_orders_nothing_old() {
+    let fleet = fleet();
+    want(&fleet, "m0", true);
+    wait_until("m0 is ordered", || model(&fleet) == "m0");
+    for round in 1..=3 {
+        let holder = [0, 2].into_iter().find(|vm| fence(&fleet, *vm).is_some());
+        let holder = holder.expect("a holder");
+        let other = 2 - holder;
+        // Frozen at another point of its work in each round, while it has an order to give.
+        want(&fleet, &format!("old-{round}"), true);
+        thread::sleep(Duration::from_millis(300 * round));
+        fleet.signal(holder, "STOP");
+        let wanted = format!("new-{round}");
+        want(&fleet, &wanted, true);
+        wait_until("the other VM holds the lease", || fence(&fleet, other).is_some());
+        wait_until("the new model is ordered", || model(&fleet) == wanted);
+
+        fleet.signal(holder, "CONT");
+        wait_until("the old holder knows", || fence(&fleet, holder).is_none());
+
+        assert_eq!(model(&fleet), wanted);
+        let fences: Vec<u64> = orders(&fleet).iter().filter_map(|o| o["fence"].as_u64()).collect();
+        assert!(fences.is_sorted(), "{fences:?}");
+    }
+}
+
+/// What an old holder that was frozen between its check and its send would do.
+fn stale_order(fleet: &Fleet) -> u16 {
+    let order = json!({ "fence": 0, "wanted": { "model": "stale" } });
+    let url = format!("http://{}/v1/orders", fleet.target(ENGINE));
+    agent().post(url).send(order.to_string()).expect("an answer").status().as_u16()
+}
+
+#[test]
+fn a_checking_target_refuses_a_stale_order() {
+    let fleet = fleet();
+    want(&fleet, "m1", true);
+    wait_until("m1 is ordered", || model(&fleet) == "m1");
+
+    assert_eq!(stale_order(&fleet), 409);
+    assert_eq!(model(&fleet), "m1");
+}
+
+#[test]
+fn a_target_that_does_not_check_takes_it_and_is_put_right_by_the_holder() {
+    let fleet = fleet();
+    put_json(fleet.target(ENGINE), "/faults", &json!({ "checks_fence": false }));
+    want(&fleet, "m1", false);
+    wait_until("m1 is ordered", || model(&fleet) == "m1");
+
+    // Not prevented: for about a second the engine is in the old holder's condition.
+    assert_eq!(stale_order(&fleet), 200);
+    assert_eq!(model(&fleet), "stale");
+    wait_until("the holder puts it right", || model(&fleet) == "m1");
+}
+
+#[test]
+fn nothing_is_ordered_while_the_store_is_out() {
+    let fleet = fleet();
+    want(&fleet, "m1", true);
+    wait_until("m1 is ordered", || model(&fleet) == "m1");
+    let holder = [0, 2].into_iter().find(|vm| fence(&fleet, *vm).is_some()).expect("a holder");
+    want(&fleet, "m2", true);
+    fleet.set_platform(&json!({ "outage": true }));
+    wait_until("the holder knows that it is none", || fence(&fleet, holder).is_none());
+    let then = orders(&fleet).len();
+    thread::sleep(Duration::from_millis(2500));
+
+    assert_eq!(orders(&fleet).len(), then);
+    fleet.set_platform(&json!({}));
+    wait_until("m2 is ordered", || model(&fleet) == "m2");
+}
