Tell unknown, not not-run, when a shared id is refused before its claim

Ruled out: claiming the id only to refuse it; a VM without configuration may have no store either, and under overload each refusal would cost two writes.

Change: a refusal before the claim under a caller's own id that may not be repeated is told as unknown, with the time to come back.

Seen to fail first: a_refusal_before_the_claim_is_not_told_as_not_run (left not-run, right unknown).

--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Semaphore, watch};
 
 use crate::answer::{self, AnswerPort};
+use crate::claim::refused_before_claim;
 use crate::pipeline::{self, Pipeline};
 
 /// When to ask again while as many requests as allowed are in work.
@@ -67,7 +68,8 @@
 
     let permit = Arc::clone(&side.free).try_acquire_owned().map_err(|_| {
         let detail = format!("{} requests are in work", limits.requests);
-        with_id(Refusal::not_run(Reason::QueueFull, detail).come_back_in(FULL_WAIT))
+        let refusal = Refusal::not_run(Reason::QueueFull, detail).come_back_in(FULL_WAIT);
+        with_id(refused_before_claim(&asked, refusal))
     })?;
     let repeatable = asked.repeatable;
     let (port, head) = AnswerPort::new(asked.id.clone());
--- a/daemon/src/claim.rs
+++ b/daemon/src/claim.rs
@@ -6,9 +6,24 @@
 
 use crate::pipeline::{Pipeline, SOON};
 
+/// Whether another VM may have the same request under the same id, which must run once.
+fn is_shared(req: &CallerRequest) -> bool {
+    !req.repeatable && req.own_id
+}
+
+/// A refusal given before the id was claimed: this VM can't know whether another submission runs
+/// elsewhere, so "not run" can't be told of an id that the caller may have sent there too.
+pub(crate) fn refused_before_claim(req: &CallerRequest, refusal: Refusal) -> Refusal {
+    if !is_shared(req) || refusal.outcome != Outcome::NotRun {
+        return refusal;
+    }
+    let detail = format!("{}; this submission ran nothing and may be sent again", refusal.detail);
+    Refusal { outcome: Outcome::Unknown, detail, ..refusal }
+}
+
 /// A request that may not be repeated under a caller's id is claimed before anything runs.
 pub(crate) fn claim_id(shared: &Pipeline, req: &CallerRequest) -> Result<Option<Claim>, Refusal> {
-    if req.repeatable || !req.own_id {
+    if !is_shared(req) {
         return Ok(None);
     }
     let claimed = platform::claim(&shared.store, &req.id, &shared.cfg.vm, shared.incarnation);
--- a/daemon/src/pipeline.rs
+++ b/daemon/src/pipeline.rs
@@ -20,7 +20,7 @@
 
 use crate::answer::AnswerPort;
 use crate::ask::{BeginAsk, Begun, EndedCall, Message, SlotAsk};
-use crate::claim::{claim_id, close};
+use crate::claim::{claim_id, close, refused_before_claim};
 use crate::runtime::{Desk, Gone};
 use crate::waiting::Granted;
 
@@ -63,10 +63,13 @@
     let begun = match shared.desk.ask(|reply| Message::Begin(ask.clone(), reply)) {
         Ok(Ok(begun)) => begun,
         Ok(Err(refusal)) => {
+            let refusal = refused_before_claim(req, refusal);
             note_end(shared, req, refusal.outcome, Some(refusal.reason));
             return port.refuse(Vec::new(), &refusal);
         }
-        Err(Gone) => return port.refuse(Vec::new(), &stopping()),
+        Err(Gone) => {
+            return port.refuse(Vec::new(), &refused_before_claim(req, stopping()));
+        }
     };
     let claim = match claim_id(shared, req) {
         Ok(claim) => claim,
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -168,3 +168,29 @@
     assert_eq!(reply.outcome, "whole", "{reply:?}");
     assert!(began.elapsed() < Duration::from_millis(1400), "{:?}", began.elapsed());
 }
+
+/// A VM that refuses before it has claimed the id can't know whether another VM runs it.
+#[test]
+fn a_refusal_before_the_claim_is_not_told_as_not_run() {
+    let mut fleet = usual_fleet(1);
+    fleet.start_vm("hall-a", "limits: {requests: 1}\n");
+    slow_targets(&fleet, 1500);
+    let full = fleet.vms[1].callers;
+    let occupies = thread::spawn(move || ask("hold", 5000).repeatable().send(full));
+    wait_until("the VM is full", || fleet.records().len() == 1);
+    let to = fleet.vms[0].callers;
+    let runs = thread::spawn(move || ask("hold", 5000).once("elsewhere").send(to));
+    wait_until("the other VM runs it", || runs_of(&fleet, "elsewhere") == 1);
+
+    let refused = ask("hold", 5000).once("elsewhere").send(full).expect("an answer");
+    let no_id = ask("hold", 5000).send(full).expect("an answer");
+
+    assert_eq!(
+        (refused.outcome.as_str(), &refused.body["reason"]),
+        ("unknown", &json!("queue-full"))
+    );
+    assert!(refused.body["retry_after_ms"].is_u64());
+    assert_eq!(no_id.outcome, "not-run");
+    assert_eq!(runs.join().expect("sender").expect("an answer").outcome, "whole");
+    assert!(occupies.join().expect("sender").is_some());
+}
