--- a/components/platform/src/head.rs
+++ b/components/platform/src/head.rs
@@ -47,7 +47,11 @@
     }
 }
 
-pub(crate) fn decode_head(entry: &Entry) -> Result<Head> {
+/// The head that an entry under its key holds.
+///
+/// # Errors
+/// `StoreOut` if it holds something else.
+pub fn decode_head(entry: &Entry) -> Result<Head> {
     serde_json::from_slice(&entry.value)
         .map_err(|e| Error::StoreOut(format!("{HEAD_KEY} holds no head: {e}")))
 }
--- a/components/platform/src/lib.rs
+++ b/components/platform/src/lib.rs
@@ -6,7 +6,9 @@
 mod store;
 
 pub use claims::{Claim, ClaimState, claim, close_claim, read_claim};
-pub use head::{Head, MAX_RECENT, catalogue_at, publish, read_head, settle, snapshot_key};
+pub use head::{
+    Head, MAX_RECENT, catalogue_at, decode_head, publish, read_head, settle, snapshot_key,
+};
 pub use lease::{Held, hold};
 pub use store::{Entry, ListedVm, Store, VmState, Write};
 
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -311,11 +311,6 @@
         }
     }
 
-    /// Names of the targets that are leaving.
-    pub fn leaving(&self) -> impl Iterator<Item = &TargetName> {
-        self.targets.values().filter(|t| t.leaving).map(|t| &t.name)
-    }
-
     /// Sets the VMs that share the targets' slots, this one included.
     pub fn set_sharers(&mut self, mut sharers: Vec<Sharer>) {
         sharers.sort();
@@ -346,11 +341,6 @@
         self.targets.values().filter(|t| t.in_flight > 0).map(|t| (&t.name, t.in_flight))
     }
 
-    /// Names of all targets.
-    pub fn target_names(&self) -> impl Iterator<Item = &TargetName> {
-        self.by_name.keys()
-    }
-
     /// Requests that wait for a slot.
     pub fn waiting(&self) -> usize {
         self.lanes.values().map(Lane::len).sum()
--- a/components/target_calls/src/call.rs
+++ b/components/target_calls/src/call.rs
@@ -5,7 +5,6 @@
 
 use ids::{AttemptId, Priority, StageName};
 use serde::Deserialize;
-use serde_json::Value;
 use ureq::http::Response;
 use ureq::unversioned::resolver::DefaultResolver;
 use ureq::unversioned::transport::{Connector, TcpConnector};
@@ -244,11 +243,3 @@
     }
     Ok(PlainAnswer { output: body.output.get().as_bytes().to_vec(), cost: body.cost })
 }
-
-/// Output of a stage as JSON, for callers that want it parsed.
-impl PlainAnswer {
-    /// The output as a value; `null` if it is no JSON, which [`Caller::call`] excludes.
-    pub fn value(&self) -> Value {
-        serde_json::from_slice(&self.output).unwrap_or_default()
-    }
-}
--- a/daemon/src/platform_reader.rs
+++ b/daemon/src/platform_reader.rs
@@ -9,7 +9,7 @@
 
 use errors::Result;
 use ids::Revision;
-use platform::{HEAD_KEY, Store, catalogue_at, read_head};
+use platform::{HEAD_KEY, Store, catalogue_at, decode_head};
 use rand::RngExt;
 use slog::{Logger, info, warn};
 use telemetry::Metrics;
@@ -115,13 +115,13 @@
         if entry.version == *seen {
             return Ok(Some(()));
         }
-        let (head, version) = read_head(&self.store)?;
+        let head = decode_head(&entry)?;
         if head.revision > in_force {
             let catalogue = catalogue_at(&self.store, &head)?;
             let offered = InForce { revision: head.revision, catalogue, source: Source::Store };
             self.desk.tell(Message::Offer(Box::new(offered)));
         }
-        *seen = version;
+        *seen = entry.version;
         Ok(Some(()))
     }
 
--- a/load/src/fleet.rs
+++ b/load/src/fleet.rs
@@ -19,11 +19,8 @@
     let mut fleet = Fleet::start(layout.pools);
     let applied = fleet.apply(&catalogue(&fleet, layout));
     assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
-    let settings = format!(
-        "policy: {}\nlimits: {{requests: 4096, notice_ms: 200}}\nlog: warning\n",
-        layout.policy
-    );
-    let settings = settings.replace("log: warning\n", "");
+    let settings =
+        format!("policy: {}\nlimits: {{requests: 4096, notice_ms: 200}}\n", layout.policy);
     for index in 0..layout.vms {
         fleet.start_vm_unready(layout.halls[index % layout.halls.len()], &settings);
     }
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -15,7 +15,7 @@
 use ids::Revision;
 use platform::{Store, catalogue_at, publish, read_head};
 use serde_json::json;
-use support::{Fleet, SERVICES, ask, usual_fleet, usual_pools, wait_until};
+use support::{EndsLoad, Fleet, SERVICES, ask, usual_fleet, usual_pools, wait_until};
 use todc_utils::linearizability::WGLChecker;
 use todc_utils::linearizability::history::Action::{Call, Response};
 use todc_utils::linearizability::history::History;
@@ -186,13 +186,13 @@
                 }
             });
         }
+        let _ends = EndsLoad(&over);
         for number in 0..10 {
             let label = format!("round=r{number}");
             let changed = fleet.tool(&["label", "target/plain-1", &label, "--wait"]);
             let told = String::from_utf8_lossy(&changed.stderr).into_owned();
             assert!(changed.status.success(), "not everywhere within 5 s: {told}");
         }
-        over.store(true, Ordering::Relaxed);
     });
 
     // Over a restart with the store out, the VM takes what its peers have.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use support::{Fleet, ask, get_json, put_json, usual_fleet, wait_until};
+use support::{EndsLoad, Fleet, ask, get_json, put_json, usual_fleet, wait_until};
 
 /// Time within which the last new call must have come (aim: 3 s).
 const FEW_SECONDS: Duration = Duration::from_secs(3);
@@ -31,8 +31,8 @@
                 }
             });
         }
+        let _ends = EndsLoad(&over);
         during();
-        over.store(true, Ordering::Relaxed);
     });
 }
 
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use support::{Ask, Fleet, Reply, agent, ask, usual_fleet, wait_until};
+use support::{Ask, EndsLoad, Fleet, Reply, agent, ask, usual_fleet, wait_until};
 
 /// A balancer: asks each VM for its readiness and sends a request to one that is ready; a
 /// connection that is refused goes to the next.
@@ -97,8 +97,8 @@
                 }
             });
         }
+        let _ends = EndsLoad(&over);
         during();
-        over.store(true, Ordering::Relaxed);
     });
     answered.into_inner()
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -5,9 +5,20 @@
 
 pub mod forwarder;
 
+use std::sync::atomic::{AtomicBool, Ordering};
+
 pub use standins::callers::{Ask, Reply, ask};
 pub use standins::fleet::{Fleet, LONG, Pool, agent, get_json, put_json, wait_until};
 
+/// Ends a test's background threads when dropped, also when the test fails before its end.
+pub struct EndsLoad<'a>(pub &'a AtomicBool);
+
+impl Drop for EndsLoad<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 /// A service of two plain stages and one of four with a stream at the end.
 pub const SERVICES: &str = "\
 service: {name: hold, priority: interactive, stages: [{name: place, select: {all: {pool: plain}}}]}
