Hand back every piece of a call, not just the first of a submission

Cause: the way back of a submission was dropped when its first finished piece was handed on, since the pool had counted all of the call's pieces by then; results stayed unused and filled the makers. Ruled out: releases to the makers (they arrive) and the makers' own room accounting. Change: ways back are dropped after all pieces of the call were handed on.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -75,6 +75,8 @@
     pub target: Target,
     /// The pieces in it: submission and number.
     pub pieces: Vec<(JobKey, u32)>,
+    /// Room that its results and earlier ones take at the target, in bytes, for the log.
+    pub room_used: u64,
     /// After this time it is given up.
     pub patience: Duration,
 }
@@ -402,13 +404,14 @@
         let maker = &mut self.makers[key];
         maker.at_work += 1;
         maker.room_used += bytes;
-        let target = maker.target.clone();
+        let (target, room_used) = (maker.target.clone(), maker.room_used);
         let members = pieces.iter().map(|waiting| (waiting.job, waiting.piece)).collect();
         let call = UnderWay { maker: key, pieces, began: now, expected, bytes };
         Call {
             key: self.calls.insert(call),
             target,
             pieces: members,
+            room_used,
             patience: expected.mul_f64(PATIENCE) + PATIENCE_EXTRA,
         }
     }
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -1,10 +1,11 @@
 //! Pieces of stages: handed to the VM that fills the pool's calls, made there, and handed back.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use batching::{Call, CallEnd, Finished, JobKey, Made, Submission};
-use doors::calls::{Evidence, OwnCall, PieceCall};
+use doors::calls::{Evidence, OwnCall, PieceAnswer, PieceCall};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
 use ids::{RequestId, ServiceName};
@@ -142,8 +143,12 @@
             let call = (app.doors.calls.release)(&target.id, &handles);
             let sent = tokio::time::timeout(RELEASE_WAIT, own_call(&app, &target, call)).await;
             if !matches!(sent, Ok(Ok(_))) {
-                debug!(app.log, "results not given up"; "target" => %target.id,
-                    "results" => handles.len());
+                let why = match sent {
+                    Ok(Err(miss)) => format!("{miss:?}"),
+                    _ => "no answer in time".to_owned(),
+                };
+                info!(app.log, "results not given up"; "target" => %target.id,
+                    "results" => handles.len(), "why" => why);
             }
         });
     }
@@ -192,8 +197,10 @@
         CallEnd::Full
     };
     let name = end_name(&end);
+    let made = made_in(&end);
     info!(app.log, "pool call"; "pool" => %pool, "target" => %call.target.id,
-        "pieces" => call.pieces.len(), "end" => name, "took_ms" => (now() - began).as_millis());
+        "pieces" => call.pieces.len(), "made" => made, "end" => name,
+        "room_used" => call.room_used, "took_ms" => (now() - began).as_millis());
     app.metrics.attempt_ended(pool.as_str(), call.target.id.as_str(), name);
     if end == CallEnd::TargetGone {
         app.hub.with(|shared, _| shared.target_replaced(&call.target));
@@ -226,6 +233,7 @@
 }
 
 /// Why a call of this system's own brought no answer.
+#[derive(Debug)]
 enum OwnCallMiss {
     Declined,
     OtherTarget,
@@ -284,6 +292,11 @@
     }
 }
 
+fn made_in(end: &CallEnd) -> usize {
+    let CallEnd::Answered(answers) = end else { return 0 };
+    answers.iter().filter(|answer| matches!(answer, PieceAnswer::Made(_))).count()
+}
+
 fn end_name(end: &CallEnd) -> &'static str {
     match end {
         CallEnd::Answered(_) => "answered",
@@ -295,24 +308,24 @@
 
 /// Hands finished pieces to those who wait for them.
 fn hand_back(app: &App, pool: &ServiceName, finished: Vec<Finished>) {
-    let live = |job: JobKey| {
-        app.hub.with(|shared, _| shared.pools.get(pool)?.submission(job).map(|_| ())).is_some()
-    };
+    let mut sinks = app.sinks.borrow_mut();
+    let jobs: BTreeSet<JobKey> = finished.iter().map(|finished| finished.job).collect();
     for Finished { job, piece, made } in finished {
-        let key = (pool.clone(), job);
-        let mut sinks = app.sinks.borrow_mut();
-        match sinks.get(&key) {
+        match sinks.get(&(pool.clone(), job)) {
             // A request that is gone cancels its submission by itself.
             Some(Sink::Here(tx, stage)) => {
                 drop(tx.send(PieceNews::Done { stage: *stage, piece, made }));
             }
             Some(Sink::Peer(tx, number)) => links::send_done(tx, *number, piece, made),
-            None => continue,
-        }
-        if !live(job) {
-            sinks.remove(&key);
+            None => {}
         }
     }
+    app.hub.with(|shared, _| {
+        let done = |job: &JobKey| shared.pools.get(pool).is_none_or(|p| p.submission(*job).is_none());
+        for job in jobs.into_iter().filter(done) {
+            sinks.remove(&(pool.clone(), job));
+        }
+    });
 }
 
 /// Time left until `at`.
