Refuse at once what is not expected to be in time

Cause: under a burst every chain of stages became late, its results filled the makers and were made again. Change: the VM that fills a pool's calls tells a forecast and a rate; a request whose longest way through the stages is expected to miss its aim is refused on arrival, with a time to come back.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -28,6 +28,10 @@
 const NEAR_WAIT: f64 = 0.4;
 /// Weight of a new piece's time in the learned turn.
 const TURN_WEIGHT: f64 = 0.1;
+/// Weight of a new call in the learned number of pieces.
+const PIECES_WEIGHT: f64 = 0.2;
+/// With a part of the makers busy, the wait for a free one grows with this power of the part.
+const NEXT_FREE_POWER: i32 = 2;
 /// Figures of a pool are taken to be no less than this, so that no division is by nothing.
 const LEAST_TIME: Duration = Duration::from_millis(1);
 
@@ -153,6 +157,8 @@
     waiting: Vec<Waiting>,
     results: Results,
     orphans: Vec<String>,
+    /// Pieces in a call, as last seen.
+    usual_pieces: f64,
     turn: Duration,
 }
 
@@ -169,6 +175,7 @@
             waiting: Vec::new(),
             results: Results::default(),
             orphans: Vec::new(),
+            usual_pieces: 1.0,
             turn: spec.call + spec.piece,
         }
     }
@@ -287,20 +294,34 @@
         }
     }
 
+    /// Pieces that the pool makes in a second with full calls, as far as its makers' room allows.
+    pub fn rate(&self, now: Instant) -> f64 {
+        let able = self.makers.values().filter(|m| m.may_work(u32::MAX, now)).count();
+        let largest = self.jobs.values().map(|job| job.submission.result_bytes).max().unwrap_or(0);
+        // Half of the room holds results that wait to be used.
+        let by_room = (self.spec.room_bytes / 2).checked_div(largest);
+        let by_room = by_room.map_or(usize::MAX, |count| usize::try_from(count).unwrap_or(1));
+        let full = self.spec.batch.min(by_room).max(1) as f64;
+        let time = self.spec.call.as_secs_f64() + full * self.spec.piece.as_secs_f64();
+        able as f64 * f64::from(self.spec.at_once.max(1)) * full / time.max(LEAST_TIME.as_secs_f64())
+    }
+
+    /// Expected time from handing in a piece to its result: what waits, half of what is at work,
+    /// and its own call.
+    pub fn forecast(&self, now: Instant) -> Duration {
+        let wait = self.waiting.len() as f64 / self.rate(now).max(1.0);
+        let busy = self.makers.values().filter(|maker| maker.at_work > 0).count() as f64;
+        let of_all = busy / self.makers.len().max(1) as f64;
+        let next_free = self.spec.call.mul_f64(of_all.powi(NEXT_FREE_POWER) / 2.0);
+        let own = self.spec.call + self.spec.piece.mul_f64(self.usual_pieces);
+        Duration::from_secs_f64(wait) + next_free + own
+    }
+
     /// Time from handing in a piece to its result, as last seen.
     pub fn turn(&self) -> Duration {
         self.turn
     }
 
-    /// Time that the pool needs for what waits, with all its makers and full calls.
-    pub fn backlog(&self, now: Instant) -> Duration {
-        let able = self.makers.values().filter(|m| m.may_work(u32::MAX, now)).count().max(1);
-        let calls = self.waiting.len().div_ceil(self.spec.batch);
-        let work = self.spec.call * u32::try_from(calls).unwrap_or(u32::MAX)
-            + self.spec.piece * u32::try_from(self.waiting.len()).unwrap_or(u32::MAX);
-        work / u32::try_from(able).unwrap_or(1)
-    }
-
     fn drop_maker(&mut self, id: &TargetName, key: MakerKey) {
         self.by_id.remove(id);
         self.makers.remove(key);
@@ -401,6 +422,7 @@
         let bytes = pieces.iter().map(bytes_of).sum();
         let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
         let expected = (self.spec.call + self.spec.piece * count).max(LEAST_TIME);
+        self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
         let maker = &mut self.makers[key];
         maker.at_work += 1;
         maker.room_used += bytes;
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -9,7 +9,7 @@
 use ids::VmName;
 
 /// Pause between two heartbeats on a link.
-pub(crate) const BEAT: Duration = Duration::from_millis(300);
+pub(crate) const BEAT: Duration = Duration::from_millis(200);
 /// A peer that said nothing for this long gets no work: two heartbeats may be late.
 pub(crate) const SILENCE: Duration = Duration::from_millis(1000);
 /// A peer counts in the size of the fleet for this long after its last word, since it may have
@@ -17,10 +17,14 @@
 const REMEMBERED: Duration = Duration::from_secs(20);
 
 /// What a peer told of a pool whose calls it fills.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(crate) struct PoolLoad {
-    pub(crate) turn: Duration,
-    pub(crate) backlog: Duration,
+    /// Expected time from handing in a piece to its result.
+    pub(crate) forecast: Duration,
+    /// Pieces that the pool can make in a second.
+    pub(crate) rate: f64,
+    /// When this was heard.
+    pub(crate) at: Instant,
 }
 
 /// A peer.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The serving path: callers, stages, targets, peers and the store, as tasks of one thread around
 //! one actor that holds what they share.
 
+mod admission;
 mod answers;
 mod app;
 mod callers;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -306,11 +306,11 @@
         pools: shared
             .pools
             .iter()
-            .filter(|(_, pool)| !pool.is_idle())
+            .filter(|(name, _)| shared.owner_of(name, now).is_none())
             .map(|(name, pool)| PoolLoad {
                 pool: name.to_string(),
-                turn_ms: millis(pool.turn()),
-                backlog_ms: millis(pool.backlog(now)),
+                forecast_ms: millis(pool.forecast(now)),
+                rate: pool.rate(now) as f32,
             })
             .collect(),
     })
@@ -347,12 +347,11 @@
         .iter()
         .filter_map(|load| Some((TargetName::new(&load.target).ok()?, load.calls, load.tokens)))
         .collect();
-    let pools = beat.pools.iter().map(|pool| {
-        let turn = Duration::from_millis(u64::from(pool.turn_ms));
-        let backlog = Duration::from_millis(u64::from(pool.backlog_ms));
-        (pool.pool.clone(), fleet::PoolLoad { turn, backlog })
-    });
     app.hub.with(|shared, now| {
+        let pools = beat.pools.iter().map(|pool| {
+            let forecast = Duration::from_millis(u64::from(pool.forecast_ms));
+            (pool.pool.clone(), fleet::PoolLoad { forecast, rate: f64::from(pool.rate), at: now })
+        });
         shared.targets.peer_load(peer_number(vm), &loads, now);
         let peer = shared.fleet.peers.get_mut(vm)?;
         peer.draining = beat.draining;
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -101,7 +101,7 @@
                     "pool": name.as_str(),
                     "filled_by": owner.map_or("this VM".to_owned(), |vm| vm.to_string()),
                     "turn_ms": pool.turn().as_millis() as u64,
-                    "backlog_ms": pool.backlog(now).as_millis() as u64,
+                    "forecast_ms": pool.forecast(now).as_millis() as u64,
                 })
             })
             .collect();
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -13,6 +13,7 @@
 use stakker::CX;
 use store_view::{Change, Item, View};
 
+use crate::admission::Admission;
 use crate::fleet::Fleet;
 use crate::settings::{Policy, Settings};
 
@@ -51,6 +52,7 @@
     rules: RepeatRules,
     budgets: HashMap<ServiceName, RepeatBudget>,
     first_events: HashMap<ServiceName, Duration>,
+    pub(crate) admission: Admission,
     /// Targets whose entries lapsed around an outage, and when they are taken as gone.
     lapsed: HashMap<TargetName, Instant>,
 }
@@ -82,6 +84,7 @@
             },
             budgets: HashMap::new(),
             first_events: HashMap::new(),
+            admission: Admission::default(),
             lapsed: HashMap::new(),
         }
     }
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -17,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
+use crate::admission;
 use crate::answers::{AnswerBody, Cut, refusal, whole};
 use crate::app::App;
 use crate::events::{Event, Splitter};
@@ -107,6 +108,7 @@
 /// Runs the stages and tries targets until the first event is here.
 async fn begin(app: &Rc<App>, req: &Rc<Accepted>) -> Result<Begun, Refusal> {
     let until = useful_until(req);
+    admission::admit(app, req)?;
     let mut tries = Tries::new(app, req);
     let mut results = run_stages(app, req, until).await?;
     loop {
