Forecast what is on its way to a pool, and what drains meanwhile

Cause: a forecast from what waits now overrates later stages, whose queue drains until then, and does not see pieces of admitted requests that are still in earlier stages. Ruled out: a longer memory of past turns (lags a burst by its length). Change: VMs tell the pieces on their way; a stage's forecast counts them and what drains before it begins.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -26,8 +26,6 @@
 const PATIENCE_EXTRA: Duration = Duration::from_millis(250);
 /// Part of a call's time that a piece waits for a maker in the hall of its inputs.
 const NEAR_WAIT: f64 = 0.4;
-/// Weight of a new piece's time in the learned turn.
-const TURN_WEIGHT: f64 = 0.1;
 /// Weight of a new call in the learned number of pieces.
 const PIECES_WEIGHT: f64 = 0.2;
 /// With a part of the makers busy, the wait for a free one grows with this power of the part.
@@ -159,7 +157,6 @@
     orphans: Vec<String>,
     /// Pieces in a call, as last seen.
     usual_pieces: f64,
-    turn: Duration,
 }
 
 impl Pool {
@@ -176,7 +173,6 @@
             results: Results::default(),
             orphans: Vec::new(),
             usual_pieces: 1.0,
-            turn: spec.call + spec.piece,
         }
     }
 
@@ -306,20 +302,21 @@
         able as f64 * f64::from(self.spec.at_once.max(1)) * full / time.max(LEAST_TIME.as_secs_f64())
     }
 
-    /// Expected time from handing in a piece to its result: what waits, half of what is at work,
-    /// and its own call.
-    pub fn forecast(&self, now: Instant) -> Duration {
-        let wait = self.waiting.len() as f64 / self.rate(now).max(1.0);
+    /// Expected time from handing a piece to a pool with no queue to its result: half of what is
+    /// at work, and its own call.
+    pub fn turn(&self) -> Duration {
         let busy = self.makers.values().filter(|maker| maker.at_work > 0).count() as f64;
         let of_all = busy / self.makers.len().max(1) as f64;
         let next_free = self.spec.call.mul_f64(of_all.powi(NEXT_FREE_POWER) / 2.0);
-        let own = self.spec.call + self.spec.piece.mul_f64(self.usual_pieces);
-        Duration::from_secs_f64(wait) + next_free + own
+        next_free + self.spec.call + self.spec.piece.mul_f64(self.usual_pieces)
     }
 
-    /// Time from handing in a piece to its result, as last seen.
-    pub fn turn(&self) -> Duration {
-        self.turn
+    /// Pieces that wait and can still be in time.
+    pub fn queue(&self, now: Instant) -> usize {
+        let in_time = |waiting: &&Waiting| {
+            self.jobs.get(waiting.job).is_some_and(|j| j.submission.due > now + self.spec.call)
+        };
+        self.waiting.iter().filter(in_time).count()
     }
 
     fn drop_maker(&mut self, id: &TargetName, key: MakerKey) {
@@ -459,7 +456,7 @@
                     continue;
                 }
             };
-            finished.extend(self.finish(waiting, made, now));
+            finished.extend(self.finish(waiting, made));
         }
         finished
     }
@@ -476,11 +473,9 @@
         }
     }
 
-    fn finish(&mut self, waiting: &Waiting, made: Made, now: Instant) -> Option<Finished> {
+    fn finish(&mut self, waiting: &Waiting, made: Made) -> Option<Finished> {
         let job = self.jobs.get_mut(waiting.job)?;
         job.left -= 1;
-        let took = now.saturating_duration_since(job.since);
-        self.turn = self.turn.mul_f64(1.0 - TURN_WEIGHT) + took.mul_f64(TURN_WEIGHT);
         let finished = Finished { job: waiting.job, piece: waiting.piece, made };
         if job.left == 0 {
             self.jobs.remove(waiting.job);
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -2,6 +2,7 @@
 //! time to come back at which it probably will be.
 
 use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use doors::callers::Refusal;
@@ -9,6 +10,7 @@
 use slog::info;
 
 use crate::app::App;
+use crate::fleet;
 use crate::requests::Accepted;
 use crate::shared::Shared;
 
@@ -23,39 +25,97 @@
 /// A forecast older than this says nothing.
 const FORECAST_LIFE: Duration = Duration::from_millis(1200);
 
-/// Pieces that this VM admitted since it last heard from the VMs that fill the calls.
+/// Pieces of requests that this VM admitted.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
-    admitted: HashMap<ServiceName, (Instant, f64)>,
+    /// Not handed in yet, since earlier stages are not done.
+    coming: HashMap<ServiceName, u32>,
+    /// Admitted since this VM last heard from those who fill the calls, and when.
+    unheard: HashMap<ServiceName, (Instant, f64)>,
+}
+
+impl Admission {
+    /// Pieces on their way, by pool.
+    pub(crate) fn coming(&self) -> impl Iterator<Item = (&ServiceName, u32)> {
+        self.coming.iter().filter(|(_, pieces)| **pieces > 0).map(|(pool, pieces)| (pool, *pieces))
+    }
+
+    /// Pieces on their way to a pool.
+    pub(crate) fn coming_to(&self, pool: &ServiceName) -> f64 {
+        self.coming.get(pool).copied().map_or(0.0, f64::from)
+    }
+}
+
+/// Pieces of an admitted request that are on their way; dropped, they are no more.
+pub(crate) struct OnTheirWay {
+    app: Rc<App>,
+    by_stage: Vec<(ServiceName, u32)>,
+}
+
+impl OnTheirWay {
+    /// The pieces of a stage were handed in.
+    pub(crate) fn handed_in(&mut self, stage: usize) {
+        if let Some((pool, pieces)) = self.by_stage.get_mut(stage) {
+            let pieces = std::mem::take(pieces);
+            let pool = pool.clone();
+            self.app.hub.with(|shared, _| shared.admission.arrived(&pool, pieces));
+        }
+    }
+}
+
+impl Drop for OnTheirWay {
+    fn drop(&mut self) {
+        for stage in 0..self.by_stage.len() {
+            self.handed_in(stage);
+        }
+    }
+}
+
+impl Admission {
+    fn arrived(&mut self, pool: &ServiceName, pieces: u32) {
+        if let Some(coming) = self.coming.get_mut(pool) {
+            *coming = coming.saturating_sub(pieces);
+        }
+    }
 }
 
 /// What is expected of a pool.
 #[derive(Debug, Clone, Copy)]
 struct Forecast {
-    time: Duration,
+    turn: Duration,
+    queue: f64,
     rate: f64,
     at: Instant,
 }
 
+impl Forecast {
+    /// Time of a piece that is handed in after `begin`: what is queued now has drained since.
+    fn time(&self, begin: Duration) -> Duration {
+        let drain = Duration::from_secs_f64(self.queue / self.rate.max(1.0));
+        drain.saturating_sub(begin) + self.turn
+    }
+}
+
 /// Refuses a request that is not expected to be in time.
 ///
 /// # Errors
 /// The refusal, with the time to come back.
-pub(crate) fn admit(app: &App, req: &Accepted) -> Result<(), Refusal> {
+pub(crate) fn admit(app: &Rc<App>, req: &Accepted) -> Result<OnTheirWay, Refusal> {
+    let mut way = OnTheirWay { app: Rc::clone(app), by_stage: Vec::new() };
     let pieces: u32 = req.head.pieces.iter().sum();
     if req.entry.stages.is_empty() || pieces == 0 {
-        return Ok(());
+        return Ok(way);
     }
     let (expected, allowed) = app.hub.with(|shared, now| {
         let expected = expected_time(shared, req, now);
         let allowed = req.entry.aim.mul_f64(ADMITTED_PART - PART_BY_RANK * rank(req));
         if expected <= allowed {
-            note(shared, req, now);
+            way.by_stage = note(shared, req, now);
         }
         (expected, allowed)
     });
     if expected <= allowed {
-        return Ok(());
+        return Ok(way);
     }
     let spread = req.entry.aim.mul_f64(SPREAD_PART * rand::random::<f64>());
     let come_back = (expected - allowed).max(LEAST_WAIT) + spread;
@@ -79,7 +139,11 @@
         let pieces = req.head.pieces.get(index).copied().unwrap_or(0);
         let begin = stage.needs.iter().filter_map(|need| done.get(*need)).max().copied();
         let begin = begin.unwrap_or(Duration::ZERO);
-        let own = if pieces == 0 { Duration::ZERO } else { pool_time(shared, req, stage, now) };
+        let own = if pieces == 0 {
+            Duration::ZERO
+        } else {
+            pool_time(shared, req, &stage.pool, begin, now)
+        };
         done.push(begin + own);
     }
     let longest = done.into_iter().max().unwrap_or(Duration::ZERO);
@@ -89,42 +153,49 @@
 fn pool_time(
     shared: &Shared,
     req: &Accepted,
-    stage: &intent::EntryStage,
+    pool: &ServiceName,
+    begin: Duration,
     now: Instant,
 ) -> Duration {
-    let Some(forecast) = forecast(shared, &stage.pool, now) else {
-        return req.intent.pool(&stage.pool).map_or(Duration::ZERO, |pool| pool.call + pool.piece);
+    let Some(mut forecast) = forecast(shared, pool, now) else {
+        return req.intent.pool(pool).map_or(Duration::ZERO, |pool| pool.call + pool.piece);
     };
     // Other VMs admit about as much as this one until they hear of each other's pieces.
-    let since = shared.admission.admitted.get(&stage.pool).filter(|(at, _)| *at >= forecast.at);
-    let unheard = since.map_or(0.0, |(_, pieces)| *pieces) * shared.fleet.size() as f64;
-    forecast.time + Duration::from_secs_f64(unheard / forecast.rate.max(1.0))
+    let since = shared.admission.unheard.get(pool).filter(|(at, _)| *at >= forecast.at);
+    forecast.queue += since.map_or(0.0, |(_, pieces)| *pieces) * shared.fleet.size() as f64;
+    forecast.time(begin)
 }
 
 /// What the VM that fills a pool's calls expects.
-fn forecast(shared: &Shared, pool: &ServiceName, now: Instant) -> Option<Forecast> {
-    match shared.owner_of(pool, now) {
+fn forecast(shared: &Shared, name: &ServiceName, now: Instant) -> Option<Forecast> {
+    match shared.owner_of(name, now) {
         None => {
-            let pool = shared.pools.get(pool)?;
-            Some(Forecast { time: pool.forecast(now), rate: pool.rate(now), at: now })
+            let pool = shared.pools.get(name)?;
+            let queue = shared.queue_of(name, pool, now);
+            Some(Forecast { turn: pool.turn(), queue, rate: pool.rate(now), at: now })
         }
         Some(vm) => {
-            let load = shared.fleet.peers.get(&vm)?.pools.get(pool.as_str())?;
+            let load = shared.fleet.peers.get(&vm)?.pools.get(name.as_str())?;
             let fresh = now.saturating_duration_since(load.at) < FORECAST_LIFE;
-            fresh.then_some(Forecast { time: load.forecast, rate: load.rate, at: load.at })
+            let fleet::PoolLoad { turn, queue, rate, at } = *load;
+            fresh.then_some(Forecast { turn, queue, rate, at })
         }
     }
 }
 
-/// Counts the pieces of a request that was admitted.
-fn note(shared: &mut Shared, req: &Accepted, now: Instant) {
+/// Counts the pieces of a request that was admitted; gives them by stage.
+fn note(shared: &mut Shared, req: &Accepted, now: Instant) -> Vec<(ServiceName, u32)> {
+    let mut by_stage = Vec::with_capacity(req.entry.stages.len());
     for (index, stage) in req.entry.stages.iter().enumerate() {
-        let pieces = f64::from(req.head.pieces.get(index).copied().unwrap_or(0));
+        let pieces = req.head.pieces.get(index).copied().unwrap_or(0);
         let heard = forecast(shared, &stage.pool, now).map_or(now, |forecast| forecast.at);
-        let counted = shared.admission.admitted.entry(stage.pool.clone()).or_insert((now, 0.0));
-        if counted.0 < heard {
-            counted.1 = 0.0;
+        let unheard = shared.admission.unheard.entry(stage.pool.clone()).or_insert((now, 0.0));
+        if unheard.0 < heard {
+            unheard.1 = 0.0;
         }
-        *counted = (now, counted.1 + pieces);
+        *unheard = (now, unheard.1 + f64::from(pieces));
+        *shared.admission.coming.entry(stage.pool.clone()).or_default() += pieces;
+        by_stage.push((stage.pool.clone(), pieces));
     }
+    by_stage
 }
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -19,8 +19,10 @@
 /// What a peer told of a pool whose calls it fills.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PoolLoad {
-    /// Expected time from handing in a piece to its result.
-    pub(crate) forecast: Duration,
+    /// Time from handing a piece to the pool with no queue to its result.
+    pub(crate) turn: Duration,
+    /// Pieces that wait or are on their way.
+    pub(crate) queue: f64,
     /// Pieces that the pool can make in a second.
     pub(crate) rate: f64,
     /// When this was heard.
@@ -36,7 +38,10 @@
     pub(crate) linked: bool,
     pub(crate) draining: bool,
     pub(crate) as_of: u64,
+    /// Pools whose calls it fills.
     pub(crate) pools: HashMap<String, PoolLoad>,
+    /// Pieces of its requests that are on their way to pools.
+    pub(crate) coming: HashMap<String, f64>,
 }
 
 /// All VMs.
@@ -57,6 +62,12 @@
         self.peers.len() + 1
     }
 
+    /// Pieces of peers' requests that are on their way to a pool.
+    pub(crate) fn coming(&self, pool: &str, now: Instant) -> f64 {
+        let fresh = |peer: &&PeerVm| now.saturating_duration_since(peer.heard) <= SILENCE;
+        self.peers.values().filter(fresh).filter_map(|peer| peer.coming.get(pool)).sum()
+    }
+
     /// Forgets peers that were silent for long.
     pub(crate) fn forget(&mut self, now: Instant) {
         self.peers.retain(|_, peer| {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
 use peering::work::{
-    Beat, Cancel, Done, Failure, FromDialer, FromOwner, Hello, News, PieceDone, PoolLoad, Release,
+    Beat, Cancel, Coming, Done, Failure, FromDialer, FromOwner, Hello, News, PieceDone, PoolLoad, Release,
     StoreItem, Submit, TargetLoad, from_dialer, from_owner,
 };
 use peering::{Work, WorkClient, WorkServer};
@@ -303,14 +303,20 @@
             .own_load()
             .map(|(id, calls, tokens)| TargetLoad { target: id.to_string(), calls, tokens })
             .collect(),
+        coming: shared
+            .admission
+            .coming()
+            .map(|(pool, pieces)| Coming { pool: pool.to_string(), pieces })
+            .collect(),
         pools: shared
             .pools
             .iter()
             .filter(|(name, _)| shared.owner_of(name, now).is_none())
             .map(|(name, pool)| PoolLoad {
                 pool: name.to_string(),
-                forecast_ms: millis(pool.forecast(now)),
+                turn_ms: millis(pool.turn()),
                 rate: pool.rate(now) as f32,
+                queue: shared.queue_of(name, pool, now) as u32,
             })
             .collect(),
     })
@@ -329,6 +335,7 @@
             draining: false,
             as_of: 0,
             pools: HashMap::new(),
+            coming: HashMap::new(),
         });
         peer.heard = now;
         peer.linked = linked;
@@ -349,14 +356,17 @@
         .collect();
     app.hub.with(|shared, now| {
         let pools = beat.pools.iter().map(|pool| {
-            let forecast = Duration::from_millis(u64::from(pool.forecast_ms));
-            (pool.pool.clone(), fleet::PoolLoad { forecast, rate: f64::from(pool.rate), at: now })
+            let turn = Duration::from_millis(u64::from(pool.turn_ms));
+            let (rate, queue) = (f64::from(pool.rate), f64::from(pool.queue));
+            (pool.pool.clone(), fleet::PoolLoad { turn, rate, queue, at: now })
         });
         shared.targets.peer_load(peer_number(vm), &loads, now);
         let peer = shared.fleet.peers.get_mut(vm)?;
         peer.draining = beat.draining;
         peer.as_of = beat.as_of;
         peer.pools = pools.collect();
+        let coming = beat.coming.iter();
+        peer.coming = coming.map(|c| (c.pool.clone(), f64::from(c.pieces))).collect();
         let has_more = shared.view.as_of() > beat.as_of;
         (beat.wants_news && has_more).then(|| news_since(shared, beat.as_of))
     })
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -101,7 +101,8 @@
                     "pool": name.as_str(),
                     "filled_by": owner.map_or("this VM".to_owned(), |vm| vm.to_string()),
                     "turn_ms": pool.turn().as_millis() as u64,
-                    "forecast_ms": pool.forecast(now).as_millis() as u64,
+                    "queue": pool.queue(now),
+                    "rate": pool.rate(now),
                 })
             })
             .collect();
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -243,6 +243,12 @@
         self.fleet.owner_of(pool.as_str(), self.draining.is_some(), now)
     }
 
+    /// Pieces that wait in a pool of this VM or are on their way to it from any VM.
+    pub(crate) fn queue_of(&self, name: &ServiceName, pool: &Pool, now: Instant) -> f64 {
+        let coming = self.fleet.coming(name.as_str(), now) + self.admission.coming_to(name);
+        pool.queue(now) as f64 + coming
+    }
+
     /// The hall in which most of the inputs lie.
     pub(crate) fn hall_of_inputs(&self, handles: &[String]) -> Option<HallName> {
         let mut counts: BTreeMap<&HallName, usize> = BTreeMap::new();
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout_at;
 
+use crate::admission::OnTheirWay;
 use crate::app::App;
 use crate::work::{self, HandedIn, PieceNews};
 
@@ -108,12 +109,22 @@
 }
 
 /// Makes all pieces of all stages of a request.
-pub(crate) async fn run(of: &StagesOf<'_>) -> Result<Results, StagesMiss> {
+pub(crate) async fn run(
+    of: &StagesOf<'_>,
+    mut way: Option<OnTheirWay>,
+) -> Result<Results, StagesMiss> {
     let pieces = pieces_of(of.entry, of.head);
     let mut runs: Vec<StageRun> = pieces.iter().map(|count| StageRun::new(*count)).collect();
     let (tx, mut rx) = unbounded_channel();
     hand_in_ready(of, &mut runs, &tx);
-    while !runs.iter().all(StageRun::is_done) {
+    loop {
+        if let Some(way) = &mut way {
+            let handed_in = (0..runs.len()).filter(|index| runs[*index].hand_ins > 0);
+            handed_in.for_each(|index| way.handed_in(index));
+        }
+        if runs.iter().all(StageRun::is_done) {
+            break;
+        }
         next_news(of, &mut runs, &tx, &mut rx).await?;
     }
     let last = of.entry.last_stages(&pieces);
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -17,7 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-use crate::admission;
+use crate::admission::{self, OnTheirWay};
 use crate::answers::{AnswerBody, Cut, refusal, whole};
 use crate::app::App;
 use crate::events::{Event, Splitter};
@@ -108,9 +108,9 @@
 /// Runs the stages and tries targets until the first event is here.
 async fn begin(app: &Rc<App>, req: &Rc<Accepted>) -> Result<Begun, Refusal> {
     let until = useful_until(req);
-    admission::admit(app, req)?;
+    let way = admission::admit(app, req)?;
     let mut tries = Tries::new(app, req);
-    let mut results = run_stages(app, req, until).await?;
+    let mut results = run_stages(app, req, until, Some(way)).await?;
     loop {
         let size = size_of(app, req, results.as_ref());
         let inputs = results.as_ref().map(Results::inputs).unwrap_or_default();
@@ -137,7 +137,7 @@
             return Err(if over { in_time(&tries) } else { tries.refusal() });
         }
         if missed == Missed::InputGone {
-            results = run_stages(app, req, until).await?;
+            results = run_stages(app, req, until, None).await?;
         }
     }
 }
@@ -163,6 +163,7 @@
     app: &Rc<App>,
     req: &Rc<Accepted>,
     until: Instant,
+    way: Option<OnTheirWay>,
 ) -> Result<Option<Results>, Refusal> {
     if req.entry.stages.is_empty() || req.head.pieces.iter().all(|count| *count == 0) {
         return Ok(None);
@@ -179,7 +180,7 @@
         due: (req.arrived + req.entry.aim).checked_sub(first_event).unwrap_or(req.arrived),
     };
     let began = now();
-    let results = stages::run(&of).await;
+    let results = stages::run(&of, way).await;
     info!(app.log, "stages ended"; "request" => %req.id, "entry" => &req.entry.name,
         "missed" => results.as_ref().err().map(|miss| format!("{miss:?}")),
         "took_ms" => (now() - began).as_millis(), "at_ms" => (now() - req.arrived).as_millis());
@@ -381,7 +382,7 @@
             let last = self.last.ok_or("no event has a number")?;
             info!(self.app.log, "stream taken up elsewhere"; "request" => %self.req.id,
                 "after" => last, "why" => why);
-            let stages = run_stages(&self.app, &self.req, self.req.until).await;
+            let stages = run_stages(&self.app, &self.req, self.req.until, None).await;
             let results = stages.map_err(|_| "its stages could not be made again")?;
             let inputs = results.as_ref().map(Results::inputs).unwrap_or_default();
             let sent = self.tries.send(Some(&self.size), &inputs, Some(last)).await;
