Keep prompts' shared parts at their home; queued tokens weigh less

Cause: shared parts were read again since a home with unread tokens in its queue was passed over. Ruled out: load (engines run a few requests of 64), peers' records (a home by hashing needs none).

--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -29,18 +29,22 @@
 const PACE_WEIGHT: f64 = 0.2;
 /// Cost of a call to another hall, in parts of a slot in use.
 const OTHER_HALL: f64 = 0.25;
-/// Prompt tokens that cost as much as one request at work beside them; weighs reading a prompt
-/// anew against a more loaded target. From the engines' published shape: a request at work slows
-/// each step by a few hundredths, a thousand tokens take several steps.
-const TOKENS_PER_REQUEST: f64 = 400.0;
+/// Prompt tokens to which a request at work is equal: it slows each step by a few hundredths, which
+/// over an answer is the time in which so many tokens are read.
+const TOKENS_PER_REQUEST: f64 = 120.0;
+/// Weight of tokens that others have yet to read there against own ones: they cost a wait, but no
+/// work that would be done twice.
+const QUEUED_PART: f64 = 0.3;
 /// Tokens to which a megabyte of results that lie in another hall is equal.
-const TOKENS_PER_FAR_MB: f64 = 2500.0;
+const TOKENS_PER_FAR_MB: f64 = 500.0;
 /// Part of a prompt's shared tokens that its home by hashing is believed to keep.
-const HOME_BELIEF: f64 = 0.5;
+const HOME_BELIEF: f64 = 1.0;
 /// Weight of a target's failures among all its calls.
 const FAILING_WEIGHT: f64 = 0.1;
+/// Bytes of a megabyte.
+const BYTES_PER_MB: f64 = 1e6;
 /// What a target that fails all its calls costs, in requests at work.
-const FAILING_COST: f64 = 60.0;
+const FAILING_COST: f64 = 200.0;
 
 /// Which choice is made.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -327,8 +331,9 @@
                 let unread = (state.unread_of(size) as f64 - shared).max(0.0);
                 let far: u64 =
                     size.inputs.iter().filter(|(h, _)| *h != state.target.hall).map(|i| i.1).sum();
-                let tokens =
-                    unread + state.unread_known(now) as f64 + far as f64 / 1e6 * TOKENS_PER_FAR_MB;
+                let tokens = unread
+                    + state.unread_known(now) as f64 * QUEUED_PART
+                    + far as f64 / BYTES_PER_MB * TOKENS_PER_FAR_MB;
                 (tokens / TOKENS_PER_REQUEST + calls) * state.pace.max(0.1) + failing
             }
         }
