Make large results near the engine that will want them

Cause: results of 0.8 MB crossed halls to the engine that keeps the prompt's shared parts. Ruled out: a nearer engine (reading a session's part again costs more than the crossing). Change: a stage with large results for the engine prefers the hall of the prompt's home; a piece waits up to 0.8 of a call for a maker near its inputs, if its slack allows.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -25,7 +25,7 @@
 /// The same, beside the factor.
 const PATIENCE_EXTRA: Duration = Duration::from_millis(250);
 /// Part of a call's time that a piece waits for a maker in the hall of its inputs.
-const NEAR_WAIT: f64 = 0.4;
+const NEAR_WAIT: f64 = 0.8;
 /// Weight of a new call in the learned number of pieces.
 const PIECES_WEIGHT: f64 = 0.2;
 /// With a part of the makers busy, the wait for a free one grows with this power of the part.
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -187,6 +187,22 @@
         self.arena.values().map(|s| &s.target).find(|t| t.address == address).map(|t| &t.hall)
     }
 
+    /// The hall of the target to which a prompt's shared start belongs.
+    pub fn home_hall(
+        &self,
+        service: &ServiceName,
+        size: &CallSize,
+        now: Instant,
+    ) -> Option<HallName> {
+        let keys = self.by_service.get(service)?;
+        let open = |key: &TargetKey| {
+            let state = &self.arena[*key];
+            !state.target.leaving && !state.rests(now)
+        };
+        let among: Vec<TargetKey> = keys.iter().copied().filter(open).collect();
+        Some(self.arena[self.home(&among, size)?].target.hall.clone())
+    }
+
     /// Number of targets.
     pub fn len(&self) -> usize {
         self.arena.len()
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -5,8 +5,9 @@
 
 use batching::{Made, Submission};
 use doors::callers::CallerHead;
-use ids::{HallName, RequestId};
+use ids::{HallName, RequestId, ServiceName};
 use intent::{Entry, Intent};
+use selection::CallSize;
 use slog::info;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout_at;
@@ -19,6 +20,9 @@
 /// after a result that it needed was gone.
 const HAND_INS: u32 = 4;
 
+/// Results smaller than this together are made wherever a target is free first.
+const LEAST_NEAR_BYTES: u64 = 200_000;
+
 /// Why the stages brought no results.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum StagesMiss {
@@ -102,6 +106,9 @@
     pub(crate) head: &'a CallerHead,
     pub(crate) id: &'a RequestId,
     pub(crate) urgency: u8,
+    /// The service that runs the request, and the request's size there.
+    pub(crate) service: &'a ServiceName,
+    pub(crate) size: &'a CallSize,
     /// When the results are of no use.
     pub(crate) until: Instant,
     /// When the results are late.
@@ -229,7 +236,7 @@
     let needs = stage.needs.iter();
     let inputs: Vec<String> =
         needs.flat_map(|need| runs[*need].handles.iter().flatten().cloned()).collect();
-    let near = of.app.hub.with(|shared, _| shared.hall_of_inputs(&inputs));
+    let near = near_of(of, runs, index, &inputs);
     let key = inputs.is_empty().then(|| of.head.piece_key.clone()).flatten();
     let submission = Submission {
         request: of.id.clone(),
@@ -247,6 +254,26 @@
     runs[index].handed_in = Some(work::hand_in(of.app, &stage.pool, submission, tx));
 }
 
+/// The hall near which a stage is best done: that of its inputs, or where large results for the
+/// engine are wanted.
+fn near_of(
+    of: &StagesOf<'_>,
+    runs: &[StageRun],
+    index: usize,
+    inputs: &[String],
+) -> Option<HallName> {
+    let stage = &of.entry.stages[index];
+    if !inputs.is_empty() {
+        return of.app.hub.with(|shared, _| shared.hall_of_inputs(inputs));
+    }
+    let used_by_stages = of.entry.stages.iter().any(|other| other.needs.contains(&index));
+    let bytes = stage.result_bytes * u64::from(runs[index].pieces);
+    if used_by_stages || bytes < LEAST_NEAR_BYTES {
+        return None;
+    }
+    of.app.hub.with(|shared, now| shared.targets.home_hall(of.service, of.size, now))
+}
+
 /// When the stage has to be done so that those that need it can be in time.
 fn due_of(of: &StagesOf<'_>, runs: &[StageRun], index: usize) -> Instant {
     let after = time_after(of, runs, index);
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -169,6 +169,7 @@
         return Ok(None);
     }
     let first_event = app.hub.with(|shared, _| shared.first_event(&req.service));
+    let size = size_of(app, req, None);
     let of = StagesOf {
         app,
         intent: &req.intent,
@@ -176,6 +177,8 @@
         head: &req.head,
         id: &req.id,
         urgency: req.urgency,
+        service: &req.service,
+        size: &size,
         until,
         due: (req.arrived + req.entry.aim).checked_sub(first_event).unwrap_or(req.arrived),
     };
