Refused requests come back over a part of the time they have left

Cause: those who were refused came back within a second, into the same burst, and were refused for good. Change: times to come back between 0.16 and 0.32 of the time left; urgency counts as slack.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -24,6 +24,8 @@
 const PATIENCE: f64 = 2.5;
 /// The same, beside the factor.
 const PATIENCE_EXTRA: Duration = Duration::from_millis(250);
+/// Slack that a piece seems to have more for each rank of less urgency.
+const BY_URGENCY: Duration = Duration::from_millis(150);
 /// Part of a call's time that a piece waits for a maker in the hall of its inputs.
 const NEAR_WAIT: f64 = 0.8;
 /// Weight of a new call in the learned number of pieces.
@@ -345,7 +347,9 @@
         let soonest = now + self.spec.call;
         let jobs = &self.jobs;
         self.waiting.sort_by_key(|waiting| {
-            let due = jobs.get(waiting.job).map(|job| job.submission.due);
+            let due = jobs.get(waiting.job).map(|job| {
+                job.submission.due + BY_URGENCY * u32::from(job.submission.urgency)
+            });
             (due.is_some_and(|due| due < soonest), due, waiting.job, waiting.piece)
         });
     }
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -13,15 +13,17 @@
 use crate::fleet;
 use crate::requests::Accepted;
 use crate::shared::Shared;
+use crate::work::left;
 
 /// A request is refused if it is expected to take more than this part of its aim.
 const ADMITTED_PART: f64 = 1.0;
 /// That part is less by this for each more urgent rank that the configuration knows.
 const PART_BY_RANK: f64 = 0.1;
-/// Least time to come back after a refusal.
-const LEAST_WAIT: Duration = Duration::from_millis(600);
-/// Those who are refused come back over a time as long as this part of the aim, not all at once.
-const SPREAD_PART: f64 = 0.6;
+/// Those who are refused come back after a part of the time that they have left, spread between
+/// these, not all at once: a burst lasts longer than a queue takes to drain.
+const EARLIEST_PART: f64 = 0.16;
+/// Callers heed no longer wait than a third of the time that they have left.
+const LATEST_PART: f64 = 0.32;
 /// A forecast older than this says nothing.
 const FORECAST_LIFE: Duration = Duration::from_millis(1200);
 
@@ -117,8 +119,8 @@
     if expected <= allowed {
         return Ok(way);
     }
-    let spread = req.entry.aim.mul_f64(SPREAD_PART * rand::random::<f64>());
-    let come_back = (expected - allowed).max(LEAST_WAIT) + spread;
+    let part = EARLIEST_PART + (LATEST_PART - EARLIEST_PART) * rand::random::<f64>();
+    let come_back = left(req.until).mul_f64(part);
     info!(app.log, "not admitted"; "request" => %req.id, "entry" => &req.entry.name,
         "expected_ms" => expected.as_millis(), "allowed_ms" => allowed.as_millis(),
         "come_back_ms" => come_back.as_millis());
