Link VMs to owners and partners only; split large pools by hall; gather the store's changes

Cause: a full mesh grows with the square of the fleet, one owner for a pool with its size, and each change of the store costs each VM a call. Ruled out: relays alone for the store (every VM needs the changes within two seconds). Change: from 10 VMs on, links go to the owner and the next one of each pool and to two partners for news; a pool with three targets in each hall is split by hall; larger VMs own first; after a change the watch pauses 0.3 s.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -164,7 +164,7 @@
     };
     // Other VMs admit about as much as this one until they hear of each other's pieces.
     let since = shared.admission.unheard.get(pool).filter(|(at, _)| *at >= forecast.at);
-    forecast.queue += since.map_or(0.0, |(_, pieces)| *pieces) * shared.fleet.size() as f64;
+    forecast.queue += since.map_or(0.0, |(_, pieces)| *pieces) * shared.sharers(pool) as f64;
     forecast.time(begin)
 }
 
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -1,7 +1,8 @@
 //! Everything that the tasks of a VM hold on to.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use batching::JobKey;
@@ -31,6 +32,8 @@
     pub(crate) sinks: RefCell<BTreeMap<(ServiceName, JobKey), Sink>>,
     /// Pools with a look at their queue already planned.
     pub(crate) planned_looks: RefCell<HashMap<ServiceName, tokio::time::Instant>>,
+    /// Addresses to which links are wanted.
+    pub(crate) wanted_links: RefCell<BTreeSet<SocketAddr>>,
     /// Told when the list of VMs changes.
     pub(crate) vms_changed: Notify,
     /// Told when the process begins to stop.
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -1,20 +1,42 @@
-//! The other VMs as this one sees them, and who fills the calls of which pool.
+//! The other VMs as this one sees them: whom to link to, and who fills the calls of which pool.
 
-use std::collections::HashMap;
 use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ids::VmName;
+use ids::{HallName, VmName};
+use serde::{Deserialize, Serialize};
 
 /// Pause between two heartbeats on a link.
 pub(crate) const BEAT: Duration = Duration::from_millis(200);
-/// A peer that said nothing for this long gets no work: two heartbeats may be late.
+/// A peer that said nothing for this long gets no work: several heartbeats may be late.
 pub(crate) const SILENCE: Duration = Duration::from_millis(1000);
 /// A peer counts in the size of the fleet for this long after its last word, since it may have
 /// spent its part of what the fleet shares.
 const REMEMBERED: Duration = Duration::from_secs(20);
+/// Up to so many VMs each one is linked to all others.
+const FULL_MESH: usize = 10;
+/// In a larger fleet, VMs to which each one is linked for news of the store.
+const NEWS_PARTNERS: usize = 2;
+/// VMs in the order of ownership to which a VM is linked for a pool: the owner, and one that
+/// stands ready.
+const OWNER_LINKS: usize = 2;
+/// Power by which a VM's cores count for ownership: filling calls costs processor time, so that a
+/// VM four times as large should be chosen nearly always.
+const CORES_POWER: i32 = 4;
+
+/// What a VM writes of itself into the store, and tells its peers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct VmEntry {
+    /// Where it takes links.
+    pub(crate) peers: SocketAddr,
+    /// Its data hall.
+    pub(crate) hall: HallName,
+    /// Cores that it may use.
+    pub(crate) cores: f64,
+}
 
 /// What a peer told of a pool whose calls it fills.
 #[derive(Debug, Clone, Copy)]
@@ -29,12 +51,14 @@
     pub(crate) at: Instant,
 }
 
-/// A peer.
+/// A peer that was heard.
 #[derive(Debug)]
 pub(crate) struct PeerVm {
     pub(crate) incarnation: u64,
-    pub(crate) address: Option<SocketAddr>,
+    /// What it told of itself.
+    pub(crate) entry: Option<VmEntry>,
     pub(crate) heard: Instant,
+    /// Whether this VM dialled it and the link stands.
     pub(crate) linked: bool,
     pub(crate) draining: bool,
     pub(crate) as_of: u64,
@@ -48,18 +72,44 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     own: VmName,
+    own_entry: VmEntry,
     pub(crate) incarnation: u64,
     pub(crate) peers: HashMap<VmName, PeerVm>,
+    listed: HashMap<VmName, VmEntry>,
 }
 
 impl Fleet {
-    pub(crate) fn new(own: VmName, incarnation: u64) -> Self {
-        Fleet { own, incarnation, peers: HashMap::new() }
+    pub(crate) fn new(own: VmName, own_entry: VmEntry, incarnation: u64) -> Self {
+        let (peers, listed) = (HashMap::new(), HashMap::new());
+        Fleet { own, own_entry, incarnation, peers, listed }
+    }
+
+    /// What this VM writes of itself.
+    pub(crate) fn own_entry(&self) -> &VmEntry {
+        &self.own_entry
+    }
+
+    /// The store lists a VM.
+    pub(crate) fn list(&mut self, vm: VmName, entry: VmEntry) {
+        if vm != self.own {
+            self.listed.insert(vm, entry);
+        }
+    }
+
+    /// The store lists a VM no more.
+    pub(crate) fn unlist(&mut self, vm: &VmName) {
+        self.listed.remove(vm);
     }
 
     /// VMs that serve or did until just now, this one too.
     pub(crate) fn size(&self) -> usize {
-        self.peers.len() + 1
+        let unlisted = self.peers.keys().filter(|vm| !self.listed.contains_key(*vm)).count();
+        self.listed.len() + unlisted + 1
+    }
+
+    /// Data halls in which VMs stand.
+    pub(crate) fn halls(&self) -> BTreeSet<&HallName> {
+        self.known().map(|(_, entry)| &entry.hall).chain([&self.own_entry.hall]).collect()
     }
 
     /// Pieces of peers' requests that are on their way to a pool.
@@ -76,26 +126,66 @@
     }
 
     /// The VM that fills a pool's calls, by rendezvous hashing over those in touch; `None` for
-    /// this one.
-    pub(crate) fn owner_of(&self, pool: &str, draining: bool, now: Instant) -> Option<VmName> {
-        let fit = |peer: &PeerVm| {
-            let silent = now.saturating_duration_since(peer.heard) > SILENCE;
-            peer.linked && !peer.draining && !silent
+    /// this one. With `hall`, only VMs of that hall are asked, as long as there are some.
+    pub(crate) fn owner_of(
+        &self,
+        pool: &str,
+        hall: Option<&HallName>,
+        draining: bool,
+        now: Instant,
+    ) -> Option<VmName> {
+        let fit = |vm: &VmName| {
+            self.peers.get(vm).is_some_and(|peer| {
+                let silent = now.saturating_duration_since(peer.heard) > SILENCE;
+                peer.linked && !peer.draining && !silent
+            })
         };
-        let best = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| fit(peer))
-            .max_by_key(|(vm, _)| rendezvous(pool, vm))
-            .map(|(vm, _)| vm.clone())?;
-        let own_first = rendezvous(pool, &self.own) > rendezvous(pool, &best);
-        (draining || !own_first).then_some(best)
+        let own = (!draining).then_some((&self.own, &self.own_entry));
+        let candidates = self.known().filter(|(vm, _)| fit(vm)).chain(own);
+        let near = candidates.filter(|(_, entry)| hall.is_none_or(|hall| entry.hall == *hall));
+        let best = near.max_by(|(a, x), (b, y)| {
+            rank(pool, a, x.cores).total_cmp(&rank(pool, b, y.cores)).then(a.cmp(b))
+        });
+        best.map(|(vm, _)| vm).filter(|vm| **vm != self.own).cloned()
+    }
+
+    /// Addresses to which this VM wants links, given its pools and the hall by which each is
+    /// split, if it is.
+    pub(crate) fn wanted<'a>(
+        &'a self,
+        pools: impl Iterator<Item = (&'a str, Option<&'a HallName>)>,
+    ) -> BTreeSet<SocketAddr> {
+        let known: Vec<(&VmName, &VmEntry)> = self.known().collect();
+        if known.len() < FULL_MESH {
+            return known.into_iter().map(|(_, entry)| entry.peers).collect();
+        }
+        let mut wanted = BTreeSet::new();
+        for (pool, hall) in pools {
+            let near = known.iter().filter(|(_, e)| hall.is_none_or(|hall| e.hall == *hall));
+            let mut ranked: Vec<_> = near.map(|(vm, e)| (rank(pool, vm, e.cores), e)).collect();
+            ranked.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+            wanted.extend(ranked.into_iter().take(OWNER_LINKS).map(|(_, entry)| entry.peers));
+        }
+        let mut partners: Vec<_> =
+            known.iter().map(|(vm, e)| (rank(self.own.as_str(), vm, 1.0), e)).collect();
+        partners.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        wanted.extend(partners.into_iter().take(NEWS_PARTNERS).map(|(_, entry)| entry.peers));
+        wanted
+    }
+
+    /// VMs that the store lists or that told of themselves.
+    fn known(&self) -> impl Iterator<Item = (&VmName, &VmEntry)> {
+        let told = self.peers.iter().filter(|(vm, _)| !self.listed.contains_key(*vm));
+        let told = told.filter_map(|(vm, peer)| Some((vm, peer.entry.as_ref()?)));
+        self.listed.iter().chain(told)
     }
 }
 
-fn rendezvous(pool: &str, vm: &VmName) -> (u64, VmName) {
+/// Weighted rendezvous hashing: the VM with the highest rank owns the key.
+fn rank(key: &str, vm: &VmName, cores: f64) -> f64 {
     let mut hasher = DefaultHasher::new();
-    pool.hash(&mut hasher);
+    key.hash(&mut hasher);
     vm.as_str().hash(&mut hasher);
-    (hasher.finish(), vm.clone())
+    let unit = (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    -cores.powi(CORES_POWER) / unit.ln()
 }
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -2,7 +2,7 @@
 //! side fills calls with them, and both tell heartbeats and news of the store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -26,7 +26,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::app::App;
-use crate::fleet::{self, BEAT, PeerVm, SILENCE};
+use crate::fleet::{self, BEAT, PeerVm, SILENCE, VmEntry};
 use crate::work::{self, PieceNews, Sink};
 
 /// Way to the VM that dialled.
@@ -36,6 +36,8 @@
 const DIAL_WAIT: Duration = Duration::from_millis(800);
 /// Pause before a failed link is dialled again.
 const DIAL_PAUSE: Duration = Duration::from_millis(400);
+/// A link that was not wanted for this long ends.
+const UNWANTED: Duration = Duration::from_secs(5);
 /// Pause between two looks at whom to dial.
 const LOOK_PAUSE: Duration = Duration::from_millis(500);
 
@@ -143,6 +145,7 @@
         let wanted = wanted(&app);
         let mut dialled = dialled.borrow_mut();
         dialled.retain(|_, task| !task.is_finished());
+        app.wanted_links.replace(wanted.clone());
         for address in wanted {
             dialled.entry(address).or_insert_with(|| {
                 spawn_local(hold(Rc::clone(&app), address)).abort_handle()
@@ -157,29 +160,21 @@
     }
 }
 
-/// Addresses of VMs that the store, the peers or the settings tell of.
-fn wanted(app: &App) -> Vec<SocketAddr> {
-    let own = app.cfg.peers;
-    let prefix = app.doors.intents.own_prefix;
-    let mut wanted: Vec<SocketAddr> = app.hub.with(|shared, _| {
-        let listed = shared.view.keys(prefix).filter_map(|(_, value)| address_of(value));
-        let linked = shared.fleet.peers.values().filter_map(|peer| peer.address);
-        listed.chain(linked).collect()
-    });
-    wanted.extend(&app.cfg.seeds);
-    wanted.sort();
-    wanted.dedup();
-    wanted.retain(|address| *address != own);
+/// Addresses of VMs to which links are wanted; the settings' seeds while no VM is known.
+fn wanted(app: &App) -> BTreeSet<SocketAddr> {
+    let mut wanted = app.hub.with(|shared, _| shared.wanted_links());
+    if wanted.is_empty() {
+        wanted.extend(&app.cfg.seeds);
+    }
+    wanted.remove(&app.cfg.peers);
     wanted
 }
 
-/// What a VM writes of itself into the store: where it takes links.
+/// What a VM writes of itself into the store.
 pub(crate) fn own_entry(app: &App) -> Bytes {
-    Bytes::from(app.cfg.peers.to_string())
-}
-
-fn address_of(value: &Bytes) -> Option<SocketAddr> {
-    std::str::from_utf8(value).ok()?.parse().ok()
+    let entry = app.hub.with(|shared, _| serde_json::to_vec(shared.fleet.own_entry()));
+    // A plain struct of texts and numbers always serializes.
+    Bytes::from(entry.unwrap_or_default())
 }
 
 /// Holds a link to an address; ends when it fails, to be dialled again if it is still wanted.
@@ -205,16 +200,17 @@
     let opening = client.link(UnboundedReceiverStream::new(rx));
     let inbound = timeout(DIAL_WAIT, opening).await.map_err(|_| "no answer".to_owned())?;
     let mut inbound = inbound.map_err(|e| e.to_string())?.into_inner();
-    let vm = first_hello(&mut inbound).await?;
+    let hello = first_hello(&mut inbound).await?;
+    let vm = VmName::new(&hello.vm).map_err(|e| e.to_string())?;
     if vm == app.cfg.vm {
         return Err("the address is this VM's own".to_owned());
     }
     let link =
         Rc::new(Link { tx, next_job: Cell::new(0), jobs: RefCell::new(HashMap::new()) });
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
-    set_linked(app, &vm, true);
+    meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
-    let why = read_link(app, &vm, &link, &mut inbound).await;
+    let why = read_link(app, &vm, &link, &mut inbound, address).await;
     info!(app.log, "peer lost"; "peer" => %vm, "why" => &why);
     let mut links = app.links.borrow_mut();
     if links.get(&vm).is_some_and(|other| Rc::ptr_eq(other, &link)) {
@@ -234,10 +230,10 @@
     });
 }
 
-async fn first_hello(inbound: &mut Streaming<FromOwner>) -> Result<VmName, String> {
+async fn first_hello(inbound: &mut Streaming<FromOwner>) -> Result<Hello, String> {
     let first = timeout(DIAL_WAIT, inbound.message()).await.map_err(|_| "no hello".to_owned())?;
     match first.map_err(|e| e.to_string())?.and_then(|message| message.kind) {
-        Some(from_owner::Kind::Hello(hello)) => VmName::new(&hello.vm).map_err(|e| e.to_string()),
+        Some(from_owner::Kind::Hello(hello)) => Ok(hello),
         _ => Err("no hello".to_owned()),
     }
 }
@@ -248,11 +244,12 @@
     vm: &VmName,
     link: &Rc<Link>,
     inbound: &mut Streaming<FromOwner>,
+    address: SocketAddr,
 ) -> String {
+    let mut wanted = tokio::time::Instant::now();
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    meet(app, vm, None);
     loop {
         tokio::select! {
             message = inbound.message() => {
@@ -277,6 +274,12 @@
                 if heard.elapsed() > SILENCE {
                     return format!("silent for {:?}", heard.elapsed());
                 }
+                if app.wanted_links.borrow().contains(&address) || !link.jobs.borrow().is_empty() {
+                    wanted = tokio::time::Instant::now();
+                }
+                if wanted.elapsed() > UNWANTED {
+                    return "not wanted any more".to_owned();
+                }
                 link.send(from_dialer::Kind::Beat(beat(app)));
             }
         }
@@ -284,12 +287,16 @@
 }
 
 fn hello(app: &App) -> Hello {
-    Hello {
-        vm: app.cfg.vm.to_string(),
-        hall: app.cfg.hall.to_string(),
-        incarnation: app.hub.with(|shared, _| shared.fleet.incarnation),
-        peers: app.cfg.peers.to_string(),
-    }
+    app.hub.with(|shared, _| {
+        let entry = shared.fleet.own_entry();
+        Hello {
+            vm: app.cfg.vm.to_string(),
+            hall: entry.hall.to_string(),
+            incarnation: shared.fleet.incarnation,
+            peers: entry.peers.to_string(),
+            cores: entry.cores,
+        }
+    })
 }
 
 fn beat(app: &App) -> Beat {
@@ -322,14 +329,19 @@
     })
 }
 
+fn entry_of(hello: &Hello) -> Option<VmEntry> {
+    let hall = HallName::new(&hello.hall).ok()?;
+    Some(VmEntry { peers: hello.peers.parse().ok()?, hall, cores: hello.cores })
+}
+
 /// Notes that a peer lives.
 fn meet(app: &App, vm: &VmName, hello: Option<&Hello>) {
-    let address = hello.and_then(|hello| hello.peers.parse().ok());
+    let entry = hello.and_then(entry_of);
     app.hub.with(|shared, now| {
         let linked = app.links.borrow().contains_key(vm);
         let peer = shared.fleet.peers.entry(vm.clone()).or_insert_with(|| PeerVm {
             incarnation: 0,
-            address,
+            entry: None,
             heard: now,
             linked,
             draining: false,
@@ -341,7 +353,7 @@
         peer.linked = linked;
         if let Some(hello) = hello {
             peer.incarnation = hello.incarnation;
-            peer.address = address;
+            peer.entry = entry;
         }
     });
 }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -57,6 +57,7 @@
             links: RefCell::new(HashMap::new()),
             sinks: RefCell::new(BTreeMap::new()),
             planned_looks: RefCell::new(HashMap::new()),
+            wanted_links: RefCell::default(),
             vms_changed: Notify::new(),
             stopping: watch::channel(false).0,
             closing: watch::channel(false).0,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -25,6 +25,9 @@
     /// Where metrics and the state dump are served.
     #[serde(default)]
     pub operations: Option<SocketAddr>,
+    /// Cores that the process may use; a larger VM fills more calls for the others.
+    #[serde(default = "one_core")]
+    pub cores: f64,
     /// Peers to try while the store can't tell of any.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -44,6 +47,10 @@
     pub log: LogLevel,
 }
 
+fn one_core() -> f64 {
+    1.0
+}
+
 /// Budget of requests sent a second time.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -172,6 +179,7 @@
         }
     }
     let ranges = [
+        ("cores", cfg.cores, 0.001, 1024.0),
         ("repeats.ratio", cfg.repeats.ratio, 0.0, 1.0),
         ("repeats.slack", cfg.repeats.slack, 0.0, f64::MAX),
         ("repeats.window_s", cfg.repeats.window_s, 0.1, LONGEST_SECONDS),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -1,6 +1,7 @@
 //! The state that the tasks of a VM share.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,7 @@
 use store_view::{Change, Item, View};
 
 use crate::admission::Admission;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, VmEntry};
 use crate::settings::{Policy, Settings};
 
 /// Entries that lapsed while the store was away come back within this time of its return, if
@@ -23,6 +24,8 @@
 /// The store counts as away when nothing was heard from it for this long.
 const STORE_SILENCE: Duration = Duration::from_millis(2500);
 
+/// Targets in each hall from which on a pool is split by hall.
+const SPLIT_TARGETS: usize = 3;
 /// Time to a first event that is believed until one was seen.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 /// Weight of a new first event in what is learned.
@@ -36,6 +39,15 @@
     back: Option<Instant>,
 }
 
+/// Start of the keys under which VMs write of themselves.
+pub(crate) fn vms_prefix(doors: &Doors) -> String {
+    format!("{}vms/", doors.intents.own_prefix)
+}
+
+fn own_entry(cfg: &Settings) -> VmEntry {
+    VmEntry { peers: cfg.peers, hall: cfg.hall.clone(), cores: cfg.cores }
+}
+
 /// The state that the tasks of a VM share.
 pub(crate) struct Shared {
     pub(crate) doors: Doors,
@@ -45,6 +57,9 @@
     pub(crate) targets: Targets,
     pub(crate) pools: BTreeMap<ServiceName, Pool>,
     pub(crate) fleet: Fleet,
+    own_hall: HallName,
+    /// Pools that are split by hall.
+    split: BTreeSet<ServiceName>,
     pub(crate) contact: Contact,
     pub(crate) draining: Option<Instant>,
     pub(crate) in_work: usize,
@@ -72,7 +87,9 @@
             intent: None,
             targets: Targets::new(policy, cfg.hall.clone()),
             pools: BTreeMap::new(),
-            fleet: Fleet::new(cfg.vm.clone(), incarnation),
+            split: BTreeSet::new(),
+            fleet: Fleet::new(cfg.vm.clone(), own_entry(cfg), incarnation),
+            own_hall: cfg.hall.clone(),
             contact: Contact { last: None, lost: false, back: None },
             draining: None,
             in_work: 0,
@@ -122,13 +139,14 @@
                     self.take_target(&key, &value, from);
                     new_targets = true;
                 }
-                Change::Removed(key) => {
-                    if let Some(id) = key.strip_prefix(prefix) {
+                Change::Put(key, value) => self.list_vm(&key, Some(&value)),
+                Change::Removed(key) => match key.strip_prefix(prefix) {
+                    Some(id) => {
                         self.lost_target(id, from, now);
                         new_targets = true;
                     }
-                }
-                Change::Put(..) => {}
+                    None => self.list_vm(&key, None),
+                },
             }
         }
         if new_targets {
@@ -136,6 +154,19 @@
         }
     }
 
+    /// Takes what a VM wrote of itself.
+    fn list_vm(&mut self, key: &str, value: Option<&[u8]>) {
+        let Some(vm) = key.strip_prefix(&vms_prefix(&self.doors)) else { return };
+        let Ok(vm) = VmName::new(vm) else { return };
+        match value.map(serde_json::from_slice) {
+            Some(Ok(entry)) => self.fleet.list(vm, entry),
+            Some(Err(e)) => {
+                warn!(self.log, "VM's entry left out"; "key" => key, "why" => %e);
+            }
+            None => self.fleet.unlist(&vm),
+        }
+    }
+
     fn take_intent(&mut self, value: &[u8], from: &str) {
         let as_of = self.view.as_of();
         match (self.doors.intents.intent)(value) {
@@ -207,15 +238,41 @@
 
     fn sync_pools(&mut self) {
         let Some(intent) = &self.intent else { return };
+        let pools = intent.services.values().filter(|service| service.pool.is_some());
+        let split: BTreeSet<ServiceName> =
+            pools.map(|s| s.name.clone()).filter(|name| self.is_split(name)).collect();
+        self.split = split;
         for (name, service) in &intent.services {
             let Some(spec) = service.pool else { continue };
             let order = self.order;
             let pool = self.pools.entry(name.clone()).or_insert_with(|| Pool::new(spec, order));
             pool.set_spec(spec);
-            pool.set_makers(self.targets.of_service(name));
+            let own = self.split.contains(name).then_some(&self.own_hall);
+            let makers = self.targets.of_service(name);
+            pool.set_makers(makers.filter(|t| own.is_none_or(|hall| t.hall == *hall)));
         }
     }
 
+    /// Whether a pool is split by hall: each hall has targets enough to fill calls by itself.
+    fn is_split(&self, pool: &ServiceName) -> bool {
+        let mut by_hall: BTreeMap<&HallName, usize> =
+            self.fleet.halls().into_iter().map(|hall| (hall, 0)).collect();
+        for target in self.targets.of_service(pool).filter(|target| !target.leaving) {
+            *by_hall.entry(&target.hall).or_default() += 1;
+        }
+        by_hall.values().all(|count| *count >= SPLIT_TARGETS)
+    }
+
+    fn hall_of_split(&self, pool: &ServiceName) -> Option<&HallName> {
+        self.split.contains(pool).then_some(&self.own_hall)
+    }
+
+    /// Addresses of VMs to which links are wanted.
+    pub(crate) fn wanted_links(&self) -> BTreeSet<SocketAddr> {
+        let pools = self.pools.keys();
+        self.fleet.wanted(pools.map(|name| (name.as_str(), self.hall_of_split(name))))
+    }
+
     /// Counts a request for a service.
     pub(crate) fn count_request(&mut self, service: &ServiceName, now: Instant) {
         self.budgets.entry(service.clone()).or_default().request(now);
@@ -240,7 +297,14 @@
 
     /// The VM that fills calls of a pool; `None` for this one.
     pub(crate) fn owner_of(&self, pool: &ServiceName, now: Instant) -> Option<VmName> {
-        self.fleet.owner_of(pool.as_str(), self.draining.is_some(), now)
+        let hall = self.hall_of_split(pool);
+        self.fleet.owner_of(pool.as_str(), hall, self.draining.is_some(), now)
+    }
+
+    /// VMs whose requests go to the same queue of a pool as this one's.
+    pub(crate) fn sharers(&self, pool: &ServiceName) -> usize {
+        let halls = if self.split.contains(pool) { self.fleet.halls().len() } else { 1 };
+        self.fleet.size().div_ceil(halls.max(1))
     }
 
     /// Pieces that wait in a pool of this VM or are on their way to it from any VM.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -19,9 +19,13 @@
 use crate::app::App;
 use crate::connections::connect;
 use crate::links;
+use crate::shared::vms_prefix;
 
 /// Longest wait of a watch. Each one is a counted call; a dead path is noticed after this time.
-const WATCH_WAIT: Duration = Duration::from_millis(1800);
+const WATCH_WAIT: Duration = Duration::from_millis(3000);
+/// Pause after a change, so that many changes in a row cost few calls; far less than the bounds
+/// within which changes must be in force.
+const GATHER: Duration = Duration::from_millis(300);
 /// Longest wait for an answer beside the watch's own.
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
 /// First pause after a failed call; doubles with each one in a row.
@@ -173,7 +177,11 @@
                 heard(app);
                 pause = FIRST_PAUSE;
                 as_of = as_of.max(page.as_of);
+                let changed = !page.items.is_empty();
                 take(app, page);
+                if changed {
+                    sleep(GATHER).await;
+                }
             }
             Err(Miss::Forgotten) => {
                 info!(app.log, "the store forgot its history"; "after" => as_of);
@@ -231,7 +239,7 @@
 /// Keeps this VM's entry in the store.
 pub(crate) async fn keep_entry(app: Rc<App>) {
     let mut line = Line::new(&app);
-    let key = format!("{}vms/{}", app.doors.intents.own_prefix, app.cfg.vm);
+    let key = format!("{}{}", vms_prefix(&app.doors), app.cfg.vm);
     loop {
         match enter(&app, &mut line, &key).await {
             Ok(lease) => renew(&app, &mut line, lease).await,
