--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -257,7 +257,11 @@
             .filter(|(_, maker)| maker.may_work(self.spec.at_once.max(1), now))
             .map(|(key, _)| key)
             .collect();
-        free.sort_by(|a, b| self.makers[*a].pace.total_cmp(&self.makers[*b].pace));
+        // Whoever failed last is asked after all others.
+        free.sort_by(|a, b| {
+            let (a, b) = (&self.makers[*a], &self.makers[*b]);
+            a.doubtful().cmp(&b.doubtful()).then(a.pace.total_cmp(&b.pace))
+        });
         let (maker, pieces) = self.best_fill(&free, now)?;
         Some(self.begin(maker, pieces, now))
     }
@@ -301,7 +305,8 @@
         let by_room = by_room.map_or(usize::MAX, |count| usize::try_from(count).unwrap_or(1));
         let full = self.spec.batch.min(by_room).max(1) as f64;
         let time = self.spec.call.as_secs_f64() + full * self.spec.piece.as_secs_f64();
-        able as f64 * f64::from(self.spec.at_once.max(1)) * full / time.max(LEAST_TIME.as_secs_f64())
+        able as f64 * f64::from(self.spec.at_once.max(1)) * full
+            / time.max(LEAST_TIME.as_secs_f64())
     }
 
     /// Expected time from handing a piece to a pool with no queue to its result: half of what is
@@ -347,9 +352,9 @@
         let soonest = now + self.spec.call;
         let jobs = &self.jobs;
         self.waiting.sort_by_key(|waiting| {
-            let due = jobs.get(waiting.job).map(|job| {
-                job.submission.due + BY_URGENCY * u32::from(job.submission.urgency)
-            });
+            let due = jobs
+                .get(waiting.job)
+                .map(|job| job.submission.due + BY_URGENCY * u32::from(job.submission.urgency));
             (due.is_some_and(|due| due < soonest), due, waiting.job, waiting.piece)
         });
     }
@@ -359,7 +364,10 @@
         for (index, waiting) in self.waiting.iter().enumerate() {
             let held = self.held_until(waiting, now).is_some();
             let near = self.jobs.get(waiting.job).and_then(|job| job.submission.near.as_ref());
-            let is_near = |key: &&MakerKey| near == Some(&self.makers[**key].target.hall);
+            let is_near = |key: &&MakerKey| {
+                let maker = &self.makers[**key];
+                near == Some(&maker.target.hall) && !maker.doubtful()
+            };
             let maker = match free.iter().find(is_near) {
                 Some(maker) => Some(maker),
                 None if held => None,
--- /dev/null
+++ b/components/batching/tests/pool.rs
@@ -0,0 +1,232 @@
+//! Calls are filled by slack, within the makers' room; what fails is made again or told.
+
+use std::time::{Duration, Instant};
+
+use batching::{CallEnd, Finished, Made, Order, Pool, Submission};
+use doors::calls::PieceAnswer;
+use ids::{HallName, RequestId, ServiceName, TargetName};
+use intent::{PoolSpec, Target};
+
+const CALL: Duration = Duration::from_millis(200);
+
+fn spec() -> PoolSpec {
+    PoolSpec {
+        at_once: 1,
+        queue: 2,
+        batch: 4,
+        call: CALL,
+        piece: Duration::from_millis(10),
+        room_bytes: 1000,
+        result_life: Duration::from_secs(4),
+    }
+}
+
+fn maker(id: &str, hall: &str) -> Target {
+    Target {
+        id: TargetName::new(id).unwrap(),
+        service: ServiceName::new("pool").unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::new(hall).unwrap(),
+        slots: 1,
+        leaving: false,
+    }
+}
+
+fn pool(makers: &[Target]) -> Pool {
+    let mut pool = Pool::new(spec(), Order::Slack);
+    pool.set_makers(makers.iter());
+    pool
+}
+
+fn submission(id: &str, pieces: u32, due: Instant) -> Submission {
+    Submission {
+        request: RequestId::new(id).unwrap(),
+        stage: 0,
+        pieces: (0..pieces).collect(),
+        key: Some("secret".to_owned()),
+        inputs: Vec::new(),
+        until: due + Duration::from_secs(10),
+        due,
+        urgency: 0,
+        result_bytes: 10,
+        near: None,
+    }
+}
+
+fn made(count: usize) -> CallEnd {
+    let answer = |index| PieceAnswer::Made(format!("127.0.0.1:9/{index}"));
+    CallEnd::Answered((0..count).map(answer).collect())
+}
+
+fn requests(pool: &Pool, call: &batching::Call) -> Vec<String> {
+    let id = |job| pool.submission(job).map(|s| s.request.to_string()).unwrap_or_default();
+    call.pieces.iter().map(|(job, _)| id(*job)).collect()
+}
+
+#[test]
+fn pieces_of_several_requests_share_a_call_the_most_urgent_first() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    pool.submit(submission("late", 2, now + CALL * 20), now);
+    pool.submit(submission("soon", 3, now + CALL * 4), now);
+
+    let call = pool.next_call(now).unwrap();
+
+    assert_eq!(requests(&pool, &call), ["soon", "soon", "soon", "late"]);
+    assert!(pool.next_call(now).is_none(), "its only maker is at work");
+}
+
+#[test]
+fn pieces_that_are_late_give_way_to_those_that_can_be_in_time() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    pool.submit(submission("late", 4, now + CALL / 2), now);
+    pool.submit(submission("soon", 4, now + CALL * 4), now);
+
+    let call = pool.next_call(now).unwrap();
+
+    assert_eq!(requests(&pool, &call), ["soon"; 4]);
+}
+
+#[test]
+fn every_piece_is_finished_once() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let job = pool.submit(submission("r", 3, now + CALL * 4), now);
+    let call = pool.next_call(now).unwrap();
+
+    let finished = pool.call_ended(call.key, made(3), now + CALL);
+
+    let pieces: Vec<u32> = finished.iter().map(|finished| finished.piece).collect();
+    assert_eq!(pieces, [0, 1, 2]);
+    assert!(finished.iter().all(|f| f.job == job && matches!(f.made, Made::At(_))));
+    assert!(pool.call_ended(call.key, made(3), now + CALL).is_empty(), "a call ends once");
+}
+
+#[test]
+fn results_take_room_until_they_are_given_up_or_run_out() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let large = |id| Submission { result_bytes: 500, ..submission(id, 2, now + CALL * 4) };
+    pool.submit(large("first"), now);
+    let call = pool.next_call(now).unwrap();
+    pool.call_ended(call.key, made(2), now);
+    pool.submit(large("second"), now);
+    assert!(pool.next_call(now).is_none(), "no room");
+
+    let told = pool.release(vec!["127.0.0.1:9/0".to_owned(), "unknown".to_owned()]);
+    let call = pool.next_call(now).unwrap();
+
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].1, ["127.0.0.1:9/0"]);
+    assert_eq!(call.pieces.len(), 1);
+    pool.call_ended(call.key, CallEnd::Failed, now);
+    let later = now + Duration::from_secs(5);
+    assert_eq!(pool.next_call(later).unwrap().pieces.len(), 1, "one to learn whether it is back");
+}
+
+#[test]
+fn a_failed_call_is_made_again_elsewhere_and_given_up_in_the_end() {
+    let mut now = Instant::now();
+    let mut pool = pool(&[maker("m", "a"), maker("n", "a")]);
+    pool.submit(submission("r", 1, now + CALL * 50), now);
+    let mut makers = Vec::new();
+    let finished = loop {
+        let call = pool.next_call(now).unwrap();
+        makers.push(call.target.id.to_string());
+        let finished = pool.call_ended(call.key, CallEnd::Failed, now);
+        if !finished.is_empty() {
+            break finished;
+        }
+        now += Duration::from_secs(5);
+    };
+
+    assert_ne!(makers[0], makers[1]);
+    assert!(matches!(finished[..], [Finished { made: Made::Broken, .. }]));
+}
+
+#[test]
+fn what_the_maker_says_of_a_piece_is_told() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    pool.submit(submission("r", 4, now + CALL * 4), now);
+    let call = pool.next_call(now).unwrap();
+    let answers = vec![PieceAnswer::Late, PieceAnswer::Gone, PieceAnswer::NoRoom];
+
+    let finished = pool.call_ended(call.key, CallEnd::Answered(answers), now);
+
+    let made: Vec<&Made> = finished.iter().map(|finished| &finished.made).collect();
+    assert_eq!(made, [&Made::Late, &Made::Gone]);
+    let again = pool.next_call(now).unwrap();
+    let pieces: Vec<u32> = again.pieces.iter().map(|(_, piece)| *piece).collect();
+    assert_eq!(pieces, [2, 3], "no room, and an answer that is missing");
+}
+
+#[test]
+fn a_full_maker_costs_no_try() {
+    let mut now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    pool.submit(submission("r", 1, now + CALL * 50), now);
+    for _ in 0..20 {
+        let call = pool.next_call(now).unwrap();
+        assert!(pool.call_ended(call.key, CallEnd::Full, now).is_empty());
+        now += Duration::from_millis(100);
+    }
+}
+
+#[test]
+fn results_of_a_request_that_is_gone_are_given_up_at_once() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let job = pool.submit(submission("r", 2, now + CALL * 4), now);
+    let call = pool.next_call(now).unwrap();
+    pool.cancel(job);
+
+    assert!(pool.call_ended(call.key, made(2), now).is_empty());
+
+    let told = pool.release_orphans();
+    assert_eq!(told.len(), 1);
+    assert_eq!(told[0].1.len(), 2);
+    assert!(pool.is_idle());
+}
+
+#[test]
+fn pieces_wait_a_little_for_a_maker_near_their_inputs() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("near", "a"), maker("far", "b")]);
+    let near = Some(HallName::new("a").unwrap());
+    let wants_a = |id| Submission { near: near.clone(), ..submission(id, 4, now + CALL * 20) };
+    pool.submit(wants_a("first"), now);
+    pool.submit(wants_a("second"), now);
+
+    let first = pool.next_call(now).unwrap();
+    assert_eq!(first.target.id.as_str(), "near");
+    assert!(pool.next_call(now).is_none(), "the second waits");
+
+    let look = pool.next_look(now).unwrap();
+    assert!(look > now && look <= now + CALL);
+    assert_eq!(pool.next_call(look).unwrap().target.id.as_str(), "far");
+}
+
+#[test]
+fn leaving_makers_get_no_calls() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    pool.set_makers([Target { leaving: true, ..maker("m", "a") }].iter());
+    pool.submit(submission("r", 1, now + CALL), now);
+
+    assert!(pool.next_call(now).is_none());
+}
+
+#[test]
+fn the_queue_counts_what_can_be_in_time_and_the_rate_follows_the_makers() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a"), maker("n", "a")]);
+    pool.submit(submission("late", 3, now), now);
+    pool.submit(submission("soon", 5, now + CALL * 4), now);
+
+    assert_eq!(pool.queue(now), 5);
+    let both = pool.rate(now);
+    pool.set_makers([maker("m", "a")].iter());
+    assert!((both / pool.rate(now) - 2.0).abs() < 1e-9);
+}
--- /dev/null
+++ b/components/selection/tests/choice.rs
@@ -0,0 +1,175 @@
+//! The choice of a target, what failures teach, and the fleet's budget of repeats.
+
+use std::time::{Duration, Instant};
+
+use ids::{HallName, ServiceName, TargetName};
+use intent::Target;
+use selection::{
+    CallSize, End, Pick, Policy, RepeatBudget, RepeatRules, TargetKey, Targets, Wanted, chain_of,
+};
+
+fn service() -> ServiceName {
+    ServiceName::new("s").unwrap()
+}
+
+fn hall(text: &str) -> HallName {
+    HallName::new(text).unwrap()
+}
+
+fn target(id: &str, in_hall: &str) -> Target {
+    Target {
+        id: TargetName::new(id).unwrap(),
+        service: service(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: hall(in_hall),
+        slots: 4,
+        leaving: false,
+    }
+}
+
+fn targets(list: &[(&str, &str)]) -> Targets {
+    let mut targets = Targets::new(Policy::Adaptive, hall("a"));
+    list.iter().for_each(|(id, hall)| targets.put(target(id, hall)));
+    targets
+}
+
+fn pick(targets: &mut Targets, exclude: &[TargetKey], now: Instant) -> Option<Pick> {
+    targets.pick(&Wanted { service: &service(), exclude, size: None }, now)
+}
+
+fn name(pick: &Pick) -> &str {
+    pick.target.id.as_str()
+}
+
+#[test]
+fn the_own_hall_comes_first_until_it_is_full() {
+    let now = Instant::now();
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+
+    let chosen: Vec<String> = (0..5)
+        .filter_map(|_| pick(&mut targets, &[], now))
+        .map(|pick| name(&pick).to_owned())
+        .collect();
+
+    assert_eq!(chosen[..2], ["near", "near"]);
+    assert!(chosen.contains(&"far".to_owned()), "{chosen:?}");
+}
+
+#[test]
+fn a_leaving_target_gets_nothing() {
+    let now = Instant::now();
+    let mut targets = targets(&[("one", "a")]);
+    targets.put(Target { leaving: true, ..target("one", "a") });
+
+    assert!(pick(&mut targets, &[], now).is_none());
+}
+
+#[test]
+fn a_target_that_can_not_be_reached_rests_and_comes_back() {
+    let now = Instant::now();
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+    let first = pick(&mut targets, &[], now).unwrap();
+    assert_eq!(name(&first), "near");
+
+    targets.end(first.key, End::Unreachable, now);
+
+    let second = pick(&mut targets, &[], now).unwrap();
+    assert_eq!(name(&second), "far");
+    let later = now + Duration::from_secs(5);
+    assert_eq!(name(&pick(&mut targets, &[], later).unwrap()), "near");
+}
+
+#[test]
+fn targets_that_all_rest_are_used_all_the_same() {
+    let now = Instant::now();
+    let mut targets = targets(&[("one", "a")]);
+    let first = pick(&mut targets, &[], now).unwrap();
+    targets.end(first.key, End::Unreachable, now);
+
+    assert!(pick(&mut targets, &[], now).is_some());
+    assert!(pick(&mut targets, &[first.key], now).is_none(), "but not one that was tried");
+}
+
+#[test]
+fn what_peers_and_the_target_tell_of_load_counts_while_it_is_fresh() {
+    let now = Instant::now();
+    let mut targets = targets(&[("one", "a"), ("two", "a")]);
+    let one = TargetName::new("one").unwrap();
+    targets.peer_load(7, &[(one, 3, 0)], now);
+
+    assert_eq!(name(&pick(&mut targets, &[], now).unwrap()), "two");
+    let later = now + Duration::from_secs(10);
+    assert_eq!(name(&pick(&mut targets, &[], later).unwrap()), "one", "the word is too old");
+}
+
+#[test]
+fn prompts_with_a_shared_start_go_to_one_home() {
+    let now = Instant::now();
+    let mut targets = targets(&[("e1", "a"), ("e2", "a"), ("e3", "b"), ("e4", "b")]);
+    let mut homes = Vec::new();
+    for own in 100..108 {
+        let parts = [(1, 500), (2, 4000), (own, 300)];
+        let size = CallSize {
+            chain: chain_of("m", parts.into_iter()),
+            prompt_tokens: 4800,
+            inputs: Vec::new(),
+            memory_tokens: 100_000,
+        };
+        let wanted = Wanted { service: &service(), exclude: &[], size: Some(&size) };
+        homes.push(name(&targets.pick(&wanted, now).unwrap()).to_owned());
+    }
+
+    homes.dedup();
+    assert_eq!(homes.len(), 1, "{homes:?}");
+}
+
+#[test]
+fn a_smaller_memory_forgets_the_oldest_start() {
+    let now = Instant::now();
+    let mut targets = targets(&[("e1", "a")]);
+    let size = |id: u64| CallSize {
+        chain: chain_of("m", [(id, 60)].into_iter()),
+        prompt_tokens: 60,
+        inputs: Vec::new(),
+        memory_tokens: 100,
+    };
+    let mut unread = |id: u64, at: Instant| {
+        let size = size(id);
+        let wanted = Wanted { service: &service(), exclude: &[], size: Some(&size) };
+        targets.pick(&wanted, at).unwrap().unread
+    };
+
+    assert_eq!(unread(1, now), 60);
+    assert_eq!(unread(1, now + Duration::from_millis(1)), 0, "kept");
+    assert_eq!(unread(2, now + Duration::from_millis(2)), 60);
+    assert_eq!(unread(1, now + Duration::from_millis(3)), 60, "gave way to the second");
+}
+
+#[test]
+fn the_vms_together_keep_to_the_budget_of_repeats_at_every_moment() {
+    let rules = RepeatRules { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
+    let begin = Instant::now();
+    let vms = 6;
+    let mut budgets: Vec<RepeatBudget> = (0..vms).map(|_| RepeatBudget::default()).collect();
+    let mut repeats: Vec<Duration> = Vec::new();
+    let mut requests: Vec<Duration> = Vec::new();
+    for step in 0..3000 {
+        let at = Duration::from_millis(step * 10);
+        let budget = &mut budgets[step as usize % vms];
+        budget.request(begin + at);
+        requests.push(at);
+        // Every call fails, and each VM tries as often as it may.
+        while budget.take(&rules, vms, begin + at) {
+            repeats.push(at);
+        }
+    }
+
+    for end in repeats.iter().copied() {
+        let in_window = |times: &[Duration]| {
+            times.iter().filter(|at| **at <= end && end - **at < rules.window).count() as f64
+        };
+        let allowed = rules.ratio * in_window(&requests) + rules.slack;
+        assert!(in_window(&repeats) <= allowed, "at {end:?}");
+    }
+    assert!(!repeats.is_empty());
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -42,10 +42,7 @@
 }
 
 fn check_arg() -> Arg {
-    Arg::new("check")
-        .long("check")
-        .action(ArgAction::SetTrue)
-        .help("Check the settings and exit")
+    Arg::new("check").long("check").action(ArgAction::SetTrue).help("Check the settings and exit")
 }
 
 fn main() -> ExitCode {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -11,8 +11,8 @@
 use bytes::Bytes;
 use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
 use peering::work::{
-    Beat, Cancel, Coming, Done, Failure, FromDialer, FromOwner, Hello, News, PieceDone, PoolLoad, Release,
-    StoreItem, Submit, TargetLoad, from_dialer, from_owner,
+    Beat, Cancel, Coming, Done, Failure, FromDialer, FromOwner, Hello, News, PieceDone, PoolLoad,
+    Release, StoreItem, Submit, TargetLoad, from_dialer, from_owner,
 };
 use peering::{Work, WorkClient, WorkServer};
 use slog::{info, warn};
@@ -147,9 +147,9 @@
         dialled.retain(|_, task| !task.is_finished());
         app.wanted_links.replace(wanted.clone());
         for address in wanted {
-            dialled.entry(address).or_insert_with(|| {
-                spawn_local(hold(Rc::clone(&app), address)).abort_handle()
-            });
+            dialled
+                .entry(address)
+                .or_insert_with(|| spawn_local(hold(Rc::clone(&app), address)).abort_handle());
         }
         drop(dialled);
         drop(timeout(LOOK_PAUSE, app.vms_changed.notified()).await);
@@ -205,8 +205,7 @@
     if vm == app.cfg.vm {
         return Err("the address is this VM's own".to_owned());
     }
-    let link =
-        Rc::new(Link { tx, next_job: Cell::new(0), jobs: RefCell::new(HashMap::new()) });
+    let link = Rc::new(Link { tx, next_job: Cell::new(0), jobs: RefCell::new(HashMap::new()) });
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
@@ -447,7 +446,8 @@
 pub(crate) async fn accept(app: Rc<App>, listener: TcpListener) {
     let (tx, rx) = unbounded_channel();
     spawn_local(serve_dialled(Rc::clone(&app), rx));
-    let server = Server::builder().tcp_nodelay(true).add_service(WorkServer::new(Acceptor { dialled: tx }));
+    let server =
+        Server::builder().tcp_nodelay(true).add_service(WorkServer::new(Acceptor { dialled: tx }));
     if let Err(e) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
         warn!(app.log, "links are taken no more"; "why" => %e);
     }
--- a/gateway/src/logs.rs
+++ b/gateway/src/logs.rs
@@ -36,7 +36,9 @@
     pub(crate) fn write(&self) {
         let Waiting { mut buf, dropped } = self.take();
         if dropped > 0 {
-            buf.extend_from_slice(format!("level=warn msg=\"log lines dropped\" lines={dropped}\n").as_bytes());
+            buf.extend_from_slice(
+                format!("level=warn msg=\"log lines dropped\" lines={dropped}\n").as_bytes(),
+            );
         }
         if !buf.is_empty() {
             drop(std::io::stdout().write_all(&buf));
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -285,9 +285,10 @@
     let stages = of.entry.stages.iter().enumerate();
     let followers = stages.filter(|(other, s)| runs[*other].pieces > 0 && s.needs.contains(&index));
     let time = |(other, stage): (usize, &intent::EntryStage)| {
-        let own = of.intent.pool(&stage.pool).map_or(Duration::ZERO, |pool| {
-            pool.call + pool.piece * runs[other].pieces
-        });
+        let own = of
+            .intent
+            .pool(&stage.pool)
+            .map_or(Duration::ZERO, |pool| pool.call + pool.piece * runs[other].pieces);
         own + time_after(of, runs, other)
     };
     followers.map(time).max().unwrap_or(Duration::ZERO)
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -71,7 +71,12 @@
         }
     }
 
-    async fn call(&mut self, kind: &'static str, call: StoreCall, wait: Duration) -> Result<Bytes, Miss> {
+    async fn call(
+        &mut self,
+        kind: &'static str,
+        call: StoreCall,
+        wait: Duration,
+    ) -> Result<Bytes, Miss> {
         let sent = timeout(wait + ANSWER_WAIT, self.send(call)).await;
         let answer = sent.unwrap_or_else(|_| Err("no answer in time".to_owned()));
         self.app.metrics.platform_call(kind, answer.is_ok());
@@ -229,7 +234,8 @@
 }
 
 fn failed(app: &App, what: &str, miss: &Miss) {
-    let (newly, age) = app.hub.with(|shared, now| (shared.contact.failed(), shared.contact.age(now)));
+    let (newly, age) =
+        app.hub.with(|shared, now| (shared.contact.failed(), shared.contact.age(now)));
     if newly {
         warn!(app.log, "store lost"; "call" => what, "why" => ?miss,
             "heard_ms" => age.map(|age| age.as_millis()));
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -338,7 +338,9 @@
             }
             Ok(Next::End) => return Passed::Whole,
             Ok(Next::Broken(why)) => why,
-            Err(_) if TokioInstant::now() >= until => return Passed::Cut("its time is over".into()),
+            Err(_) if TokioInstant::now() >= until => {
+                return Passed::Cut("its time is over".into());
+            }
             Err(_) => "it stalled".to_owned(),
         };
         stream.reader.answer.a_try.end(End::Failed);
@@ -419,4 +421,3 @@
         self.rx.poll_recv(cx).map(|event| event.map(|event| event.map(Frame::data)))
     }
 }
-
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -128,8 +128,7 @@
         let pick = pick.ok_or_else(|| self.no_target())?;
         self.tried.push(pick.key);
         self.began = now();
-        let mut a_try =
-            Try { app: Rc::clone(&self.app), unread: pick.unread, pick, ended: false };
+        let mut a_try = Try { app: Rc::clone(&self.app), unread: pick.unread, pick, ended: false };
         let target = a_try.pick.target.clone();
         let head = CallHead {
             left: left(self.req.until),
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -321,7 +321,8 @@
         }
     }
     app.hub.with(|shared, _| {
-        let done = |job: &JobKey| shared.pools.get(pool).is_none_or(|p| p.submission(*job).is_none());
+        let done =
+            |job: &JobKey| shared.pools.get(pool).is_none_or(|p| p.submission(*job).is_none());
         for job in jobs.into_iter().filter(done) {
             sinks.remove(&(pool.clone(), job));
         }
--- /dev/null
+++ b/gateway/tests/settings.rs
@@ -0,0 +1,67 @@
+//! Settings are checked with the place of what can't be taken.
+
+use gateway::settings::parse;
+
+const GOOD: &str = "\
+vm: front-1
+hall: lim-a
+callers: 127.0.0.1:8001
+ready: 127.0.0.1:8002
+peers: 127.0.0.1:8003
+store: 127.0.0.1:8004
+";
+
+#[test]
+fn defaults_fill_what_is_left_out() {
+    let cfg = parse(GOOD).unwrap();
+
+    assert_eq!(cfg.vm.as_str(), "front-1");
+    assert!(cfg.seeds.is_empty() && cfg.operations.is_none());
+    assert!((cfg.cores - 1.0).abs() < f64::EPSILON);
+}
+
+fn problem(text: &str) -> String {
+    parse(text).unwrap_err().to_string()
+}
+
+#[test]
+fn bad_settings_are_refused_with_their_place() {
+    let unknown = problem(&format!("{GOOD}colour: red\n"));
+    assert!(unknown.contains("colour"), "{unknown}");
+    let missing = problem(&GOOD.replace("store: 127.0.0.1:8004\n", ""));
+    assert!(missing.contains("store"), "{missing}");
+    let twice = problem(&GOOD.replace("8002", "8001"));
+    assert!(twice.contains("ready") && twice.contains("callers"), "{twice}");
+    let no_port = problem(&GOOD.replace("8003", "0"));
+    assert!(no_port.contains("peers"), "{no_port}");
+    let ratio = problem(&format!("{GOOD}repeats: {{ratio: 3}}\n"));
+    assert!(ratio.contains("repeats.ratio"), "{ratio}");
+    let no_address = problem(&GOOD.replace("127.0.0.1:8004", "nowhere"));
+    assert!(no_address.contains("6"), "the line: {no_address}");
+}
+
+#[test]
+fn the_deployed_template_holds_known_keys_only() {
+    let template =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/settings.yaml"))
+            .unwrap();
+    let filled = template
+        .replace("{{node_name}}", "front-1")
+        .replace("{{zone}}", "lim-a")
+        .replace("{{listen_addresses.front}}", "127.0.0.1:8001")
+        .replace("{{listen_addresses.ready}}", "127.0.0.1:8002")
+        .replace("{{listen_addresses.control}}", "127.0.0.1:8003")
+        .replace("{{ip_address}}", "127.0.0.1")
+        .replace("{{limits.cpu_share}}", "0.25")
+        .replace("{{seed_nodes}}", "127.0.0.1:9003,127.0.0.2:9003")
+        .replace("{{platform_settings.address}}", "127.0.0.1:8004")
+        .replace("{{bounds.retry_budget_ratio}}", "0.2")
+        .replace("{{bounds.retry_budget_slack}}", "54")
+        .replace("{{bounds.budget_window_s}}", "10")
+        .replace("{{bounds.grace_period_s}}", "8.0");
+
+    let cfg = parse(&filled).unwrap();
+
+    assert_eq!(cfg.seeds.len(), 2);
+    assert!(!filled.contains("{{"), "a gap that this test does not fill");
+}
