--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod callers;
 pub mod fleet;
+pub mod users;
 
 use std::collections::HashMap;
 use std::future::Future;
--- /dev/null
+++ b/standins/src/users/callers.rs
@@ -0,0 +1,69 @@
+//! Callers of the users' platform: one request on a connection of its own, or several on one.
+
+use std::net::{SocketAddr, TcpStream};
+
+use super::{Message, Wire};
+
+/// A request to be sent.
+#[derive(Debug, Clone)]
+pub struct Call {
+    method: &'static str,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+impl Call {
+    /// A request with an id to a path of a host.
+    pub fn new(method: &'static str, host: &str, path: &str, id: &str) -> Self {
+        let headers =
+            vec![("Host".to_owned(), host.to_owned()), ("Request-Id".to_owned(), id.to_owned())];
+        Call { method, path: path.to_owned(), headers, body: Vec::new() }
+    }
+
+    /// The same with another header.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// The same with a body.
+    #[must_use]
+    pub fn body(mut self, body: &[u8]) -> Self {
+        self.body = body.to_vec();
+        self
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let mut bytes = format!("{} {} HTTP/1.1\r\n", self.method, self.path).into_bytes();
+        for (name, value) in &self.headers {
+            bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+        }
+        if !self.body.is_empty() {
+            bytes.extend_from_slice(format!("Content-Length: {}\r\n", self.body.len()).as_bytes());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+
+    /// Sends it on a connection; `None` if that ends with no head of an answer.
+    pub fn send_on(&self, wire: &mut Wire) -> Option<Message> {
+        wire.write(&self.bytes()).then(|| wire.read()).flatten()
+    }
+
+    /// Sends it on a new connection.
+    pub fn send(&self, address: SocketAddr) -> Option<Message> {
+        self.send_on(&mut Wire::new(TcpStream::connect(address).ok()?))
+    }
+
+    /// Sends it and closes the connection after a while without reading.
+    pub fn send_and_leave(&self, address: SocketAddr, after: std::time::Duration) {
+        if let Ok(stream) = TcpStream::connect(address) {
+            let mut wire = Wire::new(stream);
+            wire.write(&self.bytes());
+            std::thread::sleep(after);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/users/mod.rs
@@ -0,0 +1,144 @@
+//! Stand-ins for the users' platform, written from its published protocol: a key-value store,
+//! runners with the faults that its pages name, and callers. Threads with plain sockets, so that
+//! each byte can be spoiled.
+
+pub mod callers;
+pub mod runners;
+pub mod serving;
+pub mod store;
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Longest wait for a peer's bytes.
+const READ_WAIT: Duration = Duration::from_secs(20);
+
+/// A message as it came over a connection: first line, headers with names in lower case, body.
+#[derive(Debug, Clone, Default)]
+pub struct Message {
+    /// First line.
+    pub first: String,
+    /// Headers, names in lower case.
+    pub headers: HashMap<String, String>,
+    /// Body, with its chunks joined.
+    pub body: Vec<u8>,
+    /// Whether the body came to its end.
+    pub whole: bool,
+}
+
+impl Message {
+    /// A header; empty if absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// The method of a request.
+    pub fn method(&self) -> &str {
+        self.first.split(' ').next().unwrap_or_default()
+    }
+
+    /// The path and query of a request.
+    pub fn target(&self) -> &str {
+        self.first.split(' ').nth(1).unwrap_or_default()
+    }
+
+    /// The status of an answer; 0 if there is none.
+    pub fn status(&self) -> u16 {
+        self.first.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A connection that reads and writes messages.
+pub struct Wire {
+    reader: BufReader<TcpStream>,
+}
+
+impl Wire {
+    /// Takes over a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        drop(stream.set_nodelay(true));
+        drop(stream.set_read_timeout(Some(READ_WAIT)));
+        Wire { reader: BufReader::new(stream) }
+    }
+
+    /// Writes bytes; false if the peer is gone.
+    pub fn write(&mut self, bytes: &[u8]) -> bool {
+        self.reader.get_mut().write_all(bytes).is_ok()
+    }
+
+    /// Reads a message; `None` if the peer closed before its head was whole.
+    pub fn read(&mut self) -> Option<Message> {
+        let mut message = Message { first: self.line()?, ..Message::default() };
+        loop {
+            let line = self.line()?;
+            if line.is_empty() {
+                break;
+            }
+            let (name, value) = line.split_once(':')?;
+            message.headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+        }
+        let is_answer = message.first.starts_with("HTTP/");
+        message.whole = if message.header("transfer-encoding").contains("chunked") {
+            self.chunks(&mut message.body)
+        } else if let Ok(length) = message.header("content-length").parse::<usize>() {
+            message.body = vec![0; length];
+            self.reader.read_exact(&mut message.body).is_ok()
+        } else {
+            !is_answer || self.reader.read_to_end(&mut message.body).is_ok()
+        };
+        Some(message)
+    }
+
+    fn line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let read = self.reader.read_line(&mut line).ok()?;
+        (read > 0).then(|| line.trim_end().to_owned())
+    }
+
+    fn chunks(&mut self, body: &mut Vec<u8>) -> bool {
+        loop {
+            let Some(line) = self.line() else { return false };
+            let Ok(length) = usize::from_str_radix(&line, 16) else { return false };
+            let mut chunk = vec![0; length + 2];
+            if self.reader.read_exact(&mut chunk).is_err() {
+                return false;
+            }
+            if length == 0 {
+                return true;
+            }
+            body.extend_from_slice(&chunk[..length]);
+        }
+    }
+}
+
+/// Serves connections with a function each on a thread of its own, until the process ends.
+pub(crate) fn serve_each(
+    listener: std::net::TcpListener,
+    serve: impl Fn(Wire) + Send + Sync + 'static,
+) {
+    let serve = std::sync::Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = std::sync::Arc::clone(&serve);
+            std::thread::spawn(move || serve(Wire::new(stream)));
+        }
+    });
+}
+
+/// A message with a length.
+pub(crate) fn answer(status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut bytes = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len()).into_bytes();
+    for (name, value) in headers {
+        bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
+    }
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/standins/src/users/runners.rs
@@ -0,0 +1,296 @@
+//! Runners: plain services, engines that stream, and pools of pieces, each with its faults.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::sleep;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::{Message, Wire, answer, serve_each};
+
+/// How a runner behaves towards the next request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Act {
+    /// A whole answer.
+    Answer,
+    /// It answers with a failure of its own, after it ran.
+    Fail,
+    /// It is full and does not run it.
+    Decline,
+    /// Another lifetime stands at its address.
+    Misdirected,
+    /// It runs it and closes with no answer.
+    Lose,
+    /// Half of the body, then the connection ends.
+    CutBody,
+    /// A whole answer to another request.
+    Cross,
+    /// A whole answer, and a second one a moment later.
+    Extra,
+    /// Bytes that are no answer.
+    Garbage,
+    /// A success with no receipt.
+    Unsigned,
+    /// A success in another coding.
+    Encoded,
+    /// An answer with no length that ends with its connection.
+    Unframed,
+    /// It runs it and says nothing for this long.
+    Hang(Duration),
+    /// A stream of so many events.
+    Stream(u64),
+    /// A stream that breaks off in the middle of the event after so many.
+    BreakStream(u64),
+    /// A stream of so many events with a pause after each.
+    SlowStream(u64, Duration),
+    /// An input is gone.
+    InputGone,
+}
+
+/// What a runner saw and does.
+#[derive(Default)]
+struct State {
+    seen: Vec<Message>,
+    ran: Vec<String>,
+    script: Vec<Act>,
+    usual: Option<Act>,
+    released: Vec<String>,
+    /// Pieces made: request, stage, piece.
+    pieces: Vec<(String, u64, u64)>,
+    /// Sizes of calls.
+    calls: Vec<usize>,
+    cut_off: u64,
+}
+
+/// A running runner.
+#[derive(Clone)]
+pub struct Runner {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its id.
+    pub id: String,
+    state: Arc<Mutex<State>>,
+    next_handle: Arc<AtomicU64>,
+}
+
+impl Runner {
+    /// Starts a runner that answers as `usual`.
+    pub fn start(id: &str, usual: Act) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let state = State { usual: Some(usual), ..State::default() };
+        let runner = Runner {
+            address: listener.local_addr()?,
+            id: id.to_owned(),
+            state: Arc::new(Mutex::new(state)),
+            next_handle: Arc::default(),
+        };
+        let serving = runner.clone();
+        serve_each(listener, move |wire| serving.serve(wire));
+        Ok(runner)
+    }
+
+    /// What it writes of itself into the store.
+    pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
+        json!({"service": service, "address": self.address.to_string(), "zone": zone,
+            "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1})
+    }
+
+    /// Behaves so towards the next requests, then as usual again.
+    pub fn next(&self, acts: &[Act]) {
+        self.with(|state| state.script.extend_from_slice(acts));
+    }
+
+    /// Forgets the acts that it was told to do.
+    pub fn clear_acts(&self) {
+        self.with(|state| state.script.clear());
+    }
+
+    /// Ids of the requests that it ran, in order.
+    pub fn ran(&self) -> Vec<String> {
+        self.with(|state| state.ran.clone())
+    }
+
+    /// Everything that it was sent.
+    pub fn seen(&self) -> Vec<Message> {
+        self.with(|state| state.seen.clone())
+    }
+
+    /// Pieces that it made: request, stage, piece.
+    pub fn pieces(&self) -> Vec<(String, u64, u64)> {
+        self.with(|state| state.pieces.clone())
+    }
+
+    /// Handles that it was told to give up.
+    pub fn released(&self) -> Vec<String> {
+        self.with(|state| state.released.clone())
+    }
+
+    /// Streams whose reader was gone before their end.
+    pub fn cut_off(&self) -> u64 {
+        self.with(|state| state.cut_off)
+    }
+
+    fn with<R>(&self, f: impl FnOnce(&mut State) -> R) -> R {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    fn serve(&self, mut wire: Wire) {
+        while let Some(req) = wire.read() {
+            let goes_on = match req.target() {
+                "/stage-run" => self.make_pieces(&mut wire, &req),
+                "/stage-free" => self.release(&mut wire, &req),
+                _ => self.run(&mut wire, &req),
+            };
+            if !goes_on {
+                return;
+            }
+        }
+    }
+
+    fn run(&self, wire: &mut Wire, req: &Message) -> bool {
+        let id = req.header("request-id").to_owned();
+        let expected = req.header("expected-instance").to_owned();
+        let act = self.with(|state| {
+            state.seen.push(req.clone());
+            let next = (!state.script.is_empty()).then(|| state.script.remove(0));
+            next.or(state.usual.clone()).unwrap_or(Act::Answer)
+        });
+        let act = if expected == self.id { act } else { Act::Misdirected };
+        let not_run = matches!(act, Act::Decline | Act::Misdirected | Act::InputGone);
+        if !not_run {
+            self.with(|state| state.ran.push(id.clone()));
+        }
+        self.act(wire, &act, &id, req)
+    }
+
+    fn act(&self, wire: &mut Wire, act: &Act, id: &str, req: &Message) -> bool {
+        let body = format!("{} answers {id}", self.id);
+        let receipt = format!("sig-{}", self.id);
+        let own = [("Request-Id", id), ("Response-Signature", receipt.as_str())];
+        let whole = answer("200 OK", &own, body.as_bytes());
+        match act {
+            Act::Answer => wire.write(&whole),
+            Act::Fail => wire.write(&answer("500 Oops", &own, b"failed")),
+            Act::Decline => wire.write(&answer("503 Full", &[("Not-Executed", "1")], b"")),
+            Act::InputGone => wire.write(&answer("409 Gone", &[("Not-Executed", "1")], b"")),
+            Act::Misdirected => {
+                wire.write(&answer("421 Other", &[("Instance-Id", "i-other")], b""))
+            }
+            Act::Lose => false,
+            Act::CutBody => {
+                wire.write(&whole[..whole.len() - body.len() / 2]);
+                false
+            }
+            Act::Cross => {
+                let other = [("Request-Id", "another"), ("Response-Signature", "sig-x")];
+                wire.write(&answer("200 OK", &other, b"of another request"))
+            }
+            Act::Extra => {
+                let written = wire.write(&whole);
+                sleep(Duration::from_millis(2));
+                written && wire.write(&whole)
+            }
+            Act::Garbage => {
+                wire.write(b"\x00\x01 this is no answer\r\n\r\n");
+                false
+            }
+            Act::Unsigned => wire.write(&answer("200 OK", &[("Request-Id", id)], b"unsigned")),
+            Act::Encoded => {
+                let coded = [own[0], own[1], ("Content-Encoding", "gzip")];
+                wire.write(&answer("200 OK", &coded, b"coded"))
+            }
+            Act::Unframed => {
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {receipt}\r\n\r\n"
+                );
+                wire.write(head.as_bytes());
+                wire.write(body.as_bytes());
+                false
+            }
+            Act::Hang(time) => {
+                sleep(*time);
+                wire.write(&whole)
+            }
+            Act::Stream(events) => self.stream(wire, id, req, *events, None, Duration::ZERO),
+            Act::BreakStream(after) => {
+                self.stream(wire, id, req, u64::MAX, Some(*after), Duration::ZERO)
+            }
+            Act::SlowStream(events, pause) => self.stream(wire, id, req, *events, None, *pause),
+        }
+    }
+
+    /// Streams events up to number `last`, from the one after the caller's last.
+    fn stream(
+        &self,
+        wire: &mut Wire,
+        id: &str,
+        req: &Message,
+        last: u64,
+        break_after: Option<u64>,
+        pause: Duration,
+    ) -> bool {
+        let first = req.header("last-event-id").parse::<u64>().map_or(1, |event| event + 1);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\
+             Request-Id: {id}\r\nResponse-Signature: sig-{}\r\n\r\n",
+            self.id
+        );
+        let mut sent = wire.write(head.as_bytes());
+        for number in first..=last {
+            if break_after.is_some_and(|after| number > after) {
+                wire.write(b"8\r\nid: 99\nd\r\n");
+                return false;
+            }
+            let event = format!("id: {number}\ndata: {id}/{number}\n\n");
+            sent = sent && wire.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
+            if !sent {
+                self.with(|state| state.cut_off += 1);
+                return false;
+            }
+            sleep(pause);
+        }
+        wire.write(b"0\r\n\r\n")
+    }
+
+    fn make_pieces(&self, wire: &mut Wire, req: &Message) -> bool {
+        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+        let items = body["items"].as_array().cloned().unwrap_or_default();
+        let act = self.with(|state| {
+            state.seen.push(req.clone());
+            let next = (!state.script.is_empty()).then(|| state.script.remove(0));
+            next.unwrap_or(Act::Answer)
+        });
+        match act {
+            Act::Decline => {
+                return wire.write(&answer("503 Full", &[("Not-Executed", "1")], b""));
+            }
+            Act::Lose => return false,
+            Act::Hang(time) => sleep(time),
+            _ => sleep(Duration::from_millis(20)),
+        }
+        self.with(|state| state.calls.push(items.len()));
+        let made = items.iter().map(|item| self.make_piece(item, &act)).collect::<Vec<_>>();
+        wire.write(&answer("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
+    }
+
+    fn make_piece(&self, item: &Value, act: &Act) -> Value {
+        if *act == Act::InputGone {
+            return json!({"reason": "gone"});
+        }
+        let number = |name: &str| item[name].as_u64().unwrap_or(u64::MAX);
+        let id = item["id"].as_str().unwrap_or_default().to_owned();
+        self.with(|state| state.pieces.push((id, number("stage"), number("piece"))));
+        let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
+        json!({ "handle": format!("{}/{handle:x}", self.address) })
+    }
+
+    fn release(&self, wire: &mut Wire, req: &Message) -> bool {
+        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+        let handles = body["handles"].as_array().cloned().unwrap_or_default();
+        let handles = handles.iter().filter_map(|h| h.as_str().map(str::to_owned));
+        self.with(|state| state.released.extend(handles));
+        wire.write(&answer("200 OK", &[], b""))
+    }
+}
--- /dev/null
+++ b/standins/src/users/serving.rs
@@ -0,0 +1,239 @@
+//! VMs of the serving path as processes, before the stand-ins of this folder.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::expect_used)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::callers::Call;
+use super::runners::{Act, Runner};
+use super::store::Store;
+use crate::fleet::{program, wait_until};
+
+/// Host that the usual configuration serves.
+pub const HOST: &str = "h.example";
+
+/// A VM's process; killed when dropped.
+pub struct Vm {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// Where metrics and state are served.
+    pub operations: SocketAddr,
+    peers: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+impl Vm {
+    /// Starts a VM before a store; `extra` are further lines of its settings.
+    pub fn start(name: &str, hall: &str, store: SocketAddr, extra: &str) -> Self {
+        let [callers, ready, peers, operations] = free_addresses();
+        let dir = std::env::temp_dir().join(format!("saddlerail-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a directory for the test");
+        let settings = dir.join("settings.yaml");
+        let text = format!(
+            "vm: {name}\nhall: {hall}\ncallers: {callers}\nready: {ready}\npeers: {peers}\n\
+             operations: {operations}\nstore: {store}\nlog: debug\n{extra}"
+        );
+        std::fs::write(&settings, text).expect("settings are written");
+        let log = dir.join("log");
+        let child = spawn(&settings, &log);
+        Vm { callers, ready, operations, peers, settings, log, child }
+    }
+
+    /// Where it takes links.
+    pub fn peers(&self) -> SocketAddr {
+        self.peers
+    }
+
+    /// Whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let answer = Call::new("GET", "ready", "/ready", "-").send(self.ready);
+        answer.is_some_and(|answer| answer.status() == 200)
+    }
+
+    /// Waits until it is ready.
+    pub fn wait_ready(&self) {
+        wait_until("the VM is ready", || self.is_ready());
+    }
+
+    /// A page of its operations address.
+    pub fn page(&self, path: &str) -> String {
+        let answer = Call::new("GET", "operations", path, "-").send(self.operations);
+        answer.map(|answer| answer.text()).unwrap_or_default()
+    }
+
+    /// Its state dump.
+    pub fn state(&self) -> Value {
+        serde_json::from_str(&self.page("/state")).unwrap_or_default()
+    }
+
+    /// Its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Sends its process a signal.
+    pub fn signal(&self, signal: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &pid]).status().expect("kill runs");
+        assert!(sent.success());
+    }
+
+    /// Waits for its end; gives the exit code.
+    pub fn wait_end(&mut self) -> Option<i32> {
+        let mut code = None;
+        wait_until("the VM has ended", || match self.child.try_wait() {
+            Ok(Some(status)) => {
+                code = Some(status.code());
+                true
+            }
+            _ => false,
+        });
+        code.flatten()
+    }
+
+    /// Kills its process and starts another one with the same settings.
+    pub fn restart(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        self.child = spawn(&self.settings, &self.log);
+    }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
+    let out = std::fs::File::create(log).expect("a log file");
+    Command::new(program("saddleraild"))
+        .arg("serve")
+        .arg("--settings")
+        .arg(settings)
+        .stdout(out)
+        .stderr(Stdio::inherit())
+        .spawn()
+        .expect("saddleraild starts")
+}
+
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    // All are held at once, so that they differ.
+    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.each_ref().map(|listener| listener.local_addr().expect("an address"))
+}
+
+/// The usual configuration: a plain service that may be repeated and one that may not, streams
+/// that may be resumed and others, and a chain of two stages before an engine.
+pub fn usual_configuration(version: u64) -> Value {
+    let route = |path: &str, kind: &str, service: &str| {
+        json!({"name": path.trim_matches('/'), "host": HOST, "path_prefix": path, "kind": kind,
+            "timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": service,
+            "max_attempts": 2, "public": true, "stages": [], "stream_resumption": false})
+    };
+    let mut resumed = route("/resumed/", "streaming", "engine");
+    resumed["stream_resumption"] = json!(true);
+    let mut chain = route("/chain/", "streaming", "engine");
+    chain["target_latency_ms"] = json!(2000);
+    chain["stages"] = json!([
+        {"service": "pool", "after_revision": [], "bytes": 1000},
+        {"service": "pool", "after_revision": [0], "bytes": 1000}]);
+    let mut keyed = route("/keyed/", "idempotent", "plain");
+    keyed["public"] = json!(false);
+    let service =
+        |name: &str| json!({"name": name, "health_check_path": "/health", "connection_limit": 50});
+    let mut pool = service("pool");
+    pool["pieces"] = json!({"slots": 1, "queue": 2, "batch": 8, "call_ms": 20.0, "item_ms": 1.0,
+        "headroom_mb": 1.0, "handle_s": 4.0, "link_mbps": 1000});
+    let mut engine = service("engine");
+    engine["inference_engine"] = json!({"slots": 8, "kv_cache_tokens": 100_000});
+    json!({"version": version, "routes": [
+            route("/repeat/", "idempotent", "plain"),
+            route("/once/", "non_idempotent", "plain"),
+            route("/stream/", "streaming", "engine"),
+            resumed, chain, keyed],
+        "services": [service("plain"), pool, engine],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "quipu", "api_keys": ["key-1"]}]})
+}
+
+/// A store with the usual configuration and two runners for each service.
+pub struct Site {
+    /// The store.
+    pub store: Store,
+    /// Runners of the plain service.
+    pub plain: Vec<Runner>,
+    /// Engines.
+    pub engines: Vec<Runner>,
+    /// Runners of the pool.
+    pub pool: Vec<Runner>,
+}
+
+impl Site {
+    /// Starts the stand-ins.
+    pub fn start() -> Self {
+        let store = Store::start().expect("the store starts");
+        store.put("op/config", &usual_configuration(1));
+        let runners = |service: &str, usual: &Act| -> Vec<Runner> {
+            let start = |number| {
+                let id = format!("i-{service}-{number}");
+                Runner::start(&id, usual.clone()).expect("a runner starts")
+            };
+            (1..=2).map(start).collect()
+        };
+        let site = Site {
+            plain: runners("plain", &Act::Answer),
+            engines: runners("engine", &Act::Stream(5)),
+            pool: runners("pool", &Act::Answer),
+            store,
+        };
+        let services = [("plain", &site.plain), ("engine", &site.engines), ("pool", &site.pool)];
+        for (service, runners) in services {
+            for runner in runners {
+                let key = format!("servers/{}", runner.id);
+                site.store.put(&key, &runner.entry(service, "hall-a", "ready"));
+            }
+        }
+        site
+    }
+
+    /// Starts a VM and waits until it is ready and knows all runners.
+    pub fn start_vm(&self, name: &str, extra: &str) -> Vm {
+        let vm = Vm::start(name, "hall-a", self.store.address, extra);
+        self.wait_known(&vm);
+        vm
+    }
+
+    /// Waits until a VM knows all runners.
+    pub fn wait_known(&self, vm: &Vm) {
+        vm.wait_ready();
+        let runners = self.store.keys("servers/").len();
+        wait_until("the VM knows the runners", || vm.state()["targets"] == json!(runners));
+    }
+
+    /// How often a request ran, over all runners that answer requests.
+    pub fn runs(&self, id: &str) -> usize {
+        let all = self.plain.iter().chain(&self.engines);
+        all.map(|runner| runner.ran().iter().filter(|ran| *ran == id).count()).sum()
+    }
+
+    /// Lets the next requests at all runners of a list be answered so.
+    pub fn next(runners: &[Runner], act: &Act) {
+        runners.iter().for_each(|runner| runner.next(std::slice::from_ref(act)));
+    }
+}
+
+/// Pause that lets what should not happen show itself.
+pub const A_WHILE: Duration = Duration::from_millis(700);
