Split pools from 8 targets a hall only; a maker with no room costs no try; gather changes by their bound

Cause: pools of 15 to 18 targets split into four left one hall refusing while others had makers free, and each crash of a target moved the split; a new owner does not know what lies at the makers. Ruled out: choosing among halls by forecast (links of every VM to every owner). Change: a pool is split from 8 targets in each hall; NoRoom rests a maker and costs no try; the watch pauses a third of the time in which changes must be in force, from the settings.

--- a/components/batching/src/maker.rs
+++ b/components/batching/src/maker.rs
@@ -19,6 +19,9 @@
 /// Pause after a maker was full, which it is only with another owner's calls.
 const FULL_REST: Duration = Duration::from_millis(60);
 
+/// Pause after a maker had no room for a result, which another owner had it make.
+const NO_ROOM_REST: Duration = Duration::from_millis(120);
+
 /// State of a maker.
 #[derive(Debug)]
 pub(crate) struct Maker {
@@ -57,6 +60,10 @@
         self.rests_until = Some(now + FULL_REST);
     }
 
+    pub(crate) fn had_no_room(&mut self, now: Instant) {
+        self.rests_until = Some(now + NO_ROOM_REST);
+    }
+
     pub(crate) fn failed(&mut self, now: Instant) {
         let rest = FIRST_REST.saturating_mul(1 << self.failures.min(8)).min(LONGEST_REST);
         self.failures = self.failures.saturating_add(1);
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -463,7 +463,15 @@
                 }
                 PieceAnswer::Late => Made::Late,
                 PieceAnswer::Gone => Made::Gone,
-                PieceAnswer::NoRoom | PieceAnswer::Failed => {
+                PieceAnswer::NoRoom => {
+                    if let Some(maker) = self.makers.get_mut(call.maker) {
+                        maker.had_no_room(now);
+                    }
+                    // It costs no try: the piece ends with its time at the latest.
+                    finished.extend(self.try_again(vec![*waiting], 0));
+                    continue;
+                }
+                PieceAnswer::Failed => {
                     finished.extend(self.try_again(vec![*waiting], 1));
                     continue;
                 }
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -157,7 +157,8 @@
 
     let made: Vec<&Made> = finished.iter().map(|finished| &finished.made).collect();
     assert_eq!(made, [&Made::Late, &Made::Gone]);
-    let again = pool.next_call(now).unwrap();
+    assert!(pool.next_call(now).is_none(), "a maker with no room is left alone for a moment");
+    let again = pool.next_call(now + CALL).unwrap();
     let pieces: Vec<u32> = again.pieces.iter().map(|(_, piece)| *piece).collect();
     assert_eq!(pieces, [2, 3], "no room, and an answer that is missing");
 }
@@ -174,6 +175,19 @@
     }
 }
 
+#[test]
+fn a_maker_with_no_room_costs_no_try() {
+    let mut now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    pool.submit(submission("r", 1, now + CALL * 50), now);
+    for _ in 0..20 {
+        let call = pool.next_call(now).unwrap();
+        let end = CallEnd::Answered(vec![PieceAnswer::NoRoom]);
+        assert!(pool.call_ended(call.key, end, now).is_empty());
+        now += Duration::from_millis(200);
+    }
+}
+
 #[test]
 fn results_of_a_request_that_is_gone_are_given_up_at_once() {
     let now = Instant::now();
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -33,6 +33,9 @@
     pub seeds: Vec<SocketAddr>,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Time within which a change of the configuration must be in force, in milliseconds.
+    #[serde(default = "in_force_ms")]
+    pub in_force_ms: u64,
     /// Budget of requests sent a second time, for the whole fleet.
     #[serde(default)]
     pub repeats: Repeats,
@@ -51,6 +54,18 @@
     1.0
 }
 
+/// Operators expect changes within seconds.
+fn in_force_ms() -> u64 {
+    2000
+}
+
+impl Settings {
+    /// Time within which a change of the configuration must be in force.
+    pub fn in_force(&self) -> Duration {
+        Duration::from_millis(self.in_force_ms)
+    }
+}
+
 /// Budget of requests sent a second time.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -179,6 +194,7 @@
         }
     }
     let ranges = [
+        ("in_force_ms", cfg.in_force_ms as f64, 10.0, 600_000.0),
         ("cores", cfg.cores, 0.001, 1024.0),
         ("repeats.ratio", cfg.repeats.ratio, 0.0, 1.0),
         ("repeats.slack", cfg.repeats.slack, 0.0, f64::MAX),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -25,7 +25,7 @@
 const STORE_SILENCE: Duration = Duration::from_millis(2500);
 
 /// Targets in each hall from which on a pool is split by hall.
-const SPLIT_TARGETS: usize = 3;
+const SPLIT_TARGETS: usize = 8;
 /// Time to a first event that is believed until one was seen.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
 /// Weight of a new first event in what is learned.
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -23,9 +23,9 @@
 
 /// Longest wait of a watch. Each one is a counted call; a dead path is noticed after this time.
 const WATCH_WAIT: Duration = Duration::from_millis(3000);
-/// Pause after a change, so that many changes in a row cost few calls; far less than the bounds
-/// within which changes must be in force.
-const GATHER: Duration = Duration::from_millis(300);
+/// After a change the watch pauses for this part of the time within which changes must be in force,
+/// so that many changes in a row cost few calls.
+const GATHER_PART: u32 = 3;
 /// Longest wait for an answer beside the watch's own.
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
 /// First pause after a failed call; doubles with each one in a row.
@@ -185,7 +185,7 @@
                 let changed = !page.items.is_empty();
                 take(app, page);
                 if changed {
-                    sleep(GATHER).await;
+                    sleep(app.cfg.in_force() / GATHER_PART).await;
                 }
             }
             Err(Miss::Forgotten) => {
--- a/gateway/tests/settings.rs
+++ b/gateway/tests/settings.rs
@@ -58,6 +58,7 @@
         .replace("{{bounds.retry_budget_ratio}}", "0.2")
         .replace("{{bounds.retry_budget_slack}}", "54")
         .replace("{{bounds.budget_window_s}}", "10")
+        .replace("{{bounds.config_apply_ms}}", "2000")
         .replace("{{bounds.grace_period_s}}", "8.0");
 
     let cfg = parse(&filled).unwrap();
