The tool follows a request through log files and reads the platform's configurations

Cause: an engineer on call has logs only; a configuration could not be looked at before it is used. Change: saddlerail trace and saddlerail check, with tests on fixture logs and configurations. Ruled out: a page of each VM (the VM may be gone).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -72,6 +72,7 @@
         )
         .subcommands([apply(), diff(), list(), show(), remove(), label()])
         .subcommands([history(), rollback(), settle(), wait(), state(), explain(), completions()])
+        .subcommands([trace(), check()])
 }
 
 fn address(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
@@ -218,6 +219,32 @@
         .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Tell from VMs' log files what became of a request")
+        .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Log files of the VMs"),
+        )
+}
+
+fn check() -> Command {
+    Command::new("check")
+        .about("Read a configuration of the users' platform and tell what it becomes")
+        .arg(
+            Arg::new("file")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The configuration, as it stands in the platform's store"),
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Print a completion script")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! One file for each subcommand.
 
 mod apply;
+mod check;
 mod completions;
 mod diff;
 mod explain;
@@ -12,6 +13,7 @@
 mod settle;
 mod show;
 mod state;
+mod trace;
 pub(crate) mod wait;
 
 use std::process::ExitCode;
@@ -37,6 +39,8 @@
         "wait" => wait::run(args),
         "state" => state::run(args),
         "explain" => explain::run(args),
+        "trace" => trace::run(args),
+        "check" => check::run(args),
         _ => {
             completions::run(args);
             Ok(())
--- /dev/null
+++ b/tests/tool.rs
@@ -0,0 +1,69 @@
+//! The tool reads logs and configurations without any process running.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::expect_used)]
+
+use std::process::{Command, Output};
+
+use serde_json::Value;
+
+fn tool(args: &[&str]) -> Output {
+    let out = Command::new(env!("CARGO_BIN_EXE_saddlerail"))
+        .args(args)
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .output();
+    out.expect("the tool runs")
+}
+
+fn text(out: &Output) -> String {
+    String::from_utf8_lossy(&out.stdout).into_owned()
+}
+
+const LOG: &str = "tests/fixtures/logs/front-1.log";
+
+#[test]
+fn trace_tells_a_requests_way_in_order() {
+    let out = tool(&["trace", "3e9861d31f5c3ff3", LOG]);
+
+    assert!(out.status.success());
+    let text = text(&out);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[0].contains("0 ms") && lines[0].contains("admitted"));
+    assert!(lines[2].contains("2700 ms") && lines[2].contains("target=i-64d7"));
+    assert!(lines[3].contains("outcome=unknown"));
+}
+
+#[test]
+fn trace_gives_pairs_as_json() {
+    let out = tool(&["trace", "3e9861d31f5c3ff3", LOG, "--output", "json"]);
+
+    let lines: Value = serde_json::from_str(&text(&out)).expect("JSON");
+    assert_eq!(lines[2]["missed"], "Lost(\"connection error\")");
+    assert_eq!(lines[2]["at_ms"], "2675");
+    assert_eq!(lines[3]["outcome"], "unknown");
+}
+
+#[test]
+fn trace_says_when_no_line_names_the_request_or_a_file_is_missing() {
+    let unknown = tool(&["trace", "nobody", LOG]);
+    let missing = tool(&["trace", "nobody", "tests/fixtures/logs/none.log"]);
+
+    assert!(!unknown.status.success() && !missing.status.success());
+    assert!(String::from_utf8_lossy(&unknown.stderr).contains("no line"));
+    assert!(String::from_utf8_lossy(&missing.stderr).contains("none.log"));
+}
+
+#[test]
+fn check_tells_what_a_configuration_becomes_and_what_is_wrong_with_one() {
+    let good = tool(&["check", "platform/tests/fixtures/good/whole.json"]);
+    let bad = tool(&["check", "platform/tests/fixtures/bad/stage-needs-later.json"]);
+
+    assert!(good.status.success());
+    let text = text(&good);
+    assert!(text.starts_with("version 7, 3 services, 3 keys"), "{text}");
+    assert!(text.contains("jepu9.example/cufi/: engine (1), stream, runs once"), "{text}");
+    assert!(!bad.status.success());
+    let problem = String::from_utf8_lossy(&bad.stderr).into_owned();
+    assert!(problem.contains("stage-needs-later.json:entry r-1"), "{problem}");
+}
