--- a/daemon/tests/pages.rs
+++ b/daemon/tests/pages.rs
@@ -54,3 +54,40 @@
         named.into_iter().filter(|n| n.starts_with("saddlerail_")).collect();
     assert_eq!(on_page, metrics);
 }
+
+#[test]
+fn the_serving_settings_page_has_every_key() {
+    let text = "vm: v\nhall: h\ncallers: 127.0.0.1:1\nready: 127.0.0.1:2\n\
+                peers: 127.0.0.1:3\nstore: 127.0.0.1:4\n";
+    let cfg = gateway::settings::parse(text).expect("settings");
+    let mut keys = BTreeSet::new();
+    for (key, value) in serde_json::to_value(cfg).expect("JSON").as_object().expect("a map") {
+        match value.as_object() {
+            Some(inner) => keys.extend(inner.keys().map(|k| format!("{key}.{k}"))),
+            None => drop(keys.insert(key.clone())),
+        }
+    }
+    assert_eq!(first_cells(&page("serving-settings.md")), keys);
+}
+
+#[test]
+fn the_operations_page_has_every_message_of_the_serving_path() {
+    let page =
+        fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs/OPERATIONS.md"))
+            .expect("the page");
+    let sources = Path::new(env!("CARGO_MANIFEST_DIR")).join("../gateway/src");
+    let mut messages = BTreeSet::new();
+    for entry in fs::read_dir(sources).expect("sources").flatten() {
+        let text = fs::read_to_string(entry.path()).expect("a source");
+        for level in ["info!(", "warn!("] {
+            for call in text.split(level).skip(1) {
+                let message = call.split('"').nth(1).expect("a message");
+                messages.insert(message.to_owned());
+            }
+        }
+    }
+    assert!(messages.len() > 20, "{messages:?}");
+    for message in messages {
+        assert!(page.contains(&message), "no word on \"{message}\"");
+    }
+}
