Baselines take whatever comes

Cause: the plain policies refused by forecast too, so that they were no baselines. Change: admission is part of the adaptive policy only.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -12,6 +12,7 @@
 use crate::app::App;
 use crate::fleet;
 use crate::requests::Accepted;
+use crate::settings::Policy;
 use crate::shared::Shared;
 use crate::work::left;
 
@@ -105,7 +106,8 @@
 pub(crate) fn admit(app: &Rc<App>, req: &Accepted) -> Result<OnTheirWay, Refusal> {
     let mut way = OnTheirWay { app: Rc::clone(app), by_stage: Vec::new() };
     let pieces: u32 = req.head.pieces.iter().sum();
-    if req.entry.stages.is_empty() || pieces == 0 {
+    // The baselines take whatever comes.
+    if app.cfg.policy != Policy::Adaptive || req.entry.stages.is_empty() || pieces == 0 {
         return Ok(way);
     }
     let (expected, allowed, age) = app.hub.with(|shared, now| {
