Split links and the pool's types into files of one job; one copy of policy and log level

Change: dialled links, accepted links and what is said over them are three files; no behaviour changed.

--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -6,6 +6,8 @@
 mod maker;
 mod pool;
 mod results;
+mod submission;
 
 pub use maker::MakerKey;
-pub use pool::{Call, CallEnd, CallKey, Finished, JobKey, Made, Order, Pool, Submission};
+pub use pool::Pool;
+pub use submission::{Call, CallEnd, CallKey, Finished, JobKey, Made, Order, Submission};
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -4,19 +4,13 @@
 use std::time::{Duration, Instant};
 
 use doors::calls::PieceAnswer;
-use ids::{HallName, RequestId, TargetName};
+use ids::TargetName;
 use intent::{PoolSpec, Target};
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 
 use crate::maker::{Maker, MakerKey};
 use crate::results::Results;
-
-new_key_type! {
-    /// Key of a submission.
-    pub struct JobKey;
-    /// Key of a call under way.
-    pub struct CallKey;
-}
+use crate::submission::{Call, CallEnd, CallKey, Finished, JobKey, Made, Order, Submission};
 
 /// Most times that a piece is tried.
 const PIECE_TRIES: u32 = 4;
@@ -35,93 +29,6 @@
 /// Figures of a pool are taken to be no less than this, so that no division is by nothing.
 const LEAST_TIME: Duration = Duration::from_millis(1);
 
-/// How waiting pieces are ordered and matched with makers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Order {
-    /// By slack, with regard to where the inputs lie.
-    #[default]
-    Slack,
-    /// As they came, to measure against.
-    Arrival,
-}
-
-/// Pieces of one stage of one request.
-#[derive(Debug, Clone)]
-pub struct Submission {
-    /// The request.
-    pub request: RequestId,
-    /// Index of the stage.
-    pub stage: u32,
-    /// Numbers of the pieces.
-    pub pieces: Vec<u32>,
-    /// Secret of the request; for stages that need no results.
-    pub key: Option<String>,
-    /// Results that each piece needs.
-    pub inputs: Vec<String>,
-    /// When the results are of no use.
-    pub until: Instant,
-    /// When the results are late.
-    pub due: Instant,
-    /// Urgency, 0 first.
-    pub urgency: u8,
-    /// About how large a result is.
-    pub result_bytes: u64,
-    /// Where the inputs lie or the results are wanted, if that matters.
-    pub near: Option<HallName>,
-}
-
-/// A call to be made.
-#[derive(Debug, Clone)]
-pub struct Call {
-    /// Its key, to tell how it ended.
-    pub key: CallKey,
-    /// The target.
-    pub target: Target,
-    /// The pieces in it: submission and number.
-    pub pieces: Vec<(JobKey, u32)>,
-    /// Room that its results and earlier ones take at the target, in bytes, for the log.
-    pub room_used: u64,
-    /// After this time it is given up.
-    pub patience: Duration,
-}
-
-/// How a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CallEnd {
-    /// With an answer for each piece, in order.
-    Answered(Vec<PieceAnswer>),
-    /// The target was full and did not take it.
-    Full,
-    /// The target is gone; another one has its address.
-    TargetGone,
-    /// It failed or took too long.
-    Failed,
-}
-
-/// Result of a piece.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Made {
-    /// It lies at its maker under this handle.
-    At(String),
-    /// Its time was over.
-    Late,
-    /// An input is gone.
-    Gone,
-    /// It could not be made.
-    Broken,
-}
-
-/// A piece that is done.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Finished {
-    /// The submission.
-    pub job: JobKey,
-    /// Number of the piece.
-    pub piece: u32,
-    /// What became of it.
-    pub made: Made,
-}
-
 #[derive(Debug)]
 struct Job {
     submission: Submission,
--- /dev/null
+++ b/gateway/src/accepted_links.rs
@@ -0,0 +1,140 @@
+//! Links that peers dial: their pieces are taken, and results handed back.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use batching::JobKey;
+use ids::{ServiceName, VmName};
+use peering::work::{FromDialer, FromOwner, News, from_dialer, from_owner};
+use peering::{Work, WorkServer};
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval};
+use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::app::App;
+use crate::fleet::{BEAT, SILENCE};
+use crate::link_words::{beat, hello, meet, submission_of, take_beat, take_news};
+use crate::links::ToDialer;
+use crate::work::{self, Sink};
+
+/// A link that a peer dialled, handed from the server's task to this thread's tasks.
+struct Dialled {
+    inbound: Streaming<FromDialer>,
+    tx: ToDialer,
+}
+
+struct Acceptor {
+    dialled: UnboundedSender<Dialled>,
+}
+
+#[tonic::async_trait]
+impl Work for Acceptor {
+    type LinkStream = UnboundedReceiverStream<Result<FromOwner, Status>>;
+
+    async fn link(
+        &self,
+        req: Request<Streaming<FromDialer>>,
+    ) -> Result<Response<Self::LinkStream>, Status> {
+        let (tx, rx) = unbounded_channel();
+        let dialled = Dialled { inbound: req.into_inner(), tx };
+        self.dialled.send(dialled).map_err(|_| Status::unavailable("the process is ending"))?;
+        Ok(Response::new(UnboundedReceiverStream::new(rx)))
+    }
+}
+
+/// Takes links that peers dial.
+pub(crate) async fn accept(app: Rc<App>, listener: TcpListener) {
+    let (tx, rx) = unbounded_channel();
+    spawn_local(serve_dialled(Rc::clone(&app), rx));
+    let server =
+        Server::builder().tcp_nodelay(true).add_service(WorkServer::new(Acceptor { dialled: tx }));
+    if let Err(e) = server.serve_with_incoming(TcpListenerStream::new(listener)).await {
+        warn!(app.log, "links are taken no more"; "why" => %e);
+    }
+}
+
+async fn serve_dialled(app: Rc<App>, mut rx: UnboundedReceiver<Dialled>) {
+    while let Some(dialled) = rx.recv().await {
+        spawn_local(serve_peer(Rc::clone(&app), dialled));
+    }
+}
+
+/// Serves one peer until its link ends.
+async fn serve_peer(app: Rc<App>, dialled: Dialled) {
+    let Dialled { mut inbound, tx } = dialled;
+    let send = |kind| tx.send(Ok(FromOwner { kind: Some(kind) })).is_ok();
+    send(from_owner::Kind::Hello(hello(&app)));
+    let mut jobs: HashMap<u64, (ServiceName, JobKey)> = HashMap::new();
+    let mut vm = None;
+    let mut beats = interval(BEAT);
+    beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut heard = tokio::time::Instant::now();
+    loop {
+        tokio::select! {
+            message = inbound.message() => {
+                heard = tokio::time::Instant::now();
+                let Ok(Some(message)) = message else { break };
+                let Some(kind) = message.kind else { continue };
+                if let from_dialer::Kind::Hello(hello) = &kind {
+                    let Ok(name) = VmName::new(&hello.vm) else { break };
+                    meet(&app, &name, Some(hello));
+                    app.vms_changed.notify_one();
+                    vm = Some(name);
+                    continue;
+                }
+                let Some(vm) = &vm else { break };
+                if let Some(news) = take(&app, vm, kind, &tx, &mut jobs) {
+                    send(from_owner::Kind::News(news));
+                }
+            }
+            _ = beats.tick() => {
+                if heard.elapsed() > SILENCE || !send(from_owner::Kind::Beat(beat(&app))) {
+                    break;
+                }
+            }
+        }
+    }
+    // Whoever handed them in does so elsewhere, or is gone.
+    for (pool, job) in jobs.into_values() {
+        work::cancel(&app, &pool, job);
+    }
+}
+
+fn take(
+    app: &Rc<App>,
+    vm: &VmName,
+    kind: from_dialer::Kind,
+    tx: &ToDialer,
+    jobs: &mut HashMap<u64, (ServiceName, JobKey)>,
+) -> Option<News> {
+    match kind {
+        from_dialer::Kind::Submit(submit) => {
+            let number = submit.job;
+            if let Some((pool, submission)) = submission_of(submit) {
+                let sink = Sink::Peer(tx.clone(), number);
+                let job = work::submit(app, &pool, submission, sink);
+                jobs.insert(number, (pool, job));
+            }
+        }
+        from_dialer::Kind::Cancel(cancel) => {
+            if let Some((pool, job)) = jobs.remove(&cancel.job) {
+                work::cancel(app, &pool, job);
+            }
+        }
+        from_dialer::Kind::Release(release) => work::release_here(app, &release.handles),
+        from_dialer::Kind::Beat(beat) => {
+            let sinks = app.sinks.borrow();
+            jobs.retain(|_, job| sinks.contains_key(job));
+            drop(sinks);
+            return take_beat(app, vm, &beat);
+        }
+        from_dialer::Kind::News(news) => take_news(app, vm, news),
+        from_dialer::Kind::Hello(_) => {}
+    }
+    None
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -1,6 +1,7 @@
 //! The serving path: callers, stages, targets, peers and the store, as tasks of one thread around
 //! one actor that holds what they share.
 
+mod accepted_links;
 mod admission;
 mod answers;
 mod app;
@@ -9,6 +10,7 @@
 pub mod events;
 mod fleet;
 mod hub;
+mod link_words;
 mod links;
 mod logs;
 mod pages;
--- /dev/null
+++ b/gateway/src/link_words.rs
@@ -0,0 +1,194 @@
+//! What VMs tell each other over links, read and written.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use batching::{Made, Submission};
+use bytes::Bytes;
+use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
+use peering::work::{
+    Beat, Coming, Done, Failure, FromOwner, Hello, News, PieceDone, PoolLoad, StoreItem, Submit,
+    TargetLoad, from_owner,
+};
+use slog::info;
+use store_view::Item;
+
+use crate::app::App;
+use crate::fleet::{self, PeerVm, VmEntry};
+use crate::links::ToDialer;
+
+/// Who this VM is.
+pub(crate) fn hello(app: &App) -> Hello {
+    app.hub.with(|shared, _| {
+        let entry = shared.fleet.own_entry();
+        Hello {
+            vm: app.cfg.vm.to_string(),
+            hall: entry.hall.to_string(),
+            incarnation: shared.fleet.incarnation,
+            peers: entry.peers.to_string(),
+            cores: entry.cores,
+        }
+    })
+}
+
+/// This VM's heartbeat.
+pub(crate) fn beat(app: &App) -> Beat {
+    let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+    app.hub.with(|shared, now| Beat {
+        as_of: shared.view.as_of(),
+        draining: shared.draining.is_some(),
+        wants_news: shared.contact.is_lost(now),
+        loads: shared
+            .targets
+            .own_load()
+            .map(|(id, calls, tokens)| TargetLoad { target: id.to_string(), calls, tokens })
+            .collect(),
+        coming: shared
+            .admission
+            .coming()
+            .map(|(pool, pieces)| Coming { pool: pool.to_string(), pieces })
+            .collect(),
+        pools: shared
+            .pools
+            .iter()
+            .filter(|(name, _)| shared.owner_of(name, now).is_none())
+            .map(|(name, pool)| PoolLoad {
+                pool: name.to_string(),
+                turn_ms: millis(pool.turn()),
+                rate: pool.rate(now) as f32,
+                queue: shared.queue_of(name, pool, now) as u32,
+            })
+            .collect(),
+    })
+}
+
+fn entry_of(hello: &Hello) -> Option<VmEntry> {
+    let hall = HallName::new(&hello.hall).ok()?;
+    Some(VmEntry { peers: hello.peers.parse().ok()?, hall, cores: hello.cores })
+}
+
+/// Notes that a peer lives.
+pub(crate) fn meet(app: &App, vm: &VmName, hello: Option<&Hello>) {
+    let entry = hello.and_then(entry_of);
+    app.hub.with(|shared, now| {
+        let linked = app.links.borrow().contains_key(vm);
+        let peer = shared.fleet.peers.entry(vm.clone()).or_insert_with(|| PeerVm {
+            incarnation: 0,
+            entry: None,
+            heard: now,
+            linked,
+            draining: false,
+            as_of: 0,
+            pools: HashMap::new(),
+            coming: HashMap::new(),
+        });
+        peer.heard = now;
+        peer.linked = linked;
+        if let Some(hello) = hello {
+            peer.incarnation = hello.incarnation;
+            peer.entry = entry;
+        }
+    });
+}
+
+/// Takes a heartbeat; gives news of the store if the peer wants some that this VM has.
+pub(crate) fn take_beat(app: &App, vm: &VmName, beat: &Beat) -> Option<News> {
+    meet(app, vm, None);
+    let loads: Vec<(TargetName, u32, u64)> = beat
+        .loads
+        .iter()
+        .filter_map(|load| Some((TargetName::new(&load.target).ok()?, load.calls, load.tokens)))
+        .collect();
+    app.hub.with(|shared, now| {
+        let pools = beat.pools.iter().map(|pool| {
+            let turn = Duration::from_millis(u64::from(pool.turn_ms));
+            let (rate, queue) = (f64::from(pool.rate), f64::from(pool.queue));
+            (pool.pool.clone(), fleet::PoolLoad { turn, rate, queue, at: now })
+        });
+        shared.targets.peer_load(peer_number(vm), &loads, now);
+        let peer = shared.fleet.peers.get_mut(vm)?;
+        peer.draining = beat.draining;
+        peer.as_of = beat.as_of;
+        peer.pools = pools.collect();
+        let coming = beat.coming.iter();
+        peer.coming = coming.map(|c| (c.pool.clone(), f64::from(c.pieces))).collect();
+        let has_more = shared.view.as_of() > beat.as_of;
+        (beat.wants_news && has_more).then(|| news_since(shared, beat.as_of))
+    })
+}
+
+fn news_since(shared: &crate::shared::Shared, revision: u64) -> News {
+    let items = shared.view.since(revision).into_iter().map(|item| StoreItem {
+        key: item.key,
+        revision: item.revision,
+        removed: item.value.is_none(),
+        value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
+    });
+    News { items: items.collect(), as_of: shared.view.as_of() }
+}
+
+/// Takes news of the store from a peer.
+pub(crate) fn take_news(app: &App, vm: &VmName, news: News) {
+    let item = |item: StoreItem| Item {
+        key: item.key,
+        revision: item.revision,
+        value: (!item.removed).then(|| Bytes::from(item.value)),
+    };
+    let items: Vec<Item> = news.items.into_iter().map(item).collect();
+    info!(app.log, "news of the store from a peer"; "peer" => %vm, "items" => items.len(),
+        "as_of" => news.as_of);
+    app.hub.with(|shared, now| {
+        shared.merge(items, vm.as_str(), now);
+        shared.view.reached(news.as_of);
+    });
+    app.vms_changed.notify_one();
+}
+
+fn peer_number(vm: &VmName) -> u64 {
+    use std::hash::{Hash, Hasher};
+    let mut hasher = std::collections::hash_map::DefaultHasher::new();
+    vm.as_str().hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What became of a piece, as its owner tells it.
+pub(crate) fn made_of(piece: &PieceDone) -> Made {
+    match piece.failure() {
+        Failure::None => Made::At(piece.handle.clone()),
+        Failure::Late => Made::Late,
+        Failure::Gone => Made::Gone,
+        Failure::Broken => Made::Broken,
+    }
+}
+
+/// Hands a finished piece back to the VM that handed it in.
+pub(crate) fn send_done(tx: &ToDialer, job: u64, piece: u32, made: Made) {
+    let (handle, failure) = match made {
+        Made::At(handle) => (handle, Failure::None),
+        Made::Late => (String::new(), Failure::Late),
+        Made::Gone => (String::new(), Failure::Gone),
+        Made::Broken => (String::new(), Failure::Broken),
+    };
+    let pieces = vec![PieceDone { piece, handle, failure: failure.into() }];
+    // A peer that is gone hands its pieces in elsewhere.
+    drop(tx.send(Ok(FromOwner { kind: Some(from_owner::Kind::Done(Done { job, pieces })) })));
+}
+
+/// Pieces that a peer hands in; `None` if its names can't be read.
+pub(crate) fn submission_of(submit: Submit) -> Option<(ServiceName, Submission)> {
+    let now = crate::hub::now();
+    let slack = Duration::from_millis(u64::try_from(submit.slack_ms).unwrap_or(0));
+    let submission = Submission {
+        request: RequestId::new(&submit.request).ok()?,
+        stage: submit.stage,
+        pieces: submit.pieces,
+        key: (!submit.key.is_empty()).then_some(submit.key),
+        inputs: submit.inputs,
+        until: now + Duration::from_millis(u64::from(submit.left_ms)),
+        due: now + slack,
+        urgency: u8::try_from(submit.urgency).unwrap_or(u8::MAX),
+        result_bytes: submit.result_bytes,
+        near: HallName::new(&submit.hall).ok(),
+    };
+    Some((ServiceName::new(&submit.pool).ok()?, submission))
+}
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -22,7 +22,7 @@
 use crate::hub::{Hub, now};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{callers, links, logs, pages, settings, store};
+use crate::{accepted_links, callers, links, logs, pages, settings, store};
 
 /// Pause between two looks at connections at rest.
 const CLEANING: Duration = Duration::from_secs(1);
@@ -79,7 +79,7 @@
     }
     spawn_local(pages::serve(Rc::clone(app), ready_listener));
     spawn_local(callers::accept(Rc::clone(app), callers_listener));
-    spawn_local(links::accept(Rc::clone(app), peers_listener));
+    spawn_local(accepted_links::accept(Rc::clone(app), peers_listener));
     spawn_local(links::dial_all(Rc::clone(app)));
     spawn_local(store::follow(Rc::clone(app)));
     spawn_local(store::keep_entry(Rc::clone(app)));
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use errors::{Error, Result};
 use ids::{HallName, VmName};
 use serde::{Deserialize, Serialize};
+pub use settings::{LogLevel, Policy};
 
 /// Everything that a VM of the serving path has to be told.
 #[derive(Debug, Clone, Deserialize, Serialize)]
@@ -119,34 +120,6 @@
     }
 }
 
-/// Which decisions are taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Policy {
-    /// Everything that the serving path offers.
-    #[default]
-    Adaptive,
-    /// Targets in turn, pieces as they come.
-    RoundRobin,
-    /// The first target in the order of ids, pieces as they come.
-    FirstInOrder,
-}
-
-/// Least severe log level written.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize, Serialize)]
-#[serde(rename_all = "lowercase")]
-pub enum LogLevel {
-    /// Only what needs somebody to act.
-    Error,
-    /// Also what may need somebody to act.
-    Warning,
-    /// Also decisions and changes of belief.
-    #[default]
-    Info,
-    /// Also what helps to find a fault in the program.
-    Debug,
-}
-
 /// Longest window and grace that are taken, in seconds.
 const LONGEST_SECONDS: f64 = 3600.0;
 
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -19,7 +19,6 @@
 
 use crate::app::App;
 use crate::connections::connect;
-use crate::links;
 use crate::shared::vms_prefix;
 
 /// Longest wait of a watch. Each one is a counted call; a dead path is noticed after this time.
@@ -259,7 +258,7 @@
 async fn enter(app: &Rc<App>, line: &mut Line, key: &str) -> Result<u64, Miss> {
     let body = line.call("lease", (app.doors.store.lease)(LEASE), Duration::ZERO).await?;
     let lease = (app.doors.store.read_lease)(&body).map_err(unreadable)?;
-    let value = links::own_entry(app);
+    let value = own_entry(app);
     let write = Write { key: key.to_owned(), value, lease: lease.id };
     line.call("write", (app.doors.store.put)(&write), Duration::ZERO).await?;
     info!(app.log, "own entry written"; "key" => key, "lease_ms" => lease.ttl.as_millis());
@@ -285,3 +284,10 @@
         }
     }
 }
+
+/// What a VM writes of itself into the store.
+fn own_entry(app: &App) -> Bytes {
+    let entry = app.hub.with(|shared, _| serde_json::to_vec(shared.fleet.own_entry()));
+    // A plain struct of texts and numbers always serializes.
+    Bytes::from(entry.unwrap_or_default())
+}
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -17,7 +17,8 @@
 use crate::app::App;
 use crate::connections::NoAnswer;
 use crate::hub::now;
-use crate::links::{self, Link};
+use crate::link_words;
+use crate::links::{Link, ToDialer};
 
 /// Longest wait for a target to confirm that results were given up.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
@@ -46,7 +47,7 @@
     /// A request of this VM.
     Here(UnboundedSender<PieceNews>, u32),
     /// A peer, by its number for the submission.
-    Peer(links::ToDialer, u64),
+    Peer(ToDialer, u64),
 }
 
 /// A submission that was handed in; dropped, it is cancelled.
@@ -316,7 +317,7 @@
             Some(Sink::Here(tx, stage)) => {
                 drop(tx.send(PieceNews::Done { stage: *stage, piece, made }));
             }
-            Some(Sink::Peer(tx, number)) => links::send_done(tx, *number, piece, made),
+            Some(Sink::Peer(tx, number)) => link_words::send_done(tx, *number, piece, made),
             None => {}
         }
     }
