Gather the store's changes for half of their bound

Cause: calls to the store are the largest price of a large fleet, and most follow changes. Change: the pause after a change is half of the time in which changes must be in force, not a third.

--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -25,7 +25,7 @@
 const WATCH_WAIT: Duration = Duration::from_millis(3000);
 /// After a change the watch pauses for this part of the time within which changes must be in force,
 /// so that many changes in a row cost few calls.
-const GATHER_PART: u32 = 3;
+const GATHER_PART: u32 = 2;
 /// Longest wait for an answer beside the watch's own.
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
 /// First pause after a failed call; doubles with each one in a row.
