Tests give the VMs the bound after which they look

Cause: since the pause after a change of the store is half of the bound, two tests looked after 0.7 s at VMs whose bound was 2 s, and failed in each run. Ruled out: a longer wait in the tests (a bound of their own is as strict). Change: VMs of tests have changes in force within 0.6 s.

--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -18,6 +18,10 @@
 /// Host that the usual configuration serves.
 pub const HOST: &str = "h.example";
 
+/// Time within which the VMs of a test have a change in force, in milliseconds; less than
+/// [`A_WHILE`], after which tests look.
+const IN_FORCE_MS: u64 = 600;
+
 /// A VM's process; killed when dropped.
 pub struct Vm {
     /// Where callers connect.
@@ -48,7 +52,8 @@
         let settings = dir.join("settings.yaml");
         let text = format!(
             "vm: {name}\nhall: {hall}\ncallers: {callers}\nready: {ready}\npeers: {peers}\n\
-             operations: {operations}\nstore: {store}\nlog: debug\n{extra}"
+             operations: {operations}\nstore: {store}\nlog: debug\n\
+             in_force_ms: {IN_FORCE_MS}\n{extra}"
         );
         std::fs::write(&settings, text).expect("settings are written");
         let log = dir.join("log");
