--- a/demo.sh
+++ b/demo.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")"
 
 export SADDLERAIL_PLATFORM=127.0.0.1:17000 SADDLERAIL_VM=127.0.0.1:17021
-bin=target/release
+bin=${CARGO_TARGET_DIR:-target}/release
 run=demo-run
 pids=()
 
