--- a/prove.sh
+++ b/prove.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 cargo build --release --workspace --quiet
-exec target/release/saddlerail-load prove "$@"
+exec "${CARGO_TARGET_DIR:-target}"/release/saddlerail-load prove "$@"
