Test that events made again by a second run are passed on once

Cause: with the check of numbers taken out on a copy no test failed, since the stand-in goes on where it is told to. Change: a runner that streams from the first event; the test fails without the check.

--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -41,6 +41,8 @@
     Hang(Duration),
     /// A stream of so many events.
     Stream(u64),
+    /// A stream of so many events from the first on, whatever the caller has.
+    StreamFromFirst(u64),
     /// A stream that breaks off in the middle of the event after so many.
     BreakStream(u64),
     /// A stream of so many events with a pause after each.
@@ -214,6 +216,10 @@
                 wire.write(&whole)
             }
             Act::Stream(events) => self.stream(wire, id, req, *events, None, Duration::ZERO),
+            Act::StreamFromFirst(events) => {
+                let fresh = Message::default();
+                self.stream(wire, id, &fresh, *events, None, Duration::ZERO)
+            }
             Act::BreakStream(after) => {
                 self.stream(wire, id, req, u64::MAX, Some(*after), Duration::ZERO)
             }
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -240,6 +240,22 @@
     assert!(seen.contains(&2), "one of them was taken up elsewhere: {seen:?}");
 }
 
+#[test]
+fn events_that_a_second_run_makes_again_are_passed_on_once() {
+    let site = Site::start();
+    let vm = site.start_vm("again", "");
+    for (number, engine) in site.engines.iter().enumerate() {
+        site.engines.iter().for_each(|other| other.clear_acts());
+        engine.next(&[Act::BreakStream(3), Act::BreakStream(3)]);
+        site.engines[1 - number].next(&[Act::StreamFromFirst(5), Act::StreamFromFirst(5)]);
+
+        let answer = answered(&post("/resumed/", &format!("s-{number}")), &vm);
+
+        assert!(answer.whole, "{answer:?}");
+        assert_eq!(events(&answer), [1, 2, 3, 4, 5]);
+    }
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_work() {
     let site = Site::start();
