Look a maker's hall up by its address

Cause: each handle was looked for among all targets, which grows with the fleet. Change: an index by address; a target that took an address over keeps it when the one before goes. Figures: the choice's tests pass, one more for addresses that are used again.

--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::{Hash, Hasher};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ids::{HallName, ServiceName, TargetName};
@@ -138,6 +139,7 @@
     arena: SlotMap<TargetKey, State>,
     by_id: HashMap<TargetName, TargetKey>,
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
+    by_address: HashMap<SocketAddr, TargetKey>,
     turn: usize,
 }
 
@@ -150,18 +152,21 @@
             arena: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_service: HashMap::new(),
+            by_address: HashMap::new(),
             turn: 0,
         }
     }
 
     /// Adds a target, or takes what it says of itself now.
     pub fn put(&mut self, target: Target) {
-        if let Some(state) = self.by_id.get(&target.id).and_then(|key| self.arena.get_mut(*key)) {
-            state.target = target;
+        let (id, service, address) = (target.id.clone(), target.service.clone(), target.address);
+        if let Some(key) = self.by_id.get(&id).copied() {
+            self.arena[key].target = target;
+            self.by_address.insert(address, key);
             return;
         }
-        let (id, service) = (target.id.clone(), target.service.clone());
         let key = self.arena.insert(State::new(target));
+        self.by_address.insert(address, key);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
     }
@@ -173,6 +178,10 @@
         if let Some(keys) = self.by_service.get_mut(&state.target.service) {
             keys.retain(|other| *other != key);
         }
+        // Another target may have its address by now.
+        if self.by_address.get(&state.target.address) == Some(&key) {
+            self.by_address.remove(&state.target.address);
+        }
         Some(state.target)
     }
 
@@ -183,8 +192,9 @@
     }
 
     /// The hall of whatever listens at an address.
-    pub fn hall_at(&self, address: std::net::SocketAddr) -> Option<&HallName> {
-        self.arena.values().map(|s| &s.target).find(|t| t.address == address).map(|t| &t.hall)
+    pub fn hall_at(&self, address: SocketAddr) -> Option<&HallName> {
+        let key = self.by_address.get(&address)?;
+        self.arena.get(*key).map(|state| &state.target.hall)
     }
 
     /// The hall of the target to which a prompt's shared start belongs.
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -176,3 +176,16 @@
     }
     assert!(!repeats.is_empty());
 }
+
+#[test]
+fn an_address_belongs_to_the_last_target_that_took_it() {
+    let mut targets = targets(&[("old", "a"), ("new", "b")]);
+    let address = "127.0.0.1:9".parse().unwrap();
+    assert_eq!(targets.hall_at(address), Some(&hall("b")));
+
+    targets.remove(&TargetName::new("old").unwrap());
+    assert_eq!(targets.hall_at(address), Some(&hall("b")), "the other one keeps it");
+
+    targets.remove(&TargetName::new("new").unwrap());
+    assert_eq!(targets.hall_at(address), None);
+}
