--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -134,22 +134,38 @@
 /// # Errors
 /// `Io` if the file can't be read, else `BadInput` with file, line and what was expected.
 pub fn load(path: &Path) -> Result<Settings> {
+    load_with(path, parse)
+}
+
+/// Reads a file of settings with the function that parses them.
+///
+/// # Errors
+/// `Io` if the file can't be read, else what `parse` says, with the file.
+pub fn load_with<T>(path: &Path, parse: impl FnOnce(&str) -> Result<T>) -> Result<T> {
     let shown = path.display().to_string();
     let text =
         std::fs::read_to_string(path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
     parse(&text).map_err(|e| e.within(&shown))
 }
 
-/// Reads and checks settings.
+/// Reads YAML into its type, with no further checks.
 ///
 /// # Errors
 /// `BadInput` with line, column and what was expected.
-pub fn parse(text: &str) -> Result<Settings> {
-    let cfg: Settings = serde_saphyr::from_str(text).map_err(|e| {
+pub fn read_yaml<T: serde::de::DeserializeOwned>(text: &str) -> Result<T> {
+    serde_saphyr::from_str(text).map_err(|e| {
         let place =
             e.location().map(|at| format!("{}:{}", at.line(), at.column())).unwrap_or_default();
         Error::bad_input(place, e.without_snippet().to_string())
-    })?;
+    })
+}
+
+/// Reads and checks settings.
+///
+/// # Errors
+/// `BadInput` with line, column and what was expected.
+pub fn parse(text: &str) -> Result<Settings> {
+    let cfg: Settings = read_yaml(text)?;
     check(&cfg).map_err(|(key, problem)| Error::bad_input(place_of(text, key), problem))?;
     Ok(cfg)
 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -128,10 +128,7 @@
 /// # Errors
 /// `Io` if the file can't be read, else `BadInput` with file, line and what was expected.
 pub fn load(path: &Path) -> Result<Settings> {
-    let shown = path.display().to_string();
-    let text =
-        std::fs::read_to_string(path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
-    parse(&text).map_err(|e| e.within(&shown))
+    settings::load_with(path, parse)
 }
 
 /// Reads and checks settings.
@@ -139,11 +136,7 @@
 /// # Errors
 /// `BadInput` with line, column and what was expected.
 pub fn parse(text: &str) -> Result<Settings> {
-    let cfg: Settings = serde_saphyr::from_str(text).map_err(|e| {
-        let place =
-            e.location().map(|at| format!("{}:{}", at.line(), at.column())).unwrap_or_default();
-        Error::bad_input(place, e.without_snippet().to_string())
-    })?;
+    let cfg: Settings = settings::read_yaml(text)?;
     check(&cfg)?;
     Ok(cfg)
 }
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -10,6 +10,7 @@
 
 use serde_json::{Value, json};
 
+use super::Message;
 use super::callers::Call;
 use super::runners::{Act, Runner};
 use super::store::Store;
@@ -242,3 +243,27 @@
 
 /// Pause that lets what should not happen show itself.
 pub const A_WHILE: Duration = Duration::from_millis(700);
+
+/// A request with no body to a path of the usual host.
+pub fn get(path: &str, id: &str) -> Call {
+    Call::new("GET", HOST, path, id).with("Deadline-Milliseconds", "2000")
+}
+
+/// A request with a body to a path of the usual host.
+pub fn post(path: &str, id: &str) -> Call {
+    Call::new("POST", HOST, path, id).with("Deadline-Milliseconds", "2000").body(b"a body")
+}
+
+/// The answer of a VM.
+///
+/// # Panics
+/// If there is none.
+pub fn answered(call: &Call, vm: &Vm) -> Message {
+    call.send(vm.callers).expect("an answer")
+}
+
+/// Numbers of the events of a stream's answer.
+pub fn events(answer: &Message) -> Vec<u64> {
+    let text = answer.text();
+    text.lines().filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+}
