VMs of tests have a loopback address of their own

Ruled out: load alone (the process ended at its start; nothing was slow). Change: the addresses of the older fixture serve both.

--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -124,12 +124,18 @@
     assert!(status.expect("kill").success(), "kill -{name}");
 }
 
+/// A loopback address that no other fixture has, of this process or another one, so that its
+/// ports are free.
+pub fn own_address() -> IpAddr {
+    let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number))
+}
+
 impl Fleet {
     /// Platform and targets, with no entry VM yet.
     pub fn start(pools: &[Pool]) -> Fleet {
-        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
-        let [.., high, low] = std::process::id().to_be_bytes();
-        let ip = IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, number));
+        let ip = own_address();
         let dir = std::env::temp_dir().join(format!("saddlerail-test-{ip}"));
         fs::create_dir_all(&dir).expect("temporary directory");
         let platform = SocketAddr::new(ip, PLATFORM_PORT);
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -3,7 +3,7 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::expect_used)]
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use super::callers::Call;
 use super::runners::{Act, Runner};
 use super::store::Store;
-use crate::fleet::{program, wait_until};
+use crate::fleet::{own_address, program, wait_until};
 
 /// Host that the usual configuration serves.
 pub const HOST: &str = "h.example";
@@ -23,6 +23,9 @@
 /// [`A_WHILE`], after which tests look.
 const IN_FORCE_MS: u64 = 600;
 
+/// Ports of a VM, on a loopback address of its own: callers, ready, peers, operations.
+const PORTS: [u16; 4] = [7001, 7002, 7003, 7004];
+
 /// A VM's process; killed when dropped.
 pub struct Vm {
     /// Where callers connect.
@@ -47,7 +50,8 @@
 impl Vm {
     /// Starts a VM before a store; `extra` are further lines of its settings.
     pub fn start(name: &str, hall: &str, store: SocketAddr, extra: &str) -> Self {
-        let [callers, ready, peers, operations] = free_addresses();
+        let ip = own_address();
+        let [callers, ready, peers, operations] = PORTS.map(|port| SocketAddr::new(ip, port));
         let dir = std::env::temp_dir().join(format!("saddlerail-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the test");
         let settings = dir.join("settings.yaml");
@@ -134,12 +138,6 @@
         .expect("saddleraild starts")
 }
 
-fn free_addresses<const N: usize>() -> [SocketAddr; N] {
-    // All are held at once, so that they differ.
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.each_ref().map(|listener| listener.local_addr().expect("an address"))
-}
-
 /// The usual configuration: a plain service that may be repeated and one that may not, streams
 /// that may be resumed and others, and a chain of two stages before an engine.
 pub fn usual_configuration(version: u64) -> Value {
