--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -1,7 +1,7 @@
 //! Whether a request with stages can still be in time; one that can't is refused at once, with a
 //! time to come back at which it probably will be.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
 use slog::info;
 
 use crate::app::App;
-use crate::fleet;
+use crate::fleet::{self, BEAT};
 use crate::requests::Accepted;
 use crate::settings::Policy;
 use crate::shared::Shared;
@@ -28,13 +28,35 @@
 /// A forecast older than this says nothing.
 const FORECAST_LIFE: Duration = Duration::from_millis(1200);
 
+/// Admitted pieces are remembered for this long: longer than any forecast that counts.
+const REMEMBERED: Duration = Duration::from_secs(2);
+
 /// Pieces of requests that this VM admitted.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
     /// Not handed in yet, since earlier stages are not done.
     coming: HashMap<ServiceName, u32>,
-    /// Admitted since this VM last heard from those who fill the calls, and when.
-    unheard: HashMap<ServiceName, (Instant, f64)>,
+    /// Admitted within the last [`REMEMBERED`].
+    recent: HashMap<ServiceName, Recent>,
+}
+
+/// Pieces for one pool that were admitted of late, and when.
+#[derive(Debug, Default)]
+struct Recent(VecDeque<(Instant, f64)>);
+
+impl Recent {
+    fn note(&mut self, pieces: u32, now: Instant) {
+        let old = |(at, _): &(Instant, f64)| now.saturating_duration_since(*at) > REMEMBERED;
+        while self.0.front().is_some_and(old) {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, f64::from(pieces)));
+    }
+
+    /// Pieces admitted since `since`.
+    fn since(&self, since: Instant) -> f64 {
+        self.0.iter().rev().take_while(|(at, _)| *at >= since).map(|(_, pieces)| pieces).sum()
+    }
 }
 
 impl Admission {
@@ -175,12 +197,17 @@
     let Some(mut forecast) = forecast(shared, pool, now) else {
         return req.intent.pool(pool).map_or(Duration::ZERO, |pool| pool.call + pool.piece);
     };
-    // Other VMs admit about as much as this one until they hear of each other's pieces.
-    let since = shared.admission.unheard.get(pool).filter(|(at, _)| *at >= forecast.at);
-    forecast.queue += since.map_or(0.0, |(_, pieces)| *pieces) * shared.sharers(pool) as f64;
+    forecast.queue += unheard(shared, pool, forecast.at);
     forecast.time(begin)
 }
 
+/// Pieces that this VM admitted and that a forecast does not count yet: it tells of them with its
+/// next heartbeat. What the others admit meanwhile is about what the pool makes meanwhile.
+fn unheard(shared: &Shared, pool: &ServiceName, heard: Instant) -> f64 {
+    let counted_until = heard.checked_sub(BEAT / 2).unwrap_or(heard);
+    shared.admission.recent.get(pool).map_or(0.0, |recent| recent.since(counted_until))
+}
+
 /// What the VM that fills a pool's calls expects.
 fn forecast(shared: &Shared, name: &ServiceName, now: Instant) -> Option<Forecast> {
     match shared.owner_of(name, now) {
@@ -203,12 +230,7 @@
     let mut by_stage = Vec::with_capacity(req.entry.stages.len());
     for (index, stage) in req.entry.stages.iter().enumerate() {
         let pieces = req.head.pieces.get(index).copied().unwrap_or(0);
-        let heard = forecast(shared, &stage.pool, now).map_or(now, |forecast| forecast.at);
-        let unheard = shared.admission.unheard.entry(stage.pool.clone()).or_insert((now, 0.0));
-        if unheard.0 < heard {
-            unheard.1 = 0.0;
-        }
-        *unheard = (now, unheard.1 + f64::from(pieces));
+        shared.admission.recent.entry(stage.pool.clone()).or_default().note(pieces, now);
         *shared.admission.coming.entry(stage.pool.clone()).or_default() += pieces;
         by_stage.push((stage.pool.clone(), pieces));
     }
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -301,12 +301,6 @@
         self.fleet.owner_of(pool.as_str(), hall, self.draining.is_some(), now)
     }
 
-    /// VMs whose requests go to the same queue of a pool as this one's.
-    pub(crate) fn sharers(&self, pool: &ServiceName) -> usize {
-        let halls = if self.split.contains(pool) { self.fleet.halls().len() } else { 1 };
-        self.fleet.size().div_ceil(halls.max(1))
-    }
-
     /// Pieces that wait in a pool of this VM or are on their way to it from any VM.
     pub(crate) fn queue_of(&self, name: &ServiceName, pool: &Pool, now: Instant) -> f64 {
         let coming = self.fleet.coming(name.as_str(), now) + self.admission.coming_to(name);
