--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -25,7 +25,7 @@
 use crate::app::App;
 use crate::fleet::{BEAT, SILENCE};
 use crate::link_words::{beat, hello, made_of, meet, take_beat, take_news};
-use crate::work::{self, PieceNews};
+use crate::work::{self, PieceNews, StageTurn};
 
 /// Way to the VM that dialled.
 pub(crate) type ToDialer = UnboundedSender<Result<FromOwner, Status>>;
@@ -49,7 +49,7 @@
 /// A submission whose results are waited for.
 struct Waiting {
     news: UnboundedSender<PieceNews>,
-    stage: u32,
+    of: StageTurn,
     /// Pieces that are not done.
     left: usize,
 }
@@ -60,11 +60,12 @@
         &self,
         pool: &ServiceName,
         submission: &Submission,
+        of: StageTurn,
         news: UnboundedSender<PieceNews>,
     ) -> u64 {
         let job = self.next_job.get();
         self.next_job.set(job + 1);
-        let waiting = Waiting { news, stage: submission.stage, left: submission.pieces.len() };
+        let waiting = Waiting { news, of, left: submission.pieces.len() };
         self.jobs.borrow_mut().insert(job, waiting);
         let millis = |at: Instant| u32::try_from(work::left(at).as_millis()).unwrap_or(u32::MAX);
         self.send(from_dialer::Kind::Submit(Submit {
@@ -104,10 +105,10 @@
     fn done(&self, done: Done) {
         let mut jobs = self.jobs.borrow_mut();
         let Some(waiting) = jobs.get_mut(&done.job) else { return };
-        let stage = waiting.stage;
+        let of = waiting.of;
         for piece in done.pieces {
             waiting.left = waiting.left.saturating_sub(1);
-            let news = PieceNews::Done { stage, piece: piece.piece, made: made_of(&piece) };
+            let news = PieceNews::Done { of, piece: piece.piece, made: made_of(&piece) };
             // A request that is gone cancels its submission by itself.
             drop(waiting.news.send(news));
         }
@@ -118,7 +119,7 @@
 
     fn lost(&self) {
         for (_, waiting) in self.jobs.borrow_mut().drain() {
-            drop(waiting.news.send(PieceNews::OwnerLost { stage: waiting.stage }));
+            drop(waiting.news.send(PieceNews::OwnerLost { of: waiting.of }));
         }
     }
 }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -14,7 +14,7 @@
 
 use crate::admission::OnTheirWay;
 use crate::app::App;
-use crate::work::{self, HandedIn, PieceNews};
+use crate::work::{self, HandedIn, PieceNews, StageTurn};
 
 /// Most times that a stage is handed in again after the VM that filled its calls was lost, or
 /// after a result that it needed was gone.
@@ -153,8 +153,10 @@
     let news = timeout_at(until, rx.recv()).await.map_err(|_| StagesMiss::Late)?;
     // This side holds a sender, so there is always another word or the time is over.
     match news.ok_or(StagesMiss::Broken)? {
-        PieceNews::Done { stage, piece, made } => {
-            let index = stage as usize;
+        PieceNews::Done { of: turn, .. } | PieceNews::OwnerLost { of: turn }
+            if !is_current(runs, turn) => {}
+        PieceNews::Done { of: turn, piece, made } => {
+            let index = turn.stage as usize;
             match made {
                 Made::At(handle) => {
                     let run = &mut runs[index];
@@ -171,16 +173,23 @@
                 Made::Gone => start_over(of, runs, index, tx)?,
             }
         }
-        PieceNews::OwnerLost { stage } => {
-            info!(of.app.log, "pieces handed in again"; "request" => %of.id, "stage" => stage,
-                "why" => "the VM that fills the calls was lost");
-            runs[stage as usize].handed_in = None;
-            hand_in_again(of, runs, stage as usize, tx)?;
+        PieceNews::OwnerLost { of: turn } => {
+            info!(of.app.log, "pieces handed in again"; "request" => %of.id,
+                "stage" => turn.stage, "why" => "the VM that fills the calls was lost");
+            let index = turn.stage as usize;
+            runs[index].handed_in = None;
+            hand_in_again(of, runs, index, tx)?;
         }
     }
     Ok(())
 }
 
+/// Whether news speaks of the last time that its stage was handed in.
+fn is_current(runs: &[StageRun], of: StageTurn) -> bool {
+    let run = runs.get(of.stage as usize);
+    run.is_some_and(|run| run.handed_in.is_some() && run.hand_ins == of.turn)
+}
+
 /// An input was gone: the stages that this one needs are made anew, and then this one.
 fn start_over(
     of: &StagesOf<'_>,
@@ -238,9 +247,12 @@
         needs.flat_map(|need| runs[*need].handles.iter().flatten().cloned()).collect();
     let near = near_of(of, runs, index, &inputs);
     let key = inputs.is_empty().then(|| of.head.piece_key.clone()).flatten();
+    runs[index].hand_ins += 1;
+    let turn =
+        StageTurn { stage: u32::try_from(index).unwrap_or(u32::MAX), turn: runs[index].hand_ins };
     let submission = Submission {
         request: of.id.clone(),
-        stage: u32::try_from(index).unwrap_or(u32::MAX),
+        stage: turn.stage,
         pieces: runs[index].missing(),
         key,
         inputs,
@@ -250,8 +262,7 @@
         result_bytes: stage.result_bytes,
         near,
     };
-    runs[index].hand_ins += 1;
-    runs[index].handed_in = Some(work::hand_in(of.app, &stage.pool, submission, tx));
+    runs[index].handed_in = Some(work::hand_in(of.app, &stage.pool, submission, turn, tx));
 }
 
 /// The hall near which a stage is best done: that of its inputs, or where large results for the
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -23,13 +23,23 @@
 /// Longest wait for a target to confirm that results were given up.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
 
+/// A stage of a request, and how often it had been handed in before: news of an earlier time that
+/// is still on its way says nothing of a later one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StageTurn {
+    /// Index of the stage.
+    pub(crate) stage: u32,
+    /// Times that it was handed in, this one included.
+    pub(crate) turn: u32,
+}
+
 /// What a request hears of the pieces that it handed in.
 #[derive(Debug)]
 pub(crate) enum PieceNews {
     /// A piece of a stage is done.
     Done {
-        /// Index of the stage.
-        stage: u32,
+        /// The stage.
+        of: StageTurn,
         /// Number of the piece.
         piece: u32,
         /// What became of it.
@@ -37,15 +47,15 @@
     },
     /// The VM that fills the calls is gone; what is not done has to be handed in again.
     OwnerLost {
-        /// Index of the stage.
-        stage: u32,
+        /// The stage.
+        of: StageTurn,
     },
 }
 
 /// Who gets the results of a submission.
 pub(crate) enum Sink {
     /// A request of this VM.
-    Here(UnboundedSender<PieceNews>, u32),
+    Here(UnboundedSender<PieceNews>, StageTurn),
     /// A peer, by its number for the submission.
     Peer(ToDialer, u64),
 }
@@ -85,17 +95,18 @@
     app: &Rc<App>,
     pool: &ServiceName,
     submission: Submission,
+    of: StageTurn,
     news: &UnboundedSender<PieceNews>,
 ) -> HandedIn {
     let owner = app.hub.with(|shared, now| shared.owner_of(pool, now));
     let link = owner.and_then(|vm| app.links.borrow().get(&vm).cloned());
     let place = match link {
         Some(link) => {
-            let job = link.submit(pool, &submission, news.clone());
+            let job = link.submit(pool, &submission, of, news.clone());
             Place::Peer(link, job)
         }
         None => {
-            let sink = Sink::Here(news.clone(), submission.stage);
+            let sink = Sink::Here(news.clone(), of);
             Place::Here(pool.clone(), submit(app, pool, submission, sink))
         }
     };
@@ -314,8 +325,8 @@
     for Finished { job, piece, made } in finished {
         match sinks.get(&(pool.clone(), job)) {
             // A request that is gone cancels its submission by itself.
-            Some(Sink::Here(tx, stage)) => {
-                drop(tx.send(PieceNews::Done { stage: *stage, piece, made }));
+            Some(Sink::Here(tx, of)) => {
+                drop(tx.send(PieceNews::Done { of: *of, piece, made }));
             }
             Some(Sink::Peer(tx, number)) => link_words::send_done(tx, *number, piece, made),
             None => {}
--- a/tests/serving_streams.rs
+++ b/tests/serving_streams.rs
@@ -156,6 +156,20 @@
     assert_eq!(site.runs("c-2"), 0);
 }
 
+#[test]
+fn a_result_that_all_pieces_of_a_stage_miss_costs_one_round() {
+    let site = Site::start();
+    site.store.remove("servers/i-pool-2");
+    let vm = site.start_vm("all-gone", "");
+    site.pool[0].next(&[Act::Answer, Act::InputGone]);
+
+    let call = post("/chain/", "c-1").with("Pieces", "1,6").with("Piece-Key", "k");
+    let answer = answered(&call, &vm);
+
+    assert!(answer.whole && events(&answer).len() == 5, "{answer:?}");
+    assert_eq!(site.pool[0].seen().len(), 4, "each stage is called twice");
+}
+
 #[test]
 fn the_vm_that_fills_calls_may_die() {
     let site = Site::start();
