--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -36,6 +36,8 @@
     pub(crate) wanted_links: RefCell<BTreeSet<SocketAddr>>,
     /// Told when the list of VMs changes.
     pub(crate) vms_changed: Notify,
+    /// Whether the last call to the store was answered.
+    pub(crate) store_reached: tokio::sync::watch::Sender<bool>,
     /// Told when the process begins to stop.
     pub(crate) stopping: tokio::sync::watch::Sender<bool>,
     /// Told when connections at rest are to be closed.
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -59,6 +59,7 @@
             planned_looks: RefCell::new(HashMap::new()),
             wanted_links: RefCell::default(),
             vms_changed: Notify::new(),
+            store_reached: watch::channel(false).0,
             stopping: watch::channel(false).0,
             closing: watch::channel(false).0,
         });
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -21,8 +21,9 @@
 use crate::connections::connect;
 use crate::shared::vms_prefix;
 
-/// Longest wait of a watch. Each one is a counted call; a dead path is noticed after this time.
-const WATCH_WAIT: Duration = Duration::from_millis(3000);
+/// Longest wait of a watch. Each one is a counted call; that the store is out of reach shows sooner,
+/// in the renewals of this VM's lease, which cost a tenth of it.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
 /// After a change the watch pauses for this part of the time within which changes must be in force,
 /// so that many changes in a row cost few calls.
 const GATHER_PART: u32 = 2;
@@ -30,8 +31,9 @@
 const ANSWER_WAIT: Duration = Duration::from_millis(900);
 /// First pause after a failed call; doubles with each one in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
-/// Longest pause after a failed call, so that a store that is back is found soon.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+/// Longest pause after a failed call: refused calls count too, and a store that is back is found
+/// well within the seconds that changes may take after its return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// How long this VM's entry outlasts it.
 const LEASE: Duration = Duration::from_secs(6);
 /// Pause between two renewals: two may be lost.
@@ -174,10 +176,20 @@
 /// Waits for changes until the history is forgotten.
 async fn watch(app: &Rc<App>, line: &mut Line, mut as_of: u64) {
     let mut pause = FIRST_PAUSE;
+    let mut reached = app.store_reached.subscribe();
     loop {
+        // A store that was lost is asked for what there is now: an answer shows that it is back.
+        let wait = if *reached.borrow_and_update() { WATCH_WAIT } else { Duration::ZERO };
         // One watch over all keys: a counted call each, and one revision for all of them.
-        let call = (app.doors.store.watch)("", as_of, WATCH_WAIT);
-        match line.call("watch", call, WATCH_WAIT).await.and_then(read_page(app)) {
+        let call = (app.doors.store.watch)("", as_of, wait);
+        let page = tokio::select! {
+            page = line.call("watch", call, wait) => page,
+            () = lost(&mut reached), if !wait.is_zero() => {
+                line.close();
+                continue;
+            }
+        };
+        match page.and_then(read_page(app)) {
             Ok(page) => {
                 heard(app);
                 pause = FIRST_PAUSE;
@@ -227,13 +239,23 @@
     Miss::Failed(e.to_string())
 }
 
+/// Ends when the store was reached and is not any more.
+async fn lost(reached: &mut tokio::sync::watch::Receiver<bool>) {
+    if reached.wait_for(|reached| !reached).await.is_err() {
+        // The process is ending.
+        std::future::pending::<()>().await;
+    }
+}
+
 fn heard(app: &App) {
+    app.store_reached.send_if_modified(|reached| !std::mem::replace(reached, true));
     if app.hub.with(|shared, now| shared.contact.heard(now)) {
         info!(app.log, "store regained");
     }
 }
 
 fn failed(app: &App, what: &str, miss: &Miss) {
+    app.store_reached.send_if_modified(|reached| std::mem::replace(reached, false));
     let (newly, age) =
         app.hub.with(|shared, now| (shared.contact.failed(), shared.contact.age(now)));
     if newly {
@@ -247,6 +269,7 @@
     let mut line = Line::new(&app);
     let key = format!("{}{}", vms_prefix(&app.doors), app.cfg.vm);
     loop {
+        wait_reached(&app).await;
         match enter(&app, &mut line, &key).await {
             Ok(lease) => renew(&app, &mut line, lease).await,
             Err(miss) => slog::debug!(app.log, "own entry not written"; "why" => %miss),
@@ -255,6 +278,13 @@
     }
 }
 
+/// Waits until the store answers; one task asks a store that is lost, the others wait for it.
+async fn wait_reached(app: &App) {
+    let mut reached = app.store_reached.subscribe();
+    // It fails only when the process ends.
+    drop(reached.wait_for(|reached| *reached).await);
+}
+
 async fn enter(app: &Rc<App>, line: &mut Line, key: &str) -> Result<u64, Miss> {
     let body = line.call("lease", (app.doors.store.lease)(LEASE), Duration::ZERO).await?;
     let lease = (app.doors.store.read_lease)(&body).map_err(unreadable)?;
@@ -270,16 +300,20 @@
     let mut pause = RENEWAL;
     loop {
         sleep(pause).await;
+        wait_reached(app).await;
         let call = (app.doors.store.renew)(lease);
         match line.call("renew", call, Duration::ZERO).await {
-            Ok(_) => pause = RENEWAL,
+            Ok(_) => {
+                heard(app);
+                pause = RENEWAL;
+            }
             Err(Miss::NoLease) => {
                 info!(app.log, "lease over"; "lease" => lease);
                 return;
             }
             Err(miss) => {
-                slog::debug!(app.log, "lease not renewed"; "why" => %miss);
-                pause = LONGEST_PAUSE;
+                failed(app, "renew", &miss);
+                pause = Duration::ZERO;
             }
         }
     }
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -150,10 +150,15 @@
 
     fn watch(&self, prefix: &str, after: u64, wait_ms: u64) -> Option<(&'static str, Value)> {
         let end = Instant::now() + Duration::from_millis(wait_ms);
+        let mut was_silent = false;
         loop {
             let seen = self.with(|state| {
-                if state.mood != Mood::Well {
-                    return Some(None);
+                // A watch that waits as the store falls silent hears nothing, not even its end.
+                was_silent |= state.mood == Mood::Silent;
+                match (state.mood, was_silent) {
+                    (Mood::Silent, _) => return None,
+                    (Mood::Busy, _) | (Mood::Well, true) => return Some(None),
+                    (Mood::Well, false) => {}
                 }
                 if after < state.forgotten {
                     return Some(Some(("410 Gone", json!({}))));
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -265,6 +265,26 @@
     });
 }
 
+#[test]
+fn a_calm_store_is_asked_seldom_and_its_silence_is_noticed_all_the_same() {
+    let site = Site::start();
+    let vm = site.start_vm("seldom", "");
+    wait_until("its own entry stands", || !site.store.keys("saddlerail/vms/").is_empty());
+    thread::sleep(A_WHILE);
+    let before = site.store.calls();
+    thread::sleep(Duration::from_secs(7));
+    let asked = site.store.calls() - before;
+
+    site.store.set_mood(Mood::Silent);
+    wait_until("the VM has lost the store", || vm.log().contains("store lost"));
+    site.store.put("op/config", &usual_configuration(3));
+    site.store.set_mood(Mood::Well);
+
+    assert!(asked <= 4, "{asked} calls in 7 s: only its lease is renewed, every 1.9 s");
+    assert!(vm.log().contains("call=renew"), "the waiting watch does not tell");
+    wait_until("the newest is in force", || vm.state()["configuration"] == json!(3));
+}
+
 #[test]
 fn a_forgotten_history_loses_no_change() {
     let site = Site::start();
