--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -1,10 +1,10 @@
 //! The queue of a pool and the calls under way.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
 use doors::calls::PieceAnswer;
-use ids::TargetName;
+use ids::{HallName, TargetName};
 use intent::{PoolSpec, Target};
 use slotmap::SlotMap;
 
@@ -84,6 +84,8 @@
     /// Part of the makers' room that may be used: how large results are is known about only, so
     /// that it is learned from those that found none.
     room_part: f64,
+    /// Halls that are out of reach.
+    out_halls: BTreeSet<HallName>,
 }
 
 impl Pool {
@@ -101,6 +103,7 @@
             orphans: Vec::new(),
             usual_pieces: 1.0,
             room_part: 1.0,
+            out_halls: BTreeSet::new(),
         }
     }
 
@@ -127,6 +130,27 @@
         }
     }
 
+    /// Halls are out of reach, or within it again: their makers are not called.
+    pub fn set_out_halls(&mut self, out: BTreeSet<HallName>) {
+        self.out_halls = out;
+    }
+
+    /// Submissions of which pieces wait.
+    pub fn waiting_submissions(&self) -> impl Iterator<Item = (JobKey, &Submission)> {
+        let mut jobs: Vec<JobKey> = self.waiting.iter().map(|waiting| waiting.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs.into_iter().filter_map(|job| Some((job, self.submission(job)?)))
+    }
+
+    /// Ends a submission whose inputs are out of reach; gives its waiting pieces.
+    pub fn inputs_gone(&mut self, job: JobKey) -> Vec<Finished> {
+        let (gone, left) = self.waiting.iter().partition(|waiting| waiting.job == job);
+        self.waiting = left;
+        let gone: Vec<Waiting> = gone;
+        gone.iter().filter_map(|waiting| self.finish(waiting, Made::Gone)).collect()
+    }
+
     /// Whether nothing waits and no call is under way.
     pub fn is_idle(&self) -> bool {
         self.waiting.is_empty() && self.calls.is_empty()
@@ -182,7 +206,7 @@
         let mut free: Vec<MakerKey> = self
             .makers
             .iter()
-            .filter(|(_, maker)| maker.may_work(self.spec.at_once.max(1), now))
+            .filter(|(_, maker)| self.may_work(maker, self.spec.at_once.max(1), now))
             .map(|(key, _)| key)
             .collect();
         // Whoever failed last is asked after all others.
@@ -230,18 +254,19 @@
                 CallEnd::Answered(_) => maker.answered(took, call.expected),
                 CallEnd::Full => maker.was_full(now),
                 CallEnd::TargetGone | CallEnd::Failed => maker.failed(now),
+                CallEnd::OutOfReach => {}
             }
         }
         match end {
             CallEnd::Answered(answers) => self.answered(&call, answers, now),
-            CallEnd::Full => self.try_again(call.pieces, 0),
+            CallEnd::Full | CallEnd::OutOfReach => self.try_again(call.pieces, 0),
             CallEnd::TargetGone | CallEnd::Failed => self.try_again(call.pieces, 1),
         }
     }
 
     /// Pieces that the pool makes in a second with full calls, as far as its makers' room allows.
     pub fn rate(&self, now: Instant) -> f64 {
-        let able = self.makers.values().filter(|m| m.may_work(u32::MAX, now)).count();
+        let able = self.makers.values().filter(|m| self.may_work(m, u32::MAX, now)).count();
         let largest = self.jobs.values().map(|job| job.submission.result_bytes).max().unwrap_or(0);
         // Half of the room holds results that wait to be used.
         let by_room = (self.spec.room_bytes / 2).checked_div(largest);
@@ -269,6 +294,10 @@
         self.waiting.iter().filter(in_time).count()
     }
 
+    fn may_work(&self, maker: &Maker, at_once: u32, now: Instant) -> bool {
+        maker.may_work(at_once, now) && !self.out_halls.contains(&maker.target.hall)
+    }
+
     fn drop_maker(&mut self, id: &TargetName, key: MakerKey) {
         self.by_id.remove(id);
         self.makers.remove(key);
@@ -364,6 +393,7 @@
         let job = self.jobs.get(waiting.job)?;
         let near = job.submission.near.as_ref()?;
         if self.order == Order::Arrival
+            || self.out_halls.contains(near)
             || !self.makers.values().any(|m| m.target.hall == *near && !m.doubtful())
         {
             return None;
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -81,6 +81,8 @@
     Full,
     /// The target is gone; another one has its address.
     TargetGone,
+    /// The target's hall is out of reach.
+    OutOfReach,
     /// It failed or took too long.
     Failed,
 }
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -3,6 +3,7 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use batching::{CallEnd, Finished, Made, Order, Pool, Submission};
@@ -311,3 +312,40 @@
     let next = pool.next_call(later + CALL * 9).unwrap();
     assert_eq!(next.pieces.len(), 3, "970 of 1,000 bytes are used, 220 of them already");
 }
+
+#[test]
+fn makers_of_a_hall_out_of_reach_get_no_calls_and_a_call_there_costs_no_try() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a"), maker("n", "b")]);
+    let out: BTreeSet<HallName> = [HallName::new("a").unwrap()].into();
+    let job = pool.submit(submission("r", 2, now + CALL * 9), now);
+    for _ in 0..8 {
+        pool.set_out_halls(BTreeSet::new());
+        let call = pool.next_call(now).unwrap();
+        assert!(pool.call_ended(call.key, CallEnd::OutOfReach, now).is_empty(), "not given up");
+    }
+
+    pool.set_out_halls(out);
+    let call = pool.next_call(now).unwrap();
+
+    assert_eq!(call.target.id.as_str(), "n");
+    assert!(pool.submission(job).is_some());
+    pool.submit(submission("other", 2, now + CALL * 9), now);
+    assert!(pool.next_call(now).is_none(), "the only maker in reach is at work");
+}
+
+#[test]
+fn pieces_whose_inputs_are_out_of_reach_are_handed_back_as_such() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let job = pool.submit(submission("r", 6, now + CALL * 9), now);
+    let call = pool.next_call(now).unwrap();
+
+    let finished = pool.inputs_gone(job);
+
+    let gone: Vec<u32> = finished.iter().map(|finished| finished.piece).collect();
+    assert_eq!(gone, [4, 5], "those at work end with their call");
+    assert!(finished.iter().all(|finished| finished.made == Made::Gone));
+    assert_eq!(pool.call_ended(call.key, made(4), now + CALL).len(), 4);
+    assert!(pool.is_idle());
+}
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this VM knows, their load, and the choice among them.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -140,6 +140,8 @@
     by_id: HashMap<TargetName, TargetKey>,
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     by_address: HashMap<SocketAddr, TargetKey>,
+    /// Halls that are out of reach.
+    out_halls: BTreeSet<HallName>,
     turn: usize,
 }
 
@@ -153,6 +155,7 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             by_address: HashMap::new(),
+            out_halls: BTreeSet::new(),
             turn: 0,
         }
     }
@@ -207,12 +210,26 @@
         let keys = self.by_service.get(service)?;
         let open = |key: &TargetKey| {
             let state = &self.arena[*key];
-            !state.target.leaving && !state.rests(now)
+            !state.target.leaving && !self.is_out(state, now)
         };
         let among: Vec<TargetKey> = keys.iter().copied().filter(open).collect();
         Some(self.arena[self.home(&among, size)?].target.hall.clone())
     }
 
+    /// Halls are out of reach, or within it again: their targets get work only if no other is left.
+    pub fn set_out_halls(&mut self, out: BTreeSet<HallName>) {
+        self.out_halls = out;
+    }
+
+    /// Addresses of some targets of a hall, others with each look.
+    pub fn some_of_hall(&mut self, hall: &HallName, most: usize) -> Vec<SocketAddr> {
+        let of_hall = self.arena.values().filter(|state| state.target.hall == *hall);
+        let all: Vec<SocketAddr> = of_hall.map(|state| state.target.address).collect();
+        self.turn = self.turn.wrapping_add(1);
+        let first = self.turn % all.len().max(1);
+        all.iter().cycle().skip(first).take(most.min(all.len())).copied().collect()
+    }
+
     /// Number of targets.
     pub fn len(&self) -> usize {
         self.arena.len()
@@ -228,7 +245,9 @@
         let keys = self.by_service.get(wanted.service)?;
         let open = |key: &TargetKey, strict: bool| {
             let state = &self.arena[*key];
-            !state.target.leaving && !wanted.exclude.contains(key) && (!strict || !state.rests(now))
+            !state.target.leaving
+                && !wanted.exclude.contains(key)
+                && (!strict || !self.is_out(state, now))
         };
         let mut among: Vec<TargetKey> = keys.iter().copied().filter(|k| open(k, true)).collect();
         if among.is_empty() {
@@ -329,6 +348,10 @@
         taken * 2.0 < slots
     }
 
+    fn is_out(&self, state: &State, now: Instant) -> bool {
+        state.rests(now) || self.out_halls.contains(&state.target.hall)
+    }
+
     fn cheapest(
         &self,
         among: &[TargetKey],
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -189,3 +189,16 @@
     targets.remove(&TargetName::new("new").unwrap());
     assert_eq!(targets.hall_at(address), None);
 }
+
+#[test]
+fn targets_of_a_hall_out_of_reach_are_chosen_when_no_other_is_left() {
+    let now = Instant::now();
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+    targets.set_out_halls([HallName::new("a").unwrap()].into());
+
+    let chosen = pick(&mut targets, &[], now).unwrap();
+    let last = pick(&mut targets, &[chosen.key], now).unwrap();
+
+    assert_eq!(name(&chosen), "far");
+    assert_eq!(name(&last), "near");
+}
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -15,6 +15,7 @@
 use crate::connections::Connections;
 use crate::hub::Hub;
 use crate::links::Link;
+use crate::reach::OutHalls;
 use crate::settings::Settings;
 use crate::work::Sink;
 
@@ -36,6 +37,8 @@
     pub(crate) wanted_links: RefCell<BTreeSet<SocketAddr>>,
     /// Told when the list of VMs changes.
     pub(crate) vms_changed: Notify,
+    /// Data halls that are out of reach.
+    pub(crate) out_halls: tokio::sync::watch::Sender<OutHalls>,
     /// Whether the last call to the store was answered.
     pub(crate) store_reached: tokio::sync::watch::Sender<bool>,
     /// Told when the process begins to stop.
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -9,6 +9,8 @@
 use ids::{HallName, VmName};
 use serde::{Deserialize, Serialize};
 
+use crate::reach::OutHalls;
+
 /// Pause between two heartbeats on a link.
 pub(crate) const BEAT: Duration = Duration::from_millis(200);
 /// A peer that said nothing for this long gets no work: several heartbeats may be late.
@@ -18,8 +20,12 @@
 const REMEMBERED: Duration = Duration::from_secs(20);
 /// Up to so many VMs each one is linked to all others.
 const FULL_MESH: usize = 10;
-/// In a larger fleet, VMs to which each one is linked for news of the store.
-const NEWS_PARTNERS: usize = 2;
+/// In a larger fleet, VMs of each hall to which each one is linked, for news of the store and to see
+/// whether the hall is in reach: more than one, so that a VM that fails is not taken for its hall.
+const HALL_PARTNERS: usize = 2;
+/// A hall whose linked VMs all said nothing for this long may be out of reach: two heartbeats and
+/// half of one.
+const HALL_SILENCE: Duration = Duration::from_millis(500);
 /// VMs in the order of ownership to which a VM is linked for a pool: the owner, and one that
 /// stands ready.
 const OWNER_LINKS: usize = 2;
@@ -76,12 +82,15 @@
     pub(crate) incarnation: u64,
     pub(crate) peers: HashMap<VmName, PeerVm>,
     listed: HashMap<VmName, VmEntry>,
+    /// Halls that are out of reach.
+    pub(crate) out_halls: OutHalls,
 }
 
 impl Fleet {
     pub(crate) fn new(own: VmName, own_entry: VmEntry, incarnation: u64) -> Self {
         let (peers, listed) = (HashMap::new(), HashMap::new());
-        Fleet { own, own_entry, incarnation, peers, listed }
+        let out_halls = OutHalls::new();
+        Fleet { own, own_entry, incarnation, peers, listed, out_halls }
     }
 
     /// What this VM writes of itself.
@@ -137,7 +146,8 @@
         let fit = |vm: &VmName| {
             self.peers.get(vm).is_some_and(|peer| {
                 let silent = now.saturating_duration_since(peer.heard) > SILENCE;
-                peer.linked && !peer.draining && !silent
+                let out = peer.entry.as_ref().is_some_and(|e| self.out_halls.contains(&e.hall));
+                peer.linked && !peer.draining && !silent && !out
             })
         };
         let own = (!draining).then_some((&self.own, &self.own_entry));
@@ -166,13 +176,32 @@
             ranked.sort_by(|(a, _), (b, _)| b.total_cmp(a));
             wanted.extend(ranked.into_iter().take(OWNER_LINKS).map(|(_, entry)| entry.peers));
         }
-        let mut partners: Vec<_> =
-            known.iter().map(|(vm, e)| (rank(self.own.as_str(), vm, 1.0), e)).collect();
-        partners.sort_by(|(a, _), (b, _)| b.total_cmp(a));
-        wanted.extend(partners.into_iter().take(NEWS_PARTNERS).map(|(_, entry)| entry.peers));
+        for hall in self.halls() {
+            let of_hall = known.iter().filter(|(_, entry)| entry.hall == *hall);
+            let mut partners: Vec<_> =
+                of_hall.map(|(vm, e)| (rank(self.own.as_str(), vm, 1.0), e)).collect();
+            partners.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+            wanted.extend(partners.into_iter().take(HALL_PARTNERS).map(|(_, e)| e.peers));
+        }
         wanted
     }
 
+    /// Other halls of which VMs were heard before and none is now.
+    pub(crate) fn silent_halls(&self, now: Instant) -> BTreeSet<HallName> {
+        let heard: Vec<(&HallName, bool)> = self
+            .peers
+            .values()
+            .filter_map(|peer| {
+                let silence = now.saturating_duration_since(peer.heard);
+                let hall = &peer.entry.as_ref()?.hall;
+                (silence < REMEMBERED).then_some((hall, silence < HALL_SILENCE))
+            })
+            .filter(|(hall, _)| **hall != self.own_entry.hall)
+            .collect();
+        let spoken: BTreeSet<_> = heard.iter().filter(|(_, now)| *now).map(|(h, _)| *h).collect();
+        heard.iter().map(|(hall, _)| *hall).filter(|h| !spoken.contains(h)).cloned().collect()
+    }
+
     /// VMs that the store lists or that told of themselves.
     fn known(&self) -> impl Iterator<Item = (&VmName, &VmEntry)> {
         let told = self.peers.iter().filter(|(vm, _)| !self.listed.contains_key(*vm));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod logs;
 mod pages;
 mod plain;
+mod reach;
 mod requests;
 mod run;
 pub mod settings;
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -114,6 +114,7 @@
             "stopping": shared.draining.is_some(),
             "in_work": shared.in_work,
             "targets": shared.targets.len(),
+            "halls_out_of_reach": shared.fleet.out_halls.iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
             "peers": peers,
             "pools": pools,
         });
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -20,9 +20,10 @@
 use crate::app::App;
 use crate::connections::Connections;
 use crate::hub::{Hub, now};
+use crate::reach::OutHalls;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{accepted_links, callers, links, logs, pages, settings, store};
+use crate::{accepted_links, callers, links, logs, pages, reach, settings, store};
 
 /// Pause between two looks at connections at rest.
 const CLEANING: Duration = Duration::from_secs(1);
@@ -59,6 +60,7 @@
             planned_looks: RefCell::new(HashMap::new()),
             wanted_links: RefCell::default(),
             vms_changed: Notify::new(),
+            out_halls: watch::channel(OutHalls::new()).0,
             store_reached: watch::channel(false).0,
             stopping: watch::channel(false).0,
             closing: watch::channel(false).0,
@@ -82,6 +84,7 @@
     spawn_local(callers::accept(Rc::clone(app), callers_listener));
     spawn_local(accepted_links::accept(Rc::clone(app), peers_listener));
     spawn_local(links::dial_all(Rc::clone(app)));
+    spawn_local(reach::follow(Rc::clone(app)));
     spawn_local(store::follow(Rc::clone(app)));
     spawn_local(store::keep_entry(Rc::clone(app)));
     spawn_local(clean(Rc::clone(app)));
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use batching::{Order, Pool};
+use batching::{JobKey, Order, Pool, Submission};
 use doors::Doors;
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::{Intent, Target};
@@ -16,6 +16,7 @@
 
 use crate::admission::Admission;
 use crate::fleet::{Fleet, VmEntry};
+use crate::reach::OutHalls;
 use crate::settings::{Policy, Settings};
 
 /// Entries that lapsed while the store was away come back within this time of its return, if
@@ -245,7 +246,12 @@
         for (name, service) in &intent.services {
             let Some(spec) = service.pool else { continue };
             let order = self.order;
-            let pool = self.pools.entry(name.clone()).or_insert_with(|| Pool::new(spec, order));
+            let out = &self.fleet.out_halls;
+            let pool = self.pools.entry(name.clone()).or_insert_with(|| {
+                let mut pool = Pool::new(spec, order);
+                pool.set_out_halls(out.clone());
+                pool
+            });
             pool.set_spec(spec);
             let own = self.split.contains(name).then_some(&self.own_hall);
             let makers = self.targets.of_service(name);
@@ -307,6 +313,31 @@
         pool.queue(now) as f64 + coming
     }
 
+    /// Halls are out of reach, or within it again.
+    pub(crate) fn set_out_halls(&mut self, out: OutHalls) {
+        self.targets.set_out_halls(out.clone());
+        self.pools.values_mut().for_each(|pool| pool.set_out_halls(out.clone()));
+        self.fleet.out_halls = out;
+    }
+
+    /// Whether a result lies in a hall that is out of reach.
+    pub(crate) fn is_out_of_reach(&self, handle: &str) -> bool {
+        let hall = (self.doors.calls.maker)(handle).and_then(|at| self.targets.hall_at(at));
+        hall.is_some_and(|hall| self.fleet.out_halls.contains(hall))
+    }
+
+    /// Submissions to a pool of this VM that need results which are out of reach.
+    pub(crate) fn out_of_inputs(&self, pool: &ServiceName) -> Vec<JobKey> {
+        if self.fleet.out_halls.is_empty() {
+            return Vec::new();
+        }
+        let waiting = self.pools.get(pool).into_iter().flat_map(Pool::waiting_submissions);
+        let lacks = |(_, submission): &(JobKey, &Submission)| {
+            submission.inputs.iter().any(|handle| self.is_out_of_reach(handle))
+        };
+        waiting.filter(lacks).map(|(job, _)| job).collect()
+    }
+
     /// The hall in which most of the inputs lie.
     pub(crate) fn hall_of_inputs(&self, handles: &[String]) -> Option<HallName> {
         let mut counts: BTreeMap<&HallName, usize> = BTreeMap::new();
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -10,10 +10,11 @@
 use doors::callers::Refusal;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Body, Frame};
+use hyper::body::{Body, Frame, Incoming};
 use selection::{CallSize, End, chain_of};
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
@@ -23,9 +24,10 @@
 use crate::events::{Event, Splitter};
 use crate::hub::now;
 use crate::plain::outcome_of;
+use crate::reach::{self, OutHalls};
 use crate::requests::Accepted;
 use crate::stages::{self, Results, StagesMiss, StagesOf};
-use crate::tries::{Answer, Missed, Tries};
+use crate::tries::{Answer, Missed, OUT_OF_REACH, Tries};
 
 /// Events that wait for a caller that reads slowly.
 const EVENTS_WAITING: usize = 64;
@@ -65,6 +67,8 @@
 struct Reader {
     answer: Answer,
     splitter: Splitter,
+    /// Data halls that are out of reach.
+    out: watch::Receiver<OutHalls>,
 }
 
 /// What comes next in a try's stream.
@@ -222,8 +226,8 @@
     if !answer.head.status.is_success() {
         return Ok(Ok(First::Whole(Box::new(answer))));
     }
-    let mut reader = Reader { answer, splitter: Splitter::default() };
-    match reader.next().await {
+    let mut reader = Reader::new(tries.app(), answer);
+    match reader.next(tries.req().entry.repeatable).await {
         Next::Event(event) => {
             reader.answer.a_try.prompt_read();
             Ok(Ok(First::Stream(Box::new(reader), vec![event])))
@@ -253,23 +257,38 @@
 }
 
 impl Reader {
-    async fn next(&mut self) -> Next {
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return Next::Event(event);
-            }
-            match self.answer.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Some(data) = frame.data_ref() {
-                        self.splitter.push(data);
-                    }
-                }
-                Some(Err(e)) => return Next::Broken(e.to_string()),
-                None if self.splitter.has_rest() => {
-                    return Next::Broken("it ended within an event".to_owned());
+    fn new(app: &App, answer: Answer) -> Self {
+        Reader { answer, splitter: Splitter::default(), out: app.out_halls.subscribe() }
+    }
+
+    /// The next event, unless the target's hall is out of reach and another target may go on.
+    async fn next(&mut self, repeatable: bool) -> Next {
+        let Reader { answer, splitter, out } = self;
+        let hall = &answer.a_try.pick.target.hall;
+        tokio::select! {
+            biased;
+            next = next_event(&mut answer.body, splitter) => next,
+            () = reach::lost(out, hall), if repeatable => Next::Broken(OUT_OF_REACH.to_owned()),
+        }
+    }
+}
+
+async fn next_event(body: &mut Incoming, splitter: &mut Splitter) -> Next {
+    loop {
+        if let Some(event) = splitter.next_event() {
+            return Next::Event(event);
+        }
+        match body.frame().await {
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    splitter.push(data);
                 }
-                None => return Next::End,
             }
+            Some(Err(e)) => return Next::Broken(e.to_string()),
+            None if splitter.has_rest() => {
+                return Next::Broken("it ended within an event".to_owned());
+            }
+            None => return Next::End,
         }
     }
 }
@@ -322,12 +341,13 @@
         }
     }
     let until = TokioInstant::from_std(stream.req.until);
+    let repeatable = stream.req.entry.repeatable;
     loop {
         let limit = stream.stall_limit().min(until);
         let next = tokio::select! {
             biased;
             () = tx.closed() => return Passed::CallerGone,
-            next = timeout_at(limit, stream.reader.next()) => next,
+            next = timeout_at(limit, stream.reader.next(repeatable)) => next,
         };
         let why = match next {
             Ok(Next::Event(event)) => {
@@ -393,7 +413,7 @@
             let sent = self.tries.send(Some(&self.size), &inputs, Some(last)).await;
             match sent.map_err(|_| "no target is left")? {
                 Ok(answer) if answer.head.status.is_success() => {
-                    let mut reader = Reader { answer, splitter: Splitter::default() };
+                    let mut reader = Reader::new(&self.app, answer);
                     reader.answer.a_try.prompt_read();
                     *self.reader = reader;
                     return Ok(());
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -13,6 +13,7 @@
 use crate::app::App;
 use crate::connections::{Carrier, NoAnswer};
 use crate::hub::now;
+use crate::reach;
 use crate::requests::{Accepted, call_of};
 use crate::work::left;
 
@@ -23,6 +24,9 @@
 /// Most targets that can't be reached that are tried, beside those that were sent something.
 const MOST_UNREACHABLE: u32 = 6;
 
+/// Why a try is given up whose target's hall is out of reach.
+pub(crate) const OUT_OF_REACH: &str = "its hall is out of reach";
+
 /// The tries of one request.
 pub(crate) struct Tries {
     app: Rc<App>,
@@ -98,6 +102,11 @@
         }
     }
 
+    /// What the VM's tasks hold on to.
+    pub(crate) fn app(&self) -> &Rc<App> {
+        &self.app
+    }
+
     /// The request.
     pub(crate) fn req(&self) -> &Rc<Accepted> {
         &self.req
@@ -140,7 +149,15 @@
         };
         let headers = (self.app.doors.calls.head)(&self.req.parts.headers, &head);
         self.sent += 1;
-        let sent = self.app.connections.send(&target, call_of(&self.req, headers)).await;
+        let sending = self.app.connections.send(&target, call_of(&self.req, headers));
+        let mut out = self.app.out_halls.subscribe();
+        let sent = tokio::select! {
+            sent = sending => sent,
+            // What may run once only is waited for: the hall may come back with its answer.
+            () = reach::lost(&mut out, &target.hall), if self.req.entry.repeatable => {
+                Err(NoAnswer::Lost(OUT_OF_REACH.to_owned()))
+            }
+        };
         let result = match sent {
             Ok((answer, carrier)) => self.read(answer, carrier, &mut a_try).await,
             Err(NoAnswer::NotSent(why)) => {
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -19,6 +19,7 @@
 use crate::hub::now;
 use crate::link_words;
 use crate::links::{Link, ToDialer};
+use crate::reach;
 
 /// Longest wait for a target to confirm that results were given up.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
@@ -173,6 +174,7 @@
 
 /// Makes the calls that can be made now, and plans the next look at the queue.
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
+    end_without_inputs(app, pool);
     loop {
         let call = app.hub.with(|shared, now| shared.pools.get_mut(pool)?.next_call(now));
         let Some(call) = call else { break };
@@ -184,6 +186,18 @@
     }
 }
 
+/// Hands back pieces whose inputs are out of reach: the VM of the request has them made anew.
+fn end_without_inputs(app: &App, pool: &ServiceName) {
+    let finished = app.hub.with(|shared, _| {
+        let jobs = shared.out_of_inputs(pool);
+        let pool = shared.pools.get_mut(pool);
+        pool.map(|pool| jobs.into_iter().flat_map(|job| pool.inputs_gone(job)).collect::<Vec<_>>())
+    });
+    if let Some(finished) = finished.filter(|finished| !finished.is_empty()) {
+        hand_back(app, pool, finished);
+    }
+}
+
 fn plan_look(app: &Rc<App>, pool: &ServiceName, at: tokio::time::Instant) {
     let planned = app.planned_looks.borrow().get(pool).copied();
     if planned.is_some_and(|planned| planned <= at) {
@@ -209,18 +223,21 @@
         let req = (app.doors.calls.pieces)(&call.target.id, &pieces);
         let sent = tokio::time::timeout(call.patience, own_call(&app, &call.target, req));
         let mut sent = std::pin::pin!(sent);
-        let early = tokio::select! {
-            sent = &mut sent => Some(sent),
-            () = fetched(call.fetch) => None,
-        };
-        let sent = match early {
-            Some(sent) => sent,
-            None => {
-                tell_fetched(&app, &pool, call.key);
-                sent.await
+        let mut fetch = std::pin::pin!(fetched(call.fetch));
+        let mut out = app.out_halls.subscribe();
+        let mut fetches = true;
+        loop {
+            tokio::select! {
+                sent = &mut sent => {
+                    break end_of(&app, sent.unwrap_or(Err(OwnCallMiss::TimedOut)));
+                }
+                () = &mut fetch, if fetches => {
+                    fetches = false;
+                    tell_fetched(&app, &pool, call.key);
+                }
+                () = reach::lost(&mut out, &call.target.hall) => break CallEnd::OutOfReach,
             }
-        };
-        end_of(&app, sent.unwrap_or(Err(OwnCallMiss::TimedOut)))
+        }
     } else {
         // A submission was cancelled between the choice and the call; nothing was sent.
         CallEnd::Full
@@ -356,6 +373,7 @@
         CallEnd::Answered(_) => "answered",
         CallEnd::Full => "full",
         CallEnd::TargetGone => "target gone",
+        CallEnd::OutOfReach => "out of reach",
         CallEnd::Failed => "failed",
     }
 }
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -11,7 +11,7 @@
 use standins::fleet::wait_until;
 use standins::users::Message;
 use standins::users::callers::Call;
-use standins::users::runners::Act;
+use standins::users::runners::{Act, Runner};
 use standins::users::serving::{
     A_WHILE, HOST, Site, Vm, answered, events, get, post, usual_configuration,
 };
@@ -300,6 +300,43 @@
     wait_until("the newest is in force", || vm.state()["configuration"] == json!(4));
 }
 
+#[test]
+fn a_hall_is_out_of_reach_if_its_vms_are_silent_and_none_of_its_targets_answers() {
+    let site = Site::start();
+    let vm = site.start_vm("asks", "");
+    let other = Vm::start("silent", "hall-b", site.store.address, "");
+    other.wait_ready();
+    wait_until("they are linked", || vm.state()["peers"][0]["linked"] == json!(true));
+    let far = Runner::start("i-far", Act::Answer).expect("a runner starts");
+    site.store.put("servers/i-far", &far.entry("plain", "hall-b", "ready"));
+    wait_until("it is known", || vm.state()["targets"] == json!(7));
+
+    other.signal("-STOP");
+    thread::sleep(A_WHILE * 2);
+    let with_a_target = vm.state()["halls_out_of_reach"].clone();
+    let mut closed = far.entry("plain", "hall-b", "ready");
+    closed["address"] = json!(closed_address());
+    site.store.put("servers/i-far", &closed);
+    wait_until("it is out of reach", || vm.state()["halls_out_of_reach"] == json!(["hall-b"]));
+    let answers: Vec<u16> = (0..8)
+        .map(|number| answered(&get("/repeat/", &format!("r-{number}")), &vm).status())
+        .collect();
+    other.signal("-CONT");
+
+    assert_eq!(with_a_target, json!([]), "a silent VM alone is no hall out of reach");
+    assert_eq!(answers, [200; 8]);
+    wait_until("it is in reach again", || vm.state()["halls_out_of_reach"] == json!([]));
+    wait_until("both are told", || {
+        ["hall out of reach", "hall within reach"].iter().all(|told| vm.log().contains(told))
+    });
+}
+
+/// An address at which nothing listens.
+fn closed_address() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address").to_string()
+}
+
 #[test]
 fn a_planned_stop_cuts_nothing() {
     let site = Site::start();
