--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -32,6 +32,9 @@
 const ROOM_FALL: f64 = 0.03;
 /// By this it rises with each call that found room: one in ten without is borne.
 const ROOM_RISE: f64 = 0.003;
+/// Room is scarce at a maker of which more than this part is used: the rest holds the results of two
+/// full calls on the pools seen so far.
+const SCARCE_PART: f64 = 0.5;
 /// Time beside the transfer itself within which a target begins a call and has fetched its inputs:
 /// many times the way between halls.
 const FETCH_EXTRA: Duration = Duration::from_millis(40);
@@ -190,7 +193,24 @@
         by_maker.into_iter().filter_map(told).collect()
     }
 
-    /// Gives up results that were made after nobody waited for them any more.
+    /// Gives up results if their makers' room is scarce, or once it is: they are needed again only
+    /// if what is being made of them fails.
+    pub fn release_if_scarce(&mut self, handles: &[String]) {
+        let makers: Vec<MakerKey> =
+            handles.iter().filter_map(|handle| self.results.set_spare(handle)).collect();
+        makers.into_iter().for_each(|maker| self.reclaim(maker));
+    }
+
+    /// Gives up what a maker's room is too scarce to keep.
+    fn reclaim(&mut self, key: MakerKey) {
+        let scarce = (self.spec.room_bytes as f64 * SCARCE_PART) as u64;
+        if self.makers.get(key).is_some_and(|maker| maker.room_used > scarce) {
+            self.orphans.extend(self.results.spare_of(key));
+        }
+    }
+
+    /// Gives up results that are to be given up though no request says so: those made after nobody
+    /// waited for them any more, and those for which room is too scarce.
     pub fn release_orphans(&mut self) -> Vec<(Target, Vec<String>)> {
         let orphans = std::mem::take(&mut self.orphans);
         self.release(orphans)
@@ -419,6 +439,7 @@
         maker.at_work += 1;
         maker.room_used += bytes;
         let (target, room_used) = (maker.target.clone(), maker.room_used);
+        self.reclaim(key);
         let members = pieces.iter().map(|waiting| (waiting.job, waiting.piece)).collect();
         let since = pieces.iter().filter_map(|w| self.jobs.get(w.job)).map(|job| job.since).min();
         let waited = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
--- a/components/batching/src/results.rs
+++ b/components/batching/src/results.rs
@@ -11,6 +11,8 @@
     maker: MakerKey,
     bytes: u64,
     until: Instant,
+    /// Whether it may be given up when room is scarce.
+    spare: bool,
 }
 
 /// All results that this owner had made and that still take room.
@@ -21,7 +23,7 @@
 
 impl Results {
     pub(crate) fn add(&mut self, handle: &str, maker: MakerKey, bytes: u64, until: Instant) {
-        self.by_handle.insert(handle.to_owned(), Result { maker, bytes, until });
+        self.by_handle.insert(handle.to_owned(), Result { maker, bytes, until, spare: false });
     }
 
     /// Takes out a result that is needed no more; gives its maker and size.
@@ -29,6 +31,19 @@
         self.by_handle.remove(handle).map(|result| (result.maker, result.bytes))
     }
 
+    /// Notes that a result may be given up when room is scarce; gives its maker.
+    pub(crate) fn set_spare(&mut self, handle: &str) -> Option<MakerKey> {
+        let result = self.by_handle.get_mut(handle)?;
+        result.spare = true;
+        Some(result.maker)
+    }
+
+    /// Handles of a maker's results that may be given up when room is scarce.
+    pub(crate) fn spare_of(&self, maker: MakerKey) -> Vec<String> {
+        let spare = self.by_handle.iter().filter(|(_, r)| r.spare && r.maker == maker);
+        spare.map(|(handle, _)| handle.clone()).collect()
+    }
+
     /// Takes out the results whose life is over; gives their makers and sizes.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<(MakerKey, u64)> {
         let over = |result: &Result| result.until <= now;
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -349,3 +349,24 @@
     assert_eq!(pool.call_ended(call.key, made(4), now + CALL).len(), 4);
     assert!(pool.is_idle());
 }
+
+#[test]
+fn spare_results_are_kept_until_room_is_scarce() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let sized =
+        |id, pieces| Submission { result_bytes: 200, ..submission(id, pieces, now + CALL * 9) };
+    pool.submit(sized("first", 2), now);
+    let call = pool.next_call(now).unwrap();
+    pool.call_ended(call.key, made(2), now);
+
+    pool.release_if_scarce(&["127.0.0.1:9/0".to_owned()]);
+    let while_room = pool.release_orphans();
+    pool.submit(sized("second", 1), now);
+    pool.next_call(now).unwrap();
+    let when_scarce = pool.release_orphans();
+
+    assert!(while_room.is_empty(), "400 of 1,000 bytes are used");
+    assert_eq!(when_scarce.len(), 1, "600 would be");
+    assert_eq!(when_scarce[0].1, ["127.0.0.1:9/0"]);
+}
--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -126,6 +126,9 @@
                 work::cancel(app, &pool, job);
             }
         }
+        from_dialer::Kind::Release(release) if release.if_scarce => {
+            work::release_if_scarce_here(app, &release.handles);
+        }
         from_dialer::Kind::Release(release) => work::release_here(app, &release.handles),
         from_dialer::Kind::Beat(beat) => {
             let sinks = app.sinks.borrow();
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -93,9 +93,10 @@
         }
     }
 
-    /// Gives up results that were made through this link.
-    pub(crate) fn release(&self, handles: &[String]) {
-        self.send(from_dialer::Kind::Release(Release { handles: handles.to_vec() }));
+    /// Gives up results that were made through this link, or only if room is scarce.
+    pub(crate) fn release(&self, handles: &[String], if_scarce: bool) {
+        let release = Release { handles: handles.to_vec(), if_scarce };
+        self.send(from_dialer::Kind::Release(release));
     }
 
     fn send(&self, kind: from_dialer::Kind) {
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -43,15 +43,24 @@
     handles: Vec<Option<String>>,
     handed_in: Option<HandedIn>,
     hand_ins: u32,
-    released: bool,
+    kept: Kept,
     /// Whether the inputs were fetched by the targets at work on it.
     fetched: bool,
 }
 
+/// Whether a stage's results lie at their makers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kept {
+    Yes,
+    /// As long as their makers have room.
+    IfRoom,
+    No,
+}
+
 impl StageRun {
     fn new(pieces: u32) -> Self {
         let handles = vec![None; pieces as usize];
-        StageRun { pieces, handles, handed_in: None, hand_ins: 0, released: false, fetched: false }
+        StageRun { pieces, handles, handed_in: None, hand_ins: 0, kept: Kept::Yes, fetched: false }
     }
 
     fn is_done(&self) -> bool {
@@ -63,13 +72,22 @@
     }
 
     fn release(&mut self) {
-        if self.released {
-            return;
+        if std::mem::replace(&mut self.kept, Kept::No) != Kept::No {
+            self.with_results(HandedIn::release);
         }
-        self.released = true;
+    }
+
+    fn release_if_scarce(&mut self) {
+        if self.kept == Kept::Yes {
+            self.kept = Kept::IfRoom;
+            self.with_results(HandedIn::release_if_scarce);
+        }
+    }
+
+    fn with_results(&self, tell: impl Fn(&HandedIn, &[String])) {
         let handles: Vec<String> = self.handles.iter().flatten().cloned().collect();
         if let Some(handed_in) = self.handed_in.as_ref().filter(|_| !handles.is_empty()) {
-            handed_in.release(&handles);
+            tell(handed_in, &handles);
         }
     }
 }
@@ -186,7 +204,7 @@
                 "stage" => turn.stage, "why" => "the VM that fills the calls was lost");
             let index = turn.stage as usize;
             let needs = &of.entry.stages[index].needs;
-            if needs.iter().any(|need| runs[*need].released) {
+            if needs.iter().any(|need| runs[*need].kept == Kept::No) {
                 start_over(of, runs, index, tx)?;
             } else {
                 runs[index].handed_in = None;
@@ -228,7 +246,7 @@
     }
     runs[index] = StageRun::new(runs[index].pieces);
     runs[index].hand_ins = hand_ins;
-    let given_up = |need: &&usize| runs[**need].released;
+    let given_up = |need: &&usize| runs[**need].kept != Kept::Yes;
     let needs: Vec<usize> = entry.stages[index].needs.iter().filter(given_up).copied().collect();
     needs.into_iter().try_for_each(|need| make_anew(entry, runs, need))
 }
@@ -337,9 +355,14 @@
         let users: Vec<usize> = (0..runs.len())
             .filter(|other| runs[*other].pieces > 0 && entry.stages[*other].needs.contains(&index))
             .collect();
-        let is_over = |run: &StageRun| run.is_done() || run.fetched;
-        if !users.is_empty() && users.iter().all(|other| is_over(&runs[*other])) {
+        let all = |is_so: fn(&StageRun) -> bool| users.iter().all(|other| is_so(&runs[*other]));
+        if users.is_empty() {
+            continue;
+        }
+        if all(StageRun::is_done) {
             runs[index].release();
+        } else if all(|run| run.is_done() || run.fetched) {
+            runs[index].release_if_scarce();
         }
     }
 }
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use batching::{Call, CallEnd, CallKey, Finished, JobKey, Made, Submission};
+use batching::{Call, CallEnd, CallKey, Finished, JobKey, Made, Pool, Submission};
 use doors::calls::{Evidence, OwnCall, PieceAnswer, PieceCall};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -82,7 +82,15 @@
     pub(crate) fn release(&self, handles: &[String]) {
         match &self.place {
             Place::Here(..) => release_here(&self.app, handles),
-            Place::Peer(link, _) => link.release(handles),
+            Place::Peer(link, _) => link.release(handles, false),
+        }
+    }
+
+    /// Gives up results of the submission if their makers' room is scarce.
+    pub(crate) fn release_if_scarce(&self, handles: &[String]) {
+        match &self.place {
+            Place::Here(..) => release_if_scarce_here(&self.app, handles),
+            Place::Peer(link, _) => link.release(handles, true),
         }
     }
 }
@@ -154,6 +162,19 @@
     tell_makers(app, told);
 }
 
+/// Gives up results that this VM had made, if their makers' room is scarce.
+pub(crate) fn release_if_scarce_here(app: &Rc<App>, handles: &[String]) {
+    let told = app.hub.with(|shared, _| {
+        let pools = shared.pools.values_mut();
+        let release = |pool: &mut Pool| {
+            pool.release_if_scarce(handles);
+            pool.release_orphans()
+        };
+        pools.flat_map(release).collect::<Vec<_>>()
+    });
+    tell_makers(app, told);
+}
+
 fn tell_makers(app: &Rc<App>, told: Vec<(Target, Vec<String>)>) {
     for (target, handles) in told {
         let app = Rc::clone(app);
@@ -176,8 +197,12 @@
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
     end_without_inputs(app, pool);
     loop {
-        let call = app.hub.with(|shared, now| shared.pools.get_mut(pool)?.next_call(now));
-        let Some(call) = call else { break };
+        let next = app.hub.with(|shared, now| {
+            let pool = shared.pools.get_mut(pool)?;
+            Some((pool.next_call(now)?, pool.release_orphans()))
+        });
+        let Some((call, orphans)) = next else { break };
+        tell_makers(app, orphans);
         spawn_local(make(Rc::clone(app), pool.clone(), call));
     }
     let look = app.hub.with(|shared, now| shared.pools.get(pool)?.next_look(now));
