--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -194,10 +194,15 @@
         keys.iter().filter_map(|key| self.arena.get(*key)).map(|state| &state.target)
     }
 
+    /// The target that listens at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<&Target> {
+        let key = self.by_address.get(&address)?;
+        self.arena.get(*key).map(|state| &state.target)
+    }
+
     /// The hall of whatever listens at an address.
     pub fn hall_at(&self, address: SocketAddr) -> Option<&HallName> {
-        let key = self.by_address.get(&address)?;
-        self.arena.get(*key).map(|state| &state.target.hall)
+        self.at(address).map(|target| &target.hall)
     }
 
     /// The hall of the target to which a prompt's shared start belongs.
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -43,6 +43,7 @@
 pub(crate) struct Link {
     tx: UnboundedSender<FromDialer>,
     next_job: Cell<u64>,
+    over: Cell<bool>,
     jobs: RefCell<HashMap<u64, Waiting>>,
 }
 
@@ -99,6 +100,11 @@
         self.send(from_dialer::Kind::Release(release));
     }
 
+    /// Whether the link ended.
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
     fn send(&self, kind: from_dialer::Kind) {
         // A link that just ended tells its requests so by itself.
         drop(self.tx.send(FromDialer { kind: Some(kind) }));
@@ -127,6 +133,7 @@
     }
 
     fn lost(&self) {
+        self.over.set(true);
         for (_, waiting) in self.jobs.borrow_mut().drain() {
             drop(waiting.news.send(PieceNews::OwnerLost { of: waiting.of }));
         }
@@ -191,7 +198,8 @@
     if vm == app.cfg.vm {
         return Err("the address is this VM's own".to_owned());
     }
-    let link = Rc::new(Link { tx, next_job: Cell::new(0), jobs: RefCell::new(HashMap::new()) });
+    let (next_job, over) = (Cell::new(0), Cell::new(false));
+    let link = Rc::new(Link { tx, next_job, over, jobs: RefCell::new(HashMap::new()) });
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -33,7 +33,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(80);
 /// Longest pause after a failed call: refused calls count too, and a store that is back is found
 /// well within the seconds that changes may take after its return.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
 /// How long this VM's entry outlasts it.
 const LEASE: Duration = Duration::from_secs(6);
 /// Pause between two renewals: two may be lost.
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -1,6 +1,6 @@
 //! Pieces of stages: handed to the VM that fills the pool's calls, made there, and handed back.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -8,7 +8,7 @@
 use doors::calls::{Evidence, OwnCall, PieceAnswer, PieceCall};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
-use ids::{RequestId, ServiceName};
+use ids::{RequestId, ServiceName, TargetName};
 use intent::Target;
 use slog::{debug, info};
 use tokio::sync::mpsc::UnboundedSender;
@@ -82,6 +82,8 @@
     pub(crate) fn release(&self, handles: &[String]) {
         match &self.place {
             Place::Here(..) => release_here(&self.app, handles),
+            // Whoever had them made is gone: the makers are told by this VM.
+            Place::Peer(link, _) if link.is_over() => release_directly(&self.app, handles),
             Place::Peer(link, _) => link.release(handles, false),
         }
     }
@@ -175,6 +177,20 @@
     tell_makers(app, told);
 }
 
+/// Gives up results at their makers, whoever had them made.
+fn release_directly(app: &Rc<App>, handles: &[String]) {
+    let mut by_maker: HashMap<TargetName, (Target, Vec<String>)> = HashMap::new();
+    for handle in handles {
+        let Some(address) = (app.doors.calls.maker)(handle) else { continue };
+        let maker = app.hub.with(|shared, _| shared.targets.at(address).cloned());
+        if let Some(maker) = maker {
+            let of_maker = by_maker.entry(maker.id.clone()).or_insert((maker, Vec::new()));
+            of_maker.1.push(handle.clone());
+        }
+    }
+    tell_makers(app, by_maker.into_values().collect());
+}
+
 fn tell_makers(app: &Rc<App>, told: Vec<(Target, Vec<String>)>) {
     for (target, handles) in told {
         let app = Rc::clone(app);
--- a/tests/serving_streams.rs
+++ b/tests/serving_streams.rs
@@ -190,3 +190,24 @@
     let answer = asked.join().expect("no panic").expect("an answer");
     assert!(answer.whole && events(&answer).len() == 5, "{answer:?}");
 }
+
+#[test]
+fn results_are_given_up_though_the_vm_that_had_them_made_is_gone() {
+    let site = Site::start();
+    let mut vms = vec![site.start_vm("gone-1", ""), site.start_vm("gone-2", "")];
+    wait_until("they are linked", || {
+        vms.iter().all(|vm| vm.state()["peers"][0]["linked"] == json!(true))
+    });
+    let owner = usize::from(vms[0].state()["pools"][0]["filled_by"] != json!("this VM"));
+    let address = vms[1 - owner].callers;
+    Site::next(&site.engines, &Act::Hang(Duration::from_millis(900)));
+    let call = post("/chain/", "c-1").with("Pieces", "1,2").with("Piece-Key", "k");
+    let asked = thread::spawn(move || call.send(address));
+    wait_until("the engine is asked", || site.engines.iter().any(|e| !e.seen().is_empty()));
+
+    drop(vms.remove(owner));
+
+    drop(asked.join().expect("no panic"));
+    let released = || site.pool.iter().map(|runner| runner.released().len()).sum::<usize>();
+    wait_until("all three results are given up", || released() == 3);
+}
