--- a/components/doors/src/store.rs
+++ b/components/doors/src/store.rs
@@ -71,8 +71,6 @@
     pub lease: fn(Duration) -> StoreCall,
     /// Renews a lease.
     pub renew: fn(u64) -> StoreCall,
-    /// Ends a lease.
-    pub end_lease: fn(u64) -> StoreCall,
     /// Reads a listing.
     pub read_list: fn(&[u8]) -> errors::Result<Page>,
     /// Reads a watch's answer.
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -26,8 +26,6 @@
 const LONGEST_REST: Duration = Duration::from_secs(4);
 /// Failures in a row before a target rests, unless nothing could be sent to it.
 const FAILURES: u32 = 2;
-/// Weight of a new call's time in a target's learned pace.
-const PACE_WEIGHT: f64 = 0.2;
 /// Cost of a call to another hall, in parts of a slot in use.
 const OTHER_HALL: f64 = 0.25;
 /// Prompt tokens to which a request at work is equal: it slows each step by a few hundredths, which
@@ -127,7 +125,6 @@
     failures: u32,
     failing: f64,
     rests_until: Option<Instant>,
-    pace: f64,
     kept: Kept,
 }
 
@@ -194,6 +191,11 @@
         keys.iter().filter_map(|key| self.arena.get(*key)).map(|state| &state.target)
     }
 
+    /// The service of a target.
+    pub fn service_of(&self, id: &TargetName) -> Option<&ServiceName> {
+        self.arena.get(*self.by_id.get(id)?).map(|state| &state.target.service)
+    }
+
     /// The target that listens at an address.
     pub fn at(&self, address: SocketAddr) -> Option<&Target> {
         let key = self.by_address.get(&address)?;
@@ -322,13 +324,6 @@
         }
     }
 
-    /// How a call's time compares with the usual for its size.
-    pub fn took(&mut self, key: TargetKey, ratio: f64) {
-        if let Some(state) = self.arena.get_mut(key) {
-            state.pace += PACE_WEIGHT * (ratio - state.pace);
-        }
-    }
-
     /// A peer told of its calls under way.
     pub fn peer_load(&mut self, peer: u64, loads: &[(TargetName, u32, u64)], now: Instant) {
         for (id, calls, unread) in loads {
@@ -344,15 +339,6 @@
         busy.map(|state| (&state.target.id, state.calls, state.unread))
     }
 
-    /// Whether at least half of a service's slots are free, as far as is known.
-    pub fn half_free(&self, service: &ServiceName, now: Instant) -> bool {
-        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
-        let states = || keys.iter().map(|key| &self.arena[*key]).filter(|s| !s.target.leaving);
-        let slots: f64 = states().map(|state| f64::from(state.target.slots)).sum();
-        let taken: f64 = states().map(|state| state.calls_known(now)).sum();
-        taken * 2.0 < slots
-    }
-
     fn is_out(&self, state: &State, now: Instant) -> bool {
         state.rests(now) || self.out_halls.contains(&state.target.hall)
     }
@@ -376,7 +362,7 @@
                 let far = if state.target.hall == self.own_hall { 0.0 } else { OTHER_HALL };
                 let full = (calls + 1.0) / f64::from(state.target.slots);
                 // Nothing waits below one call a slot, so only then load goes before the hall.
-                (full.max(far) + far) * state.pace.max(0.1) + state.failing
+                full.max(far) + far + state.failing
             }
             Some(size) => {
                 let home = self.home(among, size);
@@ -388,7 +374,7 @@
                 let tokens = unread
                     + state.unread_known(now) as f64 * QUEUED_PART
                     + far as f64 / BYTES_PER_MB * TOKENS_PER_FAR_MB;
-                (tokens / TOKENS_PER_REQUEST + calls) * state.pace.max(0.1) + failing
+                tokens / TOKENS_PER_REQUEST + calls + failing
             }
         }
     }
@@ -423,7 +409,6 @@
             failures: 0,
             failing: 0.0,
             rests_until: None,
-            pace: 1.0,
             kept: Kept::default(),
         }
     }
--- a/daemon/src/ask.rs
+++ b/daemon/src/ask.rs
@@ -12,10 +12,10 @@
 use journal::{AttemptEnd, RequestRecord, Submission};
 use membership::{Advert, Known, News};
 use outcomes::{Outcome, Reason, Refusal};
-use platform::ListedVm;
 use routing::{Admission, CallEnd, LoadReport, Slot, SlotRequest, TargetKey};
 use settings::Settings;
 use slog::Logger;
+use store_client::ListedVm;
 use telemetry::Metrics;
 use tokio::sync::{Notify, oneshot};
 
--- a/daemon/src/claim.rs
+++ b/daemon/src/claim.rs
@@ -2,7 +2,7 @@
 
 use caller_request::CallerRequest;
 use outcomes::{Outcome, Reason, Refusal};
-use platform::{Claim, ClaimState};
+use store_client::{Claim, ClaimState};
 
 use crate::pipeline::{Pipeline, SOON};
 
@@ -26,7 +26,7 @@
     if !is_shared(req) {
         return Ok(None);
     }
-    let claimed = platform::claim(&shared.store, &req.id, &shared.cfg.vm, shared.incarnation);
+    let claimed = store_client::claim(&shared.store, &req.id, &shared.cfg.vm, shared.incarnation);
     shared.metrics.platform_call("claim", claimed.is_ok());
     match claimed {
         Ok(Ok(mine)) => Ok(Some(mine)),
@@ -59,6 +59,6 @@
         Outcome::NotRun => ClaimState::Refused,
         Outcome::Whole | Outcome::Failed | Outcome::Unknown => ClaimState::Ended,
     };
-    let closed = platform::close_claim(&shared.store, &req.id, mine, state);
+    let closed = store_client::close_claim(&shared.store, &req.id, mine, state);
     shared.metrics.platform_call("close claim", closed);
 }
--- a/daemon/src/dispatcher.rs
+++ b/daemon/src/dispatcher.rs
@@ -5,9 +5,9 @@
 
 use journal::Journal;
 use membership::{Pace, Roster};
-use platform::ListedVm;
 use routing::{Policy, Router, Sharer};
 use stakker::{CX, after};
+use store_client::ListedVm;
 use tokio::sync::oneshot;
 
 use crate::ask::{Message, Setup};
--- a/daemon/src/fleet.rs
+++ b/daemon/src/fleet.rs
@@ -5,10 +5,10 @@
 
 use ids::{HallName, Revision, TargetName, VmName};
 use membership::{Advert, Beat, NameHash, News};
-use platform::{ListedVm, VmState};
 use rand::seq::IteratorRandom;
 use routing::Sharer;
 use slog::info;
+use store_client::{ListedVm, VmState};
 
 use crate::ask::{CatalogueView, Round};
 use crate::dispatcher::Dispatcher;
--- a/daemon/src/orders.rs
+++ b/daemon/src/orders.rs
@@ -8,8 +8,8 @@
 
 use catalogue::Target;
 use ids::{HallName, Incarnation, Revision, VmName};
-use platform::{Held, Store};
 use slog::{Logger, info, warn};
+use store_client::{Held, Store};
 use target_calls::{LONGEST_ORDER, Order, OrderDesk, OrderEnd};
 
 use crate::ask::Message;
@@ -124,7 +124,7 @@
     fn renew(&self, holding: &mut Option<Holding>) {
         let name = format!("orders-{}", self.hall);
         let holder = format!("{}/{}", self.vm, self.incarnation);
-        let held = platform::hold(&self.store, &name, &holder, LEASE).ok().flatten();
+        let held = store_client::hold(&self.store, &name, &holder, LEASE).ok().flatten();
         let before = *holding;
         *holding = held.map(|held| match before {
             Some(old) if old.held.fence == held.fence => Holding { held, since: old.since },
--- a/daemon/src/pipeline.rs
+++ b/daemon/src/pipeline.rs
@@ -9,10 +9,10 @@
 use ids::Incarnation;
 use journal::AttemptEnd;
 use outcomes::{Answer, Outcome, Reason, Refusal, StageRun};
-use platform::Store;
 use routing::{CallEnd, LoadReport, Refused, TargetKey};
 use settings::Settings;
 use slog::{Logger, debug, info};
+use store_client::Store;
 use target_calls::{
     CallFailure, CallRequest, Caller, PlainAnswer, StreamEnd, StreamEvent, TargetWord, TokenStream,
 };
--- a/daemon/src/platform_reader.rs
+++ b/daemon/src/platform_reader.rs
@@ -9,9 +9,9 @@
 
 use errors::Result;
 use ids::Revision;
-use platform::{HEAD_KEY, Store, catalogue_at, decode_head};
 use rand::RngExt;
 use slog::{Logger, info, warn};
+use store_client::{HEAD_KEY, Store, catalogue_at, decode_head};
 use telemetry::Metrics;
 
 use crate::ask::Message;
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -101,7 +101,7 @@
     let page = Operations { desk: desk.clone(), metrics: Arc::clone(&metrics), log: log.clone() };
     operations::start(page, cfg.operations)?;
 
-    let store = platform::Store::new(cfg.platform);
+    let store = store_client::Store::new(cfg.platform);
     platform_reader::start(PlatformReader {
         store: store.clone(),
         desk: desk.clone(),
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::app::App;
 use crate::hub::now;
 
 /// Longest wait for a new connection. Halls are milliseconds apart; a lost opening packet is sent
@@ -94,13 +95,14 @@
         }
     }
 
-    /// Takes back a connection whose answer was read to its end.
-    pub(crate) fn rest(&self, carrier: Carrier, keeps: Option<Duration>) {
+    /// Takes back a connection whose answer was read to its end, if its target has fewer than `most`
+    /// at rest.
+    fn rest(&self, carrier: Carrier, keeps: Option<Duration>, most: usize) {
         let since = now();
         let rest = keeps.map_or(REST, |keeps| keeps.mul_f64(KEPT_PART)).min(REST);
         let mut resting = self.resting.borrow_mut();
         let of_target = resting.entry(carrier.target.clone()).or_default();
-        if of_target.len() < MOST_AT_REST {
+        if of_target.len() < most.min(MOST_AT_REST) {
             of_target.push(Resting { carrier, since, until: since + rest });
         }
     }
@@ -129,6 +131,20 @@
     }
 }
 
+impl App {
+    /// Lets a connection rest whose answer was read to its end. All VMs together keep no more at a
+    /// target than it takes.
+    pub(crate) fn rest(&self, carrier: Carrier, keeps: Option<Duration>) {
+        let most = self.hub.with(|shared, _| {
+            let service = shared.targets.service_of(&carrier.target)?;
+            let taken = shared.intent.as_ref()?.services.get(service)?.connections;
+            let share = usize::try_from(taken).unwrap_or(usize::MAX) / shared.fleet.size();
+            (taken > 0).then_some(share)
+        });
+        self.connections.rest(carrier, keeps, most.unwrap_or(MOST_AT_REST));
+    }
+}
+
 impl Drop for Carrier {
     fn drop(&mut self) {
         self.task.abort();
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -78,7 +78,7 @@
         }
     };
     if !read.closes {
-        app.connections.rest(carrier, read.keeps);
+        app.rest(carrier, read.keeps);
     }
     let own_failure = head.status.is_server_error();
     a_try.end(if own_failure { End::OwnFailure } else { End::Answered });
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -247,7 +247,7 @@
     let Answer { head, read, body, carrier, mut a_try } = answer;
     let Ok(body) = body.collect().await else { return Err(Refusal::Failed) };
     if !read.closes {
-        app.connections.rest(carrier, read.keeps);
+        app.rest(carrier, read.keeps);
     }
     a_try.end(if head.status.is_server_error() { End::OwnFailure } else { End::Answered });
     let mut answer = Response::new(whole(body.to_bytes()));
@@ -325,7 +325,7 @@
         let Answer { read, carrier, mut a_try, .. } = answer;
         a_try.end(End::Answered);
         if !read.closes {
-            stream.app.connections.rest(carrier, read.keeps);
+            stream.app.rest(carrier, read.keeps);
         }
     }
 }
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -227,7 +227,7 @@
     async fn finish_declined(&self, body: Incoming, carrier: Carrier, read: AnswerHead) {
         use http_body_util::BodyExt;
         if let (Ok(_), false) = (body.collect().await, read.closes) {
-            self.app.connections.rest(carrier, read.keeps);
+            self.app.rest(carrier, read.keeps);
         }
     }
 
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -374,7 +374,7 @@
     let read = (app.doors.calls.read)(&head, &no_request());
     let body = body.collect().await.map_err(|_| OwnCallMiss::Lost)?.to_bytes();
     if !read.closes {
-        app.connections.rest(carrier, read.keeps);
+        app.rest(carrier, read.keeps);
     }
     match read.evidence {
         Evidence::OtherTarget => Err(OwnCallMiss::OtherTarget),
--- a/src/cmd/history.rs
+++ b/src/cmd/history.rs
@@ -2,8 +2,8 @@
 
 use clap::ArgMatches;
 use errors::Result;
-use platform::read_head;
 use serde_json::json;
+use store_client::read_head;
 
 use crate::cli::{Output, output_of};
 use crate::context::store;
--- a/src/cmd/rollback.rs
+++ b/src/cmd/rollback.rs
@@ -4,7 +4,7 @@
 use clap::ArgMatches;
 use errors::{Error, Result};
 use ids::Revision;
-use platform::snapshot_key;
+use store_client::snapshot_key;
 
 use crate::context::{accepted, change, store};
 
--- a/src/cmd/wait.rs
+++ b/src/cmd/wait.rs
@@ -8,7 +8,7 @@
 use clap::ArgMatches;
 use errors::{Error, Result};
 use ids::Revision;
-use platform::{Store, VmState, read_head};
+use store_client::{Store, VmState, read_head};
 
 use crate::context::{page, store, wait_for};
 use crate::fleet::known_vms;
--- a/src/context.rs
+++ b/src/context.rs
@@ -8,8 +8,8 @@
 use clap::ArgMatches;
 use errors::{Error, Result};
 use ids::Revision;
-use platform::{Head, Store, catalogue_at, publish, read_head};
 use serde_json::Value;
+use store_client::{Head, Store, catalogue_at, publish, read_head};
 
 use crate::cmd::wait::wait_everywhere;
 use crate::messages;
