--- a/src/cli.rs
+++ b/src/cli.rs
@@ -243,6 +243,13 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("The configuration, as it stands in the platform's store"),
         )
+        .arg(
+            Arg::new("against")
+                .long("against")
+                .value_name("OLDER")
+                .value_parser(value_parser!(PathBuf))
+                .help("Tell only what changes from this configuration"),
+        )
 }
 
 fn completions() -> Command {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -1,7 +1,9 @@
-//! `saddlerail check`: read a configuration of the users' platform and tell what it becomes.
+//! `saddlerail check`: read a configuration of the users' platform and tell what it becomes, or what
+//! it changes against another.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 use clap::ArgMatches;
 use errors::{Error, Result};
@@ -9,20 +11,90 @@
 use serde_json::{Value, json};
 
 use crate::cli::{Output, output_of};
+use crate::messages;
 
 pub(crate) fn run(args: &ArgMatches) -> Result<()> {
     let path = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
-    let shown = path.display().to_string();
-    let text = fs::read(&path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
-    let read = users_platform::doors().intents.intent;
-    let intent = read(&text).map_err(|e| e.within(&shown))?;
-    match output_of(args) {
-        Output::Json => out!("{}", as_json(&intent)),
-        Output::Text => print_text(&intent),
+    let intent = read(&path)?;
+    let older = args.get_one::<PathBuf>("against").map(|path| read(path)).transpose()?;
+    match (older, output_of(args)) {
+        (None, Output::Json) => out!("{}", as_json(&intent)),
+        (None, Output::Text) => print_text(&intent),
+        (Some(older), output) => print_changes(&changes(&older, &intent), output),
     }
     Ok(())
 }
 
+fn read(path: &Path) -> Result<Intent> {
+    let shown = path.display().to_string();
+    let text = fs::read(path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
+    let intent = users_platform::doors().intents.intent;
+    intent(&text).map_err(|e| e.within(&shown))
+}
+
+/// A part of a configuration that one version has otherwise than another.
+struct Difference {
+    place: String,
+    before: Option<String>,
+    after: Option<String>,
+}
+
+/// What changes from one configuration to another, by place.
+fn changes(older: &Intent, newer: &Intent) -> Vec<Difference> {
+    let (before, after) = (parts(older), parts(newer));
+    let places: BTreeSet<&String> = before.keys().chain(after.keys()).collect();
+    let difference = |place: &String| Difference {
+        place: place.clone(),
+        before: before.get(place).cloned(),
+        after: after.get(place).cloned(),
+    };
+    places.into_iter().map(difference).filter(|d| d.before != d.after).collect()
+}
+
+/// What a configuration says, by place; customers' keys are told by their number only.
+fn parts(intent: &Intent) -> BTreeMap<String, String> {
+    let entries = intent.entries();
+    let mut parts: BTreeMap<String, String> = entries
+        .map(|entry| (format!("entry {}{}", entry.host, entry.path_prefix), entry_text(entry)))
+        .collect();
+    parts.extend(intent.services.values().map(|service| {
+        let kind = format!(
+            "{:?}, {:?}, connections {}",
+            service.pool, service.engine, service.connections
+        );
+        (format!("service {}", service.name), kind)
+    }));
+    let mut keys: BTreeMap<&str, usize> = BTreeMap::new();
+    for customer in intent.customers.iter().flat_map(|customers| customers.values()) {
+        *keys.entry(customer.name.as_str()).or_default() += 1;
+    }
+    parts.extend(keys.iter().map(|(name, n)| (format!("customer {name}"), format!("{n} keys"))));
+    parts.insert("bounds".to_owned(), format!("{:?}", intent.bounds));
+    parts
+}
+
+fn print_changes(changes: &[Difference], output: Output) {
+    match output {
+        Output::Json => {
+            let value =
+                |d: &Difference| json!({"place": d.place, "before": d.before, "after": d.after});
+            out!("{}", Value::Array(changes.iter().map(value).collect()));
+        }
+        Output::Text if changes.is_empty() => messages::nothing_changes(),
+        Output::Text => {
+            for Difference { place, before, after } in changes {
+                let told = |sign: &str, text: &Option<String>| {
+                    if let Some(text) = text {
+                        out!("{sign} {place}: {text}");
+                    }
+                };
+                told("-", before);
+                told("+", after);
+            }
+        }
+    }
+}
+
 fn sorted(intent: &Intent) -> Vec<&Entry> {
     let mut entries: Vec<&Entry> = intent.entries().map(AsRef::as_ref).collect();
     entries.sort_by(|a, b| (&a.host, &a.path_prefix).cmp(&(&b.host, &b.path_prefix)));
@@ -42,27 +114,26 @@
     let keys = intent.customers.as_ref().map_or(0, |customers| customers.len());
     out!("version {}, {} services, {keys} keys", intent.version, intent.services.len());
     for entry in sorted(intent) {
-        let services: Vec<String> = entry
-            .shares
-            .iter()
-            .map(|share| format!("{} ({})", share.service, share.weight))
-            .collect();
-        let stages: Vec<&str> = entry.stages.iter().map(|stage| stage.pool.as_str()).collect();
-        out!(
-            "{}{}: {}, {}; aim {} ms, longest {} ms, tries {}, urgency {}, stages [{}]",
-            entry.host,
-            entry.path_prefix,
-            services.join(", "),
-            kind(entry),
-            entry.aim.as_millis(),
-            entry.longest.as_millis(),
-            entry.tries,
-            entry.urgency,
-            stages.join(", "),
-        );
+        out!("{}{}: {}", entry.host, entry.path_prefix, entry_text(entry));
     }
 }
 
+fn entry_text(entry: &Entry) -> String {
+    let share = |share: &intent::Share| format!("{} ({})", share.service, share.weight);
+    let services: Vec<String> = entry.shares.iter().map(share).collect();
+    let stages: Vec<&str> = entry.stages.iter().map(|stage| stage.pool.as_str()).collect();
+    format!(
+        "{}, {}; aim {} ms, longest {} ms, tries {}, urgency {}, stages [{}]",
+        services.join(", "),
+        kind(entry),
+        entry.aim.as_millis(),
+        entry.longest.as_millis(),
+        entry.tries,
+        entry.urgency,
+        stages.join(", "),
+    )
+}
+
 fn as_json(intent: &Intent) -> Value {
     let entry = |entry: &Entry| {
         json!({
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -62,10 +62,21 @@
         );
         std::fs::write(&settings, text).expect("settings are written");
         let log = dir.join("log");
-        let child = spawn(&settings, &log);
+        let child = spawn(&settings, to_file(&log));
         Vm { callers, ready, operations, peers, settings, log, child }
     }
 
+    /// Starts a VM like [`Vm::start`] whose standard output is a pipe; gives its end, to be read or
+    /// left to fill.
+    pub fn start_piped(name: &str, store: SocketAddr) -> (Self, ChildStdout) {
+        let mut vm = Vm::start(name, "hall-a", store, "");
+        drop(vm.child.kill());
+        drop(vm.child.wait());
+        vm.child = spawn(&vm.settings, Stdio::piped());
+        let out = vm.child.stdout.take().expect("its standard output");
+        (vm, out)
+    }
+
     /// Where it takes links.
     pub fn peers(&self) -> SocketAddr {
         self.peers
@@ -122,12 +133,15 @@
     pub fn restart(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
-        self.child = spawn(&self.settings, &self.log);
+        self.child = spawn(&self.settings, to_file(&self.log));
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Child {
-    let out = std::fs::File::create(log).expect("a log file");
+fn to_file(log: &PathBuf) -> Stdio {
+    Stdio::from(std::fs::File::create(log).expect("a log file"))
+}
+
+fn spawn(settings: &PathBuf, out: Stdio) -> Child {
     Command::new(program("saddleraild"))
         .arg("serve")
         .arg("--settings")
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -67,3 +67,28 @@
     let problem = String::from_utf8_lossy(&bad.stderr).into_owned();
     assert!(problem.contains("stage-needs-later.json:entry r-1"), "{problem}");
 }
+
+#[test]
+fn check_against_an_older_configuration_tells_only_what_changes() {
+    let file = "platform/tests/fixtures/good/whole.json";
+    let path = std::env::temp_dir().join(format!("saddlerail-against-{}.json", std::process::id()));
+    let old = std::fs::read_to_string(file).expect("the fixture");
+    let mut newer: Value = serde_json::from_str(&old).expect("JSON");
+    newer["routes"][0]["timeout_ms"] = 77.into();
+    std::fs::write(&path, newer.to_string()).expect("a file for the test");
+    let newer = path.display().to_string();
+
+    let same = tool(&["check", file, "--against", file]);
+    let changed = tool(&["check", &newer, "--against", file]);
+    let json = tool(&["check", &newer, "--against", file, "--output", "json"]);
+
+    assert_eq!(text(&same), "nothing would change\n");
+    let lines = text(&changed);
+    let lines: Vec<&str> = lines.lines().collect();
+    assert_eq!(lines.len(), 2, "{lines:?}");
+    assert!(lines[0].starts_with("- entry ") && lines[1].starts_with("+ entry "), "{lines:?}");
+    assert!(lines[1].contains("longest 77 ms"), "{lines:?}");
+    let json: Value = serde_json::from_str(&text(&json)).expect("JSON");
+    assert_eq!(json.as_array().map(Vec::len), Some(1));
+    drop(std::fs::remove_file(path));
+}
