--- a/src/cli.rs
+++ b/src/cli.rs
@@ -72,7 +72,7 @@
         )
         .subcommands([apply(), diff(), list(), show(), remove(), label()])
         .subcommands([history(), rollback(), settle(), wait(), state(), explain(), completions()])
-        .subcommands([trace(), check()])
+        .subcommands([trace(), report(), check()])
 }
 
 fn address(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
@@ -233,6 +233,34 @@
         )
 }
 
+fn report() -> Command {
+    Command::new("report")
+        .about("Draw from VMs' log files how requests ended, stages waited and calls were filled")
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .num_args(1..)
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Log files of the VMs"),
+        )
+        .arg(
+            Arg::new("page")
+                .long("page")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("HTML page to write; without it the figures are printed"),
+        )
+        .arg(
+            Arg::new("seconds")
+                .long("seconds")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u32).range(1..=3600))
+                .help("Seconds that one point of a line stands for"),
+        )
+}
+
 fn check() -> Command {
     Command::new("check")
         .about("Read a configuration of the users' platform and tell what it becomes")
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -9,6 +9,7 @@
 mod label;
 mod list;
 mod remove;
+mod report;
 mod rollback;
 mod settle;
 mod show;
@@ -40,6 +41,7 @@
         "state" => state::run(args),
         "explain" => explain::run(args),
         "trace" => trace::run(args),
+        "report" => report::run(args),
         "check" => check::run(args),
         _ => {
             completions::run(args);
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,7 @@
 mod cmd;
 mod context;
 mod fleet;
+mod logs;
 mod messages;
 
 use std::process::ExitCode;
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -92,3 +92,23 @@
     assert_eq!(json.as_array().map(Vec::len), Some(1));
     drop(std::fs::remove_file(path));
 }
+
+#[test]
+fn report_draws_and_tells_how_requests_ended() {
+    let page = std::env::temp_dir().join(format!("saddlerail-report-{}.html", std::process::id()));
+    let path = page.display().to_string();
+
+    let told = tool(&["report", LOG, "--output", "json"]);
+    let drawn = tool(&["report", LOG, "--page", &path]);
+    let nothing = tool(&["report", "tests/fixtures/logs/empty.log"]);
+
+    let charts: Value = serde_json::from_str(&text(&told)).expect("JSON");
+    assert_eq!(charts[0]["title"], "Requests by outcome");
+    assert_eq!(charts[0]["lines"]["unknown"].as_array().map(Vec::len), Some(1), "{charts}");
+    assert_eq!(charts[2]["lines"].as_object().map(|lines| lines.len()), Some(1), "{charts}");
+    assert!(drawn.status.success(), "{drawn:?}");
+    let html = std::fs::read_to_string(&page).expect("the page");
+    assert!(html.contains("<svg") && html.contains("unknown"), "{html}");
+    assert!(String::from_utf8_lossy(&nothing.stderr).contains("no line tells"), "{nothing:?}");
+    drop(std::fs::remove_file(page));
+}
