--- /dev/null
+++ b/components/batching/src/ends.rs
@@ -0,0 +1,136 @@
+//! What comes of a call: pieces that are done, those to be made again, and the room that results take.
+
+use std::time::Instant;
+
+use doors::calls::PieceAnswer;
+
+use crate::maker::MakerKey;
+use crate::pool::{Pool, UnderWay, Waiting};
+use crate::submission::{CallEnd, CallKey, Finished, JobKey, Made};
+
+/// Most times that a piece is tried.
+const PIECE_TRIES: u32 = 4;
+/// Least part of the room that is used, however often a maker had none.
+const LEAST_ROOM_PART: f64 = 0.6;
+/// By this the part falls when a maker had no room for a result.
+const ROOM_FALL: f64 = 0.03;
+/// By this it rises with each call that found room: one in ten without is borne.
+const ROOM_RISE: f64 = 0.003;
+
+impl Pool {
+    /// The target of a call has fetched its inputs; gives the submissions that need theirs no more.
+    pub fn fetched(&mut self, key: CallKey) -> Vec<JobKey> {
+        let Some(call) = self.calls.get_mut(key) else { return Vec::new() };
+        let mut over = Vec::new();
+        for waiting in call.pieces.iter_mut().filter(|waiting| !waiting.fetched) {
+            waiting.fetched = true;
+            let Some(job) = self.jobs.get_mut(waiting.job) else { continue };
+            job.unfetched -= 1;
+            if job.unfetched == 0 && !job.submission.inputs.is_empty() {
+                over.push(waiting.job);
+            }
+        }
+        over
+    }
+
+    /// Takes the end of a call; gives the pieces that are done.
+    pub fn call_ended(&mut self, key: CallKey, end: CallEnd, now: Instant) -> Vec<Finished> {
+        let Some(call) = self.calls.remove(key) else { return Vec::new() };
+        let took = now.saturating_duration_since(call.began);
+        self.free_room(call.maker, call.bytes);
+        if let Some(maker) = self.makers.get_mut(call.maker) {
+            maker.at_work = maker.at_work.saturating_sub(1);
+            match end {
+                CallEnd::Answered(_) => maker.answered(took, call.expected),
+                CallEnd::Full => maker.was_full(now),
+                CallEnd::TargetGone | CallEnd::Failed => maker.failed(now),
+                CallEnd::OutOfReach => {}
+            }
+        }
+        match end {
+            CallEnd::Answered(answers) => self.answered(&call, answers, now),
+            CallEnd::Full | CallEnd::OutOfReach => self.try_again(call.pieces, 0),
+            CallEnd::TargetGone | CallEnd::Failed => self.try_again(call.pieces, 1),
+        }
+    }
+
+    fn answered(
+        &mut self,
+        call: &UnderWay,
+        answers: Vec<PieceAnswer>,
+        now: Instant,
+    ) -> Vec<Finished> {
+        let mut finished = Vec::new();
+        let no_room = answers.contains(&PieceAnswer::NoRoom);
+        let change = if no_room { -ROOM_FALL } else { ROOM_RISE };
+        self.room_part = (self.room_part + change).clamp(LEAST_ROOM_PART, 1.0);
+        let missing = std::iter::repeat(PieceAnswer::Failed);
+        for (waiting, answer) in call.pieces.iter().zip(answers.into_iter().chain(missing)) {
+            let made = match answer {
+                PieceAnswer::Made(handle) => {
+                    self.keep(call.maker, waiting, &handle, now);
+                    Made::At(handle)
+                }
+                PieceAnswer::Late => Made::Late,
+                PieceAnswer::Gone => Made::Gone,
+                PieceAnswer::NoRoom => {
+                    if let Some(maker) = self.makers.get_mut(call.maker) {
+                        maker.had_no_room(now);
+                    }
+                    // It costs no try: the piece ends with its time at the latest.
+                    finished.extend(self.try_again(vec![*waiting], 0));
+                    continue;
+                }
+                PieceAnswer::Failed => {
+                    finished.extend(self.try_again(vec![*waiting], 1));
+                    continue;
+                }
+            };
+            finished.extend(self.finish(waiting, made));
+        }
+        finished
+    }
+
+    fn keep(&mut self, key: MakerKey, waiting: &Waiting, handle: &str, now: Instant) {
+        let job = self.jobs.get(waiting.job);
+        if job.is_none() {
+            self.orphans.push(handle.to_owned());
+        }
+        let bytes = job.map_or(0, |job| job.submission.result_bytes);
+        if let Some(maker) = self.makers.get_mut(key) {
+            maker.room_used += bytes;
+            self.results.add(handle, key, bytes, now + self.spec.result_life);
+        }
+    }
+
+    pub(crate) fn finish(&mut self, waiting: &Waiting, made: Made) -> Option<Finished> {
+        let job = self.jobs.get_mut(waiting.job)?;
+        job.left -= 1;
+        let finished = Finished { job: waiting.job, piece: waiting.piece, made };
+        if job.left == 0 {
+            self.jobs.remove(waiting.job);
+        }
+        Some(finished)
+    }
+
+    /// Puts pieces back, or gives them up after too many tries.
+    fn try_again(&mut self, pieces: Vec<Waiting>, cost: u32) -> Vec<Finished> {
+        let mut given_up = Vec::new();
+        for mut waiting in pieces {
+            let Some(job) = self.jobs.get_mut(waiting.job) else { continue };
+            job.unfetched += usize::from(std::mem::take(&mut waiting.fetched));
+            waiting.tries += cost;
+            if waiting.tries < PIECE_TRIES {
+                self.waiting.push(waiting);
+                continue;
+            }
+            job.left -= 1;
+            if job.left == 0 {
+                self.jobs.remove(waiting.job);
+            }
+            let made = Made::Broken;
+            given_up.push(Finished { job: waiting.job, piece: waiting.piece, made });
+        }
+        given_up
+    }
+}
--- /dev/null
+++ b/components/batching/src/filling.rs
@@ -0,0 +1,191 @@
+//! Which pieces go to which maker in the next call.
+
+use std::time::{Duration, Instant};
+
+use crate::maker::{Maker, MakerKey};
+use crate::pool::{LEAST_TIME, Pool, UnderWay, Waiting};
+use crate::submission::{Call, JobKey, Order};
+
+/// Part of a call's time that a piece waits for a maker in the hall of its inputs.
+const NEAR_WAIT: f64 = 0.8;
+/// Slack that a piece seems to have more for each rank of less urgency.
+const BY_URGENCY: Duration = Duration::from_millis(150);
+/// A call that takes this many times what was expected is given up and its pieces go elsewhere.
+const PATIENCE: f64 = 2.5;
+/// The same, beside the factor.
+const PATIENCE_EXTRA: Duration = Duration::from_millis(250);
+/// Weight of a new call in the learned number of pieces.
+const PIECES_WEIGHT: f64 = 0.2;
+/// Time beside the transfer itself within which a target begins a call and has fetched its inputs:
+/// many times the way between halls.
+const FETCH_EXTRA: Duration = Duration::from_millis(40);
+/// An input crosses the link of its maker and that of the target that fetches it.
+const FETCH_LINKS: f64 = 2.0;
+
+impl Pool {
+    /// The next call to make now, if a maker is free and something waits for it.
+    pub fn next_call(&mut self, now: Instant) -> Option<Call> {
+        self.expire(now);
+        if self.waiting.is_empty() {
+            return None;
+        }
+        self.sort(now);
+        let mut free: Vec<MakerKey> = self
+            .makers
+            .iter()
+            .filter(|(_, maker)| self.may_work(maker, self.spec.at_once.max(1), now))
+            .map(|(key, _)| key)
+            .collect();
+        // Whoever failed last is asked after all others.
+        free.sort_by(|a, b| {
+            let (a, b) = (&self.makers[*a], &self.makers[*b]);
+            a.doubtful().cmp(&b.doubtful()).then(a.pace.total_cmp(&b.pace))
+        });
+        let (maker, pieces) = self.best_fill(&free, now)?;
+        Some(self.begin(maker, pieces, now))
+    }
+
+    /// When a piece that is held back may go to any maker, or a maker may work again.
+    pub fn next_look(&self, now: Instant) -> Option<Instant> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let rests = self.makers.values().filter_map(Maker::rests_until).filter(|at| *at > now);
+        let held = self.waiting.iter().filter_map(|waiting| self.held_until(waiting, now));
+        rests.chain(held).min()
+    }
+
+    pub(crate) fn may_work(&self, maker: &Maker, at_once: u32, now: Instant) -> bool {
+        maker.may_work(at_once, now) && !self.out_halls.contains(&maker.target.hall)
+    }
+
+    /// Pieces that can still be in time go first, by slack; late ones follow.
+    fn sort(&mut self, now: Instant) {
+        if self.order == Order::Arrival {
+            return;
+        }
+        let soonest = now + self.spec.call;
+        let jobs = &self.jobs;
+        self.waiting.sort_by_key(|waiting| {
+            let due = jobs
+                .get(waiting.job)
+                .map(|job| job.submission.due + BY_URGENCY * u32::from(job.submission.urgency));
+            (due.is_some_and(|due| due < soonest), due, waiting.job, waiting.piece)
+        });
+    }
+
+    /// The maker and pieces of the call that begins with the first piece that some maker may take.
+    fn best_fill(&self, free: &[MakerKey], now: Instant) -> Option<(MakerKey, Vec<usize>)> {
+        for (index, waiting) in self.waiting.iter().enumerate() {
+            let held = self.held_until(waiting, now).is_some();
+            let near = self.jobs.get(waiting.job).and_then(|job| job.submission.near.as_ref());
+            let is_near = |key: &&MakerKey| {
+                let maker = &self.makers[**key];
+                near == Some(&maker.target.hall) && !maker.doubtful()
+            };
+            let maker = match free.iter().find(is_near) {
+                Some(maker) => Some(maker),
+                None if held => None,
+                None => free.first(),
+            };
+            let Some(maker) = maker else { continue };
+            let pieces = self.fill(*maker, index, now);
+            if !pieces.is_empty() {
+                return Some((*maker, pieces));
+            }
+        }
+        None
+    }
+
+    /// Pieces from `first` on that the maker may take, up to a whole call and its room.
+    fn fill(&self, key: MakerKey, first: usize, now: Instant) -> Vec<usize> {
+        let maker = &self.makers[key];
+        // One piece is enough to learn whether a maker that failed is back.
+        let most = if maker.doubtful() { 1 } else { self.spec.batch };
+        let mut room = self.usable_room(maker);
+        let mut taken = Vec::new();
+        for (index, waiting) in self.waiting.iter().enumerate().skip(first) {
+            if taken.len() == most {
+                break;
+            }
+            let Some(job) = self.jobs.get(waiting.job) else { continue };
+            let near = job.submission.near.as_ref();
+            let elsewhere = near.is_some_and(|hall| *hall != maker.target.hall);
+            if elsewhere && self.held_until(waiting, now).is_some() {
+                continue;
+            }
+            if job.submission.result_bytes <= room {
+                room -= job.submission.result_bytes;
+                taken.push(index);
+            }
+        }
+        taken
+    }
+
+    /// Room that may be used at a maker; one that holds nothing may take a result of any size.
+    fn usable_room(&self, maker: &Maker) -> u64 {
+        if maker.room_used == 0 {
+            return self.spec.room_bytes;
+        }
+        let usable = (self.spec.room_bytes as f64 * self.room_part) as u64;
+        usable.saturating_sub(maker.room_used)
+    }
+
+    /// Until when a piece waits for a maker near its inputs rather than take any.
+    fn held_until(&self, waiting: &Waiting, now: Instant) -> Option<Instant> {
+        let job = self.jobs.get(waiting.job)?;
+        let near = job.submission.near.as_ref()?;
+        if self.order == Order::Arrival
+            || self.out_halls.contains(near)
+            || !self.makers.values().any(|m| m.target.hall == *near && !m.doubtful())
+        {
+            return None;
+        }
+        let patience = self.spec.call.mul_f64(NEAR_WAIT);
+        let by_slack = job.submission.due.checked_sub(self.spec.call * 2)?;
+        let until = (job.since + patience).min(by_slack);
+        (until > now).then_some(until)
+    }
+
+    fn begin(&mut self, key: MakerKey, indexes: Vec<usize>, now: Instant) -> Call {
+        let pieces: Vec<Waiting> = indexes.iter().map(|index| self.waiting[*index]).collect();
+        for index in indexes.iter().rev() {
+            self.waiting.remove(*index);
+        }
+        let bytes_of = |w: &Waiting| self.jobs.get(w.job).map_or(0, |j| j.submission.result_bytes);
+        let bytes = pieces.iter().map(bytes_of).sum();
+        let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
+        let expected = (self.spec.call + self.spec.piece * count).max(LEAST_TIME);
+        self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
+        let fetch = self.fetch_time(&pieces);
+        let maker = &mut self.makers[key];
+        maker.at_work += 1;
+        maker.room_used += bytes;
+        let (target, room_used) = (maker.target.clone(), maker.room_used);
+        self.reclaim(key);
+        let members = pieces.iter().map(|waiting| (waiting.job, waiting.piece)).collect();
+        let since = pieces.iter().filter_map(|w| self.jobs.get(w.job)).map(|job| job.since).min();
+        let waited = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
+        let call = UnderWay { maker: key, pieces, began: now, expected, bytes };
+        Call {
+            key: self.calls.insert(call),
+            target,
+            pieces: members,
+            room_used,
+            waited,
+            still_waiting: self.waiting.len(),
+            fetch,
+            patience: expected.mul_f64(PATIENCE) + PATIENCE_EXTRA,
+        }
+    }
+
+    /// Time within which a target has fetched the inputs of a call's pieces.
+    fn fetch_time(&self, pieces: &[Waiting]) -> Option<Duration> {
+        let mut jobs: Vec<JobKey> = pieces.iter().map(|waiting| waiting.job).collect();
+        jobs.dedup();
+        let submissions = jobs.iter().filter_map(|job| self.submission(*job));
+        let bytes: u64 = submissions.map(|submission| submission.input_bytes).sum();
+        let time = FETCH_LINKS * bytes as f64 / self.spec.link.filter(|link| *link > 0)? as f64;
+        (bytes > 0).then(|| FETCH_EXTRA + Duration::from_secs_f64(time))
+    }
+}
--- /dev/null
+++ b/components/batching/src/forecast.rs
@@ -0,0 +1,40 @@
+//! What may be expected of a pool: how long a piece takes, how much waits, how fast it drains.
+
+use std::time::{Duration, Instant};
+
+use crate::pool::{LEAST_TIME, Pool, Waiting};
+
+/// With a part of the makers busy, the wait for a free one grows with this power of the part.
+const NEXT_FREE_POWER: i32 = 2;
+
+impl Pool {
+    /// Pieces that the pool makes in a second with full calls, as far as its makers' room allows.
+    pub fn rate(&self, now: Instant) -> f64 {
+        let able = self.makers.values().filter(|m| self.may_work(m, u32::MAX, now)).count();
+        let largest = self.jobs.values().map(|job| job.submission.result_bytes).max().unwrap_or(0);
+        // Half of the room holds results that wait to be used.
+        let by_room = (self.spec.room_bytes / 2).checked_div(largest);
+        let by_room = by_room.map_or(usize::MAX, |count| usize::try_from(count).unwrap_or(1));
+        let full = self.spec.batch.min(by_room).max(1) as f64;
+        let time = self.spec.call.as_secs_f64() + full * self.spec.piece.as_secs_f64();
+        able as f64 * f64::from(self.spec.at_once.max(1)) * full
+            / time.max(LEAST_TIME.as_secs_f64())
+    }
+
+    /// Expected time from handing a piece to a pool with no queue to its result: half of what is
+    /// at work, and its own call.
+    pub fn turn(&self) -> Duration {
+        let busy = self.makers.values().filter(|maker| maker.at_work > 0).count() as f64;
+        let of_all = busy / self.makers.len().max(1) as f64;
+        let next_free = self.spec.call.mul_f64(of_all.powi(NEXT_FREE_POWER) / 2.0);
+        next_free + self.spec.call + self.spec.piece.mul_f64(self.usual_pieces)
+    }
+
+    /// Pieces that wait and can still be in time.
+    pub fn queue(&self, now: Instant) -> usize {
+        let in_time = |waiting: &&Waiting| {
+            self.jobs.get(waiting.job).is_some_and(|j| j.submission.due > now + self.spec.call)
+        };
+        self.waiting.iter().filter(in_time).count()
+    }
+}
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -3,6 +3,9 @@
 //! One VM, the owner, does this for a pool on behalf of all. Ownership is a matter of efficiency
 //! only: a piece may be made twice, so two owners at once cost work but break no promise.
 
+mod ends;
+mod filling;
+mod forecast;
 mod maker;
 mod pool;
 mod results;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -219,31 +219,26 @@
         .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
 }
 
+fn logs() -> Arg {
+    Arg::new("logs")
+        .value_name("LOG")
+        .num_args(1..)
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+        .help("Log files of the VMs")
+}
+
 fn trace() -> Command {
     Command::new("trace")
         .about("Tell from VMs' log files what became of a request")
         .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
-        .arg(
-            Arg::new("logs")
-                .value_name("LOG")
-                .num_args(1..)
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("Log files of the VMs"),
-        )
+        .arg(logs())
 }
 
 fn report() -> Command {
     Command::new("report")
         .about("Draw from VMs' log files how requests ended, stages waited and calls were filled")
-        .arg(
-            Arg::new("logs")
-                .value_name("LOG")
-                .num_args(1..)
-                .required(true)
-                .value_parser(value_parser!(PathBuf))
-                .help("Log files of the VMs"),
-        )
+        .arg(logs())
         .arg(
             Arg::new("page")
                 .long("page")
--- a/tests/serving_streams.rs
+++ b/tests/serving_streams.rs
@@ -11,7 +11,7 @@
 use standins::fleet::wait_until;
 use standins::users::Message;
 use standins::users::runners::Act;
-use standins::users::serving::{Site, answered, events, post};
+use standins::users::serving::{Site, Vm, answered, events, post};
 
 #[test]
 fn streams_are_passed_on_and_a_cut_one_is_seen_as_cut() {
@@ -170,14 +170,19 @@
     assert_eq!(site.pool[0].seen().len(), 4, "each stage is called twice");
 }
 
+/// Which of two VMs fills the pool's calls, once they are linked.
+fn owner_of_the_pool(vms: &[Vm]) -> usize {
+    wait_until("they are linked", || {
+        vms.iter().all(|vm| vm.state()["peers"][0]["linked"] == json!(true))
+    });
+    usize::from(vms[0].state()["pools"][0]["filled_by"] != json!("this VM"))
+}
+
 #[test]
 fn the_vm_that_fills_calls_may_die() {
     let site = Site::start();
     let mut vms = vec![site.start_vm("dies-1", ""), site.start_vm("dies-2", "")];
-    wait_until("they are linked", || {
-        vms.iter().all(|vm| vm.state()["peers"][0]["linked"] == json!(true))
-    });
-    let owner = usize::from(vms[0].state()["pools"][0]["filled_by"] != json!("this VM"));
+    let owner = owner_of_the_pool(&vms);
     let asker = 1 - owner;
     site.pool.iter().for_each(|runner| runner.next(&[Act::Hang(Duration::from_millis(400))]));
     let address = vms[asker].callers;
@@ -195,10 +200,7 @@
 fn results_are_given_up_though_the_vm_that_had_them_made_is_gone() {
     let site = Site::start();
     let mut vms = vec![site.start_vm("gone-1", ""), site.start_vm("gone-2", "")];
-    wait_until("they are linked", || {
-        vms.iter().all(|vm| vm.state()["peers"][0]["linked"] == json!(true))
-    });
-    let owner = usize::from(vms[0].state()["pools"][0]["filled_by"] != json!("this VM"));
+    let owner = owner_of_the_pool(&vms);
     let address = vms[1 - owner].callers;
     Site::next(&site.engines, &Act::Hang(Duration::from_millis(900)));
     let call = post("/chain/", "c-1").with("Pieces", "1,2").with("Piece-Key", "k");
