--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -64,6 +64,8 @@
     /// Sizes of calls.
     calls: Vec<usize>,
     cut_off: u64,
+    /// Connections that are open.
+    open: u64,
 }
 
 /// A running runner.
@@ -89,7 +91,11 @@
             next_handle: Arc::default(),
         };
         let serving = runner.clone();
-        serve_each(listener, move |wire| serving.serve(wire));
+        serve_each(listener, move |wire| {
+            serving.with(|state| state.open += 1);
+            serving.serve(wire);
+            serving.with(|state| state.open -= 1);
+        });
         Ok(runner)
     }
 
@@ -129,6 +135,11 @@
         self.with(|state| state.released.clone())
     }
 
+    /// Connections that are open.
+    pub fn open_connections(&self) -> u64 {
+        self.with(|state| state.open)
+    }
+
     /// Streams whose reader was gone before their end.
     pub fn cut_off(&self) -> u64 {
         self.with(|state| state.cut_off)
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -169,6 +169,31 @@
     assert_eq!(site.runs("r-1"), 0);
 }
 
+#[test]
+fn all_vms_together_keep_no_more_at_rest_than_a_target_takes() {
+    let site = Site::start();
+    let mut few = usual_configuration(2);
+    let services = few["services"].as_array_mut().expect("services");
+    services.iter_mut().for_each(|service| service["connection_limit"] = json!(1));
+    let vms = [site.start_vm("rests-1", ""), site.start_vm("rests-2", "")];
+    wait_until("they are linked", || {
+        vms.iter().all(|vm| vm.state()["peers"][0]["linked"] == json!(true))
+    });
+    let open = || site.plain.iter().map(Runner::open_connections).sum::<u64>();
+    answered(&get("/repeat/", "r-1"), &vms[0]);
+    let kept = open();
+
+    site.store.put("op/config", &few);
+    wait_until("it is in force", || vms.iter().all(|vm| vm.state()["configuration"] == json!(2)));
+    for (number, vm) in vms.iter().cycle().take(8).enumerate() {
+        answered(&get("/repeat/", &format!("r-2{number}")), vm);
+    }
+
+    assert_eq!(kept, 1, "a connection is kept where the target takes 50");
+    thread::sleep(A_WHILE);
+    assert_eq!(open(), 0, "none is at rest where it takes one from two VMs");
+}
+
 #[test]
 fn unframed_answers_are_passed_on_whole() {
     let site = Site::start();
