--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -43,13 +43,13 @@
     let tasks = task_runtime(&cfg)?;
     let (stop_tx, stop) = watch::channel(false);
     let (cut_tx, cut) = watch::channel(false);
-    let desk = start_parts(&cfg, &log, &tasks, stop, cut)?;
+    let parts = start_parts(&cfg, &log, &tasks, stop, cut)?;
     info!(log, "started"; "callers" => %cfg.callers, "peers" => %cfg.peers,
         "operations" => %cfg.operations, "hall" => %cfg.hall);
 
     let signal = signals.forever().next();
     info!(log, "stopping"; "signal" => signal);
-    stop_in_order(&cfg, &desk, &stop_tx, &cut_tx);
+    stop_in_order(&cfg, &parts, &stop_tx, &cut_tx);
     info!(log, "stopped");
     tasks.shutdown_background();
     Ok(())
@@ -79,7 +79,7 @@
     tasks: &Runtime,
     stop: watch::Receiver<bool>,
     cut: watch::Receiver<bool>,
-) -> Result<Desk> {
+) -> Result<Parts> {
     let metrics = Arc::new(Metrics::new()?);
     let news = Arc::new(Notify::new());
     let incarnation = Incarnation::now();
@@ -131,27 +131,40 @@
         metrics,
     };
     let free = Arc::new(Semaphore::new(cfg.limits.requests));
-    let side = Arc::new(CallersSide { pipeline, free, cut });
+    let side = Arc::new(CallersSide { pipeline, free: Arc::clone(&free), cut });
     let bounds = Bounds { connections: cfg.limits.connections, head_wait: cfg.limits.head_wait() };
     tasks.spawn(http_server::serve(callers_listener, bounds, stop, move |req| {
         callers::handle(Arc::clone(&side), req)
     }));
-    Ok(desk)
+    Ok(Parts { desk, free })
+}
+
+/// What a stop asks for whether requests are still in work.
+struct Parts {
+    desk: Desk,
+    free: Arc<Semaphore>,
+}
+
+impl Parts {
+    /// A request holds its permit before the dispatcher hears of it, and until its thread ends.
+    fn in_work(&self, cfg: &Settings) -> bool {
+        let permits = self.free.available_permits() < cfg.limits.requests;
+        permits || self.desk.ask(Message::InWork).is_ok_and(|count| count > 0)
+    }
 }
 
 /// Tells balancer and peers, waits until they have heard, takes nothing new, finishes what runs.
 fn stop_in_order(
     cfg: &Settings,
-    desk: &Desk,
+    parts: &Parts,
     stop: &watch::Sender<bool>,
     cut: &watch::Sender<bool>,
 ) {
     let give_up_at = Instant::now() + cfg.limits.stop_wait();
-    desk.tell(Message::Drain);
+    parts.desk.tell(Message::Drain);
     std::thread::sleep(cfg.limits.notice_wait().min(cfg.limits.stop_wait()));
     stop.send_replace(true);
-    let in_work = || desk.ask(Message::InWork).is_ok_and(|count| count > 0);
-    while in_work() && Instant::now() < give_up_at {
+    while parts.in_work(cfg) && Instant::now() < give_up_at {
         std::thread::sleep(STOP_LOOK);
     }
     cut.send_replace(true);
