--- a/components/batching/src/ends.rs
+++ b/components/batching/src/ends.rs
@@ -124,12 +124,7 @@
                 self.waiting.push(waiting);
                 continue;
             }
-            job.left -= 1;
-            if job.left == 0 {
-                self.jobs.remove(waiting.job);
-            }
-            let made = Made::Broken;
-            given_up.push(Finished { job: waiting.job, piece: waiting.piece, made });
+            given_up.extend(self.finish(&waiting, Made::Broken));
         }
         given_up
     }
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -146,8 +146,7 @@
         let fit = |vm: &VmName| {
             self.peers.get(vm).is_some_and(|peer| {
                 let silent = now.saturating_duration_since(peer.heard) > SILENCE;
-                let out = peer.entry.as_ref().is_some_and(|e| self.out_halls.contains(&e.hall));
-                peer.linked && !peer.draining && !silent && !out
+                peer.linked && !peer.draining && !silent && !self.is_out_of_reach(vm)
             })
         };
         let own = (!draining).then_some((&self.own, &self.own_entry));
@@ -186,6 +185,12 @@
         wanted
     }
 
+    /// Whether a peer stands in a hall that is out of reach.
+    pub(crate) fn is_out_of_reach(&self, vm: &VmName) -> bool {
+        let entry = self.peers.get(vm).and_then(|peer| peer.entry.as_ref());
+        entry.is_some_and(|entry| self.out_halls.contains(&entry.hall))
+    }
+
     /// Other halls of which VMs were heard before and none is now.
     pub(crate) fn silent_halls(&self, now: Instant) -> BTreeSet<HallName> {
         let heard: Vec<(&HallName, bool)> = self
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -215,14 +215,6 @@
     Ok(())
 }
 
-fn is_out_of_reach(app: &App, vm: &VmName) -> bool {
-    app.hub.with(|shared, _| {
-        let peer = shared.fleet.peers.get(vm);
-        let entry = peer.and_then(|peer| peer.entry.as_ref());
-        entry.is_some_and(|entry| shared.fleet.out_halls.contains(&entry.hall))
-    })
-}
-
 fn set_linked(app: &App, vm: &VmName, linked: bool) {
     app.hub.with(|shared, _| {
         if let Some(peer) = shared.fleet.peers.get_mut(vm) {
@@ -276,7 +268,8 @@
                 if heard.elapsed() > SILENCE {
                     return format!("silent for {:?}", heard.elapsed());
                 }
-                if heard.elapsed() > BEAT && is_out_of_reach(app, vm) {
+                let out = app.hub.with(|shared, _| shared.fleet.is_out_of_reach(vm));
+                if heard.elapsed() > BEAT && out {
                     return "its hall is out of reach".to_owned();
                 }
                 if app.wanted_links.borrow().contains(&address) || !link.jobs.borrow().is_empty() {
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -313,7 +313,7 @@
             }
             Err(miss) => {
                 failed(app, "renew", &miss);
-                pause = Duration::ZERO;
+                pause = LONGEST_PAUSE;
             }
         }
     }
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -262,23 +262,7 @@
     let began = now();
     let end = if pieces.len() == call.pieces.len() {
         let req = (app.doors.calls.pieces)(&call.target.id, &pieces);
-        let sent = tokio::time::timeout(call.patience, own_call(&app, &call.target, req));
-        let mut sent = std::pin::pin!(sent);
-        let mut fetch = std::pin::pin!(fetched(call.fetch));
-        let mut out = app.out_halls.subscribe();
-        let mut fetches = true;
-        loop {
-            tokio::select! {
-                sent = &mut sent => {
-                    break end_of(&app, sent.unwrap_or(Err(OwnCallMiss::TimedOut)));
-                }
-                () = &mut fetch, if fetches => {
-                    fetches = false;
-                    tell_fetched(&app, &pool, call.key);
-                }
-                () = reach::lost(&mut out, &call.target.hall) => break CallEnd::OutOfReach,
-            }
-        }
+        send(&app, &pool, &call, req).await
     } else {
         // A submission was cancelled between the choice and the call; nothing was sent.
         CallEnd::Full
@@ -302,6 +286,25 @@
     fill_calls(&app, &pool);
 }
 
+/// Sends a pool's call; tells on the way when its inputs have been fetched.
+async fn send(app: &App, pool: &ServiceName, call: &Call, req: OwnCall) -> CallEnd {
+    let sent = tokio::time::timeout(call.patience, own_call(app, &call.target, req));
+    let mut sent = std::pin::pin!(sent);
+    let mut fetch = std::pin::pin!(fetched(call.fetch));
+    let mut out = app.out_halls.subscribe();
+    let mut fetches = true;
+    loop {
+        tokio::select! {
+            sent = &mut sent => return end_of(app, sent.unwrap_or(Err(OwnCallMiss::TimedOut))),
+            () = &mut fetch, if fetches => {
+                fetches = false;
+                tell_fetched(app, pool, call.key);
+            }
+            () = reach::lost(&mut out, &call.target.hall) => return CallEnd::OutOfReach,
+        }
+    }
+}
+
 /// Ends when the inputs of a call have been fetched, if that can be told.
 async fn fetched(time: Option<Duration>) {
     match time {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -2,16 +2,15 @@
 //! it changes against another.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fs;
 use std::path::{Path, PathBuf};
 
 use clap::ArgMatches;
-use errors::{Error, Result};
+use errors::Result;
 use intent::{Entry, Intent};
 use serde_json::{Value, json};
 
 use crate::cli::{Output, output_of};
-use crate::messages;
+use crate::{logs, messages};
 
 pub(crate) fn run(args: &ArgMatches) -> Result<()> {
     let path = args.get_one::<PathBuf>("file").cloned().unwrap_or_default();
@@ -26,10 +25,9 @@
 }
 
 fn read(path: &Path) -> Result<Intent> {
-    let shown = path.display().to_string();
-    let text = fs::read(path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
+    let text = logs::read_bytes(path)?;
     let intent = users_platform::doors().intents.intent;
-    intent(&text).map_err(|e| e.within(&shown))
+    intent(&text).map_err(|e| e.within(&path.display().to_string()))
 }
 
 /// A part of a configuration that one version has otherwise than another.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -6,11 +6,15 @@
 use errors::{Error, Result};
 use serde_json::{Map, Value};
 
+/// The bytes of a file.
+pub(crate) fn read_bytes(path: &Path) -> Result<Vec<u8>> {
+    let shown = path.display().to_string();
+    fs::read(path).map_err(|e| Error::io(format!("reading {shown}"), e))
+}
+
 /// The text of a log file; bytes that are no text are shown as such.
 pub(crate) fn read(path: &Path) -> Result<String> {
-    let shown = path.display().to_string();
-    let text = fs::read(path).map_err(|e| Error::io(format!("reading {shown}"), e))?;
-    Ok(String::from_utf8_lossy(&text).into_owned())
+    Ok(String::from_utf8_lossy(&read_bytes(path)?).into_owned())
 }
 
 /// The text of a pair.
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -50,6 +50,17 @@
 impl Vm {
     /// Starts a VM before a store; `extra` are further lines of its settings.
     pub fn start(name: &str, hall: &str, store: SocketAddr, extra: &str) -> Self {
+        Vm::start_to(name, hall, store, extra, to_file)
+    }
+
+    /// The same; `out` gives its standard output, from the path of its log file.
+    fn start_to(
+        name: &str,
+        hall: &str,
+        store: SocketAddr,
+        extra: &str,
+        out: fn(&PathBuf) -> Stdio,
+    ) -> Self {
         let ip = own_address();
         let [callers, ready, peers, operations] = PORTS.map(|port| SocketAddr::new(ip, port));
         let dir = std::env::temp_dir().join(format!("saddlerail-{}-{name}", std::process::id()));
@@ -62,17 +73,14 @@
         );
         std::fs::write(&settings, text).expect("settings are written");
         let log = dir.join("log");
-        let child = spawn(&settings, to_file(&log));
+        let child = spawn(&settings, out(&log));
         Vm { callers, ready, operations, peers, settings, log, child }
     }
 
     /// Starts a VM like [`Vm::start`] whose standard output is a pipe; gives its end, to be read or
     /// left to fill.
     pub fn start_piped(name: &str, store: SocketAddr) -> (Self, ChildStdout) {
-        let mut vm = Vm::start(name, "hall-a", store, "");
-        drop(vm.child.kill());
-        drop(vm.child.wait());
-        vm.child = spawn(&vm.settings, Stdio::piped());
+        let mut vm = Vm::start_to(name, "hall-a", store, "", |_| Stdio::piped());
         let out = vm.child.stdout.take().expect("its standard output");
         (vm, out)
     }
