Time limits of the store's calls follow progress; peers pass large values on in parts

Each call to the store had 0.9 s for its whole answer, so on a link of 10 Mbit/s no listing of a configuration near a megabyte ended, and each began at its first page. A VM without the store was sent all that each peer knew with each heartbeat, which filled the link; heartbeats behind it came too late and links ended each second.

Ruled out: the history of the store (no "forgot" line), the peers' own versions (they had version 32).

Change: a call that brings bytes lives on (0.9 s of silence, 20 s in all); a listing goes on at the page that failed; what came whole from a peer is watched from there, not listed; a VM asks one peer at a time for parts of 32 KiB; heartbeats carry the version in force; a VM that may be behind answers 503 where it would have answered 401 or 404, and is not ready when behind for longer than a change may take. Two gauges and two log messages tell of it.

Before: five of the six tests of tests/large_configuration.rs fail (a_large_change_is_watched passes there too, it guards only). After: all pass.

--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -1,10 +1,14 @@
 //! A VM's view of the platform's store: the newest value of each key that it has heard of, from
 //! the store itself or from a peer. A lower revision never replaces a higher one.
 
-use std::collections::HashMap;
+mod parts;
+
+use std::collections::{BTreeSet, HashMap};
 
 use bytes::Bytes;
 
+pub use parts::{Ask, Assembly, Batch, Part, Place};
+
 /// One key at one revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Item {
@@ -29,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct View {
     items: HashMap<String, Item>,
+    /// The places of `items`, in the order of changes.
+    order: BTreeSet<Place>,
     as_of: u64,
 }
 
@@ -70,11 +76,6 @@
         changes
     }
 
-    /// What a peer that knows everything up to `revision` has not heard of.
-    pub fn since(&self, revision: u64) -> Vec<Item> {
-        self.items.values().filter(|item| item.revision > revision).cloned().collect()
-    }
-
     /// The value of a key.
     pub fn get(&self, key: &str) -> Option<&Bytes> {
         self.items.get(key)?.value.as_ref()
@@ -100,7 +101,11 @@
             None if had => Some(Change::Removed(item.key.clone())),
             None => None,
         };
-        self.items.insert(item.key.clone(), item);
+        let place = Place { revision: item.revision, key: item.key.clone() };
+        if let Some(old) = self.items.insert(place.key.clone(), item) {
+            self.order.remove(&Place { revision: old.revision, key: old.key });
+        }
+        self.order.insert(place);
         change.filter(|_| !same)
     }
 }
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -32,8 +32,12 @@
     pub const IN_WORK: &str = "saddlerail_requests_in_work";
     /// Revision in force.
     pub const REVISION: &str = "saddlerail_revision";
+    /// Seconds since the store was heard.
+    pub const STORE_AGE: &str = "saddlerail_store_age_seconds";
+    /// Seconds for which a configuration that a peer has is missing here; 0 if none is.
+    pub const BEHIND: &str = "saddlerail_configuration_behind_seconds";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 9] = [
+    pub const ALL: [&str; 11] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -43,6 +47,8 @@
         PLATFORM_CALLS,
         IN_WORK,
         REVISION,
+        STORE_AGE,
+        BEHIND,
     ];
 }
 
@@ -59,6 +65,8 @@
     platform_calls: Counter<u64>,
     in_work: Gauge<u64>,
     revision: Gauge<u64>,
+    store_age: Gauge<f64>,
+    behind: Gauge<f64>,
 }
 
 impl Metrics {
@@ -88,6 +96,8 @@
             platform_calls: meter.u64_counter(metric_names::PLATFORM_CALLS).build(),
             in_work: meter.u64_gauge(metric_names::IN_WORK).build(),
             revision: meter.u64_gauge(metric_names::REVISION).build(),
+            store_age: meter.f64_gauge(metric_names::STORE_AGE).build(),
+            behind: meter.f64_gauge(metric_names::BEHIND).build(),
             _provider: provider,
         })
     }
@@ -144,6 +154,14 @@
         self.revision.record(revision, &[]);
     }
 
+    /// Sets how old the store's last word is, and for how long a newer configuration is missing.
+    pub fn set_belief_ages(&self, store: Option<Duration>, behind: Option<Duration>) {
+        if let Some(age) = store {
+            self.store_age.record(age.as_secs_f64(), &[]);
+        }
+        self.behind.record(behind.unwrap_or_default().as_secs_f64(), &[]);
+    }
+
     /// The page for the scraper.
     ///
     /// # Errors
--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -5,7 +5,7 @@
 
 use batching::JobKey;
 use ids::{ServiceName, VmName};
-use peering::work::{FromDialer, FromOwner, News, from_dialer, from_owner};
+use peering::work::{FromDialer, FromOwner, from_dialer, from_owner};
 use peering::{Work, WorkServer};
 use slog::warn;
 use tokio::net::TcpListener;
@@ -18,8 +18,9 @@
 
 use crate::app::App;
 use crate::fleet::{BEAT, SILENCE};
-use crate::link_words::{beat, hello, meet, submission_of, take_beat, take_news};
+use crate::link_words::{beat, hello, meet, submission_of, take_beat};
 use crate::links::ToDialer;
+use crate::news;
 use crate::work::{self, Sink};
 
 /// A link that a peer dialled, handed from the server's task to this thread's tasks.
@@ -88,9 +89,7 @@
                     continue;
                 }
                 let Some(vm) = &vm else { break };
-                if let Some(news) = take(&app, vm, kind, &tx, &mut jobs) {
-                    send(from_owner::Kind::News(news));
-                }
+                take(&app, vm, kind, &tx, &mut jobs);
             }
             _ = beats.tick() => {
                 if heard.elapsed() > SILENCE || !send(from_owner::Kind::Beat(beat(&app))) {
@@ -111,7 +110,7 @@
     kind: from_dialer::Kind,
     tx: &ToDialer,
     jobs: &mut HashMap<u64, (ServiceName, JobKey)>,
-) -> Option<News> {
+) {
     match kind {
         from_dialer::Kind::Submit(submit) => {
             let number = submit.job;
@@ -134,10 +133,13 @@
             let sinks = app.sinks.borrow();
             jobs.retain(|_, job| sinks.contains_key(job));
             drop(sinks);
-            return take_beat(app, vm, &beat);
+            take_beat(app, vm, &beat);
+        }
+        from_dialer::Kind::Ask(ask) => {
+            let news = app.hub.with(|shared, _| news::answer(&shared.view, ask));
+            // A peer that is gone asks another one.
+            drop(tx.send(Ok(FromOwner { kind: Some(from_owner::Kind::News(news)) })));
         }
-        from_dialer::Kind::News(news) => take_news(app, vm, news),
         from_dialer::Kind::Hello(_) => {}
     }
-    None
 }
--- /dev/null
+++ b/gateway/src/belief.rs
@@ -0,0 +1,57 @@
+//! How far this VM's configuration can be trusted to be the newest, and what follows from doubt.
+
+use std::time::{Duration, Instant};
+
+use slog::{info, warn};
+
+use crate::shared::Shared;
+
+/// What is known about newer versions of the configuration.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Behind {
+    /// The newest version that a peer told of, and since when it is missing here.
+    missing: Option<(u64, Instant)>,
+}
+
+impl Behind {
+    /// For how long a version that a peer has is missing here.
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+        self.missing.map(|(_, since)| now.saturating_duration_since(since))
+    }
+}
+
+impl Shared {
+    /// Compares the configuration in force with what peers have.
+    pub(crate) fn compare_versions(&mut self, now: Instant) {
+        let own = self.intent.as_ref().map_or(0, |intent| intent.version);
+        let newest = self.fleet.newest_configuration(now);
+        let before = self.behind.missing;
+        self.behind.missing = match before {
+            _ if newest <= own => None,
+            Some((_, since)) => Some((newest, since)),
+            None => Some((newest, now)),
+        };
+        match (before, self.behind.missing) {
+            (None, Some(_)) => {
+                warn!(self.log, "configuration behind"; "in_force" => own, "newest" => newest);
+            }
+            (Some((_, since)), None) => {
+                info!(self.log, "configuration caught up"; "in_force" => own,
+                    "behind_ms" => now.saturating_duration_since(since).as_millis());
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether there may be a version that this VM does not have: a peer has one, or the store has
+    /// not been heard. What is unknown here is then not denied: a newer version may know it.
+    pub(crate) fn may_be_behind(&self, now: Instant) -> bool {
+        self.behind.missing.is_some() || self.contact.is_lost(now)
+    }
+
+    /// Whether a version that peers have is missing here for longer than a change may take. New
+    /// connections are then better off at other VMs.
+    pub(crate) fn is_behind(&self, now: Instant) -> bool {
+        self.behind.age(now).is_some_and(|age| age > self.in_force)
+    }
+}
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -68,6 +68,8 @@
     pub(crate) linked: bool,
     pub(crate) draining: bool,
     pub(crate) as_of: u64,
+    /// Version of the configuration that it has in force.
+    pub(crate) configuration: u64,
     /// Pools whose calls it fills.
     pub(crate) pools: HashMap<String, PoolLoad>,
     /// Pieces of its requests that are on their way to pools.
@@ -127,6 +129,12 @@
         self.peers.values().filter(fresh).filter_map(|peer| peer.coming.get(pool)).sum()
     }
 
+    /// The newest version of the configuration that a peer in touch has in force; 0 if none.
+    pub(crate) fn newest_configuration(&self, now: Instant) -> u64 {
+        let fresh = |peer: &&PeerVm| now.saturating_duration_since(peer.heard) <= SILENCE;
+        self.peers.values().filter(fresh).map(|peer| peer.configuration).max().unwrap_or(0)
+    }
+
     /// Forgets peers that were silent for long.
     pub(crate) fn forget(&mut self, now: Instant) {
         self.peers.retain(|_, peer| {
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -4,14 +4,11 @@
 use std::time::Duration;
 
 use batching::{Made, Submission};
-use bytes::Bytes;
 use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
 use peering::work::{
-    Beat, Coming, Done, Failure, Fetched, FromOwner, Hello, News, PieceDone, PoolLoad, StoreItem,
-    Submit, TargetLoad, from_owner,
+    Beat, Coming, Done, Failure, Fetched, FromOwner, Hello, PieceDone, PoolLoad, Submit,
+    TargetLoad, from_owner,
 };
-use slog::info;
-use store_view::Item;
 
 use crate::app::App;
 use crate::fleet::{self, PeerVm, VmEntry};
@@ -37,7 +34,7 @@
     app.hub.with(|shared, now| Beat {
         as_of: shared.view.as_of(),
         draining: shared.draining.is_some(),
-        wants_news: shared.contact.is_lost(now),
+        configuration: shared.intent.as_ref().map_or(0, |intent| intent.version),
         loads: shared
             .targets
             .own_load()
@@ -79,6 +76,7 @@
             linked,
             draining: false,
             as_of: 0,
+            configuration: 0,
             pools: HashMap::new(),
             coming: HashMap::new(),
         });
@@ -91,8 +89,8 @@
     });
 }
 
-/// Takes a heartbeat; gives news of the store if the peer wants some that this VM has.
-pub(crate) fn take_beat(app: &App, vm: &VmName, beat: &Beat) -> Option<News> {
+/// Takes a heartbeat.
+pub(crate) fn take_beat(app: &App, vm: &VmName, beat: &Beat) {
     meet(app, vm, None);
     let loads: Vec<(TargetName, u32, u64)> = beat
         .loads
@@ -106,42 +104,15 @@
             (pool.pool.clone(), fleet::PoolLoad { turn, rate, queue, at: now })
         });
         shared.targets.peer_load(peer_number(vm), &loads, now);
-        let peer = shared.fleet.peers.get_mut(vm)?;
+        let Some(peer) = shared.fleet.peers.get_mut(vm) else { return };
         peer.draining = beat.draining;
         peer.as_of = beat.as_of;
+        peer.configuration = beat.configuration;
         peer.pools = pools.collect();
         let coming = beat.coming.iter();
         peer.coming = coming.map(|c| (c.pool.clone(), f64::from(c.pieces))).collect();
-        let has_more = shared.view.as_of() > beat.as_of;
-        (beat.wants_news && has_more).then(|| news_since(shared, beat.as_of))
-    })
-}
-
-fn news_since(shared: &crate::shared::Shared, revision: u64) -> News {
-    let items = shared.view.since(revision).into_iter().map(|item| StoreItem {
-        key: item.key,
-        revision: item.revision,
-        removed: item.value.is_none(),
-        value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
-    });
-    News { items: items.collect(), as_of: shared.view.as_of() }
-}
-
-/// Takes news of the store from a peer.
-pub(crate) fn take_news(app: &App, vm: &VmName, news: News) {
-    let item = |item: StoreItem| Item {
-        key: item.key,
-        revision: item.revision,
-        value: (!item.removed).then(|| Bytes::from(item.value)),
-    };
-    let items: Vec<Item> = news.items.into_iter().map(item).collect();
-    info!(app.log, "news of the store from a peer"; "peer" => %vm, "items" => items.len(),
-        "as_of" => news.as_of);
-    app.hub.with(|shared, now| {
-        shared.merge(items, vm.as_str(), now);
-        shared.view.reached(news.as_of);
+        shared.compare_versions(now);
     });
-    app.vms_changed.notify_one();
 }
 
 fn peer_number(vm: &VmName) -> u64 {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -12,10 +12,11 @@
 use ids::{ServiceName, VmName};
 use peering::WorkClient;
 use peering::work::{
-    Cancel, Done, FromDialer, FromOwner, Hello, Release, Submit, from_dialer, from_owner,
+    Ask, Cancel, Done, FromDialer, FromOwner, Hello, News, Release, Submit, from_dialer, from_owner,
 };
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tokio_stream::wrappers::UnboundedReceiverStream;
@@ -24,7 +25,7 @@
 
 use crate::app::App;
 use crate::fleet::{BEAT, SILENCE};
-use crate::link_words::{beat, hello, made_of, meet, take_beat, take_news};
+use crate::link_words::{beat, hello, made_of, meet, take_beat};
 use crate::work::{self, PieceNews, StageTurn};
 
 /// Way to the VM that dialled.
@@ -45,6 +46,8 @@
     next_job: Cell<u64>,
     over: Cell<bool>,
     jobs: RefCell<HashMap<u64, Waiting>>,
+    /// Who waits for news of the store.
+    asked: RefCell<Option<oneshot::Sender<News>>>,
 }
 
 /// A submission whose results are waited for.
@@ -100,6 +103,21 @@
         self.send(from_dialer::Kind::Release(release));
     }
 
+    /// Asks for changes in the store. An earlier question that was not answered is dropped.
+    pub(crate) fn ask(&self, ask: Ask) -> oneshot::Receiver<News> {
+        let (tx, rx) = oneshot::channel();
+        self.asked.replace(Some(tx));
+        self.send(from_dialer::Kind::Ask(ask));
+        rx
+    }
+
+    fn told(&self, news: News) {
+        if let Some(tx) = self.asked.take() {
+            // Whoever asked has given up.
+            drop(tx.send(news));
+        }
+    }
+
     /// Whether the link ended.
     pub(crate) fn is_over(&self) -> bool {
         self.over.get()
@@ -134,6 +152,7 @@
 
     fn lost(&self) {
         self.over.set(true);
+        self.asked.take();
         for (_, waiting) in self.jobs.borrow_mut().drain() {
             drop(waiting.news.send(PieceNews::OwnerLost { of: waiting.of }));
         }
@@ -199,7 +218,8 @@
         return Err("the address is this VM's own".to_owned());
     }
     let (next_job, over) = (Cell::new(0), Cell::new(false));
-    let link = Rc::new(Link { tx, next_job, over, jobs: RefCell::new(HashMap::new()) });
+    let (jobs, asked) = (RefCell::default(), RefCell::default());
+    let link = Rc::new(Link { tx, next_job, over, jobs, asked });
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
@@ -252,11 +272,9 @@
                         from_owner::Kind::Done(done) => link.done(done),
                         from_owner::Kind::Fetched(fetched) => link.fetched(fetched.job),
                         from_owner::Kind::Beat(beat) => {
-                            if let Some(news) = take_beat(app, vm, &beat) {
-                                link.send(from_dialer::Kind::News(news));
-                            }
+                            take_beat(app, vm, &beat);
                         }
-                        from_owner::Kind::News(news) => take_news(app, vm, news),
+                        from_owner::Kind::News(news) => link.told(news),
                         from_owner::Kind::Hello(_) => {}
                     },
                     Ok(Some(_)) => {}
--- /dev/null
+++ b/gateway/src/news.rs
@@ -0,0 +1,122 @@
+//! Changes in the store from peers, for a VM that the store does not answer: it asks one peer at a
+//! time for the next part of what it lacks, so that its link carries heartbeats in between.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use ids::VmName;
+use peering::work::{Ask, News, StoreItem};
+use slog::{debug, info};
+use store_view::{Assembly, Batch, Item, Part, Place, View};
+use tokio::time::{MissedTickBehavior, interval, timeout};
+
+use crate::app::App;
+use crate::fleet::BEAT;
+use crate::links::Link;
+
+/// Bytes of changes in one message: 26 ms of a link of 10 Mbit/s, a fraction of the pause between
+/// two heartbeats, which wait behind it.
+const PART_BYTES: usize = 32 * 1024;
+/// Longest wait for a part, after which another peer is asked.
+const PART_WAIT: Duration = Duration::from_millis(900);
+
+/// Asks peers for as long as the process runs, whenever the store is lost.
+pub(crate) async fn follow(app: Rc<App>) {
+    let mut looks = interval(BEAT);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut silent = None;
+    loop {
+        looks.tick().await;
+        let Some((vm, link)) = peer_to_ask(&app, silent.take()) else { continue };
+        if fetch(&app, &vm, &link).await.is_none() {
+            debug!(app.log, "no news from a peer"; "peer" => %vm);
+            silent = Some(vm);
+        }
+    }
+}
+
+/// The linked peer that knows most, but for the one that did not answer, if this VM lacks something
+/// and the store does not bring it.
+fn peer_to_ask(app: &App, silent: Option<VmName>) -> Option<(VmName, Rc<Link>)> {
+    let links = app.links.borrow();
+    app.hub.with(|shared, now| {
+        if !shared.contact.is_lost(now) || shared.contact.brings_bytes(now) {
+            return None;
+        }
+        let known = shared.view.as_of();
+        let knows = |vm: &VmName| shared.fleet.peers.get(vm).map_or(0, |peer| peer.as_of);
+        let ahead = links.iter().filter(|(vm, _)| knows(vm) > known && silent.as_ref() != Some(vm));
+        let (vm, link) = ahead.max_by_key(|(vm, _)| knows(vm))?;
+        Some((vm.clone(), Rc::clone(link)))
+    })
+}
+
+/// Asks a peer part by part until nothing is left; `None` if it does not answer.
+async fn fetch(app: &Rc<App>, vm: &VmName, link: &Link) -> Option<()> {
+    let mut assembly = Assembly::after(app.hub.with(|shared, _| shared.view.as_of()));
+    let mut known = u64::MAX;
+    loop {
+        let news = link.ask(ask_of(&assembly));
+        let news = timeout(PART_WAIT, news).await.ok()?.ok()?;
+        // Only what the peer knew at the first part is sure to have come by the last one.
+        known = known.min(news.as_of);
+        let parts: Vec<Part> = news.items.into_iter().map(part_of).collect();
+        let count = parts.len();
+        let items: Vec<Item> = parts.into_iter().filter_map(|part| assembly.take(part)).collect();
+        info!(app.log, "news of the store from a peer"; "peer" => %vm, "parts" => count,
+            "whole" => items.len(), "as_of" => known, "last" => news.is_last);
+        app.hub.with(|shared, now| {
+            shared.merge(items, vm.as_str(), now);
+            if news.is_last {
+                shared.view.reached(known);
+            }
+        });
+        app.vms_changed.notify_one();
+        if news.is_last {
+            return Some(());
+        }
+    }
+}
+
+fn ask_of(assembly: &Assembly) -> Ask {
+    let store_view::Ask { after, begun: (begun_revision, begun_bytes) } = assembly.ask();
+    Ask {
+        known_revision: after.revision,
+        known_key: after.key,
+        begun_revision,
+        begun_bytes: begun_bytes as u64,
+    }
+}
+
+fn part_of(item: StoreItem) -> Part {
+    let value = (!item.removed).then(|| Bytes::from(item.value));
+    Part {
+        item: Item { key: item.key, revision: item.revision, value },
+        offset: usize::try_from(item.offset).unwrap_or(usize::MAX),
+        ends: !item.goes_on,
+    }
+}
+
+/// The next part of what a peer asks for.
+pub(crate) fn answer(view: &View, ask: Ask) -> News {
+    let begun_bytes = usize::try_from(ask.begun_bytes).unwrap_or(usize::MAX);
+    let ask = store_view::Ask {
+        after: Place { revision: ask.known_revision, key: ask.known_key },
+        begun: (ask.begun_revision, begun_bytes),
+    };
+    let Batch { parts, is_last } = view.parts(&ask, PART_BYTES);
+    News { items: parts.into_iter().map(store_item).collect(), as_of: view.as_of(), is_last }
+}
+
+fn store_item(part: Part) -> StoreItem {
+    let Part { item, offset, ends } = part;
+    StoreItem {
+        key: item.key,
+        revision: item.revision,
+        removed: item.value.is_none(),
+        value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
+        offset: offset as u64,
+        goes_on: !ends,
+    }
+}
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -47,8 +47,10 @@
 
 fn page(app: &App, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match req.uri().path() {
-        READY if is_ready(app) => (StatusCode::OK, "ready\n".to_owned()),
-        READY => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+        READY => match unready(app) {
+            None => (StatusCode::OK, "ready\n".to_owned()),
+            Some(why) => (StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {why}\n")),
+        },
         METRICS => metrics(app),
         STATE => (StatusCode::OK, state(app)),
         _ => (StatusCode::NOT_FOUND, String::new()),
@@ -59,19 +61,25 @@
 }
 
 fn metrics(app: &App) -> (StatusCode, String) {
-    let (in_work, version) = app.hub.with(|shared, _| {
-        (shared.in_work, shared.intent.as_ref().map_or(0, |intent| intent.version))
+    app.hub.with(|shared, now| {
+        let version = shared.intent.as_ref().map_or(0, |intent| intent.version);
+        app.metrics.set_state(u64::try_from(shared.in_work).unwrap_or(u64::MAX), version);
+        app.metrics.set_belief_ages(shared.contact.age(now), shared.behind.age(now));
     });
-    app.metrics.set_state(u64::try_from(in_work).unwrap_or(u64::MAX), version);
     match app.metrics.page() {
         Ok(text) => (StatusCode::OK, text),
         Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     }
 }
 
-/// Ready with a configuration in force and no stop under way.
-fn is_ready(app: &App) -> bool {
-    app.hub.with(|shared, _| shared.intent.is_some() && shared.draining.is_none())
+/// Why new connections are not wanted, if so.
+fn unready(app: &App) -> Option<&'static str> {
+    app.hub.with(|shared, now| match () {
+        () if shared.draining.is_some() => Some("stopping"),
+        () if shared.intent.is_none() => Some("no configuration"),
+        () if shared.is_behind(now) => Some("peers have a newer configuration"),
+        () => None,
+    })
 }
 
 /// What this VM believes, for whoever looks into a failure.
@@ -109,6 +117,7 @@
         let state = json!({
             "configuration": shared.intent.as_ref().map(|intent| intent.version),
             "as_of": shared.view.as_of(),
+            "behind_ms": shared.behind.age(now).map(|age| age.as_millis() as u64),
             "store_lost": shared.contact.is_lost(now),
             "store_heard_ms": shared.contact.age(now).map(|age| age.as_millis() as u64),
             "stopping": shared.draining.is_some(),
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -125,9 +125,15 @@
     }
     let id = head.id.clone().ok_or(("no id", Refusal::Malformed))?;
     let host = host_of(&parts).unwrap_or_default();
-    let entry = intent.entry(&host, parts.uri.path()).ok_or(("no entry", Refusal::NoEntry))?;
-    let entry = Arc::clone(entry);
-    let customer = customer_of(&intent, &entry, &head)?;
+    // What a newer version may know is not denied by an older one.
+    let deny = |why, denial| {
+        let may_be_behind = app.hub.with(|shared, now| shared.may_be_behind(now));
+        if may_be_behind { ("configuration may be behind", elsewhere) } else { (why, denial) }
+    };
+    let entry = intent.entry(&host, parts.uri.path());
+    let entry = Arc::clone(entry.ok_or_else(|| deny("no entry", Refusal::NoEntry))?);
+    let customer = customer_of(&intent, &entry, &head);
+    let customer = customer.map_err(|(why, denial)| deny(why, denial))?;
     let service = entry.service_for(hash_of(&id)).cloned();
     let service = service.ok_or(("no entry", Refusal::NoEntry))?;
     let left = head.left.unwrap_or(entry.longest).min(entry.longest);
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -23,7 +23,7 @@
 use crate::reach::OutHalls;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{accepted_links, callers, links, logs, pages, reach, settings, store};
+use crate::{accepted_links, callers, links, logs, news, own_entry, pages, reach, settings, store};
 
 /// Pause between two looks at connections at rest.
 const CLEANING: Duration = Duration::from_secs(1);
@@ -86,7 +86,8 @@
     spawn_local(links::dial_all(Rc::clone(app)));
     spawn_local(reach::follow(Rc::clone(app)));
     spawn_local(store::follow(Rc::clone(app)));
-    spawn_local(store::keep_entry(Rc::clone(app)));
+    spawn_local(own_entry::keep(Rc::clone(app)));
+    spawn_local(news::follow(Rc::clone(app)));
     spawn_local(clean(Rc::clone(app)));
     info!(app.log, "started"; "callers" => %cfg.callers, "peers" => %cfg.peers,
         "store" => %cfg.store, "hall" => %cfg.hall, "policy" => ?cfg.policy);
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -15,16 +15,12 @@
 use store_view::{Change, Item, View};
 
 use crate::admission::Admission;
+use crate::belief::Behind;
+use crate::contact::Contact;
 use crate::fleet::{Fleet, VmEntry};
 use crate::reach::OutHalls;
 use crate::settings::{Policy, Settings};
 
-/// Entries that lapsed while the store was away come back within this time of its return, if
-/// their targets live.
-const LAPSE_GRACE: Duration = Duration::from_millis(2100);
-/// The store counts as away when nothing was heard from it for this long.
-const STORE_SILENCE: Duration = Duration::from_millis(2500);
-
 /// Targets in each hall from which on a pool is split by hall.
 const SPLIT_TARGETS: usize = 8;
 /// Time to a first event that is believed until one was seen.
@@ -32,14 +28,6 @@
 /// Weight of a new first event in what is learned.
 const FIRST_EVENT_WEIGHT: f64 = 0.1;
 
-/// Contact with the store.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Contact {
-    last: Option<Instant>,
-    lost: bool,
-    back: Option<Instant>,
-}
-
 /// Start of the keys under which VMs write of themselves.
 pub(crate) fn vms_prefix(doors: &Doors) -> String {
     format!("{}vms/", doors.intents.own_prefix)
@@ -62,6 +50,9 @@
     /// Pools that are split by hall.
     split: BTreeSet<ServiceName>,
     pub(crate) contact: Contact,
+    pub(crate) behind: Behind,
+    /// Time within which a change of the configuration must be in force.
+    pub(crate) in_force: Duration,
     pub(crate) draining: Option<Instant>,
     pub(crate) in_work: usize,
     order: Order,
@@ -91,7 +82,9 @@
             split: BTreeSet::new(),
             fleet: Fleet::new(cfg.vm.clone(), own_entry(cfg), incarnation),
             own_hall: cfg.hall.clone(),
-            contact: Contact { last: None, lost: false, back: None },
+            contact: Contact::default(),
+            behind: Behind::default(),
+            in_force: cfg.in_force(),
             draining: None,
             in_work: 0,
             order,
@@ -135,7 +128,10 @@
         let mut new_targets = false;
         for change in changes {
             match change {
-                Change::Put(key, value) if key == intent_key => self.take_intent(&value, from),
+                Change::Put(key, value) if key == intent_key => {
+                    self.take_intent(&value, from);
+                    self.compare_versions(now);
+                }
                 Change::Put(key, value) if key.starts_with(prefix) => {
                     self.take_target(&key, &value, from);
                     new_targets = true;
@@ -358,42 +354,3 @@
         }
     }
 }
-
-impl Contact {
-    /// Something was heard from the store; says whether it had been lost.
-    pub(crate) fn heard(&mut self, now: Instant) -> bool {
-        self.last = Some(now);
-        let regained = self.lost;
-        if regained {
-            self.lost = false;
-            self.back = Some(now);
-        }
-        regained
-    }
-
-    /// A call to the store failed; says whether it had not been lost before.
-    pub(crate) fn failed(&mut self) -> bool {
-        let newly = !self.lost;
-        self.lost = true;
-        newly
-    }
-
-    /// Whether the store is out of reach.
-    pub(crate) fn is_lost(&self, now: Instant) -> bool {
-        let silent = |at: Instant| now.saturating_duration_since(at) > STORE_SILENCE;
-        self.lost || self.last.is_none_or(silent)
-    }
-
-    /// How long ago the store was heard.
-    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
-        self.last.map(|at| now.saturating_duration_since(at))
-    }
-
-    /// Until when entries that lapse are kept, if the store is away or was until just now.
-    fn grace_until(&self, now: Instant) -> Option<Instant> {
-        if self.is_lost(now) {
-            return Some(now + LAPSE_GRACE);
-        }
-        self.back.map(|at| at + LAPSE_GRACE).filter(|until| *until > now)
-    }
-}
--- a/standins/src/users/link.rs
+++ b/standins/src/users/link.rs
@@ -1,4 +1,4 @@
-//! A link between two processes that can be spoiled: delayed, silenced, cut in one direction, reset.
+//! A link between two processes that can be spoiled: delayed, slowed, silenced, cut in one direction, reset.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -17,6 +17,8 @@
     Both,
     /// It passes them late.
     Late(Duration),
+    /// It passes so many bytes a second in each direction of each connection.
+    Slow(u32),
     /// It passes none, and says nothing.
     None,
     /// It passes only those of the side that connected.
@@ -70,7 +72,7 @@
         thread::spawn(move || {
             let mut buf = [0; 16 * 1024];
             while let Ok(count) = from.read(&mut buf) {
-                if count == 0 || !link.wait(there) || to.write_all(&buf[..count]).is_err() {
+                if count == 0 || !link.wait(there, count) || to.write_all(&buf[..count]).is_err() {
                     break;
                 }
             }
@@ -79,8 +81,8 @@
         });
     }
 
-    /// Waits until bytes may pass; false if the connection is to be closed.
-    fn wait(&self, there: bool) -> bool {
+    /// Waits until `count` bytes may pass; false if the connection is to be closed.
+    fn wait(&self, there: bool, count: usize) -> bool {
         loop {
             match self.now() {
                 Passing::Both => return true,
@@ -89,6 +91,10 @@
                     sleep(time);
                     return true;
                 }
+                Passing::Slow(rate) => {
+                    sleep(Duration::from_secs_f64(count as f64 / f64::from(rate)));
+                    return true;
+                }
                 Passing::Reset => return false,
                 Passing::None | Passing::OneWay => sleep(LOOK),
             }
--- a/standins/src/users/store.rs
+++ b/standins/src/users/store.rs
@@ -35,6 +35,12 @@
     mood: Mood,
     leases: BTreeMap<u64, (Instant, Duration)>,
     calls: u64,
+    /// Items in a page of a listing; 0 for all.
+    page: usize,
+    /// Listings asked for, page by page, by prefix.
+    listed: BTreeMap<String, u64>,
+    /// The prefix and number of a page that is refused once.
+    fail_at: Option<(String, u64)>,
 }
 
 /// A running store.
@@ -80,6 +86,21 @@
         self.with(|state| state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect())
     }
 
+    /// Gives listings in pages of so many items.
+    pub fn set_page(&self, items: usize) {
+        self.with(|state| state.page = items);
+    }
+
+    /// Refuses one page of the listings of a prefix, counted from 1.
+    pub fn fail_at(&self, prefix: &str, page: u64) {
+        self.with(|state| state.fail_at = Some((prefix.to_owned(), page)));
+    }
+
+    /// Pages asked for of the listings of a prefix.
+    pub fn listed(&self, prefix: &str) -> u64 {
+        self.with(|state| state.listed.get(prefix).copied().unwrap_or(0))
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         self.with(|state| state.calls)
@@ -127,7 +148,10 @@
         let number = |name: &str| param(name).and_then(|v| v.parse().ok()).unwrap_or(0u64);
         let prefix = param("path_prefix").unwrap_or_default();
         match (req.method(), path) {
-            ("GET", "/kv-range") => Some(("200 OK", self.with(|state| state.list(&prefix)))),
+            ("GET", "/kv-range") => {
+                let after = param("after_revision");
+                Some(self.with(|state| state.list(&prefix, after.as_deref())))
+            }
             ("GET", "/kv-watch") => {
                 self.watch(&prefix, number("after_revision"), number("wait_ms"))
             }
@@ -196,10 +220,18 @@
             "revision": revision, "created_rev": revision, "lease": lease}))
     }
 
-    fn list(&self, prefix: &str) -> Value {
-        let keys = self.items.keys().filter(|key| key.starts_with(prefix));
-        let items: Vec<Value> = keys.filter_map(|key| self.item(key)).collect();
-        json!({"items": items, "truncated": false, "as_of": self.revision})
+    fn list(&mut self, prefix: &str, after: Option<&str>) -> (&'static str, Value) {
+        let asked = self.listed.entry(prefix.to_owned()).or_default();
+        *asked += 1;
+        if self.fail_at.take_if(|(at, page)| at == prefix && page == asked).is_some() {
+            return ("503 Busy", json!({}));
+        }
+        let later = |key: &&String| after.is_none_or(|after| key.as_str() > after);
+        let keys = self.items.keys().filter(|key| key.starts_with(prefix)).filter(later);
+        let most = if self.page == 0 { usize::MAX } else { self.page };
+        let truncated = keys.clone().count() > most;
+        let items: Vec<Value> = keys.take(most).filter_map(|key| self.item(key)).collect();
+        ("200 OK", json!({"items": items, "truncated": truncated, "as_of": self.revision}))
     }
 
     fn events(&self, prefix: &str, after: u64) -> Vec<Value> {
