Room at makers: unknown results count until they run out, freed room once the maker has heard

Three reasons were traced: a call without an answer (slow target, lost answer) leaves its results behind, and the owner counted them as none; a new owner counts all makers as empty; a call overtook the word that gave results up.

Ruled out: sizes alone (makers at 0.25 of 0.52 MB by the owner's count refused 26 of 40 pieces).

Change: results of a call without an answer, and those whose maker may not have heard, count until they run out; freed room is used once the maker has confirmed, and the queue is looked at then; pieces without room beyond two results' size tell how much others take, which falls to none over a result's life.

less_room_is_used_after_results_found_none is changed: four pieces without room in an empty maker are no matter of sizes any more, so one of four finds none; what it asserts stays.

--- a/components/batching/src/ends.rs
+++ b/components/batching/src/ends.rs
@@ -14,6 +14,9 @@
 const LEAST_ROOM_PART: f64 = 0.6;
 /// By this the part falls when a maker had no room for a result.
 const ROOM_FALL: f64 = 0.03;
+/// Room that is missing is taken by unknown results if it is more than so many results take, beyond
+/// what their sizes differ from what is said of them.
+const FOREIGN_PIECES: u64 = 2;
 /// By this it rises with each call that found room: one in ten without is borne.
 const ROOM_RISE: f64 = 0.003;
 
@@ -37,7 +40,12 @@
     pub fn call_ended(&mut self, key: CallKey, end: CallEnd, now: Instant) -> Vec<Finished> {
         let Some(call) = self.calls.remove(key) else { return Vec::new() };
         let took = now.saturating_duration_since(call.began);
-        self.free_room(call.maker, call.bytes);
+        if matches!(end, CallEnd::Failed | CallEnd::OutOfReach) {
+            // It may have made all of them.
+            self.results.add_lost(call.maker, call.bytes, now + self.spec.result_life);
+        } else {
+            self.free_room(call.maker, call.bytes);
+        }
         if let Some(maker) = self.makers.get_mut(call.maker) {
             maker.at_work = maker.at_work.saturating_sub(1);
             match end {
@@ -61,9 +69,7 @@
         now: Instant,
     ) -> Vec<Finished> {
         let mut finished = Vec::new();
-        let no_room = answers.contains(&PieceAnswer::NoRoom);
-        let change = if no_room { -ROOM_FALL } else { ROOM_RISE };
-        self.room_part = (self.room_part + change).clamp(LEAST_ROOM_PART, 1.0);
+        self.learn_room(call, &answers, now);
         let missing = std::iter::repeat(PieceAnswer::Failed);
         for (waiting, answer) in call.pieces.iter().zip(answers.into_iter().chain(missing)) {
             let made = match answer {
@@ -91,6 +97,28 @@
         finished
     }
 
+    /// Learns from pieces that found no room. What is missing beyond the size of a result is taken by
+    /// results that this owner does not know; less than that is told by their sizes, which are known
+    /// about only.
+    fn learn_room(&mut self, call: &UnderWay, answers: &[PieceAnswer], now: Instant) {
+        let count = |is: fn(&PieceAnswer) -> bool| answers.iter().filter(|a| is(a)).count() as u64;
+        let no_room = count(|answer| matches!(answer, PieceAnswer::NoRoom));
+        if no_room == 0 {
+            self.room_part = (self.room_part + ROOM_RISE).min(1.0);
+            return;
+        }
+        let of_piece = call.bytes / (call.pieces.len() as u64).max(1);
+        let made = count(|answer| matches!(answer, PieceAnswer::Made(_))) * of_piece;
+        let foreign = self.spec.room_bytes.saturating_sub(call.room_before + made);
+        let life = self.spec.result_life;
+        match self.makers.get_mut(call.maker) {
+            Some(maker) if foreign > of_piece * FOREIGN_PIECES => {
+                maker.set_foreign(foreign - of_piece, life, now);
+            }
+            _ => self.room_part = (self.room_part - ROOM_FALL).max(LEAST_ROOM_PART),
+        }
+    }
+
     fn keep(&mut self, key: MakerKey, waiting: &Waiting, handle: &str, now: Instant) {
         let job = self.jobs.get(waiting.job);
         if job.is_none() {
--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -102,7 +102,7 @@
         let maker = &self.makers[key];
         // One piece is enough to learn whether a maker that failed is back.
         let most = if maker.doubtful() { 1 } else { self.spec.batch };
-        let mut room = self.usable_room(maker);
+        let mut room = self.usable_room(maker, now);
         let mut taken = Vec::new();
         for (index, waiting) in self.waiting.iter().enumerate().skip(first) {
             if taken.len() == most {
@@ -123,12 +123,13 @@
     }
 
     /// Room that may be used at a maker; one that holds nothing may take a result of any size.
-    fn usable_room(&self, maker: &Maker) -> u64 {
-        if maker.room_used == 0 {
+    fn usable_room(&self, maker: &Maker, now: Instant) -> u64 {
+        let used = maker.room_used + maker.foreign_room(now);
+        if used == 0 {
             return self.spec.room_bytes;
         }
         let usable = (self.spec.room_bytes as f64 * self.room_part) as u64;
-        usable.saturating_sub(maker.room_used)
+        usable.saturating_sub(used)
     }
 
     /// Until when a piece waits for a maker near its inputs rather than take any.
@@ -159,6 +160,7 @@
         self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
         let fetch = self.fetch_time(&pieces);
         let maker = &mut self.makers[key];
+        let room_before = maker.room_used;
         maker.at_work += 1;
         maker.room_used += bytes;
         let (target, room_used) = (maker.target.clone(), maker.room_used);
@@ -166,7 +168,7 @@
         let members = pieces.iter().map(|waiting| (waiting.job, waiting.piece)).collect();
         let since = pieces.iter().filter_map(|w| self.jobs.get(w.job)).map(|job| job.since).min();
         let waited = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-        let call = UnderWay { maker: key, pieces, began: now, expected, bytes };
+        let call = UnderWay { maker: key, pieces, began: now, expected, bytes, room_before };
         Call {
             key: self.calls.insert(call),
             target,
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use maker::MakerKey;
 pub use pool::Pool;
-pub use submission::{Call, CallEnd, CallKey, Finished, JobKey, Made, Order, Submission};
+pub use submission::{Call, CallEnd, CallKey, Finished, GivenUp, JobKey, Made, Order, Submission};
--- a/components/batching/src/maker.rs
+++ b/components/batching/src/maker.rs
@@ -22,6 +22,15 @@
 /// Pause after a maker had no room for a result, which another owner had it make.
 const NO_ROOM_REST: Duration = Duration::from_millis(120);
 
+/// Room that results of others take: those that a call left behind whose answer did not come, and those
+/// of an owner before this one.
+#[derive(Debug, Clone, Copy)]
+struct ForeignRoom {
+    bytes: u64,
+    since: Instant,
+    until: Instant,
+}
+
 /// State of a maker.
 #[derive(Debug)]
 pub(crate) struct Maker {
@@ -32,11 +41,20 @@
     pub(crate) pace: f64,
     failures: u32,
     rests_until: Option<Instant>,
+    foreign: Option<ForeignRoom>,
 }
 
 impl Maker {
     pub(crate) fn new(target: Target) -> Self {
-        Maker { target, at_work: 0, room_used: 0, pace: 1.0, failures: 0, rests_until: None }
+        Maker {
+            target,
+            at_work: 0,
+            room_used: 0,
+            pace: 1.0,
+            failures: 0,
+            rests_until: None,
+            foreign: None,
+        }
     }
 
     pub(crate) fn may_work(&self, at_once: u32, now: Instant) -> bool {
@@ -70,6 +88,20 @@
         self.rests_until = Some(now + rest);
     }
 
+    /// Notes that results that nobody here knows of take `bytes`; they run out one by one within
+    /// `life`, the life of a result.
+    pub(crate) fn set_foreign(&mut self, bytes: u64, life: Duration, now: Instant) {
+        self.foreign = Some(ForeignRoom { bytes, since: now, until: now + life });
+    }
+
+    /// Bytes that such results still take, if as many run out in each part of their life.
+    pub(crate) fn foreign_room(&self, now: Instant) -> u64 {
+        let Some(ForeignRoom { bytes, since, until }) = self.foreign else { return 0 };
+        let life = (until - since).as_secs_f64().max(f64::EPSILON);
+        let left = until.saturating_duration_since(now).as_secs_f64() / life;
+        (bytes as f64 * left) as u64
+    }
+
     /// Whether its last call failed.
     pub(crate) fn doubtful(&self) -> bool {
         self.failures > 0
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -9,7 +9,7 @@
 
 use crate::maker::{Maker, MakerKey};
 use crate::results::Results;
-use crate::submission::{CallKey, Finished, JobKey, Made, Order, Submission};
+use crate::submission::{CallKey, Finished, GivenUp, JobKey, Made, Order, Submission};
 
 /// Room is scarce at a maker of which more than this part is used: the rest holds the results of two
 /// full calls on the pools seen so far.
@@ -42,6 +42,8 @@
     pub(crate) began: Instant,
     pub(crate) expected: Duration,
     pub(crate) bytes: u64,
+    /// Room that other results took as it began.
+    pub(crate) room_before: u64,
 }
 
 /// A pool as its owner sees it.
@@ -154,19 +156,35 @@
         self.jobs.get(job).map(|job| &job.submission)
     }
 
-    /// Gives up results; tells which target has to be told of which handles.
-    pub fn release(&mut self, handles: Vec<String>) -> Vec<(Target, Vec<String>)> {
-        let mut by_maker: HashMap<MakerKey, Vec<String>> = HashMap::new();
+    /// Gives up results; tells which target has to be told of which handles. Their room counts as
+    /// taken until [`Pool::given_up`] says that the target has heard: a call that overtakes the word
+    /// finds no room.
+    pub fn release(&mut self, handles: Vec<String>) -> Vec<GivenUp> {
+        let mut by_maker: HashMap<MakerKey, (Vec<String>, u64)> = HashMap::new();
         for handle in handles {
             if let Some((key, bytes)) = self.results.remove(&handle) {
-                self.free_room(key, bytes);
-                by_maker.entry(key).or_default().push(handle);
+                let of_maker = by_maker.entry(key).or_default();
+                of_maker.0.push(handle);
+                of_maker.1 += bytes;
             }
         }
-        let told = |(key, handles)| Some((self.makers.get(key)?.target.clone(), handles));
+        let told = |(key, (handles, bytes))| {
+            Some(GivenUp { target: self.makers.get(key)?.target.clone(), handles, bytes })
+        };
         by_maker.into_iter().filter_map(told).collect()
     }
 
+    /// Takes how a target was told that results are given up. Where it may not have heard, they take
+    /// room until they run out.
+    pub fn given_up(&mut self, told: &GivenUp, heard: bool, now: Instant) {
+        let Some(key) = self.by_id.get(&told.target.id).copied() else { return };
+        if heard {
+            self.free_room(key, told.bytes);
+        } else {
+            self.results.add_lost(key, told.bytes, now + self.spec.result_life);
+        }
+    }
+
     /// Gives up results if their makers' room is scarce, or once it is: they are needed again only
     /// if what is being made of them fails.
     pub fn release_if_scarce(&mut self, handles: &[String]) {
@@ -185,7 +203,7 @@
 
     /// Gives up results that are to be given up though no request says so: those made after nobody
     /// waited for them any more, and those for which room is too scarce.
-    pub fn release_orphans(&mut self) -> Vec<(Target, Vec<String>)> {
+    pub fn release_orphans(&mut self) -> Vec<GivenUp> {
         let orphans = std::mem::take(&mut self.orphans);
         self.release(orphans)
     }
--- a/components/batching/src/results.rs
+++ b/components/batching/src/results.rs
@@ -19,6 +19,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Results {
     by_handle: HashMap<String, Result>,
+    /// Results that nobody knows by name: maker, bytes, and when they have run out.
+    lost: Vec<(MakerKey, u64, Instant)>,
 }
 
 impl Results {
@@ -26,6 +28,11 @@
         self.by_handle.insert(handle.to_owned(), Result { maker, bytes, until, spare: false });
     }
 
+    /// Notes results of a call whose answer did not come: they take room until they run out.
+    pub(crate) fn add_lost(&mut self, maker: MakerKey, bytes: u64, until: Instant) {
+        self.lost.push((maker, bytes, until));
+    }
+
     /// Takes out a result that is needed no more; gives its maker and size.
     pub(crate) fn remove(&mut self, handle: &str) -> Option<(MakerKey, u64)> {
         self.by_handle.remove(handle).map(|result| (result.maker, result.bytes))
@@ -47,14 +54,17 @@
     /// Takes out the results whose life is over; gives their makers and sizes.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<(MakerKey, u64)> {
         let over = |result: &Result| result.until <= now;
-        let freed: Vec<_> =
+        let mut freed: Vec<_> =
             self.by_handle.values().filter(|r| over(r)).map(|r| (r.maker, r.bytes)).collect();
         self.by_handle.retain(|_, result| !over(result));
+        let lost = self.lost.extract_if(.., |(_, _, until)| *until <= now);
+        freed.extend(lost.map(|(maker, bytes, _)| (maker, bytes)));
         freed
     }
 
     /// Takes out all results of a maker that is gone.
     pub(crate) fn drop_maker(&mut self, maker: MakerKey) {
         self.by_handle.retain(|_, result| result.maker != maker);
+        self.lost.retain(|(of, _, _)| *of != maker);
     }
 }
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -72,6 +72,18 @@
     pub patience: Duration,
 }
 
+/// Results that are to be given up at their maker. Their room counts as taken until it is told how
+/// that went.
+#[derive(Debug, Clone)]
+pub struct GivenUp {
+    /// The maker.
+    pub target: Target,
+    /// The results.
+    pub handles: Vec<String>,
+    /// Room that they take.
+    pub bytes: u64,
+}
+
 /// How a call ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CallEnd {
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -12,6 +12,7 @@
 use intent::{PoolSpec, Target};
 
 const CALL: Duration = Duration::from_millis(200);
+const LIFE: Duration = Duration::from_secs(4);
 
 fn spec() -> PoolSpec {
     PoolSpec {
@@ -21,7 +22,7 @@
         call: CALL,
         piece: Duration::from_millis(10),
         room_bytes: 1000,
-        result_life: Duration::from_secs(4),
+        result_life: LIFE,
         link: Some(1_000_000),
     }
 }
@@ -121,10 +122,12 @@
     assert!(pool.next_call(now).is_none(), "no room");
 
     let told = pool.release(vec!["127.0.0.1:9/0".to_owned(), "unknown".to_owned()]);
+    assert!(pool.next_call(now).is_none(), "the maker has not heard yet");
+    pool.given_up(&told[0], true, now);
     let call = pool.next_call(now).unwrap();
 
     assert_eq!(told.len(), 1);
-    assert_eq!(told[0].1, ["127.0.0.1:9/0"]);
+    assert_eq!(told[0].handles, ["127.0.0.1:9/0"]);
     assert_eq!(call.pieces.len(), 1);
     pool.call_ended(call.key, CallEnd::Failed, now);
     let later = now + Duration::from_secs(5);
@@ -206,7 +209,7 @@
 
     let told = pool.release_orphans();
     assert_eq!(told.len(), 1);
-    assert_eq!(told[0].1.len(), 2);
+    assert_eq!(told[0].handles.len(), 2);
     assert!(pool.is_idle());
 }
 
@@ -300,11 +303,15 @@
         |id, pieces| Submission { result_bytes: 220, ..submission(id, pieces, now + CALL * 9) };
     pool.submit(sized("first", 4), now);
     let full = pool.next_call(now).unwrap();
-    let answers = (0..4).map(|_| PieceAnswer::NoRoom).collect();
+    let three_made = (0..4).map(|piece| match piece {
+        3 => PieceAnswer::NoRoom,
+        _ => PieceAnswer::Made(format!("127.0.0.1:9/{piece}")),
+    });
 
-    pool.call_ended(full.key, CallEnd::Answered(answers), now);
+    pool.call_ended(full.key, CallEnd::Answered(three_made.collect()), now);
 
-    let later = now + CALL * 4;
+    let later = now + LIFE;
+    pool.submit(sized("more", 3), later);
     let one = pool.next_call(later).unwrap();
     assert_eq!(one.pieces.len(), 4, "an empty maker is asked for all that its room holds");
     pool.call_ended(one.key, made(1), later);
@@ -368,5 +375,58 @@
 
     assert!(while_room.is_empty(), "400 of 1,000 bytes are used");
     assert_eq!(when_scarce.len(), 1, "600 would be");
-    assert_eq!(when_scarce[0].1, ["127.0.0.1:9/0"]);
+    assert_eq!(when_scarce[0].handles, ["127.0.0.1:9/0"]);
+}
+
+#[test]
+fn results_whose_makers_may_not_have_heard_take_room_until_they_run_out() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let large = |id| Submission { result_bytes: 500, ..submission(id, 2, now + CALL * 90) };
+    pool.submit(large("first"), now);
+    let call = pool.next_call(now).unwrap();
+    pool.call_ended(call.key, made(2), now);
+    pool.submit(large("second"), now);
+    let told = pool.release(vec!["127.0.0.1:9/0".to_owned()]);
+
+    pool.given_up(&told[0], false, now);
+
+    assert!(pool.next_call(now).is_none(), "it may still be there");
+    assert_eq!(pool.next_call(now + LIFE).unwrap().pieces.len(), 2);
+}
+
+#[test]
+fn results_of_a_call_without_an_answer_take_room_until_they_run_out() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let large = |id| Submission { result_bytes: 300, ..submission(id, 3, now + CALL * 90) };
+    pool.submit(large("first"), now);
+    let call = pool.next_call(now).unwrap();
+
+    pool.call_ended(call.key, CallEnd::Failed, now);
+
+    let rested = now + LIFE / 2;
+    assert!(pool.next_call(rested).is_none(), "all three may have been made there");
+    assert_eq!(pool.next_call(now + LIFE).unwrap().pieces.len(), 1, "one, to learn");
+}
+
+#[test]
+fn room_that_others_take_is_learned_from_pieces_that_found_none() {
+    let now = Instant::now();
+    let mut pool = pool(&[maker("m", "a")]);
+    let sized = |id| Submission { result_bytes: 100, ..submission(id, 8, now + CALL * 90) };
+    pool.submit(sized("first"), now);
+    let call = pool.next_call(now).unwrap();
+    let made_two = (0..4).map(|piece| match piece {
+        0 | 1 => PieceAnswer::Made(format!("127.0.0.1:9/{piece}")),
+        _ => PieceAnswer::NoRoom,
+    });
+
+    pool.call_ended(call.key, CallEnd::Answered(made_two.collect()), now);
+
+    let soon = pool.next_call(now + LIFE / 4).unwrap();
+    assert_eq!(soon.pieces.len(), 2, "others took about 700 bytes, of which 525 are left");
+    pool.call_ended(soon.key, CallEnd::Full, now + LIFE / 4);
+    let late = pool.next_call(now + LIFE).unwrap();
+    assert_eq!(late.pieces.len(), 4, "all of it has run out by now");
 }
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use batching::{Call, CallEnd, CallKey, Finished, JobKey, Made, Pool, Submission};
+use batching::{Call, CallEnd, CallKey, Finished, GivenUp, JobKey, Made, Pool, Submission};
 use doors::calls::{Evidence, OwnCall, PieceAnswer, PieceCall};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -158,23 +158,23 @@
 /// Gives up results that this VM had made.
 pub(crate) fn release_here(app: &Rc<App>, handles: &[String]) {
     let told = app.hub.with(|shared, _| {
-        let pools = shared.pools.values_mut();
-        pools.flat_map(|pool| pool.release(handles.to_vec())).collect::<Vec<_>>()
+        let pools = shared.pools.iter_mut();
+        pools.map(|(name, pool)| (name.clone(), pool.release(handles.to_vec()))).collect::<Vec<_>>()
     });
-    tell_makers(app, told);
+    told.into_iter().for_each(|(pool, told)| tell_makers(app, &pool, told));
 }
 
 /// Gives up results that this VM had made, if their makers' room is scarce.
 pub(crate) fn release_if_scarce_here(app: &Rc<App>, handles: &[String]) {
     let told = app.hub.with(|shared, _| {
-        let pools = shared.pools.values_mut();
-        let release = |pool: &mut Pool| {
+        let pools = shared.pools.iter_mut();
+        let release = |(name, pool): (&ServiceName, &mut Pool)| {
             pool.release_if_scarce(handles);
-            pool.release_orphans()
+            (name.clone(), pool.release_orphans())
         };
-        pools.flat_map(release).collect::<Vec<_>>()
+        pools.map(release).collect::<Vec<_>>()
     });
-    tell_makers(app, told);
+    told.into_iter().for_each(|(pool, told)| tell_makers(app, &pool, told));
 }
 
 /// Gives up results at their makers, whoever had them made.
@@ -188,27 +188,40 @@
             of_maker.1.push(handle.clone());
         }
     }
-    tell_makers(app, by_maker.into_values().collect());
+    for (target, handles) in by_maker.into_values() {
+        let app = Rc::clone(app);
+        spawn_local(async move { tell_maker(&app, &target, &handles).await });
+    }
 }
 
-fn tell_makers(app: &Rc<App>, told: Vec<(Target, Vec<String>)>) {
-    for (target, handles) in told {
-        let app = Rc::clone(app);
+/// Tells makers that results are given up; their room is used again once they have heard.
+fn tell_makers(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) {
+    for told in told {
+        let (app, pool) = (Rc::clone(app), pool.clone());
         spawn_local(async move {
-            let call = (app.doors.calls.release)(&target.id, &handles);
-            let sent = tokio::time::timeout(RELEASE_WAIT, own_call(&app, &target, call)).await;
-            if !matches!(sent, Ok(Ok(_))) {
-                let why = match sent {
-                    Ok(Err(miss)) => format!("{miss:?}"),
-                    _ => "no answer in time".to_owned(),
-                };
-                info!(app.log, "results not given up"; "target" => %target.id,
-                    "results" => handles.len(), "why" => why);
-            }
+            let heard = tell_maker(&app, &told.target, &told.handles).await;
+            app.hub.with(|shared, now| {
+                let pool = shared.pools.get_mut(&pool);
+                pool.map(|pool| pool.given_up(&told, heard, now))
+            });
+            fill_calls(&app, &pool);
         });
     }
 }
 
+/// Tells a maker that results are given up; false if it may not have heard.
+async fn tell_maker(app: &App, target: &Target, handles: &[String]) -> bool {
+    let call = (app.doors.calls.release)(&target.id, handles);
+    let why = match tokio::time::timeout(RELEASE_WAIT, own_call(app, target, call)).await {
+        Ok(Ok(_)) => return true,
+        Ok(Err(miss)) => format!("{miss:?}"),
+        Err(_) => "no answer in time".to_owned(),
+    };
+    info!(app.log, "results not given up"; "target" => %target.id, "results" => handles.len(),
+        "why" => why);
+    false
+}
+
 /// Makes the calls that can be made now, and plans the next look at the queue.
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
     end_without_inputs(app, pool);
@@ -218,7 +231,7 @@
             Some((pool.next_call(now)?, pool.release_orphans()))
         });
         let Some((call, orphans)) = next else { break };
-        tell_makers(app, orphans);
+        tell_makers(app, pool, orphans);
         spawn_local(make(Rc::clone(app), pool.clone(), call));
     }
     let look = app.hub.with(|shared, now| shared.pools.get(pool)?.next_look(now));
@@ -268,9 +281,11 @@
         CallEnd::Full
     };
     let name = end_name(&end);
-    let made = made_in(&end);
+    let counts = Counts::of(&end);
     info!(app.log, "pool call"; "pool" => %pool, "target" => %call.target.id,
-        "pieces" => call.pieces.len(), "made" => made, "end" => name,
+        "pieces" => call.pieces.len(), "made" => counts.made, "end" => name,
+        "failed" => counts.failed, "no_room" => counts.no_room, "input_gone" => counts.gone,
+        "late" => counts.late,
         "room_used" => call.room_used, "waited_ms" => call.waited.as_millis(),
         "still_waiting" => call.still_waiting, "took_ms" => (now() - began).as_millis());
     app.metrics.attempt_ended(pool.as_str(), call.target.id.as_str(), name);
@@ -281,7 +296,7 @@
         Some(pool) => (pool.call_ended(call.key, end, now), pool.release_orphans()),
         None => (Vec::new(), Vec::new()),
     });
-    tell_makers(&app, orphans);
+    tell_makers(&app, &pool, orphans);
     hand_back(&app, &pool, finished);
     fill_calls(&app, &pool);
 }
@@ -407,9 +422,31 @@
     }
 }
 
-fn made_in(end: &CallEnd) -> usize {
-    let CallEnd::Answered(answers) = end else { return 0 };
-    answers.iter().filter(|answer| matches!(answer, PieceAnswer::Made(_))).count()
+/// What became of the pieces of a call, for the log.
+#[derive(Default)]
+struct Counts {
+    made: usize,
+    failed: usize,
+    no_room: usize,
+    gone: usize,
+    late: usize,
+}
+
+impl Counts {
+    fn of(end: &CallEnd) -> Self {
+        let mut counts = Counts::default();
+        let CallEnd::Answered(answers) = end else { return counts };
+        for answer in answers {
+            *match answer {
+                PieceAnswer::Made(_) => &mut counts.made,
+                PieceAnswer::Failed => &mut counts.failed,
+                PieceAnswer::NoRoom => &mut counts.no_room,
+                PieceAnswer::Gone => &mut counts.gone,
+                PieceAnswer::Late => &mut counts.late,
+            } += 1;
+        }
+        counts
+    }
 }
 
 fn end_name(end: &CallEnd) -> &'static str {
