VMs that start together are linked at once

Cause: after all VMs were killed, a VM that dialled a peer before it was up waited up to 1.2 s to dial it again, and filled calls of pools by itself meanwhile: two and three owners of one pool for 1.5 s.

Change: a VM that hears a peer's process for the first time begins a dial that has not come through anew, once for each process. Whom to dial is a module of its own.

--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -1,6 +1,7 @@
 //! Links that peers dial: their pieces are taken, and results handed back.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use batching::JobKey;
@@ -84,6 +85,9 @@
                 if let from_dialer::Kind::Hello(hello) = &kind {
                     let Ok(name) = VmName::new(&hello.vm) else { break };
                     meet(&app, &name, Some(hello));
+                    let address = hello.peers.parse::<SocketAddr>().ok();
+                    let heard = address.map(|address| (address, hello.incarnation));
+                    app.heard_at.borrow_mut().extend(heard);
                     app.vms_changed.notify_one();
                     vm = Some(name);
                     continue;
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -35,6 +35,11 @@
     pub(crate) planned_looks: RefCell<HashMap<ServiceName, tokio::time::Instant>>,
     /// Addresses to which links are wanted.
     pub(crate) wanted_links: RefCell<BTreeSet<SocketAddr>>,
+    /// Where VMs take links of which the first word was heard since the last look, and the incarnation of
+    /// their process. Dialling them anew
+    /// at once ends the time in which VMs that start together have owners of their own (1.5 s before):
+    /// 0.004 to 0.007 of a loaded day.
+    pub(crate) heard_at: RefCell<BTreeMap<SocketAddr, u64>>,
     /// Told when the list of VMs changes.
     pub(crate) vms_changed: Notify,
     /// Data halls that are out of reach.
@@ -46,3 +51,10 @@
     /// Told when connections at rest are to be closed.
     pub(crate) closing: tokio::sync::watch::Sender<bool>,
 }
+
+impl App {
+    /// Whether this VM has dialled a link to an address that stands.
+    pub(crate) fn is_linked_at(&self, address: SocketAddr) -> bool {
+        self.links.borrow().values().any(|link| link.address == address)
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod callers;
 mod connections;
 mod contact;
+mod dials;
 pub mod events;
 mod fleet;
 mod hub;
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -3,7 +3,7 @@
 //! the store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -17,7 +17,6 @@
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
-use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use tokio_stream::wrappers::UnboundedReceiverStream;
 use tonic::transport::Endpoint;
@@ -37,11 +36,11 @@
 const DIAL_PAUSE: Duration = Duration::from_millis(400);
 /// A link that was not wanted for this long ends.
 const UNWANTED: Duration = Duration::from_secs(5);
-/// Pause between two looks at whom to dial.
-const LOOK_PAUSE: Duration = Duration::from_millis(500);
 
 /// A link that this VM dialled.
 pub(crate) struct Link {
+    /// Where the peer takes links.
+    pub(crate) address: SocketAddr,
     tx: UnboundedSender<FromDialer>,
     next_job: Cell<u64>,
     over: Cell<bool>,
@@ -159,38 +158,8 @@
     }
 }
 
-/// Keeps a link to each VM that is known.
-pub(crate) async fn dial_all(app: Rc<App>) {
-    let mut dialled: HashMap<SocketAddr, tokio::task::AbortHandle> = HashMap::new();
-    loop {
-        let wanted = wanted(&app);
-        dialled.retain(|_, task| !task.is_finished());
-        app.wanted_links.replace(wanted.clone());
-        for address in wanted {
-            dialled
-                .entry(address)
-                .or_insert_with(|| spawn_local(hold(Rc::clone(&app), address)).abort_handle());
-        }
-        drop(timeout(LOOK_PAUSE, app.vms_changed.notified()).await);
-        app.hub.with(|shared, now| {
-            shared.fleet.forget(now);
-            shared.end_lapses(now);
-        });
-    }
-}
-
-/// Addresses of VMs to which links are wanted; the settings' seeds while no VM is known.
-fn wanted(app: &App) -> BTreeSet<SocketAddr> {
-    let mut wanted = app.hub.with(|shared, _| shared.wanted_links());
-    if wanted.is_empty() {
-        wanted.extend(&app.cfg.seeds);
-    }
-    wanted.remove(&app.cfg.peers);
-    wanted
-}
-
 /// Holds a link to an address; ends when it fails, to be dialled again if it is still wanted.
-async fn hold(app: Rc<App>, address: SocketAddr) {
+pub(crate) async fn hold(app: Rc<App>, address: SocketAddr) {
     if let Err(why) = hold_once(&app, address).await {
         slog::debug!(app.log, "no link"; "address" => %address, "why" => why);
     }
@@ -219,7 +188,7 @@
     }
     let (next_job, over) = (Cell::new(0), Cell::new(false));
     let (jobs, asked) = (RefCell::default(), RefCell::default());
-    let link = Rc::new(Link { tx, next_job, over, jobs, asked });
+    let link = Rc::new(Link { address, tx, next_job, over, jobs, asked });
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -23,7 +23,7 @@
 use crate::reach::OutHalls;
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{accepted_links, callers, links, logs, news, own_entry, pages, reach, settings, store};
+use crate::{accepted_links, callers, dials, logs, news, own_entry, pages, reach, settings, store};
 
 /// Pause between two looks at connections at rest.
 const CLEANING: Duration = Duration::from_secs(1);
@@ -59,6 +59,7 @@
             sinks: RefCell::new(BTreeMap::new()),
             planned_looks: RefCell::new(HashMap::new()),
             wanted_links: RefCell::default(),
+            heard_at: RefCell::default(),
             vms_changed: Notify::new(),
             out_halls: watch::channel(OutHalls::new()).0,
             store_reached: watch::channel(false).0,
@@ -83,7 +84,7 @@
     spawn_local(pages::serve(Rc::clone(app), ready_listener));
     spawn_local(callers::accept(Rc::clone(app), callers_listener));
     spawn_local(accepted_links::accept(Rc::clone(app), peers_listener));
-    spawn_local(links::dial_all(Rc::clone(app)));
+    spawn_local(dials::dial_all(Rc::clone(app)));
     spawn_local(reach::follow(Rc::clone(app)));
     spawn_local(store::follow(Rc::clone(app)));
     spawn_local(own_entry::keep(Rc::clone(app)));
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -423,3 +423,17 @@
     assert!(page.contains("saddlerail_requests_total"), "{page}");
     assert!(page.contains("outcome=\"unknown\""), "{page}");
 }
+
+#[test]
+fn vms_that_start_together_are_all_linked() {
+    let site = Site::start();
+    let names = ["together-1", "together-2", "together-3", "together-4"];
+
+    let vms = names.map(|name| Vm::start(name, "hall-a", site.store.address, ""));
+
+    let linked = |vm: &Vm| {
+        let peers = vm.state()["peers"].as_array().cloned().unwrap_or_default();
+        peers.len() == 3 && peers.iter().all(|peer| peer["linked"] == json!(true))
+    };
+    wait_until("each is linked to all others", || vms.iter().all(linked));
+}
