--- a/components/batching/src/ends.rs
+++ b/components/batching/src/ends.rs
@@ -4,15 +4,15 @@
 
 use doors::calls::PieceAnswer;
 
-use crate::maker::MakerKey;
 use crate::pool::{Pool, UnderWay, Waiting};
 use crate::submission::{CallEnd, CallKey, Finished, JobKey, Made};
+use crate::worker::WorkerKey;
 
 /// Most times that a piece is tried.
 const PIECE_TRIES: u32 = 4;
-/// Least part of the room that is used, however often a maker had none.
+/// Least part of the room that is used, however often a worker had none.
 const LEAST_ROOM_PART: f64 = 0.6;
-/// By this the part falls when a maker had no room for a result.
+/// By this the part falls when a worker had no room for a result.
 const ROOM_FALL: f64 = 0.03;
 /// Room that is missing is taken by unknown results if it is more than so many results take, beyond
 /// what their sizes differ from what is said of them.
@@ -42,16 +42,16 @@
         let took = now.saturating_duration_since(call.began);
         if matches!(end, CallEnd::Failed | CallEnd::OutOfReach) {
             // It may have made all of them.
-            self.results.add_lost(call.maker, call.bytes, now + self.spec.result_life);
+            self.results.add_lost(call.worker, call.bytes, now + self.spec.result_life);
         } else {
-            self.free_room(call.maker, call.bytes);
+            self.free_room(call.worker, call.bytes);
         }
-        if let Some(maker) = self.makers.get_mut(call.maker) {
-            maker.at_work = maker.at_work.saturating_sub(1);
+        if let Some(worker) = self.workers.get_mut(call.worker) {
+            worker.at_work = worker.at_work.saturating_sub(1);
             match end {
-                CallEnd::Answered(_) => maker.answered(took, call.expected),
-                CallEnd::Full => maker.was_full(now),
-                CallEnd::TargetGone | CallEnd::Failed => maker.failed(now),
+                CallEnd::Answered(_) => worker.answered(took, call.expected),
+                CallEnd::Full => worker.was_full(now),
+                CallEnd::TargetGone | CallEnd::Failed => worker.failed(now),
                 CallEnd::OutOfReach => {}
             }
         }
@@ -74,14 +74,14 @@
         for (waiting, answer) in call.pieces.iter().zip(answers.into_iter().chain(missing)) {
             let made = match answer {
                 PieceAnswer::Made(handle) => {
-                    self.keep(call.maker, waiting, &handle, now);
+                    self.keep(call.worker, waiting, &handle, now);
                     Made::At(handle)
                 }
                 PieceAnswer::Late => Made::Late,
                 PieceAnswer::Gone => Made::Gone,
                 PieceAnswer::NoRoom => {
-                    if let Some(maker) = self.makers.get_mut(call.maker) {
-                        maker.had_no_room(now);
+                    if let Some(worker) = self.workers.get_mut(call.worker) {
+                        worker.had_no_room(now);
                     }
                     // It costs no try: the piece ends with its time at the latest.
                     finished.extend(self.try_again(vec![*waiting], 0));
@@ -111,22 +111,22 @@
         let made = count(|answer| matches!(answer, PieceAnswer::Made(_))) * of_piece;
         let foreign = self.spec.room_bytes.saturating_sub(call.room_before + made);
         let life = self.spec.result_life;
-        match self.makers.get_mut(call.maker) {
-            Some(maker) if foreign > of_piece * FOREIGN_PIECES => {
-                maker.set_foreign(foreign - of_piece, life, now);
+        match self.workers.get_mut(call.worker) {
+            Some(worker) if foreign > of_piece * FOREIGN_PIECES => {
+                worker.set_foreign(foreign - of_piece, life, now);
             }
             _ => self.room_part = (self.room_part - ROOM_FALL).max(LEAST_ROOM_PART),
         }
     }
 
-    fn keep(&mut self, key: MakerKey, waiting: &Waiting, handle: &str, now: Instant) {
+    fn keep(&mut self, key: WorkerKey, waiting: &Waiting, handle: &str, now: Instant) {
         let job = self.jobs.get(waiting.job);
         if job.is_none() {
             self.orphans.push(handle.to_owned());
         }
         let bytes = job.map_or(0, |job| job.submission.result_bytes);
-        if let Some(maker) = self.makers.get_mut(key) {
-            maker.room_used += bytes;
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.room_used += bytes;
             self.results.add(handle, key, bytes, now + self.spec.result_life);
         }
     }
--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -1,12 +1,12 @@
-//! Which pieces go to which maker in the next call.
+//! Which pieces go to which worker in the next call.
 
 use std::time::{Duration, Instant};
 
-use crate::maker::{Maker, MakerKey};
 use crate::pool::{LEAST_TIME, Pool, UnderWay, Waiting};
 use crate::submission::{Call, JobKey, Order, Submission};
+use crate::worker::{Worker, WorkerKey};
 
-/// Part of a call's time that a piece waits for a maker in the hall of its inputs.
+/// Part of a call's time that a piece waits for a worker in the hall of its inputs.
 const NEAR_WAIT: f64 = 0.8;
 /// Slack that a piece seems to have more for each rank of less urgency. 400 ms against 150 is worth 0.009
 /// and 0.015 of a loaded day (means of 15 days each on two deployments), since long chains of great
@@ -21,7 +21,7 @@
 /// Time beside the transfer itself within which a target begins a call and has fetched its inputs:
 /// many times the way between halls.
 const FETCH_EXTRA: Duration = Duration::from_millis(40);
-/// An input crosses the link of its maker and that of the target that fetches it.
+/// An input crosses the link of its worker and that of the target that fetches it.
 const FETCH_LINKS: f64 = 2.0;
 
 /// When a submission is due as far as the order of pieces goes.
@@ -35,40 +35,40 @@
 }
 
 impl Pool {
-    /// The next call to make now, if a maker is free and something waits for it.
+    /// The next call to make now, if a worker is free and something waits for it.
     pub fn next_call(&mut self, now: Instant) -> Option<Call> {
         self.expire(now);
         if self.waiting.is_empty() {
             return None;
         }
         self.sort(now);
-        let mut free: Vec<MakerKey> = self
-            .makers
+        let mut free: Vec<WorkerKey> = self
+            .workers
             .iter()
-            .filter(|(_, maker)| self.may_work(maker, self.spec.at_once.max(1), now))
+            .filter(|(_, worker)| self.may_work(worker, self.spec.at_once.max(1), now))
             .map(|(key, _)| key)
             .collect();
         // Whoever failed last is asked after all others.
         free.sort_by(|a, b| {
-            let (a, b) = (&self.makers[*a], &self.makers[*b]);
+            let (a, b) = (&self.workers[*a], &self.workers[*b]);
             a.doubtful().cmp(&b.doubtful()).then(a.pace.total_cmp(&b.pace))
         });
-        let (maker, pieces) = self.best_fill(&free, now)?;
-        Some(self.begin(maker, pieces, now))
+        let (worker, pieces) = self.best_fill(&free, now)?;
+        Some(self.begin(worker, pieces, now))
     }
 
-    /// When a piece that is held back may go to any maker, or a maker may work again.
+    /// When a piece that is held back may go to any worker, or a worker may work again.
     pub fn next_look(&self, now: Instant) -> Option<Instant> {
         if self.waiting.is_empty() {
             return None;
         }
-        let rests = self.makers.values().filter_map(Maker::rests_until).filter(|at| *at > now);
+        let rests = self.workers.values().filter_map(Worker::rests_until).filter(|at| *at > now);
         let held = self.waiting.iter().filter_map(|waiting| self.held_until(waiting, now));
         rests.chain(held).min()
     }
 
-    pub(crate) fn may_work(&self, maker: &Maker, at_once: u32, now: Instant) -> bool {
-        maker.may_work(at_once, now) && !self.out_halls.contains(&maker.target.hall)
+    pub(crate) fn may_work(&self, worker: &Worker, at_once: u32, now: Instant) -> bool {
+        worker.may_work(at_once, now) && !self.out_halls.contains(&worker.target.hall)
     }
 
     /// Pieces that can still be in time go first, by slack; late ones follow. Whether they are late is
@@ -87,35 +87,35 @@
         });
     }
 
-    /// The maker and pieces of the call that begins with the first piece that some maker may take.
-    fn best_fill(&self, free: &[MakerKey], now: Instant) -> Option<(MakerKey, Vec<usize>)> {
+    /// The worker and pieces of the call that begins with the first piece that some worker may take.
+    fn best_fill(&self, free: &[WorkerKey], now: Instant) -> Option<(WorkerKey, Vec<usize>)> {
         for (index, waiting) in self.waiting.iter().enumerate() {
             let held = self.held_until(waiting, now).is_some();
             let near = self.jobs.get(waiting.job).and_then(|job| job.submission.near.as_ref());
-            let is_near = |key: &&MakerKey| {
-                let maker = &self.makers[**key];
-                near == Some(&maker.target.hall) && !maker.doubtful()
+            let is_near = |key: &&WorkerKey| {
+                let worker = &self.workers[**key];
+                near == Some(&worker.target.hall) && !worker.doubtful()
             };
-            let maker = match free.iter().find(is_near) {
-                Some(maker) => Some(maker),
+            let worker = match free.iter().find(is_near) {
+                Some(worker) => Some(worker),
                 None if held => None,
                 None => free.first(),
             };
-            let Some(maker) = maker else { continue };
-            let pieces = self.fill(*maker, index, now);
+            let Some(worker) = worker else { continue };
+            let pieces = self.fill(*worker, index, now);
             if !pieces.is_empty() {
-                return Some((*maker, pieces));
+                return Some((*worker, pieces));
             }
         }
         None
     }
 
-    /// Pieces from `first` on that the maker may take, up to a whole call and its room.
-    fn fill(&self, key: MakerKey, first: usize, now: Instant) -> Vec<usize> {
-        let maker = &self.makers[key];
-        // One piece is enough to learn whether a maker that failed is back.
-        let most = if maker.doubtful() { 1 } else { self.spec.batch };
-        let mut room = self.usable_room(maker, now);
+    /// Pieces from `first` on that the worker may take, up to a whole call and its room.
+    fn fill(&self, key: WorkerKey, first: usize, now: Instant) -> Vec<usize> {
+        let worker = &self.workers[key];
+        // One piece is enough to learn whether a worker that failed is back.
+        let most = if worker.doubtful() { 1 } else { self.spec.batch };
+        let mut room = self.usable_room(worker, now);
         let mut taken = Vec::new();
         for (index, waiting) in self.waiting.iter().enumerate().skip(first) {
             if taken.len() == most {
@@ -123,7 +123,7 @@
             }
             let Some(job) = self.jobs.get(waiting.job) else { continue };
             let near = job.submission.near.as_ref();
-            let elsewhere = near.is_some_and(|hall| *hall != maker.target.hall);
+            let elsewhere = near.is_some_and(|hall| *hall != worker.target.hall);
             if elsewhere && self.held_until(waiting, now).is_some() {
                 continue;
             }
@@ -135,9 +135,9 @@
         taken
     }
 
-    /// Room that may be used at a maker; one that holds nothing may take a result of any size.
-    fn usable_room(&self, maker: &Maker, now: Instant) -> u64 {
-        let used = maker.room_used + maker.foreign_room(now);
+    /// Room that may be used at a worker; one that holds nothing may take a result of any size.
+    fn usable_room(&self, worker: &Worker, now: Instant) -> u64 {
+        let used = worker.room_used + worker.foreign_room(now);
         if used == 0 {
             return self.spec.room_bytes;
         }
@@ -145,13 +145,13 @@
         usable.saturating_sub(used)
     }
 
-    /// Until when a piece waits for a maker near its inputs rather than take any.
+    /// Until when a piece waits for a worker near its inputs rather than take any.
     fn held_until(&self, waiting: &Waiting, now: Instant) -> Option<Instant> {
         let job = self.jobs.get(waiting.job)?;
         let near = job.submission.near.as_ref()?;
         if self.order == Order::Arrival
             || self.out_halls.contains(near)
-            || !self.makers.values().any(|m| m.target.hall == *near && !m.doubtful())
+            || !self.workers.values().any(|m| m.target.hall == *near && !m.doubtful())
         {
             return None;
         }
@@ -161,7 +161,7 @@
         (until > now).then_some(until)
     }
 
-    fn begin(&mut self, key: MakerKey, indexes: Vec<usize>, now: Instant) -> Call {
+    fn begin(&mut self, key: WorkerKey, indexes: Vec<usize>, now: Instant) -> Call {
         let pieces: Vec<Waiting> = indexes.iter().map(|index| self.waiting[*index]).collect();
         for index in indexes.iter().rev() {
             self.waiting.remove(*index);
@@ -172,16 +172,16 @@
         let expected = (self.spec.call + self.spec.piece * count).max(LEAST_TIME);
         self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
         let fetch = self.fetch_time(&pieces);
-        let maker = &mut self.makers[key];
-        let room_before = maker.room_used;
-        maker.at_work += 1;
-        maker.room_used += bytes;
-        let (target, room_used) = (maker.target.clone(), maker.room_used);
+        let worker = &mut self.workers[key];
+        let room_before = worker.room_used;
+        worker.at_work += 1;
+        worker.room_used += bytes;
+        let (target, room_used) = (worker.target.clone(), worker.room_used);
         self.reclaim(key);
         let members = pieces.iter().map(|waiting| (waiting.job, waiting.piece)).collect();
         let since = pieces.iter().filter_map(|w| self.jobs.get(w.job)).map(|job| job.since).min();
         let waited = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
-        let call = UnderWay { maker: key, pieces, began: now, expected, bytes, room_before };
+        let call = UnderWay { worker: key, pieces, began: now, expected, bytes, room_before };
         Call {
             key: self.calls.insert(call),
             target,
--- a/components/batching/src/forecast.rs
+++ b/components/batching/src/forecast.rs
@@ -6,13 +6,13 @@
 use crate::pool::{LEAST_TIME, Pool, Waiting};
 use crate::slack::Queue;
 
-/// With a part of the makers busy, the wait for a free one grows with this power of the part.
+/// With a part of the workers busy, the wait for a free one grows with this power of the part.
 const NEXT_FREE_POWER: i32 = 2;
 
 impl Pool {
-    /// Pieces that the pool makes in a second with full calls, as far as its makers' room allows.
+    /// Pieces that the pool makes in a second with full calls, as far as its workers' room allows.
     pub fn rate(&self, now: Instant) -> f64 {
-        let able = self.makers.values().filter(|m| self.may_work(m, u32::MAX, now)).count();
+        let able = self.workers.values().filter(|m| self.may_work(m, u32::MAX, now)).count();
         let largest = self.jobs.values().map(|job| job.submission.result_bytes).max().unwrap_or(0);
         // Half of the room holds results that wait to be used.
         let by_room = (self.spec.room_bytes / 2).checked_div(largest);
@@ -23,11 +23,11 @@
             / time.max(LEAST_TIME.as_secs_f64())
     }
 
-    /// Expected time from handing a piece to a pool with no queue to its result: half of what is
+    /// Expected time from submitting a piece to a pool with no queue to its result: half of what is
     /// at work, and its own call.
     pub fn turn(&self) -> Duration {
-        let busy = self.makers.values().filter(|maker| maker.at_work > 0).count() as f64;
-        let of_all = busy / self.makers.len().max(1) as f64;
+        let busy = self.workers.values().filter(|worker| worker.at_work > 0).count() as f64;
+        let of_all = busy / self.workers.len().max(1) as f64;
         let next_free = self.spec.call.mul_f64(of_all.powi(NEXT_FREE_POWER) / 2.0);
         next_free + self.spec.call + self.spec.piece.mul_f64(self.usual_pieces)
     }
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -6,14 +6,14 @@
 mod ends;
 mod filling;
 mod forecast;
-mod maker;
 mod pool;
 mod results;
 mod slack;
 mod submission;
+mod worker;
 
 pub use filling::order_due;
-pub use maker::MakerKey;
 pub use pool::Pool;
 pub use slack::Queue;
 pub use submission::{Call, CallEnd, CallKey, Finished, GivenUp, JobKey, Made, Order, Submission};
+pub use worker::WorkerKey;
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -1,4 +1,4 @@
-//! The state of a pool: its makers, what waits, what is under way, and the results that lie at makers.
+//! The state of a pool: its workers, what waits, what is under way, and the results that lie at workers.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -7,11 +7,11 @@
 use intent::{PoolSpec, Target};
 use slotmap::SlotMap;
 
-use crate::maker::{Maker, MakerKey};
 use crate::results::Results;
 use crate::submission::{CallKey, Finished, GivenUp, JobKey, Made, Order, Submission};
+use crate::worker::{Worker, WorkerKey};
 
-/// Room is scarce at a maker of which more than this part is used: the rest holds the results of two
+/// Room is scarce at a worker of which more than this part is used: the rest holds the results of two
 /// full calls on the pools seen so far.
 const SCARCE_PART: f64 = 0.5;
 /// Figures of a pool are taken to be no less than this, so that no division is by nothing.
@@ -37,7 +37,7 @@
 
 #[derive(Debug)]
 pub(crate) struct UnderWay {
-    pub(crate) maker: MakerKey,
+    pub(crate) worker: WorkerKey,
     pub(crate) pieces: Vec<Waiting>,
     pub(crate) began: Instant,
     pub(crate) expected: Duration,
@@ -51,8 +51,8 @@
 pub struct Pool {
     pub(crate) spec: PoolSpec,
     pub(crate) order: Order,
-    pub(crate) makers: SlotMap<MakerKey, Maker>,
-    pub(crate) by_id: HashMap<TargetName, MakerKey>,
+    pub(crate) workers: SlotMap<WorkerKey, Worker>,
+    pub(crate) by_id: HashMap<TargetName, WorkerKey>,
     pub(crate) jobs: SlotMap<JobKey, Job>,
     pub(crate) calls: SlotMap<CallKey, UnderWay>,
     pub(crate) waiting: Vec<Waiting>,
@@ -60,7 +60,7 @@
     pub(crate) orphans: Vec<String>,
     /// Pieces in a call, as last seen.
     pub(crate) usual_pieces: f64,
-    /// Part of the makers' room that may be used: how large results are is known about only, so
+    /// Part of the workers' room that may be used: how large results are is known about only, so
     /// that it is learned from those that found none.
     pub(crate) room_part: f64,
     /// Halls that are out of reach.
@@ -68,12 +68,12 @@
 }
 
 impl Pool {
-    /// A pool with no makers and nothing to do.
+    /// A pool with no workers and nothing to do.
     pub fn new(spec: PoolSpec, order: Order) -> Self {
         Pool {
             spec,
             order,
-            makers: SlotMap::with_key(),
+            workers: SlotMap::with_key(),
             by_id: HashMap::new(),
             jobs: SlotMap::with_key(),
             calls: SlotMap::with_key(),
@@ -92,24 +92,24 @@
     }
 
     /// Takes the targets of the pool as they are now.
-    pub fn set_makers<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
-        let mut gone: HashMap<TargetName, MakerKey> = self.by_id.clone();
+    pub fn set_workers<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
+        let mut gone: HashMap<TargetName, WorkerKey> = self.by_id.clone();
         for target in targets {
             gone.remove(&target.id);
-            match self.by_id.get(&target.id).and_then(|key| self.makers.get_mut(*key)) {
-                Some(maker) => maker.target = target.clone(),
+            match self.by_id.get(&target.id).and_then(|key| self.workers.get_mut(*key)) {
+                Some(worker) => worker.target = target.clone(),
                 None => {
-                    let key = self.makers.insert(Maker::new(target.clone()));
+                    let key = self.workers.insert(Worker::new(target.clone()));
                     self.by_id.insert(target.id.clone(), key);
                 }
             }
         }
         for (id, key) in gone {
-            self.drop_maker(&id, key);
+            self.drop_worker(&id, key);
         }
     }
 
-    /// Halls are out of reach, or within it again: their makers are not called.
+    /// Halls are out of reach, or within it again: their workers are not called.
     pub fn set_out_halls(&mut self, out: BTreeSet<HallName>) {
         self.out_halls = out;
     }
@@ -160,18 +160,18 @@
     /// taken until [`Pool::given_up`] says that the target has heard: a call that overtakes the word
     /// finds no room.
     pub fn release(&mut self, handles: Vec<String>) -> Vec<GivenUp> {
-        let mut by_maker: HashMap<MakerKey, (Vec<String>, u64)> = HashMap::new();
+        let mut by_worker: HashMap<WorkerKey, (Vec<String>, u64)> = HashMap::new();
         for handle in handles {
             if let Some((key, bytes)) = self.results.remove(&handle) {
-                let of_maker = by_maker.entry(key).or_default();
-                of_maker.0.push(handle);
-                of_maker.1 += bytes;
+                let of_worker = by_worker.entry(key).or_default();
+                of_worker.0.push(handle);
+                of_worker.1 += bytes;
             }
         }
         let told = |(key, (handles, bytes))| {
-            Some(GivenUp { target: self.makers.get(key)?.target.clone(), handles, bytes })
+            Some(GivenUp { target: self.workers.get(key)?.target.clone(), handles, bytes })
         };
-        by_maker.into_iter().filter_map(told).collect()
+        by_worker.into_iter().filter_map(told).collect()
     }
 
     /// Takes how a target was told that results are given up. Where it may not have heard, they take
@@ -185,18 +185,18 @@
         }
     }
 
-    /// Gives up results if their makers' room is scarce, or once it is: they are needed again only
+    /// Gives up results if their workers' room is scarce, or once it is: they are needed again only
     /// if what is being made of them fails.
     pub fn release_if_scarce(&mut self, handles: &[String]) {
-        let makers: Vec<MakerKey> =
+        let workers: Vec<WorkerKey> =
             handles.iter().filter_map(|handle| self.results.set_spare(handle)).collect();
-        makers.into_iter().for_each(|maker| self.reclaim(maker));
+        workers.into_iter().for_each(|worker| self.reclaim(worker));
     }
 
-    /// Gives up what a maker's room is too scarce to keep.
-    pub(crate) fn reclaim(&mut self, key: MakerKey) {
+    /// Gives up what a worker's room is too scarce to keep.
+    pub(crate) fn reclaim(&mut self, key: WorkerKey) {
         let scarce = (self.spec.room_bytes as f64 * SCARCE_PART) as u64;
-        if self.makers.get(key).is_some_and(|maker| maker.room_used > scarce) {
+        if self.workers.get(key).is_some_and(|worker| worker.room_used > scarce) {
             self.orphans.extend(self.results.spare_of(key));
         }
     }
@@ -208,15 +208,15 @@
         self.release(orphans)
     }
 
-    fn drop_maker(&mut self, id: &TargetName, key: MakerKey) {
+    fn drop_worker(&mut self, id: &TargetName, key: WorkerKey) {
         self.by_id.remove(id);
-        self.makers.remove(key);
-        self.results.drop_maker(key);
+        self.workers.remove(key);
+        self.results.drop_worker(key);
     }
 
-    pub(crate) fn free_room(&mut self, key: MakerKey, bytes: u64) {
-        if let Some(maker) = self.makers.get_mut(key) {
-            maker.room_used = maker.room_used.saturating_sub(bytes);
+    pub(crate) fn free_room(&mut self, key: WorkerKey, bytes: u64) {
+        if let Some(worker) = self.workers.get_mut(key) {
+            worker.room_used = worker.room_used.saturating_sub(bytes);
         }
     }
 
--- a/components/batching/src/results.rs
+++ b/components/batching/src/results.rs
@@ -1,14 +1,14 @@
-//! Results that lie at their makers and take room there.
+//! Results that lie at their workers and take room there.
 
 use std::collections::HashMap;
 use std::time::Instant;
 
-use crate::maker::MakerKey;
+use crate::worker::WorkerKey;
 
-/// A result at its maker.
+/// A result at its worker.
 #[derive(Debug, Clone, Copy)]
 struct Result {
-    maker: MakerKey,
+    worker: WorkerKey,
     bytes: u64,
     until: Instant,
     /// Whether it may be given up when room is scarce.
@@ -19,52 +19,52 @@
 #[derive(Debug, Default)]
 pub(crate) struct Results {
     by_handle: HashMap<String, Result>,
-    /// Results that nobody knows by name: maker, bytes, and when they have run out.
-    lost: Vec<(MakerKey, u64, Instant)>,
+    /// Results that nobody knows by name: worker, bytes, and when they have run out.
+    lost: Vec<(WorkerKey, u64, Instant)>,
 }
 
 impl Results {
-    pub(crate) fn add(&mut self, handle: &str, maker: MakerKey, bytes: u64, until: Instant) {
-        self.by_handle.insert(handle.to_owned(), Result { maker, bytes, until, spare: false });
+    pub(crate) fn add(&mut self, handle: &str, worker: WorkerKey, bytes: u64, until: Instant) {
+        self.by_handle.insert(handle.to_owned(), Result { worker, bytes, until, spare: false });
     }
 
     /// Notes results of a call whose answer did not come: they take room until they run out.
-    pub(crate) fn add_lost(&mut self, maker: MakerKey, bytes: u64, until: Instant) {
-        self.lost.push((maker, bytes, until));
+    pub(crate) fn add_lost(&mut self, worker: WorkerKey, bytes: u64, until: Instant) {
+        self.lost.push((worker, bytes, until));
     }
 
-    /// Takes out a result that is needed no more; gives its maker and size.
-    pub(crate) fn remove(&mut self, handle: &str) -> Option<(MakerKey, u64)> {
-        self.by_handle.remove(handle).map(|result| (result.maker, result.bytes))
+    /// Takes out a result that is needed no more; gives its worker and size.
+    pub(crate) fn remove(&mut self, handle: &str) -> Option<(WorkerKey, u64)> {
+        self.by_handle.remove(handle).map(|result| (result.worker, result.bytes))
     }
 
-    /// Notes that a result may be given up when room is scarce; gives its maker.
-    pub(crate) fn set_spare(&mut self, handle: &str) -> Option<MakerKey> {
+    /// Notes that a result may be given up when room is scarce; gives its worker.
+    pub(crate) fn set_spare(&mut self, handle: &str) -> Option<WorkerKey> {
         let result = self.by_handle.get_mut(handle)?;
         result.spare = true;
-        Some(result.maker)
+        Some(result.worker)
     }
 
-    /// Handles of a maker's results that may be given up when room is scarce.
-    pub(crate) fn spare_of(&self, maker: MakerKey) -> Vec<String> {
-        let spare = self.by_handle.iter().filter(|(_, r)| r.spare && r.maker == maker);
+    /// Handles of a worker's results that may be given up when room is scarce.
+    pub(crate) fn spare_of(&self, worker: WorkerKey) -> Vec<String> {
+        let spare = self.by_handle.iter().filter(|(_, r)| r.spare && r.worker == worker);
         spare.map(|(handle, _)| handle.clone()).collect()
     }
 
-    /// Takes out the results whose life is over; gives their makers and sizes.
-    pub(crate) fn expire(&mut self, now: Instant) -> Vec<(MakerKey, u64)> {
+    /// Takes out the results whose life is over; gives their workers and sizes.
+    pub(crate) fn expire(&mut self, now: Instant) -> Vec<(WorkerKey, u64)> {
         let over = |result: &Result| result.until <= now;
         let mut freed: Vec<_> =
-            self.by_handle.values().filter(|r| over(r)).map(|r| (r.maker, r.bytes)).collect();
+            self.by_handle.values().filter(|r| over(r)).map(|r| (r.worker, r.bytes)).collect();
         self.by_handle.retain(|_, result| !over(result));
         let lost = self.lost.extract_if(.., |(_, _, until)| *until <= now);
-        freed.extend(lost.map(|(maker, bytes, _)| (maker, bytes)));
+        freed.extend(lost.map(|(worker, bytes, _)| (worker, bytes)));
         freed
     }
 
-    /// Takes out all results of a maker that is gone.
-    pub(crate) fn drop_maker(&mut self, maker: MakerKey) {
-        self.by_handle.retain(|_, result| result.maker != maker);
-        self.lost.retain(|(of, _, _)| *of != maker);
+    /// Takes out all results of a worker that is gone.
+    pub(crate) fn drop_worker(&mut self, worker: WorkerKey) {
+        self.by_handle.retain(|_, result| result.worker != worker);
+        self.lost.retain(|(of, _, _)| *of != worker);
     }
 }
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -14,7 +14,7 @@
     pub struct CallKey;
 }
 
-/// How waiting pieces are ordered and matched with makers.
+/// How waiting pieces are ordered and matched with workers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Order {
     /// By slack, with regard to where the inputs lie.
@@ -72,11 +72,11 @@
     pub patience: Duration,
 }
 
-/// Results that are to be given up at their maker. Their room counts as taken until it is told how
+/// Results that are to be given up at their worker. Their room counts as taken until it is told how
 /// that went.
 #[derive(Debug, Clone)]
 pub struct GivenUp {
-    /// The maker.
+    /// The worker.
     pub target: Target,
     /// The results.
     pub handles: Vec<String>,
@@ -102,7 +102,7 @@
 /// Result of a piece.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Made {
-    /// It lies at its maker under this handle.
+    /// It lies at its worker under this handle.
     At(String),
     /// Its time was over.
     Late,
--- a/components/batching/src/maker.rs
+++ b/components/batching/src/worker.rs
@@ -6,8 +6,8 @@
 use slotmap::new_key_type;
 
 new_key_type! {
-    /// Key of a maker in its pool.
-    pub struct MakerKey;
+    /// Key of a worker in its pool.
+    pub struct WorkerKey;
 }
 
 /// Weight of a new call's time in the learned pace.
@@ -16,10 +16,10 @@
 const FIRST_REST: Duration = Duration::from_millis(400);
 /// Longest time out.
 const LONGEST_REST: Duration = Duration::from_millis(3200);
-/// Pause after a maker was full, which it is only with another owner's calls.
+/// Pause after a worker was full, which it is only with another owner's calls.
 const FULL_REST: Duration = Duration::from_millis(60);
 
-/// Pause after a maker had no room for a result, which another owner had it make.
+/// Pause after a worker had no room for a result, which another owner had it make.
 const NO_ROOM_REST: Duration = Duration::from_millis(120);
 
 /// Room that results of others take: those that a call left behind whose answer did not come, and those
@@ -31,9 +31,9 @@
     until: Instant,
 }
 
-/// State of a maker.
+/// State of a worker.
 #[derive(Debug)]
-pub(crate) struct Maker {
+pub(crate) struct Worker {
     pub(crate) target: Target,
     pub(crate) at_work: u32,
     pub(crate) room_used: u64,
@@ -44,9 +44,9 @@
     foreign: Option<ForeignRoom>,
 }
 
-impl Maker {
+impl Worker {
     pub(crate) fn new(target: Target) -> Self {
-        Maker {
+        Worker {
             target,
             at_work: 0,
             room_used: 0,
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -1,4 +1,4 @@
-//! Calls are filled by slack, within the makers' room; what fails is made again or told.
+//! Calls are filled by slack, within the workers' room; what fails is made again or told.
 
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
@@ -27,7 +27,7 @@
     }
 }
 
-fn maker(id: &str, hall: &str) -> Target {
+fn worker(id: &str, hall: &str) -> Target {
     Target {
         id: TargetName::new(id).unwrap(),
         service: ServiceName::new("pool").unwrap(),
@@ -38,9 +38,9 @@
     }
 }
 
-fn pool(makers: &[Target]) -> Pool {
+fn pool(workers: &[Target]) -> Pool {
     let mut pool = Pool::new(spec(), Order::Slack);
-    pool.set_makers(makers.iter());
+    pool.set_workers(workers.iter());
     pool
 }
 
@@ -73,20 +73,20 @@
 #[test]
 fn pieces_of_several_requests_share_a_call_the_most_urgent_first() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     pool.submit(submission("late", 2, now + CALL * 20), now);
     pool.submit(submission("soon", 3, now + CALL * 4), now);
 
     let call = pool.next_call(now).unwrap();
 
     assert_eq!(requests(&pool, &call), ["soon", "soon", "soon", "late"]);
-    assert!(pool.next_call(now).is_none(), "its only maker is at work");
+    assert!(pool.next_call(now).is_none(), "its only worker is at work");
 }
 
 #[test]
 fn pieces_that_are_late_give_way_to_those_that_can_be_in_time() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     pool.submit(submission("late", 4, now + CALL / 2), now);
     pool.submit(submission("soon", 4, now + CALL * 4), now);
 
@@ -98,7 +98,7 @@
 #[test]
 fn every_piece_is_finished_once() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let job = pool.submit(submission("r", 3, now + CALL * 4), now);
     let call = pool.next_call(now).unwrap();
 
@@ -113,7 +113,7 @@
 #[test]
 fn results_take_room_until_they_are_given_up_or_run_out() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let large = |id| Submission { result_bytes: 500, ..submission(id, 2, now + CALL * 4) };
     pool.submit(large("first"), now);
     let call = pool.next_call(now).unwrap();
@@ -122,7 +122,7 @@
     assert!(pool.next_call(now).is_none(), "no room");
 
     let told = pool.release(vec!["127.0.0.1:9/0".to_owned(), "unknown".to_owned()]);
-    assert!(pool.next_call(now).is_none(), "the maker has not heard yet");
+    assert!(pool.next_call(now).is_none(), "the worker has not heard yet");
     pool.given_up(&told[0], true, now);
     let call = pool.next_call(now).unwrap();
 
@@ -137,12 +137,12 @@
 #[test]
 fn a_failed_call_is_made_again_elsewhere_and_given_up_in_the_end() {
     let mut now = Instant::now();
-    let mut pool = pool(&[maker("m", "a"), maker("n", "a")]);
+    let mut pool = pool(&[worker("m", "a"), worker("n", "a")]);
     pool.submit(submission("r", 1, now + CALL * 50), now);
-    let mut makers = Vec::new();
+    let mut workers = Vec::new();
     let finished = loop {
         let call = pool.next_call(now).unwrap();
-        makers.push(call.target.id.to_string());
+        workers.push(call.target.id.to_string());
         let finished = pool.call_ended(call.key, CallEnd::Failed, now);
         if !finished.is_empty() {
             break finished;
@@ -150,14 +150,14 @@
         now += Duration::from_secs(5);
     };
 
-    assert_ne!(makers[0], makers[1]);
+    assert_ne!(workers[0], workers[1]);
     assert!(matches!(finished[..], [Finished { made: Made::Broken, .. }]));
 }
 
 #[test]
-fn what_the_maker_says_of_a_piece_is_told() {
+fn what_the_worker_says_of_a_piece_is_told() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     pool.submit(submission("r", 4, now + CALL * 4), now);
     let call = pool.next_call(now).unwrap();
     let answers = vec![PieceAnswer::Late, PieceAnswer::Gone, PieceAnswer::NoRoom];
@@ -166,16 +166,16 @@
 
     let made: Vec<&Made> = finished.iter().map(|finished| &finished.made).collect();
     assert_eq!(made, [&Made::Late, &Made::Gone]);
-    assert!(pool.next_call(now).is_none(), "a maker with no room is left alone for a moment");
+    assert!(pool.next_call(now).is_none(), "a worker with no room is left alone for a moment");
     let again = pool.next_call(now + CALL).unwrap();
     let pieces: Vec<u32> = again.pieces.iter().map(|(_, piece)| *piece).collect();
     assert_eq!(pieces, [2, 3], "no room, and an answer that is missing");
 }
 
 #[test]
-fn a_full_maker_costs_no_try() {
+fn a_full_worker_costs_no_try() {
     let mut now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     pool.submit(submission("r", 1, now + CALL * 50), now);
     for _ in 0..20 {
         let call = pool.next_call(now).unwrap();
@@ -185,9 +185,9 @@
 }
 
 #[test]
-fn a_maker_with_no_room_costs_no_try() {
+fn a_worker_with_no_room_costs_no_try() {
     let mut now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     pool.submit(submission("r", 1, now + CALL * 50), now);
     for _ in 0..20 {
         let call = pool.next_call(now).unwrap();
@@ -200,7 +200,7 @@
 #[test]
 fn results_of_a_request_that_is_gone_are_given_up_at_once() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let job = pool.submit(submission("r", 2, now + CALL * 4), now);
     let call = pool.next_call(now).unwrap();
     pool.cancel(job);
@@ -214,9 +214,9 @@
 }
 
 #[test]
-fn pieces_wait_a_little_for_a_maker_near_their_inputs() {
+fn pieces_wait_a_little_for_a_worker_near_their_inputs() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("near", "a"), maker("far", "b")]);
+    let mut pool = pool(&[worker("near", "a"), worker("far", "b")]);
     let near = Some(HallName::new("a").unwrap());
     let wants_a = |id| Submission { near: near.clone(), ..submission(id, 4, now + CALL * 20) };
     pool.submit(wants_a("first"), now);
@@ -232,32 +232,32 @@
 }
 
 #[test]
-fn leaving_makers_get_no_calls() {
+fn leaving_workers_get_no_calls() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
-    pool.set_makers([Target { leaving: true, ..maker("m", "a") }].iter());
+    let mut pool = pool(&[worker("m", "a")]);
+    pool.set_workers([Target { leaving: true, ..worker("m", "a") }].iter());
     pool.submit(submission("r", 1, now + CALL), now);
 
     assert!(pool.next_call(now).is_none());
 }
 
 #[test]
-fn the_queue_counts_what_can_be_in_time_and_the_rate_follows_the_makers() {
+fn the_queue_counts_what_can_be_in_time_and_the_rate_follows_the_workers() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a"), maker("n", "a")]);
+    let mut pool = pool(&[worker("m", "a"), worker("n", "a")]);
     pool.submit(submission("late", 3, now), now);
     pool.submit(submission("soon", 5, now + CALL * 4), now);
 
     assert_eq!(pool.queue(now).total(), 5);
     let both = pool.rate(now);
-    pool.set_makers([maker("m", "a")].iter());
+    pool.set_workers([worker("m", "a")].iter());
     assert!((both / pool.rate(now) - 2.0).abs() < 1e-9);
 }
 
 #[test]
 fn inputs_are_over_when_every_piece_is_at_work_and_has_fetched_them() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a"), maker("n", "a")]);
+    let mut pool = pool(&[worker("m", "a"), worker("n", "a")]);
     let inputs = vec!["127.0.0.1:9/in".to_owned()];
     let wants = Submission { inputs, input_bytes: 500_000, ..submission("r", 6, now + CALL * 9) };
     let job = pool.submit(wants, now);
@@ -279,7 +279,7 @@
 #[test]
 fn pieces_that_are_made_again_want_their_inputs_again() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a"), maker("n", "a")]);
+    let mut pool = pool(&[worker("m", "a"), worker("n", "a")]);
     let inputs = vec!["127.0.0.1:9/in".to_owned()];
     let wants = Submission { inputs, input_bytes: 1, ..submission("r", 4, now + CALL * 9) };
     let job = pool.submit(wants, now);
@@ -298,7 +298,7 @@
 #[test]
 fn less_room_is_used_after_results_found_none() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let sized =
         |id, pieces| Submission { result_bytes: 220, ..submission(id, pieces, now + CALL * 9) };
     pool.submit(sized("first", 4), now);
@@ -313,7 +313,7 @@
     let later = now + LIFE;
     pool.submit(sized("more", 3), later);
     let one = pool.next_call(later).unwrap();
-    assert_eq!(one.pieces.len(), 4, "an empty maker is asked for all that its room holds");
+    assert_eq!(one.pieces.len(), 4, "an empty worker is asked for all that its room holds");
     pool.call_ended(one.key, made(1), later);
     pool.submit(sized("second", 4), later);
     let next = pool.next_call(later + CALL * 9).unwrap();
@@ -321,9 +321,9 @@
 }
 
 #[test]
-fn makers_of_a_hall_out_of_reach_get_no_calls_and_a_call_there_costs_no_try() {
+fn workers_of_a_hall_out_of_reach_get_no_calls_and_a_call_there_costs_no_try() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a"), maker("n", "b")]);
+    let mut pool = pool(&[worker("m", "a"), worker("n", "b")]);
     let out: BTreeSet<HallName> = [HallName::new("a").unwrap()].into();
     let job = pool.submit(submission("r", 2, now + CALL * 9), now);
     for _ in 0..8 {
@@ -338,13 +338,13 @@
     assert_eq!(call.target.id.as_str(), "n");
     assert!(pool.submission(job).is_some());
     pool.submit(submission("other", 2, now + CALL * 9), now);
-    assert!(pool.next_call(now).is_none(), "the only maker in reach is at work");
+    assert!(pool.next_call(now).is_none(), "the only worker in reach is at work");
 }
 
 #[test]
 fn pieces_whose_inputs_are_out_of_reach_are_handed_back_as_such() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let job = pool.submit(submission("r", 6, now + CALL * 9), now);
     let call = pool.next_call(now).unwrap();
 
@@ -360,7 +360,7 @@
 #[test]
 fn spare_results_are_kept_until_room_is_scarce() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let sized =
         |id, pieces| Submission { result_bytes: 200, ..submission(id, pieces, now + CALL * 9) };
     pool.submit(sized("first", 2), now);
@@ -379,9 +379,9 @@
 }
 
 #[test]
-fn results_whose_makers_may_not_have_heard_take_room_until_they_run_out() {
+fn results_whose_workers_may_not_have_heard_take_room_until_they_run_out() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let large = |id| Submission { result_bytes: 500, ..submission(id, 2, now + CALL * 90) };
     pool.submit(large("first"), now);
     let call = pool.next_call(now).unwrap();
@@ -398,7 +398,7 @@
 #[test]
 fn results_of_a_call_without_an_answer_take_room_until_they_run_out() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let large = |id| Submission { result_bytes: 300, ..submission(id, 3, now + CALL * 90) };
     pool.submit(large("first"), now);
     let call = pool.next_call(now).unwrap();
@@ -413,7 +413,7 @@
 #[test]
 fn room_that_others_take_is_learned_from_pieces_that_found_none() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let sized = |id| Submission { result_bytes: 100, ..submission(id, 8, now + CALL * 90) };
     pool.submit(sized("first"), now);
     let call = pool.next_call(now).unwrap();
@@ -434,7 +434,7 @@
 #[test]
 fn a_piece_that_is_late_by_its_own_due_time_yields_however_urgent_it_is() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     let less_urgent = Submission { urgency: 2, ..submission("late", 4, now + CALL / 2) };
     let late = pool.submit(less_urgent, now);
     let in_time = pool.submit(submission("in-time", 4, now + CALL * 8), now);
@@ -447,7 +447,7 @@
 #[test]
 fn a_more_urgent_piece_goes_before_one_that_is_due_a_little_earlier() {
     let now = Instant::now();
-    let mut pool = pool(&[maker("m", "a")]);
+    let mut pool = pool(&[worker("m", "a")]);
     pool.submit(Submission { urgency: 1, ..submission("less", 4, now + CALL * 3) }, now);
     let urgent = pool.submit(submission("urgent", 4, now + CALL * 4), now);
 
--- a/components/doors/src/callers.rs
+++ b/components/doors/src/callers.rs
@@ -34,7 +34,7 @@
     pub last_event: Option<u64>,
     /// Pieces of each stage.
     pub pieces: Vec<u32>,
-    /// Secret that the makers of the first pieces are given.
+    /// Secret that the workers of the first pieces are given.
     pub piece_key: Option<String>,
 }
 
--- a/components/doors/src/calls.rs
+++ b/components/doors/src/calls.rs
@@ -82,13 +82,13 @@
 /// What became of a piece.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PieceAnswer {
-    /// Made; the result lies at its maker under this handle.
+    /// Made; the result lies at its worker under this handle.
     Made(String),
     /// Its time was over before its turn.
     Late,
     /// An input is gone.
     Gone,
-    /// The maker has no room for the result.
+    /// The worker has no room for the result.
     NoRoom,
     /// It failed.
     Failed,
@@ -120,8 +120,8 @@
     pub pieces: fn(&TargetName, &[PieceCall]) -> OwnCall,
     /// Reads the answer to a pool's call.
     pub read_pieces: fn(&[u8]) -> errors::Result<Vec<PieceAnswer>>,
-    /// Gives up results at their maker.
+    /// Gives up results at their worker.
     pub release: fn(&TargetName, &[String]) -> OwnCall,
-    /// The maker's address in a handle.
-    pub maker: fn(&str) -> Option<std::net::SocketAddr>,
+    /// The worker's address in a handle.
+    pub worker: fn(&str) -> Option<std::net::SocketAddr>,
 }
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -36,7 +36,7 @@
 /// Pieces of requests that this VM admitted.
 #[derive(Debug, Default)]
 pub(crate) struct Admission {
-    /// Not handed in yet, since earlier stages are not done.
+    /// Not submitted yet, since earlier stages are not done.
     coming: HashMap<ServiceName, u32>,
     /// Admitted within the last [`REMEMBERED`].
     recent: HashMap<ServiceName, Recent>,
@@ -87,14 +87,14 @@
 }
 
 /// Pieces of an admitted request that are on their way; dropped, they are no more.
-pub(crate) struct OnTheirWay {
+pub(crate) struct InFlight {
     app: Rc<App>,
     by_stage: Vec<(ServiceName, u32)>,
 }
 
-impl OnTheirWay {
-    /// The pieces of a stage were handed in.
-    pub(crate) fn handed_in(&mut self, stage: usize) {
+impl InFlight {
+    /// The pieces of a stage were submitted.
+    pub(crate) fn submitted(&mut self, stage: usize) {
         if let Some((pool, pieces)) = self.by_stage.get_mut(stage) {
             let pieces = std::mem::take(pieces);
             let pool = pool.clone();
@@ -103,10 +103,10 @@
     }
 }
 
-impl Drop for OnTheirWay {
+impl Drop for InFlight {
     fn drop(&mut self) {
         for stage in 0..self.by_stage.len() {
-            self.handed_in(stage);
+            self.submitted(stage);
         }
     }
 }
@@ -130,7 +130,7 @@
 }
 
 impl Forecast {
-    /// Time of a piece that is handed in after `begin`, with `ahead` before it: what is queued now has
+    /// Time of a piece that is submitted after `begin`, with `ahead` before it: what is queued now has
     /// drained since.
     fn time(&self, begin: Duration, ahead: f64) -> Duration {
         let drain = Duration::from_secs_f64(ahead / self.rate.max(1.0));
@@ -142,19 +142,19 @@
 ///
 /// # Errors
 /// The refusal, with the time to come back.
-pub(crate) fn admit(app: &Rc<App>, req: &Accepted) -> Result<OnTheirWay, Refusal> {
-    let mut way = OnTheirWay { app: Rc::clone(app), by_stage: Vec::new() };
+pub(crate) fn admit(app: &Rc<App>, req: &Accepted) -> Result<InFlight, Refusal> {
+    let mut in_flight = InFlight { app: Rc::clone(app), by_stage: Vec::new() };
     let pieces: u32 = req.head.pieces.iter().sum();
     // The baselines take whatever comes.
     if app.cfg.policy != Policy::Adaptive || req.entry.stages.is_empty() || pieces == 0 {
-        return Ok(way);
+        return Ok(in_flight);
     }
     let (expected, allowed, age) = app.hub.with(|shared, now| {
         let expected = expected_time(shared, req, now);
         let age = oldest_forecast(shared, req, now);
         let allowed = req.entry.aim.mul_f64(ADMITTED_PART - PART_BY_RANK * rank(req));
         if expected <= allowed {
-            way.by_stage = note(shared, req, now);
+            in_flight.by_stage = note(shared, req, now);
         }
         (expected, allowed, age)
     });
@@ -162,7 +162,7 @@
         info!(app.log, "admitted"; "request" => %req.id, "entry" => &req.entry.name,
             "expected_ms" => expected.as_millis(), "allowed_ms" => allowed.as_millis(),
             "forecast_ms_old" => age.map(|age| age.as_millis()));
-        return Ok(way);
+        return Ok(in_flight);
     }
     let part = EARLIEST_PART + (LATEST_PART - EARLIEST_PART) * rand::random::<f64>();
     let come_back = left(req.until).mul_f64(part);
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -48,7 +48,7 @@
 /// What a peer told of a pool whose calls it fills.
 #[derive(Debug, Clone)]
 pub(crate) struct PoolLoad {
-    /// Time from handing a piece to the pool with no queue to its result.
+    /// Time from submitting a piece to the pool with no queue to its result.
     pub(crate) turn: Duration,
     /// Pieces that wait.
     pub(crate) queue: Queue,
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -169,7 +169,7 @@
     drop(tx.send(Ok(FromOwner { kind: Some(from_owner::Kind::Fetched(Fetched { job })) })));
 }
 
-/// Pieces that a peer hands in; `None` if its names can't be read.
+/// Pieces that a peer submits; `None` if its names can't be read.
 pub(crate) fn submission_of(submit: Submit) -> Option<(ServiceName, Submission)> {
     let now = crate::hub::now();
     let slack = Duration::from_millis(u64::try_from(submit.slack_ms).unwrap_or(0));
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -1,5 +1,5 @@
 //! Links that this VM dials. Each VM dials those that fill calls for it and some more; the dialler
-//! hands over pieces, the answering side fills calls with them, and both tell heartbeats and news of
+//! submits pieces, the answering side fills calls with them, and both tell heartbeats and news of
 //! the store.
 
 use std::cell::{Cell, RefCell};
@@ -58,7 +58,7 @@
 }
 
 impl Link {
-    /// Hands pieces over; gives the submission's number.
+    /// Submits pieces; gives the submission's number.
     pub(crate) fn submit(
         &self,
         pool: &ServiceName,
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -250,8 +250,8 @@
             });
             pool.set_spec(spec);
             let own = self.split.contains(name).then_some(&self.own_hall);
-            let makers = self.targets.of_service(name);
-            pool.set_makers(makers.filter(|t| own.is_none_or(|hall| t.hall == *hall)));
+            let workers = self.targets.of_service(name);
+            pool.set_workers(workers.filter(|t| own.is_none_or(|hall| t.hall == *hall)));
         }
     }
 
@@ -317,7 +317,7 @@
 
     /// Whether a result lies in a hall that is out of reach.
     pub(crate) fn is_out_of_reach(&self, handle: &str) -> bool {
-        let hall = (self.doors.calls.maker)(handle).and_then(|at| self.targets.hall_at(at));
+        let hall = (self.doors.calls.worker)(handle).and_then(|at| self.targets.hall_at(at));
         hall.is_some_and(|hall| self.fleet.out_halls.contains(hall))
     }
 
@@ -337,8 +337,8 @@
     pub(crate) fn hall_of_inputs(&self, handles: &[String]) -> Option<HallName> {
         let mut counts: BTreeMap<&HallName, usize> = BTreeMap::new();
         for handle in handles {
-            let maker = (self.doors.calls.maker)(handle);
-            if let Some(hall) = maker.and_then(|at| self.targets.hall_at(at)) {
+            let worker = (self.doors.calls.worker)(handle);
+            if let Some(hall) = worker.and_then(|at| self.targets.hall_at(at)) {
                 *counts.entry(hall).or_default() += 1;
             }
         }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -12,14 +12,14 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout_at;
 
-use crate::admission::OnTheirWay;
+use crate::admission::InFlight;
 use crate::app::App;
 use crate::requests::Accepted;
-use crate::work::{self, HandedIn, PieceNews, StageTurn};
+use crate::work::{self, PieceNews, StageTurn, Submitted};
 
-/// Most times that a stage is handed in again after the VM that filled its calls was lost, or
+/// Most times that a stage is submitted again after the VM that filled its calls was lost, or
 /// after a result that it needed was gone.
-const HAND_INS: u32 = 4;
+const MOST_SUBMISSIONS: u32 = 4;
 
 /// Results smaller than this together are made wherever a target is free first.
 const LEAST_NEAR_BYTES: u64 = 200_000;
@@ -27,7 +27,7 @@
 /// Time beside the transfer itself within which an engine takes a request and has fetched its inputs.
 /// With 25 ms a deployment gains 0.010 of a loaded day and another loses 0.013 to inputs that were gone.
 const FETCH_EXTRA: Duration = Duration::from_millis(60);
-/// A result crosses the link of its maker and that of the engine.
+/// A result crosses the link of its worker and that of the engine.
 const FETCH_LINKS: f64 = 2.0;
 
 /// Why the stages brought no results.
@@ -39,7 +39,7 @@
     Broken,
 }
 
-/// Results of the last stages, kept at their makers until this is dropped.
+/// Results of the last stages, kept at their workers until this is dropped.
 pub(crate) struct Results {
     runs: Vec<StageRun>,
     last: Vec<usize>,
@@ -48,18 +48,18 @@
 struct StageRun {
     pieces: u32,
     handles: Vec<Option<String>>,
-    handed_in: Option<HandedIn>,
-    hand_ins: u32,
+    submitted: Option<Submitted>,
+    submissions: u32,
     kept: Kept,
     /// Whether the inputs were fetched by the targets at work on it.
     fetched: bool,
 }
 
-/// Whether a stage's results lie at their makers.
+/// Whether a stage's results lie at their workers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Kept {
     Yes,
-    /// As long as their makers have room.
+    /// As long as their workers have room.
     IfRoom,
     No,
 }
@@ -67,7 +67,14 @@
 impl StageRun {
     fn new(pieces: u32) -> Self {
         let handles = vec![None; pieces as usize];
-        StageRun { pieces, handles, handed_in: None, hand_ins: 0, kept: Kept::Yes, fetched: false }
+        StageRun {
+            pieces,
+            handles,
+            submitted: None,
+            submissions: 0,
+            kept: Kept::Yes,
+            fetched: false,
+        }
     }
 
     fn is_done(&self) -> bool {
@@ -80,21 +87,21 @@
 
     fn release(&mut self) {
         if std::mem::replace(&mut self.kept, Kept::No) != Kept::No {
-            self.with_results(HandedIn::release);
+            self.with_results(Submitted::release);
         }
     }
 
     fn release_if_scarce(&mut self) {
         if self.kept == Kept::Yes {
             self.kept = Kept::IfRoom;
-            self.with_results(HandedIn::release_if_scarce);
+            self.with_results(Submitted::release_if_scarce);
         }
     }
 
-    fn with_results(&self, tell: impl Fn(&HandedIn, &[String])) {
+    fn with_results(&self, tell: impl Fn(&Submitted, &[String])) {
         let handles: Vec<String> = self.handles.iter().flatten().cloned().collect();
-        if let Some(handed_in) = self.handed_in.as_ref().filter(|_| !handles.is_empty()) {
-            tell(handed_in, &handles);
+        if let Some(submitted) = self.submitted.as_ref().filter(|_| !handles.is_empty()) {
+            tell(submitted, &handles);
         }
     }
 }
@@ -122,7 +129,7 @@
         FETCH_EXTRA + self.last.iter().filter_map(time).sum::<Duration>()
     }
 
-    /// Lets the results go as soon as their makers' room is scarce: 0.010 of a loaded day on each of two
+    /// Lets the results go as soon as their workers' room is scarce: 0.010 of a loaded day on each of two
     /// deployments (means of 15 days), where a prompt is read for 140 to 420 ms.
     pub(crate) fn spare(&mut self) {
         for index in &self.last {
@@ -135,8 +142,8 @@
         let of_stage = |index: &usize| {
             let bytes = entry.stages[*index].result_bytes;
             self.runs[*index].handles.iter().flatten().filter_map(move |handle| {
-                let maker = (app.doors.calls.maker)(handle)?;
-                let hall = app.hub.with(|shared, _| shared.targets.hall_at(maker).cloned())?;
+                let worker = (app.doors.calls.worker)(handle)?;
+                let hall = app.hub.with(|shared, _| shared.targets.hall_at(worker).cloned())?;
                 Some((hall, bytes))
             })
         };
@@ -164,16 +171,16 @@
 /// Makes all pieces of all stages of a request.
 pub(crate) async fn run(
     of: &StagesOf<'_>,
-    mut way: Option<OnTheirWay>,
+    mut in_flight: Option<InFlight>,
 ) -> Result<Results, StagesMiss> {
     let pieces = pieces_of(of.entry, of.head);
     let mut runs: Vec<StageRun> = pieces.iter().map(|count| StageRun::new(*count)).collect();
     let (tx, mut rx) = unbounded_channel();
-    hand_in_ready(of, &mut runs, &tx);
+    submit_ready(of, &mut runs, &tx);
     loop {
-        if let Some(way) = &mut way {
-            let handed_in = (0..runs.len()).filter(|index| runs[*index].hand_ins > 0);
-            handed_in.for_each(|index| way.handed_in(index));
+        if let Some(in_flight) = &mut in_flight {
+            let submitted = (0..runs.len()).filter(|index| runs[*index].submissions > 0);
+            submitted.for_each(|index| in_flight.submitted(index));
         }
         if runs.iter().all(StageRun::is_done) {
             break;
@@ -217,7 +224,7 @@
                     }
                     if runs[index].is_done() {
                         release_used(of.entry, runs);
-                        hand_in_ready(of, runs, tx);
+                        submit_ready(of, runs, tx);
                     }
                 }
                 Made::Late => return Err(StagesMiss::Late),
@@ -226,25 +233,25 @@
             }
         }
         PieceNews::OwnerLost { of: turn } => {
-            info!(of.app.log, "pieces handed in again"; "request" => %of.id,
+            info!(of.app.log, "pieces submitted again"; "request" => %of.id,
                 "stage" => turn.stage, "why" => "the VM that fills the calls was lost");
             let index = turn.stage as usize;
             let needs = &of.entry.stages[index].needs;
             if needs.iter().any(|need| runs[*need].kept == Kept::No) {
                 start_over(of, runs, index, tx)?;
             } else {
-                runs[index].handed_in = None;
-                hand_in_again(of, runs, index, tx)?;
+                runs[index].submitted = None;
+                submit_again(of, runs, index, tx)?;
             }
         }
     }
     Ok(())
 }
 
-/// Whether news speaks of the last time that its stage was handed in.
+/// Whether news speaks of the last time that its stage was submitted.
 fn is_current(runs: &[StageRun], of: StageTurn) -> bool {
     let run = runs.get(of.stage as usize);
-    run.is_some_and(|run| run.handed_in.is_some() && run.hand_ins == of.turn)
+    run.is_some_and(|run| run.submitted.is_some() && run.submissions == of.turn)
 }
 
 /// An input was gone: the stages that this one needs are made anew, and then this one.
@@ -260,48 +267,48 @@
     for need in &of.entry.stages[index].needs {
         make_anew(of.entry, runs, *need)?;
     }
-    hand_in_ready(of, runs, tx);
+    submit_ready(of, runs, tx);
     Ok(())
 }
 
 /// Forgets what a stage made, and what it needs too where that was given up.
 fn make_anew(entry: &Entry, runs: &mut [StageRun], index: usize) -> Result<(), StagesMiss> {
-    let hand_ins = runs[index].hand_ins;
-    if hand_ins >= HAND_INS {
+    let submissions = runs[index].submissions;
+    if submissions >= MOST_SUBMISSIONS {
         return Err(StagesMiss::Broken);
     }
     runs[index] = StageRun::new(runs[index].pieces);
-    runs[index].hand_ins = hand_ins;
+    runs[index].submissions = submissions;
     let given_up = |need: &&usize| runs[**need].kept != Kept::Yes;
     let needs: Vec<usize> = entry.stages[index].needs.iter().filter(given_up).copied().collect();
     needs.into_iter().try_for_each(|need| make_anew(entry, runs, need))
 }
 
-fn hand_in_again(
+fn submit_again(
     of: &StagesOf<'_>,
     runs: &mut [StageRun],
     index: usize,
     tx: &UnboundedSender<PieceNews>,
 ) -> Result<(), StagesMiss> {
-    if runs[index].hand_ins >= HAND_INS {
+    if runs[index].submissions >= MOST_SUBMISSIONS {
         return Err(StagesMiss::Broken);
     }
-    hand_in(of, runs, index, tx);
+    submit_stage(of, runs, index, tx);
     Ok(())
 }
 
-/// Hands in every stage whose needs are met and that was not handed in yet.
-fn hand_in_ready(of: &StagesOf<'_>, runs: &mut [StageRun], tx: &UnboundedSender<PieceNews>) {
+/// Submits every stage whose needs are met and that was not submitted yet.
+fn submit_ready(of: &StagesOf<'_>, runs: &mut [StageRun], tx: &UnboundedSender<PieceNews>) {
     for index in 0..runs.len() {
-        let waits = runs[index].handed_in.is_none() && !runs[index].is_done();
+        let waits = runs[index].submitted.is_none() && !runs[index].is_done();
         let ready = of.entry.stages[index].needs.iter().all(|need| runs[*need].is_done());
         if waits && ready {
-            hand_in(of, runs, index, tx);
+            submit_stage(of, runs, index, tx);
         }
     }
 }
 
-fn hand_in(
+fn submit_stage(
     of: &StagesOf<'_>,
     runs: &mut [StageRun],
     index: usize,
@@ -316,9 +323,11 @@
     let input_bytes = stage.needs.iter().map(bytes_of).sum();
     let near = near_of(of, runs, index, &inputs);
     let key = inputs.is_empty().then(|| of.head.piece_key.clone()).flatten();
-    runs[index].hand_ins += 1;
-    let turn =
-        StageTurn { stage: u32::try_from(index).unwrap_or(u32::MAX), turn: runs[index].hand_ins };
+    runs[index].submissions += 1;
+    let turn = StageTurn {
+        stage: u32::try_from(index).unwrap_or(u32::MAX),
+        turn: runs[index].submissions,
+    };
     let submission = Submission {
         request: of.id.clone(),
         stage: turn.stage,
@@ -332,7 +341,7 @@
         result_bytes: stage.result_bytes,
         near,
     };
-    runs[index].handed_in = Some(work::hand_in(of.app, &stage.pool, submission, turn, tx));
+    runs[index].submitted = Some(work::submit_to_owner(of.app, &stage.pool, submission, turn, tx));
 }
 
 /// The hall near which a stage is best done: that of its inputs, or where large results for the
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -18,7 +18,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-use crate::admission::{self, OnTheirWay};
+use crate::admission::{self, InFlight};
 use crate::answers::{AnswerBody, Cut, refusal, whole};
 use crate::app::App;
 use crate::events::{Event, Splitter};
@@ -112,9 +112,9 @@
 /// Runs the stages and tries targets until the first event is here.
 async fn begin(app: &Rc<App>, req: &Rc<Accepted>) -> Result<Begun, Refusal> {
     let until = useful_until(req);
-    let way = admission::admit(app, req)?;
+    let in_flight = admission::admit(app, req)?;
     let mut tries = Tries::new(app, req);
-    let mut results = run_stages(app, req, until, Some(way)).await?;
+    let mut results = run_stages(app, req, until, Some(in_flight)).await?;
     loop {
         let size = size_of(app, req, results.as_ref());
         let inputs = results.as_ref().map(Results::inputs).unwrap_or_default();
@@ -185,7 +185,7 @@
     app: &Rc<App>,
     req: &Rc<Accepted>,
     until: Instant,
-    way: Option<OnTheirWay>,
+    in_flight: Option<InFlight>,
 ) -> Result<Option<Results>, Refusal> {
     if req.entry.stages.is_empty() || req.head.pieces.iter().all(|count| *count == 0) {
         return Ok(None);
@@ -205,7 +205,7 @@
         due: (req.arrived + req.entry.aim).checked_sub(first_event).unwrap_or(req.arrived),
     };
     let began = now();
-    let results = stages::run(&of, way).await;
+    let results = stages::run(&of, in_flight).await;
     info!(app.log, "stages ended"; "request" => %req.id, "entry" => &req.entry.name,
         "missed" => results.as_ref().err().map(|miss| format!("{miss:?}")),
         "took_ms" => (now() - began).as_millis(), "at_ms" => (now() - req.arrived).as_millis());
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -24,17 +24,17 @@
 /// Longest wait for a target to confirm that results were given up.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
 
-/// A stage of a request, and how often it had been handed in before: news of an earlier time that
+/// A stage of a request, and how often it had been submitted before: news of an earlier time that
 /// is still on its way says nothing of a later one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct StageTurn {
     /// Index of the stage.
     pub(crate) stage: u32,
-    /// Times that it was handed in, this one included.
+    /// Times that it was submitted, this one included.
     pub(crate) turn: u32,
 }
 
-/// What a request hears of the pieces that it handed in.
+/// What a request hears of the pieces that it submitted.
 #[derive(Debug)]
 pub(crate) enum PieceNews {
     /// A piece of a stage is done.
@@ -51,7 +51,7 @@
         /// The stage.
         of: StageTurn,
     },
-    /// The VM that fills the calls is gone; what is not done has to be handed in again.
+    /// The VM that fills the calls is gone; what is not done has to be submitted again.
     OwnerLost {
         /// The stage.
         of: StageTurn,
@@ -66,8 +66,8 @@
     Peer(ToDialer, u64),
 }
 
-/// A submission that was handed in; dropped, it is cancelled.
-pub(crate) struct HandedIn {
+/// A submission that was submitted; dropped, it is cancelled.
+pub(crate) struct Submitted {
     app: Rc<App>,
     place: Place,
 }
@@ -77,18 +77,18 @@
     Peer(Rc<Link>, u64),
 }
 
-impl HandedIn {
+impl Submitted {
     /// Gives up results of the submission.
     pub(crate) fn release(&self, handles: &[String]) {
         match &self.place {
             Place::Here(..) => release_here(&self.app, handles),
-            // Whoever had them made is gone: the makers are told by this VM.
+            // Whoever had them made is gone: the workers are told by this VM.
             Place::Peer(link, _) if link.is_over() => release_directly(&self.app, handles),
             Place::Peer(link, _) => link.release(handles, false),
         }
     }
 
-    /// Gives up results of the submission if their makers' room is scarce.
+    /// Gives up results of the submission if their workers' room is scarce.
     pub(crate) fn release_if_scarce(&self, handles: &[String]) {
         match &self.place {
             Place::Here(..) => release_if_scarce_here(&self.app, handles),
@@ -97,7 +97,7 @@
     }
 }
 
-impl Drop for HandedIn {
+impl Drop for Submitted {
     fn drop(&mut self) {
         match &self.place {
             Place::Here(pool, job) => cancel(&self.app, pool, *job),
@@ -106,14 +106,14 @@
     }
 }
 
-/// Hands pieces of a stage to the VM that fills the pool's calls.
-pub(crate) fn hand_in(
+/// Submits pieces of a stage to the VM that fills the pool's calls.
+pub(crate) fn submit_to_owner(
     app: &Rc<App>,
     pool: &ServiceName,
     submission: Submission,
     of: StageTurn,
     news: &UnboundedSender<PieceNews>,
-) -> HandedIn {
+) -> Submitted {
     let owner = app.hub.with(|shared, now| shared.owner_of(pool, now));
     let link = owner.and_then(|vm| app.links.borrow().get(&vm).cloned());
     let place = match link {
@@ -126,7 +126,7 @@
             Place::Here(pool.clone(), submit(app, pool, submission, sink))
         }
     };
-    HandedIn { app: Rc::clone(app), place }
+    Submitted { app: Rc::clone(app), place }
 }
 
 /// Takes pieces into the queue of a pool on this VM.
@@ -161,10 +161,10 @@
         let pools = shared.pools.iter_mut();
         pools.map(|(name, pool)| (name.clone(), pool.release(handles.to_vec()))).collect::<Vec<_>>()
     });
-    told.into_iter().for_each(|(pool, told)| tell_makers(app, &pool, told));
+    told.into_iter().for_each(|(pool, told)| tell_workers(app, &pool, told));
 }
 
-/// Gives up results that this VM had made, if their makers' room is scarce.
+/// Gives up results that this VM had made, if their workers' room is scarce.
 pub(crate) fn release_if_scarce_here(app: &Rc<App>, handles: &[String]) {
     let told = app.hub.with(|shared, _| {
         let pools = shared.pools.iter_mut();
@@ -174,32 +174,32 @@
         };
         pools.map(release).collect::<Vec<_>>()
     });
-    told.into_iter().for_each(|(pool, told)| tell_makers(app, &pool, told));
+    told.into_iter().for_each(|(pool, told)| tell_workers(app, &pool, told));
 }
 
-/// Gives up results at their makers, whoever had them made.
+/// Gives up results at their workers, whoever had them made.
 fn release_directly(app: &Rc<App>, handles: &[String]) {
-    let mut by_maker: HashMap<TargetName, (Target, Vec<String>)> = HashMap::new();
+    let mut by_worker: HashMap<TargetName, (Target, Vec<String>)> = HashMap::new();
     for handle in handles {
-        let Some(address) = (app.doors.calls.maker)(handle) else { continue };
-        let maker = app.hub.with(|shared, _| shared.targets.at(address).cloned());
-        if let Some(maker) = maker {
-            let of_maker = by_maker.entry(maker.id.clone()).or_insert((maker, Vec::new()));
-            of_maker.1.push(handle.clone());
+        let Some(address) = (app.doors.calls.worker)(handle) else { continue };
+        let worker = app.hub.with(|shared, _| shared.targets.at(address).cloned());
+        if let Some(worker) = worker {
+            let of_worker = by_worker.entry(worker.id.clone()).or_insert((worker, Vec::new()));
+            of_worker.1.push(handle.clone());
         }
     }
-    for (target, handles) in by_maker.into_values() {
+    for (target, handles) in by_worker.into_values() {
         let app = Rc::clone(app);
-        spawn_local(async move { tell_maker(&app, &target, &handles).await });
+        spawn_local(async move { tell_worker(&app, &target, &handles).await });
     }
 }
 
-/// Tells makers that results are given up; their room is used again once they have heard.
-fn tell_makers(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) {
+/// Tells workers that results are given up; their room is used again once they have heard.
+fn tell_workers(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) {
     for told in told {
         let (app, pool) = (Rc::clone(app), pool.clone());
         spawn_local(async move {
-            let heard = tell_maker(&app, &told.target, &told.handles).await;
+            let heard = tell_worker(&app, &told.target, &told.handles).await;
             app.hub.with(|shared, now| {
                 let pool = shared.pools.get_mut(&pool);
                 pool.map(|pool| pool.given_up(&told, heard, now))
@@ -209,8 +209,8 @@
     }
 }
 
-/// Tells a maker that results are given up; false if it may not have heard.
-async fn tell_maker(app: &App, target: &Target, handles: &[String]) -> bool {
+/// Tells a worker that results are given up; false if it may not have heard.
+async fn tell_worker(app: &App, target: &Target, handles: &[String]) -> bool {
     let call = (app.doors.calls.release)(&target.id, handles);
     let why = match tokio::time::timeout(RELEASE_WAIT, own_call(app, target, call)).await {
         Ok(Ok(_)) => return true,
@@ -231,7 +231,7 @@
             Some((pool.next_call(now)?, pool.release_orphans()))
         });
         let Some((call, orphans)) = next else { break };
-        tell_makers(app, pool, orphans);
+        tell_workers(app, pool, orphans);
         spawn_local(make(Rc::clone(app), pool.clone(), call));
     }
     let look = app.hub.with(|shared, now| shared.pools.get(pool)?.next_look(now));
@@ -296,7 +296,7 @@
         Some(pool) => (pool.call_ended(call.key, end, now), pool.release_orphans()),
         None => (Vec::new(), Vec::new()),
     });
-    tell_makers(&app, &pool, orphans);
+    tell_workers(&app, &pool, orphans);
     hand_back(&app, &pool, finished);
     fill_calls(&app, &pool);
 }
@@ -328,7 +328,7 @@
     }
 }
 
-/// Tells those whose inputs are needed no more: room at their makers is scarcer than time.
+/// Tells those whose inputs are needed no more: room at their workers is scarcer than time.
 fn tell_fetched(app: &App, pool: &ServiceName, call: CallKey) {
     let jobs = app.hub.with(|shared, _| {
         shared.pools.get_mut(pool).map(|pool| pool.fetched(call)).unwrap_or_default()
--- a/tests/serving_streams.rs
+++ b/tests/serving_streams.rs
@@ -218,7 +218,7 @@
 fn results_are_given_up_before_the_first_event_where_room_is_scarce() {
     let site = Site::start();
     let mut scarce = usual_configuration(2);
-    // Three results take 0.9 of the 1 MB that a maker has.
+    // Three results take 0.9 of the 1 MB that a worker has.
     scarce["routes"][4]["stages"][1]["bytes"] = json!(300_000);
     site.store.put("op/config", &scarce);
     let vm = site.start_vm("scarce", "");
