One hash for all builds; an engine's home is looked for once a choice

Cause: owners of pools, homes of prompts, shares of traffic and the parts of a prompt went by the standard library's default hasher, whose algorithm is not promised between releases of the compiler: VMs of two builds could choose differently during a rolling upgrade. And the home of a prompt was looked for anew at each candidate: with 240 engines 57,600 hashes of texts a choice.

Ruled out: seeding the default hasher (its algorithm still may change); a hash of our own (libraries exist).

Which VM owns which pool changes once with this build.

--- a/components/routing/src/choice.rs
+++ b/components/routing/src/choice.rs
@@ -1,7 +1,5 @@
 //! Choice of a target among those that a stage's selector allows.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 use std::time::Instant;
 
 use ids::HallName;
@@ -76,8 +74,5 @@
 }
 
 fn rendezvous(prefix: u64, name: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    prefix.hash(&mut hasher);
-    name.hash(&mut hasher);
-    hasher.finish()
+    hashing::combine(prefix, hashing::of_text(name))
 }
--- a/components/routing/src/shares.rs
+++ b/components/routing/src/shares.rs
@@ -3,9 +3,6 @@
 //! Each VM computes the same deal from the same list of VMs, so that together they give a target
 //! as much as it can run, without asking each other. What others leave idle may be borrowed.
 
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
-
 use ids::{HallName, TargetName, VmName};
 
 /// A VM that takes part in the deal.
@@ -39,8 +36,5 @@
 }
 
 fn place_of(target: &TargetName, vm: &VmName) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    target.hash(&mut hasher);
-    vm.hash(&mut hasher);
-    hasher.finish()
+    hashing::combine(hashing::of_text(target.as_str()), hashing::of_text(vm.as_str()))
 }
--- a/components/selection/src/cache.rs
+++ b/components/selection/src/cache.rs
@@ -1,8 +1,6 @@
 //! What an engine probably keeps of prompts, from where this VM sent them.
 
 use std::collections::HashMap;
-use std::collections::hash_map::DefaultHasher;
-use std::hash::{Hash, Hasher};
 use std::time::Instant;
 
 /// A start of a prompt: hash of its parts up to here, and its tokens.
@@ -10,14 +8,13 @@
 
 /// The starts of a prompt given by its parts, shortest first.
 pub fn chain_of(model: &str, parts: impl Iterator<Item = (u64, u32)>) -> Chain {
-    let mut hasher = DefaultHasher::new();
-    model.hash(&mut hasher);
+    let mut hash = hashing::of_text(model);
     let mut tokens = 0;
     parts
         .map(|(id, length)| {
-            id.hash(&mut hasher);
+            hash = hashing::combine(hash, id);
             tokens += u64::from(length);
-            (hasher.finish(), tokens)
+            (hash, tokens)
         })
         .collect()
 }
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -1,7 +1,6 @@
 //! The targets that this VM knows, their load, and the choice among them.
 
 use std::collections::{BTreeSet, HashMap};
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -118,6 +117,8 @@
 #[derive(Debug)]
 struct State {
     target: Target,
+    /// Hash of its id.
+    id_hash: u64,
     calls: u32,
     unread: u64,
     peers: HashMap<u64, (Instant, u32, u64)>,
@@ -268,7 +269,8 @@
             }
         }?;
         self.turn = self.turn.wrapping_add(1);
-        let cost = self.cost(chosen, &among, wanted, now);
+        let home = self.home_of(&among, wanted);
+        let cost = self.cost(chosen, home, wanted, now);
         let state = &mut self.arena[chosen];
         let unread = wanted.size.map_or(0, |size| state.unread_of(size));
         state.calls += 1;
@@ -349,11 +351,24 @@
         wanted: &Wanted<'_>,
         now: Instant,
     ) -> Option<TargetKey> {
-        let costs = among.iter().map(|key| (*key, self.cost(*key, among, wanted, now)));
+        let home = self.home_of(among, wanted);
+        let costs = among.iter().map(|key| (*key, self.cost(*key, home, wanted, now)));
         costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(key, _)| key)
     }
 
-    fn cost(&self, key: TargetKey, among: &[TargetKey], wanted: &Wanted<'_>, now: Instant) -> f64 {
+    /// The home of a call's prompt, found once for all that are compared: 7 us a choice among 240
+    /// targets, not 1,151 (`saddlerail-load choice`).
+    fn home_of(&self, among: &[TargetKey], wanted: &Wanted<'_>) -> Option<TargetKey> {
+        self.home(among, wanted.size?)
+    }
+
+    fn cost(
+        &self,
+        key: TargetKey,
+        home: Option<TargetKey>,
+        wanted: &Wanted<'_>,
+        now: Instant,
+    ) -> f64 {
         let state = &self.arena[key];
         let calls = state.calls_known(now);
         let failing = state.failing * FAILING_COST;
@@ -365,7 +380,6 @@
                 full.max(far) + far + state.failing
             }
             Some(size) => {
-                let home = self.home(among, size);
                 let believed = if home == Some(key) { HOME_BELIEF } else { 0.0 };
                 let shared = shared_tokens(size) as f64 * believed;
                 let unread = (state.unread_of(size) as f64 - shared).max(0.0);
@@ -383,12 +397,7 @@
     fn home(&self, among: &[TargetKey], size: &CallSize) -> Option<TargetKey> {
         let shared = size.chain.len().checked_sub(2)?;
         let (start, _) = size.chain[shared];
-        among.iter().copied().max_by_key(|key| {
-            let mut hasher = std::collections::hash_map::DefaultHasher::new();
-            start.hash(&mut hasher);
-            self.arena[*key].target.id.as_str().hash(&mut hasher);
-            hasher.finish()
-        })
+        among.iter().copied().max_by_key(|key| hashing::combine(start, self.arena[*key].id_hash))
     }
 }
 
@@ -401,6 +410,7 @@
 impl State {
     fn new(target: Target) -> Self {
         State {
+            id_hash: hashing::of_text(target.id.as_str()),
             target,
             calls: 0,
             unread: 0,
--- a/daemon/src/pipeline.rs
+++ b/daemon/src/pipeline.rs
@@ -1,6 +1,5 @@
 //! A request's way through its stages, written straight down on a thread of its own.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -307,7 +306,7 @@
             arrived: self.req.arrived,
             deadline: self.req.deadline,
             exclude: tried.to_vec(),
-            prefix: self.req.prefix.as_ref().map(|prefix| hash_of(prefix)),
+            prefix: self.req.prefix.as_ref().map(|prefix| hashing::of_text(prefix)),
             attempt_number: self.attempts,
         }
     }
@@ -488,9 +487,3 @@
         }
     }
 }
-
-fn hash_of(text: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    text.hash(&mut hasher);
-    hasher.finish()
-}
--- a/gateway/src/fleet.rs
+++ b/gateway/src/fleet.rs
@@ -1,8 +1,6 @@
 //! The other VMs as this one sees them: whom to link to, and who fills the calls of which pool.
 
-use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeSet, HashMap};
-use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -228,9 +226,6 @@
 
 /// Weighted rendezvous hashing: the VM with the highest rank owns the key.
 fn rank(key: &str, vm: &VmName, cores: f64) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    key.hash(&mut hasher);
-    vm.as_str().hash(&mut hasher);
-    let unit = (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    -cores.powi(CORES_POWER) / unit.ln()
+    let hash = hashing::combine(hashing::of_text(key), hashing::of_text(vm.as_str()));
+    -cores.powi(CORES_POWER) / hashing::as_part(hash).ln()
 }
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -134,10 +134,7 @@
 }
 
 fn peer_number(vm: &VmName) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = std::collections::hash_map::DefaultHasher::new();
-    vm.as_str().hash(&mut hasher);
-    hasher.finish()
+    hashing::of_text(vm.as_str())
 }
 
 /// What became of a piece, as its owner tells it.
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -134,7 +134,7 @@
     let entry = Arc::clone(entry.ok_or_else(|| deny("no entry", Refusal::NoEntry))?);
     let customer = customer_of(&intent, &entry, &head);
     let customer = customer.map_err(|(why, denial)| deny(why, denial))?;
-    let service = entry.service_for(hash_of(&id)).cloned();
+    let service = entry.service_for(hashing::of_text(id.as_str())).cloned();
     let service = service.ok_or(("no entry", Refusal::NoEntry))?;
     let left = head.left.unwrap_or(entry.longest).min(entry.longest);
     let until = arrived + left;
@@ -199,13 +199,6 @@
     }
 }
 
-fn hash_of(id: &RequestId) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = std::collections::hash_map::DefaultHasher::new();
-    id.as_str().hash(&mut hasher);
-    hasher.finish()
-}
-
 /// A call with the caller's method, path and body.
 pub(crate) fn call_of(req: &Accepted, headers: http::HeaderMap) -> Request<Full<Bytes>> {
     let mut call = Request::new(Full::new(req.body.clone()));
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,6 +1,7 @@
 //! `saddlerail-load`, the benchmark: real daemons before stand-in targets, on one machine.
 
 mod arrivals;
+mod choice;
 mod client;
 mod fleet;
 mod overhead;
@@ -33,6 +34,7 @@
         .subcommand(
             Command::new("overhead").about("What an entry VM adds to a call").arg(seconds("5")),
         )
+        .subcommand(Command::new("choice").about("Processor time of choosing an engine"))
         .subcommand(
             Command::new("scenario")
                 .about("One scenario under several policies, on the same arrivals")
@@ -63,6 +65,12 @@
     let number = |args: &clap::ArgMatches, name: &str| args.get_one::<u64>(name).copied();
     match matches.subcommand() {
         Some(("overhead", args)) => overhead::measure(number(args, "seconds").unwrap_or(5)),
+        Some(("choice", _)) => {
+            if let Err(e) = choice::measure() {
+                eprintln!("{e}");
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("slopes", args)) => {
             let sizes = args.get_many::<String>("sizes").into_iter().flatten().cloned();
             slopes::measure(&sizes.collect::<Vec<_>>());
