Tests: changes reach all VMs of a fleet in which few watch the store

Twelve VMs in two halls before the store's stand-in, each with a link of its own to it: two a hall watch; a change reaches all when those are gone, turned away, after an outage, and after history was forgotten.

--- /dev/null
+++ b/tests/relayed_changes.rs
@@ -0,0 +1,124 @@
+//! In a large fleet two VMs of each hall watch the store, and the others hear of changes from them.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::expect_used)]
+
+use serde_json::json;
+use standins::fleet::wait_until;
+use standins::users::link::{Link, Passing};
+use standins::users::serving::{Site, Vm, usual_configuration};
+use standins::users::store::Mood;
+
+/// VMs of a hall: with both halls more than are linked to all others.
+const EACH: usize = 6;
+const HALLS: [&str; 2] = ["hall-a", "hall-b"];
+
+struct Member {
+    vm: Vm,
+    /// Its way to the store.
+    link: Link,
+    hall: &'static str,
+}
+
+impl Member {
+    fn watches(&self) -> bool {
+        self.vm.state()["watches_store"] == json!(true)
+    }
+
+    fn version(&self) -> u64 {
+        self.vm.state()["configuration"].as_u64().unwrap_or(0)
+    }
+}
+
+fn start_fleet(site: &Site, name: &str) -> Vec<Member> {
+    let start = |(number, hall): (usize, &'static str)| {
+        let link = Link::start(site.store.address).expect("a link");
+        let vm = Vm::start(&format!("{name}-{hall}-{number}"), hall, link.address, "");
+        Member { vm, link, hall }
+    };
+    let halls = HALLS.into_iter().flat_map(|hall| (0..EACH).map(move |number| (number, hall)));
+    let fleet: Vec<Member> = halls.map(start).collect();
+    fleet.iter().for_each(|member| site.wait_known(&member.vm));
+    fleet
+}
+
+fn watchers(fleet: &[Member], hall: &str) -> usize {
+    fleet.iter().filter(|member| member.hall == hall && member.watches()).count()
+}
+
+fn wait_for_two_a_hall(fleet: &[Member]) {
+    wait_until("two VMs a hall watch", || HALLS.iter().all(|hall| watchers(fleet, hall) == 2));
+}
+
+fn wait_for_version(fleet: &[Member], version: u64) {
+    wait_until("all have the version in force", || {
+        fleet.iter().all(|member| member.version() == version)
+    });
+}
+
+#[test]
+fn two_vms_of_each_hall_watch_and_a_change_reaches_all() {
+    let site = Site::start();
+    let fleet = start_fleet(&site, "relay-few");
+    wait_for_two_a_hall(&fleet);
+
+    site.store.put("op/config", &usual_configuration(2));
+
+    wait_for_version(&fleet, 2);
+}
+
+#[test]
+fn a_change_reaches_all_when_those_that_watched_are_gone() {
+    let site = Site::start();
+    let mut fleet = start_fleet(&site, "relay-gone");
+    wait_for_two_a_hall(&fleet);
+
+    fleet.retain(|member| !member.watches());
+    site.store.put("op/config", &usual_configuration(2));
+
+    wait_for_version(&fleet, 2);
+    wait_for_two_a_hall(&fleet);
+}
+
+#[test]
+fn a_change_reaches_all_when_the_store_turns_those_that_watch_away() {
+    let site = Site::start();
+    let fleet = start_fleet(&site, "relay-refused");
+    wait_for_two_a_hall(&fleet);
+
+    fleet.iter().filter(|member| member.watches()).for_each(|m| m.link.set(Passing::None));
+    site.store.put("op/config", &usual_configuration(2));
+
+    wait_for_version(&fleet, 2);
+}
+
+#[test]
+fn a_store_that_comes_back_is_found_and_its_changes_reach_all() {
+    let site = Site::start();
+    let fleet = start_fleet(&site, "relay-outage");
+    wait_for_two_a_hall(&fleet);
+    site.store.set_mood(Mood::Busy);
+    wait_until("all have lost the store", || {
+        fleet.iter().all(|member| member.vm.state()["store_lost"] == json!(true))
+    });
+
+    site.store.set_mood(Mood::Well);
+    site.store.put("op/config", &usual_configuration(2));
+
+    wait_for_version(&fleet, 2);
+    wait_for_two_a_hall(&fleet);
+}
+
+#[test]
+fn history_that_is_forgotten_leaves_no_vm_behind() {
+    let site = Site::start();
+    let fleet = start_fleet(&site, "relay-forgotten");
+    wait_for_two_a_hall(&fleet);
+    site.store.set_mood(Mood::Silent);
+    site.store.put("op/config", &usual_configuration(2));
+    site.store.forget_history();
+
+    site.store.set_mood(Mood::Well);
+
+    wait_for_version(&fleet, 2);
+}
