An owner that has no configuration yet is waited for

Cause: a peer that was linked and had not told of its configuration was passed over as one that is behind, so that VMs that started together took themselves for owners again for the 200 ms until its next heartbeat.

--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -66,7 +66,7 @@
         let best = of_part.find(|vm| {
             let is_owner =
                 if **vm == self.own { !draining } else { self.takes_work(vm, pool, split, now) };
-            awaited |= !is_owner && **vm != self.own && self.may_be_linked(vm);
+            awaited |= !is_owner && **vm != self.own && self.may_take_work_soon(vm);
             is_owner
         });
         match best {
@@ -168,11 +168,13 @@
         self.peers.get(vm).is_some_and(takes) && !self.is_out_of_reach(vm)
     }
 
-    /// Whether a link to a VM may be under way: it is known from the store only, or it was heard over
-    /// a link that it dialled. That a dial failed says little while all VMs start.
-    fn may_be_linked(&self, vm: &VmName) -> bool {
-        let takes = |peer: &PeerVm| !peer.lost && !peer.linked && !peer.draining;
-        self.peers.get(vm).is_none_or(takes) && !self.is_out_of_reach(vm)
+    /// Whether a VM may take work in a moment: it is known from the store only, it was heard over a link
+    /// that it dialled, or it has no configuration yet. That a dial failed says little while all VMs
+    /// start.
+    fn may_take_work_soon(&self, vm: &VmName) -> bool {
+        let starts = |peer: &PeerVm| !peer.linked || peer.configuration == 0;
+        let may = |peer: &PeerVm| !peer.lost && !peer.draining && starts(peer);
+        self.peers.get(vm).is_none_or(may) && !self.is_out_of_reach(vm)
     }
 
     /// Whether a VM can't be linked, or its link was lost and it was not heard since. Nothing is known
--- a/components/fleet/tests/ownership.rs
+++ b/components/fleet/tests/ownership.rs
@@ -154,6 +154,24 @@
     assert_eq!([at(0), at(1100), at(1300)], [Owner::Unknown, Owner::Unknown, Owner::This]);
 }
 
+#[test]
+fn an_owner_that_has_no_configuration_yet_is_waited_for() {
+    let (now, split) = (Instant::now(), split(6, 7));
+    let part = split.part_of(&hall("hall-0"));
+    let [owner, own] = [0, 1].map(|place| owner_at(place, &split, 0, 60, 6));
+    let split = split.first_seen(5);
+    let mut fleet = listed(own, 60, 6, now);
+    fleet.heard(&vm(owner), true, now);
+    let owner_at_version = |fleet: &mut Fleet, version| {
+        fleet.peers.get_mut(&vm(owner)).unwrap().configuration = version;
+        fleet.owner_of(POOL, &split, part, false, now)
+    };
+
+    assert_eq!(owner_at_version(&mut fleet, 0), Owner::Unknown);
+    assert_eq!(owner_at_version(&mut fleet, 4), Owner::This, "it may not know the pool");
+    assert_eq!(owner_at_version(&mut fleet, 5), Owner::Peer(vm(owner)));
+}
+
 #[test]
 fn a_vm_that_loses_the_owner_and_its_stand_in_waits_for_the_next_one() {
     let (now, split) = (Instant::now(), split(6, 7));
