Pieces go to the part of the pool in which their results are wanted

The part went by the hall of the VM that had the request, not by the hall of the engine or of the inputs, which the owner of one part for all heeds among all workers.

Change: where results are wanted near a hall, its part is asked first; another one still takes them when it is more than a call ahead.

--- a/components/fleet/src/split.rs
+++ b/components/fleet/src/split.rs
@@ -61,6 +61,11 @@
         (0..self.parts.max(1)).map(Part)
     }
 
+    /// Whether there is one part only.
+    pub fn is_whole(&self) -> bool {
+        self.parts <= 1
+    }
+
     /// The part to which a hall belongs; a hall without workers belongs to the first one.
     pub fn part_of(&self, hall: &HallName) -> Part {
         let place = self.halls.binary_search(hall).unwrap_or(0);
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -249,7 +249,7 @@
 
 /// What the VM that fills a pool's calls expects.
 fn forecast(shared: &Shared, name: &ServiceName, now: Instant) -> Option<Forecast> {
-    match shared.owner_of(name, now) {
+    match shared.owner_of(name, None, now) {
         Owner::Unknown => None,
         Owner::This => {
             let pool = shared.pools.get(name)?;
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -105,7 +105,7 @@
             .pools
             .iter()
             .map(|(name, pool)| {
-                let owner = match shared.owner_of(name, now) {
+                let owner = match shared.owner_of(name, None, now) {
                     Owner::This => "this VM".to_owned(),
                     Owner::Peer(vm) => vm.to_string(),
                     Owner::Unknown => "not known yet".to_owned(),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -296,29 +296,44 @@
         self.first_events.get(service).copied().unwrap_or(FIRST_EVENT)
     }
 
-    /// The VM to which pieces for a pool are submitted now: that of this VM's own part, or of another
-    /// part that would have made them by the time at which the own one begins.
-    pub(crate) fn owner_of(&self, pool: &ServiceName, now: Instant) -> Owner {
+    /// The VM to which pieces for a pool are submitted now, whose results are wanted near a hall or
+    /// anywhere: that of the hall's part or of this VM's own, or of another part that would have made
+    /// them by the time at which the first one begins. Parts by this VM's hall alone took 9.4 GB of
+    /// results to other halls on a calm day of 295 VMs, where one part for all took 3.2.
+    pub(crate) fn owner_of(
+        &self,
+        pool: &ServiceName,
+        near: Option<&HallName>,
+        now: Instant,
+    ) -> Owner {
         let Some(split) = self.splits.get(pool) else { return Owner::This };
         let own = split.part_of(&self.own_hall);
-        let owner = self.owner_of_part(pool, split, own, now);
-        if split.parts().nth(1).is_none() {
-            return owner;
-        }
-        let Some(drain) = self.drain_of(pool, &owner, now) else { return owner };
-        let Some(spec) = self.intent.as_ref().and_then(|intent| intent.pool(pool)) else {
-            return owner;
+        let wanted = near.map_or(own, |hall| split.part_of(hall));
+        let first = match self.owner_of_part(pool, split, wanted, now) {
+            Owner::Unknown => self.owner_of_part(pool, split, own, now),
+            owner => owner,
         };
-        let others = split.parts().filter(|part| *part != own);
-        let others = others.filter_map(|part| {
-            let other = self.owner_of_part(pool, split, part, now);
-            Some((self.drain_of(pool, &other, now)?, other))
-        });
-        let best = others.min_by_key(|(drain, _)| *drain);
-        match best {
-            Some((other_drain, other)) if other_drain + spec.call < drain => other,
-            _ => owner,
+        self.owner_ahead_of(pool, split, &first, now).unwrap_or(first)
+    }
+
+    /// The owner of a part that makes all that waits for it earlier than another one by more than a
+    /// call, so that pieces are better off there in spite of the way.
+    fn owner_ahead_of(
+        &self,
+        pool: &ServiceName,
+        split: &Split,
+        than: &Owner,
+        now: Instant,
+    ) -> Option<Owner> {
+        if split.is_whole() {
+            return None;
         }
+        let drain = self.drain_of(pool, than, now)?;
+        let call = self.intent.as_ref()?.pool(pool)?.call;
+        let owners = split.parts().map(|part| self.owner_of_part(pool, split, part, now));
+        let drains = owners.filter_map(|other| Some((self.drain_of(pool, &other, now)?, other)));
+        let (least, best) = drains.min_by_key(|(drain, _)| *drain)?;
+        (least + call < drain).then_some(best)
     }
 
     fn owner_of_part(&self, pool: &ServiceName, split: &Split, part: Part, now: Instant) -> Owner {
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -200,7 +200,10 @@
 /// Waits until it is known who fills the calls of the request's pools, as long as the fleet settles.
 async fn owners_known(of: &StagesOf<'_>) {
     let is_unknown = |shared: &Shared, now: Instant| {
-        of.entry.stages.iter().any(|stage| shared.owner_of(&stage.pool, now) == Owner::Unknown)
+        of.entry
+            .stages
+            .iter()
+            .any(|stage| shared.owner_of(&stage.pool, None, now) == Owner::Unknown)
     };
     let until = tokio::time::Instant::from_std(of.until);
     while of.app.hub.with(|shared, now| is_unknown(shared, now)) {
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -115,7 +115,7 @@
     of: StageTurn,
     news: &UnboundedSender<PieceNews>,
 ) -> Submitted {
-    let owner = app.hub.with(|shared, now| shared.owner_of(pool, now));
+    let owner = app.hub.with(|shared, now| shared.owner_of(pool, submission.near.as_ref(), now));
     let link = match owner {
         Owner::Peer(vm) => app.links.borrow().get(&vm).cloned(),
         Owner::This | Owner::Unknown => None,
