--- a/tests/mixed_versions.rs
+++ b/tests/mixed_versions.rs
@@ -3,6 +3,10 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::expect_used)]
 
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
 use serde_json::{Value, json};
 use standins::fleet::wait_until;
 use standins::users::link::{Link, Passing};
@@ -43,3 +47,56 @@
 
     assert_eq!(answer.status(), 200);
 }
+
+/// Pause between two changes, shorter than the time in which the VMs gather them.
+const CHANGE_PAUSE: Duration = Duration::from_millis(150);
+const CHANGES: u64 = 12;
+
+/// Sends requests that may not be repeated, and chains, to one VM until told to end; gives how often
+/// each of the former ran, and the statuses that were not 200.
+fn send_until(over: &AtomicBool, site: &Site, vm: &Vm, name: &str) -> (Vec<usize>, Vec<u16>) {
+    let (mut runs, mut other) = (Vec::new(), Vec::new());
+    let mut number = 0;
+    while !over.load(Ordering::Relaxed) {
+        number += 1;
+        let once = format!("once-{name}-{number}");
+        let chain = format!("chain-{name}-{number}");
+        let chain = post("/chain/", &chain).with("Pieces", "1,1").with("Piece-Key", "k");
+        let statuses = [post("/once/", &once), chain].map(|call| answered(&call, vm).status());
+        other.extend(statuses.into_iter().filter(|status| *status != 200));
+        runs.push(site.runs(&once));
+    }
+    (runs, other)
+}
+
+#[test]
+fn settings_read_again_beside_versions_in_series_cut_and_repeat_nothing() {
+    let site = Site::start();
+    let vms: Vec<Vm> = ["mixed-a", "mixed-b", "mixed-c"].map(|name| site.start_vm(name, "")).into();
+    let over = AtomicBool::new(false);
+
+    let ended = thread::scope(|scope| {
+        let (site, over) = (&site, &over);
+        let send = |(number, vm): (usize, _)| {
+            scope.spawn(move || send_until(over, site, vm, &number.to_string()))
+        };
+        let senders: Vec<_> = vms.iter().enumerate().map(send).collect();
+        for version in 2..2 + CHANGES {
+            site.store.put("op/config", &usual_configuration(version));
+            vms.iter().step_by(2).for_each(|vm| vm.signal("-HUP"));
+            thread::sleep(CHANGE_PAUSE);
+        }
+        over.store(true, Ordering::Relaxed);
+        let ended = senders.into_iter().map(|sender| sender.join().expect("a sender ends"));
+        ended.collect::<Vec<_>>()
+    });
+
+    for (runs, other) in ended {
+        assert!(runs.len() > 5, "{}", runs.len());
+        assert!(runs.iter().all(|runs| *runs == 1), "{runs:?}");
+        assert!(other.is_empty(), "{other:?}");
+    }
+    wait_until("all have the last version", || {
+        vms.iter().all(|vm| vm.state()["configuration"] == json!(1 + CHANGES))
+    });
+}
