--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -2,6 +2,8 @@
 
 use std::time::{Duration, Instant};
 
+use eligibility::Eligibility;
+
 use crate::pool::{LEAST_TIME, Pool, UnderWay, Waiting};
 use crate::submission::{Call, JobKey, Order, Submission};
 use crate::worker::{Worker, WorkerKey};
@@ -68,7 +70,7 @@
     }
 
     pub(crate) fn may_work(&self, worker: &Worker, at_once: u32, now: Instant) -> bool {
-        worker.may_work(at_once, now) && !self.out_halls.contains(&worker.target.hall)
+        worker.may_work(at_once, now) && self.halls.eligibility(&worker.target) == Eligibility::Open
     }
 
     /// Pieces that can still be in time go first, by slack; late ones follow. Whether they are late is
@@ -150,7 +152,7 @@
         let job = self.jobs.get(waiting.job)?;
         let near = job.submission.near.as_ref()?;
         if self.order == Order::Arrival
-            || self.out_halls.contains(near)
+            || !self.halls.is_open(near)
             || !self.workers.values().any(|m| m.target.hall == *near && !m.doubtful())
         {
             return None;
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -1,9 +1,10 @@
 //! The state of a pool: its workers, what waits, what is under way, and the results that lie at workers.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use ids::{HallName, TargetName};
+use eligibility::Halls;
+use ids::TargetName;
 use intent::{PoolSpec, Target};
 use slotmap::SlotMap;
 
@@ -63,8 +64,7 @@
     /// Part of the workers' room that may be used: how large results are is known about only, so
     /// that it is learned from those that found none.
     pub(crate) room_part: f64,
-    /// Halls that are out of reach.
-    pub(crate) out_halls: BTreeSet<HallName>,
+    pub(crate) halls: Halls,
 }
 
 impl Pool {
@@ -82,7 +82,7 @@
             orphans: Vec::new(),
             usual_pieces: 1.0,
             room_part: 1.0,
-            out_halls: BTreeSet::new(),
+            halls: Halls::default(),
         }
     }
 
@@ -109,9 +109,22 @@
         }
     }
 
-    /// Halls are out of reach, or within it again: their workers are not called.
-    pub fn set_out_halls(&mut self, out: BTreeSet<HallName>) {
-        self.out_halls = out;
+    /// Takes which halls are used how: only workers of halls that are open are called.
+    pub fn set_halls(&mut self, halls: Halls) {
+        self.halls = halls;
+    }
+
+    /// Whether all of its workers are leaving or in halls that operators took out of service, so that
+    /// what waits here can't be made.
+    pub fn is_closed(&self) -> bool {
+        let is_allowed = |worker: &Worker| self.halls.eligibility(&worker.target).is_allowed();
+        !self.workers.is_empty() && !self.workers.values().any(is_allowed)
+    }
+
+    /// Ends all that waits, with no try left; gives the pieces.
+    pub fn give_up_waiting(&mut self) -> Vec<Finished> {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.iter().filter_map(|waiting| self.finish(waiting, Made::Broken)).collect()
     }
 
     /// Submissions of which pieces wait.
--- a/components/batching/src/worker.rs
+++ b/components/batching/src/worker.rs
@@ -59,7 +59,7 @@
 
     pub(crate) fn may_work(&self, at_once: u32, now: Instant) -> bool {
         let rests = self.rests_until.is_some_and(|until| now < until);
-        !self.target.leaving && !rests && self.at_work < at_once
+        !rests && self.at_work < at_once
     }
 
     /// When it may work again, if it rests.
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -3,11 +3,11 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
-use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
 use batching::{CallEnd, Finished, Made, Order, Pool, Submission};
 use doors::calls::PieceAnswer;
+use eligibility::Halls;
 use ids::{HallName, RequestId, ServiceName, TargetName};
 use intent::{PoolSpec, Target};
 
@@ -35,6 +35,7 @@
         hall: HallName::new(hall).unwrap(),
         slots: 1,
         leaving: false,
+        cold: Duration::ZERO,
     }
 }
 
@@ -324,15 +325,16 @@
 fn workers_of_a_hall_out_of_reach_get_no_calls_and_a_call_there_costs_no_try() {
     let now = Instant::now();
     let mut pool = pool(&[worker("m", "a"), worker("n", "b")]);
-    let out: BTreeSet<HallName> = [HallName::new("a").unwrap()].into();
+    let mut halls = Halls::default();
+    halls.set_out_of_reach([HallName::new("a").unwrap()].into());
     let job = pool.submit(submission("r", 2, now + CALL * 9), now);
     for _ in 0..8 {
-        pool.set_out_halls(BTreeSet::new());
+        pool.set_halls(Halls::default());
         let call = pool.next_call(now).unwrap();
         assert!(pool.call_ended(call.key, CallEnd::OutOfReach, now).is_empty(), "not given up");
     }
 
-    pool.set_out_halls(out);
+    pool.set_halls(halls);
     let call = pool.next_call(now).unwrap();
 
     assert_eq!(call.target.id.as_str(), "n");
@@ -455,3 +457,47 @@
 
     assert!(first.pieces.iter().all(|(job, _)| *job == urgent));
 }
+
+#[test]
+fn workers_of_an_evacuated_hall_get_no_calls_and_what_is_under_way_there_ends_as_usual() {
+    let now = Instant::now();
+    let mut pool = pool(&[worker("m", "a"), worker("n", "b")]);
+    pool.submit(submission("r", 1, now + CALL * 9), now);
+    let under_way = pool.next_call(now).unwrap();
+    let mut halls = Halls::default();
+    halls.evacuate(under_way.target.hall.clone());
+
+    pool.set_halls(halls);
+    pool.submit(submission("other", 4, now + CALL * 9), now);
+    let elsewhere = pool.next_call(now).unwrap();
+    let made = vec![PieceAnswer::Made("m/1".to_owned())];
+    let finished = pool.call_ended(under_way.key, CallEnd::Answered(made), now);
+
+    assert_ne!(elsewhere.target.hall, under_way.target.hall);
+    assert_eq!(finished[0].made, Made::At("m/1".to_owned()));
+    pool.submit(submission("third", 1, now + CALL * 9), now);
+    assert!(pool.next_call(now).is_none(), "the only worker in service is at work");
+}
+
+#[test]
+fn a_pool_whose_workers_are_all_out_of_service_gives_up_what_waits() {
+    let now = Instant::now();
+    let mut pool = pool(&[worker("m", "a"), worker("n", "b")]);
+    let mut halls = Halls::default();
+    halls.evacuate(HallName::new("a").unwrap());
+    pool.set_halls(halls.clone());
+    assert!(!pool.is_closed());
+
+    halls.evacuate(HallName::new("b").unwrap());
+    pool.set_halls(halls.clone());
+    pool.submit(submission("r", 3, now + CALL * 9), now);
+    let given_up = pool.give_up_waiting();
+
+    assert!(pool.is_closed());
+    assert!(pool.next_call(now).is_none());
+    assert_eq!(given_up.len(), 3);
+    assert!(given_up.iter().all(|finished| finished.made == Made::Broken));
+    halls.take_back(&HallName::new("b").unwrap());
+    pool.set_halls(halls);
+    assert!(!pool.is_closed());
+}
--- /dev/null
+++ b/components/eligibility/src/halls.rs
@@ -0,0 +1,75 @@
+//! What the state of its data hall, and its own entry, allow a target to be sent.
+
+use std::collections::BTreeSet;
+
+use ids::HallName;
+use intent::Target;
+
+/// Whether a target may be sent new work, as far as its entry and its hall tell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Eligibility {
+    /// It may.
+    Open,
+    /// Its hall does not answer: it is tried only where nothing else is left.
+    OutOfReach,
+    /// Operators took its hall out of service.
+    Evacuated,
+    /// It is about to end.
+    Leaving,
+}
+
+impl Eligibility {
+    /// Whether the target may be sent new work if no other one is left.
+    pub fn is_allowed(self) -> bool {
+        matches!(self, Eligibility::Open | Eligibility::OutOfReach)
+    }
+}
+
+/// Data halls whose targets are not used as others are.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Halls {
+    out_of_reach: BTreeSet<HallName>,
+    evacuated: BTreeSet<HallName>,
+}
+
+impl Halls {
+    /// What a target may be sent now. What operators say goes before what this VM observes.
+    pub fn eligibility(&self, target: &Target) -> Eligibility {
+        match () {
+            () if target.leaving => Eligibility::Leaving,
+            () if self.evacuated.contains(&target.hall) => Eligibility::Evacuated,
+            () if self.out_of_reach.contains(&target.hall) => Eligibility::OutOfReach,
+            () => Eligibility::Open,
+        }
+    }
+
+    /// Whether targets of a hall are used as usual.
+    pub fn is_open(&self, hall: &HallName) -> bool {
+        !self.out_of_reach.contains(hall) && !self.evacuated.contains(hall)
+    }
+
+    /// Halls that this VM does not reach.
+    pub fn out_of_reach(&self) -> &BTreeSet<HallName> {
+        &self.out_of_reach
+    }
+
+    /// Halls that operators took out of service.
+    pub fn evacuated(&self) -> &BTreeSet<HallName> {
+        &self.evacuated
+    }
+
+    /// Sets the halls that this VM does not reach.
+    pub fn set_out_of_reach(&mut self, halls: BTreeSet<HallName>) {
+        self.out_of_reach = halls;
+    }
+
+    /// Takes a hall out of service; false if it was out already.
+    pub fn evacuate(&mut self, hall: HallName) -> bool {
+        self.evacuated.insert(hall)
+    }
+
+    /// Takes a hall back into service; false if it was in service.
+    pub fn take_back(&mut self, hall: &HallName) -> bool {
+        self.evacuated.remove(hall)
+    }
+}
--- /dev/null
+++ b/components/eligibility/src/lib.rs
@@ -0,0 +1,11 @@
+//! Whether a target may be sent new work now: the one answer that every choice of a target asks for,
+//! whether for a request, a stream that is resumed, a piece or a retry.
+//!
+//! Work that is under way ends where it is, and results that lie at a target may be fetched from it,
+//! whatever is said here.
+
+mod cold;
+mod halls;
+
+pub use cold::{ColdBound, Share, Warming, share};
+pub use halls::{Eligibility, Halls};
--- /dev/null
+++ b/components/eligibility/tests/cold.rs
@@ -0,0 +1,129 @@
+//! No cold target is sent more than it bears, by fleets of any size that agree on who is there and by
+//! fleets of which two halves know only of themselves.
+
+use std::time::{Duration, Instant};
+
+use eligibility::{ColdBound, Share, Warming, share};
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
+
+const BOUND: ColdBound = ColdBound { per_s: 10.0, overshoot: 1.5, slack: 5.0 };
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Requests that the whole fleet may send a cold target in a second.
+fn borne(bound: ColdBound) -> usize {
+    (bound.per_s * bound.overshoot + bound.slack) as usize
+}
+
+/// The senders for a target among some VMs, as they find them: the first by hash.
+fn senders(target: u64, vms: &[u64], count: usize) -> Vec<u64> {
+    let mut ranked = vms.to_vec();
+    ranked.sort_by_key(|vm| std::cmp::Reverse(hashing::combine(target, *vm)));
+    ranked.truncate(count);
+    ranked
+}
+
+#[test]
+fn shares_of_fleets_from_six_to_370_vms() {
+    let shared = |vms, targets| {
+        let Share { senders, each } = share(BOUND, vms, targets);
+        (senders, each)
+    };
+
+    assert_eq!(shared(6, 9), (2, 5));
+    assert_eq!(shared(59, 90), (2, 5));
+    assert_eq!(shared(295, 240), (3, 3));
+    assert_eq!(shared(370, 740), (2, 5));
+    // Few targets: many VMs send one request each, lest most find none.
+    assert_eq!(shared(59, 4), (10, 1));
+    assert_eq!(shared(1, 1), (1, 10));
+}
+
+#[test]
+fn a_target_that_bears_next_to_nothing_still_gets_a_request() {
+    let least = ColdBound { per_s: 0.5, overshoot: 1.0, slack: 0.0 };
+
+    assert_eq!(share(least, 59, 90), Share { senders: 1, each: 1 });
+}
+
+#[test]
+fn what_a_target_says_and_what_is_assumed_of_it_both_make_it_cold() {
+    let now = Instant::now();
+    let mut told = Warming::default();
+    told.told(SECOND, now);
+    let mut assumed = Warming::default();
+    assumed.assume(SECOND * 2, now);
+    // Its own word, which may be older than what is assumed, does not end that.
+    assumed.told(Duration::ZERO, now);
+
+    assert!(told.is_cold(now) && !told.is_cold(now + SECOND));
+    assert!(assumed.is_cold(now + SECOND) && !assumed.is_cold(now + SECOND * 2));
+    assert!(!Warming::default().is_cold(now));
+}
+
+#[test]
+fn requests_that_it_was_sent_just_before_it_turned_cold_count() {
+    let now = Instant::now();
+    let mut warming = Warming::default();
+    warming.set_share(2);
+    (0..2).for_each(|_| warming.sent(now));
+
+    warming.told(SECOND * 3, now + Duration::from_millis(300));
+
+    assert!(!warming.may_send(now + Duration::from_millis(900)));
+    assert!(warming.may_send(now + Duration::from_millis(1200)));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Every VM wants to send all that it has to the cold targets of a hall that is back, at any time;
+    /// at each target any second holds no more than the bound, with the fleet split in two as well.
+    #[test]
+    fn no_second_holds_more_than_the_bound(
+        vms in 1_usize..400,
+        cold in 1_usize..40,
+        split in any::<bool>(),
+        seed in any::<u64>(),
+    ) {
+        let all: Vec<u64> = (0..vms as u64).map(|vm| hashing::combine(seed, vm)).collect();
+        let halves: Vec<&[u64]> =
+            if split { all.chunks(vms.div_ceil(2)).collect() } else { vec![&all] };
+        let begin = Instant::now();
+        for target in 0..cold as u64 {
+            let mut arrivals = Vec::new();
+            for half in &halves {
+                let Share { senders: count, each } = share(BOUND, half.len(), 90);
+                for vm in senders(target, half, count) {
+                    arrivals.extend(sends(each, begin, hashing::combine(vm, target)));
+                }
+            }
+            arrivals.sort_unstable();
+            prop_assert!(fullest_second(&arrivals) <= borne(BOUND));
+        }
+    }
+}
+
+/// When the requests of a VM arrive that has one every few milliseconds.
+fn sends(each: u32, begin: Instant, seed: u64) -> Vec<Instant> {
+    let mut warming = Warming::default();
+    warming.told(SECOND * 3, begin);
+    warming.set_share(each);
+    let mut arrivals = Vec::new();
+    for step in 0..600_u64 {
+        let at = begin + Duration::from_millis(step * 5);
+        if warming.may_send(at) {
+            warming.sent(at);
+            let way = Duration::from_millis(hashing::combine(seed, step) % 100);
+            arrivals.push(at + way);
+        }
+    }
+    arrivals
+}
+
+fn fullest_second(arrivals: &[Instant]) -> usize {
+    let within = |first: Instant| {
+        let of_second = arrivals.iter().filter(|at| (first..first + SECOND).contains(at));
+        of_second.count()
+    };
+    arrivals.iter().map(|first| within(*first)).max().unwrap_or(0)
+}
--- /dev/null
+++ b/components/eligibility/tests/halls.rs
@@ -0,0 +1,66 @@
+//! What the state of its hall and its own entry allow a target to be sent.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use eligibility::{Eligibility, Halls};
+use ids::{HallName, ServiceName, TargetName};
+use intent::Target;
+
+fn hall(name: &str) -> HallName {
+    HallName::new(name).unwrap()
+}
+
+fn target(in_hall: &str) -> Target {
+    Target {
+        id: TargetName::new("t").unwrap(),
+        service: ServiceName::new("s").unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: hall(in_hall),
+        slots: 1,
+        leaving: false,
+        cold: Duration::ZERO,
+    }
+}
+
+#[test]
+fn only_what_is_open_or_out_of_reach_may_be_sent_anything() {
+    let allowed = [
+        (Eligibility::Open, true),
+        (Eligibility::OutOfReach, true),
+        (Eligibility::Evacuated, false),
+        (Eligibility::Leaving, false),
+    ];
+
+    for (eligibility, expected) in allowed {
+        assert_eq!(eligibility.is_allowed(), expected, "{eligibility:?}");
+    }
+}
+
+#[test]
+fn what_operators_say_goes_before_what_is_observed() {
+    let mut halls = Halls::default();
+    halls.set_out_of_reach([hall("a")].into());
+    let out_of_reach = halls.eligibility(&target("a"));
+    halls.evacuate(hall("a"));
+
+    assert_eq!(out_of_reach, Eligibility::OutOfReach);
+    assert_eq!(halls.eligibility(&target("a")), Eligibility::Evacuated);
+    assert_eq!(halls.eligibility(&target("b")), Eligibility::Open);
+    let leaving = Target { leaving: true, ..target("b") };
+    assert_eq!(halls.eligibility(&leaving), Eligibility::Leaving);
+}
+
+#[test]
+fn an_evacuation_counts_once_and_ends_once() {
+    let mut halls = Halls::default();
+
+    assert!(halls.evacuate(hall("a")));
+    assert!(!halls.evacuate(hall("a")));
+    assert!(!halls.is_open(&hall("a")));
+    assert!(halls.take_back(&hall("a")));
+    assert!(!halls.take_back(&hall("a")));
+    assert!(halls.is_open(&hall("a")));
+}
--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -11,7 +11,7 @@
 
 use ids::VmName;
 
-use crate::{FULL_MESH, Fleet, Part, PeerVm, SETTLE, Split};
+use crate::{FULL_MESH, Fleet, Part, PeerVm, SETTLE, Split, VmEntry};
 
 /// VMs in the order of ownership to which a VM is linked for the part of a pool in which it lies: the
 /// owner, and one that stands ready.
@@ -40,7 +40,14 @@
 /// 294 others five times a second would rank all of them for every heartbeat.
 #[derive(Debug, Default)]
 pub(crate) struct Ranking {
-    by_key: RefCell<HashMap<String, Rc<[VmName]>>>,
+    by_key: RefCell<HashMap<(Weight, String), Rc<[VmName]>>>,
+}
+
+/// What makes a VM come first more often than others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Weight {
+    Cores,
+    Nothing,
 }
 
 impl Ranking {
@@ -128,28 +135,39 @@
 
     /// All VMs, this one too, by their rank for a key and their cores.
     pub(crate) fn ranked(&self, key: &str) -> Rc<[VmName]> {
-        self.ranked_by(key, |cores| cores)
+        self.ranked_by(key, Weight::Cores)
+    }
+
+    /// Whether this VM is among the first `count` VMs for a key, on which all VMs that know the same
+    /// list agree.
+    pub fn is_among_first(&self, key: &str, count: usize) -> bool {
+        self.ranked_alike(key).iter().take(count).any(|vm| *vm == self.own)
     }
 
     /// The same with cores left out.
     fn ranked_alike(&self, key: &str) -> Rc<[VmName]> {
-        self.ranked_by(key, |_| 1.0)
+        self.ranked_by(key, Weight::Nothing)
     }
 
-    fn ranked_by(&self, key: &str, weight: impl Fn(f64) -> f64) -> Rc<[VmName]> {
-        if let Some(ranked) = self.ranking.by_key.borrow().get(key) {
+    fn ranked_by(&self, key: &str, weight: Weight) -> Rc<[VmName]> {
+        let cache_key = (weight, key.to_owned());
+        if let Some(ranked) = self.ranking.by_key.borrow().get(&cache_key) {
             return Rc::clone(ranked);
         }
+        let weight_of = |entry: &VmEntry| match weight {
+            Weight::Cores => entry.cores,
+            Weight::Nothing => 1.0,
+        };
         let own = (&self.own, &self.own_entry);
         let key_hash = hashing::of_text(key);
         let mut ranked: Vec<(f64, &VmName)> = self
             .known()
             .chain([own])
-            .map(|(vm, entry)| (rank(key_hash, vm, weight(entry.cores)), vm))
+            .map(|(vm, entry)| (rank(key_hash, vm, weight_of(entry)), vm))
             .collect();
         ranked.sort_by(|(a, x), (b, y)| b.total_cmp(a).then_with(|| y.cmp(x)));
         let ranked: Rc<[VmName]> = ranked.into_iter().map(|(_, vm)| vm.clone()).collect();
-        self.ranking.by_key.borrow_mut().insert(key.to_owned(), Rc::clone(&ranked));
+        self.ranking.by_key.borrow_mut().insert(cache_key, Rc::clone(&ranked));
         ranked
     }
 
--- a/components/intent/src/lib.rs
+++ b/components/intent/src/lib.rs
@@ -6,7 +6,7 @@
 mod target;
 
 pub use entry::{Customer, Entry, EntryStage, Share};
-pub use service::{EngineSpec, PoolSpec, Service};
+pub use service::{ColdStart, EngineSpec, PoolSpec, Service};
 pub use target::Target;
 
 use std::collections::{BTreeMap, HashMap};
--- a/components/intent/src/service.rs
+++ b/components/intent/src/service.rs
@@ -34,6 +34,15 @@
     pub memory_tokens: u64,
 }
 
+/// How targets of a service are after a start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// For how long a target is cold.
+    pub lasts: Duration,
+    /// Requests a second that a cold target bears.
+    pub per_s: f64,
+}
+
 /// A service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Service {
@@ -45,4 +54,6 @@
     pub pool: Option<PoolSpec>,
     /// Set if its targets generate tokens.
     pub engine: Option<EngineSpec>,
+    /// Set if its targets bear fewer requests for some time after a start.
+    pub cold: Option<ColdStart>,
 }
--- a/components/intent/src/target.rs
+++ b/components/intent/src/target.rs
@@ -1,6 +1,7 @@
 //! A back end in one of its lifetimes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ids::{HallName, ServiceName, TargetName};
 
@@ -19,4 +20,6 @@
     pub slots: u32,
     /// Whether it takes no new work because it is about to end.
     pub leaving: bool,
+    /// For how long it was still cold when it wrote this: it bears few requests until then.
+    pub cold: Duration,
 }
--- a/components/intent/tests/entries.rs
+++ b/components/intent/tests/entries.rs
@@ -29,7 +29,7 @@
         result_life: Duration::from_secs(4),
         link: None,
     });
-    (name(text), Service { name: name(text), connections: 10, pool, engine: None })
+    (name(text), Service { name: name(text), connections: 10, pool, engine: None, cold: None })
 }
 
 fn entry(prefix: &str, service: &str) -> Entry {
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -1,9 +1,10 @@
 //! The targets that this VM knows, their load, and the choice among them.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use eligibility::{Eligibility, Halls, Warming};
 use ids::{HallName, ServiceName, TargetName};
 use intent::Target;
 use slotmap::{SlotMap, new_key_type};
@@ -127,6 +128,7 @@
     failing: f64,
     rests_until: Option<Instant>,
     kept: Kept,
+    warming: Warming,
 }
 
 /// All targets.
@@ -138,8 +140,7 @@
     by_id: HashMap<TargetName, TargetKey>,
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     by_address: HashMap<SocketAddr, TargetKey>,
-    /// Halls that are out of reach.
-    out_halls: BTreeSet<HallName>,
+    halls: Halls,
     turn: usize,
 }
 
@@ -153,20 +154,23 @@
             by_id: HashMap::new(),
             by_service: HashMap::new(),
             by_address: HashMap::new(),
-            out_halls: BTreeSet::new(),
+            halls: Halls::default(),
             turn: 0,
         }
     }
 
     /// Adds a target, or takes what it says of itself now.
-    pub fn put(&mut self, target: Target) {
+    pub fn put(&mut self, target: Target, now: Instant) {
         let (id, service, address) = (target.id.clone(), target.service.clone(), target.address);
+        let cold = target.cold;
         if let Some(key) = self.by_id.get(&id).copied() {
             self.arena[key].target = target;
+            self.arena[key].warming.told(cold, now);
             self.by_address.insert(address, key);
             return;
         }
         let key = self.arena.insert(State::new(target));
+        self.arena[key].warming.told(cold, now);
         self.by_address.insert(address, key);
         self.by_id.insert(id, key);
         self.by_service.entry(service).or_default().push(key);
@@ -216,17 +220,47 @@
         now: Instant,
     ) -> Option<HallName> {
         let keys = self.by_service.get(service)?;
-        let open = |key: &TargetKey| {
-            let state = &self.arena[*key];
-            !state.target.leaving && !self.is_out(state, now)
-        };
+        let open = |key: &TargetKey| self.is_open(&self.arena[*key], now);
         let among: Vec<TargetKey> = keys.iter().copied().filter(open).collect();
         Some(self.arena[self.home(&among, size)?].target.hall.clone())
     }
 
-    /// Halls are out of reach, or within it again: their targets get work only if no other is left.
-    pub fn set_out_halls(&mut self, out: BTreeSet<HallName>) {
-        self.out_halls = out;
+    /// Takes which halls are used how.
+    pub fn set_halls(&mut self, halls: Halls) {
+        self.halls = halls;
+    }
+
+    /// The targets of a hall may have turned cold without a word yet; `lasts` gives for how long those
+    /// of a service are cold.
+    pub fn assume_cold(
+        &mut self,
+        hall: &HallName,
+        lasts: impl Fn(&ServiceName) -> Option<Duration>,
+        now: Instant,
+    ) {
+        for state in self.arena.values_mut().filter(|state| state.target.hall == *hall) {
+            if let Some(time) = lasts(&state.target.service) {
+                state.warming.assume(time, now);
+            }
+        }
+    }
+
+    /// Works out anew what this VM may send each cold target within a second; gives how many are cold.
+    pub fn share_cold(&mut self, share: impl Fn(&Target) -> u32, now: Instant) -> usize {
+        let cold = self.arena.values_mut().filter(|state| state.warming.is_cold(now));
+        cold.map(|state| state.warming.set_share(share(&state.target))).count()
+    }
+
+    /// Number of targets of a service.
+    pub fn count_of(&self, service: &ServiceName) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
+    /// Whether a service has targets of which none may be sent anything: all are leaving or in halls
+    /// that operators took out of service.
+    pub fn is_closed(&self, service: &ServiceName) -> bool {
+        let is_allowed = |target: &Target| self.halls.eligibility(target).is_allowed();
+        self.count_of(service) > 0 && !self.of_service(service).any(is_allowed)
     }
 
     /// Addresses of some targets of a hall, others with each look.
@@ -238,6 +272,12 @@
         all.iter().cycle().skip(first).take(most.min(all.len())).copied().collect()
     }
 
+    /// Targets of a hall.
+    pub fn of_hall(&self, hall: &HallName) -> impl Iterator<Item = &Target> {
+        let targets = self.arena.values().map(|state| &state.target);
+        targets.filter(move |target| target.hall == *hall)
+    }
+
     /// Number of targets.
     pub fn len(&self) -> usize {
         self.arena.len()
@@ -251,15 +291,13 @@
     /// Chooses a target and counts the call there; [`Targets::end`] must follow.
     pub fn pick(&mut self, wanted: &Wanted<'_>, now: Instant) -> Option<Pick> {
         let keys = self.by_service.get(wanted.service)?;
-        let open = |key: &TargetKey, strict: bool| {
-            let state = &self.arena[*key];
-            !state.target.leaving
-                && !wanted.exclude.contains(key)
-                && (!strict || !self.is_out(state, now))
-        };
-        let mut among: Vec<TargetKey> = keys.iter().copied().filter(|k| open(k, true)).collect();
+        let untried = keys.iter().copied().filter(|key| !wanted.exclude.contains(key));
+        let allowed: Vec<TargetKey> =
+            untried.filter(|key| self.is_allowed(&self.arena[*key], now)).collect();
+        let open = |key: &TargetKey| self.is_open(&self.arena[*key], now);
+        let mut among: Vec<TargetKey> = allowed.iter().copied().filter(open).collect();
         if among.is_empty() {
-            among = keys.iter().copied().filter(|key| open(key, false)).collect();
+            among = allowed;
         }
         let chosen = match self.policy {
             Policy::Adaptive => self.cheapest(&among, wanted, now),
@@ -274,6 +312,7 @@
         let state = &mut self.arena[chosen];
         let unread = wanted.size.map_or(0, |size| state.unread_of(size));
         state.calls += 1;
+        state.warming.sent(now);
         state.unread += unread;
         if let Some(size) = wanted.size {
             state.kept.note(&size.chain, size.memory_tokens, now);
@@ -341,8 +380,16 @@
         busy.map(|state| (&state.target.id, state.calls, state.unread))
     }
 
-    fn is_out(&self, state: &State, now: Instant) -> bool {
-        state.rests(now) || self.out_halls.contains(&state.target.hall)
+    /// Whether a target may be sent a request if no other one is left.
+    fn is_allowed(&self, state: &State, now: Instant) -> bool {
+        self.halls.eligibility(&state.target).is_allowed() && state.warming.may_send(now)
+    }
+
+    /// Whether a target may be sent a request.
+    fn is_open(&self, state: &State, now: Instant) -> bool {
+        self.halls.eligibility(&state.target) == Eligibility::Open
+            && state.warming.may_send(now)
+            && !state.rests(now)
     }
 
     fn cheapest(
@@ -420,6 +467,7 @@
             failing: 0.0,
             rests_until: None,
             kept: Kept::default(),
+            warming: Warming::default(),
         }
     }
 
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -5,6 +5,7 @@
 
 use std::time::{Duration, Instant};
 
+use eligibility::Halls;
 use ids::{HallName, ServiceName, TargetName};
 use intent::Target;
 use selection::{
@@ -27,12 +28,14 @@
         hall: hall(in_hall),
         slots: 4,
         leaving: false,
+        cold: Duration::ZERO,
     }
 }
 
 fn targets(list: &[(&str, &str)]) -> Targets {
     let mut targets = Targets::new(Policy::Adaptive, hall("a"));
-    list.iter().for_each(|(id, hall)| targets.put(target(id, hall)));
+    let now = Instant::now();
+    list.iter().for_each(|(id, hall)| targets.put(target(id, hall), now));
     targets
 }
 
@@ -62,7 +65,7 @@
 fn a_leaving_target_gets_nothing() {
     let now = Instant::now();
     let mut targets = targets(&[("one", "a")]);
-    targets.put(Target { leaving: true, ..target("one", "a") });
+    targets.put(Target { leaving: true, ..target("one", "a") }, now);
 
     assert!(pick(&mut targets, &[], now).is_none());
 }
@@ -194,7 +197,9 @@
 fn targets_of_a_hall_out_of_reach_are_chosen_when_no_other_is_left() {
     let now = Instant::now();
     let mut targets = targets(&[("near", "a"), ("far", "b")]);
-    targets.set_out_halls([HallName::new("a").unwrap()].into());
+    let mut halls = Halls::default();
+    halls.set_out_of_reach([HallName::new("a").unwrap()].into());
+    targets.set_halls(halls);
 
     let chosen = pick(&mut targets, &[], now).unwrap();
     let last = pick(&mut targets, &[chosen.key], now).unwrap();
@@ -202,3 +207,82 @@
     assert_eq!(name(&chosen), "far");
     assert_eq!(name(&last), "near");
 }
+
+#[test]
+fn targets_of_an_evacuated_hall_get_nothing_even_if_no_other_is_left() {
+    let now = Instant::now();
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+    let mut halls = Halls::default();
+    halls.evacuate(hall("a"));
+    targets.set_halls(halls.clone());
+
+    let chosen = pick(&mut targets, &[], now).unwrap();
+    let none_left = pick(&mut targets, &[chosen.key], now);
+    halls.take_back(&hall("a"));
+    targets.set_halls(halls);
+    let back = pick(&mut targets, &[chosen.key], now).unwrap();
+
+    assert_eq!(name(&chosen), "far");
+    assert!(none_left.is_none());
+    assert_eq!(name(&back), "near");
+}
+
+#[test]
+fn a_service_is_closed_once_all_halls_of_its_targets_are_evacuated() {
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+    let mut halls = Halls::default();
+    halls.evacuate(hall("a"));
+    targets.set_halls(halls.clone());
+    let closed_by_one = targets.is_closed(&service());
+    halls.evacuate(hall("b"));
+    targets.set_halls(halls);
+
+    assert!(!closed_by_one);
+    assert!(targets.is_closed(&service()));
+    let unknown = ServiceName::new("unknown").unwrap();
+    assert!(!targets.is_closed(&unknown), "nothing is known of it");
+}
+
+#[test]
+fn a_cold_target_gets_this_vms_share_and_the_others_the_rest() {
+    let now = Instant::now();
+    let mut targets = targets(&[("warm", "a")]);
+    let cold = Target { cold: Duration::from_secs(3), ..target("cold", "a") };
+    targets.put(cold, now);
+    targets.share_cold(|_| 2, now);
+
+    let mut sent = |at: Instant| -> usize {
+        let picks = (0..20).filter_map(|_| pick(&mut targets, &[], at)).collect::<Vec<_>>();
+        picks.iter().filter(|chosen| name(chosen) == "cold").count()
+    };
+    let (first, within_the_second) = (sent(now), sent(now + Duration::from_millis(900)));
+    let next_second = sent(now + Duration::from_millis(2200));
+    let warm = sent(now + Duration::from_millis(4000));
+
+    assert_eq!((first, within_the_second, next_second), (2, 0, 2));
+    assert!(warm > 2, "{warm}");
+}
+
+#[test]
+fn a_request_for_which_only_cold_targets_of_other_vms_are_left_finds_none() {
+    let now = Instant::now();
+    let mut targets = Targets::new(Policy::Adaptive, hall("a"));
+    targets.put(Target { cold: Duration::from_secs(3), ..target("cold", "a") }, now);
+    targets.share_cold(|_| 0, now);
+
+    assert!(pick(&mut targets, &[], now).is_none());
+    assert!(pick(&mut targets, &[], now + Duration::from_secs(3)).is_some(), "it is warm");
+}
+
+#[test]
+fn targets_of_a_hall_that_is_taken_back_are_taken_to_be_cold() {
+    let now = Instant::now();
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+
+    targets.assume_cold(&hall("a"), |_| Some(Duration::from_secs(3)), now);
+    let cold = targets.share_cold(|_| 0, now);
+    let chosen = pick(&mut targets, &[], now).unwrap();
+
+    assert_eq!((cold, name(&chosen)), (1, "far"));
+    assert_eq!(targets.share_cold(|_| 0, now + Duration::from_secs(3)), 0);
+}
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -36,8 +36,12 @@
     pub const STORE_AGE: &str = "saddlerail_store_age_seconds";
     /// Seconds for which a configuration that a peer has is missing here; 0 if none is.
     pub const BEHIND: &str = "saddlerail_configuration_behind_seconds";
+    /// Data halls that operators took out of service.
+    pub const HALLS_EVACUATED: &str = "saddlerail_halls_evacuated";
+    /// Targets that are cold.
+    pub const TARGETS_COLD: &str = "saddlerail_targets_cold";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 11] = [
+    pub const ALL: [&str; 13] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -49,6 +53,8 @@
         REVISION,
         STORE_AGE,
         BEHIND,
+        HALLS_EVACUATED,
+        TARGETS_COLD,
     ];
 }
 
@@ -67,6 +73,8 @@
     revision: Gauge<u64>,
     store_age: Gauge<f64>,
     behind: Gauge<f64>,
+    halls_evacuated: Gauge<u64>,
+    targets_cold: Gauge<u64>,
 }
 
 impl Metrics {
@@ -98,6 +106,8 @@
             revision: meter.u64_gauge(metric_names::REVISION).build(),
             store_age: meter.f64_gauge(metric_names::STORE_AGE).build(),
             behind: meter.f64_gauge(metric_names::BEHIND).build(),
+            halls_evacuated: meter.u64_gauge(metric_names::HALLS_EVACUATED).build(),
+            targets_cold: meter.u64_gauge(metric_names::TARGETS_COLD).build(),
             _provider: provider,
         })
     }
@@ -162,6 +172,12 @@
         self.behind.record(behind.unwrap_or_default().as_secs_f64(), &[]);
     }
 
+    /// Sets the halls out of service and the cold targets.
+    pub fn set_out_of_service(&self, halls: u64, cold_targets: u64) {
+        self.halls_evacuated.record(halls, &[]);
+        self.targets_cold.record(cold_targets, &[]);
+    }
+
     /// The page for the scraper.
     ///
     /// # Errors
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -16,6 +16,7 @@
 use crate::settings::Policy;
 use crate::shared::Shared;
 use crate::stages::time_after;
+use crate::tries::NO_TARGET_WAIT;
 use crate::work::left;
 
 /// A request is refused if it is expected to take more than this part of its aim.
@@ -143,6 +144,11 @@
 /// # Errors
 /// The refusal, with the time to come back.
 pub(crate) fn admit(app: &Rc<App>, req: &Accepted) -> Result<InFlight, Refusal> {
+    if app.hub.with(|shared, _| shared.needs_closed(req)) {
+        info!(app.log, "not admitted"; "request" => %req.id, "entry" => &req.entry.name,
+            "why" => "all targets of a service that it needs are out of service");
+        return Err(Refusal::NotRun { come_back: NO_TARGET_WAIT });
+    }
     let mut in_flight = InFlight { app: Rc::clone(app), by_stage: Vec::new() };
     let pieces: u32 = req.head.pieces.iter().sum();
     // The baselines take whatever comes.
--- /dev/null
+++ b/gateway/src/halls.rs
@@ -0,0 +1,141 @@
+//! Which targets may be sent work, as far as data halls and cold starts decide: what operators and
+//! this VM's own observations say is put together here and told to whoever chooses.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Instant;
+
+use eligibility::ColdBound;
+use fleet::{OutHalls, Part, Split};
+use ids::{HallName, ServiceName};
+use intent::Target;
+use slog::{info, warn};
+
+use crate::app::App;
+use crate::requests::Accepted;
+use crate::shared::Shared;
+use crate::work;
+
+/// Key by which VMs agree on who sends to a cold target.
+fn sender_key(target: &Target) -> String {
+    format!("cold {}", target.id)
+}
+
+impl Shared {
+    /// Takes that operators take a hall's targets out of service.
+    pub(crate) fn take_evacuation(&mut self, key: &str, value: &[u8], from: &str) {
+        match (self.doors.intents.evacuation)(key, value) {
+            Ok(hall) => self.evacuate(hall, from),
+            Err(e) => {
+                warn!(self.log, "evacuation left out"; "key" => key, "from" => from, "why" => %e);
+            }
+        }
+    }
+
+    fn evacuate(&mut self, hall: HallName, from: &str) {
+        if !self.halls.evacuate(hall.clone()) {
+            return;
+        }
+        self.spread_halls();
+        let targets = self.targets.of_hall(&hall).count();
+        let closed = self.closed_services().map(ServiceName::as_str).collect::<Vec<_>>().join(",");
+        warn!(self.log, "hall evacuated"; "hall" => %hall, "targets" => targets,
+            "services_closed" => closed, "from" => from, "as_of" => self.view.as_of());
+    }
+
+    /// Takes that a hall is back in service. Its targets may have turned cold meanwhile, and their word
+    /// on that may still be on its way: they are taken to be cold for as long as a start lasts.
+    pub(crate) fn end_evacuation(&mut self, key: &str, from: &str, now: Instant) {
+        let prefix = self.doors.intents.evacuations_prefix;
+        let Some(Ok(hall)) = key.strip_prefix(prefix).map(HallName::new) else { return };
+        if !self.halls.take_back(&hall) {
+            return;
+        }
+        if let Some(intent) = self.intent.clone() {
+            let lasts = |service: &ServiceName| Some(intent.services.get(service)?.cold?.lasts);
+            self.targets.assume_cold(&hall, lasts, now);
+        }
+        self.spread_halls();
+        info!(self.log, "hall taken back"; "hall" => %hall, "from" => from,
+            "targets" => self.targets.of_hall(&hall).count(), "as_of" => self.view.as_of());
+    }
+
+    /// Halls are out of reach, or within it again.
+    pub(crate) fn set_out_halls(&mut self, out: OutHalls) {
+        self.halls.set_out_of_reach(out.clone());
+        self.fleet.out_halls = out;
+        self.spread_halls();
+    }
+
+    /// Tells all who choose targets which halls are used how.
+    fn spread_halls(&mut self) {
+        self.halls_changed = true;
+        self.targets.set_halls(self.halls.clone());
+        self.pools.values_mut().for_each(|pool| pool.set_halls(self.halls.clone()));
+    }
+
+    /// Works out what this VM may send to each cold target.
+    pub(crate) fn share_cold(&mut self, now: Instant) {
+        let Some(intent) = self.intent.clone() else { return };
+        let count_of = |service: &ServiceName| (service.clone(), self.targets.count_of(service));
+        let counts: HashMap<ServiceName, usize> = intent.services.keys().map(count_of).collect();
+        let (fleet, margin) = (&self.fleet, self.cold);
+        let vms = fleet.size();
+        let share = |target: &Target| {
+            // A service without a rate has no cold targets.
+            let service = intent.services.get(&target.service);
+            let Some(cold) = service.and_then(|service| service.cold) else { return u32::MAX };
+            let (overshoot, slack) = (margin.overshoot, margin.slack);
+            let bound = ColdBound { per_s: cold.per_s, overshoot, slack };
+            let targets = counts.get(&target.service).copied().unwrap_or(0);
+            let share = eligibility::share(bound, vms, targets);
+            let sends = fleet.is_among_first(&sender_key(target), share.senders);
+            if sends { share.each } else { 0 }
+        };
+        self.cold_targets = self.targets.share_cold(share, now);
+    }
+
+    /// Services all of whose targets are out of service, so that nothing can be run there.
+    fn closed_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let services = self.intent.iter().flat_map(|intent| intent.services.keys());
+        services.filter(|service| self.targets.is_closed(service))
+    }
+
+    /// Whether a request needs a service all of whose targets are out of service.
+    pub(crate) fn needs_closed(&self, req: &Accepted) -> bool {
+        if self.halls.evacuated().is_empty() {
+            return false;
+        }
+        let pieces = |index: usize| req.head.pieces.get(index).copied().unwrap_or(0);
+        let mut stages = req.entry.stages.iter().enumerate();
+        let closed = |service: &ServiceName| self.targets.is_closed(service);
+        closed(&req.service)
+            || stages.any(|(index, stage)| pieces(index) > 0 && closed(&stage.pool))
+    }
+
+    /// The part to which pieces go that are wanted in one: that one, or another if all of its workers
+    /// are out of service.
+    pub(crate) fn open_part(&self, pool: &ServiceName, split: &Split, wanted: Part) -> Part {
+        if self.halls.evacuated().is_empty() || split.is_whole() {
+            return wanted;
+        }
+        let is_open = |part: &Part| {
+            let mut workers = self.targets.of_service(pool);
+            workers.any(|target| {
+                split.part_of(&target.hall) == *part && self.halls.eligibility(target).is_allowed()
+            })
+        };
+        let mut parts = [wanted].into_iter().chain(split.parts());
+        parts.find(is_open).unwrap_or(wanted)
+    }
+}
+
+/// Looks at the pools again if halls are used otherwise than before: what waits for workers that are
+/// all out of service is told so at once.
+pub(crate) fn look_at_pools(app: &Rc<App>) {
+    let pools: Vec<ServiceName> = app.hub.with(|shared, _| {
+        let changed = std::mem::take(&mut shared.halls_changed);
+        if changed { shared.pools.keys().cloned().collect() } else { Vec::new() }
+    });
+    pools.iter().for_each(|pool| work::fill_calls(app, pool));
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod contact;
 mod dials;
 pub mod events;
+mod halls;
 mod hub;
 mod link_words;
 mod links;
--- a/gateway/src/news.rs
+++ b/gateway/src/news.rs
@@ -14,6 +14,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::app::App;
+use crate::halls::look_at_pools;
 use crate::links::Link;
 
 /// Bytes of changes in one message: 26 ms of a link of 10 Mbit/s, a fraction of the pause between
@@ -85,6 +86,7 @@
                 shared.asks_store = true;
             }
         });
+        look_at_pools(app);
         app.vms_changed.notify_one();
         if news.is_last || app.hub.with(|shared, _| shared.asks_store) {
             break;
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -66,6 +66,9 @@
         let version = shared.intent.as_ref().map_or(0, |intent| intent.version);
         app.metrics.set_state(u64::try_from(shared.in_work).unwrap_or(u64::MAX), version);
         app.metrics.set_belief_ages(shared.contact.age(now), shared.behind.age(now));
+        let evacuated = u64::try_from(shared.halls.evacuated().len()).unwrap_or(u64::MAX);
+        let cold = u64::try_from(shared.cold_targets).unwrap_or(u64::MAX);
+        app.metrics.set_out_of_service(evacuated, cold);
     });
     match app.metrics.page() {
         Ok(text) => (StatusCode::OK, text),
@@ -131,6 +134,8 @@
             "in_work": shared.in_work,
             "targets": shared.targets.len(),
             "halls_out_of_reach": shared.fleet.out_halls.iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
+            "halls_evacuated": shared.halls.evacuated().iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
+            "targets_cold": shared.cold_targets,
             "peers": peers,
             "pools": pools,
         });
--- a/gateway/src/reach.rs
+++ b/gateway/src/reach.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use fleet::{BEAT, OutHalls};
-use ids::{HallName, ServiceName};
+use ids::HallName;
 use slog::{info, warn};
 use tokio::sync::watch::Receiver;
 use tokio::task::JoinSet;
@@ -15,8 +15,8 @@
 
 use crate::app::App;
 use crate::connections::connect;
+use crate::halls::look_at_pools;
 use crate::hub::now;
-use crate::work;
 
 /// Targets of a hall that are asked at once: one of them may be gone by itself.
 const ASKED: usize = 2;
@@ -82,11 +82,8 @@
         }
     });
     let out = app.out_halls.borrow().clone();
-    let pools: Vec<ServiceName> = app.hub.with(|shared, _| {
-        shared.set_out_halls(out);
-        shared.pools.keys().cloned().collect()
-    });
-    pools.iter().for_each(|pool| work::fill_calls(app, pool));
+    app.hub.with(|shared, _| shared.set_out_halls(out));
+    look_at_pools(app);
 }
 
 /// Ends when a hall is out of reach.
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -37,6 +37,13 @@
     /// Time within which a change of the configuration must be in force, in milliseconds.
     #[serde(default = "in_force_ms")]
     pub in_force_ms: u64,
+    /// Time within which targets of a hall that operators took out of service get nothing more, in
+    /// milliseconds; `in_force_ms` if none is given.
+    #[serde(default)]
+    pub evacuation_ms: Option<u64>,
+    /// What is borne beyond the rate of cold targets.
+    #[serde(default)]
+    pub cold: ColdMargin,
     /// Budget of requests sent a second time, for the whole fleet.
     #[serde(default)]
     pub repeats: Repeats,
@@ -61,9 +68,46 @@
 }
 
 impl Settings {
-    /// Time within which a change of the configuration must be in force.
+    /// Time within which any change that operators make must be in force.
     pub fn in_force(&self) -> Duration {
-        Duration::from_millis(self.in_force_ms)
+        let shortest = self.evacuation_ms.map_or(self.in_force_ms, |ms| ms.min(self.in_force_ms));
+        Duration::from_millis(shortest)
+    }
+}
+
+/// What a cold target bears beyond the rate that its service declares.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
+#[serde(from = "GivenColdMargin")]
+pub struct ColdMargin {
+    /// Factor on the rate.
+    pub overshoot: f64,
+    /// Requests in a second beside it.
+    pub slack: f64,
+}
+
+/// The same as it is given; of what is left out, nothing is borne.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GivenColdMargin {
+    #[serde(default)]
+    overshoot: Option<f64>,
+    #[serde(default)]
+    slack: Option<f64>,
+}
+
+impl From<GivenColdMargin> for ColdMargin {
+    fn from(given: GivenColdMargin) -> Self {
+        let none = ColdMargin::default();
+        ColdMargin {
+            overshoot: given.overshoot.unwrap_or(none.overshoot),
+            slack: given.slack.unwrap_or(none.slack),
+        }
+    }
+}
+
+impl Default for ColdMargin {
+    fn default() -> Self {
+        ColdMargin { overshoot: 1.0, slack: 0.0 }
     }
 }
 
@@ -120,6 +164,8 @@
     }
 }
 
+/// Largest factor on the rate of cold targets that is taken.
+const MOST_OVERSHOOT: f64 = 100.0;
 /// Longest window and grace that are taken, in seconds.
 const LONGEST_SECONDS: f64 = 3600.0;
 
@@ -162,6 +208,9 @@
     let ranges = [
         ("in_force_ms", cfg.in_force_ms as f64, 10.0, 600_000.0),
         ("cores", cfg.cores, 0.001, 1024.0),
+        ("evacuation_ms", cfg.evacuation_ms.unwrap_or(cfg.in_force_ms) as f64, 10.0, 600_000.0),
+        ("cold.overshoot", cfg.cold.overshoot, 1.0, MOST_OVERSHOOT),
+        ("cold.slack", cfg.cold.slack, 0.0, f64::MAX),
         ("repeats.ratio", cfg.repeats.ratio, 0.0, 1.0),
         ("repeats.slack", cfg.repeats.slack, 0.0, f64::MAX),
         ("repeats.window_s", cfg.repeats.window_s, 0.1, LONGEST_SECONDS),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -7,7 +7,8 @@
 
 use batching::{JobKey, Order, Pool, Submission};
 use doors::Doors;
-use fleet::{Fleet, OutHalls, Owner, Part, PoolLoad, Split, VmEntry};
+use eligibility::Halls;
+use fleet::{Fleet, Owner, Part, PoolLoad, Split, VmEntry};
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::{Intent, Target};
 use selection::{RepeatBudget, RepeatRules, Targets};
@@ -18,7 +19,7 @@
 use crate::admission::Admission;
 use crate::belief::Behind;
 use crate::contact::Contact;
-use crate::settings::{Policy, Settings};
+use crate::settings::{ColdMargin, Policy, Settings};
 
 /// Time to a first event that is believed until one was seen.
 const FIRST_EVENT: Duration = Duration::from_millis(200);
@@ -57,6 +58,14 @@
     /// Time within which a change of the configuration must be in force.
     pub(crate) in_force: Duration,
     pub(crate) draining: Option<Instant>,
+    /// Halls whose targets are not used as others are.
+    pub(crate) halls: Halls,
+    /// Whether that changed since the pools were last looked at.
+    pub(crate) halls_changed: bool,
+    /// What operators bear beyond the rate of cold targets.
+    pub(crate) cold: ColdMargin,
+    /// Targets that were cold when last looked at.
+    pub(crate) cold_targets: usize,
     pub(crate) in_work: usize,
     order: Order,
     rules: RepeatRules,
@@ -98,6 +107,10 @@
             behind: Behind::default(),
             in_force: cfg.in_force(),
             draining: None,
+            halls: Halls::default(),
+            halls_changed: false,
+            cold: cfg.cold,
+            cold_targets: 0,
             in_work: 0,
             order,
             rules: RepeatRules {
@@ -137,6 +150,7 @@
     fn apply(&mut self, changes: Vec<Change>, from: &str, now: Instant) {
         let (intent_key, prefix) =
             (self.doors.intents.intent_key, self.doors.intents.targets_prefix);
+        let evacuations = self.doors.intents.evacuations_prefix;
         let mut new_targets = false;
         for change in changes {
             match change {
@@ -145,10 +159,16 @@
                     self.compare_versions(now);
                 }
                 Change::Put(key, value) if key.starts_with(prefix) => {
-                    self.take_target(&key, &value, from);
+                    self.take_target(&key, &value, from, now);
                     new_targets = true;
                 }
+                Change::Put(key, value) if key.starts_with(evacuations) => {
+                    self.take_evacuation(&key, &value, from);
+                }
                 Change::Put(key, value) => self.list_vm(&key, Some(&value), now),
+                Change::Removed(key) if key.starts_with(evacuations) => {
+                    self.end_evacuation(&key, from, now);
+                }
                 Change::Removed(key) => match key.strip_prefix(prefix) {
                     Some(id) => {
                         self.lost_target(id, from, now);
@@ -161,6 +181,7 @@
         if new_targets {
             self.sync_pools();
         }
+        self.share_cold(now);
     }
 
     /// Takes what a VM wrote of itself.
@@ -199,15 +220,16 @@
         }
     }
 
-    fn take_target(&mut self, key: &str, value: &[u8], from: &str) {
+    fn take_target(&mut self, key: &str, value: &[u8], from: &str, now: Instant) {
         match (self.doors.intents.target)(key, value) {
             Ok(target) => {
                 info!(self.log, "target known"; "target" => %target.id,
                     "service" => %target.service, "address" => %target.address,
-                    "hall" => %target.hall, "leaving" => target.leaving, "from" => from,
+                    "hall" => %target.hall, "leaving" => target.leaving,
+                    "cold_ms" => target.cold.as_millis(), "from" => from,
                     "as_of" => self.view.as_of());
                 self.lapsed.remove(&target.id);
-                self.targets.put(target);
+                self.targets.put(target, now);
             }
             Err(e) => {
                 warn!(self.log, "target's entry left out"; "key" => key, "from" => from,
@@ -255,10 +277,10 @@
             let split = split.first_seen(first_seen);
             let own = split.part_of(&self.own_hall);
             let order = self.order;
-            let out = &self.fleet.out_halls;
+            let halls = &self.halls;
             let pool = self.pools.entry(name.clone()).or_insert_with(|| {
                 let mut pool = Pool::new(spec, order);
-                pool.set_out_halls(out.clone());
+                pool.set_halls(halls.clone());
                 pool
             });
             pool.set_spec(spec);
@@ -309,6 +331,7 @@
         let Some(split) = self.splits.get(pool) else { return Owner::This };
         let own = split.part_of(&self.own_hall);
         let wanted = near.map_or(own, |hall| split.part_of(hall));
+        let wanted = self.open_part(pool, split, wanted);
         let first = match self.owner_of_part(pool, split, wanted, now) {
             Owner::Unknown => self.owner_of_part(pool, split, own, now),
             owner => owner,
@@ -370,13 +393,6 @@
         peers.unwrap_or(0.0) + self.admission.coming_to(name)
     }
 
-    /// Halls are out of reach, or within it again.
-    pub(crate) fn set_out_halls(&mut self, out: OutHalls) {
-        self.targets.set_out_halls(out.clone());
-        self.pools.values_mut().for_each(|pool| pool.set_out_halls(out.clone()));
-        self.fleet.out_halls = out;
-    }
-
     /// Whether a result lies in a hall that is out of reach.
     pub(crate) fn is_out_of_reach(&self, handle: &str) -> bool {
         let hall = (self.doors.calls.worker)(handle).and_then(|at| self.targets.hall_at(at));
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::halls::look_at_pools;
 use crate::shared::vms_prefix;
 use crate::store_connection::{Begun, Miss, StoreConnection};
 
@@ -148,7 +149,7 @@
     age: Age,
 ) -> Result<(), Miss> {
     let door = app.doors.intents;
-    let prefixes = [door.intent_key, door.targets_prefix, door.own_prefix];
+    let prefixes = [door.intent_key, door.evacuations_prefix, door.targets_prefix, door.own_prefix];
     while let Some(prefix) = prefixes.get(so_far.done) {
         let after = so_far.items.last().map(|item| item.key.clone());
         let call = (app.doors.store.list)(prefix, after.as_deref(), age);
@@ -164,6 +165,7 @@
         }
         let items = std::mem::take(&mut so_far.items);
         app.hub.with(|shared, now| shared.merge_listing(prefix, items, as_of, now));
+        look_at_pools(app);
         so_far.known = Some(so_far.known.map_or(as_of, |known| known.min(as_of)));
         so_far.as_of = None;
         so_far.done += 1;
@@ -227,6 +229,7 @@
         shared.view.reached(page.as_of);
         shared.asks_store = false;
     });
+    look_at_pools(app);
     if vms {
         app.vms_changed.notify_one();
     }
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -18,7 +18,7 @@
 use crate::work::left;
 
 /// When to come back while no target can be used.
-const NO_TARGET_WAIT: Duration = Duration::from_millis(700);
+pub(crate) const NO_TARGET_WAIT: Duration = Duration::from_millis(700);
 /// When to come back after targets were too busy.
 const BUSY_WAIT: Duration = Duration::from_millis(400);
 /// Most targets that can't be reached that are tried, beside those that were sent something.
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -229,6 +229,7 @@
 /// Makes the calls that can be made now, and plans the next look at the queue.
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
     end_without_inputs(app, pool);
+    end_without_workers(app, pool);
     loop {
         let next = app.hub.with(|shared, now| {
             let pool = shared.pools.get_mut(pool)?;
@@ -256,6 +257,19 @@
     }
 }
 
+/// Hands back pieces that can't be made since all workers are out of service.
+fn end_without_workers(app: &App, pool: &ServiceName) {
+    let finished = app.hub.with(|shared, _| {
+        let pool = shared.pools.get_mut(pool).filter(|pool| pool.is_closed());
+        pool.map(Pool::give_up_waiting).unwrap_or_default()
+    });
+    if !finished.is_empty() {
+        info!(app.log, "pieces given up"; "pool" => %pool, "pieces" => finished.len(),
+            "why" => "all workers are out of service");
+        hand_back(app, pool, finished);
+    }
+}
+
 fn plan_look(app: &Rc<App>, pool: &ServiceName, at: tokio::time::Instant) {
     let planned = app.planned_looks.borrow().get(pool).copied();
     if planned.is_some_and(|planned| planned <= at) {
--- a/gateway/tests/settings.rs
+++ b/gateway/tests/settings.rs
@@ -23,6 +23,19 @@
     assert!((cfg.cores - 1.0).abs() < f64::EPSILON);
 }
 
+#[test]
+fn changes_are_in_force_within_the_shorter_of_two_bounds_and_cold_margins_may_be_left_open() {
+    let shorter = parse(&format!("{GOOD}in_force_ms: 3000\nevacuation_ms: 1000\n")).unwrap();
+    let open = "evacuation_ms: \ncold:\n  overshoot: \n  slack: \n";
+    let open = parse(&format!("{GOOD}{open}")).unwrap();
+    let given = parse(&format!("{GOOD}cold: {{overshoot: 1.5, slack: 5}}\n")).unwrap();
+
+    assert_eq!(shorter.in_force().as_millis(), 1000);
+    assert_eq!(open.in_force().as_millis(), 2000);
+    assert_eq!((open.cold.overshoot, open.cold.slack), (1.0, 0.0));
+    assert_eq!((given.cold.overshoot, given.cold.slack), (1.5, 5.0));
+}
+
 fn problem(text: &str) -> String {
     parse(text).unwrap_err().to_string()
 }
@@ -37,6 +50,12 @@
     assert!(twice.contains("ready") && twice.contains("callers"), "{twice}");
     let no_port = problem(&GOOD.replace("8003", "0"));
     assert!(no_port.contains("peers"), "{no_port}");
+    let evacuation = problem(&format!("{GOOD}evacuation_ms: 0\n"));
+    assert!(evacuation.contains("evacuation_ms"), "{evacuation}");
+    let overshoot = problem(&format!("{GOOD}cold: {{overshoot: 0.5}}\n"));
+    assert!(overshoot.contains("cold.overshoot"), "{overshoot}");
+    let slack = problem(&format!("{GOOD}cold: {{slack: -1}}\n"));
+    assert!(slack.contains("cold.slack"), "{slack}");
     let ratio = problem(&format!("{GOOD}repeats: {{ratio: 3}}\n"));
     assert!(ratio.contains("repeats.ratio"), "{ratio}");
     let no_address = problem(&GOOD.replace("127.0.0.1:8004", "nowhere"));
@@ -62,6 +81,9 @@
         .replace("{{bounds.retry_budget_slack}}", "54")
         .replace("{{bounds.budget_window_s}}", "10")
         .replace("{{bounds.config_apply_ms}}", "2000")
+        .replace("{{bounds.evacuation_ms}}", "5000")
+        .replace("{{bounds.cold_overshoot}}", "1.5")
+        .replace("{{bounds.cold_slack}}", "5")
         .replace("{{bounds.grace_period_s}}", "8.0");
 
     let cfg = parse(&filled).unwrap();
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -27,14 +27,16 @@
     let hall = HallName::new("hall-a")?;
     let mut targets = Targets::new(Policy::Adaptive, hall.clone());
     for number in 0..engines {
-        targets.put(Target {
+        let target = Target {
             id: TargetName::new(&format!("engine-{number}"))?,
             service: service.clone(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, number + 1)),
             hall: hall.clone(),
             slots: 16,
             leaving: false,
-        });
+            cold: Duration::ZERO,
+        };
+        targets.put(target, Instant::now());
     }
     let began = Instant::now();
     for number in 0..CHOICES {
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::sleep;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
@@ -56,6 +56,8 @@
 struct State {
     seen: Vec<Message>,
     ran: Vec<String>,
+    /// When it received requests.
+    received: Vec<Instant>,
     script: Vec<Act>,
     usual: Option<Act>,
     released: Vec<String>,
@@ -120,6 +122,16 @@
         self.with(|state| state.ran.clone())
     }
 
+    /// Most requests that it received within any second so far.
+    pub fn most_in_a_second(&self) -> usize {
+        let received = self.with(|state| state.received.clone());
+        let second = Duration::from_secs(1);
+        let within = |first: Instant| {
+            received.iter().filter(|at| (first..first + second).contains(at)).count()
+        };
+        received.iter().map(|first| within(*first)).max().unwrap_or(0)
+    }
+
     /// Everything that it was sent.
     pub fn seen(&self) -> Vec<Message> {
         self.with(|state| state.seen.clone())
@@ -167,6 +179,7 @@
         let expected = req.header("expected-instance").to_owned();
         let act = self.with(|state| {
             state.seen.push(req.clone());
+            state.received.push(Instant::now());
             let next = (!state.script.is_empty()).then(|| state.script.remove(0));
             next.or(state.usual.clone()).unwrap_or(Act::Answer)
         });
--- a/tests/names.rs
+++ b/tests/names.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 /// Names that only the adapter may know. Words that the field uses too are not among them.
-const NAMES: [&str; 18] = [
+const NAMES: [&str; 20] = [
     "deadline-milliseconds",
     "expected-instance",
     "response-signature",
@@ -23,6 +23,8 @@
     "stage-run",
     "stage-free",
     "op/config",
+    "op/evacuate",
+    "cold_remaining",
     "servers/",
     "private_key",
     "after_revision",
