VMs agree on the heir of an owner that stops; log lines on owners and on room

Change: a VM that is better and being dialled is waited for (not beyond the time in which a fleet settles, nor once its dial failed) instead of passed over; whoever is said to stop is replaced among the wanted links at once. Each VM logs a change of owner and why better ones are passed over, and what a pool's room is taken by (both needed to find causes). Two tests of the fleet's state failed before.

Ruled out: links of every VM to two owners of each part (links grow with parts).

--- a/components/batching/src/ends.rs
+++ b/components/batching/src/ends.rs
@@ -127,7 +127,8 @@
         let bytes = job.map_or(0, |job| job.submission.result_bytes);
         if let Some(worker) = self.workers.get_mut(key) {
             worker.room_used += bytes;
-            self.results.add(handle, key, bytes, now + self.spec.result_life);
+            let until = now + self.spec.result_life;
+            self.results.add(handle, key, waiting.job, bytes, until);
         }
     }
 
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -8,12 +8,14 @@
 mod forecast;
 mod pool;
 mod results;
+mod room;
 mod slack;
 mod submission;
 mod worker;
 
 pub use filling::order_due;
 pub use pool::Pool;
+pub use room::RoomUse;
 pub use slack::Queue;
 pub use submission::{Call, CallEnd, CallKey, Finished, GivenUp, JobKey, Made, Order, Submission};
 pub use worker::WorkerKey;
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -148,6 +148,11 @@
         self.waiting.is_empty() && self.calls.is_empty()
     }
 
+    /// Pieces that wait.
+    pub fn waiting_pieces(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Takes pieces.
     pub fn submit(&mut self, submission: Submission, now: Instant) -> JobKey {
         let pieces = submission.pieces.clone();
--- a/components/batching/src/results.rs
+++ b/components/batching/src/results.rs
@@ -3,16 +3,19 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+use crate::submission::JobKey;
 use crate::worker::WorkerKey;
 
 /// A result at its worker.
 #[derive(Debug, Clone, Copy)]
-struct Result {
-    worker: WorkerKey,
-    bytes: u64,
+pub(crate) struct Result {
+    pub(crate) worker: WorkerKey,
+    /// The submission that it belongs to.
+    pub(crate) job: JobKey,
+    pub(crate) bytes: u64,
     until: Instant,
     /// Whether it may be given up when room is scarce.
-    spare: bool,
+    pub(crate) spare: bool,
 }
 
 /// All results that this owner had made and that still take room.
@@ -24,8 +27,26 @@
 }
 
 impl Results {
-    pub(crate) fn add(&mut self, handle: &str, worker: WorkerKey, bytes: u64, until: Instant) {
-        self.by_handle.insert(handle.to_owned(), Result { worker, bytes, until, spare: false });
+    pub(crate) fn add(
+        &mut self,
+        handle: &str,
+        worker: WorkerKey,
+        job: JobKey,
+        bytes: u64,
+        until: Instant,
+    ) {
+        let result = Result { worker, job, bytes, until, spare: false };
+        self.by_handle.insert(handle.to_owned(), result);
+    }
+
+    /// Results that are known by name.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &Result> {
+        self.by_handle.values()
+    }
+
+    /// Bytes of results that nobody knows by name, at some workers.
+    pub(crate) fn lost_bytes(&self, at: impl Fn(WorkerKey) -> bool) -> u64 {
+        self.lost.iter().filter(|(key, ..)| at(*key)).map(|(_, bytes, _)| bytes).sum()
     }
 
     /// Notes results of a call whose answer did not come: they take room until they run out.
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -53,6 +53,8 @@
     /// Where the last dial failed.
     failed_dials: HashSet<SocketAddr>,
     unsettled_since: Instant,
+    /// When a VM last said that it stops.
+    stop_heard: Option<Instant>,
     /// Halls that are out of reach.
     pub out_halls: OutHalls,
 }
@@ -69,6 +71,7 @@
             ranking: Ranking::default(),
             failed_dials: HashSet::new(),
             unsettled_since: now,
+            stop_heard: None,
             out_halls: OutHalls::new(),
         }
     }
@@ -118,6 +121,17 @@
         self.ranking.clear();
     }
 
+    /// A peer said whether it stops; gives whether it does so for the first time.
+    pub fn told_draining(&mut self, vm: &VmName, draining: bool, now: Instant) -> bool {
+        let Some(peer) = self.peers.get_mut(vm) else { return false };
+        let newly = draining && !peer.draining;
+        peer.draining = draining;
+        if newly {
+            self.stop_heard = Some(now);
+        }
+        newly
+    }
+
     /// The link to a peer ended; `lost` says that it was not this VM which ended it.
     pub fn unlinked(&mut self, vm: &VmName, lost: bool, now: Instant) {
         let Some(peer) = self.peers.get_mut(vm) else { return };
--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -73,18 +73,41 @@
         let best = of_part.find(|vm| {
             let is_owner =
                 if **vm == self.own { !draining } else { self.takes_work(vm, pool, split, now) };
-            awaited |= !is_owner && **vm != self.own && self.may_take_work_soon(vm);
+            awaited |= !is_owner && **vm != self.own && self.is_awaited(vm, now);
             is_owner
         });
         match best {
+            Some(_) if awaited => Owner::Unknown,
             Some(vm) if *vm != self.own => Owner::Peer(vm.clone()),
-            Some(_) if awaited && self.settles(now) => Owner::Unknown,
             Some(_) => Owner::This,
             None if split.part_of(&self.own_entry.hall) == part => Owner::This,
             None => Owner::Unknown,
         }
     }
 
+    /// VMs that rank before the owner of a part, each with why it is not the owner, for the log.
+    pub fn passed_over(
+        &self,
+        pool: &str,
+        split: &Split,
+        part: Part,
+        draining: bool,
+        now: Instant,
+    ) -> Vec<String> {
+        let ranked = self.ranked(pool);
+        let of_part = ranked.iter().filter(|vm| self.is_in(vm, split, part));
+        let unfit = of_part.map_while(|vm| {
+            let why = match () {
+                () if *vm == self.own && draining => "stops",
+                () if *vm == self.own || self.takes_work(vm, pool, split, now) => return None,
+                () if self.is_out_of_reach(vm) => "out of reach",
+                () => self.peers.get(vm).map_or("never heard", |peer| peer.unfit(now)),
+            };
+            Some(format!("{vm}:{why}"))
+        });
+        unfit.collect()
+    }
+
     /// Addresses to which this VM wants links, given its pools.
     pub fn wanted<'a>(
         &self,
@@ -107,8 +130,8 @@
         wanted
     }
 
-    /// Adds the best VMs, and as many that are not known to be silent: those that are may be back any
-    /// time, and until then others stand in for them.
+    /// Adds the best VMs, and as many that are not known to be silent or to stop: those that are may be
+    /// back any time, and until then others stand in for them.
     fn add_best<'a>(
         &self,
         wanted: &mut BTreeSet<SocketAddr>,
@@ -117,7 +140,7 @@
     ) {
         let others = ranked.filter(|vm| **vm != self.own);
         let best = others.clone().take(links);
-        let live = others.filter(|vm| !self.is_silent(vm)).take(links);
+        let live = others.filter(|vm| !self.is_silent(vm) && !self.is_stopping(vm)).take(links);
         wanted.extend(best.chain(live).filter_map(|vm| Some(self.entry_of(vm)?.peers)));
     }
 
@@ -186,6 +209,16 @@
         self.peers.get(vm).is_some_and(takes) && !self.is_out_of_reach(vm)
     }
 
+    /// Whether a VM that takes no work yet is waited for rather than passed over, so that VMs with links
+    /// to different ones choose alike: for as long as a fleet takes to settle after the start or the loss of
+    /// a VM, and as long after one said that it stops, unless the next one can't be linked. While all VMs of
+    /// a fleet of 59 stopped in turn, three to five filled the calls of one part for ten seconds, each for
+    /// those that were linked to it.
+    fn is_awaited(&self, vm: &VmName, now: Instant) -> bool {
+        let hands_over = is_recent(self.stop_heard, now) && !self.is_silent(vm);
+        self.may_take_work_soon(vm) && (is_recent(Some(self.unsettled_since), now) || hands_over)
+    }
+
     /// Whether a VM may take work in a moment: it is known from the store only, it was heard over a link
     /// that it dialled, or it has no configuration yet. That a dial failed says little while all VMs
     /// start.
@@ -195,6 +228,11 @@
         self.peers.get(vm).is_none_or(may) && !self.is_out_of_reach(vm)
     }
 
+    /// Whether a VM said that it stops.
+    fn is_stopping(&self, vm: &VmName) -> bool {
+        self.peers.get(vm).is_some_and(|peer| peer.draining)
+    }
+
     /// Whether a VM can't be linked, or its link was lost and it was not heard since. Nothing is known
     /// of one that was let go.
     pub(crate) fn is_silent(&self, vm: &VmName) -> bool {
@@ -203,10 +241,11 @@
             || self.entry_of(vm).is_some_and(|entry| failed(&entry.peers))
             || self.is_out_of_reach(vm)
     }
+}
 
-    fn settles(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.unsettled_since) < SETTLE
-    }
+/// Whether a fleet may not have settled yet since an event.
+fn is_recent(event: Option<Instant>, now: Instant) -> bool {
+    event.is_some_and(|at| now.saturating_duration_since(at) < SETTLE)
 }
 
 /// Weighted rendezvous hashing: the VM with the highest rank owns the key.
--- a/components/fleet/src/peer.rs
+++ b/components/fleet/src/peer.rs
@@ -88,6 +88,17 @@
         }
     }
 
+    /// Why it takes no work, if it does not.
+    pub(crate) fn unfit(&self, now: Instant) -> &'static str {
+        match () {
+            () if self.lost => "lost",
+            () if self.draining => "stops",
+            () if !self.is_fresh(now) => "silent",
+            () if !self.linked => "not linked",
+            () => "older configuration",
+        }
+    }
+
     /// Whether it was heard just now and not lost since.
     pub fn is_fresh(&self, now: Instant) -> bool {
         !self.lost && now.saturating_duration_since(self.heard) <= SILENCE
--- a/components/fleet/tests/ownership.rs
+++ b/components/fleet/tests/ownership.rs
@@ -280,3 +280,54 @@
 
     assert!((0..7).all(|own| listed(own, 7, 3, now).watches_itself(now)));
 }
+
+/// A VM of a settled fleet that is linked to whom it wants, at some time long after its start.
+fn settled(own: usize, split: &Split, now: Instant) -> Fleet {
+    let mut fleet = listed(own, 60, 6, now - Duration::from_secs(60));
+    link_wanted(&mut fleet, own, split, now);
+    fleet
+}
+
+fn link_wanted(fleet: &mut Fleet, own: usize, split: &Split, now: Instant) {
+    let wanted = fleet.wanted([(POOL, split)].into_iter());
+    for number in (0..60).filter(|number| *number != own && wanted.contains(&address(*number))) {
+        fleet.heard(&vm(number), true, now);
+    }
+}
+
+#[test]
+fn all_vms_choose_the_same_heir_of_an_owner_that_stops() {
+    let (now, split) = (Instant::now(), split(6, 7));
+    let [first, second] = [0, 1].map(|place| owner_at(place, &split, 0, 60, 6));
+    let part = split.part_of(&hall("hall-0"));
+
+    for own in (0..60).filter(|own| ![first, second].contains(own)) {
+        let mut fleet = settled(own, &split, now);
+        fleet.told_draining(&vm(first), true, now);
+        let at_once = fleet.owner_of(POOL, &split, part, false, now);
+        link_wanted(&mut fleet, own, &split, now);
+        let linked = fleet.owner_of(POOL, &split, part, false, now);
+
+        let heir = Owner::Peer(vm(second));
+        assert!(at_once == heir || at_once == Owner::Unknown, "vm-{own}: {at_once:?}");
+        assert_eq!(linked, heir, "vm-{own}");
+    }
+}
+
+#[test]
+fn an_heir_that_can_not_be_linked_is_passed_over() {
+    let (now, split) = (Instant::now(), split(6, 7));
+    let [first, second, third] = [0, 1, 2].map(|place| owner_at(place, &split, 0, 60, 6));
+    let part = split.part_of(&hall("hall-0"));
+    let own = (0..60).find(|own| ![first, second, third].contains(own)).unwrap();
+    let mut fleet = listed(own, 60, 6, now - Duration::from_secs(60));
+    [first, third].iter().for_each(|number| fleet.heard(&vm(*number), true, now));
+    fleet.told_draining(&vm(first), true, now);
+
+    let before = fleet.owner_of(POOL, &split, part, false, now);
+    fleet.dial_failed(address(second));
+    let after = fleet.owner_of(POOL, &split, part, false, now);
+
+    assert_eq!(before, Owner::Unknown, "a better one is being dialled");
+    assert_eq!(after, Owner::Peer(vm(third)));
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! one actor that holds what they share.
 
 mod accepted_links;
+mod accounts;
 mod admission;
 mod answers;
 mod app;
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -117,7 +117,8 @@
         .iter()
         .filter_map(|load| Some((TargetName::new(&load.target).ok()?, load.calls, load.tokens)))
         .collect();
-    app.hub.with(|shared, now| {
+    let stops = app.hub.with(|shared, now| {
+        let stops = shared.fleet.told_draining(vm, beat.draining, now);
         let pools = beat.pools.iter().map(|pool| {
             let turn = Duration::from_millis(u64::from(pool.turn_ms));
             let queue = queue_of(&pool.waiting);
@@ -125,8 +126,7 @@
             (pool.pool.clone(), fleet::PoolLoad { turn, rate, queue, coming, at: now })
         });
         shared.targets.peer_load(peer_number(vm), &loads, now);
-        let Some(peer) = shared.fleet.peers.get_mut(vm) else { return };
-        peer.draining = beat.draining;
+        let Some(peer) = shared.fleet.peers.get_mut(vm) else { return stops };
         peer.as_of = beat.as_of;
         peer.watches = beat.watches;
         peer.configuration = beat.configuration;
@@ -134,7 +134,12 @@
         let coming = beat.coming.iter();
         peer.coming = coming.map(|c| (c.pool.clone(), f64::from(c.pieces))).collect();
         shared.compare_versions(now);
+        stops
     });
+    if stops {
+        // Whoever takes its place is linked to at once.
+        app.vms_changed.notify_one();
+    }
 }
 
 fn peer_number(vm: &VmName) -> u64 {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -23,7 +23,9 @@
 use crate::hub::{Hub, now};
 use crate::settings::Settings;
 use crate::shared::Shared;
-use crate::{accepted_links, callers, dials, logs, news, own_entry, pages, reach, settings, store};
+use crate::{
+    accepted_links, accounts, callers, dials, logs, news, own_entry, pages, reach, settings, store,
+};
 
 /// Pause between two looks at connections at rest.
 const CLEANING: Duration = Duration::from_secs(1);
@@ -90,6 +92,7 @@
     spawn_local(store::follow(Rc::clone(app)));
     spawn_local(own_entry::keep(Rc::clone(app)));
     spawn_local(news::follow(Rc::clone(app)));
+    spawn_local(accounts::keep(Rc::clone(app)));
     spawn_local(clean(Rc::clone(app)));
     info!(app.log, "started"; "callers" => %cfg.callers, "peers" => %cfg.peers,
         "store" => %cfg.store, "hall" => %cfg.hall, "policy" => ?cfg.policy);
