--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod ownership;
 mod peer;
+mod spill;
 mod split;
 mod watchers;
 
@@ -14,6 +15,7 @@
 
 pub use ownership::Owner;
 pub use peer::{PeerVm, PoolLoad, VmEntry};
+pub use spill::spills;
 pub use split::{Part, Split};
 
 use ownership::Ranking;
--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -40,9 +40,12 @@
 /// 294 others five times a second would rank all of them for every heartbeat.
 #[derive(Debug, Default)]
 pub(crate) struct Ranking {
-    by_key: RefCell<HashMap<(Weight, String), Rc<[VmName]>>>,
+    by_key: RefCell<HashMap<RankKey, Rc<[VmName]>>>,
 }
 
+/// What VMs are ranked for, and by what.
+type RankKey = (Weight, String);
+
 /// What makes a VM come first more often than others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Weight {
--- a/components/fleet/src/peer.rs
+++ b/components/fleet/src/peer.rs
@@ -26,8 +26,10 @@
 pub struct PoolLoad {
     /// Time from submitting a piece to the pool with no queue to its result.
     pub turn: Duration,
-    /// Pieces that wait.
+    /// Pieces that wait and can be in time.
     pub queue: Queue,
+    /// Pieces that wait and can't: they are made after all others, but take workers and hold inputs.
+    pub late: f64,
     /// Pieces on their way from earlier stages.
     pub coming: f64,
     /// Pieces that the pool can make in a second.
@@ -37,9 +39,20 @@
 }
 
 impl PoolLoad {
-    /// Time until the pool has made what waits for it now.
+    /// Time until the pool has made all that waits for it now. Without what is late a part with a
+    /// thousand pieces seemed to have nothing to do, and others stood idle.
     pub fn drain(&self) -> Duration {
-        Duration::from_secs_f64((self.queue.total() as f64 + self.coming) / self.rate.max(1.0))
+        self.time_for(self.queue.total() as f64 + self.late + self.coming)
+    }
+
+    /// Expected time of a piece that is submitted after `begin`, with `ahead` before it: what is queued
+    /// now has drained since.
+    pub fn time(&self, begin: Duration, ahead: f64) -> Duration {
+        self.time_for(ahead).saturating_sub(begin) + self.turn
+    }
+
+    fn time_for(&self, pieces: f64) -> Duration {
+        Duration::from_secs_f64(pieces / self.rate.max(1.0))
     }
 }
 
--- /dev/null
+++ b/components/fleet/src/spill.rs
@@ -0,0 +1,16 @@
+//! Which part of a pool gets a submission that could go to another one as well.
+//!
+//! Every VM hears of the same queues with the same heartbeats. Were all submissions to go to the part
+//! that has least to do as soon as that is worth the way, all VMs would send all of theirs there until
+//! the next heartbeat: of two parts of nine workers one was busy for 0.97 of the time and the other for
+//! 0.3, turn by turn. So only a part of them goes there, more of it the longer the other queue is.
+
+use std::time::Duration;
+
+/// Whether a submission goes to another part than the one it belongs to, whose queues take so long to
+/// drain. `way` is what the other part has to be ahead by, and `draw` is at random from 0 to 1.
+pub fn spills(own: Duration, other: Duration, way: Duration, draw: f64) -> bool {
+    let ahead = own.saturating_sub(other + way);
+    let part = ahead.as_secs_f64() / own.as_secs_f64().max(f64::MIN_POSITIVE);
+    draw < part
+}
--- a/gateway/src/accounts.rs
+++ b/gateway/src/accounts.rs
@@ -38,7 +38,7 @@
 fn tell_owners(app: &App, owners: &mut HashMap<ServiceName, Owner>) {
     app.hub.with(|shared, now| {
         for pool in shared.pools.keys() {
-            let owner = shared.owner_of(pool, None, now);
+            let owner = shared.owner_near(pool, None, now);
             if owners.get(pool) == Some(&owner) {
                 continue;
             }
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -5,9 +5,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use batching::Queue;
 use doors::callers::Refusal;
-use fleet::{BEAT, Owner};
+use fleet::{BEAT, PoolLoad};
 use ids::ServiceName;
 use slog::info;
 
@@ -120,25 +119,6 @@
     }
 }
 
-/// What is expected of a pool.
-#[derive(Debug, Clone)]
-struct Forecast {
-    turn: Duration,
-    queue: Queue,
-    coming: f64,
-    rate: f64,
-    at: Instant,
-}
-
-impl Forecast {
-    /// Time of a piece that is submitted after `begin`, with `ahead` before it: what is queued now has
-    /// drained since.
-    fn time(&self, begin: Duration, ahead: f64) -> Duration {
-        let drain = Duration::from_secs_f64(ahead / self.rate.max(1.0));
-        drain.saturating_sub(begin) + self.turn
-    }
-}
-
 /// Refuses a request that is not expected to be in time.
 ///
 /// # Errors
@@ -253,22 +233,10 @@
         .map_or(0.0, |recent| recent.since(counted_until, req.urgency, due))
 }
 
-/// What the VM that fills a pool's calls expects.
-fn forecast(shared: &Shared, name: &ServiceName, now: Instant) -> Option<Forecast> {
-    match shared.owner_of(name, None, now) {
-        Owner::Unknown => None,
-        Owner::This => {
-            let pool = shared.pools.get(name)?;
-            let (queue, coming) = (pool.queue(now), shared.coming_to(name, now));
-            Some(Forecast { turn: pool.turn(), queue, coming, rate: pool.rate(now), at: now })
-        }
-        Owner::Peer(vm) => {
-            let load = shared.fleet.peers.get(&vm)?.pools.get(name.as_str())?;
-            let fresh = now.saturating_duration_since(load.at) < FORECAST_LIFE;
-            let fleet::PoolLoad { turn, queue, coming, rate, at } = load.clone();
-            fresh.then_some(Forecast { turn, queue, coming, rate, at })
-        }
-    }
+/// What the VM that fills a pool's calls told of it, if that is new enough.
+fn forecast(shared: &Shared, pool: &ServiceName, now: Instant) -> Option<PoolLoad> {
+    let load = shared.load_of(pool, &shared.owner_of(pool, now), now)?;
+    (now.saturating_duration_since(load.at) < FORECAST_LIFE).then_some(load)
 }
 
 /// Counts the pieces of a request that was admitted; gives them by stage.
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -65,12 +65,14 @@
             .pools
             .iter()
             .filter(|(name, _)| shared.fills(name, now))
-            .map(|(name, pool)| PoolLoad {
+            .filter_map(|(name, _)| Some((name, shared.load_here(name, now)?)))
+            .map(|(name, load)| PoolLoad {
                 pool: name.to_string(),
-                turn_ms: millis(pool.turn()),
-                rate: pool.rate(now) as f32,
-                waiting: waiting(&pool.queue(now)),
-                coming: shared.coming_to(name, now) as u32,
+                turn_ms: millis(load.turn),
+                rate: load.rate as f32,
+                waiting: waiting(&load.queue),
+                late: load.late as u32,
+                coming: load.coming as u32,
             })
             .collect(),
     })
@@ -123,7 +125,8 @@
             let turn = Duration::from_millis(u64::from(pool.turn_ms));
             let queue = queue_of(&pool.waiting);
             let (rate, coming) = (f64::from(pool.rate), f64::from(pool.coming));
-            (pool.pool.clone(), fleet::PoolLoad { turn, rate, queue, coming, at: now })
+            let late = f64::from(pool.late);
+            (pool.pool.clone(), fleet::PoolLoad { turn, rate, queue, late, coming, at: now })
         });
         shared.targets.peer_load(peer_number(vm), &loads, now);
         let Some(peer) = shared.fleet.peers.get_mut(vm) else { return stops };
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -108,7 +108,7 @@
             .pools
             .iter()
             .map(|(name, pool)| {
-                let owner = match shared.owner_of(name, None, now) {
+                let owner = match shared.owner_of(name, now) {
                     Owner::This => "this VM".to_owned(),
                     Owner::Peer(vm) => vm.to_string(),
                     Owner::Unknown => "not known yet".to_owned(),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -35,6 +35,17 @@
     VmEntry { peers: cfg.peers, hall: cfg.hall.clone(), cores: cfg.cores }
 }
 
+/// An owner of another part that may be ahead.
+struct Ahead {
+    owner: Owner,
+    /// Time until it has made all that waits for it.
+    drain: Duration,
+    /// The same of the one to compare with.
+    than: Duration,
+    /// What it has to be ahead by.
+    way: Duration,
+}
+
 /// The state that the tasks of a VM share.
 pub(crate) struct Shared {
     pub(crate) doors: Doors,
@@ -318,11 +329,34 @@
         self.first_events.get(service).copied().unwrap_or(FIRST_EVENT)
     }
 
-    /// The VM to which pieces for a pool are submitted now, whose results are wanted near a hall or
-    /// anywhere: that of the hall's part or of this VM's own, or of another part that would have made
-    /// them by the time at which the first one begins. Parts by this VM's hall alone took 9.4 GB of
-    /// results to other halls on a calm day of 295 VMs, where one part for all took 5.1.
-    pub(crate) fn owner_of(
+    /// The VM to which pieces of a submission for a pool go, whose results are wanted near a hall or
+    /// anywhere; `draw` is at random from 0 to 1.
+    pub(crate) fn owner_for(
+        &self,
+        pool: &ServiceName,
+        near: Option<&HallName>,
+        draw: f64,
+        now: Instant,
+    ) -> Owner {
+        let first = self.owner_near(pool, near, now);
+        let other = self
+            .owner_ahead_of(pool, &first, now)
+            .filter(|ahead| fleet::spills(ahead.than, ahead.drain, ahead.way, draw));
+        other.map_or(first, |ahead| ahead.owner)
+    }
+
+    /// The VM to which a pool's pieces from here are expected to go.
+    pub(crate) fn owner_of(&self, pool: &ServiceName, now: Instant) -> Owner {
+        let first = self.owner_near(pool, None, now);
+        let other = self.owner_ahead_of(pool, &first, now);
+        let other = other.filter(|ahead| ahead.drain + ahead.way < ahead.than);
+        other.map_or(first, |ahead| ahead.owner)
+    }
+
+    /// The owner of the part near which results are wanted, or of this VM's own one. Parts by this VM's
+    /// hall alone took 9.4 GB of results to other halls on a calm day of 295 VMs, where one part for all
+    /// took 5.1.
+    pub(crate) fn owner_near(
         &self,
         pool: &ServiceName,
         near: Option<&HallName>,
@@ -332,31 +366,22 @@
         let own = split.part_of(&self.own_hall);
         let wanted = near.map_or(own, |hall| split.part_of(hall));
         let wanted = self.open_part(pool, split, wanted);
-        let first = match self.owner_of_part(pool, split, wanted, now) {
+        match self.owner_of_part(pool, split, wanted, now) {
             Owner::Unknown => self.owner_of_part(pool, split, own, now),
             owner => owner,
-        };
-        self.owner_ahead_of(pool, split, &first, now).unwrap_or(first)
+        }
     }
 
-    /// The owner of a part that makes all that waits for it earlier than another one by more than a
-    /// call, so that pieces are better off there in spite of the way.
-    fn owner_ahead_of(
-        &self,
-        pool: &ServiceName,
-        split: &Split,
-        than: &Owner,
-        now: Instant,
-    ) -> Option<Owner> {
-        if split.is_whole() {
-            return None;
-        }
-        let drain = self.drain_of(pool, than, now)?;
-        let call = self.intent.as_ref()?.pool(pool)?.call;
+    /// The owner of the part that makes all that waits for it first, against another one.
+    fn owner_ahead_of(&self, pool: &ServiceName, than: &Owner, now: Instant) -> Option<Ahead> {
+        let split = self.splits.get(pool).filter(|split| !split.is_whole())?;
+        let way = self.intent.as_ref()?.pool(pool)?.call;
+        let than = self.load_of(pool, than, now)?.drain();
         let owners = split.parts().map(|part| self.owner_of_part(pool, split, part, now));
-        let drains = owners.filter_map(|other| Some((self.drain_of(pool, &other, now)?, other)));
-        let (least, best) = drains.min_by_key(|(drain, _)| *drain)?;
-        (least + call < drain).then_some(best)
+        let drains =
+            owners.filter_map(|owner| Some((self.load_of(pool, &owner, now)?.drain(), owner)));
+        let (drain, owner) = drains.min_by_key(|(drain, _)| *drain)?;
+        Some(Ahead { owner, drain, than, way })
     }
 
     fn owner_of_part(&self, pool: &ServiceName, split: &Split, part: Part, now: Instant) -> Owner {
@@ -377,23 +402,33 @@
         self.owner_of_part(pool, split, own, now) == Owner::This
     }
 
-    /// Time until an owner has made what waits for it, if that is known.
-    fn drain_of(&self, pool: &ServiceName, owner: &Owner, now: Instant) -> Option<Duration> {
+    /// What an owner has to do for a pool, if that is known.
+    pub(crate) fn load_of(
+        &self,
+        pool: &ServiceName,
+        owner: &Owner,
+        now: Instant,
+    ) -> Option<PoolLoad> {
         match owner {
             Owner::Unknown => None,
-            Owner::Peer(vm) => {
-                let load = self.fleet.peers.get(vm)?.pools.get(pool.as_str())?;
-                Some(load.drain())
-            }
-            Owner::This => {
-                let pool_here = self.pools.get(pool)?;
-                let (queue, coming) = (pool_here.queue(now), self.coming_to(pool, now));
-                let (turn, rate) = (pool_here.turn(), pool_here.rate(now));
-                Some(PoolLoad { turn, queue, coming, rate, at: now }.drain())
-            }
+            Owner::Peer(vm) => self.fleet.peers.get(vm)?.pools.get(pool.as_str()).cloned(),
+            Owner::This => self.load_here(pool, now),
         }
     }
 
+    /// What this VM has to do for a pool.
+    pub(crate) fn load_here(&self, name: &ServiceName, now: Instant) -> Option<PoolLoad> {
+        let pool = self.pools.get(name)?;
+        Some(PoolLoad {
+            turn: pool.turn(),
+            queue: pool.queue(now),
+            late: pool.late(now) as f64,
+            coming: self.coming_to(name, now),
+            rate: pool.rate(now),
+            at: now,
+        })
+    }
+
     /// Pieces on their way to a pool from earlier stages, of all VMs.
     pub(crate) fn coming_to(&self, name: &ServiceName, now: Instant) -> f64 {
         let peers = self.splits.get(name).map(|split| self.fleet.coming(name.as_str(), split, now));
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -205,7 +205,7 @@
         of.entry
             .stages
             .iter()
-            .any(|stage| shared.owner_of(&stage.pool, None, now) == Owner::Unknown)
+            .any(|stage| shared.owner_near(&stage.pool, None, now) == Owner::Unknown)
     };
     let until = tokio::time::Instant::from_std(of.until.min(now() + SETTLE));
     while of.app.hub.with(|shared, now| is_unknown(shared, now)) {
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -115,7 +115,8 @@
     of: StageTurn,
     news: &UnboundedSender<PieceNews>,
 ) -> Submitted {
-    let owner = app.hub.with(|shared, now| shared.owner_of(pool, submission.near.as_ref(), now));
+    let (near, draw) = (submission.near.as_ref(), rand::random());
+    let owner = app.hub.with(|shared, now| shared.owner_for(pool, near, draw, now));
     let link = match owner {
         Owner::Peer(vm) => app.links.borrow().get(&vm).cloned(),
         Owner::This | Owner::Unknown => None,
