--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -30,10 +30,16 @@
 /// Way to the VM that dialled.
 pub(crate) type ToDialer = UnboundedSender<Result<FromOwner, Status>>;
 
-/// Longest wait for a new link.
+/// Longest wait for a TCP connection to a VM: what is lost on the way is sent again after a second, and a
+/// VM that starts is there long before.
+const CONNECT_WAIT: Duration = Duration::from_millis(250);
+/// Longest wait for each answer on a new link.
 const DIAL_WAIT: Duration = Duration::from_millis(800);
-/// Pause before a failed link is dialled again.
+/// Pause before a link that ended is dialled again.
 const DIAL_PAUSE: Duration = Duration::from_millis(400);
+/// Pause before a link that could not be made is dialled again. After all VMs of a fleet had lost power,
+/// those that others dialled before they were there were dialled again 1.2 s later.
+const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// A link that was not wanted for this long ends.
 const UNWANTED: Duration = Duration::from_secs(5);
 /// Why such a link ends.
@@ -165,14 +171,18 @@
     if let Err(why) = hold_once(&app, address).await {
         slog::debug!(app.log, "no link"; "address" => %address, "why" => why);
         app.hub.with(|shared, _| shared.fleet.dial_failed(address));
+        sleep(FAILED_PAUSE).await;
+    } else {
+        sleep(DIAL_PAUSE).await;
     }
-    sleep(DIAL_PAUSE).await;
+    // Whoever dials looks again.
+    app.vms_changed.notify_one();
 }
 
 async fn hold_once(app: &Rc<App>, address: SocketAddr) -> Result<(), String> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .map_err(|e| e.to_string())?
-        .connect_timeout(DIAL_WAIT)
+        .connect_timeout(CONNECT_WAIT)
         .tcp_nodelay(true);
     let channel = timeout(DIAL_WAIT, endpoint.connect())
         .await
