A pool's rate follows what its calls hold while others wait

Change: the pieces of calls that leave others waiting are learned and bound the rate.

The test fails without the change (a pool that made one piece a call told its nominal rate).

--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -20,6 +20,9 @@
 const PATIENCE_EXTRA: Duration = Duration::from_millis(250);
 /// Weight of a new call in the learned number of pieces.
 const PIECES_WEIGHT: f64 = 0.2;
+/// Weight of a new call in the learned number of pieces of calls that leave others waiting: what makes
+/// them smaller, results that wait to be used, lasts for some seconds and dozens of calls.
+const PRESSED_WEIGHT: f64 = 0.05;
 /// Time beside the transfer itself within which a target begins a call and has fetched its inputs:
 /// many times the way between halls.
 const FETCH_EXTRA: Duration = Duration::from_millis(40);
@@ -173,6 +176,7 @@
         let count = u32::try_from(pieces.len()).unwrap_or(u32::MAX);
         let expected = (self.spec.call + self.spec.piece * count).max(LEAST_TIME);
         self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
+        self.learn_pressed(count);
         let fetch = self.fetch_time(&pieces);
         let worker = &mut self.workers[key];
         let room_before = worker.room_used;
@@ -196,6 +200,14 @@
         }
     }
 
+    /// Learns how many pieces a call holds while others wait; without such calls it is forgotten.
+    fn learn_pressed(&mut self, count: u32) {
+        let full = self.spec.batch as f64;
+        let seen = if self.waiting.is_empty() { full } else { f64::from(count) };
+        let before = self.pressed_pieces.unwrap_or(full);
+        self.pressed_pieces = Some(before + PRESSED_WEIGHT * (seen - before));
+    }
+
     /// Time within which a target has fetched the inputs of a call's pieces.
     fn fetch_time(&self, pieces: &[Waiting]) -> Option<Duration> {
         let mut jobs: Vec<JobKey> = pieces.iter().map(|waiting| waiting.job).collect();
--- a/components/batching/src/forecast.rs
+++ b/components/batching/src/forecast.rs
@@ -18,6 +18,7 @@
         let by_room = (self.spec.room_bytes / 2).checked_div(largest);
         let by_room = by_room.map_or(usize::MAX, |count| usize::try_from(count).unwrap_or(1));
         let full = self.spec.batch.min(by_room).max(1) as f64;
+        let full = self.pressed_pieces.map_or(full, |pressed| full.min(pressed)).max(1.0);
         let time = self.spec.call.as_secs_f64() + full * self.spec.piece.as_secs_f64();
         able as f64 * f64::from(self.spec.at_once.max(1)) * full
             / time.max(LEAST_TIME.as_secs_f64())
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -61,6 +61,8 @@
     pub(crate) orphans: Vec<String>,
     /// Pieces in a call, as last seen.
     pub(crate) usual_pieces: f64,
+    /// Pieces in a call that leaves others waiting, as last seen; none was yet if it is not set.
+    pub(crate) pressed_pieces: Option<f64>,
     /// Part of the workers' room that may be used: how large results are is known about only, so
     /// that it is learned from those that found none.
     pub(crate) room_part: f64,
@@ -81,6 +83,7 @@
             results: Results::default(),
             orphans: Vec::new(),
             usual_pieces: 1.0,
+            pressed_pieces: None,
             room_part: 1.0,
             halls: Halls::default(),
         }
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -501,3 +501,33 @@
     pool.set_halls(halls);
     assert!(!pool.is_closed());
 }
+
+#[test]
+fn the_rate_follows_what_calls_hold_while_others_wait() {
+    let now = Instant::now();
+    let mut pool = pool(&[worker("m", "a")]);
+    let nominal = pool.rate(now);
+    // Results of two thirds of the room leave no room for more than one piece a call.
+    let large = Submission { result_bytes: 600, ..submission("r", 40, now + CALL * 900) };
+    pool.submit(large, now);
+    for number in 0..40 {
+        let at = now + (LIFE + CALL) * number;
+        let call = pool.next_call(at).unwrap();
+        assert_eq!(call.pieces.len(), 1);
+        let made = PieceAnswer::Made(format!("m/{number}"));
+        pool.call_ended(call.key, CallEnd::Answered(vec![made]), at + CALL);
+    }
+    let pressed = pool.rate(now + LIFE * 60);
+
+    for number in 0..60 {
+        let at = now + LIFE * 70 + CALL * number;
+        pool.submit(submission(&format!("s-{number}"), 1, at + CALL * 9), at);
+        let call = pool.next_call(at).unwrap();
+        let made = vec![PieceAnswer::Made(format!("n/{number}"))];
+        pool.call_ended(call.key, CallEnd::Answered(made), at);
+    }
+    let free = pool.rate(now + LIFE * 90);
+
+    assert!(pressed < nominal * 0.6, "{pressed} of {nominal}");
+    assert!(free > nominal * 0.9, "{free} of {nominal}");
+}
