selection split by job, owners of pools out of the shared state; types in place of tuples

Each is a file of its own now; loads told by peers and targets have types. No behaviour changed: the tests assert what they did.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod logs;
 mod news;
 mod own_entry;
+mod owners;
 mod pages;
 mod plain;
 mod reach;
