--- a/src/logs.rs
+++ b/src/logs.rs
@@ -27,6 +27,11 @@
     text(pairs, key)?.parse().ok()
 }
 
+/// The time of the first event, in seconds.
+pub(crate) fn first_time(events: &[Map<String, Value>]) -> f64 {
+    events.iter().filter_map(|pairs| number(pairs, "time")).fold(f64::INFINITY, f64::min)
+}
+
 /// The key=value pairs of a line; values may stand in quotes.
 pub(crate) fn pairs(line: &str) -> Map<String, Value> {
     let mut pairs = Map::new();
--- a/src/main.rs
+++ b/src/main.rs
@@ -7,12 +7,14 @@
     };
 }
 
+mod charts;
 mod cli;
 mod cmd;
 mod context;
 mod fleet;
 mod logs;
 mod messages;
+mod pool_charts;
 
 use std::process::ExitCode;
 
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -93,6 +93,25 @@
     drop(std::fs::remove_file(path));
 }
 
+#[test]
+fn report_tells_what_takes_room_and_who_calls_workers() {
+    let told = tool(&["report", LOG, "--output", "json"]);
+
+    let charts: Value = serde_json::from_str(&text(&told)).expect("JSON");
+    let points = |title: &str, line: &str| {
+        let charts = charts.as_array().expect("charts");
+        let chart = charts.iter().find(|chart| chart["title"] == title).expect("the chart");
+        chart["lines"][line].clone()
+    };
+    let at = |second: f64, value: f64| serde_json::json!([[second, value]]);
+    let room = "Room of all pools, by what takes it";
+    assert_eq!(points(room, "waiting to be used"), at(2.0, 30.0));
+    assert_eq!(points("Room used, by pool", "encode"), at(2.0, 90.0));
+    assert_eq!(points("Pieces not made, by cause", "no room"), at(3.0, 2.0));
+    assert_eq!(points("VMs that fill calls, by pool", "encode"), at(3.0, 2.0));
+    assert_eq!(points("Workers that two VMs or more call, by pool", "encode"), at(3.0, 1.0));
+}
+
 #[test]
 fn report_draws_and_tells_how_requests_ended() {
     let page = std::env::temp_dir().join(format!("saddlerail-report-{}.html", std::process::id()));
