--- a/components/selection/src/cost.rs
+++ b/components/selection/src/cost.rs
@@ -9,7 +9,8 @@
 /// Cost of a call to another hall, in parts of a slot in use.
 const OTHER_HALL: f64 = 0.25;
 /// Prompt tokens to which a request at work is equal: it slows each step by a few hundredths, which
-/// over an answer is the time in which so many tokens are read.
+/// over an answer is the time in which so many tokens are read. With 40, engines that stand nearly empty read
+/// a tenth less of shared parts again, and a deployment of busy ones loses 0.015 of its loaded days.
 const TOKENS_PER_REQUEST: f64 = 120.0;
 /// Weight of tokens that others have yet to read there against own ones: they cost a wait, but no
 /// work that would be done twice.
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -261,8 +261,9 @@
         let in_time = left(self.req.until) > Duration::ZERO;
         match missed {
             Missed::NotReached => return in_time && self.unreachable < MOST_UNREACHABLE,
-            // It reached nobody whom it was meant for. Of the drafts of a day 1.4% had all their stages made
-            // and were refused so, each by a target that had crashed and come back as another one.
+            // It reached nobody whom it was meant for. Of the requests of an entry with one try 1.4% had all
+            // their stages made and were refused so, each by a target that had crashed and come back as
+            // another one.
             Missed::Replaced => {
                 return in_time && self.unreachable < MOST_UNREACHABLE && self.takes_repeat();
             }
