A part whose workers are all out of service is never ahead of another one

Found by reading: such a part has nothing to do, so that its time to drain was none, and submissions spilled to it where each piece was given up and its request refused. The choice moved into fleet, with a test.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use ownership::Owner;
 pub use peer::{PeerVm, PoolLoad, VmEntry};
-pub use spill::spills;
+pub use spill::{first_done, spills};
 pub use split::{Part, Split};
 
 use ownership::Ranking;
--- a/components/fleet/src/spill.rs
+++ b/components/fleet/src/spill.rs
@@ -7,6 +7,15 @@
 
 use std::time::Duration;
 
+use crate::{Owner, PoolLoad};
+
+/// The owner that makes all that waits for it first, and the time for that. One whose workers are all out of
+/// service has nothing to do and makes nothing: what went there would come back refused.
+pub fn first_done(loads: impl Iterator<Item = (Owner, PoolLoad)>) -> Option<(Owner, Duration)> {
+    let able = loads.filter(|(_, load)| load.rate > 0.0);
+    able.map(|(owner, load)| (owner, load.drain())).min_by_key(|(_, drain)| *drain)
+}
+
 /// Whether a submission goes to another part than the one it belongs to, whose queues take so long to
 /// drain. `way` is what the other part has to be ahead by, and `draw` is at random from 0 to 1.
 pub fn spills(own: Duration, other: Duration, way: Duration, draw: f64) -> bool {
--- a/components/fleet/tests/spill.rs
+++ b/components/fleet/tests/spill.rs
@@ -1,8 +1,13 @@
 //! Submissions go to another part of a pool as far as that part is ahead.
 
-use std::time::Duration;
+// A fixture that can't be set up fails its test.
+#![allow(clippy::unwrap_used)]
 
-use fleet::spills;
+use std::time::{Duration, Instant};
+
+use batching::Queue;
+use fleet::{Owner, PoolLoad, first_done, spills};
+use ids::VmName;
 
 const WAY: Duration = Duration::from_millis(240);
 
@@ -12,6 +17,24 @@
     spilled as f64 / 1000.0
 }
 
+fn owner(name: &str, late: f64, rate: f64) -> (Owner, PoolLoad) {
+    let (turn, queue, at) = (Duration::ZERO, Queue::default(), Instant::now());
+    let load = PoolLoad { turn, queue, late, coming: 0.0, rate, at };
+    (Owner::Peer(VmName::new(name).unwrap()), load)
+}
+
+#[test]
+fn a_part_whose_workers_are_all_out_of_service_is_never_ahead() {
+    let loads =
+        [owner("full", 400.0, 200.0), owner("closed", 0.0, 0.0), owner("busy", 90.0, 100.0)];
+
+    let (first, drain) = first_done(loads.into_iter()).unwrap();
+
+    assert_eq!(first, Owner::Peer(VmName::new("busy").unwrap()));
+    assert_eq!(drain, Duration::from_millis(900));
+    assert!(first_done([owner("closed", 0.0, 0.0)].into_iter()).is_none());
+}
+
 #[test]
 fn nothing_spills_to_a_part_that_is_ahead_by_less_than_the_way() {
     assert_eq!(part_spilled(0, 0), 0.0);
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -68,9 +68,9 @@
         let way = self.intent.as_ref()?.pool(pool)?.call;
         let than = self.load_of(pool, than, now)?.drain();
         let owners = split.parts().map(|part| self.owner_of_part(pool, split, part, now));
-        let drains =
-            owners.filter_map(|owner| Some((self.load_of(pool, &owner, now)?.drain(), owner)));
-        let (drain, owner) = drains.min_by_key(|(drain, _)| *drain)?;
+        let loads =
+            owners.filter_map(|owner| self.load_of(pool, &owner, now).map(|load| (owner, load)));
+        let (owner, drain) = fleet::first_done(loads)?;
         Some(Ahead { owner, drain, than, way })
     }
 
