One queue for a load, one name of an owner, one answer to who may own a part

Read again: a heartbeat and each choice of an owner worked the queue of a pool out twice (once for what is late); the number of targets of each service was copied for every look at cold targets, also while none is cold; the texts for an owner stood in the state page and in the log; whether a VM may own a part stood in the choice and in its log line; the pieces of a request's stages were looked up beside pieces_of; an accessor of halls was used by nobody.

No behaviour changed: the tests assert what they did (share_cold gives its closure the number of targets as well, so that four calls in them take one more argument).

--- a/components/batching/src/forecast.rs
+++ b/components/batching/src/forecast.rs
@@ -33,11 +33,6 @@
         next_free + self.spec.call + self.spec.piece.mul_f64(self.usual_pieces)
     }
 
-    /// Pieces that wait and can't be in time any more.
-    pub fn late(&self, now: Instant) -> usize {
-        self.waiting.len().saturating_sub(self.queue(now).total())
-    }
-
     /// Pieces that wait and can still be in time, by slack.
     pub fn queue(&self, now: Instant) -> Queue {
         let mut queue = Queue::default();
--- a/components/eligibility/src/halls.rs
+++ b/components/eligibility/src/halls.rs
@@ -48,11 +48,6 @@
         !self.out_of_reach.contains(hall) && !self.evacuated.contains(hall)
     }
 
-    /// Halls that this VM does not reach.
-    pub fn out_of_reach(&self) -> &BTreeSet<HallName> {
-        &self.out_of_reach
-    }
-
     /// Halls that operators took out of service.
     pub fn evacuated(&self) -> &BTreeSet<HallName> {
         &self.evacuated
--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -74,8 +74,7 @@
         let mut of_part = ranked.iter().filter(|vm| self.is_in(vm, split, part));
         let mut awaited = false;
         let best = of_part.find(|vm| {
-            let is_owner =
-                if **vm == self.own { !draining } else { self.takes_work(vm, pool, split, now) };
+            let is_owner = self.is_fit(vm, pool, split, draining, now);
             awaited |= !is_owner && **vm != self.own && self.is_awaited(vm, now);
             is_owner
         });
@@ -101,8 +100,8 @@
         let of_part = ranked.iter().filter(|vm| self.is_in(vm, split, part));
         let unfit = of_part.map_while(|vm| {
             let why = match () {
-                () if *vm == self.own && draining => "stops",
-                () if *vm == self.own || self.takes_work(vm, pool, split, now) => return None,
+                () if self.is_fit(vm, pool, split, draining, now) => return None,
+                () if *vm == self.own => "stops",
                 () if self.is_out_of_reach(vm) => "out of reach",
                 () => self.peers.get(vm).map_or("never heard", |peer| peer.unfit(now)),
             };
@@ -197,6 +196,11 @@
         ranked
     }
 
+    /// Whether a VM may own a part: this one unless it is `draining`, another one if work can be handed to it.
+    fn is_fit(&self, vm: &VmName, pool: &str, split: &Split, draining: bool, now: Instant) -> bool {
+        if *vm == self.own { !draining } else { self.takes_work(vm, pool, split, now) }
+    }
+
     fn is_in(&self, vm: &VmName, split: &Split, part: Part) -> bool {
         self.entry_of(vm).is_some_and(|entry| split.part_of(&entry.hall) == part)
     }
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -126,14 +126,18 @@
         }
     }
 
-    /// Works out anew what this VM may send each cold target within a second; gives how many are cold.
-    pub fn share_cold(&mut self, share: impl Fn(&Target) -> u32, now: Instant) -> usize {
+    /// Works out anew what this VM may send each cold target within a second, from the target and the number
+    /// of targets of its service; gives how many are cold.
+    pub fn share_cold(&mut self, share: impl Fn(&Target, usize) -> u32, now: Instant) -> usize {
+        let by_service = &self.by_service;
+        let share =
+            |target: &Target| share(target, by_service.get(&target.service).map_or(0, Vec::len));
         let cold = self.arena.values_mut().filter(|known| known.warming.is_cold(now));
         cold.map(|known| known.warming.set_share(share(&known.target))).count()
     }
 
     /// Number of targets of a service.
-    pub fn count_of(&self, service: &ServiceName) -> usize {
+    fn count_of(&self, service: &ServiceName) -> usize {
         self.by_service.get(service).map_or(0, Vec::len)
     }
 
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -249,7 +249,7 @@
     let mut targets = targets(&[("warm", "a")]);
     let cold = Target { cold: Duration::from_secs(3), ..target("cold", "a") };
     targets.put(cold, now);
-    targets.share_cold(|_| 2, now);
+    targets.share_cold(|_, _| 2, now);
 
     let mut sent = |at: Instant| -> usize {
         let picks = (0..20).filter_map(|_| pick(&mut targets, &[], at)).collect::<Vec<_>>();
@@ -268,7 +268,7 @@
     let now = Instant::now();
     let mut targets = Targets::new(Policy::Adaptive, hall("a"));
     targets.put(Target { cold: Duration::from_secs(3), ..target("cold", "a") }, now);
-    targets.share_cold(|_| 0, now);
+    targets.share_cold(|_, _| 0, now);
 
     assert!(pick(&mut targets, &[], now).is_none());
     assert!(pick(&mut targets, &[], now + Duration::from_secs(3)).is_some(), "it is warm");
@@ -280,9 +280,9 @@
     let mut targets = targets(&[("near", "a"), ("far", "b")]);
 
     targets.assume_cold(&hall("a"), |_| Some(Duration::from_secs(3)), now);
-    let cold = targets.share_cold(|_| 0, now);
+    let cold = targets.share_cold(|_, _| 0, now);
     let chosen = pick(&mut targets, &[], now).unwrap();
 
     assert_eq!((cold, name(&chosen)), (1, "far"));
-    assert_eq!(targets.share_cold(|_| 0, now + Duration::from_secs(3)), 0);
+    assert_eq!(targets.share_cold(|_, _| 0, now + Duration::from_secs(3)), 0);
 }
--- a/gateway/src/accounts.rs
+++ b/gateway/src/accounts.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::app::App;
+use crate::owners::name_of;
 
 /// Pause between two lines on a pool's room: a burst fills it within a few seconds.
 const ROOM_PAUSE: Duration = Duration::from_secs(1);
@@ -50,14 +51,6 @@
     });
 }
 
-fn name_of(owner: &Owner) -> String {
-    match owner {
-        Owner::This => "this VM".to_owned(),
-        Owner::Peer(vm) => vm.to_string(),
-        Owner::Unknown => "not known yet".to_owned(),
-    }
-}
-
 /// Logs what takes the room of the pools for which this VM had results made.
 fn tell_room(app: &App) {
     let rooms: Vec<(ServiceName, RoomUse, usize)> = app.hub.with(|shared, now| {
--- a/gateway/src/halls.rs
+++ b/gateway/src/halls.rs
@@ -1,7 +1,6 @@
 //! Which targets may be sent work, as far as data halls and cold starts decide: what operators and
 //! this VM's own observations say is put together here and told to whoever chooses.
 
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -14,6 +13,7 @@
 use crate::app::App;
 use crate::requests::Accepted;
 use crate::shared::Shared;
+use crate::stages::pieces_of;
 use crate::work;
 
 /// Key by which VMs agree on who sends to a cold target.
@@ -77,17 +77,14 @@
     /// Works out what this VM may send to each cold target.
     pub(crate) fn share_cold(&mut self, now: Instant) {
         let Some(intent) = self.intent.clone() else { return };
-        let count_of = |service: &ServiceName| (service.clone(), self.targets.count_of(service));
-        let counts: HashMap<ServiceName, usize> = intent.services.keys().map(count_of).collect();
         let (fleet, margin) = (&self.fleet, self.cold);
         let vms = fleet.size();
-        let share = |target: &Target| {
+        let share = |target: &Target, targets: usize| {
             // A service without a rate has no cold targets.
             let service = intent.services.get(&target.service);
             let Some(cold) = service.and_then(|service| service.cold) else { return u32::MAX };
             let (overshoot, slack) = (margin.overshoot, margin.slack);
             let bound = ColdBound { per_s: cold.per_s, overshoot, slack };
-            let targets = counts.get(&target.service).copied().unwrap_or(0);
             let share = eligibility::share(bound, vms, targets);
             let sends = fleet.is_among_first(&sender_key(target), share.senders);
             if sends { share.each } else { 0 }
@@ -106,11 +103,9 @@
         if self.halls.evacuated().is_empty() {
             return false;
         }
-        let pieces = |index: usize| req.head.pieces.get(index).copied().unwrap_or(0);
-        let mut stages = req.entry.stages.iter().enumerate();
+        let mut stages = req.entry.stages.iter().zip(pieces_of(&req.entry, &req.head));
         let closed = |service: &ServiceName| self.targets.is_closed(service);
-        closed(&req.service)
-            || stages.any(|(index, stage)| pieces(index) > 0 && closed(&stage.pool))
+        closed(&req.service) || stages.any(|(stage, pieces)| pieces > 0 && closed(&stage.pool))
     }
 
     /// The part to which pieces go that are wanted in one: that one, or another if all of its workers
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -18,6 +18,15 @@
     way: Duration,
 }
 
+/// The owner's name for logs and pages.
+pub(crate) fn name_of(owner: &Owner) -> String {
+    match owner {
+        Owner::This => "this VM".to_owned(),
+        Owner::Peer(vm) => vm.to_string(),
+        Owner::Unknown => "not known yet".to_owned(),
+    }
+}
+
 impl Shared {
     /// The VM to which pieces of a submission for a pool go, whose results are wanted near a hall or
     /// anywhere; `draw` is at random from 0 to 1.
@@ -109,10 +118,12 @@
     /// What this VM has to do for a pool.
     pub(crate) fn load_here(&self, name: &ServiceName, now: Instant) -> Option<PoolLoad> {
         let pool = self.pools.get(name)?;
+        let queue = pool.queue(now);
+        let late = pool.waiting_pieces().saturating_sub(queue.total());
         Some(PoolLoad {
             turn: pool.turn(),
-            queue: pool.queue(now),
-            late: pool.late(now) as f64,
+            queue,
+            late: late as f64,
             coming: self.coming_to(name, now),
             rate: pool.rate(now),
             at: now,
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use fleet::Owner;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,6 +16,7 @@
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::owners::name_of;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -108,14 +108,9 @@
             .pools
             .iter()
             .map(|(name, pool)| {
-                let owner = match shared.owner_of(name, now) {
-                    Owner::This => "this VM".to_owned(),
-                    Owner::Peer(vm) => vm.to_string(),
-                    Owner::Unknown => "not known yet".to_owned(),
-                };
                 json!({
                     "pool": name.as_str(),
-                    "filled_by": owner,
+                    "filled_by": name_of(&shared.owner_of(name, now)),
                     "turn_ms": pool.turn().as_millis() as u64,
                     "queue": pool.queue(now).total(),
                     "queue_by_slack": pool.queue(now).counts().collect::<Vec<_>>(),
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -216,7 +216,7 @@
 }
 
 /// Pieces of each stage, with none where the caller names none.
-fn pieces_of(entry: &Entry, head: &CallerHead) -> Vec<u32> {
+pub(crate) fn pieces_of(entry: &Entry, head: &CallerHead) -> Vec<u32> {
     (0..entry.stages.len()).map(|index| head.pieces.get(index).copied().unwrap_or(0)).collect()
 }
 
