Sight: the same request has the same content in all logs, and a broken connection tells whether its target ended

Ruled out: the store's entries as the only sight (an entry goes 1.5 s and more after its target ended). No decision differs. Conclusion: the story of one request can be read over all VMs by its content.

--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -43,8 +44,10 @@
 pub(crate) enum NoAnswer {
     /// Not a byte of it was sent.
     NotSent(String),
-    /// Some of it may have been sent, so it may have run.
-    Lost(String),
+    /// Its connection ended after some of it may have been sent, so it may have run.
+    Broke(String),
+    /// It was given up, and may have run.
+    GivenUp(String),
 }
 
 /// A connection with a call under way; dropped before its end, it is closed.
@@ -80,7 +83,7 @@
                 Ok(answer) => return Ok((answer, carrier)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => req = unsent,
-                    None => return Err(NoAnswer::Lost(e.into_error().to_string())),
+                    None => return Err(NoAnswer::Broke(e.into_error().to_string())),
                 },
             }
         }
@@ -90,7 +93,7 @@
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
                 let problem = e.into_error().to_string();
-                Err(if unsent { NoAnswer::NotSent(problem) } else { NoAnswer::Lost(problem) })
+                Err(if unsent { NoAnswer::NotSent(problem) } else { NoAnswer::Broke(problem) })
             }
         }
     }
@@ -160,6 +163,13 @@
     Ok(Carrier { target, sender, task })
 }
 
+/// Whether an address refuses connections at once: a process that listens there takes them, and one that
+/// is out of reach says nothing.
+pub(crate) async fn is_refused(address: SocketAddr) -> bool {
+    let connecting = tokio::time::timeout(CONNECT_WAIT, TcpStream::connect(address));
+    matches!(connecting.await, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Opens a TCP connection within bounds.
 pub(crate) async fn connect(address: SocketAddr) -> Result<TcpStream, String> {
     let connecting = tokio::time::timeout(CONNECT_WAIT, TcpStream::connect(address));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod callers;
 mod connections;
 mod contact;
+mod crashes;
 mod dials;
 pub mod events;
 mod halls;
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -11,6 +11,7 @@
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
+use crate::crashes;
 use crate::hub::now;
 use crate::requests::Accepted;
 use crate::tries::{Answer, Missed, Tries};
@@ -72,6 +73,7 @@
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => {
+            crashes::connection_broke(app, tries.req(), &a_try.pick.target);
             a_try.end(End::Failed);
             tries.may_have_run = true;
             return Ok(Err(Missed::Lost(e.to_string())));
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response};
 use ids::{CustomerName, RequestId, ServiceName};
 use intent::{Customer, Entry, Intent};
+use quarantine::{Asked, Content};
 use slog::info;
 
 use crate::answers::{AnswerBody, refusal};
@@ -27,6 +28,8 @@
 /// A request that may be served.
 pub(crate) struct Accepted {
     pub(crate) id: RequestId,
+    /// The same for each attempt at the same request.
+    pub(crate) content: Content,
     pub(crate) head: CallerHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
@@ -142,8 +145,10 @@
     app.hub.with(|shared, now| shared.count_request(&service, now));
     let urgency = customer.as_ref().and_then(|c| c.urgency).unwrap_or(entry.urgency);
     let customer = customer.map(|customer| customer.name.clone());
+    let content = content_of(&parts, &host, customer.as_ref(), &body);
     Ok(Accepted {
         id,
+        content,
         head,
         parts,
         body,
@@ -157,6 +162,17 @@
     })
 }
 
+/// What the request asks, worked out once, before it is sent anywhere.
+fn content_of(parts: &Parts, host: &str, customer: Option<&CustomerName>, body: &[u8]) -> Content {
+    Content::of(&Asked {
+        method: parts.method.as_str(),
+        host,
+        path: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        customer: customer.map(CustomerName::as_str),
+        body,
+    })
+}
+
 /// Whether the process stops and its balancer has had time to hear of it.
 fn is_late_in_stop(app: &App) -> bool {
     let notice = app.cfg.stop.notice();
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame, Incoming};
+use intent::Target;
 use selection::{CallSize, End, chain_of};
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -22,6 +23,7 @@
 use crate::admission::{self, InFlight};
 use crate::answers::{AnswerBody, Cut, refusal, whole};
 use crate::app::App;
+use crate::crashes;
 use crate::events::{Event, Splitter};
 use crate::hub::now;
 use crate::plain::outcome_of;
@@ -76,7 +78,10 @@
 enum Next {
     Event(Event),
     End,
+    /// Its connection ended, or it ended within an event.
     Broken(String),
+    /// The hall of its target is out of reach.
+    OutOfReach,
 }
 
 /// Answers a request; tells how it ended.
@@ -131,7 +136,7 @@
                 let stream = Stream { app, req, tries, size, reader, results, last: None };
                 return Ok(Begun::Stream(Box::new(stream), first));
             }
-            Ok(Ok(Ok(First::Whole(answer)))) => return whole_answer(app, *answer).await,
+            Ok(Ok(Ok(First::Whole(answer)))) => return whole_answer(app, req, *answer).await,
             Ok(Ok(Err(missed))) => missed,
             Ok(Err(told)) => return Err(told),
             Err(_) => {
@@ -254,17 +259,20 @@
         // A stream with no event is an answer too, if it was read to its end.
         Next::End => Ok(Ok(First::Stream(Box::new(reader), Vec::new()))),
         Next::Broken(why) => {
-            reader.answer.a_try.end(End::Failed);
-            tries.may_have_run = true;
-            Ok(Err(Missed::Lost(why)))
+            crashes::connection_broke(tries.app(), tries.req(), reader.target());
+            Ok(Err(reader.lost(tries, why)))
         }
+        Next::OutOfReach => Ok(Err(reader.lost(tries, OUT_OF_REACH.to_owned()))),
     }
 }
 
 /// Passes on an answer that is no stream.
-async fn whole_answer(app: &App, answer: Answer) -> Result<Begun, Refusal> {
+async fn whole_answer(app: &Rc<App>, req: &Accepted, answer: Answer) -> Result<Begun, Refusal> {
     let Answer { head, read, body, carrier, mut a_try } = answer;
-    let Ok(body) = body.collect().await else { return Err(Refusal::Failed) };
+    let Ok(body) = body.collect().await else {
+        crashes::connection_broke(app, req, &a_try.pick.target);
+        return Err(Refusal::Failed);
+    };
     if !read.closes {
         app.rest(carrier, read.keeps);
     }
@@ -280,6 +288,18 @@
         Reader { answer, splitter: Splitter::default(), out: app.out_halls.subscribe() }
     }
 
+    /// The target whose stream it is.
+    fn target(&self) -> &Target {
+        &self.answer.a_try.pick.target
+    }
+
+    /// Ends a try that brought no event.
+    fn lost(&mut self, tries: &mut Tries, why: String) -> Missed {
+        self.answer.a_try.end(End::Failed);
+        tries.may_have_run = true;
+        Missed::Lost(why)
+    }
+
     /// The next event, unless the target's hall is out of reach and another target may go on.
     async fn next(&mut self, repeatable: bool) -> Next {
         let Reader { answer, splitter, out } = self;
@@ -287,7 +307,7 @@
         tokio::select! {
             biased;
             next = next_event(&mut answer.body, splitter) => next,
-            () = reach::lost(out, hall), if repeatable => Next::Broken(OUT_OF_REACH.to_owned()),
+            () = reach::lost(out, hall), if repeatable => Next::OutOfReach,
         }
     }
 }
@@ -329,7 +349,7 @@
         Passed::Cut(why) => ("cut", Some(why)),
     };
     let req = &stream.req;
-    info!(stream.app.log, "stream ended"; "request" => %req.id, "entry" => &req.entry.name,
+    info!(stream.app.log, "stream ended"; "request" => %req.id, "content" => %req.content, "entry" => &req.entry.name,
         "outcome" => outcome, "why" => &why, "last_event" => stream.last,
         "took_ms" => (now() - req.arrived).as_millis());
     let customer = req.customer.as_ref().map_or("-", |name| name.as_str());
@@ -376,7 +396,11 @@
                 continue;
             }
             Ok(Next::End) => return Passed::Whole,
-            Ok(Next::Broken(why)) => why,
+            Ok(Next::Broken(why)) => {
+                crashes::connection_broke(&stream.app, &stream.req, stream.reader.target());
+                why
+            }
+            Ok(Next::OutOfReach) => OUT_OF_REACH.to_owned(),
             Err(_) if TokioInstant::now() >= until => {
                 return Passed::Cut("its time is over".into());
             }
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -12,6 +12,7 @@
 
 use crate::app::App;
 use crate::connections::{Carrier, NoAnswer};
+use crate::crashes;
 use crate::hub::now;
 use crate::reach;
 use crate::requests::{Accepted, call_of};
@@ -159,7 +160,7 @@
             sent = sending => sent,
             // What may run once only is waited for: the hall may come back with its answer.
             () = reach::lost(&mut out, &target.hall), if self.req.entry.repeatable => {
-                Err(NoAnswer::Lost(OUT_OF_REACH.to_owned()))
+                Err(NoAnswer::GivenUp(OUT_OF_REACH.to_owned()))
             }
         };
         let result = match sent {
@@ -171,7 +172,12 @@
                 slog::debug!(self.app.log, "target not reached"; "target" => %target.id, "why" => why);
                 Err(Missed::NotReached)
             }
-            Err(NoAnswer::Lost(why)) => {
+            Err(NoAnswer::Broke(why)) => {
+                crashes::connection_broke(&self.app, &self.req, &target);
+                a_try.end(End::Failed);
+                Err(Missed::Lost(why))
+            }
+            Err(NoAnswer::GivenUp(why)) => {
                 a_try.end(End::Failed);
                 Err(Missed::Lost(why))
             }
@@ -239,7 +245,7 @@
 
     fn tell(&self, a_try: &Try, missed: Option<&Missed>) {
         let pick = &a_try.pick;
-        info!(self.app.log, "try"; "request" => %self.req.id, "service" => %self.req.service,
+        info!(self.app.log, "try"; "request" => %self.req.id, "content" => %self.req.content, "service" => %self.req.service,
             "target" => %pick.target.id, "hall" => %pick.target.hall,
             "cost" => format!("{:.2}", pick.cost), "of" => pick.candidates,
             "load_age_ms" => pick.load_age.map(|age| age.as_millis()), "unread" => pick.unread,
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -402,7 +402,7 @@
     }
     let sent = app.connections.send(target, req).await;
     let (answer, carrier) = sent.map_err(|miss| match miss {
-        NoAnswer::NotSent(problem) | NoAnswer::Lost(problem) => {
+        NoAnswer::NotSent(problem) | NoAnswer::Broke(problem) | NoAnswer::GivenUp(problem) => {
             debug!(app.log, "call failed"; "target" => %target.id, "why" => problem);
             OwnCallMiss::Lost
         }
