--- /dev/null
+++ b/standins/src/users/fragile.rs
@@ -0,0 +1,185 @@
+//! Runners that end under a certain request, and come back after a while as the next lifetime.
+
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use serde_json::{Value, json};
+
+use super::runners::{Act, Runner};
+use super::store::Store;
+use super::{Message, Wire};
+
+/// Pause between two tries to listen at the same port again.
+const LISTEN_PAUSE: Duration = Duration::from_millis(5);
+
+/// How a runner comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Return {
+    /// Under a new id.
+    NewId,
+    /// Under the id that it had; only its time of birth tells the lifetimes apart.
+    SameId,
+}
+
+/// What a fragile runner is.
+#[derive(Debug, Clone)]
+pub struct Nature {
+    /// A request with this body ends it.
+    pub fatal: Vec<u8>,
+    /// It ends this long after it began to run such a request.
+    pub after: Duration,
+    /// It is away for this long.
+    pub down: Duration,
+    /// How it comes back.
+    pub back: Return,
+    /// What it does with other requests.
+    pub usual: Act,
+}
+
+struct State {
+    lifetime: Option<Runner>,
+    open: Vec<TcpStream>,
+    lifetimes: u64,
+    /// Bodies of requests that reached it, of all lifetimes.
+    reached: Vec<Vec<u8>>,
+}
+
+/// A runner that ends under a certain request.
+#[derive(Clone)]
+pub struct Fragile {
+    name: String,
+    service: String,
+    address: SocketAddr,
+    nature: Nature,
+    store: Store,
+    state: Arc<Mutex<State>>,
+}
+
+impl Fragile {
+    /// Starts a runner of a service and writes its entry.
+    pub fn start(
+        name: &str,
+        service: &str,
+        nature: Nature,
+        store: &Store,
+    ) -> std::io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let state = State { lifetime: None, open: Vec::new(), lifetimes: 0, reached: Vec::new() };
+        let fragile = Fragile {
+            name: name.to_owned(),
+            service: service.to_owned(),
+            address: listener.local_addr()?,
+            nature,
+            store: store.clone(),
+            state: Arc::new(Mutex::new(state)),
+        };
+        let living = fragile.clone();
+        spawn(move || living.live(listener));
+        Ok(fragile)
+    }
+
+    /// How often it has ended.
+    pub fn ends(&self) -> u64 {
+        self.with(|state| state.lifetimes.saturating_sub(u64::from(state.lifetime.is_some())))
+    }
+
+    /// How many requests with this body reached it, in all of its lifetimes.
+    pub fn reached_by(&self, body: &[u8]) -> usize {
+        self.with(|state| state.reached.iter().filter(|seen| *seen == body).count())
+    }
+
+    fn with<R>(&self, f: impl FnOnce(&mut State) -> R) -> R {
+        f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// One lifetime after the other.
+    fn live(&self, first: TcpListener) {
+        let mut listener = first;
+        loop {
+            let runner = self.begin_lifetime();
+            self.accept(&listener, &runner);
+            drop(listener);
+            sleep(self.nature.down);
+            listener = loop {
+                match TcpListener::bind(self.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => sleep(LISTEN_PAUSE),
+                }
+            };
+        }
+    }
+
+    fn begin_lifetime(&self) -> Runner {
+        let number = self.with(|state| state.lifetimes);
+        let id = |number: u64| match self.nature.back {
+            Return::NewId => format!("{}-{number}", self.name),
+            Return::SameId => self.name.clone(),
+        };
+        let runner = Runner::unserved(&id(number), self.address, self.nature.usual.clone());
+        self.with(|state| {
+            state.lifetimes += 1;
+            state.lifetime = Some(runner.clone());
+        });
+        if self.nature.back == Return::NewId && number > 0 {
+            self.store.remove(&format!("servers/{}", id(number - 1)));
+        }
+        self.store.put(&format!("servers/{}", runner.id), &self.entry(&runner));
+        runner
+    }
+
+    fn entry(&self, runner: &Runner) -> Value {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let mut entry = runner.entry(&self.service, "hall-a", "ready");
+        entry["born"] = json!(u64::try_from(born.as_millis()).unwrap_or(u64::MAX));
+        entry
+    }
+
+    /// Takes connections until the lifetime ends.
+    fn accept(&self, listener: &TcpListener, runner: &Runner) {
+        for stream in listener.incoming().flatten() {
+            let lives = self.with(|state| {
+                state.open.extend(stream.try_clone());
+                state.lifetime.is_some()
+            });
+            if !lives {
+                return;
+            }
+            let (serving, runner) = (self.clone(), runner.clone());
+            spawn(move || serving.serve(Wire::new(stream), &runner));
+        }
+    }
+
+    fn serve(&self, mut wire: Wire, runner: &Runner) {
+        while let Some(req) = wire.read() {
+            self.with(|state| state.reached.push(req.body.clone()));
+            if self.is_fatal(&req, runner) {
+                self.end();
+                return;
+            }
+            if !runner.run(&mut wire, &req) {
+                return;
+            }
+        }
+    }
+
+    fn is_fatal(&self, req: &Message, runner: &Runner) -> bool {
+        let fatal = req.body == self.nature.fatal && req.header("expected-instance") == runner.id;
+        if fatal {
+            sleep(self.nature.after);
+        }
+        fatal
+    }
+
+    /// Ends the lifetime: its port first, which a connection of its own wakes, then all its connections.
+    fn end(&self) {
+        if self.with(|state| state.lifetime.take()).is_none() {
+            return;
+        }
+        drop(TcpStream::connect(self.address));
+        for stream in self.with(|state| std::mem::take(&mut state.open)) {
+            drop(stream.shutdown(Shutdown::Both));
+        }
+    }
+}
--- a/standins/src/users/mod.rs
+++ b/standins/src/users/mod.rs
@@ -3,6 +3,7 @@
 //! each byte can be spoiled.
 
 pub mod callers;
+pub mod fragile;
 pub mod link;
 pub mod runners;
 pub mod serving;
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -85,13 +85,7 @@
     /// Starts a runner that answers as `usual`.
     pub fn start(id: &str, usual: Act) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let state = State { usual: Some(usual), ..State::default() };
-        let runner = Runner {
-            address: listener.local_addr()?,
-            id: id.to_owned(),
-            state: Arc::new(Mutex::new(state)),
-            next_handle: Arc::default(),
-        };
+        let runner = Runner::unserved(id, listener.local_addr()?, usual);
         let serving = runner.clone();
         serve_each(listener, move |wire| {
             serving.with(|state| state.open += 1);
@@ -101,6 +95,17 @@
         Ok(runner)
     }
 
+    /// A runner whose connections somebody else takes and serves.
+    pub(super) fn unserved(id: &str, address: SocketAddr, usual: Act) -> Self {
+        let state = State { usual: Some(usual), ..State::default() };
+        Runner {
+            address,
+            id: id.to_owned(),
+            state: Arc::new(Mutex::new(state)),
+            next_handle: Arc::default(),
+        }
+    }
+
     /// What it writes of itself into the store.
     pub fn entry(&self, service: &str, zone: &str, state: &str) -> Value {
         json!({"service": service, "address": self.address.to_string(), "zone": zone,
@@ -174,7 +179,8 @@
         }
     }
 
-    fn run(&self, wire: &mut Wire, req: &Message) -> bool {
+    /// Answers a request; false if the connection is to end.
+    pub(super) fn run(&self, wire: &mut Wire, req: &Message) -> bool {
         let id = req.header("request-id").to_owned();
         let expected = req.header("expected-instance").to_owned();
         let act = self.with(|state| {
