--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -98,6 +98,7 @@
     pub fn set_workers<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         let mut gone: HashMap<TargetName, WorkerKey> = self.by_id.clone();
         for target in targets {
+            self.end_earlier_lifetime(target);
             gone.remove(&target.id);
             match self.by_id.get(&target.id).and_then(|key| self.workers.get_mut(*key)) {
                 Some(worker) => worker.target = target.clone(),
@@ -229,6 +230,15 @@
         self.release(orphans)
     }
 
+    /// A worker that started again under its id holds nothing of before.
+    fn end_earlier_lifetime(&mut self, target: &Target) {
+        let Some(key) = self.by_id.get(&target.id).copied() else { return };
+        let known = self.workers.get(key).map(|worker| &worker.target);
+        if known.is_some_and(|known| target.is_reborn_since(known)) {
+            self.drop_worker(&target.id, key);
+        }
+    }
+
     fn drop_worker(&mut self, id: &TargetName, key: WorkerKey) {
         self.by_id.remove(id);
         self.workers.remove(key);
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -30,6 +30,7 @@
 fn worker(id: &str, hall: &str) -> Target {
     Target {
         id: TargetName::new(id).unwrap(),
+        born: None,
         service: ServiceName::new("pool").unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: HallName::new(hall).unwrap(),
--- a/components/eligibility/tests/halls.rs
+++ b/components/eligibility/tests/halls.rs
@@ -16,6 +16,7 @@
 fn target(in_hall: &str) -> Target {
     Target {
         id: TargetName::new("t").unwrap(),
+        born: None,
         service: ServiceName::new("s").unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: hall(in_hall),
--- a/components/intent/src/target.rs
+++ b/components/intent/src/target.rs
@@ -5,11 +5,14 @@
 
 use ids::{HallName, ServiceName, TargetName};
 
-/// A target as it tells of itself; a restart is another target with another id.
+/// A target as it tells of itself. One that starts again is another lifetime: under another id, or under its
+/// id with another time of birth.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
-    /// Id of this lifetime.
+    /// Its id.
     pub id: TargetName,
+    /// When this lifetime began, in milliseconds of the Unix epoch, if it says so.
+    pub born: Option<u64>,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
@@ -23,3 +26,15 @@
     /// For how long it was still cold when it wrote this: it bears few requests until then.
     pub cold: Duration,
 }
+
+impl Target {
+    /// What it says of its lifetime as one number, alike at all VMs.
+    pub fn birth(&self) -> u64 {
+        hashing::combine(hashing::of_text(self.id.as_str()), self.born.unwrap_or_default())
+    }
+
+    /// Whether this is another lifetime than one of the same id that was known.
+    pub fn is_reborn_since(&self, known: &Target) -> bool {
+        self.born.is_some() && known.born.is_some() && self.born != known.born
+    }
+}
--- a/components/quarantine/tests/content.rs
+++ b/components/quarantine/tests/content.rs
@@ -23,7 +23,7 @@
         Asked { body: b"a body.", ..ASKED },
     ];
 
-    let same = Content::of(&ASKED) == Content::of(&Asked { body: &b"a body".to_vec(), ..ASKED });
+    let same = Content::of(&ASKED) == Content::of(&Asked { body: b"a body", ..ASKED });
     let contents: std::collections::HashSet<Content> =
         others.iter().chain([&ASKED]).map(Content::of).collect();
 
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -40,8 +40,12 @@
         }
     }
 
-    /// Adds a target, or takes what it says of itself now.
+    /// Adds a target, or takes what it says of itself now. Nothing that was known of an earlier lifetime
+    /// holds for a later one under the same id.
     pub fn put(&mut self, target: Target, now: Instant) {
+        if self.get(&target.id).is_some_and(|known| target.is_reborn_since(known)) {
+            self.remove(&target.id);
+        }
         let (id, service, address) = (target.id.clone(), target.service.clone(), target.address);
         let cold = target.cold;
         if let Some(key) = self.by_id.get(&id).copied() {
@@ -82,6 +86,11 @@
         self.arena.get(*self.by_id.get(id)?).map(|known| &known.target.service)
     }
 
+    /// A target by its id.
+    pub fn get(&self, id: &TargetName) -> Option<&Target> {
+        self.arena.get(*self.by_id.get(id)?).map(|known| &known.target)
+    }
+
     /// The target that listens at an address.
     pub fn at(&self, address: SocketAddr) -> Option<&Target> {
         let key = self.by_address.get(&address)?;
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -23,6 +23,7 @@
 fn target(id: &str, in_hall: &str) -> Target {
     Target {
         id: TargetName::new(id).unwrap(),
+        born: None,
         service: service(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: hall(in_hall),
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -40,8 +40,12 @@
     pub const HALLS_EVACUATED: &str = "saddlerail_halls_evacuated";
     /// Targets that are cold.
     pub const TARGETS_COLD: &str = "saddlerail_targets_cold";
+    /// Requests refused since they end targets, by service.
+    pub const QUARANTINED: &str = "saddlerail_requests_quarantined";
+    /// Different requests that are refused since they end targets.
+    pub const QUARANTINE: &str = "saddlerail_quarantine";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 13] = [
+    pub const ALL: [&str; 15] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -55,6 +59,8 @@
         BEHIND,
         HALLS_EVACUATED,
         TARGETS_COLD,
+        QUARANTINED,
+        QUARANTINE,
     ];
 }
 
@@ -75,6 +81,8 @@
     behind: Gauge<f64>,
     halls_evacuated: Gauge<u64>,
     targets_cold: Gauge<u64>,
+    quarantined: Counter<u64>,
+    quarantine: Gauge<u64>,
 }
 
 impl Metrics {
@@ -108,6 +116,8 @@
             behind: meter.f64_gauge(metric_names::BEHIND).build(),
             halls_evacuated: meter.u64_gauge(metric_names::HALLS_EVACUATED).build(),
             targets_cold: meter.u64_gauge(metric_names::TARGETS_COLD).build(),
+            quarantined: meter.u64_counter(metric_names::QUARANTINED).build(),
+            quarantine: meter.u64_gauge(metric_names::QUARANTINE).build(),
             _provider: provider,
         })
     }
@@ -178,6 +188,16 @@
         self.targets_cold.record(cold_targets, &[]);
     }
 
+    /// Counts a request that was refused since it ends targets.
+    pub fn request_quarantined(&self, service: &str) {
+        self.quarantined.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Sets how many different requests are refused since they end targets.
+    pub fn set_quarantine(&self, refused: u64) {
+        self.quarantine.record(refused, &[]);
+    }
+
     /// The page for the scraper.
     ///
     /// # Errors
--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -20,6 +20,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::app::App;
+use crate::crashes;
 use crate::link_words::{beat, hello, meet, submission_of, take_beat};
 use crate::links::ToDialer;
 use crate::news;
@@ -79,6 +80,7 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
+    let mut told = quarantine::Told::default();
     loop {
         tokio::select! {
             message = inbound.message() => {
@@ -102,6 +104,9 @@
                 if heard.elapsed() > SILENCE || !send(from_owner::Kind::Beat(beat(&app))) {
                     break;
                 }
+                if let Some(crashes) = crashes::untold(&app, &mut told) {
+                    send(from_owner::Kind::Crashes(crashes));
+                }
             }
         }
     }
@@ -147,6 +152,9 @@
             // A peer that is gone asks another one.
             drop(tx.send(Ok(FromOwner { kind: Some(from_owner::Kind::News(news)) })));
         }
+        from_dialer::Kind::Crashes(crashes) => {
+            app.hub.with(|shared, now| shared.take_crashes(&crashes, vm.as_str(), now));
+        }
         from_dialer::Kind::Hello(_) => {}
     }
 }
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -24,6 +24,7 @@
 use tonic::{Status, Streaming};
 
 use crate::app::App;
+use crate::crashes;
 use crate::link_words::{beat, hello, made_of, meet, take_beat};
 use crate::work::{self, PieceNews, StageTurn};
 
@@ -238,6 +239,7 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
+    let mut told = quarantine::Told::default();
     loop {
         tokio::select! {
             message = inbound.message() => {
@@ -250,6 +252,9 @@
                             take_beat(app, vm, &beat);
                         }
                         from_owner::Kind::News(news) => link.told(news),
+                        from_owner::Kind::Crashes(crashes) => app.hub.with(|shared, now| {
+                            shared.take_crashes(&crashes, vm.as_str(), now);
+                        }),
                         from_owner::Kind::Hello(_) => {}
                     },
                     Ok(Some(_)) => {}
@@ -272,6 +277,9 @@
                     return UNWANTED_END.to_owned();
                 }
                 link.send(from_dialer::Kind::Beat(beat(app)));
+                if let Some(crashes) = crashes::untold(app, &mut told) {
+                    link.send(from_dialer::Kind::Crashes(crashes));
+                }
             }
         }
     }
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -4,18 +4,20 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use quarantine::Content;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::app::App;
+use crate::crashes;
 use crate::owners::name_of;
 
 /// Pause after a failed accept.
@@ -26,6 +28,8 @@
 const METRICS: &str = "/metrics";
 /// Path of the state dump.
 const STATE: &str = "/state";
+/// Path by which operators let a refused request go: its content follows.
+const LET_GO: &str = "/quarantine/let-go/";
 
 /// Serves the pages on one address.
 pub(crate) async fn serve(app: Rc<App>, listener: TcpListener) {
@@ -46,8 +50,9 @@
     }
 }
 
-fn page(app: &App, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn page(app: &Rc<App>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match req.uri().path() {
+        path if req.method() == Method::POST && path.starts_with(LET_GO) => let_go(app, path),
         READY => match unready(app) {
             None => (StatusCode::OK, "ready\n".to_owned()),
             Some(why) => (StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {why}\n")),
@@ -61,6 +66,20 @@
     answer
 }
 
+fn let_go(app: &Rc<App>, path: &str) -> (StatusCode, String) {
+    let Some(content) = path.strip_prefix(LET_GO).and_then(Content::parse) else {
+        return (
+            StatusCode::BAD_REQUEST,
+            "expected a content of 32 hexadecimal digits\n".to_owned(),
+        );
+    };
+    if crashes::let_go(app, content) {
+        (StatusCode::OK, "let go\n".to_owned())
+    } else {
+        (StatusCode::NOT_FOUND, "nothing is known of it\n".to_owned())
+    }
+}
+
 fn metrics(app: &App) -> (StatusCode, String) {
     app.hub.with(|shared, now| {
         let version = shared.intent.as_ref().map_or(0, |intent| intent.version);
@@ -69,6 +88,8 @@
         let evacuated = u64::try_from(shared.halls.evacuated().len()).unwrap_or(u64::MAX);
         let cold = u64::try_from(shared.cold_targets).unwrap_or(u64::MAX);
         app.metrics.set_out_of_service(evacuated, cold);
+        let refused = u64::try_from(shared.quarantine.refused(now).len()).unwrap_or(u64::MAX);
+        app.metrics.set_quarantine(refused);
     });
     match app.metrics.page() {
         Ok(text) => (StatusCode::OK, text),
@@ -118,6 +139,19 @@
                 })
             })
             .collect();
+        let quarantine: Vec<_> = shared
+            .quarantine
+            .refused(now)
+            .iter()
+            .map(|refused| {
+                json!({
+                    "content": refused.content.to_string(),
+                    "ended": refused.ended.iter().map(ToString::to_string).collect::<Vec<_>>(),
+                    "left_ms": refused.left.as_millis() as u64,
+                    "refused_here": refused.refused,
+                })
+            })
+            .collect();
         let state = json!({
             "configuration": shared.intent.as_ref().map(|intent| intent.version),
             "as_of": shared.view.as_of(),
@@ -131,6 +165,8 @@
             "halls_out_of_reach": shared.fleet.out_halls.iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
             "halls_evacuated": shared.halls.evacuated().iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
             "targets_cold": shared.cold_targets,
+            "quarantine": quarantine,
+            "quarantine_suspects": shared.quarantine.suspects(),
             "peers": peers,
             "pools": pools,
         });
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -73,7 +73,7 @@
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(e) => {
-            crashes::connection_broke(app, tries.req(), &a_try.pick.target);
+            crashes::connection_broke(app, tries.req(), &a_try);
             a_try.end(End::Failed);
             tries.may_have_run = true;
             return Ok(Err(Missed::Lost(e.to_string())));
@@ -82,6 +82,8 @@
     if !read.closes {
         app.rest(carrier, read.keeps);
     }
+    // It also lives on after a failure of its own.
+    crashes::ended_well(app, tries.req());
     let own_failure = head.status.is_server_error();
     a_try.end(if own_failure { End::OwnFailure } else { End::Answered });
     if own_failure {
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -18,7 +18,7 @@
 use crate::answers::{AnswerBody, refusal};
 use crate::app::App;
 use crate::hub::now;
-use crate::{plain, streams};
+use crate::{crashes, plain, streams};
 
 /// When to come back to a VM that has no configuration yet or is ending.
 const ELSEWHERE: Duration = Duration::from_millis(50);
@@ -97,7 +97,9 @@
 
 async fn serve(app: &Rc<App>, req: Rc<Accepted>, in_work: InWork) -> Response<AnswerBody> {
     let mut ending = Ending { app, req: &req, told: false };
-    let (answer, outcome) = if req.entry.streams {
+    let (answer, outcome) = if let Some(told) = crashes::refusal(app, &req, false) {
+        (refusal(app, told, Some(&req.id)), "quarantined")
+    } else if req.entry.streams {
         streams::answer(app, &req, Box::new(in_work)).await
     } else {
         plain::answer(app, &req).await
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -47,6 +47,9 @@
     /// Budget of requests sent a second time, for the whole fleet.
     #[serde(default)]
     pub repeats: Repeats,
+    /// When a request that ends targets is refused.
+    #[serde(default)]
+    pub quarantine: QuarantineRules,
     /// Times of a stop.
     #[serde(default)]
     pub stop: Stop,
@@ -136,6 +139,35 @@
     }
 }
 
+/// When a request that ends targets is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuarantineRules {
+    /// Targets that it ended, with no good end in between.
+    pub crashes: usize,
+    /// Time from the last of these, or from its last return, in seconds.
+    pub lasts_s: f64,
+}
+
+impl Default for QuarantineRules {
+    /// A bystander meets one end of a target at each of its tries, and a caller returns once: with the two
+    /// tries of most entries it rarely meets three. Ten minutes are the platform's longest lease.
+    fn default() -> Self {
+        QuarantineRules { crashes: 3, lasts_s: 600.0 }
+    }
+}
+
+impl QuarantineRules {
+    /// The time as one.
+    pub fn lasts(&self) -> Duration {
+        Duration::from_secs_f64(self.lasts_s)
+    }
+
+    pub(crate) fn rules(&self) -> quarantine::Rules {
+        quarantine::Rules { crashes: self.crashes, lasts: self.lasts() }
+    }
+}
+
 /// Times of a stop.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -166,7 +198,9 @@
 
 /// Largest factor on the rate of cold targets that is taken.
 const MOST_OVERSHOOT: f64 = 100.0;
-/// Longest window and grace that are taken, in seconds.
+/// Most targets that a request may be allowed to end.
+const MOST_CRASHES: f64 = 10.0;
+/// Longest window, quarantine and grace that are taken, in seconds.
 const LONGEST_SECONDS: f64 = 3600.0;
 
 /// Reads and checks the settings in `path`.
@@ -214,6 +248,8 @@
         ("repeats.ratio", cfg.repeats.ratio, 0.0, 1.0),
         ("repeats.slack", cfg.repeats.slack, 0.0, f64::MAX),
         ("repeats.window_s", cfg.repeats.window_s, 0.1, LONGEST_SECONDS),
+        ("quarantine.crashes", cfg.quarantine.crashes as f64, 1.0, MOST_CRASHES),
+        ("quarantine.lasts_s", cfg.quarantine.lasts_s, 1.0, LONGEST_SECONDS),
         ("stop.grace_s", cfg.stop.grace_s, 0.1, LONGEST_SECONDS),
     ];
     match ranges.iter().find(|(_, value, least, most)| !(least..=most).contains(&value)) {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use fleet::{Fleet, Split, VmEntry};
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::{Intent, Target};
+use quarantine::Quarantine;
 use selection::{RepeatBudget, RepeatRules, Targets};
 use slog::{Logger, info, warn};
 use stakker::CX;
@@ -72,6 +73,8 @@
     budgets: HashMap<ServiceName, RepeatBudget>,
     first_events: HashMap<ServiceName, Duration>,
     pub(crate) admission: Admission,
+    /// Requests that end targets.
+    pub(crate) quarantine: Quarantine,
     /// Targets whose entries lapsed around an outage, and when they are taken as gone.
     lapsed: HashMap<TargetName, Instant>,
 }
@@ -121,6 +124,7 @@
             budgets: HashMap::new(),
             first_events: HashMap::new(),
             admission: Admission::default(),
+            quarantine: Quarantine::new(cfg.quarantine.rules()),
             lapsed: HashMap::new(),
         }
     }
@@ -184,8 +188,11 @@
         self.share_cold(now);
     }
 
-    /// Takes what a VM wrote of itself.
+    /// Takes what a VM wrote of itself or of a request that is refused.
     fn list_vm(&mut self, key: &str, value: Option<&[u8]>, now: Instant) {
+        if value.is_some_and(|value| self.take_stored_refusal(key, value, now)) {
+            return;
+        }
         let Some(vm) = key.strip_prefix(&vms_prefix(&self.doors)) else { return };
         let Ok(vm) = VmName::new(vm) else { return };
         match value.map(serde_json::from_slice) {
@@ -229,6 +236,12 @@
                     "cold_ms" => target.cold.as_millis(), "from" => from,
                     "as_of" => self.view.as_of());
                 self.lapsed.remove(&target.id);
+                let known = self.targets.get(&target.id);
+                if let Some(known) = known.filter(|known| target.is_reborn_since(known)).cloned() {
+                    info!(self.log, "target born again"; "target" => %target.id,
+                        "born" => target.born, "before" => known.born);
+                    self.target_ended(&known, now);
+                }
                 self.targets.put(target, now);
             }
             Err(e) => {
@@ -248,7 +261,14 @@
         }
         info!(self.log, "target gone"; "target" => %id, "from" => from,
             "as_of" => self.view.as_of());
-        self.targets.remove(&id);
+        self.remove_target(&id, now);
+    }
+
+    /// Takes a target out; whatever broke under it of late counts as its end.
+    fn remove_target(&mut self, id: &TargetName, now: Instant) -> bool {
+        let Some(target) = self.targets.remove(id) else { return false };
+        self.target_ended(&target, now);
+        true
     }
 
     /// Takes as gone what lapsed around an outage and did not come back.
@@ -262,7 +282,7 @@
         for id in gone {
             info!(self.log, "target gone"; "target" => %id, "from" => "lapse");
             self.lapsed.remove(&id);
-            self.targets.remove(&id);
+            self.remove_target(&id, now);
         }
         self.sync_pools();
     }
@@ -349,8 +369,8 @@
     }
 
     /// A target turned out to be gone before the store said so.
-    pub(crate) fn target_replaced(&mut self, target: &Target) {
-        if self.targets.remove(&target.id).is_some() {
+    pub(crate) fn target_replaced(&mut self, target: &Target, now: Instant) {
+        if self.remove_target(&target.id, now) {
             info!(self.log, "target gone"; "target" => %target.id, "from" => "its address");
             self.sync_pools();
         }
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -12,7 +12,6 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::{Body, Frame, Incoming};
-use intent::Target;
 use selection::{CallSize, End, chain_of};
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
@@ -259,7 +258,7 @@
         // A stream with no event is an answer too, if it was read to its end.
         Next::End => Ok(Ok(First::Stream(Box::new(reader), Vec::new()))),
         Next::Broken(why) => {
-            crashes::connection_broke(tries.app(), tries.req(), reader.target());
+            crashes::connection_broke(tries.app(), tries.req(), &reader.answer.a_try);
             Ok(Err(reader.lost(tries, why)))
         }
         Next::OutOfReach => Ok(Err(reader.lost(tries, OUT_OF_REACH.to_owned()))),
@@ -270,12 +269,13 @@
 async fn whole_answer(app: &Rc<App>, req: &Accepted, answer: Answer) -> Result<Begun, Refusal> {
     let Answer { head, read, body, carrier, mut a_try } = answer;
     let Ok(body) = body.collect().await else {
-        crashes::connection_broke(app, req, &a_try.pick.target);
+        crashes::connection_broke(app, req, &a_try);
         return Err(Refusal::Failed);
     };
     if !read.closes {
         app.rest(carrier, read.keeps);
     }
+    crashes::ended_well(app, req);
     a_try.end(if head.status.is_server_error() { End::OwnFailure } else { End::Answered });
     let mut answer = Response::new(whole(body.to_bytes()));
     *answer.status_mut() = head.status;
@@ -288,11 +288,6 @@
         Reader { answer, splitter: Splitter::default(), out: app.out_halls.subscribe() }
     }
 
-    /// The target whose stream it is.
-    fn target(&self) -> &Target {
-        &self.answer.a_try.pick.target
-    }
-
     /// Ends a try that brought no event.
     fn lost(&mut self, tries: &mut Tries, why: String) -> Missed {
         self.answer.a_try.end(End::Failed);
@@ -360,6 +355,7 @@
         return;
     }
     if outcome == "whole" {
+        crashes::ended_well(&stream.app, req);
         let Reader { answer, .. } = *stream.reader;
         let Answer { read, carrier, mut a_try, .. } = answer;
         a_try.end(End::Answered);
@@ -397,7 +393,7 @@
             }
             Ok(Next::End) => return Passed::Whole,
             Ok(Next::Broken(why)) => {
-                crashes::connection_broke(&stream.app, &stream.req, stream.reader.target());
+                crashes::connection_broke(&stream.app, &stream.req, &stream.reader.answer.a_try);
                 why
             }
             Ok(Next::OutOfReach) => OUT_OF_REACH.to_owned(),
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -7,6 +7,7 @@
 use doors::calls::{AnswerHead, CallHead, Evidence};
 use hyper::Response;
 use hyper::body::Incoming;
+use quarantine::Lifetime;
 use selection::{CallSize, End, Pick, TargetKey, Wanted};
 use slog::info;
 
@@ -44,6 +45,8 @@
 pub(crate) struct Try {
     app: Rc<App>,
     pub(crate) pick: Pick,
+    /// The lifetime of the target that it was sent to.
+    pub(crate) lifetime: Lifetime,
     ended: bool,
     unread: u64,
 }
@@ -137,12 +140,20 @@
         inputs: &[String],
         last_event: Option<u64>,
     ) -> Result<Result<Answer, Missed>, Refusal> {
+        // Word of it may have come since the request was admitted, or since the last try.
+        if let Some(refusal) = crashes::refusal(&self.app, &self.req, self.may_have_run) {
+            return Err(refusal);
+        }
         let wanted = Wanted { service: &self.req.service, exclude: &self.tried, size };
-        let pick = self.app.hub.with(|shared, now| shared.targets.pick(&wanted, now));
-        let pick = pick.ok_or_else(|| self.no_target())?;
+        let picked = self.app.hub.with(|shared, now| {
+            let pick = shared.targets.pick(&wanted, now)?;
+            Some((shared.lifetime_of(&pick.target), pick))
+        });
+        let (lifetime, pick) = picked.ok_or_else(|| self.no_target())?;
         self.tried.push(pick.key);
         self.began = now();
-        let mut a_try = Try { app: Rc::clone(&self.app), unread: pick.unread, pick, ended: false };
+        let app = Rc::clone(&self.app);
+        let mut a_try = Try { app, unread: pick.unread, pick, lifetime, ended: false };
         let target = a_try.pick.target.clone();
         let head = CallHead {
             left: left(self.req.until),
@@ -173,7 +184,7 @@
                 Err(Missed::NotReached)
             }
             Err(NoAnswer::Broke(why)) => {
-                crashes::connection_broke(&self.app, &self.req, &target);
+                crashes::connection_broke(&self.app, &self.req, &a_try);
                 a_try.end(End::Failed);
                 Err(Missed::Lost(why))
             }
@@ -220,7 +231,7 @@
                 a_try.end(End::Unreachable);
                 self.sent -= 1;
                 self.unreachable += 1;
-                self.app.hub.with(|shared, _| shared.target_replaced(&a_try.pick.target));
+                self.app.hub.with(|shared, now| shared.target_replaced(&a_try.pick.target, now));
                 Err(Missed::Replaced)
             }
             Evidence::Crossed => {
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -309,7 +309,7 @@
         "still_waiting" => call.still_waiting, "took_ms" => (now() - began).as_millis());
     app.metrics.attempt_ended(pool.as_str(), call.target.id.as_str(), name);
     if end == CallEnd::TargetGone {
-        app.hub.with(|shared, _| shared.target_replaced(&call.target));
+        app.hub.with(|shared, now| shared.target_replaced(&call.target, now));
     }
     let (finished, orphans) = app.hub.with(|shared, now| match shared.pools.get_mut(&pool) {
         Some(pool) => (pool.call_ended(call.key, end, now), pool.release_orphans()),
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -29,6 +29,7 @@
     for number in 0..engines {
         let target = Target {
             id: TargetName::new(&format!("engine-{number}"))?,
+            born: None,
             service: service.clone(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, number + 1)),
             hall: hall.clone(),
--- a/tests/fatal_requests.rs
+++ b/tests/fatal_requests.rs
@@ -10,13 +10,15 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::expect_used)]
 
-use std::thread::sleep;
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
+use standins::fleet::wait_until;
+use standins::users::callers::Call;
 use standins::users::fragile::{Fragile, Nature, Return};
 use standins::users::runners::Act;
 use standins::users::serving::{Site, Vm, answered, post};
-use standins::users::store::Store;
+use standins::users::store::{Mood, Store};
 
 /// The body that ends its target.
 const FATAL: &[u8] = b"a request that no target survives";
@@ -29,24 +31,34 @@
 /// An answer that was not waited for.
 const AT_ONCE: Duration = Duration::from_millis(250);
 
+/// Callers of streams beside it, the requests of each, and the pause after each of their events.
+const CALLERS_BESIDE: usize = 8;
+const SENDS_BESIDE: usize = 4;
+const BESIDE_PAUSE: Duration = Duration::from_millis(60);
+
 /// VMs before fragile engines, which are the only ones.
 struct Case {
-    _site: Site,
+    site: Site,
     engines: Vec<Fragile>,
     vms: Vec<Vm>,
 }
 
 impl Case {
     fn start(name: &str, back: Return) -> Self {
+        Case::start_with(name, back, Act::Stream(5))
+    }
+
+    /// The same; engines do this with other requests.
+    fn start_with(name: &str, back: Return, usual: Act) -> Self {
         let site = Site::start();
         for engine in &site.engines {
             site.store.remove(&format!("servers/{}", engine.id));
         }
         let engines: Vec<Fragile> = (0..5)
-            .map(|number| fragile(&format!("i-{name}-{number}"), back, &site.store))
+            .map(|number| fragile(&format!("i-{name}-{number}"), back, &usual, &site.store))
             .collect();
         let vms = (0..3).map(|number| site.start_vm(&format!("{name}-{number}"), "")).collect();
-        Case { _site: site, engines, vms }
+        Case { site, engines, vms }
     }
 
     fn ends(&self) -> u64 {
@@ -81,13 +93,13 @@
     }
 }
 
-fn fragile(name: &str, back: Return, store: &Store) -> Fragile {
+fn fragile(name: &str, back: Return, usual: &Act, store: &Store) -> Fragile {
     let nature = Nature {
         fatal: FATAL.to_vec(),
         after: Duration::from_millis(30),
         down: Duration::from_millis(400),
         back,
-        usual: Act::Stream(5),
+        usual: usual.clone(),
     };
     Fragile::start(name, "engine", nature, store).expect("a runner starts")
 }
@@ -118,3 +130,82 @@
 fn a_request_that_ended_three_targets_under_their_ids_reaches_none_at_any_vm() {
     is_stopped_for_good("fatal-same-ids", Return::SameId);
 }
+
+#[test]
+fn it_stays_known_when_all_vms_have_lost_power() {
+    let mut case = Case::start("fatal-power", Return::NewId);
+    case.send_fatal("first", CRASHES as usize);
+    wait_until("it stands in the store", || {
+        !case.site.store.keys("saddlerail/quarantine/").is_empty()
+    });
+
+    case.vms.iter_mut().for_each(Vm::restart);
+    case.vms.iter().for_each(|vm| case.site.wait_known(vm));
+    let (status, ..) = case.send_fatal("again", RETURNS);
+
+    assert_eq!((case.ends(), status), (CRASHES, 503));
+    assert!(case.serves_others("after"));
+}
+
+#[test]
+fn vms_that_have_no_store_tell_each_other() {
+    let case = Case::start("fatal-no-store", Return::SameId);
+    case.site.store.set_mood(Mood::Silent);
+
+    case.send_fatal("first", CRASHES as usize);
+    let ends = case.ends();
+    let (status, ..) = case.send_fatal("again", RETURNS);
+    case.site.store.set_mood(Mood::Well);
+
+    assert_eq!((ends, case.ends(), status), (CRASHES, CRASHES, 503));
+    wait_until("it stands in the store", || {
+        !case.site.store.keys("saddlerail/quarantine/").is_empty()
+    });
+}
+
+#[test]
+fn an_operator_sees_it_and_lets_it_go() {
+    let case = Case::start("fatal-let-go", Return::NewId);
+    case.send_fatal("first", CRASHES as usize);
+    let content = case.vms[0].state()["quarantine"][0]["content"].clone();
+    let content = content.as_str().expect("a refused request").to_owned();
+
+    let path = format!("/quarantine/let-go/{content}");
+    let answer = Call::new("POST", "operations", &path, "-").send(case.vms[0].operations);
+    let unknown = Call::new("POST", "operations", "/quarantine/let-go/12", "-");
+    let unknown = unknown.send(case.vms[0].operations);
+
+    assert_eq!(answer.map(|answer| answer.status()), Some(200));
+    assert_eq!(unknown.map(|answer| answer.status()), Some(400));
+    wait_until("all VMs let it go", || {
+        case.vms.iter().all(|vm| vm.state()["quarantine"].as_array().is_some_and(Vec::is_empty))
+    });
+    case.send_fatal("once-more", 1);
+    assert_eq!(case.ends(), CRASHES + 1, "it runs again");
+}
+
+#[test]
+fn streams_beside_it_are_not_held_against_their_callers() {
+    let case = Case::start_with("fatal-beside", Return::NewId, Act::SlowStream(5, BESIDE_PAUSE));
+    let callers: Vec<_> = (0..CALLERS_BESIDE)
+        .map(|caller| {
+            let at = case.vms[caller % case.vms.len()].callers;
+            spawn(move || {
+                let body = format!("honest {caller}");
+                let send = |number: usize| {
+                    let call = post("/stream/", &format!("beside-{caller}-{number}"));
+                    call.body(body.as_bytes()).send(at).unwrap_or_default()
+                };
+                (0..SENDS_BESIDE).map(send).map(|answer| answer.status()).collect::<Vec<_>>()
+            })
+        })
+        .collect();
+
+    case.send_fatal("first", CRASHES as usize);
+    let statuses = callers.into_iter().flat_map(|caller| caller.join().expect("a caller"));
+    let statuses: Vec<u16> = statuses.collect();
+
+    assert!(case.ends() >= CRASHES);
+    let refused = case.vms.iter().map(|vm| vm.state()["quarantine"].as_array().map_or(0, Vec::len));
+    assert_eq!(refused.max(), Some(1), "the fatal one only: {statuses:?}");
+}
