Pieces that end their workers are refused as well; a lone call after two failed ones; soak with fatal requests

Ruled out: telling the request's VM of each lost worker (the owner knows the worker and fills the next call). Change: submissions carry the content of their stage's pieces; the owner notes broken calls, confirms ends, hands back what is refused; a request is refused on arrival for any of its stages. After two failed calls a piece shares none with other requests. Soak: three runners that end under one request, under their ids or new ones, among all other faults. Conclusion: requests, streams and pieces are covered; the product's own form is not.

--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -18,6 +18,11 @@
 const PATIENCE: f64 = 2.5;
 /// The same, beside the factor.
 const PATIENCE_EXTRA: Duration = Duration::from_millis(250);
+/// Pieces of which so many calls failed are called with those of their own request only: what ends every
+/// worker must not take others' tries with it, nor look alike with them. Without it all
+/// four requests of a call met all four ends of one, with it two (`a_piece_that_fails_its_calls_...`); after
+/// one failed call, most often a worker that crashed by itself, they still share.
+const LONE_TRIES: u32 = 2;
 /// Weight of a new call in the learned number of pieces.
 const PIECES_WEIGHT: f64 = 0.2;
 /// Weight of a new call in the learned number of pieces of calls that leave others waiting: what makes
@@ -39,6 +44,12 @@
     due + BY_URGENCY * u32::from(urgency)
 }
 
+/// Whether a piece may go into a call that begins with another one.
+fn may_share(begun: &Waiting, other: &Waiting) -> bool {
+    let is_lone = |waiting: &Waiting| waiting.tries >= LONE_TRIES;
+    begun.job == other.job || (!is_lone(begun) && !is_lone(other))
+}
+
 impl Pool {
     /// The next call to make now, if a worker is free and something waits for it.
     pub fn next_call(&mut self, now: Instant) -> Option<Call> {
@@ -122,10 +133,14 @@
         let most = if worker.doubtful() { 1 } else { self.spec.batch };
         let mut room = self.usable_room(worker, now);
         let mut taken = Vec::new();
+        let begun = self.waiting[first];
         for (index, waiting) in self.waiting.iter().enumerate().skip(first) {
             if taken.len() == most {
                 break;
             }
+            if !may_share(&begun, waiting) {
+                continue;
+            }
             let Some(job) = self.jobs.get(waiting.job) else { continue };
             let near = job.submission.near.as_ref();
             let elsewhere = near.is_some_and(|hall| *hall != worker.target.hall);
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -139,12 +139,12 @@
         jobs.into_iter().filter_map(|job| Some((job, self.submission(job)?)))
     }
 
-    /// Ends a submission whose inputs are out of reach; gives its waiting pieces.
-    pub fn inputs_gone(&mut self, job: JobKey) -> Vec<Finished> {
+    /// Ends the waiting pieces of a submission, with what became of them; gives these.
+    pub fn give_up(&mut self, job: JobKey, made: &Made) -> Vec<Finished> {
         let (gone, left) = self.waiting.iter().partition(|waiting| waiting.job == job);
         self.waiting = left;
         let gone: Vec<Waiting> = gone;
-        gone.iter().filter_map(|waiting| self.finish(waiting, Made::Gone)).collect()
+        gone.iter().filter_map(|waiting| self.finish(waiting, made.clone())).collect()
     }
 
     /// Whether nothing waits and no call is under way.
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -5,6 +5,7 @@
 use doors::calls::PieceAnswer;
 use ids::{HallName, RequestId};
 use intent::Target;
+use quarantine::Content;
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -29,6 +30,9 @@
 pub struct Submission {
     /// The request.
     pub request: RequestId,
+    /// What is the same for these pieces of each attempt at the same request; a VM of an older build does
+    /// not say.
+    pub content: Option<Content>,
     /// Index of the stage.
     pub stage: u32,
     /// Numbers of the pieces.
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -3,6 +3,7 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use batching::{CallEnd, Finished, Made, Order, Pool, Submission};
@@ -49,6 +50,7 @@
 fn submission(id: &str, pieces: u32, due: Instant) -> Submission {
     Submission {
         request: RequestId::new(id).unwrap(),
+        content: None,
         stage: 0,
         pieces: (0..pieces).collect(),
         key: Some("secret".to_owned()),
@@ -351,7 +353,7 @@
     let job = pool.submit(submission("r", 6, now + CALL * 9), now);
     let call = pool.next_call(now).unwrap();
 
-    let finished = pool.inputs_gone(job);
+    let finished = pool.give_up(job, &Made::Gone);
 
     let gone: Vec<u32> = finished.iter().map(|finished| finished.piece).collect();
     assert_eq!(gone, [4, 5], "those at work end with their call");
@@ -532,3 +534,52 @@
     assert!(pressed < nominal * 0.6, "{pressed} of {nominal}");
     assert!(free > nominal * 0.9, "{free} of {nominal}");
 }
+
+#[test]
+fn a_piece_that_fails_its_calls_takes_no_others_with_it_for_long() {
+    let mut now = Instant::now();
+    let workers: Vec<Target> = (0..4).map(|n| worker(&format!("m-{n}"), "a")).collect();
+    let mut pool = pool(&workers);
+    let ids = ["fatal", "b", "c", "d"];
+    for id in ids {
+        pool.submit(submission(id, 1, now + CALL * 90), now);
+    }
+
+    let mut ends: HashMap<String, u32> = HashMap::new();
+    while let Some(call) = pool.next_call(now) {
+        let members = requests(&pool, &call);
+        now += CALL * 10;
+        if members.iter().any(|id| id == "fatal") {
+            members.into_iter().for_each(|id| *ends.entry(id).or_default() += 1);
+            pool.call_ended(call.key, CallEnd::Failed, now);
+        } else {
+            pool.call_ended(call.key, made(members.len()), now);
+        }
+    }
+
+    assert_eq!(ends["fatal"], 4, "all of its tries");
+    assert!(ids[1..].iter().all(|id| ends[*id] == 2), "{ends:?}");
+}
+
+#[test]
+fn a_worker_that_started_again_under_its_id_holds_nothing_of_before() {
+    let now = Instant::now();
+    let born = |at: u64| Target { born: Some(at), ..worker("m", "a") };
+    let mut pool = pool(&[born(1)]);
+    pool.submit(submission("r", 4, now + CALL * 9), now);
+    let call = pool.next_call(now).unwrap();
+    pool.call_ended(call.key, made(4), now);
+    let handles: Vec<String> = (0..4).map(|index| format!("127.0.0.1:9/{index}")).collect();
+    pool.submit(submission("under-way", 4, now + CALL * 9), now);
+    let under_way = pool.next_call(now).unwrap();
+
+    pool.set_workers([born(2)].iter());
+    let of_before = pool.release(handles);
+    let again = pool.call_ended(under_way.key, CallEnd::Failed, now);
+    let call = pool.next_call(now).unwrap();
+
+    assert!(of_before.is_empty(), "nothing is given up at the later lifetime");
+    assert!(again.is_empty(), "what was under way is made again");
+    assert_eq!((call.target.born, call.pieces.len()), (Some(2), 4));
+    assert_eq!(call.room_used, 40, "only its own results");
+}
--- a/components/quarantine/src/content.rs
+++ b/components/quarantine/src/content.rs
@@ -41,7 +41,19 @@
         add(asked.customer.map_or("", |_| "customer").as_bytes());
         add(asked.customer.unwrap_or_default().as_bytes());
         add(asked.body);
-        let digest = hasher.finalize();
+        Content::from_digest(&hasher.finalize())
+    }
+
+    /// The content of the pieces of a stage: what ends the targets that make them, or does not, says nothing
+    /// of the request itself.
+    pub fn of_stage(&self, stage: u32) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(self.0);
+        hasher.update(stage.to_le_bytes());
+        Content::from_digest(&hasher.finalize())
+    }
+
+    fn from_digest(digest: &[u8]) -> Self {
         let mut kept = [0; DIGEST_BYTES];
         kept.copy_from_slice(&digest[..DIGEST_BYTES]);
         Content(kept)
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -175,6 +175,11 @@
         new
     }
 
+    /// Whether any request ended a target: only then others need to be looked up.
+    pub fn knows_any(&self) -> bool {
+        !self.records.is_empty()
+    }
+
     /// For how long a request is refused, if it is.
     pub fn refused_for(&self, content: &Content, now: Instant) -> Option<Duration> {
         let record = self.records.get(content)?;
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -287,3 +287,25 @@
     assert_eq!((cold, name(&chosen)), (1, "far"));
     assert_eq!(targets.share_cold(|_, _| 0, now + Duration::from_secs(3)), 0);
 }
+
+#[test]
+fn a_target_that_started_again_under_its_id_has_no_past() {
+    let (mut targets, now) = (Targets::new(Policy::Adaptive, hall("a")), Instant::now());
+    let born = |at: u64| Target { born: Some(at), ..target("one", "a") };
+    targets.put(born(1), now);
+    let first = pick(&mut targets, &[], now).unwrap();
+    targets.end(first.key, End::Failed, now);
+    targets.put(born(1), now);
+    let same = pick(&mut targets, &[], now).unwrap();
+
+    targets.put(born(2), now);
+    let again = pick(&mut targets, &[first.key], now).unwrap();
+    // A call to the lifetime before ends after the next one is known.
+    targets.end(same.key, End::Failed, now);
+
+    assert_eq!(same.key, first.key);
+    assert_ne!(again.key, first.key);
+    let own: Vec<(String, u32)> =
+        targets.own_load().map(|(id, calls, _)| (id.to_string(), calls)).collect();
+    assert_eq!(own, [("one".to_owned(), 1)]);
+}
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -1,12 +1,15 @@
 //! Requests that end targets: what this VM sees of them, what it tells peers and the store, and whom it
 //! refuses.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use batching::{Call, CallEnd, JobKey, Pool, Submission};
 use bytes::Bytes;
 use doors::callers::Refusal;
 use doors::store::Write;
+use ids::ServiceName;
 use intent::Target;
 use peering::work::Crashes as Told;
 use quarantine::{Birth, Content, Crash, Lifetime, Refused};
@@ -19,6 +22,7 @@
 use crate::connections;
 use crate::requests::Accepted;
 use crate::shared::Shared;
+use crate::stages::pieces_of;
 use crate::store::unreadable;
 use crate::store_connection::{Miss, StoreConnection};
 use crate::tries::Try;
@@ -47,14 +51,23 @@
 /// A target's connection ended under a request, in the middle of its answer or before it: it is looked
 /// whether the target has ended.
 pub(crate) fn connection_broke(app: &Rc<App>, req: &Accepted, a_try: &Try) {
-    let (id, content, lifetime) = (req.id.clone(), req.content, a_try.lifetime);
-    let target = a_try.pick.target.clone();
-    app.hub.with(|shared, now| shared.note_loss(content, &target, lifetime, now));
-    let app = Rc::clone(app);
+    broke(app, &[req.content], &a_try.pick.target, a_try.lifetime);
+}
+
+/// A worker's connection ended under a call with pieces of these.
+pub(crate) fn call_broke(app: &Rc<App>, contents: &[Content], target: &Target, lifetime: Lifetime) {
+    broke(app, contents, target, lifetime);
+}
+
+fn broke(app: &Rc<App>, contents: &[Content], target: &Target, lifetime: Lifetime) {
+    app.hub.with(|shared, now| shared.note_losses(contents, target, lifetime, now));
+    let (app, target, contents) = (Rc::clone(app), target.clone(), contents.to_vec());
     spawn_local(async move {
         let ended = has_ended(&target).await;
-        info!(app.log, "connection broke under a request"; "request" => %id, "content" => %content,
-            "target" => %target.id, "target_ended" => ended);
+        for content in &contents {
+            info!(app.log, "connection broke under a request"; "content" => %content,
+                "target" => %target.id, "target_ended" => ended);
+        }
         if ended {
             app.hub.with(|shared, now| shared.lifetime_ended(lifetime, now));
         }
@@ -78,13 +91,28 @@
     app.hub.with(|shared, now| shared.quarantine.ended_well(req.content, now));
 }
 
+/// What the pieces of a call are part of, each once.
+pub(crate) fn contents_of_call(app: &App, pool: &ServiceName, call: &Call) -> Vec<Content> {
+    app.hub.with(|shared, _| {
+        let pool = shared.pools.get(pool);
+        let of = |(job, _): &(JobKey, u32)| pool?.submission(*job)?.content;
+        let contents: BTreeSet<Content> = call.pieces.iter().filter_map(of).collect();
+        contents.into_iter().collect()
+    })
+}
+
+/// A worker answered a call: whatever came of its pieces, none of them ended it.
+pub(crate) fn pieces_ended_well(app: &App, contents: &[Content], end: &CallEnd) {
+    if matches!(end, CallEnd::Answered(_)) {
+        app.hub.with(|shared, now| {
+            contents.iter().for_each(|content| shared.quarantine.ended_well(*content, now));
+        });
+    }
+}
+
 /// The refusal of a request that ended too many targets; this attempt has not run unless said otherwise.
 pub(crate) fn refusal(app: &App, req: &Accepted, may_have_run: bool) -> Option<Refusal> {
-    let left = app.hub.with(|shared, now| {
-        let left = shared.quarantine.refused_for(&req.content, now)?;
-        shared.quarantine.note_refusal(&req.content, now);
-        Some(left)
-    })?;
+    let left = app.hub.with(|shared, now| shared.refused_for(req, now))?;
     app.metrics.request_quarantined(req.service.as_str());
     info!(app.log, "request refused as one that ends targets"; "request" => %req.id,
         "content" => %req.content, "left_ms" => left.as_millis());
@@ -97,12 +125,47 @@
         self.quarantine.lifetime(birth_of(target))
     }
 
-    /// A connection to a target broke under a request. A target that is leaving ends by itself.
-    fn note_loss(&mut self, content: Content, target: &Target, lifetime: Lifetime, now: Instant) {
+    /// A connection to a target broke under these. A target that is leaving ends by itself.
+    fn note_losses(
+        &mut self,
+        contents: &[Content],
+        target: &Target,
+        lifetime: Lifetime,
+        now: Instant,
+    ) {
         let leaves = self.targets.get(&target.id).is_none_or(|known| known.leaving);
         if !leaves {
-            self.quarantine.lost(content, lifetime, now);
+            contents.iter().for_each(|content| self.quarantine.lost(*content, lifetime, now));
+        }
+    }
+
+    /// For how long a request is refused, for itself or for the pieces of one of its stages.
+    fn refused_for(&mut self, req: &Accepted, now: Instant) -> Option<Duration> {
+        if !self.quarantine.knows_any() {
+            return None;
         }
+        let pieces = pieces_of(&req.entry, &req.head);
+        let stages = (0u32..).zip(pieces).filter(|(_, pieces)| *pieces > 0);
+        let contents = stages.map(|(stage, _)| req.content.of_stage(stage));
+        let refused = [req.content]
+            .into_iter()
+            .chain(contents)
+            .find_map(|content| Some((content, self.quarantine.refused_for(&content, now)?)));
+        let (content, left) = refused?;
+        self.quarantine.note_refusal(&content, now);
+        Some(left)
+    }
+
+    /// Submissions to a pool of this VM whose pieces end their workers.
+    pub(crate) fn refused_jobs(&self, pool: &ServiceName, now: Instant) -> Vec<JobKey> {
+        if !self.quarantine.knows_any() {
+            return Vec::new();
+        }
+        let waiting = self.pools.get(pool).into_iter().flat_map(Pool::waiting_submissions);
+        let is_refused = |(_, submission): &(JobKey, &Submission)| {
+            submission.content.is_some_and(|c| self.quarantine.refused_for(&c, now).is_some())
+        };
+        waiting.filter(is_refused).map(|(job, _)| job).collect()
     }
 
     fn lifetime_ended(&mut self, lifetime: Lifetime, now: Instant) {
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -10,6 +10,8 @@
     TargetLoad, Waiting, from_owner,
 };
 
+use quarantine::Content;
+
 use crate::app::App;
 use crate::links::ToDialer;
 
@@ -184,6 +186,7 @@
     let slack = Duration::from_millis(u64::try_from(submit.slack_ms).unwrap_or(0));
     let submission = Submission {
         request: RequestId::new(&submit.request).ok()?,
+        content: Content::from_bytes(&submit.content),
         stage: submit.stage,
         pieces: submit.pieces,
         key: (!submit.key.is_empty()).then_some(submit.key),
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -203,6 +203,7 @@
         entry: &req.entry,
         head: &req.head,
         id: &req.id,
+        content: req.content,
         urgency: req.urgency,
         service: &req.service,
         size: &size,
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -17,6 +17,7 @@
 
 use crate::app::App;
 use crate::connections::NoAnswer;
+use crate::crashes;
 use crate::hub::now;
 use crate::link_words;
 use crate::links::{Link, ToDialer};
@@ -231,6 +232,7 @@
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
     end_without_inputs(app, pool);
     end_without_workers(app, pool);
+    end_refused(app, pool);
     loop {
         let next = app.hub.with(|shared, now| {
             let pool = shared.pools.get_mut(pool)?;
@@ -251,7 +253,10 @@
     let finished = app.hub.with(|shared, _| {
         let jobs = shared.out_of_inputs(pool);
         let pool = shared.pools.get_mut(pool);
-        pool.map(|pool| jobs.into_iter().flat_map(|job| pool.inputs_gone(job)).collect::<Vec<_>>())
+        let give_up = |pool: &mut Pool| -> Vec<Finished> {
+            jobs.into_iter().flat_map(|job| pool.give_up(job, &Made::Gone)).collect()
+        };
+        pool.map(give_up)
     });
     if let Some(finished) = finished.filter(|finished| !finished.is_empty()) {
         hand_back(app, pool, finished);
@@ -271,6 +276,21 @@
     }
 }
 
+/// Hands back pieces of requests that are refused, since such pieces end the workers that make them.
+fn end_refused(app: &App, pool: &ServiceName) {
+    let finished = app.hub.with(|shared, now| {
+        let jobs = shared.refused_jobs(pool, now);
+        let pool = shared.pools.get_mut(pool)?;
+        let given_up = jobs.into_iter().flat_map(|job| pool.give_up(job, &Made::Broken));
+        Some(given_up.collect::<Vec<_>>())
+    });
+    if let Some(finished) = finished.filter(|finished| !finished.is_empty()) {
+        info!(app.log, "pieces given up"; "pool" => %pool, "pieces" => finished.len(),
+            "why" => "such pieces end their workers");
+        hand_back(app, pool, finished);
+    }
+}
+
 fn plan_look(app: &Rc<App>, pool: &ServiceName, at: tokio::time::Instant) {
     let planned = app.planned_looks.borrow().get(pool).copied();
     if planned.is_some_and(|planned| planned <= at) {
@@ -292,13 +312,22 @@
 async fn make(app: Rc<App>, pool: ServiceName, call: Call) {
     let pieces = piece_calls(&app, &pool, &call);
     let began = now();
+    let contents = crashes::contents_of_call(&app, &pool, &call);
     let end = if pieces.len() == call.pieces.len() {
+        let lifetime = app.hub.with(|shared, _| shared.lifetime_of(&call.target));
         let req = (app.doors.calls.pieces)(&call.target.id, &pieces);
-        send(&app, &pool, &call, req).await
+        match send(&app, &pool, &call, req).await {
+            Ok(end) => end,
+            Err(CallBroke) => {
+                crashes::call_broke(&app, &contents, &call.target, lifetime);
+                CallEnd::Failed
+            }
+        }
     } else {
         // A submission was cancelled between the choice and the call; nothing was sent.
         CallEnd::Full
     };
+    crashes::pieces_ended_well(&app, &contents, &end);
     let name = end_name(&end);
     let counts = Counts::of(&end);
     info!(app.log, "pool call"; "pool" => %pool, "target" => %call.target.id,
@@ -320,8 +349,16 @@
     fill_calls(&app, &pool);
 }
 
+/// A call's connection ended before its answer was whole.
+struct CallBroke;
+
 /// Sends a pool's call; tells on the way when its inputs have been fetched.
-async fn send(app: &App, pool: &ServiceName, call: &Call, req: OwnCall) -> CallEnd {
+async fn send(
+    app: &App,
+    pool: &ServiceName,
+    call: &Call,
+    req: OwnCall,
+) -> Result<CallEnd, CallBroke> {
     let sent = tokio::time::timeout(call.patience, own_call(app, &call.target, req));
     let mut sent = std::pin::pin!(sent);
     let mut fetch = std::pin::pin!(fetched(call.fetch));
@@ -334,7 +371,7 @@
                 fetches = false;
                 tell_fetched(app, pool, call.key);
             }
-            () = reach::lost(&mut out, &call.target.hall) => return CallEnd::OutOfReach,
+            () = reach::lost(&mut out, &call.target.hall) => return Ok(CallEnd::OutOfReach),
         }
     }
 }
@@ -386,7 +423,10 @@
 enum OwnCallMiss {
     Declined,
     OtherTarget,
-    Lost,
+    /// Nothing was sent.
+    NotReached,
+    /// Its connection ended before the answer was whole.
+    Broke,
     TimedOut,
     Failed,
 }
@@ -401,15 +441,16 @@
         req.headers_mut().insert(http::header::HOST, host);
     }
     let sent = app.connections.send(target, req).await;
-    let (answer, carrier) = sent.map_err(|miss| match miss {
-        NoAnswer::NotSent(problem) | NoAnswer::Broke(problem) | NoAnswer::GivenUp(problem) => {
-            debug!(app.log, "call failed"; "target" => %target.id, "why" => problem);
-            OwnCallMiss::Lost
+    let (answer, carrier) = sent.map_err(|miss| {
+        debug!(app.log, "call failed"; "target" => %target.id, "why" => ?miss);
+        match miss {
+            NoAnswer::Broke(_) => OwnCallMiss::Broke,
+            NoAnswer::NotSent(_) | NoAnswer::GivenUp(_) => OwnCallMiss::NotReached,
         }
     })?;
     let (head, body) = answer.into_parts();
     let read = (app.doors.calls.read)(&head, &no_request());
-    let body = body.collect().await.map_err(|_| OwnCallMiss::Lost)?.to_bytes();
+    let body = body.collect().await.map_err(|_| OwnCallMiss::Broke)?.to_bytes();
     if !read.closes {
         app.rest(carrier, read.keeps);
     }
@@ -426,8 +467,8 @@
     RequestId::new("-").unwrap_or_else(|_| RequestId::mint())
 }
 
-fn end_of(app: &App, sent: Result<bytes::Bytes, OwnCallMiss>) -> CallEnd {
-    match sent {
+fn end_of(app: &App, sent: Result<bytes::Bytes, OwnCallMiss>) -> Result<CallEnd, CallBroke> {
+    Ok(match sent {
         Ok(body) => match (app.doors.calls.read_pieces)(&body) {
             Ok(answers) => CallEnd::Answered(answers),
             Err(e) => {
@@ -437,8 +478,11 @@
         },
         Err(OwnCallMiss::Declined) => CallEnd::Full,
         Err(OwnCallMiss::OtherTarget) => CallEnd::TargetGone,
-        Err(OwnCallMiss::Lost | OwnCallMiss::TimedOut | OwnCallMiss::Failed) => CallEnd::Failed,
-    }
+        Err(OwnCallMiss::Broke) => return Err(CallBroke),
+        Err(OwnCallMiss::NotReached | OwnCallMiss::TimedOut | OwnCallMiss::Failed) => {
+            CallEnd::Failed
+        }
+    })
 }
 
 /// What became of the pieces of a call, for the log.
--- a/standins/src/users/fragile.rs
+++ b/standins/src/users/fragile.rs
@@ -23,11 +23,20 @@
     SameId,
 }
 
+/// What ends a runner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fatal {
+    /// A request with this body.
+    Body(Vec<u8>),
+    /// A call with a piece that has this secret.
+    PieceKey(String),
+}
+
 /// What a fragile runner is.
 #[derive(Debug, Clone)]
 pub struct Nature {
-    /// A request with this body ends it.
-    pub fatal: Vec<u8>,
+    /// What ends it.
+    pub fatal: Fatal,
     /// It ends this long after it began to run such a request.
     pub after: Duration,
     /// It is away for this long.
@@ -158,14 +167,18 @@
                 self.end();
                 return;
             }
-            if !runner.run(&mut wire, &req) {
+            if !runner.answer(&mut wire, &req) {
                 return;
             }
         }
     }
 
     fn is_fatal(&self, req: &Message, runner: &Runner) -> bool {
-        let fatal = req.body == self.nature.fatal && req.header("expected-instance") == runner.id;
+        let is_fatal = match &self.nature.fatal {
+            Fatal::Body(body) => req.body == *body,
+            Fatal::PieceKey(key) => req.text().contains(&format!("\"{key}\"")),
+        };
+        let fatal = is_fatal && req.header("expected-instance") == runner.id;
         if fatal {
             sleep(self.nature.after);
         }
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -168,19 +168,22 @@
 
     fn serve(&self, mut wire: Wire) {
         while let Some(req) = wire.read() {
-            let goes_on = match req.target() {
-                "/stage-run" => self.make_pieces(&mut wire, &req),
-                "/stage-free" => self.release(&mut wire, &req),
-                _ => self.run(&mut wire, &req),
-            };
-            if !goes_on {
+            if !self.answer(&mut wire, &req) {
                 return;
             }
         }
     }
 
     /// Answers a request; false if the connection is to end.
-    pub(super) fn run(&self, wire: &mut Wire, req: &Message) -> bool {
+    pub(super) fn answer(&self, wire: &mut Wire, req: &Message) -> bool {
+        match req.target() {
+            "/stage-run" => self.make_pieces(wire, req),
+            "/stage-free" => self.release(wire, req),
+            _ => self.run(wire, req),
+        }
+    }
+
+    fn run(&self, wire: &mut Wire, req: &Message) -> bool {
         let id = req.header("request-id").to_owned();
         let expected = req.header("expected-instance").to_owned();
         let act = self.with(|state| {
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -160,8 +160,9 @@
         .expect("saddleraild starts")
 }
 
-/// The usual configuration: a plain service that may be repeated and one that may not, streams
-/// that may be resumed and others, and a chain of two stages before an engine.
+/// The usual configuration: a plain service that may be repeated and one that may not, one that has no
+/// runners unless a test starts some, streams that may be resumed and others, and a chain of two stages
+/// before an engine.
 pub fn usual_configuration(version: u64) -> Value {
     let route = |path: &str, kind: &str, service: &str| {
         json!({"name": path.trim_matches('/'), "host": HOST, "path_prefix": path, "kind": kind,
@@ -188,8 +189,9 @@
             route("/repeat/", "idempotent", "plain"),
             route("/once/", "non_idempotent", "plain"),
             route("/stream/", "streaming", "engine"),
+            route("/fragile/", "idempotent", "fragile"),
             resumed, chain, keyed],
-        "services": [service("plain"), pool, engine],
+        "services": [service("plain"), service("fragile"), pool, engine],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "quipu", "api_keys": ["key-1"]}]})
--- a/standins/src/users/soak.rs
+++ b/standins/src/users/soak.rs
@@ -2,7 +2,7 @@
 //!
 //! The faults: links that are late, silent, cut one way or reset; processes that are paused, killed,
 //! restarted and told to stop; a store that is busy, silent or forgets its history; runners that lose,
-//! cut, cross, spoil and decline answers; halls whose runners are taken out of service and back, runners that turn
+//! cut, cross, spoil and decline answers; a request that ends each runner that runs it; halls whose runners are taken out of service and back, runners that turn
 //! cold; changes of the configuration in between.
 
 // A fixture that can't be set up fails its run.
@@ -19,6 +19,7 @@
 
 use super::Message;
 use super::callers::Call;
+use super::fragile::{Fatal, Fragile, Nature, Return};
 use super::link::{Link, Passing};
 use super::runners::{Act, Runner};
 use super::serving::{HOST, Site, Vm, usual_configuration};
@@ -42,6 +43,17 @@
 /// Events of a whole stream.
 const EVENTS: u64 = 5;
 
+/// Runners that end under a fatal request, and what makes a request one.
+const FRAGILE: usize = 3;
+const FATAL: &[u8] = b"fatal";
+/// Ends that make a fatal request known.
+const CRASHES: u64 = 3;
+/// Ends beyond these that are borne: the tries of a return that is under way, and those at a VM that was
+/// started again and is not linked yet.
+const MORE_ENDS: u64 = 2;
+/// Pause between two fatal requests, in milliseconds.
+const FATAL_PAUSE: std::ops::Range<u64> = 20..200;
+
 /// What callers ask: path, whether it may run more than once, whether it streams.
 const KINDS: [(&str, bool, bool); 5] = [
     ("/repeat/", true, false),
@@ -60,6 +72,8 @@
     pub whole: u64,
     /// Faults that were brought about.
     pub faults: u64,
+    /// Restarts of VMs among them.
+    pub restarts: u64,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -83,6 +97,7 @@
             Vm::start(&name, "hall-a", link.address, "stop: {notice_ms: 200, grace_s: 3}\n")
         })
         .collect();
+    let fragile = start_fragile(seed, &site);
     vms.iter().for_each(|vm| site.wait_known(vm));
     let addresses: Vec<SocketAddr> = vms.iter().map(|vm| vm.callers).collect();
     let over = AtomicBool::new(false);
@@ -101,7 +116,9 @@
                 }
             });
         }
-        report.faults = bring_about_faults(seed, time, &site, &links, &mut vms);
+        let (addresses, ended) = (&addresses, &over);
+        scope.spawn(move || send_fatal(seed, addresses, ended));
+        bring_about_faults(seed, time, &site, &links, &mut vms, &mut report);
         over.store(true, Ordering::Relaxed);
     });
     let answered = answered.into_inner().unwrap_or_else(PoisonError::into_inner);
@@ -109,12 +126,58 @@
     for one in &answered {
         check(&site, one, &mut report);
     }
+    check_fragile(&fragile, &vms, &mut report);
     if !recovers(&addresses, seed) {
         report.broken.push(format!("not every VM serves {RECOVERY:?} after the last fault"));
     }
     report
 }
 
+/// Runners of a service of their own, half of which come back under their ids.
+fn start_fragile(seed: u64, site: &Site) -> Vec<Fragile> {
+    let start = |number: usize| {
+        let nature = Nature {
+            fatal: Fatal::Body(FATAL.to_vec()),
+            after: Duration::from_millis(10),
+            down: Duration::from_millis(150),
+            back: if number.is_multiple_of(2) { Return::SameId } else { Return::NewId },
+            usual: Act::Answer,
+        };
+        let name = format!("i-fragile-{seed}-{number}");
+        Fragile::start(&name, "fragile", nature, &site.store).expect("a runner starts")
+    };
+    (0..FRAGILE).map(start).collect()
+}
+
+/// Sends a fatal request again and again, at any VM, and others to the same runners in between.
+fn send_fatal(seed: u64, addresses: &[SocketAddr], over: &AtomicBool) {
+    let mut rng = StdRng::seed_from_u64(seed + 2 * LATER_FAULTS);
+    let mut number = 0;
+    while !over.load(Ordering::Relaxed) {
+        number += 1;
+        let is_fatal = rng.random_bool(0.5);
+        let body = if is_fatal { FATAL } else { b"a body".as_slice() };
+        let call = Call::new("POST", HOST, "/fragile/", &format!("fragile-{seed}-{number}"))
+            .with("Deadline-Milliseconds", "1000")
+            .body(body);
+        call.send(addresses[rng.random_range(0..addresses.len())]);
+        thread::sleep(Duration::from_millis(rng.random_range(FATAL_PAUSE)));
+    }
+}
+
+/// Few runners ended under the fatal request, and no other request is taken for one.
+fn check_fragile(fragile: &[Fragile], vms: &[Vm], report: &mut Report) {
+    let ends: u64 = fragile.iter().map(Fragile::ends).sum();
+    let most = CRASHES + MORE_ENDS * (1 + report.restarts);
+    if ends > most {
+        report.broken.push(format!("{ends} runners ended under one request, {most} are borne"));
+    }
+    let refused = |vm: &Vm| vm.state()["quarantine"].as_array().map_or(0, Vec::len);
+    if let Some(many) = vms.iter().map(refused).max().filter(|refused| *refused > 1) {
+        report.broken.push(format!("{many} requests are refused as fatal, one is"));
+    }
+}
+
 fn ask(rng: &mut StdRng, addresses: &[SocketAddr], seed: u64, number: u64) -> Answered {
     let kind = rng.random_range(0..KINDS.len());
     let id = format!("soak-{seed}-{number}");
@@ -138,14 +201,14 @@
     site: &Site,
     links: &[Link],
     vms: &mut [Vm],
-) -> u64 {
+    report: &mut Report,
+) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut later = StdRng::seed_from_u64(seed + LATER_FAULTS);
     let end = Instant::now() + time;
-    let mut faults = 0;
     let mut version = 1;
     while Instant::now() < end {
-        faults += 1;
+        report.faults += 1;
         let vm = rng.random_range(0..VMS);
         match rng.random_range(0..12) {
             0 => site.store.set_mood(Mood::Busy),
@@ -160,7 +223,10 @@
                 site.store.put("op/config", &usual_configuration(version));
             }
             8 => pause(&vms[vm], Duration::from_millis(rng.random_range(50..900))),
-            9 => vms[vm].restart(),
+            9 => {
+                report.restarts += 1;
+                vms[vm].restart();
+            }
             10 => vms[vm].signal("-HUP"),
             _ => spoil(&mut rng, site),
         }
@@ -178,7 +244,6 @@
     for runner in site.plain.iter().chain(&site.engines).chain(&site.pool) {
         runner.clear_acts();
     }
-    faults
 }
 
 /// Takes a hall out of service or back, or lets a runner turn cold.
--- a/tests/fatal_requests.rs
+++ b/tests/fatal_requests.rs
@@ -15,7 +15,7 @@
 
 use standins::fleet::wait_until;
 use standins::users::callers::Call;
-use standins::users::fragile::{Fragile, Nature, Return};
+use standins::users::fragile::{Fatal, Fragile, Nature, Return};
 use standins::users::runners::Act;
 use standins::users::serving::{Site, Vm, answered, post};
 use standins::users::store::{Mood, Store};
@@ -93,14 +93,18 @@
     }
 }
 
-fn fragile(name: &str, back: Return, usual: &Act, store: &Store) -> Fragile {
-    let nature = Nature {
-        fatal: FATAL.to_vec(),
+fn nature() -> Nature {
+    Nature {
+        fatal: Fatal::Body(FATAL.to_vec()),
         after: Duration::from_millis(30),
         down: Duration::from_millis(400),
-        back,
-        usual: usual.clone(),
-    };
+        back: Return::NewId,
+        usual: Act::Answer,
+    }
+}
+
+fn fragile(name: &str, back: Return, usual: &Act, store: &Store) -> Fragile {
+    let nature = Nature { back, usual: usual.clone(), ..nature() };
     Fragile::start(name, "engine", nature, store).expect("a runner starts")
 }
 
@@ -209,3 +213,45 @@
     let refused = case.vms.iter().map(|vm| vm.state()["quarantine"].as_array().map_or(0, Vec::len));
     assert_eq!(refused.max(), Some(1), "the fatal one only: {statuses:?}");
 }
+
+/// Tries of a piece: the first attempt may use them up before the ends are confirmed.
+const PIECE_TRIES: u64 = 4;
+
+#[test]
+fn a_request_whose_pieces_end_their_workers_is_stopped_as_well() {
+    let site = Site::start();
+    site.pool.iter().for_each(|worker| site.store.remove(&format!("servers/{}", worker.id)));
+    let worker = |number: usize| {
+        let nature = Nature { fatal: Fatal::PieceKey("fatal".to_owned()), ..nature() };
+        let name = format!("i-fatal-pool-{number}");
+        Fragile::start(&name, "pool", nature, &site.store).expect("a worker starts")
+    };
+    let workers: Vec<Fragile> = (0..5).map(worker).collect();
+    let vms: Vec<Vm> =
+        (0..3).map(|number| site.start_vm(&format!("fatal-pool-{number}"), "")).collect();
+    let ends = || workers.iter().map(Fragile::ends).sum::<u64>();
+    let send = |vm: &Vm, id: &str, body: &[u8], key: &str| {
+        let call = post("/chain/", id).body(body).with("Pieces", "1,1").with("Piece-Key", key);
+        call.send(vm.callers).unwrap_or_default()
+    };
+
+    send(&vms[0], "first", b"fatal", "fatal");
+    wait_until("it is known at all VMs", || {
+        vms.iter().all(|vm| vm.state()["quarantine"].as_array().is_some_and(|all| all.len() == 1))
+    });
+    let first = ends();
+    let again: Vec<(u16, bool)> = (0..RETURNS)
+        .map(|number| {
+            let began = Instant::now();
+            let answer = send(&vms[number % 3], &format!("again-{number}"), b"fatal", "fatal");
+            (answer.status(), began.elapsed() < AT_ONCE)
+        })
+        .collect();
+    sleep(RETURN_PAUSE);
+    let other = send(&vms[1], "other", b"another", "secret");
+
+    assert!((CRASHES..=PIECE_TRIES).contains(&first), "{first}");
+    assert_eq!(ends(), first, "no further worker ended");
+    assert_eq!(again, vec![(503, true); RETURNS], "all are told at once");
+    assert_eq!(other.status(), 200);
+}
