Stored refusals in a file of their own; what was let go and then refused again is written anew; a fixture's race

Cause: an entry that an operator had let go stood in the store under the key, and counted as written: after all VMs lost power a request that had been refused again ended targets again. Found by reading. Ruled out: removing the key (a lease's end and an operator's word would look alike). Change: written unless the store's value says all that is known. The store's part of the quarantine in a file of its own, words of links in link_words. Fixture: a fragile runner's entry stands when its start returns; one run of streams_beside_it_... failed ("the VM knows the runners", not within 20 s): its VM's log has all 9 targets, so the test had counted the store's entries before the last was written, from a thread.

--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -9,6 +9,7 @@
 use ids::{ServiceName, VmName};
 use peering::work::{FromDialer, FromOwner, from_dialer, from_owner};
 use peering::{Work, WorkServer};
+use quarantine::Told;
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -20,8 +21,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::app::App;
-use crate::crashes;
-use crate::link_words::{beat, hello, meet, submission_of, take_beat};
+use crate::link_words::{beat, crashes_of, hello, meet, submission_of, take_beat, untold};
 use crate::links::ToDialer;
 use crate::news;
 use crate::work::{self, Sink};
@@ -80,7 +80,7 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    let mut told = quarantine::Told::default();
+    let mut told = Told::default();
     loop {
         tokio::select! {
             message = inbound.message() => {
@@ -104,7 +104,7 @@
                 if heard.elapsed() > SILENCE || !send(from_owner::Kind::Beat(beat(&app))) {
                     break;
                 }
-                if let Some(crashes) = crashes::untold(&app, &mut told) {
+                if let Some(crashes) = untold(&app, &mut told) {
                     send(from_owner::Kind::Crashes(crashes));
                 }
             }
@@ -153,7 +153,8 @@
             drop(tx.send(Ok(FromOwner { kind: Some(from_owner::Kind::News(news)) })));
         }
         from_dialer::Kind::Crashes(crashes) => {
-            app.hub.with(|shared, now| shared.take_crashes(&crashes, vm.as_str(), now));
+            app.hub
+                .with(|shared, now| shared.take_crashes(&crashes_of(&crashes), vm.as_str(), now));
         }
         from_dialer::Kind::Hello(_) => {}
     }
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -1,53 +1,29 @@
-//! Requests that end targets: what this VM sees of them, what it tells peers and the store, and whom it
-//! refuses.
+//! Requests that end targets: what this VM sees of them, and whom it refuses.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use batching::{Call, CallEnd, JobKey, Pool, Submission};
-use bytes::Bytes;
 use doors::callers::Refusal;
-use doors::store::Write;
 use ids::ServiceName;
 use intent::Target;
-use peering::work::Crashes as Told;
-use quarantine::{Birth, Content, Crash, Lifetime, Refused};
-use serde::{Deserialize, Serialize};
-use slog::{debug, info, warn};
+use quarantine::{Birth, Content, Crash, Lifetime};
+use slog::info;
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::sleep;
 
 use crate::app::App;
 use crate::connections;
 use crate::requests::Accepted;
 use crate::shared::Shared;
 use crate::stages::pieces_of;
-use crate::store::unreadable;
-use crate::store_connection::{Miss, StoreConnection};
 use crate::tries::Try;
 
 /// Pauses before each look at a target whose connection broke: a process that ends closes its connections
 /// and its port within moments of each other, in either order.
 const LOOKS: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(40), Duration::from_millis(160)];
-/// Pause between two looks at what is to be written into the store: peers hear of it by links.
-const WRITE_LOOK: Duration = Duration::from_millis(500);
-/// Pause between two looks at what is to be forgotten.
-const FORGET_LOOK: Duration = Duration::from_secs(10);
-/// Longest lease that the platform grants.
-const LONGEST_LEASE: Duration = Duration::from_secs(600);
-
-/// Start of the keys under which refused requests stand, after the prefix of what this system writes.
-const KEYS: &str = "quarantine/";
-
-/// What the store holds of a refused request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct StoredRefusal {
-    /// Lifetimes of targets that it ended, as text; none if it was let go.
-    ended: Vec<String>,
-}
-
 /// A target's connection ended under a request, in the middle of its answer or before it: it is looked
 /// whether the target has ended.
 pub(crate) fn connection_broke(app: &Rc<App>, req: &Accepted, a_try: &Try) {
@@ -181,36 +157,12 @@
         }
     }
 
-    /// Takes what a peer tells.
-    pub(crate) fn take_crashes(&mut self, told: &Told, from: &str, now: Instant) {
-        let crashes = told.crashes.iter().filter_map(|crash| {
-            let content = Content::from_bytes(&crash.content)?;
-            let lifetime = Lifetime { birth: Birth(crash.birth), ends_before: crash.ends_before };
-            Some(Crash { content, lifetime, cleared: crash.cleared })
-        });
-        let crashes: Vec<Crash> = crashes.collect();
-        let new = self.quarantine.merge(&crashes, now);
+    /// Takes what a peer or the store tells.
+    pub(crate) fn take_crashes(&mut self, told: &[Crash], from: &str, now: Instant) {
+        let new = self.quarantine.merge(told, now);
         self.log_crashes(&new, from, now);
     }
 
-    /// Takes what the store tells under this system's own prefix, if it is a refused request.
-    pub(crate) fn take_stored_refusal(&mut self, key: &str, value: &[u8], now: Instant) -> bool {
-        let prefix = keys_prefix(self);
-        let Some(content) = key.strip_prefix(&prefix) else { return false };
-        let stored: Result<StoredRefusal, _> = serde_json::from_slice(value);
-        let (Some(content), Ok(stored)) = (Content::parse(content), stored) else {
-            warn!(self.log, "refused request's entry left out"; "key" => key);
-            return true;
-        };
-        let lifetimes = stored.ended.iter().filter_map(|text| Lifetime::parse(text));
-        let crashes: Vec<Crash> =
-            lifetimes.map(|lifetime| Crash { content, lifetime, cleared: false }).collect();
-        let new = self.quarantine.merge(&crashes, now);
-        self.quarantine.renew(&content, now);
-        self.log_crashes(&new, "store", now);
-        true
-    }
-
     fn log_crashes(&self, new: &[Crash], from: &str, now: Instant) {
         for crash in new {
             let refused = self.quarantine.refused_for(&crash.content, now);
@@ -221,99 +173,6 @@
     }
 }
 
-/// What a peer that was told up to a point is told next; `None` if there is nothing.
-pub(crate) fn untold(app: &App, told: &mut quarantine::Told) -> Option<Told> {
-    let (changes, up_to) = app.hub.with(|shared, _| shared.quarantine.changes_after(*told));
-    *told = up_to;
-    let crash = |crash: Crash| peering::work::Crash {
-        content: crash.content.bytes().to_vec(),
-        birth: crash.lifetime.birth.0,
-        ends_before: crash.lifetime.ends_before,
-        cleared: crash.cleared,
-    };
-    (!changes.is_empty()).then(|| Told { crashes: changes.into_iter().map(crash).collect() })
-}
-
-/// Writes refused requests into the store, which keeps them when all VMs lose power, and forgets what is
-/// over; for as long as the process runs.
-pub(crate) async fn keep(app: Rc<App>) {
-    let mut store = StoreConnection::new(&app);
-    let mut looks = interval(WRITE_LOOK);
-    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut forgot = crate::hub::now();
-    loop {
-        let now = looks.tick().await.into_std();
-        if now.saturating_duration_since(forgot) > FORGET_LOOK {
-            forgot = now;
-            app.hub.with(|shared, now| shared.quarantine.forget(now));
-        }
-        if !*app.store_reached.borrow() {
-            continue;
-        }
-        let unwritten = app.hub.with(|shared, now| shared.quarantine.unwritten(now));
-        for refused in unwritten {
-            if let Err(why) = write(&app, &mut store, &refused).await {
-                debug!(app.log, "refused request not written"; "why" => %why);
-                break;
-            }
-        }
-    }
-}
-
-async fn write(app: &App, store: &mut StoreConnection, refused: &Refused) -> Result<(), Miss> {
-    let key = app.hub.with(|shared, _| key_of(shared, &refused.content));
-    if !app.hub.with(|shared, _| shared.view.get(&key).is_some()) {
-        let ended = refused.ended.iter().map(ToString::to_string).collect();
-        put(app, store, &key, &StoredRefusal { ended }).await?;
-    }
-    app.hub.with(|shared, _| shared.quarantine.written(&refused.content));
-    Ok(())
-}
-
-async fn put(
-    app: &App,
-    store: &mut StoreConnection,
-    key: &str,
-    stored: &StoredRefusal,
-) -> Result<(), Miss> {
-    let lasts = app.cfg.quarantine.lasts().min(LONGEST_LEASE);
-    let body = store.call("lease", (app.doors.store.lease)(lasts), Duration::ZERO).await?;
-    let lease = (app.doors.store.read_lease)(&body).map_err(unreadable)?;
-    // A plain struct of texts always serializes.
-    let value = Bytes::from(serde_json::to_vec(stored).unwrap_or_default());
-    let write = Write { key: key.to_owned(), value, lease: lease.id };
-    store.call("write", (app.doors.store.put)(&write), Duration::ZERO).await?;
-    info!(app.log, "refused request written"; "key" => key, "ended" => stored.ended.len(),
-        "lease_ms" => lease.ttl.as_millis());
-    Ok(())
-}
-
-/// Lets a request go by an operator's word; false if nothing is known of it.
-pub(crate) fn let_go(app: &Rc<App>, content: Content) -> bool {
-    let known = app.hub.with(|shared, now| shared.quarantine.clear(&content, now));
-    if known {
-        warn!(app.log, "refused request let go"; "content" => %content);
-        let app = Rc::clone(app);
-        spawn_local(async move {
-            let key = app.hub.with(|shared, _| key_of(shared, &content));
-            let mut store = StoreConnection::new(&app);
-            let none = StoredRefusal { ended: Vec::new() };
-            if let Err(why) = put(&app, &mut store, &key, &none).await {
-                warn!(app.log, "refused request still in the store"; "key" => key, "why" => %why);
-            }
-        });
-    }
-    known
-}
-
 fn birth_of(target: &Target) -> Birth {
     Birth(target.birth())
 }
-
-fn keys_prefix(shared: &Shared) -> String {
-    format!("{}{KEYS}", shared.doors.intents.own_prefix)
-}
-
-fn key_of(shared: &Shared, content: &Content) -> String {
-    format!("{}{content}", keys_prefix(shared))
-}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod stages;
 mod store;
 mod store_connection;
+mod stored_refusals;
 mod streams;
 mod tries;
 mod work;
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -6,11 +6,11 @@
 use fleet::VmEntry;
 use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
 use peering::work::{
-    Beat, Coming, Done, Failure, Fetched, FromOwner, Hello, PieceDone, PoolLoad, Submit,
-    TargetLoad, Waiting, from_owner,
+    self, Beat, Coming, Crashes, Done, Failure, Fetched, FromOwner, Hello, PieceDone, PoolLoad,
+    Submit, TargetLoad, Waiting, from_owner,
 };
 
-use quarantine::Content;
+use quarantine::{Birth, Content, Crash, Lifetime, Told};
 
 use crate::app::App;
 use crate::links::ToDialer;
@@ -200,3 +200,26 @@
     };
     Some((ServiceName::new(&submit.pool).ok()?, submission))
 }
+
+/// What a peer tells of requests that end targets; what can't be read is left out.
+pub(crate) fn crashes_of(told: &Crashes) -> Vec<Crash> {
+    let crash = |crash: &work::Crash| {
+        let content = Content::from_bytes(&crash.content)?;
+        let lifetime = Lifetime { birth: Birth(crash.birth), ends_before: crash.ends_before };
+        Some(Crash { content, lifetime, cleared: crash.cleared })
+    };
+    told.crashes.iter().filter_map(crash).collect()
+}
+
+/// What a peer that was told up to a point is told next; `None` if there is nothing.
+pub(crate) fn untold(app: &App, told: &mut Told) -> Option<Crashes> {
+    let (changes, up_to) = app.hub.with(|shared, _| shared.quarantine.changes_after(*told));
+    *told = up_to;
+    let crash = |crash: Crash| work::Crash {
+        content: crash.content.bytes().to_vec(),
+        birth: crash.lifetime.birth.0,
+        ends_before: crash.lifetime.ends_before,
+        cleared: crash.cleared,
+    };
+    (!changes.is_empty()).then(|| Crashes { crashes: changes.into_iter().map(crash).collect() })
+}
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -15,6 +15,7 @@
 use peering::work::{
     Ask, Cancel, Done, FromDialer, FromOwner, Hello, News, Release, Submit, from_dialer, from_owner,
 };
+use quarantine::Told;
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -24,8 +25,7 @@
 use tonic::{Status, Streaming};
 
 use crate::app::App;
-use crate::crashes;
-use crate::link_words::{beat, hello, made_of, meet, take_beat};
+use crate::link_words::{beat, crashes_of, hello, made_of, meet, take_beat, untold};
 use crate::work::{self, PieceNews, StageTurn};
 
 /// Way to the VM that dialled.
@@ -240,7 +240,7 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    let mut told = quarantine::Told::default();
+    let mut told = Told::default();
     loop {
         tokio::select! {
             message = inbound.message() => {
@@ -254,7 +254,7 @@
                         }
                         from_owner::Kind::News(news) => link.told(news),
                         from_owner::Kind::Crashes(crashes) => app.hub.with(|shared, now| {
-                            shared.take_crashes(&crashes, vm.as_str(), now);
+                            shared.take_crashes(&crashes_of(&crashes), vm.as_str(), now);
                         }),
                         from_owner::Kind::Hello(_) => {}
                     },
@@ -278,7 +278,7 @@
                     return UNWANTED_END.to_owned();
                 }
                 link.send(from_dialer::Kind::Beat(beat(app)));
-                if let Some(crashes) = crashes::untold(app, &mut told) {
+                if let Some(crashes) = untold(app, &mut told) {
                     link.send(from_dialer::Kind::Crashes(crashes));
                 }
             }
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -17,8 +17,8 @@
 use tokio::time::sleep;
 
 use crate::app::App;
-use crate::crashes;
 use crate::owners::name_of;
+use crate::stored_refusals;
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -73,7 +73,7 @@
             "expected a content of 32 hexadecimal digits\n".to_owned(),
         );
     };
-    if crashes::let_go(app, content) {
+    if stored_refusals::let_go(app, content) {
         (StatusCode::OK, "let go\n".to_owned())
     } else {
         (StatusCode::NOT_FOUND, "nothing is known of it\n".to_owned())
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -24,8 +24,8 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{
-    accepted_links, accounts, callers, crashes, dials, logs, news, own_entry, pages, reach,
-    settings, store,
+    accepted_links, accounts, callers, dials, logs, news, own_entry, pages, reach, settings, store,
+    stored_refusals,
 };
 
 /// Pause between two looks at connections at rest.
@@ -94,7 +94,7 @@
     spawn_local(own_entry::keep(Rc::clone(app)));
     spawn_local(news::follow(Rc::clone(app)));
     spawn_local(accounts::keep(Rc::clone(app)));
-    spawn_local(crashes::keep(Rc::clone(app)));
+    spawn_local(stored_refusals::keep(Rc::clone(app)));
     spawn_local(clean(Rc::clone(app)));
     info!(app.log, "started"; "callers" => %cfg.callers, "peers" => %cfg.peers,
         "store" => %cfg.store, "hall" => %cfg.hall, "policy" => ?cfg.policy);
--- a/standins/src/users/fragile.rs
+++ b/standins/src/users/fragile.rs
@@ -84,8 +84,9 @@
             store: store.clone(),
             state: Arc::new(Mutex::new(state)),
         };
-        let living = fragile.clone();
-        spawn(move || living.live(listener));
+        // Its entry stands when this returns, so that tests can count on it.
+        let (living, first) = (fragile.clone(), fragile.begin_lifetime());
+        spawn(move || living.live(listener, first));
         Ok(fragile)
     }
 
@@ -104,10 +105,9 @@
     }
 
     /// One lifetime after the other.
-    fn live(&self, first: TcpListener) {
-        let mut listener = first;
+    fn live(&self, first_listener: TcpListener, first: Runner) {
+        let (mut listener, mut runner) = (first_listener, first);
         loop {
-            let runner = self.begin_lifetime();
             self.accept(&listener, &runner);
             drop(listener);
             sleep(self.nature.down);
@@ -117,6 +117,7 @@
                     Err(_) => sleep(LISTEN_PAUSE),
                 }
             };
+            runner = self.begin_lifetime();
         }
     }
 
--- a/tests/fatal_requests.rs
+++ b/tests/fatal_requests.rs
@@ -17,7 +17,7 @@
 use standins::users::callers::Call;
 use standins::users::fragile::{Fatal, Fragile, Nature, Return};
 use standins::users::runners::Act;
-use standins::users::serving::{Site, Vm, answered, post};
+use standins::users::serving::{A_WHILE, Site, Vm, answered, post};
 use standins::users::store::{Mood, Store};
 
 /// The body that ends its target.
@@ -169,7 +169,7 @@
 
 #[test]
 fn an_operator_sees_it_and_lets_it_go() {
-    let case = Case::start("fatal-let-go", Return::NewId);
+    let mut case = Case::start("fatal-let-go", Return::NewId);
     case.send_fatal("first", CRASHES as usize);
     let content = case.vms[0].state()["quarantine"][0]["content"].clone();
     let content = content.as_str().expect("a refused request").to_owned();
@@ -184,8 +184,14 @@
     wait_until("all VMs let it go", || {
         case.vms.iter().all(|vm| vm.state()["quarantine"].as_array().is_some_and(Vec::is_empty))
     });
-    case.send_fatal("once-more", 1);
-    assert_eq!(case.ends(), CRASHES + 1, "it runs again");
+    case.send_fatal("once-more", CRASHES as usize);
+    assert_eq!(case.ends(), 2 * CRASHES, "it runs again, until it is known again");
+    // What the store has of the time before must not stand in the way.
+    sleep(A_WHILE);
+    case.vms.iter_mut().for_each(Vm::restart);
+    case.vms.iter().for_each(|vm| case.site.wait_known(vm));
+    case.send_fatal("after-power", 2);
+    assert_eq!(case.ends(), 2 * CRASHES, "it stays known");
 }
 
 #[test]
