Large files of the serving path split: pool calls, own calls, passing and reading of streams

Ruled out: nothing; moves only, no behaviour changed. Change: piece_news, own_calls, call_counts and pool_calls out of work; stream_reader, stream_passing and request_stages out of streams; the time left beside the clock. Conclusion: one job a file.

--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -24,7 +24,8 @@
 use crate::link_words::{beat, crashes_of, hello, meet, submission_of, take_beat, untold};
 use crate::links::ToDialer;
 use crate::news;
-use crate::work::{self, Sink};
+use crate::piece_news::Sink;
+use crate::{pool_calls, work};
 
 /// A link that a peer dialled, handed from the server's task to this thread's tasks.
 struct Dialled {
@@ -138,9 +139,9 @@
             }
         }
         from_dialer::Kind::Release(release) if release.if_scarce => {
-            work::release_if_scarce_here(app, &release.handles);
+            pool_calls::release_if_scarce_here(app, &release.handles);
         }
-        from_dialer::Kind::Release(release) => work::release_here(app, &release.handles),
+        from_dialer::Kind::Release(release) => pool_calls::release_here(app, &release.handles),
         from_dialer::Kind::Beat(beat) => {
             let sinks = app.sinks.borrow();
             jobs.retain(|_, job| sinks.contains_key(job));
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -11,12 +11,12 @@
 use slog::info;
 
 use crate::app::App;
+use crate::hub::left;
 use crate::requests::Accepted;
 use crate::settings::Policy;
 use crate::shared::Shared;
 use crate::stages::time_after;
 use crate::tries::NO_TARGET_WAIT;
-use crate::work::left;
 
 /// A request is refused if it is expected to take more than this part of its aim.
 const ADMITTED_PART: f64 = 1.0;
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -17,8 +17,8 @@
 use crate::connections::Connections;
 use crate::hub::Hub;
 use crate::links::Link;
+use crate::piece_news::Sink;
 use crate::settings::Settings;
-use crate::work::Sink;
 
 /// What the tasks of a VM hold on to; all of them run on one thread.
 pub(crate) struct App {
--- /dev/null
+++ b/gateway/src/call_counts.rs
@@ -0,0 +1,42 @@
+//! How a pool's call ended, for the log.
+
+use batching::CallEnd;
+use doors::calls::PieceAnswer;
+
+/// What became of the pieces of a call, for the log.
+#[derive(Default)]
+pub(crate) struct Counts {
+    pub(crate) made: usize,
+    pub(crate) failed: usize,
+    pub(crate) no_room: usize,
+    pub(crate) gone: usize,
+    pub(crate) late: usize,
+}
+
+impl Counts {
+    pub(crate) fn of(end: &CallEnd) -> Self {
+        let mut counts = Counts::default();
+        let CallEnd::Answered(answers) = end else { return counts };
+        for answer in answers {
+            *match answer {
+                PieceAnswer::Made(_) => &mut counts.made,
+                PieceAnswer::Failed => &mut counts.failed,
+                PieceAnswer::NoRoom => &mut counts.no_room,
+                PieceAnswer::Gone => &mut counts.gone,
+                PieceAnswer::Late => &mut counts.late,
+            } += 1;
+        }
+        counts
+    }
+}
+
+/// Name of an end for logs and metrics.
+pub(crate) fn end_name(end: &CallEnd) -> &'static str {
+    match end {
+        CallEnd::Answered(_) => "answered",
+        CallEnd::Full => "full",
+        CallEnd::TargetGone => "target gone",
+        CallEnd::OutOfReach => "out of reach",
+        CallEnd::Failed => "failed",
+    }
+}
--- a/gateway/src/halls.rs
+++ b/gateway/src/halls.rs
@@ -11,10 +11,10 @@
 use slog::{info, warn};
 
 use crate::app::App;
+use crate::pool_calls;
 use crate::requests::Accepted;
 use crate::shared::Shared;
 use crate::stages::pieces_of;
-use crate::work;
 
 /// Key by which VMs agree on who sends to a cold target.
 fn sender_key(target: &Target) -> String {
@@ -132,5 +132,5 @@
         let changed = std::mem::take(&mut shared.halls_changed);
         if changed { shared.pools.keys().cloned().collect() } else { Vec::new() }
     });
-    pools.iter().for_each(|pool| work::fill_calls(app, pool));
+    pools.iter().for_each(|pool| pool_calls::fill_calls(app, pool));
 }
--- a/gateway/src/hub.rs
+++ b/gateway/src/hub.rs
@@ -1,7 +1,7 @@
 //! The actor that holds the shared state, and the handle by which the tasks of this thread ask it.
 
 use std::cell::RefCell;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use stakker::{ActorOwn, Stakker, actor, ret_nop};
 
@@ -19,6 +19,11 @@
     tokio::time::Instant::now().into_std()
 }
 
+/// Time left until `at`.
+pub(crate) fn left(at: Instant) -> Duration {
+    at.saturating_duration_since(now())
+}
+
 impl Hub {
     /// Starts the actor with its state.
     pub(crate) fn new(shared: Shared) -> Self {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -25,8 +25,9 @@
 use tonic::{Status, Streaming};
 
 use crate::app::App;
+use crate::hub::left;
 use crate::link_words::{beat, crashes_of, hello, made_of, meet, take_beat, untold};
-use crate::work::{self, PieceNews, StageTurn};
+use crate::piece_news::{PieceNews, StageTurn};
 
 /// Way to the VM that dialled.
 pub(crate) type ToDialer = UnboundedSender<Result<FromOwner, Status>>;
@@ -79,7 +80,7 @@
         self.next_job.set(job + 1);
         let waiting = Waiting { news, of, left: submission.pieces.len() };
         self.jobs.borrow_mut().insert(job, waiting);
-        let millis = |at: Instant| u32::try_from(work::left(at).as_millis()).unwrap_or(u32::MAX);
+        let millis = |at: Instant| u32::try_from(left(at).as_millis()).unwrap_or(u32::MAX);
         self.send(from_dialer::Kind::Submit(Submit {
             job,
             pool: pool.to_string(),
--- /dev/null
+++ b/gateway/src/request_stages.rs
@@ -0,0 +1,64 @@
+//! The stages of a request, run before its engine, and its size there.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use doors::callers::Refusal;
+use selection::{CallSize, chain_of};
+use slog::info;
+
+use crate::admission::InFlight;
+use crate::app::App;
+use crate::hub::now;
+use crate::requests::Accepted;
+use crate::stages::{self, Results, StagesMiss, StagesOf};
+
+/// When to come back after a piece could not be made.
+const BROKEN_WAIT: Duration = Duration::from_millis(800);
+
+/// Runs the stages; `None` if the request has none.
+pub(crate) async fn run_stages(
+    app: &Rc<App>,
+    req: &Rc<Accepted>,
+    until: Instant,
+    in_flight: Option<InFlight>,
+) -> Result<Option<Results>, Refusal> {
+    if req.entry.stages.is_empty() || req.head.pieces.iter().all(|count| *count == 0) {
+        return Ok(None);
+    }
+    let first_event = app.hub.with(|shared, _| shared.first_event(&req.service));
+    let size = size_of(app, req, None);
+    let of = StagesOf {
+        app,
+        intent: &req.intent,
+        entry: &req.entry,
+        head: &req.head,
+        id: &req.id,
+        content: req.content,
+        urgency: req.urgency,
+        service: &req.service,
+        size: &size,
+        until,
+        due: (req.arrived + req.entry.aim).checked_sub(first_event).unwrap_or(req.arrived),
+    };
+    let began = now();
+    let results = stages::run(&of, in_flight).await;
+    info!(app.log, "stages ended"; "request" => %req.id, "entry" => &req.entry.name,
+        "missed" => results.as_ref().err().map(|miss| format!("{miss:?}")),
+        "took_ms" => (now() - began).as_millis(), "at_ms" => (now() - req.arrived).as_millis());
+    results.map(Some).map_err(|miss| match miss {
+        StagesMiss::Late => Refusal::NotRunInTime,
+        StagesMiss::Broken => Refusal::NotRun { come_back: BROKEN_WAIT },
+    })
+}
+
+/// The request's size for an engine, with the results of its stages where they are made.
+pub(crate) fn size_of(app: &Rc<App>, req: &Accepted, results: Option<&Results>) -> CallSize {
+    let engine = req.intent.services.get(&req.service).and_then(|service| service.engine);
+    CallSize {
+        chain: chain_of("", req.head.prompt.iter().map(|part| (part.id, part.tokens))),
+        prompt_tokens: req.head.prompt_tokens,
+        inputs: results.map(|r| r.bytes_by_hall(app, &req.entry)).unwrap_or_default(),
+        memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
+    }
+}
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -17,9 +17,10 @@
 use crate::admission::InFlight;
 use crate::app::App;
 use crate::hub::now;
+use crate::piece_news::{PieceNews, StageTurn};
 use crate::requests::Accepted;
 use crate::shared::Shared;
-use crate::work::{self, PieceNews, StageTurn, Submitted};
+use crate::work::{self, Submitted};
 
 /// Most times that a stage is submitted again after the VM that filled its calls was lost, or
 /// after a result that it needed was gone.
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -1,44 +1,32 @@
-//! Requests whose answer is a stream of events: stages first, then an engine, whose events are
-//! passed on one by one, and taken up at another engine where that is allowed.
+//! Requests whose answer is a stream of events: stages first, then an engine, up to its first event.
 
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use doors::callers::Refusal;
-use fleet::OutHalls;
 use http_body_util::BodyExt;
 use hyper::Response;
-use hyper::body::{Body, Frame, Incoming};
-use selection::{CallSize, End, chain_of};
-use slog::info;
-use tokio::sync::mpsc::{Receiver, Sender, channel};
-use tokio::sync::watch;
+use selection::{CallSize, End};
+use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
 use tokio::time::{Instant as TokioInstant, timeout_at};
 
-use crate::admission::{self, InFlight};
-use crate::answers::{AnswerBody, Cut, refusal, whole};
+use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
-use crate::crashes;
-use crate::events::{Event, Splitter};
+use crate::events::Event;
 use crate::hub::now;
 use crate::plain::outcome_of;
-use crate::reach;
+use crate::request_stages::{run_stages, size_of};
 use crate::requests::Accepted;
-use crate::stages::{self, Results, StagesMiss, StagesOf};
+use crate::stages::Results;
+use crate::stream_passing::{Events, Stream, pass_on};
+use crate::stream_reader::{Next, Reader};
 use crate::tries::{Answer, Missed, OUT_OF_REACH, Tries};
+use crate::{admission, crashes};
 
 /// Events that wait for a caller that reads slowly.
 const EVENTS_WAITING: usize = 64;
-/// When to come back after a piece could not be made.
-const BROKEN_WAIT: Duration = Duration::from_millis(800);
-/// A stream that pauses for this many of its longest gaps is taken up elsewhere, if it may be.
-const STALL_GAPS: u32 = 3;
-/// The same, where no gap is given, and at least.
-const STALL: Duration = Duration::from_millis(1200);
 /// A first event that does not come within this many aims is asked for elsewhere, if it may be.
 const FIRST_EVENT_AIMS: u32 = 1;
 /// A caller gives a stream up after a pause of this many aims; work for it is of no use then.
@@ -53,36 +41,6 @@
 /// What is held for as long as a stream runs.
 pub(crate) type Held = Box<dyn std::any::Any>;
 
-/// A stream that is being passed on.
-struct Stream {
-    app: Rc<App>,
-    req: Rc<Accepted>,
-    tries: Tries,
-    size: CallSize,
-    reader: Box<Reader>,
-    results: Option<Results>,
-    /// Number of the last event that was passed on.
-    last: Option<u64>,
-}
-
-/// Reads one try's events.
-struct Reader {
-    answer: Answer,
-    splitter: Splitter,
-    /// Data halls that are out of reach.
-    out: watch::Receiver<OutHalls>,
-}
-
-/// What comes next in a try's stream.
-enum Next {
-    Event(Event),
-    End,
-    /// Its connection ended, or it ended within an event.
-    Broken(String),
-    /// The hall of its target is out of reach.
-    OutOfReach,
-}
-
 /// Answers a request; tells how it ended.
 pub(crate) async fn answer(
     app: &Rc<App>,
@@ -186,51 +144,6 @@
     TokioInstant::from_std(if impatient { patient.min(until) } else { until })
 }
 
-async fn run_stages(
-    app: &Rc<App>,
-    req: &Rc<Accepted>,
-    until: Instant,
-    in_flight: Option<InFlight>,
-) -> Result<Option<Results>, Refusal> {
-    if req.entry.stages.is_empty() || req.head.pieces.iter().all(|count| *count == 0) {
-        return Ok(None);
-    }
-    let first_event = app.hub.with(|shared, _| shared.first_event(&req.service));
-    let size = size_of(app, req, None);
-    let of = StagesOf {
-        app,
-        intent: &req.intent,
-        entry: &req.entry,
-        head: &req.head,
-        id: &req.id,
-        content: req.content,
-        urgency: req.urgency,
-        service: &req.service,
-        size: &size,
-        until,
-        due: (req.arrived + req.entry.aim).checked_sub(first_event).unwrap_or(req.arrived),
-    };
-    let began = now();
-    let results = stages::run(&of, in_flight).await;
-    info!(app.log, "stages ended"; "request" => %req.id, "entry" => &req.entry.name,
-        "missed" => results.as_ref().err().map(|miss| format!("{miss:?}")),
-        "took_ms" => (now() - began).as_millis(), "at_ms" => (now() - req.arrived).as_millis());
-    results.map(Some).map_err(|miss| match miss {
-        StagesMiss::Late => Refusal::NotRunInTime,
-        StagesMiss::Broken => Refusal::NotRun { come_back: BROKEN_WAIT },
-    })
-}
-
-fn size_of(app: &Rc<App>, req: &Accepted, results: Option<&Results>) -> CallSize {
-    let engine = req.intent.services.get(&req.service).and_then(|service| service.engine);
-    CallSize {
-        chain: chain_of("", req.head.prompt.iter().map(|part| (part.id, part.tokens))),
-        prompt_tokens: req.head.prompt_tokens,
-        inputs: results.map(|r| r.bytes_by_hall(app, &req.entry)).unwrap_or_default(),
-        memory_tokens: engine.map_or(u64::MAX, |engine| engine.memory_tokens),
-    }
-}
-
 enum First {
     Stream(Box<Reader>, Vec<Event>),
     Whole(Box<Answer>),
@@ -283,201 +196,3 @@
     *answer.headers_mut() = (app.doors.calls.pass_on)(&head.headers);
     Ok(Begun::Whole(answer))
 }
-
-impl Reader {
-    fn new(app: &App, answer: Answer) -> Self {
-        Reader { answer, splitter: Splitter::default(), out: app.out_halls.subscribe() }
-    }
-
-    /// Ends a try that brought no event.
-    fn lost(&mut self, tries: &mut Tries, why: String) -> Missed {
-        self.answer.a_try.end(End::Failed);
-        tries.may_have_run = true;
-        Missed::Lost(why)
-    }
-
-    /// The next event, unless the target's hall is out of reach and another target may go on.
-    async fn next(&mut self, repeatable: bool) -> Next {
-        let Reader { answer, splitter, out } = self;
-        let hall = &answer.a_try.pick.target.hall;
-        tokio::select! {
-            biased;
-            next = next_event(&mut answer.body, splitter) => next,
-            () = reach::lost(out, hall), if repeatable => Next::OutOfReach,
-        }
-    }
-}
-
-async fn next_event(body: &mut Incoming, splitter: &mut Splitter) -> Next {
-    loop {
-        if let Some(event) = splitter.next_event() {
-            return Next::Event(event);
-        }
-        match body.frame().await {
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    splitter.push(data);
-                }
-            }
-            Some(Err(e)) => return Next::Broken(e.to_string()),
-            None if splitter.has_rest() => {
-                return Next::Broken("it ended within an event".to_owned());
-            }
-            None => return Next::End,
-        }
-    }
-}
-
-/// How the passing on of a stream ended.
-enum Passed {
-    Whole,
-    CallerGone,
-    Cut(String),
-}
-
-async fn pass_on(mut stream: Stream, first: Vec<Event>, tx: Sender<Result<Bytes, Cut>>) {
-    // The results were fetched before the first event came.
-    stream.results = None;
-    let passed = pass_events(&mut stream, first, &tx).await;
-    let (outcome, why) = match passed {
-        Passed::Whole => ("whole", None),
-        Passed::CallerGone => ("caller gone", None),
-        Passed::Cut(why) => ("cut", Some(why)),
-    };
-    let req = &stream.req;
-    info!(stream.app.log, "stream ended"; "request" => %req.id, "content" => %req.content, "entry" => &req.entry.name,
-        "outcome" => outcome, "why" => &why, "last_event" => stream.last,
-        "took_ms" => (now() - req.arrived).as_millis());
-    let customer = req.customer.as_ref().map_or("-", |name| name.as_str());
-    stream.app.metrics.request_ended(&req.entry.name, customer, outcome, now() - req.arrived);
-    if why.is_some() {
-        // A caller that is gone needs no word.
-        drop(tx.send(Err(Cut)).await);
-        return;
-    }
-    if outcome == "whole" {
-        crashes::ended_well(&stream.app, req);
-        let Reader { answer, .. } = *stream.reader;
-        let Answer { read, carrier, mut a_try, .. } = answer;
-        a_try.end(End::Answered);
-        if !read.closes {
-            stream.app.rest(carrier, read.keeps);
-        }
-    }
-}
-
-async fn pass_events(
-    stream: &mut Stream,
-    first: Vec<Event>,
-    tx: &Sender<Result<Bytes, Cut>>,
-) -> Passed {
-    for event in first {
-        if !stream.pass(event, tx).await {
-            return Passed::CallerGone;
-        }
-    }
-    let until = TokioInstant::from_std(stream.req.until);
-    let repeatable = stream.req.entry.repeatable;
-    loop {
-        let limit = stream.stall_limit().min(until);
-        let next = tokio::select! {
-            biased;
-            () = tx.closed() => return Passed::CallerGone,
-            next = timeout_at(limit, stream.reader.next(repeatable)) => next,
-        };
-        let why = match next {
-            Ok(Next::Event(event)) => {
-                if !stream.pass(event, tx).await {
-                    return Passed::CallerGone;
-                }
-                continue;
-            }
-            Ok(Next::End) => return Passed::Whole,
-            Ok(Next::Broken(why)) => {
-                crashes::connection_broke(&stream.app, &stream.req, &stream.reader.answer.a_try);
-                why
-            }
-            Ok(Next::OutOfReach) => OUT_OF_REACH.to_owned(),
-            Err(_) if TokioInstant::now() >= until => {
-                return Passed::Cut("its time is over".into());
-            }
-            Err(_) => "it stalled".to_owned(),
-        };
-        stream.reader.answer.a_try.end(End::Failed);
-        let resumed = tokio::select! {
-            biased;
-            () = tx.closed() => return Passed::CallerGone,
-            resumed = timeout_at(until, stream.resume(&why)) => resumed,
-        };
-        match resumed {
-            Ok(Ok(())) => {}
-            Ok(Err(further)) => return Passed::Cut(format!("{why}; {further}")),
-            Err(_) => return Passed::Cut(format!("{why}; its time is over")),
-        }
-    }
-}
-
-impl Stream {
-    /// Passes an event on; false if the caller is gone.
-    async fn pass(&mut self, event: Event, tx: &Sender<Result<Bytes, Cut>>) -> bool {
-        let seen = matches!((event.id, self.last), (Some(id), Some(last)) if id <= last);
-        if seen {
-            return true;
-        }
-        self.last = event.id.or(self.last);
-        tx.send(Ok(event.bytes)).await.is_ok()
-    }
-
-    /// When a pause is too long, if the stream may be taken up elsewhere.
-    fn stall_limit(&self) -> TokioInstant {
-        if !self.req.entry.repeatable {
-            return TokioInstant::from_std(self.req.until);
-        }
-        let stall = self.req.entry.longest_gap.map_or(STALL, |gap| (gap * STALL_GAPS).max(STALL));
-        TokioInstant::now() + stall
-    }
-
-    /// Takes the stream up at another target, after the last event that was passed on.
-    async fn resume(&mut self, why: &str) -> Result<(), String> {
-        let mut missed = Missed::Lost(why.to_owned());
-        loop {
-            if !self.req.entry.repeatable || !self.tries.may_go_on(&missed) {
-                return Err("no further try is allowed".to_owned());
-            }
-            let last = self.last.ok_or("no event has a number")?;
-            info!(self.app.log, "stream taken up elsewhere"; "request" => %self.req.id,
-                "after" => last, "why" => why);
-            let stages = run_stages(&self.app, &self.req, self.req.until, None).await;
-            let results = stages.map_err(|_| "its stages could not be made again")?;
-            let inputs = results.as_ref().map(Results::inputs).unwrap_or_default();
-            let sent = self.tries.send(Some(&self.size), &inputs, Some(last)).await;
-            match sent.map_err(|_| "no target is left")? {
-                Ok(answer) if answer.head.status.is_success() => {
-                    let mut reader = Reader::new(&self.app, answer);
-                    reader.answer.a_try.prompt_read();
-                    *self.reader = reader;
-                    return Ok(());
-                }
-                Ok(answer) => missed = Missed::Lost(format!("status {}", answer.head.status)),
-                Err(further) => missed = further,
-            }
-        }
-    }
-}
-
-/// The body that passes events on.
-struct Events {
-    rx: Receiver<Result<Bytes, Cut>>,
-}
-
-impl Body for Events {
-    type Data = Bytes;
-    type Error = Cut;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
-        self.rx.poll_recv(cx).map(|event| event.map(|event| event.map(Frame::data)))
-    }
-}
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -14,10 +14,9 @@
 use crate::app::App;
 use crate::connections::{Carrier, NoAnswer};
 use crate::crashes;
-use crate::hub::now;
+use crate::hub::{left, now};
 use crate::reach;
 use crate::requests::{Accepted, call_of};
-use crate::work::left;
 
 /// When to come back while no target can be used.
 pub(crate) const NO_TARGET_WAIT: Duration = Duration::from_millis(700);
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -189,9 +189,8 @@
             route("/repeat/", "idempotent", "plain"),
             route("/once/", "non_idempotent", "plain"),
             route("/stream/", "streaming", "engine"),
-            route("/fragile/", "idempotent", "fragile"),
-            resumed, chain, keyed],
-        "services": [service("plain"), service("fragile"), pool, engine],
+            resumed, chain, keyed, route("/fragile/", "idempotent", "fragile")],
+        "services": [service("plain"), pool, engine, service("fragile")],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "quipu", "api_keys": ["key-1"]}]})
