trace tells the story of all attempts at one request

Cause: the story of a request that returns under new ids had to be put together by hand. Ruled out: a command of its own (the lines are the same). Change: saddlerail trace takes a content as well as an id; a fixture of a VM's log from the test. Figures: seven lines of one request over three attempts. Conclusion: as intended; the daemon is untouched.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -231,7 +231,12 @@
 fn trace() -> Command {
     Command::new("trace")
         .about("Tell from VMs' log files what became of a request")
-        .arg(Arg::new("request").value_name("REQUEST-ID").required(true))
+        .arg(
+            Arg::new("request")
+                .value_name("REQUEST-ID")
+                .required(true)
+                .help("Id of an attempt, or the content that all attempts at a request have alike"),
+        )
         .arg(logs())
 }
 
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,4 +1,4 @@
-//! `saddlerail trace`: tell from VMs' log files what became of a request.
+//! `saddlerail trace`: tell from VMs' log files what became of a request, or of all attempts at one.
 
 use std::path::PathBuf;
 
@@ -9,6 +9,9 @@
 use crate::cli::{Output, output_of};
 use crate::logs;
 
+/// Keys by which a line names a request: the id of an attempt, or what all attempts at it have alike.
+const NAMED_BY: [&str; 2] = ["request", "content"];
+
 /// A log line that names the request.
 struct Line {
     time: f64,
@@ -43,7 +46,7 @@
         return None;
     }
     let pairs = logs::pairs(line);
-    let names_it = pairs.get("request").and_then(Value::as_str) == Some(id);
+    let names_it = NAMED_BY.iter().any(|key| pairs.get(*key).and_then(Value::as_str) == Some(id));
     let time = logs::number(&pairs, "time").unwrap_or_default();
     names_it.then(|| Line { time, text: line.to_owned(), pairs })
 }
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -34,6 +34,19 @@
     assert!(lines[3].contains("outcome=unknown"));
 }
 
+#[test]
+fn trace_tells_the_story_of_all_attempts_at_one_request() {
+    let fatal = "tests/fixtures/logs/fatal.log";
+    let out = tool(&["trace", "156569f2d3d67849f56b3f9cb420d20c", fatal]);
+
+    let text = text(&out);
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 7, "{text}");
+    assert!(lines[0].contains("connection broke under a request"));
+    assert!(lines[4].contains("refused_ms=600000") && lines[4].contains("from=fatal-new-ids-2"));
+    assert!(lines[6].contains("request refused as one that ends targets"));
+}
+
 #[test]
 fn trace_gives_pairs_as_json() {
     let out = tool(&["trace", "3e9861d31f5c3ff3", LOG, "--output", "json"]);
