--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -35,14 +35,14 @@
 }
 
 /// A lifetime of a target ended while it was at work on a request. VMs tell each other of these; what is
-/// told twice counts once, and in any order the same comes out.
+/// sent twice counts once, and in any order the same comes out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Crash {
     /// The request.
     pub content: Content,
     /// The lifetime that ended.
     pub lifetime: Lifetime,
-    /// It does not count: the request ran to a good end elsewhere, or an operator let it go. Once said,
+    /// It does not count: the request ran to a good end elsewhere, or an operator released it. Once said,
     /// this stays so.
     pub cleared: bool,
 }
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use content::{Asked, Content};
 pub use crash::{Birth, Crash, Lifetime};
-pub use table::{Quarantine, Refused, Rules, Told};
+pub use table::{Cursor, Quarantine, Refused, Rules};
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -69,9 +69,9 @@
     pub refused: u64,
 }
 
-/// Up to where a peer was told.
+/// How far into the changes a peer was sent them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Told(u64);
+pub struct Cursor(u64);
 
 /// What a VM knows of requests that end targets.
 #[derive(Debug)]
@@ -80,7 +80,7 @@
     records: HashMap<Content, Record>,
     losses: VecDeque<Loss>,
     ends: HashMap<Birth, Ends>,
-    ended_well: Recent,
+    completed: Recent,
     /// What became known, in order.
     changes: VecDeque<Crash>,
     /// Changes before these.
@@ -95,7 +95,7 @@
             records: HashMap::new(),
             losses: VecDeque::new(),
             ends: HashMap::new(),
-            ended_well: Recent::default(),
+            completed: Recent::default(),
             changes: VecDeque::new(),
             changes_dropped: 0,
         }
@@ -134,7 +134,7 @@
         let crashes = lost.iter().filter(|loss| !is_old(loss)).map(|loss| Crash {
             content: loss.content,
             lifetime: loss.lifetime,
-            cleared: self.ended_well.has(&loss.content, now),
+            cleared: self.completed.has(&loss.content, now),
         });
         let crashes: Vec<Crash> = crashes.collect();
         let new: Vec<Crash> = crashes.into_iter().filter(|crash| self.take(*crash, now)).collect();
@@ -145,12 +145,12 @@
     }
 
     /// A target ran a request to a good end, so that it is none that ends every target.
-    pub fn ended_well(&mut self, content: Content, now: Instant) {
-        self.ended_well.note(content, now);
+    pub fn completed(&mut self, content: Content, now: Instant) {
+        self.completed.note(content, now);
         self.clear(&content, now);
     }
 
-    /// Lets a request go: what it ended so far counts no more. False if nothing was known of it.
+    /// Releases a request: what it ended so far counts no more. False if nothing was known of it.
     pub fn clear(&mut self, content: &Content, now: Instant) -> bool {
         let Some(record) = self.records.get(content) else { return false };
         let counted: Vec<Lifetime> = record.crashes.counted().collect();
@@ -160,13 +160,13 @@
         !counted.is_empty()
     }
 
-    /// Takes what a peer or the store tells; gives what is new.
-    pub fn merge(&mut self, told: &[Crash], now: Instant) -> Vec<Crash> {
+    /// Takes what a peer or the store knows; gives what is new.
+    pub fn merge(&mut self, crashes: &[Crash], now: Instant) -> Vec<Crash> {
         let mut new = Vec::new();
-        for crash in told {
+        for crash in crashes {
             // Whoever saw that lifetime end saw it for this VM's requests as well.
             new.extend(self.ended(crash.lifetime, now));
-            let cleared = crash.cleared || self.ended_well.has(&crash.content, now);
+            let cleared = crash.cleared || self.completed.has(&crash.content, now);
             let crash = Crash { cleared, ..*crash };
             if self.take(crash, now) {
                 new.push(crash);
@@ -234,12 +234,12 @@
         self.records.values().filter(counts).count()
     }
 
-    /// What became known since a peer was told, and up to where that is.
-    pub fn changes_after(&self, told: Told) -> (Vec<Crash>, Told) {
-        let from = told.0.saturating_sub(self.changes_dropped);
+    /// What became known after a cursor, and the cursor after that.
+    pub fn changes_after(&self, cursor: Cursor) -> (Vec<Crash>, Cursor) {
+        let from = cursor.0.saturating_sub(self.changes_dropped);
         let from = usize::try_from(from).unwrap_or(usize::MAX).min(self.changes.len());
         let up_to = self.changes_dropped + self.changes.len() as u64;
-        (self.changes.range(from..).copied().collect(), Told(up_to))
+        (self.changes.range(from..).copied().collect(), Cursor(up_to))
     }
 
     /// Forgets what is over.
@@ -252,7 +252,7 @@
             let known = &self.records;
             self.changes_dropped += self.changes.len() as u64;
             self.changes.retain(|crash| known.contains_key(&crash.content));
-            // What is left is told again to all: it says nothing new to them.
+            // What is left is sent again to all peers: it says nothing new to them.
         }
     }
 
--- a/components/quarantine/tests/table.rs
+++ b/components/quarantine/tests/table.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use proptest::prelude::{Strategy, any, prop, proptest};
-use quarantine::{Asked, Birth, Content, Crash, Lifetime, Quarantine, Rules, Told};
+use quarantine::{Asked, Birth, Content, Crash, Cursor, Lifetime, Quarantine, Rules};
 
 const RULES: Rules = Rules { crashes: 3, lasts: Duration::from_secs(600) };
 /// Time within which peers hear of each other's changes: a heartbeat and its way.
@@ -31,7 +31,7 @@
 
 /// Tells one VM all that another one knows.
 fn tell(to: &mut Quarantine, from: &Quarantine, now: Instant) {
-    to.merge(&from.changes_after(Told::default()).0, now);
+    to.merge(&from.changes_after(Cursor::default()).0, now);
 }
 
 #[test]
@@ -57,7 +57,7 @@
     (1..=5).for_each(|birth| vm.lost(cut, lifetime(birth), now));
 
     assert_eq!(vm.refused_for(&cut, now), None);
-    assert!(vm.changes_after(Told::default()).0.is_empty());
+    assert!(vm.changes_after(Cursor::default()).0.is_empty());
     let late = now + Duration::from_secs(7);
     assert!(vm.ended(lifetime(1), late).is_empty(), "it ended long after it broke off the answer");
 }
@@ -105,7 +105,7 @@
     assert!(one.refused_for(&hot, now).is_some());
     tell(&mut other, &one, now);
 
-    other.ended_well(hot, now);
+    other.completed(hot, now);
     tell(&mut one, &other, now);
     // The store, or a VM that did not hear of it, tells of them once more.
     one.merge(&[Crash { content: hot, lifetime: lifetime(2), cleared: false }], now);
@@ -117,7 +117,7 @@
 #[test]
 fn a_request_that_ends_well_all_the_time_is_spared_when_many_targets_end_at_once() {
     let (mut vm, hot, now) = (vm(), content(0), Instant::now());
-    vm.ended_well(hot, now);
+    vm.completed(hot, now);
 
     let later = now + Duration::from_secs(5);
     (1..=8).for_each(|lifetime| drop(crash(&mut vm, hot, lifetime, later)));
@@ -144,7 +144,7 @@
 
     assert!(still.is_some());
     assert_eq!(vm.refused_for(&fatal, over), None);
-    assert!(vm.changes_after(Told::default()).0.is_empty());
+    assert!(vm.changes_after(Cursor::default()).0.is_empty());
 }
 
 #[test]
@@ -152,7 +152,7 @@
     let (mut vm, fatal, now) = (vm(), content(0), Instant::now());
     crash(&mut vm, fatal, 1, now);
 
-    let (first, told) = vm.changes_after(Told::default());
+    let (first, told) = vm.changes_after(Cursor::default());
     let (nothing, told) = vm.changes_after(told);
     crash(&mut vm, fatal, 2, now);
     let (second, _) = vm.changes_after(told);
@@ -261,7 +261,7 @@
         self.at_work = others;
         let done: Vec<(usize, Content, usize)> = done;
         for (vm, of, _) in done {
-            self.vms[vm].ended_well(of, self.now);
+            self.vms[vm].completed(of, self.now);
         }
     }
 
@@ -269,7 +269,7 @@
     fn beat(&mut self) {
         self.now += HEARD;
         let told: Vec<Vec<Crash>> =
-            self.vms.iter().map(|vm| vm.changes_after(Told::default()).0).collect();
+            self.vms.iter().map(|vm| vm.changes_after(Cursor::default()).0).collect();
         let count = self.vms.len();
         for (index, vm) in self.vms.iter_mut().enumerate() {
             vm.merge(&told[(index + 1) % count], self.now);
--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -9,7 +9,7 @@
 use ids::{ServiceName, VmName};
 use peering::work::{FromDialer, FromOwner, from_dialer, from_owner};
 use peering::{Work, WorkServer};
-use quarantine::Told;
+use quarantine::Cursor;
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -21,7 +21,7 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::app::App;
-use crate::link_words::{beat, crashes_of, hello, meet, submission_of, take_beat, untold};
+use crate::link_words::{beat, crashes_of, hello, meet, submission_of, take_beat, unsent};
 use crate::links::ToDialer;
 use crate::news;
 use crate::piece_news::Sink;
@@ -81,12 +81,12 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    let mut told = Told::default();
+    let mut cursor = Cursor::default();
     let mut known = app.hub.with(|shared, _| shared.crashes_known.subscribe());
     loop {
         tokio::select! {
             _ = known.changed() => {
-                if let Some(crashes) = untold(&app, &mut told) {
+                if let Some(crashes) = unsent(&app, &mut cursor) {
                     send(from_owner::Kind::Crashes(crashes));
                 }
             }
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -82,8 +82,8 @@
 }
 
 /// A target ran a request to a good end.
-pub(crate) fn ended_well(app: &App, req: &Accepted) {
-    app.hub.with(|shared, now| shared.quarantine.ended_well(req.content, now));
+pub(crate) fn completed(app: &App, req: &Accepted) {
+    app.hub.with(|shared, now| shared.quarantine.completed(req.content, now));
 }
 
 /// What the pieces of a call are part of, each once.
@@ -97,10 +97,10 @@
 }
 
 /// A worker answered a call: whatever came of its pieces, none of them ended it.
-pub(crate) fn pieces_ended_well(app: &App, contents: &[Content], end: &CallEnd) {
+pub(crate) fn pieces_completed(app: &App, contents: &[Content], end: &CallEnd) {
     if matches!(end, CallEnd::Answered(_)) {
         app.hub.with(|shared, now| {
-            contents.iter().for_each(|content| shared.quarantine.ended_well(*content, now));
+            contents.iter().for_each(|content| shared.quarantine.completed(*content, now));
         });
     }
 }
@@ -191,12 +191,12 @@
     }
 
     /// Takes what a peer or the store tells.
-    pub(crate) fn take_crashes(&mut self, told: &[Crash], from: &str, now: Instant) {
-        let new = self.quarantine.merge(told, now);
+    pub(crate) fn take_crashes(&mut self, crashes: &[Crash], from: &str, now: Instant) {
+        let new = self.quarantine.merge(crashes, now);
         self.announce(&new, from, now);
     }
 
-    /// Logs what is new, and has peers told at once. With the next heartbeat instead, up to 0.2 s later, six
+    /// Logs what is new, and has it sent to peers at once. With the next heartbeat instead, up to 0.2 s later, six
     /// targets ended within 0.6 s under one request that returned each 0.1 s (soak, seed 503).
     fn announce(&self, new: &[Crash], from: &str, now: Instant) {
         if !new.is_empty() {
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -10,7 +10,7 @@
     Submit, TargetLoad, Waiting, from_owner,
 };
 
-use quarantine::{Birth, Content, Crash, Lifetime, Told};
+use quarantine::{Birth, Content, Crash, Cursor, Lifetime};
 
 use crate::app::App;
 use crate::links::ToDialer;
@@ -211,10 +211,10 @@
     told.crashes.iter().filter_map(crash).collect()
 }
 
-/// What a peer that was told up to a point is told next; `None` if there is nothing.
-pub(crate) fn untold(app: &App, told: &mut Told) -> Option<Crashes> {
-    let (changes, up_to) = app.hub.with(|shared, _| shared.quarantine.changes_after(*told));
-    *told = up_to;
+/// What a peer that was sent the changes up to a cursor is sent next; `None` if there is nothing.
+pub(crate) fn unsent(app: &App, cursor: &mut Cursor) -> Option<Crashes> {
+    let (changes, up_to) = app.hub.with(|shared, _| shared.quarantine.changes_after(*cursor));
+    *cursor = up_to;
     let crash = |crash: Crash| work::Crash {
         content: crash.content.bytes().to_vec(),
         birth: crash.lifetime.birth.0,
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -15,7 +15,7 @@
 use peering::work::{
     Ask, Cancel, Done, FromDialer, FromOwner, Hello, News, Release, Submit, from_dialer, from_owner,
 };
-use quarantine::Told;
+use quarantine::Cursor;
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -26,7 +26,7 @@
 
 use crate::app::App;
 use crate::hub::left;
-use crate::link_words::{beat, crashes_of, hello, made_of, meet, take_beat, untold};
+use crate::link_words::{beat, crashes_of, hello, made_of, meet, take_beat, unsent};
 use crate::piece_news::{PieceNews, StageTurn};
 
 /// Way to the VM that dialled.
@@ -241,12 +241,12 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    let mut told = Told::default();
+    let mut cursor = Cursor::default();
     let mut known = app.hub.with(|shared, _| shared.crashes_known.subscribe());
     loop {
         tokio::select! {
             _ = known.changed() => {
-                if let Some(crashes) = untold(app, &mut told) {
+                if let Some(crashes) = unsent(app, &mut cursor) {
                     link.send(from_dialer::Kind::Crashes(crashes));
                 }
             }
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -28,8 +28,8 @@
 const METRICS: &str = "/metrics";
 /// Path of the state dump.
 const STATE: &str = "/state";
-/// Path by which operators let a refused request go: its content follows.
-const LET_GO: &str = "/quarantine/let-go/";
+/// Path by which operators release a refused request: its content follows.
+const RELEASE: &str = "/quarantine/release/";
 
 /// Serves the pages on one address.
 pub(crate) async fn serve(app: Rc<App>, listener: TcpListener) {
@@ -52,7 +52,7 @@
 
 fn page(app: &Rc<App>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
     let (status, text) = match req.uri().path() {
-        path if req.method() == Method::POST && path.starts_with(LET_GO) => let_go(app, path),
+        path if req.method() == Method::POST && path.starts_with(RELEASE) => release(app, path),
         READY => match unready(app) {
             None => (StatusCode::OK, "ready\n".to_owned()),
             Some(why) => (StatusCode::SERVICE_UNAVAILABLE, format!("not ready: {why}\n")),
@@ -66,15 +66,15 @@
     answer
 }
 
-fn let_go(app: &Rc<App>, path: &str) -> (StatusCode, String) {
-    let Some(content) = path.strip_prefix(LET_GO).and_then(Content::parse) else {
+fn release(app: &Rc<App>, path: &str) -> (StatusCode, String) {
+    let Some(content) = path.strip_prefix(RELEASE).and_then(Content::parse) else {
         return (
             StatusCode::BAD_REQUEST,
             "expected a content of 32 hexadecimal digits\n".to_owned(),
         );
     };
-    if stored_refusals::let_go(app, content) {
-        (StatusCode::OK, "let go\n".to_owned())
+    if stored_refusals::release(app, content) {
+        (StatusCode::OK, "released\n".to_owned())
     } else {
         (StatusCode::NOT_FOUND, "nothing is known of it\n".to_owned())
     }
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -83,7 +83,7 @@
         app.rest(carrier, read.keeps);
     }
     // It also lives on after a failure of its own.
-    crashes::ended_well(app, tries.req());
+    crashes::completed(app, tries.req());
     let own_failure = head.status.is_server_error();
     a_try.end(if own_failure { End::OwnFailure } else { End::Answered });
     if own_failure {
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -120,7 +120,7 @@
         // A submission was cancelled between the choice and the call; nothing was sent.
         CallEnd::Full
     };
-    crashes::pieces_ended_well(&app, &contents, &end);
+    crashes::pieces_completed(&app, &contents, &end);
     let name = end_name(&end);
     let counts = Counts::of(&end);
     info!(app.log, "pool call"; "pool" => %pool, "target" => %call.target.id,
--- a/gateway/src/stored_refusals.rs
+++ b/gateway/src/stored_refusals.rs
@@ -30,7 +30,7 @@
 /// What the store holds of a refused request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct StoredRefusal {
-    /// Lifetimes of targets that it ended, as text; none if it was let go.
+    /// Lifetimes of targets that it ended, as text; none if it was released.
     ended: Vec<String>,
 }
 
@@ -122,11 +122,11 @@
     Ok(())
 }
 
-/// Lets a request go by an operator's word; false if nothing is known of it.
-pub(crate) fn let_go(app: &Rc<App>, content: Content) -> bool {
+/// Releases a request by an operator's word; false if nothing is known of it.
+pub(crate) fn release(app: &Rc<App>, content: Content) -> bool {
     let known = app.hub.with(|shared, now| shared.quarantine.clear(&content, now));
     if known {
-        warn!(app.log, "refused request let go"; "content" => %content);
+        warn!(app.log, "refused request released"; "content" => %content);
         let app = Rc::clone(app);
         spawn_local(async move {
             let key = app.hub.with(|shared, _| key_of(shared, &content));
--- a/gateway/src/stream_passing.rs
+++ b/gateway/src/stream_passing.rs
@@ -69,7 +69,7 @@
         return;
     }
     if outcome == "whole" {
-        crashes::ended_well(&stream.app, req);
+        crashes::completed(&stream.app, req);
         let Reader { answer, .. } = *stream.reader;
         let Answer { read, carrier, mut a_try, .. } = answer;
         a_try.end(End::Answered);
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -189,7 +189,7 @@
     if !read.closes {
         app.rest(carrier, read.keeps);
     }
-    crashes::ended_well(app, req);
+    crashes::completed(app, req);
     a_try.end(if head.status.is_server_error() { End::OwnFailure } else { End::Answered });
     let mut answer = Response::new(whole(body.to_bytes()));
     *answer.status_mut() = head.status;
--- a/tests/fatal_requests.rs
+++ b/tests/fatal_requests.rs
@@ -177,20 +177,20 @@
 }
 
 #[test]
-fn an_operator_sees_it_and_lets_it_go() {
-    let mut case = Case::start("fatal-let-go", Return::NewId);
+fn an_operator_sees_it_and_releases_it() {
+    let mut case = Case::start("fatal-release", Return::NewId);
     case.send_fatal("first", CRASHES as usize);
     let content = case.vms[0].state()["quarantine"][0]["content"].clone();
     let content = content.as_str().expect("a refused request").to_owned();
 
-    let path = format!("/quarantine/let-go/{content}");
+    let path = format!("/quarantine/release/{content}");
     let answer = Call::new("POST", "operations", &path, "-").send(case.vms[0].operations);
-    let unknown = Call::new("POST", "operations", "/quarantine/let-go/12", "-");
+    let unknown = Call::new("POST", "operations", "/quarantine/release/12", "-");
     let unknown = unknown.send(case.vms[0].operations);
 
     assert_eq!(answer.map(|answer| answer.status()), Some(200));
     assert_eq!(unknown.map(|answer| answer.status()), Some(400));
-    wait_until("all VMs let it go", || {
+    wait_until("all VMs have released it", || {
         case.vms.iter().all(|vm| vm.state()["quarantine"].as_array().is_some_and(Vec::is_empty))
     });
     case.send_fatal("once-more", CRASHES as usize);
