A request that may have run is not told "not run" since its stages fail later

Cause: a stream that may be resumed was lost in one try, missed an input in the next, and its stages could not be made again: their refusal, "not run", was passed on whatever the tries before. Ruled out: streams that may not be resumed (they have no try after a lost one). Change: the stages' refusal is told as is true of the tries. Test with real processes, failing before (503), 502 after.

--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -106,7 +106,8 @@
             return Err(if over { in_time(&tries) } else { tries.refusal() });
         }
         if missed == Missed::InputGone {
-            results = run_stages(app, req, until, None).await?;
+            let remade = run_stages(app, req, until, None).await;
+            results = remade.map_err(|refusal| tries.truthful(refusal))?;
         }
     }
 }
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -295,6 +295,15 @@
         self.app.hub.with(|shared, now| shared.take_repeat(&self.req.service, now))
     }
 
+    /// A refusal as it is true of a request that may have run in an earlier try.
+    pub(crate) fn truthful(&self, refusal: Refusal) -> Refusal {
+        match refusal {
+            Refusal::NotRun { .. } if self.may_have_run => Refusal::Failed,
+            Refusal::NotRunInTime if self.may_have_run => Refusal::FailedInTime,
+            other => other,
+        }
+    }
+
     /// The refusal when no try is left.
     pub(crate) fn refusal(&self) -> Refusal {
         match (self.may_have_run, left(self.req.until).is_zero()) {
--- a/tests/serving_streams.rs
+++ b/tests/serving_streams.rs
@@ -259,3 +259,28 @@
         site.wait_known(&vm);
     }
 }
+
+#[test]
+fn a_request_that_may_have_run_is_not_told_otherwise_since_its_stages_fail_later() {
+    let site = Site::start();
+    let mut config = usual_configuration(2);
+    let chain = config["routes"].as_array_mut().expect("routes").iter_mut();
+    let chain = chain.filter(|route| route["name"] == "chain").next_back().expect("the chain");
+    chain["stream_resumption"] = json!(true);
+    chain["max_attempts"] = json!(3);
+    site.store.put("op/config", &config);
+    let vm = site.start_vm("may-have-run", "");
+    wait_until("the configuration is in force", || vm.state()["configuration"] == json!(2));
+    // One engine runs it and is lost, the other one misses an input, and no worker makes it again.
+    site.engines[0].next(&[Act::Lose]);
+    site.engines[1].next(&[Act::InputGone]);
+    site.pool[0].next(&[Act::Answer]);
+    site.pool.iter().for_each(|worker| worker.next(&vec![Act::InputGone; 8]));
+
+    let call = post("/chain/", "may-have-run").with("Pieces", "1,0").with("Piece-Key", "secret");
+    let answer = answered(&call, &vm);
+
+    assert_eq!(site.runs("may-have-run"), 1);
+    assert_eq!(site.engines[1].seen().len(), 1, "the second try missed an input");
+    assert_eq!(answer.status(), 502, "it may have run");
+}
