--- a/tests/serving_streams.rs
+++ b/tests/serving_streams.rs
@@ -264,8 +264,8 @@
 fn a_request_that_may_have_run_is_not_told_otherwise_since_its_stages_fail_later() {
     let site = Site::start();
     let mut config = usual_configuration(2);
-    let chain = config["routes"].as_array_mut().expect("routes").iter_mut();
-    let chain = chain.filter(|route| route["name"] == "chain").next_back().expect("the chain");
+    let mut routes = config["routes"].as_array_mut().expect("routes").iter_mut();
+    let chain = routes.find(|route| route["name"] == "chain").expect("the chain");
     chain["stream_resumption"] = json!(true);
     chain["max_attempts"] = json!(3);
     site.store.put("op/config", &config);
