Sight: what answers say of their target is read, logged and shown, and no choice heeds it yet

Cause: the logs of the incident can't tell whether an answer carried the word, what the VM believed when it chose, and from whom it knew. Ruled out: telling it from the store's entry (written 13 s later) or from the callers' side (VMs' logs are what is there). Change: the adapter reads the two words; a new `departures` in `eligibility` keeps them by lifetime; a line `target says that it leaves` with what the entry said and how old the store's word was; `said_leaving_ms` on each `try`; `targets_leaving` in the state; `saddlerail_targets_departed`. The stand-in's runners say it, and turn away for a time.

--- a/components/doors/src/calls.rs
+++ b/components/doors/src/calls.rs
@@ -60,6 +60,10 @@
     pub closes: bool,
     /// How long the target keeps the connection at rest.
     pub keeps: Option<Duration>,
+    /// Whether the target says that it is about to end.
+    pub leaves: bool,
+    /// How long a target that turned the call away wants nothing more from this VM.
+    pub left_alone: Option<Duration>,
 }
 
 /// A piece in a pool's call.
--- a/components/eligibility/src/lib.rs
+++ b/components/eligibility/src/lib.rs
@@ -5,7 +5,9 @@
 //! whatever is said here.
 
 mod cold;
+mod departures;
 mod halls;
 
 pub use cold::{ColdBound, Share, Warming, share};
+pub use departures::{Departure, DepartureCursor, Departures, Lifetime};
 pub use halls::{Eligibility, Halls};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -44,8 +44,10 @@
     pub const QUARANTINED: &str = "saddlerail_requests_quarantined";
     /// Different requests that are refused since they end targets.
     pub const QUARANTINE: &str = "saddlerail_quarantine";
+    /// Lifetimes of targets first heard to leave, by service and source: an answer or a peer.
+    pub const TARGETS_DEPARTED: &str = "saddlerail_targets_departed";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 15] = [
+    pub const ALL: [&str; 16] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -61,6 +63,7 @@
         TARGETS_COLD,
         QUARANTINED,
         QUARANTINE,
+        TARGETS_DEPARTED,
     ];
 }
 
@@ -83,6 +86,7 @@
     targets_cold: Gauge<u64>,
     quarantined: Counter<u64>,
     quarantine: Gauge<u64>,
+    targets_departed: Counter<u64>,
 }
 
 impl Metrics {
@@ -118,10 +122,18 @@
             targets_cold: meter.u64_gauge(metric_names::TARGETS_COLD).build(),
             quarantined: meter.u64_counter(metric_names::QUARANTINED).build(),
             quarantine: meter.u64_gauge(metric_names::QUARANTINE).build(),
+            targets_departed: meter.u64_counter(metric_names::TARGETS_DEPARTED).build(),
             _provider: provider,
         })
     }
 
+    /// Counts a lifetime of a target that is first heard to leave.
+    pub fn target_departed(&self, service: &str, source: &'static str) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("source", source)];
+        self.targets_departed.add(1, &labels);
+    }
+
     /// Counts an answered request.
     pub fn request_ended(&self, service: &str, customer: &str, outcome: &str, took: Duration) {
         let service = KeyValue::new("service", service.to_owned());
--- a/gateway/src/dials.rs
+++ b/gateway/src/dials.rs
@@ -60,6 +60,7 @@
         app.hub.with(|shared, now| {
             shared.fleet.forget(now);
             shared.end_lapses(now);
+            shared.departures.forget(now);
             shared.share_cold(now);
         });
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod stream_passing;
 mod stream_reader;
 mod streams;
+mod target_words;
 mod tries;
 mod work;
 
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -9,6 +9,7 @@
 
 use crate::app::App;
 use crate::connections::NoAnswer;
+use crate::target_words;
 
 /// Why a call of this system's own brought no answer.
 #[derive(Debug)]
@@ -46,6 +47,7 @@
     })?;
     let (head, body) = answer.into_parts();
     let read = (app.doors.calls.read)(&head, &no_request());
+    target_words::heard_of_own_call(app, target, &read);
     let body = body.collect().await.map_err(|_| OwnCallMiss::Broke)?.to_bytes();
     if !read.closes {
         app.rest(carrier, read.keeps);
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -2,8 +2,10 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
+use eligibility::Departure;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -11,13 +13,14 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use quarantine::Content;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use crate::app::App;
 use crate::owners::name_of;
+use crate::shared::Shared;
 use crate::stored_refusals;
 
 /// Pause after a failed accept.
@@ -107,6 +110,18 @@
     })
 }
 
+/// Lifetimes of targets that said in answers that they leave.
+fn leaving(shared: &Shared, now: Instant) -> Vec<Value> {
+    let word = |Departure { lifetime, said }: Departure| {
+        json!({
+            "target": lifetime.target.as_str(),
+            "born": lifetime.born,
+            "said_ms": now.saturating_duration_since(said).as_millis() as u64,
+        })
+    };
+    shared.departures.all().map(word).collect()
+}
+
 /// What this VM believes, for whoever looks into a failure.
 fn state(app: &App) -> String {
     app.hub.with(|shared, now| {
@@ -165,6 +180,7 @@
             "halls_out_of_reach": shared.fleet.out_halls.iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
             "halls_evacuated": shared.halls.evacuated().iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
             "targets_cold": shared.cold_targets,
+            "targets_leaving": leaving(shared, now),
             "quarantine": quarantine,
             "quarantine_suspects": shared.quarantine.suspects(),
             "peers": peers,
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use batching::{JobKey, Order, Pool, Submission};
 use doors::Doors;
-use eligibility::Halls;
+use eligibility::{Departures, Halls};
 use fleet::{Fleet, Split, VmEntry};
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::{Intent, Target};
@@ -61,6 +61,8 @@
     pub(crate) in_force: Duration,
     pub(crate) draining: Option<Instant>,
     /// Halls whose targets are not used as others are.
+    /// Targets that said in answers that they leave.
+    pub(crate) departures: Departures,
     pub(crate) halls: Halls,
     /// Whether that changed since the pools were last looked at.
     pub(crate) halls_changed: bool,
@@ -113,6 +115,7 @@
             behind: Behind::default(),
             in_force: cfg.in_force(),
             draining: None,
+            departures: Departures::default(),
             halls: Halls::default(),
             halls_changed: false,
             cold: cfg.cold,
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -17,6 +17,7 @@
 use crate::hub::{left, now};
 use crate::reach;
 use crate::requests::{Accepted, call_of};
+use crate::target_words;
 
 /// When to come back while no target can be used.
 pub(crate) const NO_TARGET_WAIT: Duration = Duration::from_millis(700);
@@ -46,6 +47,9 @@
     pub(crate) pick: Pick,
     /// The lifetime of the target that it was sent to.
     pub(crate) lifetime: Lifetime,
+    /// How long before the choice the target had said that it leaves, if it had: a sign that a way to it
+    /// passes by what is known of targets.
+    said_leaving: Option<Duration>,
     ended: bool,
     unread: u64,
 }
@@ -146,13 +150,16 @@
         let wanted = Wanted { service: &self.req.service, exclude: &self.tried, size };
         let picked = self.app.hub.with(|shared, now| {
             let pick = shared.targets.pick(&wanted, now)?;
-            Some((shared.lifetime_of(&pick.target), pick))
+            let said = shared.departures.said(&pick.target);
+            let said = said.map(|at| now.saturating_duration_since(at));
+            Some((shared.lifetime_of(&pick.target), said, pick))
         });
-        let (lifetime, pick) = picked.ok_or_else(|| self.no_target())?;
+        let (lifetime, said_leaving, pick) = picked.ok_or_else(|| self.no_target())?;
         self.tried.push(pick.key);
         self.began = now();
         let app = Rc::clone(&self.app);
-        let mut a_try = Try { app, unread: pick.unread, pick, lifetime, ended: false };
+        let mut a_try =
+            Try { app, unread: pick.unread, pick, lifetime, said_leaving, ended: false };
         let target = a_try.pick.target.clone();
         let head = CallHead {
             left: left(self.req.until),
@@ -212,6 +219,7 @@
     ) -> Result<(http::response::Parts, AnswerHead, Incoming, Carrier), Missed> {
         let (head, body) = answer.into_parts();
         let read = (self.app.doors.calls.read)(&head, &self.req.id);
+        target_words::heard(&self.app, &a_try.pick.target, &read);
         let key = a_try.pick.key;
         if let (Some(load), true) = (read.load, read.evidence != Evidence::Crossed) {
             self.app.hub.with(|shared, now| {
@@ -261,7 +269,8 @@
             "target" => %pick.target.id, "hall" => %pick.target.hall,
             "cost" => format!("{:.2}", pick.cost), "of" => pick.candidates,
             "load_age_ms" => pick.load_age.map(|age| age.as_millis()), "unread" => pick.unread,
-            "missed" => missed.map(|missed| format!("{missed:?}")),
+            "missed" => missed.map(|missed| format!("{missed:?}")), 
+            "said_leaving_ms" => a_try.said_leaving.map(|age| age.as_millis()),
             "at_ms" => (now() - self.req.arrived).as_millis());
         let end = match missed {
             None => "answered",
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -10,6 +10,9 @@
 
 use super::{Message, Wire, answer, serve_each};
 
+/// What the head of a stream says beside the rest while the runner leaves.
+const LEAVES_LINE: &str = "Server-Leaving: 1\r\n";
+
 /// How a runner behaves towards the next request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Act {
@@ -19,6 +22,8 @@
     Fail,
     /// It is full and does not run it.
     Decline,
+    /// It does not run it, and wants nothing more for so long: the text of `Retry-After`.
+    DeclineFor(&'static str),
     /// Another lifetime stands at its address.
     Misdirected,
     /// It runs it and closes with no answer.
@@ -68,6 +73,8 @@
     cut_off: u64,
     /// Connections that are open.
     open: u64,
+    /// Whether each answer says that it leaves.
+    leaves: bool,
 }
 
 /// A running runner.
@@ -117,6 +124,11 @@
         self.with(|state| state.script.extend_from_slice(acts));
     }
 
+    /// From now on each answer says that it leaves, or no answer does.
+    pub fn set_leaves(&self, leaves: bool) {
+        self.with(|state| state.leaves = leaves);
+    }
+
     /// Forgets the acts that it was told to do.
     pub fn clear_acts(&self) {
         self.with(|state| state.script.clear());
@@ -137,6 +149,11 @@
         received.iter().map(|first| within(*first)).max().unwrap_or(0)
     }
 
+    /// Requests and calls that it received later than `after`.
+    pub fn received_after(&self, after: Instant) -> usize {
+        self.with(|state| state.received.iter().filter(|at| **at > after).count())
+    }
+
     /// Everything that it was sent.
     pub fn seen(&self) -> Vec<Message> {
         self.with(|state| state.seen.clone())
@@ -193,25 +210,41 @@
             next.or(state.usual.clone()).unwrap_or(Act::Answer)
         });
         let act = if expected == self.id { act } else { Act::Misdirected };
-        let not_run = matches!(act, Act::Decline | Act::Misdirected | Act::InputGone);
+        let not_run =
+            matches!(act, Act::Decline | Act::DeclineFor(_) | Act::Misdirected | Act::InputGone);
         if !not_run {
             self.with(|state| state.ran.push(id.clone()));
         }
         self.act(wire, &act, &id, req)
     }
 
+    fn leaves(&self) -> bool {
+        self.with(|state| state.leaves)
+    }
+
+    /// An answer, which says that the runner leaves if it does.
+    fn reply(&self, status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+        let leaving = [("Server-Leaving", "1")].into_iter().filter(|_| self.leaves());
+        let headers: Vec<(&str, &str)> = headers.iter().copied().chain(leaving).collect();
+        answer(status, &headers, body)
+    }
+
     fn act(&self, wire: &mut Wire, act: &Act, id: &str, req: &Message) -> bool {
         let body = format!("{} answers {id}", self.id);
         let receipt = format!("sig-{}", self.id);
         let own = [("Request-Id", id), ("Response-Signature", receipt.as_str())];
-        let whole = answer("200 OK", &own, body.as_bytes());
+        let whole = self.reply("200 OK", &own, body.as_bytes());
         match act {
             Act::Answer => wire.write(&whole),
-            Act::Fail => wire.write(&answer("500 Oops", &own, b"failed")),
-            Act::Decline => wire.write(&answer("503 Full", &[("Not-Executed", "1")], b"")),
-            Act::InputGone => wire.write(&answer("409 Gone", &[("Not-Executed", "1")], b"")),
+            Act::Fail => wire.write(&self.reply("500 Oops", &own, b"failed")),
+            Act::Decline => wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b"")),
+            Act::DeclineFor(seconds) => {
+                let turned_away = [("Not-Executed", "1"), ("Retry-After", *seconds)];
+                wire.write(&self.reply("503 Full", &turned_away, b""))
+            }
+            Act::InputGone => wire.write(&self.reply("409 Gone", &[("Not-Executed", "1")], b"")),
             Act::Misdirected => {
-                wire.write(&answer("421 Other", &[("Instance-Id", "i-other")], b""))
+                wire.write(&self.reply("421 Other", &[("Instance-Id", "i-other")], b""))
             }
             Act::Lose => false,
             Act::CutBody => {
@@ -220,7 +253,7 @@
             }
             Act::Cross => {
                 let other = [("Request-Id", "another"), ("Response-Signature", "sig-x")];
-                wire.write(&answer("200 OK", &other, b"of another request"))
+                wire.write(&self.reply("200 OK", &other, b"of another request"))
             }
             Act::Extra => {
                 let written = wire.write(&whole);
@@ -231,10 +264,10 @@
                 wire.write(b"\x00\x01 this is no answer\r\n\r\n");
                 false
             }
-            Act::Unsigned => wire.write(&answer("200 OK", &[("Request-Id", id)], b"unsigned")),
+            Act::Unsigned => wire.write(&self.reply("200 OK", &[("Request-Id", id)], b"unsigned")),
             Act::Encoded => {
                 let coded = [own[0], own[1], ("Content-Encoding", "gzip")];
-                wire.write(&answer("200 OK", &coded, b"coded"))
+                wire.write(&self.reply("200 OK", &coded, b"coded"))
             }
             Act::Unframed => {
                 let head = format!(
@@ -273,8 +306,9 @@
         let first = req.header("last-event-id").parse::<u64>().map_or(1, |event| event + 1);
         let head = format!(
             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Type: text/event-stream\r\n\
-             Request-Id: {id}\r\nResponse-Signature: sig-{}\r\n\r\n",
-            self.id
+             Request-Id: {id}\r\nResponse-Signature: sig-{}\r\n{}\r\n",
+            self.id,
+            if self.leaves() { LEAVES_LINE } else { "" }
         );
         let mut sent = wire.write(head.as_bytes());
         for number in first..=last {
@@ -298,12 +332,17 @@
         let items = body["items"].as_array().cloned().unwrap_or_default();
         let act = self.with(|state| {
             state.seen.push(req.clone());
+            state.received.push(Instant::now());
             let next = (!state.script.is_empty()).then(|| state.script.remove(0));
             next.unwrap_or(Act::Answer)
         });
         match act {
             Act::Decline => {
-                return wire.write(&answer("503 Full", &[("Not-Executed", "1")], b""));
+                return wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b""));
+            }
+            Act::DeclineFor(seconds) => {
+                let turned_away = [("Not-Executed", "1"), ("Retry-After", seconds)];
+                return wire.write(&self.reply("503 Full", &turned_away, b""));
             }
             Act::Lose => return false,
             Act::Hang(time) => sleep(time),
@@ -311,7 +350,7 @@
         }
         self.with(|state| state.calls.push(items.len()));
         let made = items.iter().map(|item| self.make_piece(item, &act)).collect::<Vec<_>>();
-        wire.write(&answer("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
+        wire.write(&self.reply("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
     }
 
     fn make_piece(&self, item: &Value, act: &Act) -> Value {
@@ -330,6 +369,6 @@
         let handles = body["handles"].as_array().cloned().unwrap_or_default();
         let handles = handles.iter().filter_map(|h| h.as_str().map(str::to_owned));
         self.with(|state| state.released.extend(handles));
-        wire.write(&answer("200 OK", &[], b""))
+        wire.write(&self.reply("200 OK", &[], b""))
     }
 }
