--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -78,13 +78,18 @@
         if self.waiting.is_empty() {
             return None;
         }
-        let rests = self.workers.values().filter_map(Worker::rests_until).filter(|at| *at > now);
+        let until = |worker: &Worker| worker.rests_until().max(worker.target.left_alone_until);
+        let rests = self.workers.values().filter_map(until).filter(|at| *at > now);
         let held = self.waiting.iter().filter_map(|waiting| self.held_until(waiting, now));
         rests.chain(held).min()
     }
 
     pub(crate) fn may_work(&self, worker: &Worker, at_once: u32, now: Instant) -> bool {
-        worker.may_work(at_once, now) && self.halls.eligibility(&worker.target) == Eligibility::Open
+        worker.may_work(at_once, now) && self.is_open(worker, now)
+    }
+
+    fn is_open(&self, worker: &Worker, now: Instant) -> bool {
+        self.halls.eligibility(&worker.target, now) == Eligibility::Open
     }
 
     /// Pieces that can still be in time go first, by slack; late ones follow. Whether they are late is
@@ -169,9 +174,10 @@
     fn held_until(&self, waiting: &Waiting, now: Instant) -> Option<Instant> {
         let job = self.jobs.get(waiting.job)?;
         let near = job.submission.near.as_ref()?;
+        let mut workers = self.workers.values();
+        let is_near = |worker: &Worker| worker.target.hall == *near && !worker.doubtful();
         if self.order == Order::Arrival
-            || !self.halls.is_open(near)
-            || !self.workers.values().any(|m| m.target.hall == *near && !m.doubtful())
+            || !workers.any(|worker| is_near(worker) && self.is_open(worker, now))
         {
             return None;
         }
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -120,15 +120,32 @@
 
     /// Whether all of its workers are leaving or in halls that operators took out of service, so that
     /// what waits here can't be made.
-    pub fn is_closed(&self) -> bool {
-        let is_allowed = |worker: &Worker| self.halls.eligibility(&worker.target).is_allowed();
-        !self.workers.is_empty() && !self.workers.values().any(is_allowed)
+    pub fn is_closed(&self, now: Instant) -> bool {
+        !self.workers.is_empty() && self.opens_at(now).is_none()
     }
 
-    /// Ends all that waits, with no try left; gives the pieces.
-    pub fn give_up_waiting(&mut self) -> Vec<Finished> {
-        let waiting = std::mem::take(&mut self.waiting);
-        waiting.iter().filter_map(|waiting| self.finish(waiting, Made::Broken)).collect()
+    /// From when on some worker may be called, as far as it is known.
+    fn opens_at(&self, now: Instant) -> Option<Instant> {
+        let workers = self.workers.values();
+        workers.filter_map(|worker| self.halls.opens_at(&worker.target, now)).min()
+    }
+
+    /// Ends what waits and has no worker before its time is over, with no try left; gives the pieces.
+    pub fn give_up_unservable(&mut self, now: Instant) -> Vec<Finished> {
+        if self.workers.is_empty() {
+            return Vec::new();
+        }
+        let opens = self.opens_at(now);
+        if opens == Some(now) {
+            return Vec::new();
+        }
+        let jobs = &self.jobs;
+        let (gone, left): (Vec<Waiting>, Vec<Waiting>) = self.waiting.iter().partition(|waiting| {
+            let until = jobs.get(waiting.job).map(|job| job.submission.until);
+            opens.is_none_or(|opens| until.is_none_or(|until| until <= opens))
+        });
+        self.waiting = left;
+        gone.iter().filter_map(|waiting| self.finish(waiting, Made::Broken)).collect()
     }
 
     /// Submissions of which pieces wait.
--- a/components/batching/tests/pool.rs
+++ b/components/batching/tests/pool.rs
@@ -6,63 +6,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use batching::{CallEnd, Finished, Made, Order, Pool, Submission};
+use batching::{CallEnd, Finished, Made, Pool, Submission};
 use doors::calls::PieceAnswer;
 use eligibility::Halls;
-use ids::{HallName, RequestId, ServiceName, TargetName};
-use intent::{PoolSpec, Target};
-
-const CALL: Duration = Duration::from_millis(200);
-const LIFE: Duration = Duration::from_secs(4);
-
-fn spec() -> PoolSpec {
-    PoolSpec {
-        at_once: 1,
-        queue: 2,
-        batch: 4,
-        call: CALL,
-        piece: Duration::from_millis(10),
-        room_bytes: 1000,
-        result_life: LIFE,
-        link: Some(1_000_000),
-    }
-}
-
-fn worker(id: &str, hall: &str) -> Target {
-    Target {
-        id: TargetName::new(id).unwrap(),
-        born: None,
-        service: ServiceName::new("pool").unwrap(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: HallName::new(hall).unwrap(),
-        slots: 1,
-        leaving: false,
-        cold: Duration::ZERO,
-    }
-}
+use ids::HallName;
+use intent::Target;
+use support::{CALL, LIFE, pool, submission, worker};
 
-fn pool(workers: &[Target]) -> Pool {
-    let mut pool = Pool::new(spec(), Order::Slack);
-    pool.set_workers(workers.iter());
-    pool
-}
-
-fn submission(id: &str, pieces: u32, due: Instant) -> Submission {
-    Submission {
-        request: RequestId::new(id).unwrap(),
-        content: None,
-        stage: 0,
-        pieces: (0..pieces).collect(),
-        key: Some("secret".to_owned()),
-        inputs: Vec::new(),
-        input_bytes: 0,
-        until: due + Duration::from_secs(10),
-        due,
-        urgency: 0,
-        result_bytes: 10,
-        near: None,
-    }
-}
+mod support;
 
 fn made(count: usize) -> CallEnd {
     let answer = |index| PieceAnswer::Made(format!("127.0.0.1:9/{index}"));
@@ -489,20 +440,20 @@
     let mut halls = Halls::default();
     halls.evacuate(HallName::new("a").unwrap());
     pool.set_halls(halls.clone());
-    assert!(!pool.is_closed());
+    assert!(!pool.is_closed(now));
 
     halls.evacuate(HallName::new("b").unwrap());
     pool.set_halls(halls.clone());
     pool.submit(submission("r", 3, now + CALL * 9), now);
-    let given_up = pool.give_up_waiting();
+    let given_up = pool.give_up_unservable(now);
 
-    assert!(pool.is_closed());
+    assert!(pool.is_closed(now));
     assert!(pool.next_call(now).is_none());
     assert_eq!(given_up.len(), 3);
     assert!(given_up.iter().all(|finished| finished.made == Made::Broken));
     halls.take_back(&HallName::new("b").unwrap());
     pool.set_halls(halls);
-    assert!(!pool.is_closed());
+    assert!(!pool.is_closed(now));
 }
 
 #[test]
--- /dev/null
+++ b/components/batching/tests/support/mod.rs
@@ -0,0 +1,66 @@
+//! A pool with workers, and pieces for it.
+
+use std::time::{Duration, Instant};
+
+use batching::{Order, Pool, Submission};
+use ids::{HallName, RequestId, ServiceName, TargetName};
+use intent::{PoolSpec, Target};
+
+/// Time of a call.
+pub const CALL: Duration = Duration::from_millis(200);
+/// Life of a result.
+pub const LIFE: Duration = Duration::from_secs(4);
+
+/// Figures of the pool.
+pub fn spec() -> PoolSpec {
+    PoolSpec {
+        at_once: 1,
+        queue: 2,
+        batch: 4,
+        call: CALL,
+        piece: Duration::from_millis(10),
+        room_bytes: 1000,
+        result_life: LIFE,
+        link: Some(1_000_000),
+    }
+}
+
+/// A worker.
+pub fn worker(id: &str, hall: &str) -> Target {
+    Target {
+        id: TargetName::new(id).unwrap(),
+        born: None,
+        service: ServiceName::new("pool").unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::new(hall).unwrap(),
+        slots: 1,
+        leaving: false,
+        left_alone_until: None,
+        cold: Duration::ZERO,
+    }
+}
+
+/// A pool with these workers.
+pub fn pool(workers: &[Target]) -> Pool {
+    let mut pool = Pool::new(spec(), Order::Slack);
+    pool.set_workers(workers.iter());
+    pool
+}
+
+/// Pieces of a request.
+pub fn submission(id: &str, pieces: u32, due: Instant) -> Submission {
+    Submission {
+        request: RequestId::new(id).unwrap(),
+        content: None,
+        stage: 0,
+        pieces: (0..pieces).collect(),
+        key: Some("secret".to_owned()),
+        inputs: Vec::new(),
+        input_bytes: 0,
+        until: due + Duration::from_secs(10),
+        due,
+        urgency: 0,
+        result_bytes: 10,
+        near: None,
+    }
+}
--- /dev/null
+++ b/components/batching/tests/words.rs
@@ -0,0 +1,71 @@
+//! Workers that leave or want to be left alone are not called, and pieces that can't be made in time are told so.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Instant;
+
+use batching::{Made, Submission};
+use ids::HallName;
+use intent::Target;
+use support::{CALL, pool, submission, worker};
+
+mod support;
+
+fn left_alone(id: &str, hall: &str, until: Instant) -> Target {
+    Target { left_alone_until: Some(until), ..worker(id, hall) }
+}
+
+fn leaving(id: &str, hall: &str) -> Target {
+    Target { leaving: true, ..worker(id, hall) }
+}
+
+#[test]
+fn a_worker_that_wants_to_be_left_alone_is_called_once_it_does_not() {
+    let now = Instant::now();
+    let until = now + CALL;
+    let mut pool = pool(&[left_alone("m", "a", until)]);
+    pool.submit(submission("r", 1, now + CALL * 4), now);
+
+    assert!(pool.next_call(now).is_none());
+    assert!(!pool.is_closed(now));
+    assert!(pool.give_up_unservable(now).is_empty(), "its time is not over by then");
+    assert_eq!(pool.next_look(now), Some(until));
+    assert_eq!(pool.next_call(until).unwrap().target.id.as_str(), "m");
+}
+
+#[test]
+fn only_pieces_whose_time_is_over_by_then_are_given_up() {
+    let now = Instant::now();
+    let mut pool = pool(&[leaving("m", "a"), left_alone("n", "a", now + CALL * 2)]);
+    let short = Submission { until: now + CALL, ..submission("short", 2, now + CALL) };
+    pool.submit(short, now);
+    pool.submit(submission("long", 3, now + CALL * 4), now);
+
+    let given_up = pool.give_up_unservable(now);
+
+    assert_eq!(given_up.len(), 2);
+    assert!(given_up.iter().all(|finished| finished.made == Made::Broken));
+    assert_eq!(pool.waiting_pieces(), 3);
+}
+
+#[test]
+fn a_piece_does_not_wait_for_a_worker_near_its_inputs_that_leaves() {
+    let now = Instant::now();
+    let near = |workers: &[Target]| {
+        let mut pool = pool(workers);
+        let hall = Some(HallName::new("a").unwrap());
+        pool.submit(Submission { near: hall, ..submission("r", 1, now + CALL * 9) }, now);
+        pool.next_call(now).map(|call| call.target.id.to_string())
+    };
+    let mut busy = pool(&[worker("m", "a"), worker("n", "b")]);
+    let hall = Some(HallName::new("a").unwrap());
+    busy.submit(Submission { near: hall.clone(), ..submission("r", 4, now + CALL * 9) }, now);
+    busy.submit(Submission { near: hall, ..submission("s", 1, now + CALL * 9) }, now);
+    busy.next_call(now).unwrap();
+
+    assert!(busy.next_call(now).is_none(), "it waits for the one that is at work");
+    assert_eq!(near(&[leaving("m", "a"), worker("n", "b")]).as_deref(), Some("n"));
+    let until = now + CALL;
+    assert_eq!(near(&[left_alone("m", "a", until), worker("n", "b")]).as_deref(), Some("n"));
+}
--- a/components/eligibility/src/halls.rs
+++ b/components/eligibility/src/halls.rs
@@ -1,6 +1,7 @@
 //! What the state of its data hall, and its own entry, allow a target to be sent.
 
 use std::collections::BTreeSet;
+use std::time::Instant;
 
 use ids::HallName;
 use intent::Target;
@@ -14,6 +15,8 @@
     OutOfReach,
     /// Operators took its hall out of service.
     Evacuated,
+    /// It wants no work from this VM for some time.
+    LeftAlone,
     /// It is about to end.
     Leaving,
 }
@@ -33,19 +36,27 @@
 }
 
 impl Halls {
-    /// What a target may be sent now. What operators say goes before what this VM observes.
-    pub fn eligibility(&self, target: &Target) -> Eligibility {
+    /// What a target may be sent now. What operators and the target say goes before what this VM observes.
+    pub fn eligibility(&self, target: &Target, now: Instant) -> Eligibility {
         match () {
             () if target.leaving => Eligibility::Leaving,
             () if self.evacuated.contains(&target.hall) => Eligibility::Evacuated,
+            () if target.left_alone_until.is_some_and(|until| now < until) => {
+                Eligibility::LeftAlone
+            }
             () if self.out_of_reach.contains(&target.hall) => Eligibility::OutOfReach,
             () => Eligibility::Open,
         }
     }
 
-    /// Whether targets of a hall are used as usual.
-    pub fn is_open(&self, hall: &HallName) -> bool {
-        !self.out_of_reach.contains(hall) && !self.evacuated.contains(hall)
+    /// From when on a target may be sent work: now, or once it does not want to be left alone any more; `None`
+    /// if nothing tells that it may be again.
+    pub fn opens_at(&self, target: &Target, now: Instant) -> Option<Instant> {
+        match self.eligibility(target, now) {
+            Eligibility::Open | Eligibility::OutOfReach => Some(now),
+            Eligibility::LeftAlone => target.left_alone_until,
+            Eligibility::Evacuated | Eligibility::Leaving => None,
+        }
     }
 
     /// Halls that operators took out of service.
--- a/components/eligibility/src/lib.rs
+++ b/components/eligibility/src/lib.rs
@@ -7,7 +7,9 @@
 mod cold;
 mod departures;
 mod halls;
+mod left_alone;
 
 pub use cold::{ColdBound, Share, Warming, share};
 pub use departures::{Departure, DepartureCursor, Departures, Lifetime};
 pub use halls::{Eligibility, Halls};
+pub use left_alone::LeftAlone;
--- a/components/eligibility/tests/halls.rs
+++ b/components/eligibility/tests/halls.rs
@@ -3,7 +3,7 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eligibility::{Eligibility, Halls};
 use ids::{HallName, ServiceName, TargetName};
@@ -22,6 +22,7 @@
         hall: hall(in_hall),
         slots: 1,
         leaving: false,
+        left_alone_until: None,
         cold: Duration::ZERO,
     }
 }
@@ -32,6 +33,7 @@
         (Eligibility::Open, true),
         (Eligibility::OutOfReach, true),
         (Eligibility::Evacuated, false),
+        (Eligibility::LeftAlone, false),
         (Eligibility::Leaving, false),
     ];
 
@@ -42,26 +44,45 @@
 
 #[test]
 fn what_operators_say_goes_before_what_is_observed() {
+    let now = Instant::now();
     let mut halls = Halls::default();
     halls.set_out_of_reach([hall("a")].into());
-    let out_of_reach = halls.eligibility(&target("a"));
+    let out_of_reach = halls.eligibility(&target("a"), now);
     halls.evacuate(hall("a"));
 
     assert_eq!(out_of_reach, Eligibility::OutOfReach);
-    assert_eq!(halls.eligibility(&target("a")), Eligibility::Evacuated);
-    assert_eq!(halls.eligibility(&target("b")), Eligibility::Open);
+    assert_eq!(halls.eligibility(&target("a"), now), Eligibility::Evacuated);
+    assert_eq!(halls.eligibility(&target("b"), now), Eligibility::Open);
     let leaving = Target { leaving: true, ..target("b") };
-    assert_eq!(halls.eligibility(&leaving), Eligibility::Leaving);
+    assert_eq!(halls.eligibility(&leaving, now), Eligibility::Leaving);
 }
 
 #[test]
 fn an_evacuation_counts_once_and_ends_once() {
+    let now = Instant::now();
     let mut halls = Halls::default();
 
     assert!(halls.evacuate(hall("a")));
     assert!(!halls.evacuate(hall("a")));
-    assert!(!halls.is_open(&hall("a")));
+    assert_ne!(halls.eligibility(&target("a"), now), Eligibility::Open);
     assert!(halls.take_back(&hall("a")));
     assert!(!halls.take_back(&hall("a")));
-    assert!(halls.is_open(&hall("a")));
+    assert_eq!(halls.eligibility(&target("a"), now), Eligibility::Open);
+}
+
+#[test]
+fn a_target_that_wants_to_be_left_alone_opens_again_by_itself() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(1);
+    let mut halls = Halls::default();
+    let wants = Target { left_alone_until: Some(until), ..target("a") };
+    let leaving = Target { leaving: true, ..wants.clone() };
+
+    assert_eq!(halls.eligibility(&wants, now), Eligibility::LeftAlone);
+    assert_eq!(halls.opens_at(&wants, now), Some(until));
+    assert_eq!(halls.eligibility(&wants, until), Eligibility::Open);
+    assert_eq!(halls.opens_at(&wants, until), Some(until));
+    assert_eq!(halls.opens_at(&leaving, now), None);
+    halls.set_out_of_reach([hall("a")].into());
+    assert_eq!(halls.eligibility(&wants, now), Eligibility::LeftAlone, "also as the last one left");
 }
--- a/components/intent/src/target.rs
+++ b/components/intent/src/target.rs
@@ -1,11 +1,11 @@
 //! A back end in one of its lifetimes.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ids::{HallName, ServiceName, TargetName};
 
-/// A target as it tells of itself. One that starts again is another lifetime: under another id, or under its
+/// A target as it tells of itself, in its entry and in its answers. One that starts again is another lifetime: under another id, or under its
 /// id with another time of birth.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Target {
@@ -21,8 +21,10 @@
     pub hall: HallName,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Whether it takes no new work because it is about to end.
+    /// Whether it takes no new work because it is about to end. Within a lifetime this is never taken back.
     pub leaving: bool,
+    /// Until when it wants no work from this VM, as it said when it turned some away; no entry tells it.
+    pub left_alone_until: Option<Instant>,
     /// For how long it was still cold when it wrote this: it bears few requests until then.
     pub cold: Duration,
 }
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -152,9 +152,29 @@
 
     /// Whether a service has targets of which none may be sent anything: all are leaving or in halls
     /// that operators took out of service.
-    pub fn is_closed(&self, service: &ServiceName) -> bool {
-        let is_allowed = |target: &Target| self.halls.eligibility(target).is_allowed();
-        self.count_of(service) > 0 && !self.of_service(service).any(is_allowed)
+    pub fn is_closed(&self, service: &ServiceName, now: Instant) -> bool {
+        self.count_of(service) > 0 && self.opens_at(service, now).is_none()
+    }
+
+    /// From when on some target of a service may be sent work, as far as it is known: now, or once one does
+    /// not want to be left alone any more.
+    pub fn opens_at(&self, service: &ServiceName, now: Instant) -> Option<Instant> {
+        let targets = self.of_service(service);
+        targets.filter_map(|target| self.halls.opens_at(target, now)).min()
+    }
+
+    /// Takes what a target says of itself in an answer; false if it is not known.
+    pub fn set_words(
+        &mut self,
+        id: &TargetName,
+        leaving: bool,
+        left_alone_until: Option<Instant>,
+    ) -> bool {
+        let known = self.by_id.get(id).and_then(|key| self.arena.get_mut(*key));
+        let Some(known) = known else { return false };
+        known.target.leaving |= leaving;
+        known.target.left_alone_until = left_alone_until.max(known.target.left_alone_until);
+        true
     }
 
     /// Addresses of some targets of a hall, others with each look.
@@ -266,12 +286,12 @@
 
     /// Whether a target may be sent a request if no other one is left.
     fn is_allowed(&self, known: &Known, now: Instant) -> bool {
-        self.halls.eligibility(&known.target).is_allowed() && known.warming.may_send(now)
+        self.halls.eligibility(&known.target, now).is_allowed() && known.warming.may_send(now)
     }
 
     /// Whether a target may be sent a request.
     fn is_open(&self, known: &Known, now: Instant) -> bool {
-        self.halls.eligibility(&known.target) == Eligibility::Open
+        self.halls.eligibility(&known.target, now) == Eligibility::Open
             && known.warming.may_send(now)
             && !known.rests(now)
     }
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -29,6 +29,7 @@
         hall: hall(in_hall),
         slots: 4,
         leaving: false,
+        left_alone_until: None,
         cold: Duration::ZERO,
     }
 }
@@ -230,18 +231,19 @@
 
 #[test]
 fn a_service_is_closed_once_all_halls_of_its_targets_are_evacuated() {
+    let now = Instant::now();
     let mut targets = targets(&[("near", "a"), ("far", "b")]);
     let mut halls = Halls::default();
     halls.evacuate(hall("a"));
     targets.set_halls(halls.clone());
-    let closed_by_one = targets.is_closed(&service());
+    let closed_by_one = targets.is_closed(&service(), now);
     halls.evacuate(hall("b"));
     targets.set_halls(halls);
 
     assert!(!closed_by_one);
-    assert!(targets.is_closed(&service()));
+    assert!(targets.is_closed(&service(), now));
     let unknown = ServiceName::new("unknown").unwrap();
-    assert!(!targets.is_closed(&unknown), "nothing is known of it");
+    assert!(!targets.is_closed(&unknown, now), "nothing is known of it");
 }
 
 #[test]
@@ -309,3 +311,28 @@
         targets.own_load().map(|(id, calls, _)| (id.to_string(), calls)).collect();
     assert_eq!(own, [("one".to_owned(), 1)]);
 }
+
+#[test]
+fn what_a_target_says_of_itself_keeps_requests_from_it_also_as_the_last_one() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(1);
+    let mut targets = targets(&[("near", "a"), ("far", "b")]);
+    let id = |name: &str| TargetName::new(name).unwrap();
+    let wanted = Wanted { service: &service(), exclude: &[], size: None };
+
+    assert!(targets.set_words(&id("near"), true, None));
+    let other = targets.pick(&wanted, now).unwrap();
+    targets.set_words(&id("far"), false, Some(until));
+    // A later word is not shorter, whichever is heard last.
+    targets.set_words(&id("far"), false, None);
+    let none = targets.pick(&wanted, now);
+
+    assert_eq!(other.target.id, id("far"));
+    assert!(none.is_none());
+    assert_eq!(targets.opens_at(&service(), now), Some(until));
+    assert!(!targets.is_closed(&service(), now));
+    assert_eq!(targets.pick(&wanted, until).unwrap().target.id, id("far"));
+    targets.set_words(&id("far"), true, None);
+    assert!(targets.is_closed(&service(), until));
+    assert!(!targets.set_words(&id("unknown"), true, None));
+}
--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -9,7 +9,6 @@
 use ids::{ServiceName, VmName};
 use peering::work::{FromDialer, FromOwner, from_dialer, from_owner};
 use peering::{Work, WorkServer};
-use quarantine::Cursor;
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -21,11 +20,13 @@
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::app::App;
-use crate::link_words::{beat, crashes_of, hello, meet, submission_of, take_beat, unsent};
+use crate::link_words::{
+    Told, beat, crashes_of, departures_of, hello, meet, submission_of, take_beat, untold,
+};
 use crate::links::ToDialer;
 use crate::news;
 use crate::piece_news::Sink;
-use crate::{pool_calls, work};
+use crate::{pool_calls, target_words, work};
 
 /// A link that a peer dialled, handed from the server's task to this thread's tasks.
 struct Dialled {
@@ -81,13 +82,16 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    let mut cursor = Cursor::default();
-    let mut known = app.hub.with(|shared, _| shared.crashes_known.subscribe());
+    let mut told = Told::default();
+    let mut known = app.hub.with(|shared, _| shared.word_known.subscribe());
     loop {
         tokio::select! {
             _ = known.changed() => {
-                if let Some(crashes) = unsent(&app, &mut cursor) {
-                    send(from_owner::Kind::Crashes(crashes));
+                let untold = untold(&app, &mut told);
+                let crashes = untold.crashes.map(from_owner::Kind::Crashes);
+                let departures = untold.departures.map(from_owner::Kind::Departures);
+                for kind in crashes.into_iter().chain(departures) {
+                    send(kind);
                 }
             }
             message = inbound.message() => {
@@ -161,6 +165,9 @@
             app.hub
                 .with(|shared, now| shared.take_crashes(&crashes_of(&crashes), vm.as_str(), now));
         }
+        from_dialer::Kind::Departures(departures) => {
+            target_words::heard_from_peer(app, vm.as_str(), departures_of(&departures));
+        }
         from_dialer::Kind::Hello(_) => {}
     }
 }
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -16,7 +16,6 @@
 use crate::settings::Policy;
 use crate::shared::Shared;
 use crate::stages::time_after;
-use crate::tries::NO_TARGET_WAIT;
 
 /// A request is refused if it is expected to take more than this part of its aim.
 const ADMITTED_PART: f64 = 1.0;
@@ -124,10 +123,11 @@
 /// # Errors
 /// The refusal, with the time to come back.
 pub(crate) fn admit(app: &Rc<App>, req: &Accepted) -> Result<InFlight, Refusal> {
-    if app.hub.with(|shared, _| shared.needs_closed(req)) {
+    if let Some(come_back) = app.hub.with(|shared, now| shared.closed_for(req, now)) {
         info!(app.log, "not admitted"; "request" => %req.id, "entry" => &req.entry.name,
-            "why" => "all targets of a service that it needs are out of service");
-        return Err(Refusal::NotRun { come_back: NO_TARGET_WAIT });
+            "come_back_ms" => come_back.as_millis(),
+            "why" => "no target of a service that it needs may be sent work in its time");
+        return Err(Refusal::NotRun { come_back });
     }
     let mut in_flight = InFlight { app: Rc::clone(app), by_stage: Vec::new() };
     let pieces: u32 = req.head.pieces.iter().sum();
--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -201,6 +201,7 @@
     fn announce(&self, new: &[Crash], from: &str, now: Instant) {
         if !new.is_empty() {
             self.crashes_known.send_replace(());
+            self.word_known.send_replace(());
         }
         for crash in new {
             let refused = self.quarantine.refused_for(&crash.content, now);
--- a/gateway/src/dials.rs
+++ b/gateway/src/dials.rs
@@ -61,6 +61,7 @@
             shared.fleet.forget(now);
             shared.end_lapses(now);
             shared.departures.forget(now);
+            shared.left_alone.forget(now);
             shared.share_cold(now);
         });
     }
--- a/gateway/src/halls.rs
+++ b/gateway/src/halls.rs
@@ -2,7 +2,7 @@
 //! this VM's own observations say is put together here and told to whoever chooses.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eligibility::ColdBound;
 use fleet::{OutHalls, Part, Split};
@@ -15,6 +15,7 @@
 use crate::requests::Accepted;
 use crate::shared::Shared;
 use crate::stages::pieces_of;
+use crate::tries::NO_TARGET_WAIT;
 
 /// Key by which VMs agree on who sends to a cold target.
 fn sender_key(target: &Target) -> String {
@@ -23,22 +24,23 @@
 
 impl Shared {
     /// Takes that operators take a hall's targets out of service.
-    pub(crate) fn take_evacuation(&mut self, key: &str, value: &[u8], from: &str) {
+    pub(crate) fn take_evacuation(&mut self, key: &str, value: &[u8], from: &str, now: Instant) {
         match (self.doors.intents.evacuation)(key, value) {
-            Ok(hall) => self.evacuate(hall, from),
+            Ok(hall) => self.evacuate(hall, from, now),
             Err(e) => {
                 warn!(self.log, "evacuation left out"; "key" => key, "from" => from, "why" => %e);
             }
         }
     }
 
-    fn evacuate(&mut self, hall: HallName, from: &str) {
+    fn evacuate(&mut self, hall: HallName, from: &str, now: Instant) {
         if !self.halls.evacuate(hall.clone()) {
             return;
         }
         self.spread_halls();
         let targets = self.targets.of_hall(&hall).count();
-        let closed = self.closed_services().map(ServiceName::as_str).collect::<Vec<_>>().join(",");
+        let closed =
+            self.closed_services(now).map(ServiceName::as_str).collect::<Vec<_>>().join(",");
         warn!(self.log, "hall evacuated"; "hall" => %hall, "targets" => targets,
             "services_closed" => closed, "from" => from, "as_of" => self.view.as_of());
     }
@@ -69,7 +71,7 @@
 
     /// Tells all who choose targets which halls are used how.
     fn spread_halls(&mut self) {
-        self.halls_changed = true;
+        self.choices_changed = true;
         self.targets.set_halls(self.halls.clone());
         self.pools.values_mut().for_each(|pool| pool.set_halls(self.halls.clone()));
     }
@@ -92,32 +94,43 @@
         self.cold_targets = self.targets.share_cold(share, now);
     }
 
-    /// Services all of whose targets are out of service, so that nothing can be run there.
-    fn closed_services(&self) -> impl Iterator<Item = &ServiceName> {
+    /// Services all of whose targets leave or are out of service, so that nothing can be run there.
+    fn closed_services(&self, now: Instant) -> impl Iterator<Item = &ServiceName> {
         let services = self.intent.iter().flat_map(|intent| intent.services.keys());
-        services.filter(|service| self.targets.is_closed(service))
+        services.filter(move |service| self.targets.is_closed(service, now))
     }
 
-    /// Whether a request needs a service all of whose targets are out of service.
-    pub(crate) fn needs_closed(&self, req: &Accepted) -> bool {
-        if self.halls.evacuated().is_empty() {
-            return false;
-        }
-        let mut stages = req.entry.stages.iter().zip(pieces_of(&req.entry, &req.head));
-        let closed = |service: &ServiceName| self.targets.is_closed(service);
-        closed(&req.service) || stages.any(|(stage, pieces)| pieces > 0 && closed(&stage.pool))
+    /// When to come back with a request that needs a service none of whose targets may be sent work while
+    /// the request lasts; `None` if it may be served.
+    pub(crate) fn closed_for(&self, req: &Accepted, now: Instant) -> Option<Duration> {
+        let stages = req.entry.stages.iter().zip(pieces_of(&req.entry, &req.head));
+        let pools = stages.filter(|(_, pieces)| *pieces > 0).map(|(stage, _)| &stage.pool);
+        let closed = |service: &ServiceName| {
+            if self.targets.is_closed(service, now) {
+                return Some(NO_TARGET_WAIT);
+            }
+            self.opens_in(service, now).filter(|time| now + *time >= req.until)
+        };
+        pools.chain([&req.service]).filter_map(closed).max()
     }
 
     /// The part to which pieces go that are wanted in one: that one, or another if all of its workers
-    /// are out of service.
-    pub(crate) fn open_part(&self, pool: &ServiceName, split: &Split, wanted: Part) -> Part {
-        if self.halls.evacuated().is_empty() || split.is_whole() {
+    /// are out of service, leave or want to be left alone.
+    pub(crate) fn open_part(
+        &self,
+        pool: &ServiceName,
+        split: &Split,
+        wanted: Part,
+        now: Instant,
+    ) -> Part {
+        if split.is_whole() {
             return wanted;
         }
         let is_open = |part: &Part| {
             let mut workers = self.targets.of_service(pool);
             workers.any(|target| {
-                split.part_of(&target.hall) == *part && self.halls.eligibility(target).is_allowed()
+                split.part_of(&target.hall) == *part
+                    && self.halls.eligibility(target, now).is_allowed()
             })
         };
         let mut parts = [wanted].into_iter().chain(split.parts());
@@ -125,11 +138,11 @@
     }
 }
 
-/// Looks at the pools again if halls are used otherwise than before: what waits for workers that are
-/// all out of service is told so at once.
+/// Looks at the pools again if targets may be chosen otherwise than before: what waits for workers that are
+/// all out of service, or leave, is told so at once.
 pub(crate) fn look_at_pools(app: &Rc<App>) {
     let pools: Vec<ServiceName> = app.hub.with(|shared, _| {
-        let changed = std::mem::take(&mut shared.halls_changed);
+        let changed = std::mem::take(&mut shared.choices_changed);
         if changed { shared.pools.keys().cloned().collect() } else { Vec::new() }
     });
     pools.iter().for_each(|pool| pool_calls::fill_calls(app, pool));
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use batching::{Made, Queue, Submission};
+use eligibility::{Departure, DepartureCursor};
 use fleet::VmEntry;
 use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
 use peering::work::{
-    self, Beat, Coming, Crashes, Done, Failure, Fetched, FromOwner, Hello, PieceDone, PoolLoad,
-    Submit, TargetLoad, Waiting, from_owner,
+    self, Beat, Coming, Crashes, Departures, Done, Failure, Fetched, FromOwner, Hello, PieceDone,
+    PoolLoad, Submit, TargetLoad, Waiting, from_owner,
 };
 
 use quarantine::{Birth, Content, Crash, Cursor, Lifetime};
@@ -47,7 +48,6 @@
 }
 
 fn new_beat(app: &App) -> Beat {
-    let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
     app.hub.with(|shared, now| Beat {
         as_of: shared.view.as_of(),
         draining: shared.draining.is_some(),
@@ -211,8 +211,58 @@
     told.crashes.iter().filter_map(crash).collect()
 }
 
-/// What a peer that was sent the changes up to a cursor is sent next; `None` if there is nothing.
-pub(crate) fn unsent(app: &App, cursor: &mut Cursor) -> Option<Crashes> {
+/// What a peer tells of targets that leave; what can't be read is left out.
+pub(crate) fn departures_of(told: &Departures) -> Vec<Departure> {
+    let now = crate::hub::now();
+    let departure = |told: &work::Departure| {
+        let target = TargetName::new(&told.target).ok()?;
+        let said = now.checked_sub(Duration::from_millis(u64::from(told.age_ms)))?;
+        Some(Departure { lifetime: eligibility::Lifetime { target, born: told.born }, said })
+    };
+    told.departures.iter().filter_map(departure).collect()
+}
+
+/// What a peer was told on a link of targets that leave and of requests that end them.
+#[derive(Debug, Default)]
+pub(crate) struct Told {
+    crashes: Cursor,
+    departures: DepartureCursor,
+}
+
+/// What a peer has not been told yet.
+pub(crate) struct Untold {
+    pub(crate) crashes: Option<Crashes>,
+    pub(crate) departures: Option<Departures>,
+}
+
+/// What a peer is told next on a link.
+pub(crate) fn untold(app: &App, told: &mut Told) -> Untold {
+    Untold {
+        crashes: untold_crashes(app, &mut told.crashes),
+        departures: untold_departures(app, &mut told.departures),
+    }
+}
+
+fn untold_departures(app: &App, cursor: &mut DepartureCursor) -> Option<Departures> {
+    let (changes, up_to, now) = app.hub.with(|shared, now| {
+        let (changes, up_to) = shared.departures.changes_after(*cursor);
+        (changes, up_to, now)
+    });
+    *cursor = up_to;
+    let departure = |Departure { lifetime, said }: Departure| work::Departure {
+        target: lifetime.target.to_string(),
+        born: lifetime.born,
+        age_ms: millis(now.saturating_duration_since(said)),
+    };
+    let departures: Vec<_> = changes.into_iter().map(departure).collect();
+    (!departures.is_empty()).then_some(Departures { departures })
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn untold_crashes(app: &App, cursor: &mut Cursor) -> Option<Crashes> {
     let (changes, up_to) = app.hub.with(|shared, _| shared.quarantine.changes_after(*cursor));
     *cursor = up_to;
     let crash = |crash: Crash| work::Crash {
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -15,7 +15,6 @@
 use peering::work::{
     Ask, Cancel, Done, FromDialer, FromOwner, Hello, News, Release, Submit, from_dialer, from_owner,
 };
-use quarantine::Cursor;
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -26,8 +25,11 @@
 
 use crate::app::App;
 use crate::hub::left;
-use crate::link_words::{beat, crashes_of, hello, made_of, meet, take_beat, unsent};
+use crate::link_words::{
+    Told, beat, crashes_of, departures_of, hello, made_of, meet, take_beat, untold,
+};
 use crate::piece_news::{PieceNews, StageTurn};
+use crate::target_words;
 
 /// Way to the VM that dialled.
 pub(crate) type ToDialer = UnboundedSender<Result<FromOwner, Status>>;
@@ -241,14 +243,15 @@
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
-    let mut cursor = Cursor::default();
-    let mut known = app.hub.with(|shared, _| shared.crashes_known.subscribe());
+    let mut told = Told::default();
+    let mut known = app.hub.with(|shared, _| shared.word_known.subscribe());
     loop {
         tokio::select! {
             _ = known.changed() => {
-                if let Some(crashes) = unsent(app, &mut cursor) {
-                    link.send(from_dialer::Kind::Crashes(crashes));
-                }
+                let untold = untold(app, &mut told);
+                let crashes = untold.crashes.map(from_dialer::Kind::Crashes);
+                let departures = untold.departures.map(from_dialer::Kind::Departures);
+                crashes.into_iter().chain(departures).for_each(|kind| link.send(kind));
             }
             message = inbound.message() => {
                 heard = tokio::time::Instant::now();
@@ -263,6 +266,10 @@
                         from_owner::Kind::Crashes(crashes) => app.hub.with(|shared, now| {
                             shared.take_crashes(&crashes_of(&crashes), vm.as_str(), now);
                         }),
+                        from_owner::Kind::Departures(departures) => {
+                            let departures = departures_of(&departures);
+                            target_words::heard_from_peer(app, vm.as_str(), departures);
+                        }
                         from_owner::Kind::Hello(_) => {}
                     },
                     Ok(Some(_)) => {}
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -1,5 +1,7 @@
 //! Calls to targets that are no caller's: a pool's calls, and word that results are given up.
 
+use std::rc::Rc;
+
 use doors::calls::{Evidence, OwnCall};
 use http_body_util::{BodyExt, Full};
 use hyper::Request;
@@ -26,7 +28,7 @@
 
 /// Sends a call that is no caller's and reads its answer.
 pub(crate) async fn own_call(
-    app: &App,
+    app: &Rc<App>,
     target: &Target,
     call: OwnCall,
 ) -> Result<bytes::Bytes, OwnCallMiss> {
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -64,7 +64,7 @@
         let Some(split) = self.splits.get(pool) else { return Owner::This };
         let own = split.part_of(&self.own_hall);
         let wanted = near.map_or(own, |hall| split.part_of(hall));
-        let wanted = self.open_part(pool, split, wanted);
+        let wanted = self.open_part(pool, split, wanted, now);
         match self.owner_of_part(pool, split, wanted, now) {
             Owner::Unknown => self.owner_of_part(pool, split, own, now),
             owner => owner,
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use eligibility::Departure;
+use eligibility::{Departure, Lifetime};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -122,6 +122,18 @@
     shared.departures.all().map(word).collect()
 }
 
+/// Lifetimes of targets that want no work from this VM for some time.
+fn left_alone(shared: &Shared, now: Instant) -> Vec<Value> {
+    let word = |(lifetime, until): (&Lifetime, Instant)| {
+        json!({
+            "target": lifetime.target.as_str(),
+            "born": lifetime.born,
+            "left_ms": until.saturating_duration_since(now).as_millis() as u64,
+        })
+    };
+    shared.left_alone.all(now).map(word).collect()
+}
+
 /// What this VM believes, for whoever looks into a failure.
 fn state(app: &App) -> String {
     app.hub.with(|shared, now| {
@@ -181,6 +193,7 @@
             "halls_evacuated": shared.halls.evacuated().iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
             "targets_cold": shared.cold_targets,
             "targets_leaving": leaving(shared, now),
+            "targets_left_alone": left_alone(shared, now),
             "quarantine": quarantine,
             "quarantine_suspects": shared.quarantine.suspects(),
             "peers": peers,
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -21,6 +21,10 @@
 /// Longest wait for a target to confirm that results were given up.
 const RELEASE_WAIT: Duration = Duration::from_millis(500);
 
+/// Longest pause before a worker that wants to be left alone is told that results are given up. Most results
+/// run out by themselves after some seconds, so that a later word frees little.
+const LONGEST_RELEASE_PAUSE: Duration = Duration::from_secs(2);
+
 /// Makes the calls that can be made now, and plans the next look at the queue.
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
     end_without_inputs(app, pool);
@@ -56,15 +60,15 @@
     }
 }
 
-/// Hands back pieces that can't be made since all workers are out of service.
+/// Hands back pieces that can't be made in time since no worker may be called.
 fn end_without_workers(app: &App, pool: &ServiceName) {
-    let finished = app.hub.with(|shared, _| {
-        let pool = shared.pools.get_mut(pool).filter(|pool| pool.is_closed());
-        pool.map(Pool::give_up_waiting).unwrap_or_default()
+    let finished = app.hub.with(|shared, now| {
+        let pool = shared.pools.get_mut(pool);
+        pool.map(|pool| pool.give_up_unservable(now)).unwrap_or_default()
     });
     if !finished.is_empty() {
         info!(app.log, "pieces given up"; "pool" => %pool, "pieces" => finished.len(),
-            "why" => "all workers are out of service");
+            "why" => "no worker may be called in their time");
         hand_back(app, pool, finished);
     }
 }
@@ -147,7 +151,7 @@
 
 /// Sends a pool's call; tells on the way when its inputs have been fetched.
 async fn send(
-    app: &App,
+    app: &Rc<App>,
     pool: &ServiceName,
     call: &Call,
     req: OwnCall,
@@ -307,7 +311,17 @@
 }
 
 /// Tells a worker that results are given up; false if it may not have heard.
-async fn tell_worker(app: &App, target: &Target, handles: &[String]) -> bool {
+async fn tell_worker(app: &Rc<App>, target: &Target, handles: &[String]) -> bool {
+    let wait = app.hub.with(|shared, now| {
+        let until = shared.left_alone.until(target)?;
+        Some(until.saturating_duration_since(now))
+    });
+    if let Some(wait) = wait {
+        if wait > LONGEST_RELEASE_PAUSE {
+            return false;
+        }
+        tokio::time::sleep(wait).await;
+    }
     let call = (app.doors.calls.release)(&target.id, handles);
     let why = match tokio::time::timeout(RELEASE_WAIT, own_call(app, target, call)).await {
         Ok(Ok(_)) => return true,
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use batching::{JobKey, Order, Pool, Submission};
 use doors::Doors;
-use eligibility::{Departures, Halls};
+use eligibility::{Departures, Halls, LeftAlone};
 use fleet::{Fleet, Split, VmEntry};
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::{Intent, Target};
@@ -61,11 +61,15 @@
     pub(crate) in_force: Duration,
     pub(crate) draining: Option<Instant>,
     /// Halls whose targets are not used as others are.
-    /// Targets that said in answers that they leave.
+    /// Targets that said in answers that they leave, to this VM or to peers.
     pub(crate) departures: Departures,
+    /// Targets that want no work from this VM for some time.
+    pub(crate) left_alone: LeftAlone,
+    /// Told when there is something to tell peers.
+    pub(crate) word_known: watch::Sender<()>,
     pub(crate) halls: Halls,
     /// Whether that changed since the pools were last looked at.
-    pub(crate) halls_changed: bool,
+    pub(crate) choices_changed: bool,
     /// What operators bear beyond the rate of cold targets.
     pub(crate) cold: ColdMargin,
     /// Targets that were cold when last looked at.
@@ -116,8 +120,10 @@
             in_force: cfg.in_force(),
             draining: None,
             departures: Departures::default(),
+            left_alone: LeftAlone::default(),
+            word_known: watch::channel(()).0,
             halls: Halls::default(),
-            halls_changed: false,
+            choices_changed: false,
             cold: cfg.cold,
             cold_targets: 0,
             in_work: 0,
@@ -174,7 +180,7 @@
                     new_targets = true;
                 }
                 Change::Put(key, value) if key.starts_with(evacuations) => {
-                    self.take_evacuation(&key, &value, from);
+                    self.take_evacuation(&key, &value, from, now);
                 }
                 Change::Put(key, value) => self.list_vm(&key, Some(&value), now),
                 Change::Removed(key) if key.starts_with(evacuations) => {
@@ -236,7 +242,8 @@
 
     fn take_target(&mut self, key: &str, value: &[u8], from: &str, now: Instant) {
         match (self.doors.intents.target)(key, value) {
-            Ok(target) => {
+            Ok(mut target) => {
+                self.add_words(&mut target);
                 info!(self.log, "target known"; "target" => %target.id,
                     "service" => %target.service, "address" => %target.address,
                     "hall" => %target.hall, "leaving" => target.leaving,
@@ -294,7 +301,7 @@
         self.sync_pools();
     }
 
-    fn sync_pools(&mut self) {
+    pub(crate) fn sync_pools(&mut self) {
         let Some(intent) = &self.intent else { return };
         for (name, service) in &intent.services {
             let Some(spec) = service.pool else { continue };
--- a/gateway/src/target_words.rs
+++ b/gateway/src/target_words.rs
@@ -1,14 +1,22 @@
-//! What targets say of themselves in the heads of their answers.
+//! What targets say of themselves in the heads of their answers: that they leave, or that they want no work for
+//! some time. An entry in the platform's store tells the first one as well, but seconds later, and not at all
+//! while the store is out of reach; therefore whatever is heard first holds, and an entry never takes it back.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use doors::calls::{AnswerHead, Evidence};
-use eligibility::Lifetime;
+use eligibility::{Departure, Lifetime};
+use ids::ServiceName;
 use intent::Target;
 use slog::info;
 
 use crate::app::App;
+use crate::halls::look_at_pools;
+use crate::shared::Shared;
 
 /// Takes what the answer to a request says of the target that gave it.
-pub(crate) fn heard(app: &App, target: &Target, answer: &AnswerHead) {
+pub(crate) fn heard(app: &Rc<App>, target: &Target, answer: &AnswerHead) {
     let speaks_for_it = match answer.evidence {
         Evidence::Own | Evidence::Declined | Evidence::InputGone => true,
         // Another lifetime speaks, or what came may be spoilt in all its parts.
@@ -20,29 +28,94 @@
 }
 
 /// Takes what the answer to a call of this system's own says, which carries no request's id.
-pub(crate) fn heard_of_own_call(app: &App, target: &Target, answer: &AnswerHead) {
+pub(crate) fn heard_of_own_call(app: &Rc<App>, target: &Target, answer: &AnswerHead) {
     if answer.evidence != Evidence::OtherTarget {
         take(app, target, answer);
     }
 }
 
-fn take(app: &App, target: &Target, answer: &AnswerHead) {
-    if answer.leaves {
-        leaves(app, target);
+fn take(app: &Rc<App>, target: &Target, answer: &AnswerHead) {
+    if !answer.leaves && answer.left_alone.is_none() {
+        return;
+    }
+    let lifetime = Lifetime::from(target);
+    let newly_leaves = app.hub.with(|shared, now| {
+        if let Some(time) = answer.left_alone {
+            shared.leave_alone(&lifetime, time, now);
+        }
+        answer.leaves && shared.departs(lifetime, now, "its answer", now)
+    });
+    if newly_leaves {
+        app.metrics.target_departed(target.service.as_str(), "answer");
     }
+    look_at_pools(app);
 }
 
-/// A target said that it leaves.
-fn leaves(app: &App, target: &Target) {
-    app.hub.with(|shared, now| {
-        if !shared.departures.note(Lifetime::from(target), now, now) {
-            return;
+/// Takes what a peer heard of targets that leave.
+pub(crate) fn heard_from_peer(app: &Rc<App>, peer: &str, departures: Vec<Departure>) {
+    for Departure { lifetime, said } in departures {
+        let service = app.hub.with(|shared, now| {
+            let service = shared.targets.service_of(&lifetime.target).cloned();
+            let is_new = shared.departs(lifetime, said, peer, now);
+            is_new.then_some(service).flatten()
+        });
+        if let Some(service) = service {
+            app.metrics.target_departed(service.as_str(), "peer");
         }
-        let entry = shared.targets.get(&target.id);
-        info!(app.log, "target says that it leaves"; "target" => %target.id, "born" => target.born,
-            "service" => %target.service, "hall" => %target.hall, "from" => "its answer",
+    }
+    look_at_pools(app);
+}
+
+impl Shared {
+    /// Takes that a target leaves; says whether it is the first word of that.
+    fn departs(&mut self, lifetime: Lifetime, said: Instant, from: &str, now: Instant) -> bool {
+        if !self.departures.note(lifetime.clone(), said, now) {
+            return false;
+        }
+        let entry = self.targets.get(&lifetime.target);
+        info!(self.log, "target says that it leaves"; "target" => %lifetime.target, "born" => lifetime.born,
+            "from" => from, "said_ms" => now.saturating_duration_since(said).as_millis(),
             "entry_leaving" => entry.map(|entry| entry.leaving),
-            "store_heard_ms" => shared.contact.age(now).map(|age| age.as_millis()));
-        app.metrics.target_departed(target.service.as_str(), "answer");
-    });
+            "store_heard_ms" => self.contact.age(now).map(|age| age.as_millis()));
+        self.words_changed(&lifetime);
+        self.word_known.send_replace(());
+        true
+    }
+
+    /// Takes that a target wants no work from this VM for some time.
+    fn leave_alone(&mut self, lifetime: &Lifetime, time: Duration, now: Instant) {
+        // No clock goes on for long enough to overflow here: the time is at most a day.
+        let until = now + time;
+        if !self.left_alone.note(lifetime.clone(), until) {
+            return;
+        }
+        info!(self.log, "target wants to be left alone"; "target" => %lifetime.target,
+            "born" => lifetime.born, "for_ms" => time.as_millis());
+        self.words_changed(lifetime);
+    }
+
+    /// Tells all who choose targets what one said of itself.
+    fn words_changed(&mut self, lifetime: &Lifetime) {
+        let known = self.targets.get(&lifetime.target).cloned();
+        let Some(mut target) = known.filter(|known| Lifetime::from(known) == *lifetime) else {
+            return;
+        };
+        self.add_words(&mut target);
+        self.targets.set_words(&target.id, target.leaving, target.left_alone_until);
+        self.sync_pools();
+        self.choices_changed = true;
+    }
+
+    /// Adds to a target's entry what the target said in answers.
+    pub(crate) fn add_words(&self, target: &mut Target) {
+        target.leaving |= self.departures.said(target).is_some();
+        target.left_alone_until = self.left_alone.until(target);
+    }
+
+    /// For how long nothing may be sent to any target of a service, if some of them want no more than to be
+    /// left alone for that time.
+    pub(crate) fn opens_in(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
+        let opens = self.targets.opens_at(service, now)?;
+        Some(opens.saturating_duration_since(now)).filter(|time| !time.is_zero())
+    }
 }
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -319,14 +319,21 @@
             (true, true) => Refusal::FailedInTime,
             (true, false) => Refusal::Failed,
             (false, true) => Refusal::NotRunInTime,
-            (false, false) => Refusal::NotRun { come_back: BUSY_WAIT },
+            (false, false) => Refusal::NotRun { come_back: self.come_back(BUSY_WAIT) },
         }
     }
 
+    /// When a caller should come back: once the first target does not want to be left alone any more, or after
+    /// `usual` if some target may be sent work now.
+    fn come_back(&self, usual: Duration) -> Duration {
+        let opens = self.app.hub.with(|shared, now| shared.opens_in(&self.req.service, now));
+        opens.map_or(usual, |time| time + usual.mul_f64(rand::random()))
+    }
+
     fn no_target(&self) -> Refusal {
         match self.refusal() {
             Refusal::NotRun { .. } if self.sent == 0 => {
-                Refusal::NotRun { come_back: NO_TARGET_WAIT }
+                Refusal::NotRun { come_back: self.come_back(NO_TARGET_WAIT) }
             }
             other => other,
         }
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -35,6 +35,7 @@
             hall: hall.clone(),
             slots: 16,
             leaving: false,
+            left_alone_until: None,
             cold: Duration::ZERO,
         };
         targets.put(target, Instant::now());
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -14,6 +14,7 @@
 
 use std::time::{Duration, Instant};
 
+use serde_json::{Value, json};
 use standins::fleet::wait_until;
 use standins::users::callers::Call;
 use standins::users::runners::{Act, Runner};
@@ -33,6 +34,25 @@
     site.pool[1].next(&vec![Act::Hang(SLOWER); REQUESTS * 4]);
 }
 
+/// An answer that was not waited for.
+const AT_ONCE: Duration = Duration::from_millis(250);
+/// Time within which a VM that is linked has heard: no heartbeat is waited for, and the state is read meanwhile.
+const TOLD_WITHIN: Duration = Duration::from_millis(500);
+
+/// What a VM's state lists under a name.
+fn words(vm: &Vm, name: &str) -> Vec<Value> {
+    vm.state()[name].as_array().cloned().unwrap_or_default()
+}
+
+/// Waits until the VMs are linked to each other.
+fn wait_linked(vms: &[Vm]) {
+    let linked = |vm: &Vm| {
+        let peers = words(vm, "peers");
+        peers.iter().filter(|peer| peer["linked"] == true).count()
+    };
+    wait_until("the VMs are linked", || vms.iter().all(|vm| linked(vm) + 1 >= vms.len()));
+}
+
 /// A request with two stages before its engine.
 fn chain(id: &str) -> Call {
     post("/chain/", id).with("Pieces", "1,1").with("Piece-Key", "secret")
@@ -100,3 +120,181 @@
     assert_eq!(wants.map(|target| target.received_after(since)), [0, 0], "sent to it later");
     assert_eq!(missed.concat(), Vec::<u16>::new(), "the other target serves all");
 }
+
+#[test]
+fn no_entry_takes_the_word_back_within_a_lifetime() {
+    let site = Site::start();
+    let vm = site.start_vm("back", "");
+    let (leaving, repeat) = (&site.plain[0], |id: &str| get("/repeat/", id));
+    let key = format!("servers/{}", leaving.id);
+    let write = |sequence: u64, born: u64| {
+        let mut entry = leaving.entry("plain", "hall-a", "ready");
+        entry["sequence"] = json!(sequence);
+        entry["born"] = json!(born);
+        site.store.put(&key, &entry);
+    };
+    let heard = |what: &str, count: usize| {
+        let line = format!("target={}", leaving.id);
+        let known = || vm.log().lines().filter(|l| l.contains(what) && l.contains(&line)).count();
+        wait_until("the VM has heard of the entry", || known() >= count);
+    };
+    write(2, 1_000);
+    heard("target known", 2);
+    leaving.set_leaves(true);
+    until_it_answered(leaving, &vm, repeat, "back");
+    std::thread::sleep(ON_ITS_WAY);
+    let since = Instant::now();
+
+    write(3, 1_000);
+    heard("target known", 3);
+    let missed_rewritten = send_all(&vm, repeat, "rewritten");
+    site.store.remove(&key);
+    heard("target gone", 1);
+    write(4, 1_000);
+    heard("target known", 4);
+    let missed_returned = send_all(&vm, repeat, "returned");
+    let later = leaving.received_after(since);
+    leaving.set_leaves(false);
+    write(5, 2_000);
+    heard("target known", 5);
+    site.plain[1].set_leaves(true);
+    until_it_answered(&site.plain[1], &vm, repeat, "other");
+    let missed_reborn = send_all(&vm, repeat, "reborn");
+
+    assert_eq!(later, 0, "sent to it within its lifetime");
+    assert_eq!([missed_rewritten, missed_returned].concat(), Vec::<u16>::new());
+    assert_eq!(missed_reborn, Vec::<u16>::new(), "a later lifetime is used as any other");
+}
+
+#[test]
+fn one_vms_word_is_every_vms_without_the_store() {
+    let site = Site::start();
+    let vms = ["tells", "hears"].map(|name| site.start_vm(name, ""));
+    let (leaving, repeat) = (&site.plain[0], |id: &str| get("/repeat/", id));
+    wait_linked(&vms);
+    site.store.set_mood(Mood::Silent);
+    leaving.set_leaves(true);
+    until_it_answered(leaving, &vms[0], repeat, "tells");
+    let told = Instant::now();
+    wait_until("the other VM has heard", || !words(&vms[1], "targets_leaving").is_empty());
+    let took = told.elapsed();
+
+    let since = Instant::now();
+    let missed = send_all(&vms[1], repeat, "hears");
+    site.store.set_mood(Mood::Well);
+    let starts = site.start_vm("starts", "");
+    wait_until("a VM that starts has heard", || !words(&starts, "targets_leaving").is_empty());
+    let missed_later = send_all(&starts, repeat, "starts");
+
+    assert_eq!(leaving.received_after(since), 0, "sent to it by a VM that was told");
+    assert_eq!([missed, missed_later].concat(), Vec::<u16>::new());
+    assert!(took < TOLD_WITHIN, "{took:?}");
+}
+
+#[test]
+fn where_all_targets_leave_a_request_is_refused_at_once() {
+    let site = Site::start();
+    let vm = site.start_vm("all-leave", "");
+    for target in site.plain.iter().chain(&site.engines).chain(&site.pool) {
+        target.set_leaves(true);
+    }
+    let kinds: [fn(&str) -> Call; 3] =
+        [|id| get("/repeat/", id), |id| post("/stream/", id), |id| chain(id)];
+    for (number, target) in [&site.plain, &site.engines].into_iter().enumerate() {
+        target.iter().for_each(|t| until_it_answered(t, &vm, kinds[number], &t.id));
+    }
+    std::thread::sleep(ON_ITS_WAY);
+
+    for (number, kind) in kinds.into_iter().enumerate() {
+        let began = Instant::now();
+        let answer = answered(&kind(&format!("refused-{number}")), &vm);
+
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").parse::<f64>().is_ok(), "{answer:?}");
+        assert!(began.elapsed() < AT_ONCE, "{:?}", began.elapsed());
+        assert_eq!(site.runs(&format!("refused-{number}")), 0);
+    }
+}
+
+#[test]
+fn a_word_in_an_answer_that_is_not_the_targets_own_says_nothing() {
+    let site = Site::start();
+    let vm = site.start_vm("not-own", "");
+    let (other, sound) = (&site.plain[0], &site.plain[1]);
+    let repeat = |id: &str| get("/repeat/", id);
+    // A target that failed is asked after the other one, which therefore leaves.
+    other.set_leaves(true);
+    until_it_answered(other, &vm, repeat, "other");
+    sound.set_leaves(true);
+    sound.next(&[Act::Cross, Act::Unsigned, Act::Encoded]);
+    for number in 0..3 {
+        until_it_answered(sound, &vm, repeat, &format!("spoilt-{number}"));
+    }
+    sound.set_leaves(false);
+
+    let since = Instant::now();
+    until_it_answered(sound, &vm, repeat, "own");
+
+    assert!(sound.received_after(since) > 0);
+    assert_eq!(words(&vm, "targets_leaving").len(), 1, "{:?}", vm.state()["targets_leaving"]);
+}
+
+#[test]
+fn callers_are_told_when_targets_that_want_to_be_left_alone_are_back() {
+    let site = Site::start();
+    let vm = site.start_vm("when", "");
+    let repeat = |id: &str| get("/repeat/", id);
+    Site::next(&site.plain, &Act::DeclineFor("1.5"));
+
+    let turned_away = answered(&repeat("when-1"), &vm);
+    let asked = Instant::now();
+    let refused = answered(&repeat("when-2"), &vm);
+    let took = asked.elapsed();
+    let come_back: f64 = refused.header("retry-after").parse().expect("seconds");
+    std::thread::sleep(Duration::from_secs_f64(come_back));
+    let served = answered(&repeat("when-3"), &vm);
+
+    assert_eq!((turned_away.status(), refused.status()), (503, 503));
+    assert!(took < AT_ONCE, "{took:?}");
+    assert!((1.0..2.5).contains(&come_back), "{come_back}");
+    assert_eq!(served.status(), 200);
+    assert_eq!(site.runs("when-1") + site.runs("when-2"), 0);
+}
+
+#[test]
+fn pieces_wait_for_a_worker_that_is_back_in_their_time_and_no_longer() {
+    let site = Site::start();
+    let vm = site.start_vm("pieces", "");
+    Site::next(&site.pool, &Act::DeclineFor("0.3"));
+    let began = Instant::now();
+    let waited = answered(&chain("waits"), &vm);
+    let took = began.elapsed();
+    Site::next(&site.pool, &Act::DeclineFor("20"));
+
+    let began = Instant::now();
+    let refused = answered(&chain("given-up"), &vm);
+    let told = began.elapsed();
+
+    assert_eq!(waited.status(), 200);
+    assert!(took >= Duration::from_millis(300), "{took:?}");
+    assert_eq!(refused.status(), 503);
+    assert!(told < AT_ONCE * 2, "{told:?}");
+    assert_eq!(words(&vm, "targets_left_alone").len(), 2);
+}
+
+#[test]
+fn a_stream_is_not_taken_up_at_a_target_that_leaves() {
+    let site = Site::start();
+    let vm = site.start_vm("taken-up", "");
+    let resumed = |id: &str| post("/resumed/", id);
+    let [leaving, other] = [&site.engines[0], &site.engines[1]];
+    leaving.set_leaves(true);
+    until_it_answered(leaving, &vm, resumed, "taken-up");
+    std::thread::sleep(ON_ITS_WAY);
+    other.next(&[Act::BreakStream(2)]);
+
+    let since = Instant::now();
+    answered(&resumed("breaks"), &vm);
+
+    assert_eq!(leaving.received_after(since), 0, "it was the only one left");
+}
