Entries of others name no target, and an earlier lifetime never replaces a later one

Cause: a target whose entry was overwritten by something that can't be read was kept for good, also if it was gone; an entry of before a target started again, written late, replaced the one of its present lifetime; a time of birth in the far future was taken as it stood. Nothing tested what else may stand under a target's key. Change: an overwritten target holds for 2.1 s, in which it writes again if it lives; an entry of an earlier `born` is left out with a line; one born over a minute ahead of this VM's clock is none. Tests: any bytes and any fields (512 cases each), strangers' entries end to end.

--- a/components/intent/src/target.rs
+++ b/components/intent/src/target.rs
@@ -35,6 +35,12 @@
         hashing::combine(hashing::of_text(self.id.as_str()), self.born.unwrap_or_default())
     }
 
+    /// Whether this tells of an earlier lifetime than one of the same id that was known: a write of before the
+    /// target started again may be done after its newer ones.
+    pub fn is_before(&self, known: &Target) -> bool {
+        matches!((self.born, known.born), (Some(born), Some(known)) if born < known)
+    }
+
     /// Whether this is another lifetime than one of the same id that was known.
     pub fn is_reborn_since(&self, known: &Target) -> bool {
         self.born.is_some() && known.born.is_some() && self.born != known.born
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod stream_passing;
 mod stream_reader;
 mod streams;
+mod target_entries;
 mod target_words;
 mod tries;
 mod work;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -10,7 +10,7 @@
 use eligibility::{Departures, Halls, LeftAlone};
 use fleet::{Fleet, Split, VmEntry};
 use ids::{HallName, ServiceName, TargetName, VmName};
-use intent::{Intent, Target};
+use intent::Intent;
 use quarantine::Quarantine;
 use selection::{RepeatBudget, RepeatRules, Targets};
 use slog::{Logger, info, warn};
@@ -59,15 +59,15 @@
     /// Time within which a change of the configuration must be in force.
     pub(crate) in_force: Duration,
     pub(crate) draining: Option<Instant>,
-    /// Halls whose targets are not used as others are.
     /// Targets that said in answers that they leave, to this VM or to peers.
     pub(crate) departures: Departures,
     /// Targets that want no work from this VM for some time.
     pub(crate) left_alone: LeftAlone,
     /// Told when there is something to tell peers.
     pub(crate) word_known: watch::Sender<()>,
+    /// Halls whose targets are not used as others are.
     pub(crate) halls: Halls,
-    /// Whether that changed since the pools were last looked at.
+    /// Whether targets may be chosen otherwise than when the pools were last looked at.
     pub(crate) choices_changed: bool,
     /// What operators bear beyond the rate of cold targets.
     pub(crate) cold: ColdMargin,
@@ -84,7 +84,7 @@
     /// Told when an end of a target under requests becomes known, which peers are told at once.
     pub(crate) crashes_known: watch::Sender<()>,
     /// Targets whose entries lapsed around an outage, and when they are taken as gone.
-    lapsed: HashMap<TargetName, Instant>,
+    pub(crate) lapsed: HashMap<TargetName, Instant>,
 }
 
 impl Shared {
@@ -239,72 +239,6 @@
         }
     }
 
-    fn take_target(&mut self, key: &str, value: &[u8], from: &str, now: Instant) {
-        match (self.doors.intents.target)(key, value) {
-            Ok(mut target) => {
-                self.add_words(&mut target);
-                info!(self.log, "target known"; "target" => %target.id,
-                    "service" => %target.service, "address" => %target.address,
-                    "hall" => %target.hall, "leaving" => target.leaving,
-                    "cold_ms" => target.cold.as_millis(), "from" => from,
-                    "as_of" => self.view.as_of());
-                self.lapsed.remove(&target.id);
-                let known = self.targets.get(&target.id);
-                if let Some(known) = known.filter(|known| target.is_reborn_since(known)).cloned() {
-                    info!(self.log, "target born again"; "target" => %target.id,
-                        "born" => target.born, "before" => known.born);
-                    self.target_ended(&known, now);
-                }
-                self.targets.put(target, now);
-            }
-            Err(e) => {
-                warn!(self.log, "target's entry left out"; "key" => key, "from" => from,
-                    "why" => %e);
-            }
-        }
-    }
-
-    fn lost_target(&mut self, id: &str, from: &str, now: Instant) {
-        let Ok(id) = TargetName::new(id) else { return };
-        if let Some(until) = self.contact.grace_until(now) {
-            info!(self.log, "target's entry lapsed around an outage"; "target" => %id,
-                "from" => from, "kept_ms" => (until - now).as_millis());
-            self.lapsed.insert(id, until);
-            return;
-        }
-        info!(self.log, "target gone"; "target" => %id, "from" => from,
-            "as_of" => self.view.as_of());
-        self.remove_target(&id, now);
-    }
-
-    /// Takes a target out; whatever broke under it of late counts as its end.
-    fn remove_target(&mut self, id: &TargetName, now: Instant) -> bool {
-        let Some(target) = self.targets.remove(id) else { return false };
-        self.target_ended(&target, now);
-        true
-    }
-
-    /// When the first entry that lapsed around an outage is taken as gone.
-    pub(crate) fn next_lapse_end(&self) -> Option<Instant> {
-        self.lapsed.values().min().copied()
-    }
-
-    /// Takes as gone what lapsed around an outage and did not come back.
-    pub(crate) fn end_lapses(&mut self, now: Instant) {
-        let over = |at: &Instant| *at <= now;
-        let gone: Vec<TargetName> =
-            self.lapsed.iter().filter(|(_, at)| over(at)).map(|(id, _)| id.clone()).collect();
-        if gone.is_empty() {
-            return;
-        }
-        for id in gone {
-            info!(self.log, "target gone"; "target" => %id, "from" => "lapse");
-            self.lapsed.remove(&id);
-            self.remove_target(&id, now);
-        }
-        self.sync_pools();
-    }
-
     pub(crate) fn sync_pools(&mut self) {
         let Some(intent) = &self.intent else { return };
         for (name, service) in &intent.services {
@@ -385,12 +319,4 @@
         }
         counts.into_iter().max_by_key(|(_, count)| *count).map(|(hall, _)| hall.clone())
     }
-
-    /// A target turned out to be gone before the store said so.
-    pub(crate) fn target_replaced(&mut self, target: &Target, now: Instant) {
-        if self.remove_target(&target.id, now) {
-            info!(self.log, "target gone"; "target" => %target.id, "from" => "its address");
-            self.sync_pools();
-        }
-    }
 }
--- a/standins/src/users/serving.rs
+++ b/standins/src/users/serving.rs
@@ -101,6 +101,12 @@
         wait_until("the VM is ready", || self.is_ready());
     }
 
+    /// Waits until it is ready and knows so many runners.
+    pub fn wait_knows(&self, runners: u64) {
+        self.wait_ready();
+        wait_until("the VM knows the runners", || self.state()["targets"] == json!(runners));
+    }
+
     /// A page of its operations address.
     pub fn page(&self, path: &str) -> String {
         let answer = Call::new("GET", "operations", path, "-").send(self.operations);
@@ -269,11 +275,16 @@
         vm
     }
 
+    /// The same, where some entries name no runner; waits until it knows so many.
+    pub fn start_vm_among(&self, name: &str, runners: u64) -> Vm {
+        let vm = Vm::start(name, "hall-a", self.store.address, "");
+        vm.wait_knows(runners);
+        vm
+    }
+
     /// Waits until a VM knows all runners.
     pub fn wait_known(&self, vm: &Vm) {
-        vm.wait_ready();
-        let runners = self.store.keys("servers/").len();
-        wait_until("the VM knows the runners", || vm.state()["targets"] == json!(runners));
+        vm.wait_knows(self.store.keys("servers/").len() as u64);
     }
 
     /// How often a request ran, over all runners that answer requests.
