trace tells what each VM heard of a target and sent it

Cause: after a request reached a target that leaves, the lines of the target had to be searched for by hand. Ruled out: a command of its own (the same lines, read the same way, by another key).

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -230,13 +230,11 @@
 
 fn trace() -> Command {
     Command::new("trace")
-        .about("Tell from VMs' log files what became of a request")
-        .arg(
-            Arg::new("request")
-                .value_name("REQUEST-ID")
-                .required(true)
-                .help("Id of an attempt, or the content that all attempts at a request have alike"),
-        )
+        .about("Tell from VMs' log files what became of a request or a target")
+        .arg(Arg::new("request").value_name("REQUEST-ID").required(true).help(
+            "Id of an attempt, the content that all attempts at a request have alike, or a \
+                     target's id",
+        ))
         .arg(logs())
 }
 
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,4 +1,4 @@
-//! `saddlerail trace`: tell from VMs' log files what became of a request, or of all attempts at one.
+//! `saddlerail trace`: tell from VMs' log files what became of a request, of all attempts at one, or of a target.
 
 use std::path::PathBuf;
 
@@ -9,10 +9,11 @@
 use crate::cli::{Output, output_of};
 use crate::logs;
 
-/// Keys by which a line names a request: the id of an attempt, or what all attempts at it have alike.
-const NAMED_BY: [&str; 2] = ["request", "content"];
+/// Keys by which a line names what is traced: the id of an attempt at a request, what all attempts at it have
+/// alike, or a target's id.
+const NAMED_BY: [&str; 3] = ["request", "content", "target"];
 
-/// A log line that names the request.
+/// A log line that names what is traced.
 struct Line {
     time: f64,
     text: String,
@@ -27,7 +28,7 @@
         lines.extend(logs::read(path)?.lines().filter_map(|line| of(line, &id)));
     }
     if lines.is_empty() {
-        return Err(Error::bad_input(id, "no line of these logs names this request"));
+        return Err(Error::bad_input(id, "no line of these logs names this request or target"));
     }
     lines.sort_by(|a, b| a.time.total_cmp(&b.time));
     match output_of(args) {
@@ -40,7 +41,7 @@
     Ok(())
 }
 
-/// The line, if it names the request.
+/// The line, if it names what is traced.
 fn of(line: &str, id: &str) -> Option<Line> {
     if !line.contains(id) {
         return None;
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -47,6 +47,18 @@
     assert!(lines[6].contains("request refused as one that ends targets"));
 }
 
+#[test]
+fn trace_tells_what_each_vm_heard_of_a_target() {
+    let out = tool(&["trace", "i-plain-1", "tests/fixtures/logs/leaving.log"]);
+
+    let text = text(&out);
+    let words: Vec<&str> = text.lines().filter(|line| line.contains("that it leaves")).collect();
+    assert_eq!(words.len(), 2, "{text}");
+    assert!(words[0].contains("tells") && words[0].contains("from=\"its answer\""));
+    assert!(words[1].contains("hears") && words[1].contains("from=tells"));
+    assert!(!text.contains("said_leaving_ms=0"), "nothing is sent to it after the word: {text}");
+}
+
 #[test]
 fn trace_gives_pairs_as_json() {
     let out = tool(&["trace", "3e9861d31f5c3ff3", LOG, "--output", "json"]);
