Sight: the rate that a target names is read, merged, logged and shown, and no choice heeds it yet

Cause: not known yet; no line of the logs said whether an answer named a rate, nor what a VM knew when it chose.

Change: the adapter reads the rate from any answer (one that can't be read says nothing; of several the lowest counts). eligibility merges such words by lifetime: an answer was given between the sending of its call and the hearing of its head, so it ends what was heard before that call was sent and nothing else, and of rates that may be as late as each other the lowest holds. Lines: "target's rate changed" with both rates; each try says which rate its VM knew (rate_per_s); the state dump lists targets_rates.

Ruled out: nothing by this; it lets the hypotheses be told apart.

--- a/components/doors/src/calls.rs
+++ b/components/doors/src/calls.rs
@@ -49,8 +49,19 @@
     Spoiled,
 }
 
+/// What an answer says of the rate that its target takes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NamedRate {
+    /// It names none.
+    Nothing,
+    /// The requests a second that the target takes from all VMs together.
+    PerSecond(f64),
+    /// It names one that can't be read, which says nothing at all.
+    Unreadable,
+}
+
 /// The head of an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct AnswerHead {
     /// What it proves.
     pub evidence: Evidence,
@@ -64,6 +75,8 @@
     pub leaves: bool,
     /// How long a target that turned the call away wants nothing more from this VM.
     pub left_alone: Option<Duration>,
+    /// The rate that the target takes.
+    pub rate: NamedRate,
 }
 
 /// A piece in a pool's call.
--- a/components/eligibility/src/lib.rs
+++ b/components/eligibility/src/lib.rs
@@ -8,8 +8,10 @@
 mod departures;
 mod halls;
 mod left_alone;
+mod rates;
 
 pub use cold::{ColdBound, Share, Warming, share};
 pub use departures::{Departure, DepartureCursor, Departures, Lifetime};
 pub use halls::{Eligibility, Halls};
 pub use left_alone::LeftAlone;
+pub use rates::{RateBelief, RateChange, RateLimit, RateLimits, Sighting};
--- /dev/null
+++ b/components/eligibility/src/rates.rs
@@ -0,0 +1,190 @@
+//! Rates that targets name in their answers as the most that they take, and which of them holds.
+//!
+//! Answers overtake each other; a rate falls, rises, and ends with an answer that names none. An answer was given
+//! between the moment at which its call was sent and the one at which its head was heard. It therefore ends
+//! whatever was heard before its call was sent, and nothing else; of rates that may be as late as each other the
+//! lowest holds. The same comes out in any order, with repeats, and at whoever is told.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant};
+
+use intent::Target;
+
+use crate::Lifetime;
+
+/// What is known of a lifetime is kept for this long after its last answer: longer than any need seen, and than
+/// a target that nobody dares to ask is left to itself.
+const LIFE: Duration = Duration::from_secs(600);
+/// Thousandths of a request, in which rates are compared.
+const PARTS: f64 = 1000.0;
+/// The lowest rate that is held to: a target that names less is asked once in twenty seconds all the same, since
+/// only its answers tell that the need is over.
+const LEAST_PER_S: f64 = 0.05;
+/// The highest rate that is counted; a target that names more takes whatever comes.
+const MOST_PER_S: f64 = 1e6;
+
+/// The requests a second that a target takes from all VMs together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RateLimit {
+    thousandths: u64,
+}
+
+impl RateLimit {
+    /// A rate in requests a second; `None` for what is no rate: a negative number, or none at all.
+    pub fn new(per_s: f64) -> Option<Self> {
+        let is_rate = per_s >= 0.0;
+        let per_s = per_s.clamp(LEAST_PER_S, MOST_PER_S);
+        is_rate.then_some(RateLimit { thousandths: (per_s * PARTS).round() as u64 })
+    }
+
+    /// Requests a second.
+    pub fn per_s(self) -> f64 {
+        self.thousandths as f64 / PARTS
+    }
+}
+
+/// What an answer said of its target's rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Sighting {
+    /// The rate; `None` if the answer named none.
+    pub limit: Option<RateLimit>,
+    /// When the call was sent.
+    pub sent: Instant,
+    /// When the answer's head was heard.
+    pub heard: Instant,
+}
+
+/// What some sightings of one lifetime amount to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RateBelief {
+    /// When the latest call was sent that was answered.
+    after: Option<Instant>,
+    /// Rates that may still hold, and when each was last heard; none of these was before `after`.
+    heard: BTreeMap<RateLimit, Instant>,
+}
+
+impl RateBelief {
+    /// A belief as it was told: see [`RateBelief::after`] and [`RateBelief::heard`].
+    pub fn told(after: Option<Instant>, heard: impl Iterator<Item = (RateLimit, Instant)>) -> Self {
+        let mut belief = RateBelief { after, heard: BTreeMap::new() };
+        heard.for_each(|(limit, at)| belief.hear(limit, at));
+        belief.prune();
+        belief
+    }
+
+    /// Takes what an answer said.
+    pub fn note(&mut self, sighting: Sighting) {
+        self.after = self.after.max(Some(sighting.sent));
+        if let Some(limit) = sighting.limit {
+            self.hear(limit, sighting.heard);
+        }
+        self.prune();
+    }
+
+    /// Takes all that another one amounts to.
+    pub fn join(&mut self, other: &RateBelief) {
+        self.after = self.after.max(other.after);
+        other.heard.iter().for_each(|(limit, at)| self.hear(*limit, *at));
+        self.prune();
+    }
+
+    /// The rate that holds; `None` if the target takes whatever comes, as far as is known.
+    pub fn limit(&self) -> Option<RateLimit> {
+        self.heard.keys().next().copied()
+    }
+
+    /// When the latest call was sent that was answered.
+    pub fn after(&self) -> Option<Instant> {
+        self.after
+    }
+
+    /// Rates that may hold, and when each was last heard.
+    pub fn heard(&self) -> impl Iterator<Item = (RateLimit, Instant)> {
+        self.heard.iter().map(|(limit, at)| (*limit, *at))
+    }
+
+    fn hear(&mut self, limit: RateLimit, at: Instant) {
+        let last = self.heard.entry(limit).or_insert(at);
+        *last = at.max(*last);
+    }
+
+    fn prune(&mut self) {
+        let after = self.after;
+        self.heard.retain(|_, at| after.is_none_or(|after| *at >= after));
+    }
+
+    fn is_old(&self, now: Instant) -> bool {
+        let last = self.heard.values().copied().chain(self.after).max();
+        last.is_none_or(|last| now.saturating_duration_since(last) >= LIFE)
+    }
+}
+
+/// How the rate of a lifetime changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RateChange {
+    /// The rate that held before.
+    pub before: Option<RateLimit>,
+    /// The rate that holds now.
+    pub now: Option<RateLimit>,
+}
+
+#[derive(Debug, Default)]
+struct Beliefs {
+    /// From this VM's own answers; only these are told to others, so that no two VMs keep a word alive between
+    /// them.
+    own: RateBelief,
+    /// From these and what peers heard themselves.
+    all: RateBelief,
+}
+
+/// What a VM knows of the rates that targets name, by lifetime.
+#[derive(Debug, Default)]
+pub struct RateLimits(HashMap<Lifetime, Beliefs>);
+
+impl RateLimits {
+    /// Takes what an answer to this VM said; gives the change of the rate that holds, if there is one.
+    pub fn note(&mut self, lifetime: Lifetime, sighting: Sighting) -> Option<RateChange> {
+        let beliefs = self.0.entry(lifetime).or_default();
+        beliefs.own.note(sighting);
+        beliefs.change(|all| all.note(sighting))
+    }
+
+    /// Takes what a peer heard itself; gives the change of the rate that holds, if there is one.
+    pub fn note_told(&mut self, lifetime: Lifetime, told: &RateBelief) -> Option<RateChange> {
+        self.0.entry(lifetime).or_default().change(|all| all.join(told))
+    }
+
+    /// The rate that holds for a target.
+    pub fn limit(&self, target: &Target) -> Option<RateLimit> {
+        self.0.get(&Lifetime::from(target))?.all.limit()
+    }
+
+    /// What this VM's own answers say of a lifetime.
+    pub fn own(&self, lifetime: &Lifetime) -> Option<&RateBelief> {
+        self.0.get(lifetime).map(|beliefs| &beliefs.own)
+    }
+
+    /// Lifetimes with a rate that holds, and when it was last heard.
+    pub fn all(&self) -> impl Iterator<Item = (&Lifetime, RateLimit, Instant)> {
+        let first = |(lifetime, beliefs)| {
+            let beliefs: &Beliefs = beliefs;
+            let (limit, at) = beliefs.all.heard().next()?;
+            Some((lifetime, limit, at))
+        };
+        self.0.iter().filter_map(first)
+    }
+
+    /// Forgets lifetimes of which nothing was heard for long.
+    pub fn forget(&mut self, now: Instant) {
+        self.0.retain(|_, beliefs| !beliefs.all.is_old(now));
+    }
+}
+
+impl Beliefs {
+    fn change(&mut self, take: impl FnOnce(&mut RateBelief)) -> Option<RateChange> {
+        let before = self.all.limit();
+        take(&mut self.all);
+        let now = self.all.limit();
+        (before != now).then_some(RateChange { before, now })
+    }
+}
--- a/gateway/src/dials.rs
+++ b/gateway/src/dials.rs
@@ -69,6 +69,7 @@
             shared.end_lapses(now);
             shared.departures.forget(now);
             shared.left_alone.forget(now);
+            shared.rates.forget(now);
             shared.share_cold(now);
         });
     }
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -11,6 +11,7 @@
 
 use crate::app::App;
 use crate::connections::NoAnswer;
+use crate::hub::now;
 use crate::target_words;
 
 /// Why a call of this system's own brought no answer.
@@ -39,6 +40,7 @@
     if let Ok(host) = http::HeaderValue::from_str(&target.address.to_string()) {
         req.headers_mut().insert(http::header::HOST, host);
     }
+    let began = now();
     let sent = app.connections.send(target, req).await;
     let (answer, carrier) = sent.map_err(|miss| {
         debug!(app.log, "call failed"; "target" => %target.id, "why" => ?miss);
@@ -49,7 +51,7 @@
     })?;
     let (head, body) = answer.into_parts();
     let read = (app.doors.calls.read)(&head, &no_request());
-    target_words::heard_of_own_call(app, target, &read);
+    target_words::heard_of_own_call(app, target, &read, began);
     let body = body.collect().await.map_err(|_| OwnCallMiss::Broke)?.to_bytes();
     if !read.closes {
         app.rest(carrier, read.keeps);
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use eligibility::{Departure, Lifetime};
+use eligibility::{Departure, Lifetime, RateLimit};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -134,6 +134,19 @@
     shared.left_alone.all(now).map(word).collect()
 }
 
+/// Lifetimes of targets that named the rate which they take.
+fn rates(shared: &Shared, now: Instant) -> Vec<Value> {
+    let word = |(lifetime, limit, heard): (&Lifetime, RateLimit, Instant)| {
+        json!({
+            "target": lifetime.target.as_str(),
+            "born": lifetime.born,
+            "per_s": limit.per_s(),
+            "heard_ms": now.saturating_duration_since(heard).as_millis() as u64,
+        })
+    };
+    shared.rates.all().map(word).collect()
+}
+
 /// What this VM believes, for whoever looks into a failure.
 fn state(app: &App) -> String {
     app.hub.with(|shared, now| {
@@ -194,6 +207,7 @@
             "targets_cold": shared.cold_targets,
             "targets_leaving": leaving(shared, now),
             "targets_left_alone": left_alone(shared, now),
+            "targets_rates": rates(shared, now),
             "quarantine": quarantine,
             "quarantine_suspects": shared.quarantine.suspects(),
             "peers": peers,
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -7,7 +7,7 @@
 
 use batching::{JobKey, Order, Pool, Submission};
 use doors::Doors;
-use eligibility::{Departures, Halls, LeftAlone};
+use eligibility::{Departures, Halls, LeftAlone, RateLimits};
 use fleet::{Fleet, Split, VmEntry};
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::Intent;
@@ -63,6 +63,8 @@
     pub(crate) departures: Departures,
     /// Targets that want no work from this VM for some time.
     pub(crate) left_alone: LeftAlone,
+    /// Rates that targets name as the most that they take.
+    pub(crate) rates: RateLimits,
     /// Told when there is something to tell peers.
     pub(crate) word_known: watch::Sender<()>,
     /// Halls whose targets are not used as others are.
@@ -120,6 +122,7 @@
             draining: None,
             departures: Departures::default(),
             left_alone: LeftAlone::default(),
+            rates: RateLimits::default(),
             word_known: watch::channel(()).0,
             halls: Halls::default(),
             choices_changed: false,
--- a/gateway/src/target_words.rs
+++ b/gateway/src/target_words.rs
@@ -5,36 +5,43 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use doors::calls::{AnswerHead, Evidence};
-use eligibility::{Departure, Lifetime};
+use doors::calls::{AnswerHead, Evidence, NamedRate};
+use eligibility::{Departure, Lifetime, RateLimit, Sighting};
 use ids::ServiceName;
 use intent::Target;
-use slog::info;
+use slog::{debug, info};
 
 use crate::app::App;
 use crate::halls::look_at_pools;
+use crate::hub::now;
 use crate::shared::Shared;
 
-/// Takes what the answer to a request says of the target that gave it.
-pub(crate) fn heard(app: &Rc<App>, target: &Target, answer: &AnswerHead) {
+/// Takes what the answer to a request says of the target that gave it; the request was sent at `sent` or later.
+pub(crate) fn heard(app: &Rc<App>, target: &Target, answer: &AnswerHead, sent: Instant) {
     let speaks_for_it = match answer.evidence {
         Evidence::Own | Evidence::Declined | Evidence::InputGone => true,
         // Another lifetime speaks, or what came may be spoilt in all its parts.
         Evidence::OtherTarget | Evidence::Crossed | Evidence::Spoiled => false,
     };
     if speaks_for_it {
-        take(app, target, answer);
+        take(app, target, answer, sent);
     }
 }
 
 /// Takes what the answer to a call of this system's own says, which carries no request's id.
-pub(crate) fn heard_of_own_call(app: &Rc<App>, target: &Target, answer: &AnswerHead) {
+pub(crate) fn heard_of_own_call(
+    app: &Rc<App>,
+    target: &Target,
+    answer: &AnswerHead,
+    sent: Instant,
+) {
     if answer.evidence != Evidence::OtherTarget {
-        take(app, target, answer);
+        take(app, target, answer, sent);
     }
 }
 
-fn take(app: &Rc<App>, target: &Target, answer: &AnswerHead) {
+fn take(app: &Rc<App>, target: &Target, answer: &AnswerHead, sent: Instant) {
+    take_rate(app, target, answer.rate, sent);
     if !answer.leaves && answer.left_alone.is_none() {
         return;
     }
@@ -51,6 +58,20 @@
     look_at_pools(app);
 }
 
+/// Takes what an answer says of its target's rate. That none is named is a word as well: it ends one before.
+fn take_rate(app: &App, target: &Target, rate: NamedRate, sent: Instant) {
+    let limit = match rate {
+        NamedRate::Nothing => None,
+        NamedRate::PerSecond(per_s) => RateLimit::new(per_s),
+        NamedRate::Unreadable => {
+            debug!(app.log, "target's rate not read"; "target" => %target.id);
+            return;
+        }
+    };
+    let sighting = Sighting { limit, sent, heard: now() };
+    app.hub.with(|shared, _| shared.take_rate(target, sighting));
+}
+
 /// Takes what a peer heard of targets that leave.
 pub(crate) fn heard_from_peer(app: &Rc<App>, peer: &str, departures: Vec<Departure>) {
     for Departure { lifetime, said } in departures {
@@ -82,6 +103,16 @@
         true
     }
 
+    /// Takes what an answer said of its target's rate.
+    fn take_rate(&mut self, target: &Target, sighting: Sighting) {
+        let lifetime = Lifetime::from(target);
+        let Some(change) = self.rates.note(lifetime.clone(), sighting) else { return };
+        let per_s = |limit: Option<RateLimit>| limit.map(RateLimit::per_s);
+        info!(self.log, "target's rate changed"; "target" => %lifetime.target, "born" => lifetime.born,
+            "per_s" => per_s(change.now), "before" => per_s(change.before), "from" => "its answer",
+            "sent_ms" => (sighting.heard - sighting.sent).as_millis());
+    }
+
     /// Takes that a target wants no work from this VM for some time.
     fn leave_alone(&mut self, lifetime: &Lifetime, time: Duration, now: Instant) {
         // No clock goes on for long enough to overflow here: the time is at most a day.
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -5,6 +5,7 @@
 
 use doors::callers::Refusal;
 use doors::calls::{AnswerHead, CallHead, Evidence};
+use eligibility::RateLimit;
 use hyper::Response;
 use hyper::body::Incoming;
 use quarantine::Lifetime;
@@ -50,6 +51,8 @@
     /// How long before the choice the target had said that it leaves, if it had: a sign that a way to it
     /// passes by what is known of targets.
     said_leaving: Option<Duration>,
+    /// The rate that the target was known to take.
+    rate: Option<RateLimit>,
     ended: bool,
     unread: u64,
 }
@@ -152,14 +155,15 @@
             let pick = shared.targets.pick(&wanted, now)?;
             let said = shared.departures.said(&pick.target);
             let said = said.map(|at| now.saturating_duration_since(at));
-            Some((shared.lifetime_of(&pick.target), said, pick))
+            let rate = shared.rates.limit(&pick.target);
+            Some((shared.lifetime_of(&pick.target), said, rate, pick))
         });
-        let (lifetime, said_leaving, pick) = picked.ok_or_else(|| self.no_target())?;
+        let (lifetime, said_leaving, rate, pick) = picked.ok_or_else(|| self.no_target())?;
         self.tried.push(pick.key);
         self.began = now();
         let app = Rc::clone(&self.app);
         let mut a_try =
-            Try { app, unread: pick.unread, pick, lifetime, said_leaving, ended: false };
+            Try { app, unread: pick.unread, pick, lifetime, said_leaving, rate, ended: false };
         let target = a_try.pick.target.clone();
         let head = CallHead {
             left: left(self.req.until),
@@ -219,7 +223,7 @@
     ) -> Result<(http::response::Parts, AnswerHead, Incoming, Carrier), Missed> {
         let (head, body) = answer.into_parts();
         let read = (self.app.doors.calls.read)(&head, &self.req.id);
-        target_words::heard(&self.app, &a_try.pick.target, &read);
+        target_words::heard(&self.app, &a_try.pick.target, &read, self.began);
         let key = a_try.pick.key;
         if let (Some(load), true) = (read.load, read.evidence != Evidence::Crossed) {
             self.app.hub.with(|shared, now| {
@@ -269,7 +273,8 @@
             "target" => %pick.target.id, "hall" => %pick.target.hall,
             "cost" => format!("{:.2}", pick.cost), "of" => pick.candidates,
             "load_age_ms" => pick.load_age.map(|age| age.as_millis()), "unread" => pick.unread,
-            "missed" => missed.map(|missed| format!("{missed:?}")), 
+            "missed" => missed.map(|missed| format!("{missed:?}")),
+            "rate_per_s" => a_try.rate.map(RateLimit::per_s),
             "said_leaving_ms" => a_try.said_leaving.map(|age| age.as_millis()),
             "at_ms" => (now() - self.req.arrived).as_millis());
         let end = match missed {
