--- /dev/null
+++ b/tests/rates.rs
@@ -0,0 +1,162 @@
+//! Targets that name in their answers the rate which they take from all VMs together.
+//!
+//! What users saw: two engines that took one request a second got twelve and thirteen within four seconds, where
+//! one and a half times their rate and five more, eleven, are borne. The order of events: both engines named their
+//! rate in their answers; each VM went on to send them its usual share of the work, which was now and then more
+//! than is borne.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::expect_used)]
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use standins::fleet::wait_until;
+use standins::users::callers::Call;
+use standins::users::runners::{Act, Runner};
+use standins::users::serving::{Site, Vm, answered, get, post};
+
+/// VMs of a test.
+const VMS: usize = 3;
+/// The span in which what a target gets is counted.
+const SPAN: Duration = Duration::from_secs(4);
+/// For how long requests are sent: more than one span.
+const LOAD: Duration = Duration::from_secs(6);
+/// Pause between two requests of a kind.
+const PAUSE: Duration = Duration::from_millis(40);
+/// What was sent before a word was heard arrives within this time.
+const ON_ITS_WAY: Duration = Duration::from_millis(500);
+/// For how long a target is kept busy, so that another one is asked.
+const BUSY: Duration = Duration::from_millis(60);
+/// Calls of the other worker that take as long: more than a test makes.
+const SLOWER_CALLS: usize = 2000;
+/// Part of what targets allow that is used at least where they are all that there is.
+const NEARLY_ALL: f64 = 0.8;
+
+/// Requests that a target which names a rate may get within a span.
+fn borne(per_s: f64) -> usize {
+    (1.5 * per_s * SPAN.as_secs_f64() + 5.0) as usize
+}
+
+/// Gives the request of an id.
+type Asks = fn(&str) -> Call;
+
+/// A kind of request.
+struct Kind {
+    call: Asks,
+    /// What keeps a target busy with one of them.
+    busy: Act,
+}
+
+fn repeat() -> Kind {
+    Kind { call: |id| get("/repeat/", id), busy: Act::Hang(BUSY) }
+}
+
+fn stream() -> Kind {
+    Kind { call: |id| post("/stream/", id), busy: Act::SlowStream(5, BUSY / 5) }
+}
+
+/// A request with two stages before its engine.
+fn chain(id: &str) -> Call {
+    post("/chain/", id).with("Pieces", "1,1").with("Piece-Key", "secret")
+}
+
+fn start_vms(site: &Site, name: &str) -> Vec<Vm> {
+    let vms: Vec<Vm> = (0..VMS).map(|n| site.start_vm(&format!("{name}-{n}"), "")).collect();
+    wait_until("the VMs are linked", || vms.iter().all(|vm| vm.linked_peers() == VMS - 1));
+    vms
+}
+
+/// Whether a VM has heard a target name its rate.
+fn has_heard(vm: &Vm, target: &Runner) -> bool {
+    let is_word = |line: &str| line.contains("target's rate") && line.contains(&target.id);
+    vm.log().lines().any(is_word)
+}
+
+/// Sends requests to each VM until it has heard these targets name their rates. Two at a time: the second one goes
+/// to the target that the first one does not keep busy.
+fn until_heard(vms: &[Vm], kind: &Kind, targets: &[Runner], name: &str) {
+    for (index, vm) in vms.iter().enumerate() {
+        let mut number = 0;
+        wait_until("the VM has heard of the rates", || {
+            number += 1;
+            targets[0].next(std::slice::from_ref(&kind.busy));
+            thread::scope(|scope| {
+                scope.spawn(|| answered(&(kind.call)(&format!("{name}-{index}-{number}")), vm));
+                thread::sleep(BUSY / 2);
+                answered(&(kind.call)(&format!("{name}-{index}-{number}-b")), vm);
+            });
+            targets.iter().all(|target| has_heard(vm, target))
+        });
+        targets[0].clear_acts();
+    }
+}
+
+/// Sends requests to VMs in turn for a while; gives the statuses of the answers.
+fn load(vms: &[Vm], call: Asks, name: &str) -> Vec<u16> {
+    let began = Instant::now();
+    let turn = (0..).take_while(|_| began.elapsed() < LOAD);
+    turn.map(|number: usize| {
+        let status =
+            answered(&call(&format!("{name}-{number}")), &vms[number % vms.len()]).status();
+        thread::sleep(PAUSE);
+        status
+    })
+    .collect()
+}
+
+fn served(statuses: &[u16]) -> usize {
+    statuses.iter().filter(|status| **status == 200).count()
+}
+
+#[test]
+fn a_target_gets_no_more_than_the_rate_that_it_names_from_all_vms() {
+    let site = Site::start();
+    let vms = start_vms(&site, "rate");
+    let named = [&site.plain[0], &site.engines[0], &site.pool[0]];
+    named.iter().for_each(|target| target.set_rate(Some("1")));
+    until_heard(&vms, &repeat(), &site.plain[..1], "repeat-first");
+    until_heard(&vms, &stream(), &site.engines[..1], "stream-first");
+    // Where both are free the faster worker is called.
+    site.pool[1].next(&vec![Act::Hang(BUSY); SLOWER_CALLS]);
+    wait_until("the VM that fills the pool's calls has heard of its rate", || {
+        answered(&chain("chain-first"), &vms[0]);
+        vms.iter().any(|vm| has_heard(vm, &site.pool[0]))
+    });
+    thread::sleep(ON_ITS_WAY);
+
+    let since = Instant::now();
+    let kinds: [(Asks, &str); 3] =
+        [(repeat().call, "repeat"), (stream().call, "stream"), (chain, "chain")];
+    let statuses = thread::scope(|scope| {
+        let vms = &vms;
+        let callers = kinds.map(|(call, name)| scope.spawn(move || load(vms, call, name)));
+        callers.map(|caller| caller.join().expect("a caller"))
+    });
+
+    let most = named.map(|target| target.most_within(SPAN, since));
+    assert!(most.iter().all(|most| *most <= borne(1.0)), "{most:?} where {} are borne", borne(1.0));
+    let missed: Vec<u16> = statuses.concat().into_iter().filter(|status| *status != 200).collect();
+    assert_eq!(missed, Vec::<u16>::new(), "the other target serves all");
+}
+
+#[test]
+fn where_all_targets_name_a_rate_nearly_all_of_it_is_used_and_no_more() {
+    let site = Site::start();
+    let vms = start_vms(&site, "all-rates");
+    let per_s = 4.0;
+    site.plain.iter().for_each(|target| target.set_rate(Some("4")));
+    until_heard(&vms, &repeat(), &site.plain, "first");
+    thread::sleep(ON_ITS_WAY);
+
+    for (name, vms) in [("at-all", vms.as_slice()), ("at-one", &vms[..1])] {
+        let since = Instant::now();
+        let statuses = load(vms, repeat().call, name);
+
+        let most: Vec<usize> = site.plain.iter().map(|t| t.most_within(SPAN, since)).collect();
+        assert!(most.iter().all(|most| *most <= borne(per_s)), "{name}: {most:?}");
+        let allowed = per_s * site.plain.len() as f64 * LOAD.as_secs_f64();
+        let served = served(&statuses);
+        assert!(served as f64 >= allowed * NEARLY_ALL, "{name}: {served} of {allowed}");
+    }
+}
