What was permitted is not sent after a word that its target takes nothing new

Change: a permit is asked once more whether it holds, before anything is written to a connection at rest and after one was opened; if not, nothing was sent and another target is chosen. Word that results are given up goes out whatever the target said.

Ruled out: looking while the permit is waited for only: the dial lies after it, for the two older words as well. A dial of 0.4 s can't be brought about on one machine without tools that are left out here, so that the test waits for a permit.

--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -45,6 +45,8 @@
 pub(crate) enum NoAnswer {
     /// Not a byte of it was sent.
     NotSent(String),
+    /// Not a byte of it was sent, since its target takes no new work any more.
+    Withheld,
     /// Its connection ended after some of it may have been sent, so it may have run.
     Broke(String),
     /// It was given up, and may have run.
@@ -76,9 +78,12 @@
         &self,
         target: &Target,
         req: Request<CallBody>,
-        _permit: Permit,
+        permit: Permit,
     ) -> Result<(Response<Incoming>, Carrier), NoAnswer> {
         let mut req = req;
+        if !permit.holds() {
+            return Err(NoAnswer::Withheld);
+        }
         // A kept connection may turn out to be closed before anything was written.
         while let Some(mut carrier) = self.take(&target.id) {
             match carrier.sender.try_send_request(req).await {
@@ -90,6 +95,9 @@
             }
         }
         let mut carrier = open(target.id.clone(), target.address).await?;
+        if !permit.holds() {
+            return Err(NoAnswer::Withheld);
+        }
         match carrier.sender.try_send_request(req).await {
             Ok(answer) => Ok((answer, carrier)),
             Err(mut e) => {
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -48,6 +48,7 @@
         debug!(app.log, "call failed"; "target" => %target.id, "why" => ?miss);
         match miss {
             NoAnswer::Broke(_) => OwnCallMiss::Broke,
+            NoAnswer::Withheld => OwnCallMiss::Declined,
             NoAnswer::NotSent(_) | NoAnswer::GivenUp(_) => OwnCallMiss::NotReached,
         }
     })?;
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -31,8 +31,35 @@
 const LEAST_HOLD: Duration = Duration::from_millis(5);
 
 /// May be sent to one target once. Only this module gives any.
-#[derive(Debug)]
-pub(crate) struct Permit(());
+pub(crate) struct Permit {
+    app: Rc<App>,
+    target: Target,
+    kind: Kind,
+}
+
+/// What a permit is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// New work for a target that names no rate.
+    Free,
+    /// New work that was counted.
+    Counted,
+    /// Word that results are given up, which a target is told whatever it said.
+    Release,
+}
+
+impl Permit {
+    /// Whether it may still be used: between a choice and the first byte that is sent a connection may have to be
+    /// opened, or a permit waited for, and word of the target may come.
+    pub(crate) fn holds(&self) -> bool {
+        self.kind == Kind::Release
+            || self.app.hub.with(|shared, now| {
+                let is_counted = self.kind == Kind::Counted;
+                let named_since = !is_counted && shared.rates.limit(&self.target).is_some();
+                !named_since && shared.takes_new_work(&self.target, now)
+            })
+    }
+}
 
 /// The target takes nothing more for now.
 #[derive(Debug)]
@@ -45,7 +72,7 @@
     within: Duration,
 ) -> Result<Permit, AtItsRate> {
     let Some(limit) = app.hub.with(|shared, _| shared.rates.limit(target)) else {
-        return Ok(Permit(()));
+        return Ok(permit(app, target, Kind::Free));
     };
     let asked = now();
     let decision = decide(app, target, limit, within).await;
@@ -54,7 +81,7 @@
     match decision {
         Some(Decision::Granted(wait)) => {
             tokio::time::sleep_until(tokio::time::Instant::from_std(asked + wait)).await;
-            return Ok(Permit(()));
+            return Ok(permit(app, target, Kind::Counted));
         }
         Some(Decision::Denied(wait)) => {
             app.hub.with(|shared, now| shared.hold_back(target, now + wait.max(LEAST_HOLD)));
@@ -68,14 +95,19 @@
 
 /// The permit for a call that is made by the one VM that makes any to this target. Such calls are made while the
 /// target is not held back only.
-pub(crate) fn for_pool_call(app: &App, target: &Target) -> Permit {
+pub(crate) fn for_pool_call(app: &Rc<App>, target: &Target) -> Permit {
     app.hub.with(|shared, now| shared.spend(target, now));
-    Permit(())
+    permit(app, target, Kind::Counted)
 }
 
 /// The permit for word that results are given up: it takes work from the target, and is counted and not asked for.
-pub(crate) fn for_release(app: &App, target: &Target) -> Permit {
-    for_pool_call(app, target)
+pub(crate) fn for_release(app: &Rc<App>, target: &Target) -> Permit {
+    app.hub.with(|shared, now| shared.spend(target, now));
+    permit(app, target, Kind::Release)
+}
+
+fn permit(app: &Rc<App>, target: &Target, kind: Kind) -> Permit {
+    Permit { app: Rc::clone(app), target: target.clone(), kind }
 }
 
 /// What the VM that holds the account says; `None` if nobody answers.
@@ -176,6 +208,18 @@
         }
     }
 
+    /// Whether a target may still be sent what was permitted.
+    fn takes_new_work(&self, chosen: &Target, now: Instant) -> bool {
+        let known = self.targets.get(&chosen.id);
+        known.filter(|known| Lifetime::from(*known) == Lifetime::from(chosen)).is_some_and(
+            |known| {
+                // That it is at its rate by now was counted before.
+                let known = Target { limited_until: None, ..known.clone() };
+                self.halls.eligibility(&known, now).is_allowed()
+            },
+        )
+    }
+
     /// Services, but for pools, some target of which names a rate: their accounts may be asked for.
     pub(crate) fn rated_services(&self) -> Vec<ServiceName> {
         let rated = self.rates.all().filter_map(|(lifetime, ..)| {
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -191,6 +191,12 @@
                 slog::debug!(self.app.log, "target not reached"; "target" => %target.id, "why" => why);
                 Err(Missed::NotReached)
             }
+            Err(NoAnswer::Withheld) => {
+                a_try.end(End::GivenUp);
+                self.sent -= 1;
+                self.unreachable += 1;
+                Err(Missed::NotReached)
+            }
             Err(NoAnswer::Broke(why)) => {
                 crashes::connection_broke(&self.app, &self.req, &a_try).await;
                 a_try.end(End::Failed);
--- a/tests/rates.rs
+++ b/tests/rates.rs
@@ -16,10 +16,11 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use serde_json::json;
 use standins::fleet::wait_until;
 use standins::users::callers::Call;
 use standins::users::runners::{Act, Runner};
-use standins::users::serving::{Site, Vm, answered, get, post};
+use standins::users::serving::{Site, Vm, answered, get, post, usual_configuration};
 
 /// VMs of a test.
 const VMS: usize = 3;
@@ -265,3 +266,33 @@
 
     assert_eq!(vm.listed("targets_rates")[0]["per_s"], 2.0, "the rate before holds");
 }
+
+#[test]
+fn a_request_that_waits_for_a_permit_is_not_sent_to_a_target_that_leaves_meanwhile() {
+    let site = Site::start();
+    let mut patient = usual_configuration(2);
+    // A request may wait for half a second.
+    patient["routes"][0]["target_latency_ms"] = json!(2000);
+    site.store.put("op/config", &patient);
+    site.store.remove(&format!("servers/{}", site.plain[1].id));
+    let vm = site.start_vm("waits", "");
+    wait_until("the configuration is in force", || vm.state()["configuration"] == 2);
+    let target = &site.plain[0];
+    target.set_rate(Some("3"));
+    until_heard(std::slice::from_ref(&vm), &repeat(), std::slice::from_ref(target), "first");
+    // The first permit is used, so that the next one is a third of a second away.
+    wait_until("a permit is there", || answered(&get("/repeat/", "first"), &vm).status() == 200);
+
+    let (status, left) = thread::scope(|scope| {
+        let waits = scope.spawn(|| answered(&get("/repeat/", "waits"), &vm).status());
+        wait_until("the request waits", || vm.state()["in_work"] == 1);
+        let leaving = target.entry("plain", "hall-a", "draining");
+        site.store.put(&format!("servers/{}", target.id), &leaving);
+        wait_until("the VM has heard of it", || vm.log().contains("leaving=true"));
+        let left = Instant::now();
+        (waits.join().expect("a caller"), left)
+    });
+
+    assert_eq!(target.received_after(left), 0, "it was sent after its target was known to leave");
+    assert_eq!(status, 503);
+}
