Word that results are given up is confirmed, and told again if it may have been lost with its VM

What callers saw: nothing; room at workers was taken by results that nobody needs until they ran out.

Cause: traced before: the VM of a request sends the word to the VM that filled the calls; if that one is killed while the word is with it, no worker hears.

Change: the word has a number, and the VM that fills calls confirms it once the workers have heard or can't; a VM whose link ends tells the workers itself what was not confirmed. At most 1,024 words wait, since a peer of an older version confirms none.

Ruled out: telling all of a link's results again when it ends: that tells those twice that were confirmed.

--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -7,7 +7,7 @@
 use batching::JobKey;
 use fleet::{BEAT, SILENCE};
 use ids::{ServiceName, VmName};
-use peering::work::{FromDialer, FromOwner, from_dialer, from_owner};
+use peering::work::{FromDialer, FromOwner, Release, Released, from_dialer, from_owner};
 use peering::{Work, WorkServer};
 use slog::warn;
 use tokio::net::TcpListener;
@@ -150,7 +150,7 @@
         from_dialer::Kind::Release(release) if release.if_scarce => {
             pool_calls::release_if_scarce_here(app, &release.handles);
         }
-        from_dialer::Kind::Release(release) => pool_calls::release_here(app, &release.handles),
+        from_dialer::Kind::Release(release) => release_for_peer(app, release, tx),
         from_dialer::Kind::Beat(beat) => {
             let sinks = app.sinks.borrow();
             jobs.retain(|_, job| sinks.contains_key(job));
@@ -182,3 +182,20 @@
         from_dialer::Kind::Hello(_) => {}
     }
 }
+
+/// Gives up results that a peer had made here, and confirms it.
+fn release_for_peer(app: &Rc<App>, release: Release, tx: &ToDialer) {
+    let tasks = pool_calls::release_here(app, &release.handles);
+    let tx = tx.clone();
+    spawn_local(async move {
+        for task in tasks {
+            // One that panicked ends the process.
+            drop(task.await);
+        }
+        if let Some(number) = release.number {
+            let kind = from_owner::Kind::Released(Released { number });
+            // A peer that is gone tells the workers itself.
+            drop(tx.send(Ok(FromOwner { kind: Some(kind) })));
+        }
+    });
+}
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -3,7 +3,7 @@
 //! the store.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +30,7 @@
     Told, beat, crashes_of, departures_of, hello, made_of, meet, take_beat, untold,
 };
 use crate::piece_news::{PieceNews, StageTurn};
+use crate::pool_calls::release_directly;
 use crate::target_words;
 
 /// Way to the VM that dialled.
@@ -47,6 +48,8 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(150);
 /// A link that was not wanted for this long ends.
 const UNWANTED: Duration = Duration::from_secs(5);
+/// Most words that results are given up which wait for their confirmation: a peer of an older version confirms none.
+const MOST_UNCONFIRMED: usize = 1024;
 /// Why such a link ends.
 const UNWANTED_END: &str = "not wanted any more";
 
@@ -55,13 +58,15 @@
     /// Where the peer takes links.
     pub(crate) address: SocketAddr,
     tx: UnboundedSender<FromDialer>,
-    next_job: Cell<u64>,
+    next_number: Cell<u64>,
     over: Cell<bool>,
     jobs: RefCell<HashMap<u64, Waiting>>,
     /// Who waits for news of the store.
     asked: RefCell<Option<oneshot::Sender<News>>>,
     /// Who waits for a permit, by the question's number.
     permits: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
+    /// Results that were given up through this link, until the peer confirms it.
+    unconfirmed: RefCell<BTreeMap<u64, Vec<String>>>,
 }
 
 /// A submission whose results are waited for.
@@ -73,6 +78,19 @@
 }
 
 impl Link {
+    fn new(address: SocketAddr, tx: UnboundedSender<FromDialer>) -> Self {
+        Link {
+            address,
+            tx,
+            next_number: Cell::new(0),
+            over: Cell::new(false),
+            jobs: RefCell::default(),
+            asked: RefCell::default(),
+            permits: RefCell::default(),
+            unconfirmed: RefCell::default(),
+        }
+    }
+
     /// Submits pieces; gives the submission's number.
     pub(crate) fn submit(
         &self,
@@ -81,8 +99,7 @@
         of: StageTurn,
         news: UnboundedSender<PieceNews>,
     ) -> u64 {
-        let job = self.next_job.get();
-        self.next_job.set(job + 1);
+        let job = self.next_number();
         let waiting = Waiting { news, of, left: submission.pieces.len() };
         self.jobs.borrow_mut().insert(job, waiting);
         let millis = |at: Instant| u32::try_from(left(at).as_millis()).unwrap_or(u32::MAX);
@@ -112,9 +129,22 @@
         }
     }
 
-    /// Gives up results that were made through this link, or only if room is scarce.
-    pub(crate) fn release(&self, handles: &[String], if_scarce: bool) {
-        let release = Release { handles: handles.to_vec(), if_scarce };
+    /// Gives up results that were made through this link. Until the peer confirms that their workers have heard, it
+    /// may end with the word: then this VM tells them itself.
+    pub(crate) fn release(&self, handles: &[String]) {
+        let number = self.next_number();
+        let mut unconfirmed = self.unconfirmed.borrow_mut();
+        if unconfirmed.len() >= MOST_UNCONFIRMED {
+            unconfirmed.pop_first();
+        }
+        unconfirmed.insert(number, handles.to_vec());
+        let (handles, number) = (handles.to_vec(), Some(number));
+        self.send(from_dialer::Kind::Release(Release { handles, if_scarce: false, number }));
+    }
+
+    /// Gives up results that were made through this link if room is scarce.
+    pub(crate) fn release_if_scarce(&self, handles: &[String]) {
+        let release = Release { handles: handles.to_vec(), if_scarce: true, number: None };
         self.send(from_dialer::Kind::Release(release));
     }
 
@@ -132,13 +162,18 @@
         let mut permits = self.permits.borrow_mut();
         // Whoever gave up waits no more.
         permits.retain(|_, tx| !tx.is_closed());
-        let number = self.next_job.get();
-        self.next_job.set(number + 1);
+        let number = self.next_number();
         permits.insert(number, tx);
         self.send(from_dialer::Kind::PermitAsk(PermitAsk { number, ..ask }));
         rx
     }
 
+    fn next_number(&self) -> u64 {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        number
+    }
+
     fn permit(&self, permit: Permit) {
         if let Some(tx) = self.permits.borrow_mut().remove(&permit.number) {
             // Whoever asked may have given up.
@@ -185,13 +220,15 @@
         }
     }
 
-    fn lost(&self) {
+    /// Ends everything that waits for the peer; gives results of which it may not have told the workers.
+    fn lost(&self) -> Vec<String> {
         self.over.set(true);
         self.asked.take();
         self.permits.borrow_mut().clear();
         for (_, waiting) in self.jobs.borrow_mut().drain() {
             drop(waiting.news.send(PieceNews::OwnerLost { of: waiting.of }));
         }
+        self.unconfirmed.take().into_values().flatten().collect()
     }
 }
 
@@ -228,9 +265,7 @@
     if vm == app.cfg.vm {
         return Err("the address is this VM's own".to_owned());
     }
-    let (next_job, over) = (Cell::new(0), Cell::new(false));
-    let (jobs, asked, permits) = (RefCell::default(), RefCell::default(), RefCell::default());
-    let link = Rc::new(Link { address, tx, next_job, over, jobs, asked, permits });
+    let link = Rc::new(Link::new(address, tx));
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
@@ -243,7 +278,7 @@
         app.vms_changed.notify_one();
     }
     drop(links);
-    link.lost();
+    release_directly(app, &link.lost());
     Ok(())
 }
 
@@ -300,6 +335,9 @@
                             target_words::rates_from_peer(app, vm.as_str(), &rates);
                         }
                         from_owner::Kind::Permit(permit) => link.permit(permit),
+                        from_owner::Kind::Released(released) => {
+                            link.unconfirmed.borrow_mut().remove(&released.number);
+                        }
                         from_owner::Kind::Hello(_) => {}
                     },
                     Ok(Some(_)) => {}
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -9,7 +9,7 @@
 use ids::{ServiceName, TargetName};
 use intent::Target;
 use slog::info;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 
 use crate::app::App;
 use crate::call_counts::{Counts, end_name};
@@ -259,13 +259,14 @@
     });
 }
 
-/// Gives up results that this VM had made.
-pub(crate) fn release_here(app: &Rc<App>, handles: &[String]) {
-    let told = app.hub.with(|shared, _| {
+/// Gives up results that this VM had made; gives the tasks that tell their workers.
+pub(crate) fn release_here(app: &Rc<App>, handles: &[String]) -> Vec<JoinHandle<()>> {
+    let given_up: Vec<(ServiceName, Vec<GivenUp>)> = app.hub.with(|shared, _| {
         let pools = shared.pools.iter_mut();
-        pools.map(|(name, pool)| (name.clone(), pool.release(handles.to_vec()))).collect::<Vec<_>>()
+        pools.map(|(name, pool)| (name.clone(), pool.release(handles.to_vec()))).collect()
     });
-    told.into_iter().for_each(|(pool, told)| tell_workers(app, &pool, told));
+    let tasks = given_up.into_iter().map(|(pool, told)| tell_workers(app, &pool, told));
+    tasks.flatten().collect()
 }
 
 /// Gives up results that this VM had made, if their workers' room is scarce.
@@ -278,7 +279,9 @@
         };
         pools.map(release).collect::<Vec<_>>()
     });
-    told.into_iter().for_each(|(pool, told)| tell_workers(app, &pool, told));
+    for (pool, told) in told {
+        tell_workers(app, &pool, told);
+    }
 }
 
 /// Gives up results at their workers, whoever had them made.
@@ -298,9 +301,9 @@
     }
 }
 
-/// Tells workers that results are given up; their room is used again once they have heard.
-fn tell_workers(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) {
-    for told in told {
+/// Tells workers that results are given up; their room is used again once they have heard. Gives the tasks that do.
+fn tell_workers(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) -> Vec<JoinHandle<()>> {
+    let tell = |told: GivenUp| {
         let (app, pool) = (Rc::clone(app), pool.clone());
         spawn_local(async move {
             let heard = tell_worker(&app, &told.target, &told.handles).await;
@@ -309,8 +312,9 @@
                 pool.map(|pool| pool.given_up(&told, heard, now))
             });
             fill_calls(&app, &pool);
-        });
-    }
+        })
+    };
+    told.into_iter().map(tell).collect()
 }
 
 /// Tells a worker that results are given up; false if it may not have heard.
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -27,10 +27,10 @@
     /// Gives up results of the submission.
     pub(crate) fn release(&self, handles: &[String]) {
         match &self.place {
-            Place::Here(..) => release_here(&self.app, handles),
+            Place::Here(..) => drop(release_here(&self.app, handles)),
             // Whoever had them made is gone: the workers are told by this VM.
             Place::Peer(link, _) if link.is_over() => release_directly(&self.app, handles),
-            Place::Peer(link, _) => link.release(handles, false),
+            Place::Peer(link, _) => link.release(handles),
         }
     }
 
@@ -38,7 +38,7 @@
     pub(crate) fn release_if_scarce(&self, handles: &[String]) {
         match &self.place {
             Place::Here(..) => release_if_scarce_here(&self.app, handles),
-            Place::Peer(link, _) => link.release(handles, true),
+            Place::Peer(link, _) => link.release_if_scarce(handles),
         }
     }
 }
