Words in answers that nobody knows are counted and told once

Change: the adapter knows which headers of answers it reads or need not heed; any other one is logged once for each service and name (at most 64) and counted by service.

Ruled out: a line for each target, which a fleet of hundreds would write in one second; the value in the line, which may be anything.

--- a/components/doors/src/calls.rs
+++ b/components/doors/src/calls.rs
@@ -131,6 +131,9 @@
     pub head: fn(&HeaderMap, &CallHead<'_>) -> HeaderMap,
     /// Reads the head of an answer to the request of that id.
     pub read: fn(&response::Parts, &RequestId) -> AnswerHead,
+    /// Names of headers of an answer that the adapter does not know: a word of its target that nobody heeds may be
+    /// among them.
+    pub unknown: fn(&response::Parts) -> Vec<String>,
     /// Headers of a target's answer as the caller gets them.
     pub pass_on: fn(&HeaderMap) -> HeaderMap,
     /// A pool's call.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -48,8 +48,10 @@
     pub const TARGETS_DEPARTED: &str = "saddlerail_targets_departed";
     /// Permits asked for targets that name a rate.
     pub const PERMITS: &str = "saddlerail_permits";
+    /// Words in targets' answers that nobody knows, by service.
+    pub const UNKNOWN_WORDS: &str = "saddlerail_unknown_words";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 17] = [
+    pub const ALL: [&str; 18] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -67,6 +69,7 @@
         QUARANTINE,
         TARGETS_DEPARTED,
         PERMITS,
+        UNKNOWN_WORDS,
     ];
 }
 
@@ -91,6 +94,7 @@
     quarantine: Gauge<u64>,
     targets_departed: Counter<u64>,
     permits: Counter<u64>,
+    unknown_words: Counter<u64>,
 }
 
 impl Metrics {
@@ -128,6 +132,7 @@
             quarantine: meter.u64_gauge(metric_names::QUARANTINE).build(),
             targets_departed: meter.u64_counter(metric_names::TARGETS_DEPARTED).build(),
             permits: meter.u64_counter(metric_names::PERMITS).build(),
+            unknown_words: meter.u64_counter(metric_names::UNKNOWN_WORDS).build(),
             _provider: provider,
         })
     }
@@ -139,6 +144,11 @@
         self.permits.add(1, &labels);
     }
 
+    /// Counts a word in an answer that nobody knows.
+    pub fn unknown_word(&self, service: &str) {
+        self.unknown_words.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Counts a lifetime of a target that is first heard to leave.
     pub fn target_departed(&self, service: &str, source: &'static str) {
         let labels =
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -54,6 +54,7 @@
     })?;
     let (head, body) = answer.into_parts();
     let read = (app.doors.calls.read)(&head, &no_request());
+    target_words::look_for_unknown(app, target, &head);
     target_words::heard_of_own_call(app, target, &read, began);
     let body = body.collect().await.map_err(|_| OwnCallMiss::Broke)?.to_bytes();
     if !read.closes {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -65,6 +65,8 @@
     pub(crate) left_alone: LeftAlone,
     /// Rates that targets name as the most that they take.
     pub(crate) rates: RateLimits,
+    /// Words in answers that nobody here knows, by service.
+    pub(crate) unknown_words: BTreeSet<(ServiceName, String)>,
     /// Accounts of such targets that this VM holds.
     pub(crate) accounts: Accounts,
     /// Who held the accounts of each service when last looked at.
@@ -127,6 +129,7 @@
             departures: Departures::default(),
             left_alone: LeftAlone::default(),
             rates: RateLimits::default(),
+            unknown_words: BTreeSet::new(),
             accounts: Accounts::default(),
             account_owners: BTreeMap::new(),
             word_known: watch::channel(()).0,
--- a/gateway/src/target_words.rs
+++ b/gateway/src/target_words.rs
@@ -7,10 +7,11 @@
 
 use doors::calls::{AnswerHead, Evidence, NamedRate};
 use eligibility::{Departure, Lifetime, RateBelief, RateChange, RateLimit, Sighting};
+use http::response::Parts;
 use ids::ServiceName;
 use intent::Target;
 use peering::work::Rates;
-use slog::{debug, info};
+use slog::{debug, info, warn};
 
 use crate::app::App;
 use crate::halls::look_at_pools;
@@ -18,6 +19,9 @@
 use crate::rate_words::rates_of;
 use crate::shared::Shared;
 
+/// Most words that are told of: targets may say anything.
+const MOST_UNKNOWN: usize = 64;
+
 /// Takes what the answer to a request says of the target that gave it; the request was sent at `sent` or later.
 pub(crate) fn heard(app: &Rc<App>, target: &Target, answer: &AnswerHead, sent: Instant) {
     let speaks_for_it = match answer.evidence {
@@ -60,6 +64,22 @@
     look_at_pools(app);
 }
 
+/// Looks for words in an answer that nobody here knows, and tells each once: what a target says and nobody heeds
+/// is seen before it hurts.
+pub(crate) fn look_for_unknown(app: &App, target: &Target, answer: &Parts) {
+    for name in (app.doors.calls.unknown)(answer) {
+        let is_new = app.hub.with(|shared, _| {
+            let word = (target.service.clone(), name.clone());
+            shared.unknown_words.len() < MOST_UNKNOWN && shared.unknown_words.insert(word)
+        });
+        if is_new {
+            warn!(app.log, "answer says what is not known"; "header" => &name,
+                "service" => %target.service, "target" => %target.id);
+        }
+        app.metrics.unknown_word(target.service.as_str());
+    }
+}
+
 /// Takes what an answer says of its target's rate. That none is named is a word as well: it ends one before.
 fn take_rate(app: &Rc<App>, target: &Target, rate: NamedRate, sent: Instant) {
     let limit = match rate {
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -268,6 +268,7 @@
     ) -> Result<(http::response::Parts, AnswerHead, Incoming, Carrier), Missed> {
         let (head, body) = answer.into_parts();
         let read = (self.app.doors.calls.read)(&head, &self.req.id);
+        target_words::look_for_unknown(&self.app, &a_try.pick.target, &head);
         target_words::heard(&self.app, &a_try.pick.target, &read, self.began);
         let key = a_try.pick.key;
         if let (Some(load), true) = (read.load, read.evidence != Evidence::Crossed) {
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -116,6 +116,8 @@
     leaves: bool,
     /// The rate that each answer names: the text of `Server-Limit`.
     rate: Option<String>,
+    /// A header that each answer has beside these.
+    says: Option<(&'static str, String)>,
 }
 
 impl State {
@@ -190,6 +192,11 @@
         self.with(|state| state.rate = rate.map(str::to_owned));
     }
 
+    /// From now on each answer has this header.
+    pub fn set_says(&self, name: &'static str, value: &str) {
+        self.with(|state| state.says = Some((name, value.to_owned())));
+    }
+
     /// Most requests and calls that it received within any `span` of those after `since`.
     pub fn most_within(&self, span: Duration, since: Instant) -> usize {
         let received = self.with(|state| state.received.clone());
@@ -298,7 +305,7 @@
         self.with(|state| {
             let leaving = state.leaves.then(|| ("Server-Leaving", "1".to_owned()));
             let rate = state.rate.clone().map(|rate| ("Server-Limit", rate));
-            leaving.into_iter().chain(rate).collect()
+            leaving.into_iter().chain(rate).chain(state.says.clone()).collect()
         })
     }
 
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -284,3 +284,21 @@
 
     assert_eq!(leaving.received_after(since), 0, "it was the only one left");
 }
+
+#[test]
+fn a_word_that_nobody_knows_is_told_once() {
+    let site = Site::start();
+    let vm = site.start_vm("unknown", "");
+    site.plain[0].set_says("Server-Mood", "low");
+
+    send_all(&vm, |id| get("/repeat/", id), "unknown");
+
+    wait_until("it is told", || vm.log().contains("what is not known"));
+    let log = vm.log();
+    let told: Vec<&str> = log.lines().filter(|line| line.contains("what is not known")).collect();
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(told[0].contains("header=server-mood"), "{told:?}");
+    let counted = vm.page("/metrics");
+    let line = counted.lines().find(|line| line.starts_with("saddlerail_unknown_words"));
+    assert!(line.is_some_and(|line| line.contains("plain")), "{line:?}");
+}
