Soak: runners that name a rate, change it and name none any more

Cause: no run under faults had such runners; the rule is one that no single VM can keep by itself.

Change: one runner of each service names a rate, another one later and none in the end, at moments of the seed; what reaches it from VMs that have heard of it, and were not interrupted since, is counted in each 4 s against one and a half times the highest rate of that span and five more.

--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -91,8 +91,10 @@
     pub leaves: bool,
     /// For how long the runner wanted to be left alone.
     pub left_alone: Option<Duration>,
-    /// The rate that the answer, given at once and as its own, named.
+    /// The rate that the runner named then.
     pub rate: Option<f64>,
+    /// Whether an answer was given at once and as its own.
+    pub speaks: bool,
 }
 
 /// What a runner saw and does.
@@ -127,10 +129,11 @@
             _ => None,
         };
         let id = req.header("request-id").to_owned();
-        let leaves = self.leaves && act.speaks_for_it();
-        let rate = self.rate.as_deref().filter(|_| act.speaks_for_it());
-        let rate = rate.and_then(|rate| rate.parse().ok());
-        self.received.push(Received { id, at: Instant::now(), leaves, left_alone, rate });
+        let speaks = act.speaks_for_it();
+        let leaves = self.leaves && speaks;
+        let rate = self.rate.as_deref().and_then(|rate| rate.parse().ok());
+        let at = Instant::now();
+        self.received.push(Received { id, at, leaves, left_alone, rate, speaks });
         self.seen.push(req.clone());
     }
 }
--- a/standins/src/users/soak.rs
+++ b/standins/src/users/soak.rs
@@ -2,8 +2,8 @@
 //!
 //! The faults: links that are late, silent, cut one way or reset; processes that are paused, killed,
 //! restarted and told to stop; a store that is busy, silent or forgets its history; runners that lose,
-//! cut, cross, spoil and decline answers, say in answers only that they leave, or want to be left alone for some
-//! time; a request that ends each runner that runs it; halls whose runners are taken out of service and back,
+//! cut, cross, spoil and decline answers, say in answers only that they leave, want to be left alone for some
+//! time, or take a rate; a request that ends each runner that runs it; halls whose runners are taken out of service and back,
 //! runners that turn cold; changes of the configuration in between.
 
 // A fixture that can't be set up fails its run.
@@ -24,7 +24,7 @@
 use super::link::{Link, Passing};
 use super::runners::{Act, Runner};
 use super::serving::{HOST, Site, Vm, usual_configuration};
-use super::soak_checks::{check_answer, check_fragile, check_words};
+use super::soak_checks::{check_answer, check_fragile, check_rates, check_words};
 use super::store::Mood;
 
 /// VMs of a run.
@@ -53,6 +53,11 @@
 /// How often a fault comes with such a word.
 const LEFT_ALONE_PART: f64 = 0.3;
 
+/// When runners begin to name a rate, name another one, and name none any more, in milliseconds of the run.
+const RATES_AT: [std::ops::Range<u64>; 3] = [0..1000, 1000..2500, 2500..6000];
+/// Rates that they name.
+const RATES: [&str; 4] = ["0.5", "1", "3", "12.5"];
+
 /// When runners that left are born again, in milliseconds.
 const BORN_AGAIN: u64 = 1;
 /// Pause between two fatal requests, in milliseconds.
@@ -80,6 +85,8 @@
     pub restarts: u64,
     /// Requests that runners answered with a word that they leave or want to be left alone.
     pub words: usize,
+    /// Requests from VMs that had heard of it which reached runners while they named a rate.
+    pub at_rates: usize,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -136,6 +143,7 @@
         scope.spawn(move || send_fatal(seed, addresses, ended));
         let site = &site;
         scope.spawn(move || let_runners_leave(seed, time, site));
+        scope.spawn(move || let_runners_name_rates(seed, time, site));
         let faults = Faults { seed, time, site, links: &links };
         interruptions = bring_about_faults(&faults, &mut vms, &mut report);
         over.store(true, Ordering::Relaxed);
@@ -147,6 +155,7 @@
     }
     check_fragile(&fragile, &vms, &mut report);
     check_words(&site, &answered, &interruptions, &mut report);
+    check_rates(&site, &answered, &interruptions, &mut report);
     come_back(&site);
     if !recovers(&addresses, seed) {
         report.broken.push(format!("not every VM serves {RECOVERY:?} after the last fault"));
@@ -221,11 +230,36 @@
     }
 }
 
+/// One runner of each service names a rate, another one later, and none in the end.
+fn let_runners_name_rates(seed: u64, time: Duration, site: &Site) {
+    let mut rng = StdRng::seed_from_u64(seed + 5 * LATER_FAULTS);
+    let mut words: Vec<(u64, &Runner, Option<&str>)> = Vec::new();
+    for (_, runners) in site.services() {
+        let runner = &runners[rng.random_range(0..2)];
+        for (index, at) in RATES_AT.into_iter().enumerate() {
+            let rate = RATES[rng.random_range(0..RATES.len())];
+            let is_last = index + 1 == RATES_AT.len();
+            words.push((rng.random_range(at), runner, (!is_last).then_some(rate)));
+        }
+    }
+    words.sort_by_key(|(at, ..)| *at);
+    let began = Instant::now();
+    for (at, runner, rate) in words {
+        let at = Duration::from_millis(at);
+        if at > time {
+            return;
+        }
+        thread::sleep(at.saturating_sub(began.elapsed()));
+        runner.set_rate(rate);
+    }
+}
+
 /// Those that left come back under their ids, as other lifetimes.
 fn come_back(site: &Site) {
     for (service, runners) in site.services() {
         for (runner, hall) in runners.iter().zip(HALLS) {
             runner.set_leaves(false);
+            runner.set_rate(None);
             let mut entry = runner.entry(service, hall, "ready");
             entry["born"] = serde_json::json!(BORN_AGAIN);
             site.store.put(&format!("servers/{}", runner.id), &entry);
--- a/standins/src/users/soak_checks.rs
+++ b/standins/src/users/soak_checks.rs
@@ -23,6 +23,13 @@
 /// Requests from a VM that reach a runner later, before its time is over, and are borne.
 const LATE_BORNE: usize = 2;
 
+/// The span in which requests to a runner that names a rate are counted.
+const RATE_SPAN: Duration = Duration::from_secs(4);
+/// Such a runner bears this many times what its rate allows in that span,
+const RATE_FACTOR: f64 = 1.5;
+/// and so many requests more.
+const RATE_MORE: f64 = 5.0;
+
 /// Few runners ended under the fatal request, and no other request is taken for one.
 pub(super) fn check_fragile(fragile: &[Fragile], vms: &[Vm], report: &mut Report) {
     let ends: u64 = fragile.iter().map(Fragile::ends).sum();
@@ -75,6 +82,61 @@
     }
 }
 
+/// A runner that names a rate gets no more than it bears from VMs that have heard of it, unless they were interrupted
+/// since then.
+pub(super) fn check_rates(
+    site: &Site,
+    answered: &[Answered],
+    interruptions: &[Interruption],
+    report: &mut Report,
+) {
+    let sent: HashMap<&str, &Answered> =
+        answered.iter().map(|one| (one.id.as_str(), one)).collect();
+    for runner in site.plain.iter().chain(&site.engines) {
+        let counted = counted_at_rate(&runner.received(), &sent, interruptions);
+        report.at_rates += counted.len();
+        for (first, _) in &counted {
+            let within =
+                || counted.iter().filter(|(at, _)| (*first..*first + RATE_SPAN).contains(at));
+            let highest = within().map(|(_, rate)| *rate).fold(0.0, f64::max);
+            let borne = RATE_FACTOR * highest * RATE_SPAN.as_secs_f64() + RATE_MORE;
+            let count = within().count();
+            if count as f64 > borne {
+                let what = format!("{}: {count} requests in 4 s, {borne} are borne", runner.id);
+                report.broken.push(what);
+                break;
+            }
+        }
+    }
+}
+
+/// Requests that came while a runner named a rate, from VMs that had heard it do so, with that rate.
+fn counted_at_rate(
+    received: &[Received],
+    sent: &HashMap<&str, &Answered>,
+    interruptions: &[Interruption],
+) -> Vec<(Instant, f64)> {
+    let mut told: HashMap<usize, Instant> = HashMap::new();
+    let mut counted = Vec::new();
+    for one in received {
+        let Some(rate) = one.rate else {
+            // Whoever heard of it before hears of the next one anew.
+            told.clear();
+            continue;
+        };
+        let Some(vm) = sent.get(one.id.as_str()).map(|one| one.vm) else { continue };
+        let interrupted = |since: &Instant| {
+            interruptions.iter().any(|i| i.vm == vm && (*since..one.at).contains(&i.at))
+        };
+        match told.get(&vm).filter(|since| !interrupted(since)) {
+            Some(since) if one.at > *since + ON_THEIR_WAY => counted.push((one.at, rate)),
+            None if one.speaks => drop(told.insert(vm, one.at)),
+            Some(_) | None => {}
+        }
+    }
+    counted
+}
+
 /// Checks one answer against what the runners saw.
 pub(super) fn check_answer(site: &Site, one: &Answered, report: &mut Report) {
     let (path, repeatable, streams) = KINDS[one.kind];
