--- a/standins/src/users/mod.rs
+++ b/standins/src/users/mod.rs
@@ -9,6 +9,7 @@
 pub mod serving;
 pub mod soak;
 mod soak_checks;
+mod soak_words;
 pub mod store;
 
 use std::collections::HashMap;
--- a/standins/src/users/soak.rs
+++ b/standins/src/users/soak.rs
@@ -25,6 +25,7 @@
 use super::runners::{Act, Runner};
 use super::serving::{HOST, Site, Vm, usual_configuration};
 use super::soak_checks::{check_answer, check_fragile, check_rates, check_words};
+use super::soak_words::{come_back, let_runners_leave, let_runners_name_rates};
 use super::store::Mood;
 
 /// VMs of a run.
@@ -34,10 +35,10 @@
 /// Pause between two faults, in milliseconds.
 const FAULT_PAUSE: std::ops::Range<u64> = 80..500;
 /// Halls in which runners stand: the first one of each service in the first, the second in the other.
-const HALLS: [&str; 2] = ["hall-a", "hall-b"];
+pub(super) const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 /// Seeds of the faults that were added to the first ones are these further on, so that the first ones come as
 /// they did.
-const LATER_FAULTS: u64 = 1 << 32;
+pub(super) const LATER_FAULTS: u64 = 1 << 32;
 /// How long runners say to be cold.
 const COLD: std::ops::Range<u64> = 100..1500;
 /// Time for the fleet to recover after the last fault.
@@ -46,20 +47,11 @@
 /// Runners that end under a fatal request, and what makes a request one.
 const FRAGILE: usize = 3;
 const FATAL: &[u8] = b"fatal";
-/// When runners begin to leave, in milliseconds of the run.
-const LEAVES_AT: std::ops::Range<u64> = 0..1500;
 /// Times for which runners want to be left alone, in seconds.
 const LEFT_ALONE: [&str; 3] = ["0.3", "1.5", "2.5"];
 /// How often a fault comes with such a word.
 const LEFT_ALONE_PART: f64 = 0.3;
 
-/// When runners begin to name a rate, name another one, and name none any more, in milliseconds of the run.
-const RATES_AT: [std::ops::Range<u64>; 3] = [0..1000, 1000..2500, 2500..6000];
-/// Rates that they name.
-const RATES: [&str; 4] = ["0.5", "1", "3", "12.5"];
-
-/// When runners that left are born again, in milliseconds.
-const BORN_AGAIN: u64 = 1;
 /// Pause between two fatal requests, in milliseconds.
 const FATAL_PAUSE: std::ops::Range<u64> = 20..200;
 
@@ -213,60 +205,6 @@
     Answered { id, kind, vm, sent, answer }
 }
 
-/// One runner of each service leaves: each of its answers says so from some moment on, and its entry never.
-fn let_runners_leave(seed: u64, time: Duration, site: &Site) {
-    let mut rng = StdRng::seed_from_u64(seed + 3 * LATER_FAULTS);
-    let mut leaving: Vec<(u64, &Runner)> = site
-        .services()
-        .iter()
-        .map(|(_, runners)| (rng.random_range(LEAVES_AT), &runners[rng.random_range(0..2)]))
-        .collect();
-    leaving.sort_by_key(|(at, _)| *at);
-    let began = Instant::now();
-    for (at, runner) in leaving {
-        let at = Duration::from_millis(at).min(time);
-        thread::sleep(at.saturating_sub(began.elapsed()));
-        runner.set_leaves(true);
-    }
-}
-
-/// One runner of each service names a rate, another one later, and none in the end.
-fn let_runners_name_rates(seed: u64, time: Duration, site: &Site) {
-    let mut rng = StdRng::seed_from_u64(seed + 5 * LATER_FAULTS);
-    let mut words: Vec<(u64, &Runner, Option<&str>)> = Vec::new();
-    for (_, runners) in site.services() {
-        let runner = &runners[rng.random_range(0..2)];
-        for (index, at) in RATES_AT.into_iter().enumerate() {
-            let rate = RATES[rng.random_range(0..RATES.len())];
-            let is_last = index + 1 == RATES_AT.len();
-            words.push((rng.random_range(at), runner, (!is_last).then_some(rate)));
-        }
-    }
-    words.sort_by_key(|(at, ..)| *at);
-    let began = Instant::now();
-    for (at, runner, rate) in words {
-        let at = Duration::from_millis(at);
-        if at > time {
-            return;
-        }
-        thread::sleep(at.saturating_sub(began.elapsed()));
-        runner.set_rate(rate);
-    }
-}
-
-/// Those that left come back under their ids, as other lifetimes.
-fn come_back(site: &Site) {
-    for (service, runners) in site.services() {
-        for (runner, hall) in runners.iter().zip(HALLS) {
-            runner.set_leaves(false);
-            runner.set_rate(None);
-            let mut entry = runner.entry(service, hall, "ready");
-            entry["born"] = serde_json::json!(BORN_AGAIN);
-            site.store.put(&format!("servers/{}", runner.id), &entry);
-        }
-    }
-}
-
 /// What faults come of, and where.
 struct Faults<'a> {
     seed: u64,
--- a/standins/src/users/soak_checks.rs
+++ b/standins/src/users/soak_checks.rs
@@ -50,11 +50,7 @@
     interruptions: &[Interruption],
     report: &mut Report,
 ) {
-    let sent: HashMap<&str, &Answered> =
-        answered.iter().map(|one| (one.id.as_str(), one)).collect();
-    let interrupted = |vm: usize, from: Instant, to: Instant| {
-        interruptions.iter().any(|one| one.vm == vm && (from..to).contains(&one.at))
-    };
+    let sent = by_id(answered);
     for runner in site.plain.iter().chain(&site.engines) {
         let received = runner.received();
         let by_vm: Vec<(&Received, &Answered)> =
@@ -63,7 +59,8 @@
         for (word, told) in words {
             report.words += 1;
             let later = by_vm.iter().filter(|(r, one)| {
-                one.vm == told.vm && r.at > word.at && !interrupted(told.vm, word.at, r.at)
+                let interrupted = is_interrupted(interruptions, told.vm, word.at, r.at);
+                one.vm == told.vm && r.at > word.at && !interrupted
             });
             let (until, alone) = (word.left_alone.map(|time| word.at + time), ON_THEIR_WAY);
             let too_many = later.clone().filter(|(r, _)| {
@@ -82,6 +79,15 @@
     }
 }
 
+fn by_id(answered: &[Answered]) -> HashMap<&str, &Answered> {
+    answered.iter().map(|one| (one.id.as_str(), one)).collect()
+}
+
+/// Whether a VM was restarted or stood still between two moments.
+fn is_interrupted(interruptions: &[Interruption], vm: usize, from: Instant, to: Instant) -> bool {
+    interruptions.iter().any(|one| one.vm == vm && (from..to).contains(&one.at))
+}
+
 /// A runner that names a rate gets no more than it bears from VMs that have heard of it, unless they were interrupted
 /// since then.
 pub(super) fn check_rates(
@@ -90,8 +96,7 @@
     interruptions: &[Interruption],
     report: &mut Report,
 ) {
-    let sent: HashMap<&str, &Answered> =
-        answered.iter().map(|one| (one.id.as_str(), one)).collect();
+    let sent = by_id(answered);
     for runner in site.plain.iter().chain(&site.engines) {
         let counted = counted_at_rate(&runner.received(), &sent, interruptions);
         report.at_rates += counted.len();
@@ -125,10 +130,8 @@
             continue;
         };
         let Some(vm) = sent.get(one.id.as_str()).map(|one| one.vm) else { continue };
-        let interrupted = |since: &Instant| {
-            interruptions.iter().any(|i| i.vm == vm && (*since..one.at).contains(&i.at))
-        };
-        match told.get(&vm).filter(|since| !interrupted(since)) {
+        let uninterrupted = |since: &&Instant| !is_interrupted(interruptions, vm, **since, one.at);
+        match told.get(&vm).filter(uninterrupted) {
             Some(since) if one.at > *since + ON_THEIR_WAY => counted.push((one.at, rate)),
             None if one.speaks => drop(told.insert(vm, one.at)),
             Some(_) | None => {}
