A target without a rate is chosen however many others are at theirs

Cause: by reading the mend of rates: at most six targets at their rates are asked for one request; after six denials the request was refused, though a target that names no rate stood beside them, busier and therefore chosen later.

Change: after as many denials only targets without a rate are chosen.

Ruled out: asking all of them, each a way to another VM.

--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -156,6 +156,12 @@
         self.count_of(service) > 0 && self.opens_at(service, now).is_none()
     }
 
+    /// Targets of a service that name the rate which they take.
+    pub fn rated(&self, service: &ServiceName) -> Vec<TargetKey> {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        keys.iter().copied().filter(|key| self.arena[*key].target.pause.is_some()).collect()
+    }
+
     /// From when on some target of a service may be sent work, as far as it is known: now, or once one does
     /// not want to be left alone any more.
     pub fn opens_at(&self, service: &ServiceName, now: Instant) -> Option<Instant> {
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -28,8 +28,8 @@
 /// Most targets that can't be reached that are tried, beside those that were sent something.
 const MOST_UNREACHABLE: u32 = 6;
 
-/// Targets at their rates that are asked for one try, each a way to another VM: beyond these a service is taken to be
-/// at its rate.
+/// Targets at their rates that are asked for one try, each a way to another VM: beyond these only targets without a
+/// rate are chosen.
 const MOST_ASKED: usize = 6;
 /// Part of a request's aim for which it waits until the last target that is left takes another one.
 const WAIT_PART: u32 = 4;
@@ -220,7 +220,8 @@
     /// Chooses the best target that was not tried and takes another request now.
     async fn choose(&mut self, size: Option<&CallSize>) -> Result<(Try, Permit), Refusal> {
         let mut passed_over = self.tried.clone();
-        for _ in 0..MOST_ASKED {
+        let mut asked = 0;
+        loop {
             let mut a_try = self.pick(size, &passed_over).ok_or_else(|| self.no_target())?;
             let target = a_try.pick.target.clone();
             // While there are others none is waited for.
@@ -232,10 +233,15 @@
                     a_try.end(End::GivenUp);
                     permits::tell_passed_over(&self.app, &self.req.id, &target);
                     passed_over.push(a_try.pick.key);
+                    asked += 1;
                 }
             }
+            if asked == MOST_ASKED {
+                let service = &self.req.service;
+                let rated = self.app.hub.with(|shared, _| shared.targets.rated(service));
+                passed_over.extend(rated);
+            }
         }
-        Err(self.no_target())
     }
 
     /// Time that the request can wait for a target, which leaves most of its aim to the answer.
--- a/tests/rates.rs
+++ b/tests/rates.rs
@@ -36,6 +36,8 @@
 const BUSY: Duration = Duration::from_millis(60);
 /// Calls of the other worker that take as long: more than a test makes.
 const SLOWER_CALLS: usize = 2000;
+/// Targets that name a rate beside one that names none: more than are asked for one request.
+const RATED: usize = 8;
 /// An answer that was not waited for.
 const AT_ONCE: Duration = Duration::from_millis(400);
 /// Part of what targets allow that is used at least where they are all that there is.
@@ -296,3 +298,38 @@
     assert_eq!(target.received_after(left), 0, "it was sent after its target was known to leave");
     assert_eq!(status, 503);
 }
+
+#[test]
+fn a_target_without_a_rate_is_used_however_many_others_are_at_theirs() {
+    let site = Site::start();
+    site.plain.iter().for_each(|target| site.store.remove(&format!("servers/{}", target.id)));
+    let rated: Vec<Runner> = (0..RATED)
+        .map(|n| Runner::start(&format!("i-rated-{n}"), Act::Answer).expect("a runner starts"))
+        .collect();
+    rated.iter().for_each(|target| {
+        target.set_rate(Some("0.05"));
+        site.put_runner(target, "plain", "hall-a", Duration::ZERO);
+    });
+    let first = site.start_vm("one-without-1", "");
+    let mut number = 0;
+    wait_until("all rates are heard", || {
+        number += 1;
+        answered(&get("/repeat/", &format!("hears-{number}")), &first);
+        first.listed("targets_rates").len() == RATED
+    });
+    site.put_runner(&site.plain[0], "plain", "hall-a", Duration::ZERO);
+    let second = site.start_vm("one-without-2", "");
+    site.wait_known(&first);
+    wait_until("the other VM was told", || second.listed("targets_rates").len() == RATED);
+
+    // The one without is busy, so that the others seem the better choice.
+    let status = thread::scope(|scope| {
+        site.plain[0].next(&[Act::Hang(Duration::from_secs(1))]);
+        scope.spawn(|| answered(&get("/repeat/", "busy"), &first));
+        wait_until("it is busy", || site.plain[0].ran().iter().any(|id| id == "busy"));
+        thread::sleep(ON_ITS_WAY);
+        answered(&get("/repeat/", "served"), &second).status()
+    });
+
+    assert_eq!(status, 200);
+}
