Word that results are given up keeps no worker from its calls

Each request gives its results up by itself, so that a call with pieces of six requests was followed by six words, and the worker was held back for all of them.

Change: such words are not counted; to a worker that names a rate they are gathered into one for three of its pauses, 3 s at most, so that they stay within what is borne also where the worker counts them (4 s of the rate, two saved permits and a quarter of a second, and a third of the rate more: 5.6 times the rate and two, where six times and five are borne; worked out).

Ruled out: counting each gathered word: it would halve the calls of a worker at one a second.

--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -8,7 +8,7 @@
 use batching::JobKey;
 use doors::Doors;
 use fleet::OutHalls;
-use ids::{ServiceName, VmName};
+use ids::{ServiceName, TargetName, VmName};
 use peering::work::Beat;
 use slog::Logger;
 use telemetry::Metrics;
@@ -32,6 +32,8 @@
     pub(crate) links: RefCell<HashMap<VmName, Rc<Link>>>,
     /// Who gets the results of pieces whose calls this VM fills.
     pub(crate) sinks: RefCell<BTreeMap<(ServiceName, JobKey), Sink>>,
+    /// Results that are given up, by workers that name a rate, until they are told in one word.
+    pub(crate) releases: RefCell<HashMap<TargetName, Vec<String>>>,
     /// Pools with a look at their queue already planned.
     pub(crate) planned_looks: RefCell<HashMap<ServiceName, tokio::time::Instant>>,
     /// Addresses to which links are wanted.
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -30,6 +30,11 @@
 /// spend a way to another VM on a target that is at its rate.
 const LEAST_HOLD: Duration = Duration::from_millis(5);
 
+/// Pauses between two requests by a target's rate for which words to it are gathered.
+const PAUSES_GATHERED: u32 = 3;
+/// Longest time for which they are: results run out by themselves after some seconds.
+const LONGEST_GATHERED: Duration = Duration::from_secs(3);
+
 /// May be sent to one target once. Only this module gives any.
 pub(crate) struct Permit {
     app: Rc<App>,
@@ -100,12 +105,19 @@
     permit(app, target, Kind::Counted)
 }
 
-/// The permit for word that results are given up: it takes work from the target, and is counted and not asked for.
+/// The permit for word that results are given up. It is not counted: each request gives its results up by itself, and
+/// six of them in one call would keep a worker that takes two calls a second from work for three.
 pub(crate) fn for_release(app: &Rc<App>, target: &Target) -> Permit {
-    app.hub.with(|shared, now| shared.spend(target, now));
     permit(app, target, Kind::Release)
 }
 
+/// Time for which such words to a target are gathered into one, if it names a rate: they stay few beside the
+/// calls that its rate allows, also where the target counts them.
+pub(crate) fn gathers_for(app: &App, target: &Target) -> Option<Duration> {
+    let pause = app.hub.with(|shared, _| shared.targets.get(&target.id)?.pause)?;
+    Some((pause * PAUSES_GATHERED).min(LONGEST_GATHERED))
+}
+
 fn permit(app: &Rc<App>, target: &Target, kind: Kind) -> Permit {
     Permit { app: Rc::clone(app), target: target.clone(), kind }
 }
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -319,7 +319,8 @@
 
 /// Tells a worker that results are given up; false if it may not have heard.
 async fn tell_worker(app: &Rc<App>, target: &Target, handles: &[String]) -> bool {
-    let told = send_release(app, target, handles).await;
+    let Some(handles) = gathered(app, target, handles).await else { return true };
+    let told = send_release(app, target, &handles).await;
     if let Err(why) = &told {
         info!(app.log, "results not given up"; "target" => %target.id, "results" => handles.len(),
             "why" => why);
@@ -327,6 +328,22 @@
     told.is_ok()
 }
 
+/// Handles that are told in one word, which may be those of others too; `None` if another word has them.
+async fn gathered(app: &Rc<App>, target: &Target, handles: &[String]) -> Option<Vec<String>> {
+    let Some(time) = permits::gathers_for(app, target) else { return Some(handles.to_vec()) };
+    let is_first = {
+        let mut gathered = app.releases.borrow_mut();
+        let of_target = gathered.entry(target.id.clone()).or_default();
+        of_target.extend_from_slice(handles);
+        of_target.len() == handles.len()
+    };
+    tokio::time::sleep(time).await;
+    if !is_first {
+        return None;
+    }
+    app.releases.borrow_mut().remove(&target.id)
+}
+
 /// Sends the word, after the time for which the worker wants to be left alone; else tells why not.
 async fn send_release(app: &Rc<App>, target: &Target, handles: &[String]) -> Result<(), String> {
     // Without a pause the word goes out at once: even a pause of no length takes a tick of the clock, in which this
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -60,6 +60,7 @@
             metrics,
             links: RefCell::new(HashMap::new()),
             sinks: RefCell::new(BTreeMap::new()),
+            releases: RefCell::default(),
             planned_looks: RefCell::new(HashMap::new()),
             wanted_links: RefCell::default(),
             heard_at: RefCell::default(),
--- a/tests/rates.rs
+++ b/tests/rates.rs
@@ -38,6 +38,8 @@
 const SLOWER_CALLS: usize = 2000;
 /// Targets that name a rate beside one that names none: more than are asked for one request.
 const RATED: usize = 8;
+/// Requests with stages at the same moment: fewer than a call has pieces.
+const TOGETHER: usize = 6;
 /// An answer that was not waited for.
 const AT_ONCE: Duration = Duration::from_millis(400);
 /// Part of what targets allow that is used at least where they are all that there is.
@@ -333,3 +335,36 @@
 
     assert_eq!(status, 200);
 }
+
+#[test]
+fn word_that_results_are_given_up_costs_a_worker_no_work() {
+    let site = Site::start();
+    let vm = site.start_vm("given-up", "");
+    site.pool.iter().for_each(|worker| worker.set_rate(Some("2")));
+    wait_until("both rates are heard", || {
+        thread::scope(|scope| {
+            for n in 0..4 {
+                let vm = &vm;
+                scope.spawn(move || answered(&chain(&format!("hears-{n}")), vm));
+            }
+        });
+        vm.listed("targets_rates").len() == 2
+    });
+
+    // Calls are shared, but the results of each request are given up by themselves.
+    let served = thread::scope(|scope| {
+        let ask = |n| {
+            let vm = &vm;
+            scope.spawn(move || answered(&chain(&format!("together-{n}")), vm).status() == 200)
+        };
+        let asked: Vec<_> = (0..TOGETHER).map(ask).collect();
+        asked.into_iter().filter_map(|one| one.join().ok()).filter(|served| *served).count()
+    });
+    thread::sleep(ON_ITS_WAY);
+    let held: Vec<u64> =
+        vm.listed("targets_rates").iter().filter_map(|one| one["held_ms"].as_u64()).collect();
+
+    assert_eq!(served, TOGETHER);
+    assert_eq!(held.len(), 2);
+    assert!(held.iter().all(|held| *held <= 500), "half a second for each call: {held:?}");
+}
