One target for the tests of eligibility; the state of one at its rate has a test of its own

Cause: read again: the same target stood in three files of tests; the table of what may be sent anything had no row for a target at its rate, and no test of the component asked when such a one opens; a comment still said that an account starts empty.

Change: tests/support, as in batching; a row and a test more, no assertion less; the comment.

--- a/components/eligibility/src/accounts.rs
+++ b/components/eligibility/src/accounts.rs
@@ -16,7 +16,7 @@
 /// A new account hands out nothing for this long: another VM may hold it still, or none asked yet. A peer that says
 /// nothing is taken for gone after as long.
 const TAKEN_OVER: Duration = Duration::from_secs(1);
-/// An account that nobody asked for this long is forgotten: it starts empty again, which costs a wait.
+/// An account that nobody asked for this long is forgotten: it starts anew, which costs a wait.
 const LIFE: Duration = Duration::from_secs(60);
 
 /// Whether one request may be sent.
--- a/components/eligibility/tests/departures.rs
+++ b/components/eligibility/tests/departures.rs
@@ -3,10 +3,12 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use eligibility::{ChangeCursor, Departure, Departures, LeftAlone, Lifetime};
-use ids::{HallName, ServiceName, TargetName};
+use ids::TargetName;
 use intent::Target;
 use proptest::prelude::{Just, ProptestConfig, Strategy, any, prop_assert_eq, proptest};
 
@@ -21,19 +23,7 @@
 }
 
 fn target(born: Option<u64>) -> Target {
-    Target {
-        id: TargetName::new("t").unwrap(),
-        born,
-        service: ServiceName::new("s").unwrap(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: HallName::new("a").unwrap(),
-        slots: 1,
-        leaving: false,
-        left_alone_until: None,
-        limited_until: None,
-        pause: None,
-        cold: Duration::ZERO,
-    }
+    Target { born, ..support::target("a") }
 }
 
 fn sorted(departures: &Departures) -> Vec<(Lifetime, Instant)> {
--- a/components/eligibility/tests/halls.rs
+++ b/components/eligibility/tests/halls.rs
@@ -3,32 +3,19 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use eligibility::{Eligibility, Halls};
-use ids::{HallName, ServiceName, TargetName};
+use ids::HallName;
 use intent::Target;
+use support::target;
 
 fn hall(name: &str) -> HallName {
     HallName::new(name).unwrap()
 }
 
-fn target(in_hall: &str) -> Target {
-    Target {
-        id: TargetName::new("t").unwrap(),
-        born: None,
-        service: ServiceName::new("s").unwrap(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: hall(in_hall),
-        slots: 1,
-        leaving: false,
-        left_alone_until: None,
-        limited_until: None,
-        pause: None,
-        cold: Duration::ZERO,
-    }
-}
-
 #[test]
 fn only_what_is_open_or_out_of_reach_may_be_sent_anything() {
     let allowed = [
@@ -36,6 +23,7 @@
         (Eligibility::OutOfReach, true),
         (Eligibility::Evacuated, false),
         (Eligibility::LeftAlone, false),
+        (Eligibility::Limited, false),
         (Eligibility::Leaving, false),
     ];
 
@@ -88,3 +76,18 @@
     halls.set_out_of_reach([hall("a")].into());
     assert_eq!(halls.eligibility(&wants, now), Eligibility::LeftAlone, "also as the last one left");
 }
+
+#[test]
+fn a_target_at_its_rate_is_sent_nothing_until_it_takes_more() {
+    let now = Instant::now();
+    let (halls, until) = (Halls::default(), now + Duration::from_secs(1));
+    let limited = Target { limited_until: Some(until), ..target("a") };
+    let later = until + Duration::from_secs(1);
+    let both = Target { left_alone_until: Some(later), ..limited.clone() };
+
+    assert_eq!(halls.eligibility(&limited, now), Eligibility::Limited);
+    assert_eq!(halls.opens_at(&limited, now), Some(until));
+    assert_eq!(halls.eligibility(&limited, until), Eligibility::Open);
+    assert_eq!(halls.eligibility(&both, now), Eligibility::LeftAlone);
+    assert_eq!(halls.opens_at(&both, now), Some(later), "whichever lasts longer");
+}
--- a/components/eligibility/tests/rates.rs
+++ b/components/eligibility/tests/rates.rs
@@ -3,10 +3,12 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::unwrap_used)]
 
+mod support;
+
 use std::time::{Duration, Instant};
 
 use eligibility::{Lifetime, RateBelief, RateLimit, RateLimits, Sighting};
-use ids::{HallName, ServiceName, TargetName};
+use ids::TargetName;
 use intent::Target;
 use proptest::prelude::{
     Just, ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, proptest,
@@ -21,19 +23,7 @@
 }
 
 fn target(born: u64) -> Target {
-    Target {
-        id: TargetName::new("t").unwrap(),
-        born: Some(born),
-        service: ServiceName::new("s").unwrap(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        hall: HallName::new("a").unwrap(),
-        slots: 1,
-        leaving: false,
-        left_alone_until: None,
-        limited_until: None,
-        pause: None,
-        cold: Duration::ZERO,
-    }
+    Target { born: Some(born), ..support::target("a") }
 }
 
 /// An answer to a call sent and heard so many milliseconds after the start.
--- /dev/null
+++ b/components/eligibility/tests/support/mod.rs
@@ -0,0 +1,26 @@
+//! Targets that tests of this component ask about.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::unwrap_used)]
+
+use std::time::Duration;
+
+use ids::{HallName, ServiceName, TargetName};
+use intent::Target;
+
+/// A target of a hall that says nothing of itself.
+pub fn target(hall: &str) -> Target {
+    Target {
+        id: TargetName::new("t").unwrap(),
+        born: None,
+        service: ServiceName::new("s").unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        hall: HallName::new(hall).unwrap(),
+        slots: 1,
+        leaving: false,
+        left_alone_until: None,
+        limited_until: None,
+        pause: None,
+        cold: Duration::ZERO,
+    }
+}
