Log which VM tells a worker that results are given up, and of which

The failed runs of results_are_given_up_though_the_vm_that_had_them_made_is_gone could not be told apart: only words that a worker did not hear were logged. No logic is changed. Nothing was measured for this commit.

--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -8,7 +8,7 @@
 use doors::calls::{OwnCall, PieceCall};
 use ids::{ServiceName, TargetName};
 use intent::Target;
-use slog::info;
+use slog::{debug, info};
 use tokio::task::{JoinHandle, spawn_local};
 
 use crate::app::App;
@@ -297,7 +297,7 @@
     }
     for (target, handles) in by_worker.into_values() {
         let app = Rc::clone(app);
-        spawn_local(async move { tell_worker(&app, &target, &handles).await });
+        spawn_local(async move { tell_worker(&app, &target, &handles, Teller::Requester).await });
     }
 }
 
@@ -306,7 +306,7 @@
     let tell = |told: GivenUp| {
         let (app, pool) = (Rc::clone(app), pool.clone());
         spawn_local(async move {
-            let heard = tell_worker(&app, &told.target, &told.handles).await;
+            let heard = tell_worker(&app, &told.target, &told.handles, Teller::Owner).await;
             app.hub.with(|shared, now| {
                 let pool = shared.pools.get_mut(&pool);
                 pool.map(|pool| pool.given_up(&told, heard, now))
@@ -317,13 +317,24 @@
     told.into_iter().map(tell).collect()
 }
 
+/// Which VM tells a worker that results are given up, for the log.
+#[derive(Debug, Clone, Copy)]
+enum Teller {
+    /// The one that had them made.
+    Owner,
+    /// The one whose request they belong to.
+    Requester,
+}
+
 /// Tells a worker that results are given up; false if it may not have heard.
-async fn tell_worker(app: &Rc<App>, target: &Target, handles: &[String]) -> bool {
+async fn tell_worker(app: &Rc<App>, target: &Target, handles: &[String], teller: Teller) -> bool {
     let Some(handles) = gathered(app, target, handles).await else { return true };
     let told = send_release(app, target, &handles).await;
-    if let Err(why) = &told {
-        info!(app.log, "results not given up"; "target" => %target.id, "results" => handles.len(),
-            "why" => why);
+    match &told {
+        Ok(()) => debug!(app.log, "results given up"; "target" => %target.id, "as" => ?teller,
+            "results" => handles.len(), "handles" => handles.join(",")),
+        Err(why) => info!(app.log, "results not given up"; "target" => %target.id, "as" => ?teller,
+            "results" => handles.len(), "handles" => handles.join(","), "why" => why),
     }
     told.is_ok()
 }
