Results that reach a request too late are given up

What callers saw: room at workers taken by results that nobody needs.

The fault is supposed from the code; the change can only give up what was dropped.

--- a/gateway/src/piece_news.rs
+++ b/gateway/src/piece_news.rs
@@ -1,9 +1,13 @@
 //! What a request hears of the pieces that it submitted, and where it is told.
 
+use std::rc::Rc;
+
 use batching::Made;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
+use crate::app::App;
 use crate::links::ToDialer;
+use crate::releases;
 
 /// A stage of a request, and how often it had been submitted before: news of an earlier time that
 /// is still on its way says nothing of a later one.
@@ -46,3 +50,31 @@
     /// A peer, by its number for the submission.
     Peer(ToDialer, u64),
 }
+
+/// Where a request reads its news. Dropped, it gives up the results that were not read.
+pub(crate) struct Inbox {
+    app: Rc<App>,
+    rx: UnboundedReceiver<PieceNews>,
+}
+
+impl Inbox {
+    pub(crate) fn new(app: &Rc<App>, rx: UnboundedReceiver<PieceNews>) -> Self {
+        Inbox { app: Rc::clone(app), rx }
+    }
+
+    /// The next news; `None` if nobody sends any more.
+    pub(crate) async fn next(&mut self) -> Option<PieceNews> {
+        self.rx.recv().await
+    }
+}
+
+impl Drop for Inbox {
+    fn drop(&mut self) {
+        self.rx.close();
+        while let Ok(news) = self.rx.try_recv() {
+            if let PieceNews::Done { made: Made::At(handle), .. } = news {
+                releases::give_up(&self.app, &[handle]);
+            }
+        }
+    }
+}
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -11,13 +11,13 @@
 use quarantine::Content;
 use selection::CallSize;
 use slog::info;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::{sleep, timeout_at};
 
 use crate::admission::InFlight;
 use crate::app::App;
 use crate::hub::now;
-use crate::piece_news::{PieceNews, StageTurn};
+use crate::piece_news::{Inbox, PieceNews, StageTurn};
 use crate::releases;
 use crate::requests::Accepted;
 use crate::shared::Shared;
@@ -186,7 +186,8 @@
     let pieces = pieces_of(of.entry, of.head);
     let mut runs: Vec<StageRun> =
         pieces.iter().map(|count| StageRun::new(of.app, *count)).collect();
-    let (tx, mut rx) = unbounded_channel();
+    let (tx, rx) = unbounded_channel();
+    let mut inbox = Inbox::new(of.app, rx);
     owners_known(of).await;
     submit_ready(of, &mut runs, &tx);
     loop {
@@ -197,7 +198,7 @@
         if runs.iter().all(StageRun::is_done) {
             break;
         }
-        next_news(of, &mut runs, &tx, &mut rx).await?;
+        next_news(of, &mut runs, &tx, &mut inbox).await?;
     }
     let last = of.entry.last_stages(&pieces);
     Ok(Results { runs, last })
@@ -229,15 +230,18 @@
     of: &StagesOf<'_>,
     runs: &mut [StageRun],
     tx: &UnboundedSender<PieceNews>,
-    rx: &mut UnboundedReceiver<PieceNews>,
+    inbox: &mut Inbox,
 ) -> Result<(), StagesMiss> {
     let until = tokio::time::Instant::from_std(of.until);
-    let news = timeout_at(until, rx.recv()).await.map_err(|_| StagesMiss::Late)?;
+    let news = timeout_at(until, inbox.next()).await.map_err(|_| StagesMiss::Late)?;
     // This side holds a sender, so there is always another word or the time is over.
     match news.ok_or(StagesMiss::Broken)? {
-        PieceNews::Done { of: turn, .. }
-        | PieceNews::Fetched { of: turn }
-        | PieceNews::OwnerLost { of: turn }
+        PieceNews::Done { of: turn, made, .. } if !is_current(runs, turn) => {
+            if let Made::At(handle) = made {
+                releases::give_up(of.app, &[handle]);
+            }
+        }
+        PieceNews::Fetched { of: turn } | PieceNews::OwnerLost { of: turn }
             if !is_current(runs, turn) => {}
         PieceNews::Fetched { of: turn } => {
             runs[turn.stage as usize].fetched = true;
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -77,6 +77,30 @@
     asked
 }
 
+/// Guards against results that stay at their workers when their request can't be served any more.
+#[test]
+fn results_of_requests_whose_callers_leave_are_given_up() {
+    let site = Site::start();
+    let Pair { owner: _owner, requester } = Pair::start(&site, "callers-leave");
+    site.pool
+        .iter()
+        .for_each(|worker| worker.next(&vec![Act::Hang(Duration::from_millis(300)); 6]));
+    let call = |number: usize, wait: u64| {
+        let call =
+            post("/chain/", &format!("c-{number}")).with("Pieces", "2,2").with("Piece-Key", "k");
+        let (address, wait) = (requester.callers, Duration::from_millis(wait));
+        thread::spawn(move || call.send_and_leave(address, wait))
+    };
+
+    let asked: Vec<_> = (0..12).map(|number| call(number, 60 * number as u64)).collect();
+
+    for asked in asked {
+        asked.join().expect("no panic");
+    }
+    wait_until("nothing is in work", || requester.state()["in_work"] == json!(0));
+    wait_all_given_up(&site);
+}
+
 /// Guards against results that are given up by nobody else when the word to their worker is lost.
 #[test]
 fn a_worker_that_loses_the_word_is_told_again() {
