The owner of results takes them over when the VM of their request is gone

Cause: a result that was handed to a VM had one holder and no one behind it; what was handed to a link that had ended had none.

Change: a new component, result_leases, keeps on the owner who holds which result and until when. A lease is over when the holder's process ended (nothing listens where it took links, or a later process of the VM links), when the holder links again and does not name the result among those that it has, and one second after the request's time. Then the owner gives the result up. A holder that is silent, stands still or is cut off keeps its results for the request's time: an input that is gone costs a stage made anew, room that is lost costs the rest of a result's life. Links stay wanted while results are held through them. An owner that takes a result back for want of room tells its holder, so that the worker is told once. A peer of an older build has no leases and is served as before.

Found on the way by the property test of random histories: a rule that took results over two seconds after a reset of the link took them from a VM that stood still meanwhile; it asks whether the process listens instead.

Not mended: results of a call whose owner is killed before it has the answer, since no VM learns their handles; they run out.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -94,6 +94,11 @@
         self.spec = spec;
     }
 
+    /// Time after which a result that nobody gives up runs out.
+    pub fn result_life(&self) -> Duration {
+        self.spec.result_life
+    }
+
     /// Takes the targets of the pool as they are now.
     pub fn set_workers<'a>(&mut self, targets: impl Iterator<Item = &'a Target>) {
         let mut gone: HashMap<TargetName, WorkerKey> = self.by_id.clone();
--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -3,31 +3,40 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use batching::JobKey;
 use fleet::{BEAT, SILENCE};
 use ids::{ServiceName, VmName};
-use peering::work::{FromDialer, FromOwner, Release, Released, from_dialer, from_owner};
+use peering::work::{FromDialer, FromOwner, Hello, Release, Released, from_dialer, from_owner};
 use peering::{Work, WorkServer};
+use result_leases::{Holder, LinkKey};
 use slog::warn;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::spawn_local;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_stream::StreamExt;
 use tokio_stream::wrappers::{TcpListenerStream, UnboundedReceiverStream};
 use tonic::transport::Server;
 use tonic::{Request, Response, Status, Streaming};
 
 use crate::app::App;
+use crate::connections::is_refused;
 use crate::link_words::{
     Told, beat, crashes_of, departures_of, hello, meet, submission_of, take_beat, untold,
 };
 use crate::links::ToDialer;
 use crate::news;
-use crate::piece_news::Sink;
+use crate::piece_news::{PeerSink, Sink};
 use crate::{permits, releases, target_words, work};
 
+/// Pauses before the looks whether a process is gone whose link ended: its port may be closed a little later.
+const GONE_LOOKS: [Duration; 3] =
+    [Duration::from_millis(50), Duration::from_millis(200), Duration::from_millis(800)];
+/// Longest wait for each of them: halls are milliseconds apart.
+const GONE_WAIT: Duration = Duration::from_millis(250);
+
 /// A link that a peer dialled, handed from the server's task to this thread's tasks.
 struct Dialled {
     inbound: Streaming<FromDialer>,
@@ -79,6 +88,7 @@
     send(from_owner::Kind::Hello(hello(&app)));
     let mut jobs: HashMap<u64, (ServiceName, JobKey)> = HashMap::new();
     let mut vm = None;
+    let mut leases = None;
     let mut beats = interval(BEAT);
     beats.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut heard = tokio::time::Instant::now();
@@ -106,11 +116,14 @@
                     let heard = address.map(|address| (address, hello.incarnation));
                     app.heard_at.borrow_mut().extend(heard);
                     app.vms_changed.notify_one();
+                    leases = open_leases(&app, &name, hello, &tx);
                     vm = Some(name);
                     continue;
                 }
                 let Some(vm) = &vm else { break };
-                take(&app, vm, kind, &tx, &mut jobs);
+                let lease_link = leases.as_ref().map(|leases: &LeaseLink| leases.key);
+                let peer = Peer { vm, tx: &tx, lease_link };
+                take(&app, &peer, kind, &mut jobs);
             }
             _ = beats.tick() => {
                 if heard.elapsed() > SILENCE || !send(from_owner::Kind::Beat(beat(&app))) {
@@ -124,20 +137,64 @@
     for (pool, job) in jobs.into_values() {
         work::cancel(&app, &pool, job);
     }
+    if let Some(leases) = leases {
+        app.lease_links.borrow_mut().remove(&leases.key);
+        app.hub.with(|shared, _| shared.leases.link_ended(leases.key));
+        if !app.hub.with(|shared, _| shared.leases.is_empty()) {
+            look_whether_gone(&app, leases).await;
+        }
+    }
+}
+
+/// A link of a peer that holds results.
+struct LeaseLink {
+    key: LinkKey,
+    holder: Holder,
+    /// Where the peer takes links.
+    peers: SocketAddr,
+}
+
+/// Looks whether the process of a peer whose link ended is gone: then nothing listens where it took links. One that
+/// stands still or is out of reach does not refuse connections.
+async fn look_whether_gone(app: &App, leases: LeaseLink) {
+    for pause in GONE_LOOKS {
+        sleep(pause).await;
+        if is_refused(leases.peers, GONE_WAIT).await {
+            app.hub.with(|shared, now| shared.leases.holder_gone(&leases.holder, now));
+            return;
+        }
+    }
+}
+
+/// Notes a link from a peer that holds results; a peer of an older build names none.
+fn open_leases(app: &App, vm: &VmName, hello: &Hello, tx: &ToDialer) -> Option<LeaseLink> {
+    let peers = hello.peers.parse().ok().filter(|_| hello.claims)?;
+    let holder = Holder { vm: vm.clone(), incarnation: hello.incarnation };
+    let key = app.hub.with(|shared, now| shared.leases.link_opened(holder.clone(), now));
+    app.lease_links.borrow_mut().insert(key, tx.clone());
+    Some(LeaseLink { key, holder, peers })
+}
+
+/// A peer that speaks on a link.
+struct Peer<'a> {
+    vm: &'a VmName,
+    tx: &'a ToDialer,
+    lease_link: Option<LinkKey>,
 }
 
 fn take(
     app: &Rc<App>,
-    vm: &VmName,
+    peer: &Peer<'_>,
     kind: from_dialer::Kind,
-    tx: &ToDialer,
     jobs: &mut HashMap<u64, (ServiceName, JobKey)>,
 ) {
+    let Peer { vm, tx, lease_link } = *peer;
     match kind {
         from_dialer::Kind::Submit(submit) => {
             let number = submit.job;
             if let Some((pool, submission)) = submission_of(submit) {
-                let sink = Sink::Peer(tx.clone(), number);
+                let until = submission.until;
+                let sink = Sink::Peer(PeerSink { tx: tx.clone(), number, lease_link, until });
                 let job = work::submit(app, &pool, submission, sink);
                 jobs.insert(number, (pool, job));
             }
@@ -148,6 +205,12 @@
             }
         }
         from_dialer::Kind::Release(release) => take_release(app, release, tx),
+        from_dialer::Kind::Claims(claims) => {
+            let handles = claims.handles.into_iter().collect();
+            if let Some(link) = lease_link {
+                app.hub.with(|shared, now| shared.leases.claimed(link, &handles, now));
+            }
+        }
         from_dialer::Kind::Beat(beat) => {
             let sinks = app.sinks.borrow();
             jobs.retain(|_, job| sinks.contains_key(job));
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -10,6 +10,7 @@
 use fleet::OutHalls;
 use ids::{ServiceName, TargetName, VmName};
 use peering::work::Beat;
+use result_leases::LinkKey;
 use slog::Logger;
 use telemetry::Metrics;
 use tokio::sync::Notify;
@@ -17,7 +18,7 @@
 use crate::connections::Connections;
 use crate::held_results::HeldResults;
 use crate::hub::Hub;
-use crate::links::Link;
+use crate::links::{Link, ToDialer};
 use crate::piece_news::Sink;
 use crate::settings::Settings;
 
@@ -37,6 +38,8 @@
     pub(crate) releases: RefCell<HashMap<TargetName, Vec<String>>>,
     /// Results that requests of this VM hold.
     pub(crate) held: HeldResults,
+    /// Ways to the peers that hold results which this VM had made.
+    pub(crate) lease_links: RefCell<HashMap<LinkKey, ToDialer>>,
     /// Pools with a look at their queue already planned.
     pub(crate) planned_looks: RefCell<HashMap<ServiceName, tokio::time::Instant>>,
     /// Addresses to which links are wanted.
--- a/gateway/src/dials.rs
+++ b/gateway/src/dials.rs
@@ -83,6 +83,8 @@
     if wanted.is_empty() {
         wanted.extend(&app.cfg.seeds);
     }
+    // An owner takes over the results of a VM that does not link to it again.
+    wanted.extend(app.held.makers());
     wanted.remove(&app.cfg.peers);
     wanted
 }
--- a/gateway/src/held_results.rs
+++ b/gateway/src/held_results.rs
@@ -1,7 +1,8 @@
-//! Results that requests of this VM hold, until they are given up.
+//! Results that requests of this VM hold, until they are given up or reclaimed.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use crate::links::Link;
@@ -47,6 +48,23 @@
         let held = |handle: &String| Some((by_handle.get(handle)?.clone(), handle.clone()));
         handles.iter().filter_map(held).collect()
     }
+
+    /// Results that the VM had made which takes links at an address.
+    pub(crate) fn made_at(&self, address: SocketAddr) -> Vec<String> {
+        let by_handle = self.by_handle.borrow();
+        let made = by_handle.iter().filter(|(_, maker)| maker.address() == Some(address));
+        made.map(|(handle, _)| handle.clone()).collect()
+    }
+
+    /// Whether results are held that the VM at an address had made.
+    pub(crate) fn any_made_at(&self, address: SocketAddr) -> bool {
+        self.by_handle.borrow().values().any(|maker| maker.address() == Some(address))
+    }
+
+    /// Where the peers take links that had results made which are held.
+    pub(crate) fn makers(&self) -> BTreeSet<SocketAddr> {
+        self.by_handle.borrow().values().filter_map(Maker::address).collect()
+    }
 }
 
 impl Maker {
@@ -57,4 +75,11 @@
             _ => false,
         }
     }
+
+    fn address(&self) -> Option<SocketAddr> {
+        match self {
+            Maker::Here => None,
+            Maker::Peer(link) => Some(link.address),
+        }
+    }
 }
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -30,6 +30,7 @@
             incarnation: shared.fleet.incarnation,
             peers: entry.peers.to_string(),
             cores: entry.cores,
+            claims: true,
         }
     })
 }
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -13,8 +13,8 @@
 use ids::{ServiceName, VmName};
 use peering::WorkClient;
 use peering::work::{
-    Ask, Cancel, Done, FromDialer, FromOwner, Hello, News, Permit, PermitAsk, Release, Submit,
-    from_dialer, from_owner,
+    Ask, Cancel, Claims, Done, FromDialer, FromOwner, Hello, News, Permit, PermitAsk, Release,
+    Submit, from_dialer, from_owner,
 };
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -272,6 +272,8 @@
         .map_err(|e| e.to_string())?;
     let (tx, rx) = unbounded_channel();
     drop(tx.send(FromDialer { kind: Some(from_dialer::Kind::Hello(hello(app))) }));
+    let claims = Claims { handles: app.held.made_at(address) };
+    drop(tx.send(FromDialer { kind: Some(from_dialer::Kind::Claims(claims)) }));
     let mut client = WorkClient::new(channel);
     let opening = client.link(UnboundedReceiverStream::new(rx));
     let inbound = timeout(DIAL_WAIT, opening).await.map_err(|_| "no answer".to_owned())?;
@@ -362,6 +364,9 @@
                         from_owner::Kind::Released(released) => {
                             link.unconfirmed.borrow_mut().remove(&released.number);
                         }
+                        from_owner::Kind::Reclaimed(reclaimed) => {
+                            drop(app.held.take(&reclaimed.handles));
+                        }
                         from_owner::Kind::Hello(_) => {}
                     },
                     Ok(Some(_)) => {}
@@ -377,7 +382,8 @@
                 if heard.elapsed() > BEAT && out {
                     return "its hall is out of reach".to_owned();
                 }
-                if app.wanted_links.borrow().contains(&address) || !link.jobs.borrow().is_empty() {
+                let in_use = !link.jobs.borrow().is_empty() || app.held.any_made_at(address);
+                if in_use || app.wanted_links.borrow().contains(&address) {
                     wanted = tokio::time::Instant::now();
                 }
                 if wanted.elapsed() > UNWANTED {
--- a/gateway/src/piece_news.rs
+++ b/gateway/src/piece_news.rs
@@ -1,8 +1,10 @@
 //! What a request hears of the pieces that it submitted, and where it is told.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use batching::Made;
+use result_leases::LinkKey;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use crate::app::App;
@@ -47,8 +49,19 @@
 pub(crate) enum Sink {
     /// A request of this VM.
     Here(UnboundedSender<PieceNews>, StageTurn),
-    /// A peer, by its number for the submission.
-    Peer(ToDialer, u64),
+    /// A peer.
+    Peer(PeerSink),
+}
+
+/// A peer that gets the results of a submission.
+pub(crate) struct PeerSink {
+    pub(crate) tx: ToDialer,
+    /// Its number for the submission.
+    pub(crate) number: u64,
+    /// The link of its leases; a peer of an older build keeps none.
+    pub(crate) lease_link: Option<LinkKey>,
+    /// When the results are of no use.
+    pub(crate) until: Instant,
 }
 
 /// Where a request reads its news. Dropped, it gives up the results that were not read.
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -16,7 +16,7 @@
 use crate::hub::now;
 use crate::own_calls::{OwnCallMiss, own_call};
 use crate::permits::Permit;
-use crate::piece_news::{PieceNews, Sink};
+use crate::piece_news::{PeerSink, PieceNews, Sink};
 use crate::{crashes, link_words, permits, reach, releases};
 
 /// Makes the calls that can be made now, and plans the next look at the queue.
@@ -187,7 +187,7 @@
         match sinks.get(&(pool.clone(), job)) {
             // A request that is gone gives its results up by itself.
             Some(Sink::Here(tx, of)) => drop(tx.send(PieceNews::Fetched { of: *of })),
-            Some(Sink::Peer(tx, number)) => link_words::send_fetched(tx, *number),
+            Some(Sink::Peer(peer)) => link_words::send_fetched(&peer.tx, peer.number),
             None => {}
         }
     }
@@ -229,6 +229,15 @@
     })
 }
 
+/// From now on the peer gives the result up.
+fn grant(app: &App, pool: &ServiceName, peer: &PeerSink, made: &Made) {
+    let (Some(link), Made::At(handle)) = (peer.lease_link, made) else { return };
+    app.hub.with(|shared, now| {
+        let life = shared.pools.get(pool).map(Pool::result_life).unwrap_or_default();
+        shared.leases.granted(link, handle.clone(), peer.until, now + life);
+    });
+}
+
 /// Hands finished pieces to those who wait for them.
 fn hand_back(app: &Rc<App>, pool: &ServiceName, finished: Vec<Finished>) {
     let mut sinks = app.sinks.borrow_mut();
@@ -244,7 +253,10 @@
                     unread.extend(made.handle().map(str::to_owned));
                 }
             }
-            Some(Sink::Peer(tx, number)) => link_words::send_done(tx, *number, piece, made),
+            Some(Sink::Peer(peer)) => {
+                grant(app, pool, peer, &made);
+                link_words::send_done(&peer.tx, peer.number, piece, made);
+            }
             None => {}
         }
     }
--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -1,10 +1,11 @@
 //! Results of stages that are needed no more: their workers are told, so that they use the room again.
 //!
-//! The VM that had a result made (the owner) hands it over to the VM of the request, which then tells workers
+//! One VM is responsible for a result at each moment: the owner, which had it made, until it hands it over; then the
+//! VM of the request; and the owner again once its lease ended ([`result_leases`]). The VM of a request tells workers
 //! itself, so that no word is lost with an owner, and the owner hears of it for its accounts of room. Where a worker
 //! takes too few connections for that, or names a rate, the word goes through the owner.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +13,11 @@
 use batching::{GivenUp, Pool};
 use ids::ServiceName;
 use intent::Target;
+use peering::work::{FromOwner, Reclaimed, from_owner};
+use result_leases::{Ended, Why};
 use slog::{debug, info};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::app::App;
 use crate::connections::MOST_AT_REST;
@@ -35,6 +38,8 @@
 /// Most times that a worker is told. Together with the pauses they outlast the entry of a worker that lapsed and
 /// returns.
 const MOST_TELLINGS: u32 = 5;
+/// Pause between two looks for leases that are over.
+const LEASE_LOOK: Duration = Duration::from_millis(250);
 
 /// Which VM tells a worker that results are given up, for the log.
 #[derive(Debug, Clone, Copy)]
@@ -142,6 +147,7 @@
 
 /// Takes word that the workers of results have heard that these are given up.
 pub(crate) fn heard_by_workers(app: &Rc<App>, handles: &[String]) {
+    app.hub.with(|shared, _| shared.leases.given_up(handles));
     for (pool, told) in take_from_pools(app, handles) {
         account(app, &pool, &told, true);
     }
@@ -171,17 +177,54 @@
         give_up_if_scarce_as_owner(app, &handles);
         return Vec::new();
     }
+    app.hub.with(|shared, _| shared.leases.given_up(&handles));
     give_up_as_owner(app, handles)
 }
 
-/// Gives up results that no request gave up by itself: nobody waits for them, or their room is scarce.
+/// Gives up results that no request gave up by itself: nobody waits for them, or their room is scarce. Those who hold
+/// them hear of it, so that the workers are told once.
 pub(crate) fn reclaim(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) {
     for told in told {
         drop(app.held.take(&told.handles));
+        let links = app.hub.with(|shared, _| shared.leases.reclaimed(&told.handles));
+        for (link, handles) in links {
+            if let Some(tx) = app.lease_links.borrow().get(&link) {
+                let kind = from_owner::Kind::Reclaimed(Reclaimed { handles });
+                // A peer that is gone holds nothing.
+                drop(tx.send(Ok(FromOwner { kind: Some(kind) })));
+            }
+        }
         drop(tell_worker_of_pool(app, pool.clone(), told));
     }
 }
 
+/// Gives up the results of which the leases are over.
+pub(crate) async fn take_over(app: Rc<App>) {
+    let mut looks = interval(LEASE_LOOK);
+    looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        looks.tick().await;
+        let ended = app.hub.with(|shared, now| shared.leases.take_ended(now));
+        let mut by_why: BTreeMap<Why, Vec<String>> = BTreeMap::new();
+        for Ended { handle, why } in ended {
+            by_why.entry(why).or_default().push(handle);
+        }
+        for (why, handles) in by_why {
+            info!(app.log, "results taken over"; "results" => handles.len(), "why" => ?why);
+            app.metrics.results_given_up(why_name(why), handles.len());
+            drop(give_up_as_owner(&app, handles));
+        }
+    }
+}
+
+fn why_name(why: Why) -> &'static str {
+    match why {
+        Why::RequestOver => "request_over",
+        Why::HolderGone => "holder_gone",
+        Why::NotHeld => "not_held",
+    }
+}
+
 /// Tells a worker of a pool of this VM; the room is used again once it has heard.
 fn tell_worker_of_pool(app: &Rc<App>, pool: ServiceName, told: GivenUp) -> JoinHandle<()> {
     let app = Rc::clone(app);
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -25,8 +25,8 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{
-    accepted_links, accounts, callers, dials, logs, news, own_entry, pages, reach, settings, store,
-    stored_refusals,
+    accepted_links, accounts, callers, dials, logs, news, own_entry, pages, reach, releases,
+    settings, store, stored_refusals,
 };
 
 /// Pause between two looks at connections at rest.
@@ -63,6 +63,7 @@
             sinks: RefCell::new(BTreeMap::new()),
             releases: RefCell::default(),
             held: HeldResults::default(),
+            lease_links: RefCell::default(),
             planned_looks: RefCell::new(HashMap::new()),
             wanted_links: RefCell::default(),
             heard_at: RefCell::default(),
@@ -98,6 +99,7 @@
     spawn_local(news::follow(Rc::clone(app)));
     spawn_local(accounts::keep(Rc::clone(app)));
     spawn_local(stored_refusals::keep(Rc::clone(app)));
+    spawn_local(releases::take_over(Rc::clone(app)));
     spawn_local(clean(Rc::clone(app)));
     info!(app.log, "started"; "callers" => %cfg.callers, "peers" => %cfg.peers,
         "store" => %cfg.store, "hall" => %cfg.hall, "policy" => ?cfg.policy);
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -12,6 +12,7 @@
 use ids::{HallName, ServiceName, TargetName, VmName};
 use intent::Intent;
 use quarantine::Quarantine;
+use result_leases::Leases;
 use selection::{RepeatBudget, RepeatRules, Targets};
 use slog::{Logger, info, warn};
 use stakker::CX;
@@ -93,6 +94,8 @@
     pub(crate) crashes_known: watch::Sender<()>,
     /// Targets whose entries lapsed around an outage, and when they are taken as gone.
     pub(crate) lapsed: HashMap<TargetName, Instant>,
+    /// Leases of the results that this VM had made for peers.
+    pub(crate) leases: Leases,
 }
 
 impl Shared {
@@ -150,6 +153,7 @@
             quarantine: Quarantine::new(cfg.quarantine.rules()),
             crashes_known: watch::channel(()).0,
             lapsed: HashMap::new(),
+            leases: Leases::default(),
         }
     }
 
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -77,6 +77,35 @@
     asked
 }
 
+/// Guards against results that stay at their workers when the VM of their requests is killed.
+#[test]
+fn results_of_a_killed_requester_are_given_up_by_the_owner() {
+    let site = Site::start();
+    let Pair { owner: _owner, requester } = Pair::start(&site, "requester-killed");
+    let asked = ask_silent_engines(&site, requester.callers, 6);
+
+    drop(requester);
+
+    join(asked);
+    assert!(made(&site).len() >= 18, "three for each request");
+    wait_all_given_up(&site);
+}
+
+/// Guards against results that stay at their workers when the VM of their requests stands still past their time.
+#[test]
+fn results_of_a_paused_requester_are_given_up() {
+    let site = Site::start();
+    let Pair { owner: _owner, requester } = Pair::start(&site, "requester-paused");
+    let asked = ask_silent_engines(&site, requester.callers, 3);
+
+    requester.signal("-STOP");
+    thread::sleep(Duration::from_secs(4));
+    requester.signal("-CONT");
+
+    join(asked);
+    wait_all_given_up(&site);
+}
+
 /// Guards against results that stay at their workers when their request can't be served any more.
 #[test]
 fn results_of_requests_whose_callers_leave_are_given_up() {
@@ -154,3 +183,22 @@
         wait_all_given_up(&site);
     }
 }
+
+/// Guards against inputs that an owner takes back from a requester that lives and still needs them.
+#[test]
+fn results_in_use_outlive_a_link_that_was_lost() {
+    let site = Site::start();
+    let Pair { owner, requester } = Pair::start(&site, "in-use");
+    let asked = ask_silent_engines(&site, requester.callers, 1);
+
+    owner.signal("-STOP");
+    wait_until("the link is lost", || requester.linked_peers() == 0);
+    owner.signal("-CONT");
+    wait_until("they are linked again", || requester.linked_peers() == 1);
+    let in_use = &made(&site) - &given_up(&site);
+    let is_running = asked.iter().all(|asked| !asked.is_finished());
+
+    assert!(!is_running || in_use.len() >= 2, "the engine needs both results: {in_use:?}");
+    join(asked);
+    wait_all_given_up(&site);
+}
