Results of a call that took too long are given up when its answer comes

What callers saw: room at workers taken by results that nobody needs, at slow workers and after a VM stood still.

Cause, seen in the owner's log of such a run: a call of 400 ms was given up after 356 ms ("end=failed made=0"), and the worker made its results, since the end of a connection stops no call at work. An owner that stood still gave up calls whose answers had come.

Change: an answer that has arrived when its call is given up is read (50 ms). A call that is the only one of this VM at its worker is at work there: its answer is waited for in the background, for the life of a result, and its results are given up. With another call there it may wait in the worker's queue, from which the end of its connection takes it, so that it is ended as before.

--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -169,6 +169,12 @@
         gone.iter().filter_map(|waiting| self.finish(waiting, made.clone())).collect()
     }
 
+    /// Whether a call is the only one under way at its worker.
+    pub fn is_only_call(&self, call: CallKey) -> bool {
+        let Some(worker) = self.calls.get(call).map(|call| call.worker) else { return false };
+        self.calls.values().filter(|other| other.worker == worker).count() == 1
+    }
+
     /// Whether nothing waits and no call is under way.
     pub fn is_idle(&self) -> bool {
         self.waiting.is_empty() && self.calls.is_empty()
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use batching::{Call, CallEnd, CallKey, Finished, JobKey, Made, Pool};
-use doors::calls::{OwnCall, PieceCall};
+use doors::calls::{OwnCall, PieceAnswer, PieceCall};
 use ids::ServiceName;
 use slog::info;
 use tokio::task::spawn_local;
@@ -19,6 +19,10 @@
 use crate::piece_news::{PeerSink, PieceNews, Sink};
 use crate::{crashes, link_words, permits, reach, releases};
 
+/// Time in which an answer is read that has arrived when its call is given up: a VM that stood still has not read it
+/// yet, and nobody else learns the results' handles.
+const ARRIVED_WAIT: Duration = Duration::from_millis(50);
+
 /// Makes the calls that can be made now, and plans the next look at the queue.
 pub(crate) fn fill_calls(app: &Rc<App>, pool: &ServiceName) {
     end_without_inputs(app, pool);
@@ -152,14 +156,24 @@
     req: OwnCall,
     permit: Permit,
 ) -> Result<CallEnd, CallBroke> {
-    let sent = tokio::time::timeout(call.patience, own_call(app, &call.target, req, permit));
-    let mut sent = std::pin::pin!(sent);
+    let mut sent = Box::pin({
+        let (app, target) = (Rc::clone(app), call.target.clone());
+        async move { own_call(&app, &target, req, permit).await }
+    });
+    let mut patience = std::pin::pin!(tokio::time::sleep(call.patience));
     let mut fetch = std::pin::pin!(fetched(call.fetch));
     let mut out = app.out_halls.subscribe();
     let mut fetches = true;
     loop {
         tokio::select! {
-            sent = &mut sent => return end_of(app, sent.unwrap_or(Err(OwnCallMiss::TimedOut))),
+            sent = &mut sent => return end_of(app, sent),
+            () = &mut patience => {
+                let arrived = tokio::time::timeout(ARRIVED_WAIT, &mut sent).await;
+                if arrived.is_err() && is_at_work(app, pool, call.key) {
+                    spawn_local(give_up_when_made(Rc::clone(app), pool.clone(), sent));
+                }
+                return end_of(app, arrived.unwrap_or(Err(OwnCallMiss::TimedOut)));
+            }
             () = &mut fetch, if fetches => {
                 fetches = false;
                 tell_fetched(app, pool, call.key);
@@ -169,6 +183,31 @@
     }
 }
 
+/// Whether the worker of a call is at work on it, which the end of its connection would not stop; with another call of
+/// this VM there, it may wait in the worker's queue, which the end of its connection takes it out of.
+fn is_at_work(app: &App, pool: &ServiceName, call: CallKey) -> bool {
+    app.hub.with(|shared, _| shared.pools.get(pool).is_some_and(|pool| pool.is_only_call(call)))
+}
+
+/// Gives up the results of a call that took too long, once the worker has made them: nobody else learns their handles.
+async fn give_up_when_made(
+    app: Rc<App>,
+    pool: ServiceName,
+    sent: impl Future<Output = Result<bytes::Bytes, OwnCallMiss>>,
+) {
+    let life = app.hub.with(|shared, _| shared.pools.get(&pool).map(Pool::result_life));
+    let Ok(Ok(body)) = tokio::time::timeout(life.unwrap_or_default(), sent).await else { return };
+    let Ok(answers) = (app.doors.calls.read_pieces)(&body) else { return };
+    let handles = answers.into_iter().filter_map(|answer| match answer {
+        PieceAnswer::Made(handle) => Some(handle),
+        _ => None,
+    });
+    let handles: Vec<String> = handles.collect();
+    info!(app.log, "results of a late answer"; "pool" => %pool, "results" => handles.len());
+    app.metrics.results_given_up("late_answer", handles.len());
+    drop(releases::give_up_as_owner(&app, handles));
+}
+
 /// Ends when the inputs of a call have been fetched, if that can be told.
 async fn fetched(time: Option<Duration>) {
     match time {
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -106,6 +106,40 @@
     wait_all_given_up(&site);
 }
 
+/// Guards against results that are lost on their way to a VM which stands still.
+#[test]
+fn results_that_a_paused_requester_did_not_read_are_given_up() {
+    let site = Site::start();
+    let Pair { owner: _owner, requester } = Pair::start(&site, "unread");
+    site.pool.iter().for_each(|worker| worker.next(&[Act::Hang(Duration::from_millis(400))]));
+    let asked = ask(requester.callers, 3);
+    wait_until("a piece is at work", || site.pool.iter().any(|worker| !worker.seen().is_empty()));
+
+    requester.signal("-STOP");
+    thread::sleep(Duration::from_secs(4));
+    requester.signal("-CONT");
+
+    join(asked);
+    wait_all_given_up(&site);
+}
+
+/// Guards against results that an owner which stood still hands to a link that has ended meanwhile.
+#[test]
+fn results_that_a_paused_owner_hands_over_too_late_are_given_up() {
+    let site = Site::start();
+    let Pair { owner, requester } = Pair::start(&site, "owner-paused");
+    site.pool.iter().for_each(|worker| worker.next(&[Act::Hang(Duration::from_millis(400))]));
+    let asked = ask(requester.callers, 3);
+    wait_until("a piece is at work", || site.pool.iter().any(|worker| !worker.seen().is_empty()));
+
+    owner.signal("-STOP");
+    thread::sleep(Duration::from_secs(4));
+    owner.signal("-CONT");
+
+    join(asked);
+    wait_all_given_up(&site);
+}
+
 /// Guards against results that stay at their workers when their request can't be served any more.
 #[test]
 fn results_of_requests_whose_callers_leave_are_given_up() {
