Words that results are given up go to a worker one after the other, joined

Cause: pieces of many requests are made in one call, so that their results are given up at the same moment, each by a call on a connection of its own.

Change: a VM has one word under way to a worker; what is given up meanwhile goes in the next one, after the pause by which the connection may be used again. Words to a worker that names a rate are gathered for longer, as before. A VM tells workers itself in fleets in which each VM is linked to all others (up to ten), instead of where a worker's connections allow it: at 59 VMs and more there are 3,000 pairs of VM and worker and more, and a word every few seconds for each does not keep a connection open.

--- a/components/fleet/src/watchers.rs
+++ b/components/fleet/src/watchers.rs
@@ -27,6 +27,11 @@
         self.known().count() >= FULL_MESH
     }
 
+    /// Whether each VM is linked to all others.
+    pub fn is_full_mesh(&self) -> bool {
+        !self.is_relayed()
+    }
+
     /// VMs in the order in which they follow the store for their hall.
     pub(crate) fn store_followers(&self) -> Rc<[VmName]> {
         self.ranked(KEY)
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -8,7 +8,7 @@
 use batching::JobKey;
 use doors::Doors;
 use fleet::OutHalls;
-use ids::{ServiceName, TargetName, VmName};
+use ids::{ServiceName, VmName};
 use peering::work::Beat;
 use result_leases::LinkKey;
 use slog::Logger;
@@ -20,6 +20,7 @@
 use crate::hub::Hub;
 use crate::links::{Link, ToDialer};
 use crate::piece_news::Sink;
+use crate::releases::Word;
 use crate::settings::Settings;
 
 /// What the tasks of a VM hold on to; all of them run on one thread.
@@ -34,8 +35,8 @@
     pub(crate) links: RefCell<HashMap<VmName, Rc<Link>>>,
     /// Who gets the results of pieces whose calls this VM fills.
     pub(crate) sinks: RefCell<BTreeMap<(ServiceName, JobKey), Sink>>,
-    /// Results that are given up, by workers that name a rate, until they are told in one word.
-    pub(crate) releases: RefCell<HashMap<TargetName, Vec<String>>>,
+    /// Results that are given up, by workers that are being told.
+    pub(crate) release_words: RefCell<HashMap<SocketAddr, Vec<Word>>>,
     /// Results that requests of this VM hold.
     pub(crate) held: HeldResults,
     /// Ways to the peers that hold results which this VM had made.
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -29,13 +29,13 @@
 const UNCONFIRMED_WAIT: Duration = Duration::from_millis(1500);
 /// A connection rests this long before it is used again, so that an extra answer to the last
 /// request is seen as such and ends the connection.
-const SETTLE: Duration = Duration::from_millis(12);
+pub(crate) const SETTLE: Duration = Duration::from_millis(12);
 /// Rest after which a connection is not used again where the target says nothing.
 const REST: Duration = Duration::from_secs(4);
 /// Part of the time that a target says it keeps a connection at rest.
 const KEPT_PART: f64 = 0.6;
 /// Most connections at rest to one target.
-pub(crate) const MOST_AT_REST: usize = 6;
+const MOST_AT_REST: usize = 6;
 
 /// The body of a call.
 pub(crate) type CallBody = Full<Bytes>;
@@ -150,7 +150,9 @@
     pub(crate) fn rest(&self, carrier: Carrier, keeps: Option<Duration>) {
         let most = self.hub.with(|shared, _| {
             let service = shared.targets.service_of(&carrier.target)?;
-            shared.connections_each(service)
+            let taken = shared.intent.as_ref()?.services.get(service)?.connections;
+            let share = usize::try_from(taken).unwrap_or(usize::MAX) / shared.fleet.size();
+            (taken > 0).then_some(share)
         });
         self.connections.rest(carrier, keeps, most.unwrap_or(MOST_AT_REST));
     }
--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -2,8 +2,8 @@
 //!
 //! One VM is responsible for a result at each moment: the owner, which had it made, until it hands it over; then the
 //! VM of the request; and the owner again once its lease ended ([`result_leases`]). The VM of a request tells workers
-//! itself, so that no word is lost with an owner, and the owner hears of it for its accounts of room. Where a worker
-//! takes too few connections for that, or names a rate, the word goes through the owner.
+//! itself, so that no word is lost with an owner, and the owner hears of it for its accounts of room. In a large fleet,
+//! and where a worker names a rate, the word goes through the owner, which has connections to its workers anyway.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -16,11 +16,12 @@
 use peering::work::{FromOwner, Reclaimed, from_owner};
 use result_leases::{Ended, Why};
 use slog::{debug, info};
+use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::app::App;
-use crate::connections::MOST_AT_REST;
+use crate::connections::SETTLE;
 use crate::held_results::Maker;
 use crate::hub::left;
 use crate::links::Link;
@@ -80,25 +81,22 @@
     }
 }
 
-/// Whether this VM tells the worker of a result itself, beside all others that do.
+/// Whether this VM tells the worker of a result itself, beside all others that do: each of them keeps a connection to
+/// each worker for that, which few VMs use often enough to be worth it.
 fn tells_itself(app: &App, handle: &str) -> bool {
-    let Some(worker) = worker_of(app, handle) else { return true };
-    let share = app.hub.with(|shared, _| shared.connections_each(&worker.service));
-    worker.pause.is_none() && share.is_none_or(|share| share >= MOST_AT_REST)
-}
-
-fn worker_of(app: &App, handle: &str) -> Option<Target> {
-    let address = (app.doors.calls.worker)(handle)?;
-    app.hub.with(|shared, _| shared.targets.at(address).cloned())
+    let Some(worker) = (app.doors.calls.worker)(handle) else { return true };
+    app.hub.with(|shared, _| {
+        let names_rate = shared.targets.at(worker).is_some_and(|target| target.pause.is_some());
+        shared.fleet.is_full_mesh() && !names_rate
+    })
 }
 
 /// Tells the workers of results that a peer had made, and the peer once they have heard.
 pub(crate) fn tell_as_requester(app: &Rc<App>, link: &Rc<Link>, handles: Vec<String>) {
-    for handles in by_worker(app, handles).into_values() {
+    for (worker, handles) in by_worker(app, handles) {
         let (app, link) = (Rc::clone(app), Rc::clone(link));
         spawn_local(async move {
-            let find = || handles.first().and_then(|handle| worker_of(&app, handle));
-            if tell_until_heard(&app, find, &handles, Teller::Requester).await {
+            if tell_until_heard(&app, worker, &handles, Teller::Requester).await {
                 link.told(&handles);
             }
         });
@@ -121,11 +119,10 @@
     let given_up = take_from_pools(app, &handles);
     let known: Vec<&String> = given_up.iter().flat_map(|(_, told)| &told.handles).collect();
     let unknown = handles.iter().filter(|handle| !known.contains(handle)).cloned().collect();
-    let unknown = by_worker(app, unknown).into_values().map(|handles| {
+    let unknown = by_worker(app, unknown).into_iter().map(|(worker, handles)| {
         let app = Rc::clone(app);
         spawn_local(async move {
-            let find = || handles.first().and_then(|handle| worker_of(&app, handle));
-            tell_until_heard(&app, find, &handles, Teller::Owner).await;
+            tell_until_heard(&app, worker, &handles, Teller::Owner).await;
         })
     });
     let mut tasks: Vec<_> = unknown.collect();
@@ -229,8 +226,8 @@
 fn tell_worker_of_pool(app: &Rc<App>, pool: ServiceName, told: GivenUp) -> JoinHandle<()> {
     let app = Rc::clone(app);
     spawn_local(async move {
-        let find = || Some(told.target.clone());
-        let heard = tell_until_heard(&app, find, &told.handles, Teller::Owner).await;
+        let worker = told.target.address;
+        let heard = tell_until_heard(&app, worker, &told.handles, Teller::Owner).await;
         account(&app, &pool, &told, heard);
     })
 }
@@ -252,28 +249,76 @@
     Missed(String),
 }
 
-/// Tells a worker until it has heard; false if it may not have. The worker is looked for each time: its entry may have
-/// lapsed for a moment.
+/// Results of one worker that are given up, and who waits until it has heard.
+pub(crate) struct Word {
+    handles: Vec<String>,
+    /// Told whether the worker has heard.
+    heard: oneshot::Sender<bool>,
+}
+
+/// Tells a worker until it has heard; false if it may not have. Words to a worker follow one another, and those that
+/// come meanwhile go together: requests of which pieces were made in one call give them up at the same moment.
 async fn tell_until_heard(
     app: &Rc<App>,
-    find: impl Fn() -> Option<Target>,
+    worker: SocketAddr,
     handles: &[String],
     teller: Teller,
 ) -> bool {
-    let mut handles = handles.to_vec();
-    if let Some(target) = find() {
-        let Some(gathered) = gathered(app, &target, &handles).await else { return true };
-        handles = gathered;
+    let (tx, rx) = oneshot::channel();
+    let word = Word { handles: handles.to_vec(), heard: tx };
+    let is_first = {
+        let mut words = app.release_words.borrow_mut();
+        let is_first = !words.contains_key(&worker);
+        words.entry(worker).or_default().push(word);
+        is_first
+    };
+    if is_first {
+        spawn_local(tell_all(Rc::clone(app), worker, teller));
     }
+    // The task that tells ends with the process only.
+    rx.await.unwrap_or(false)
+}
+
+/// Tells a worker of all results that are given up, until there are none.
+async fn tell_all(app: Rc<App>, worker: SocketAddr, teller: Teller) {
+    loop {
+        let target = app.hub.with(|shared, _| shared.targets.at(worker).cloned());
+        if let Some(time) = target.and_then(|target| permits::gathers_for(&app, &target)) {
+            sleep(time).await;
+        }
+        let words = app.release_words.borrow_mut().insert(worker, Vec::new()).unwrap_or_default();
+        if words.is_empty() {
+            app.release_words.borrow_mut().remove(&worker);
+            return;
+        }
+        let handles: Vec<String> = words.iter().flat_map(|word| word.handles.clone()).collect();
+        let heard = tell_repeatedly(&app, worker, &handles, teller).await;
+        for word in words {
+            // Whoever waited may be gone.
+            word.heard.send(heard).ok();
+        }
+        // The connection is used again after that.
+        sleep(SETTLE).await;
+    }
+}
+
+/// Tells a worker again until it has heard. It is looked for each time: its entry may have lapsed for a moment.
+async fn tell_repeatedly(
+    app: &Rc<App>,
+    worker: SocketAddr,
+    handles: &[String],
+    teller: Teller,
+) -> bool {
     let mut pause = FIRST_PAUSE;
     for telling in 1..=MOST_TELLINGS {
-        let told = match find() {
-            Some(target) => tell(app, &target, &handles, teller).await,
+        let target = app.hub.with(|shared, _| shared.targets.at(worker).cloned());
+        let told = match target {
+            Some(target) => tell(app, &target, handles, teller).await,
             None => Told::Missed("not known".to_owned()),
         };
         let Told::Missed(why) = told else { return true };
-        info!(app.log, "results not given up"; "as" => ?teller, "results" => handles.len(),
-            "handles" => handles.join(","), "why" => why, "telling" => telling);
+        info!(app.log, "results not given up"; "worker" => %worker, "as" => ?teller,
+            "results" => handles.len(), "why" => why, "telling" => telling);
         if telling < MOST_TELLINGS {
             sleep(pause).await;
             pause *= 2;
@@ -293,22 +338,6 @@
     told
 }
 
-/// Handles that are told in one word, which may be those of others too; `None` if another word has them.
-async fn gathered(app: &Rc<App>, target: &Target, handles: &[String]) -> Option<Vec<String>> {
-    let Some(time) = permits::gathers_for(app, target) else { return Some(handles.to_vec()) };
-    let is_first = {
-        let mut gathered = app.releases.borrow_mut();
-        let of_target = gathered.entry(target.id.clone()).or_default();
-        of_target.extend_from_slice(handles);
-        of_target.len() == handles.len()
-    };
-    sleep(time).await;
-    if !is_first {
-        return None;
-    }
-    app.releases.borrow_mut().remove(&target.id)
-}
-
 /// Sends the word, after the time for which the worker wants to be left alone.
 async fn send(app: &Rc<App>, target: &Target, handles: &[String]) -> Told {
     // Without a pause the word goes out at once: even a pause of no length takes a tick of the clock, in which this
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -61,7 +61,7 @@
             metrics,
             links: RefCell::new(HashMap::new()),
             sinks: RefCell::new(BTreeMap::new()),
-            releases: RefCell::default(),
+            release_words: RefCell::default(),
             held: HeldResults::default(),
             lease_links: RefCell::default(),
             planned_looks: RefCell::new(HashMap::new()),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -286,13 +286,6 @@
         self.fleet.wanted(pools.chain(accounts))
     }
 
-    /// Connections that each VM may keep at a target of a service; `None` if the service names no bound.
-    pub(crate) fn connections_each(&self, service: &ServiceName) -> Option<usize> {
-        let taken = self.intent.as_ref()?.services.get(service)?.connections;
-        let share = usize::try_from(taken).unwrap_or(usize::MAX) / self.fleet.size();
-        (taken > 0).then_some(share)
-    }
-
     /// Counts a request for a service.
     pub(crate) fn count_request(&mut self, service: &ServiceName, now: Instant) {
         self.budgets.entry(service.clone()).or_default().request(now);
