Soak: workers hear of every result

The randomized run now checks that workers hear of each result before it runs out, but for those of which a VM that was killed in their life may have taken the handle, and those whose call had been ended by its caller before they were made (no VM learns their handles; both are counted out by what the worker and the run saw). Stand-in workers note when a call came, when its results were made, and whether the connection was closed by then; they can lose words that results are given up.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -27,10 +27,11 @@
     for seed in first..first + value(&args, "runs") {
         let report = soak::run(seed, time);
         println!(
-            "seed={seed} requests={} whole={} faults={} broken={}",
+            "seed={seed} requests={} whole={} faults={} results={} broken={}",
             report.requests,
             report.whole,
             report.faults,
+            report.results,
             report.broken.len()
         );
         report.broken.iter().for_each(|what| println!("seed={seed} broken=\"{what}\""));
--- a/standins/src/users/mod.rs
+++ b/standins/src/users/mod.rs
@@ -78,6 +78,20 @@
         self.reader.get_mut().write_all(bytes).is_ok()
     }
 
+    /// Whether the peer has closed the connection.
+    pub(crate) fn is_closed(&self) -> bool {
+        let stream = self.reader.get_ref();
+        if stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = stream.peek(&mut [0]);
+        let is_open = match peeked {
+            Ok(read) => read > 0,
+            Err(e) => e.kind() == std::io::ErrorKind::WouldBlock,
+        };
+        !is_open || stream.set_nonblocking(false).is_err()
+    }
+
     /// Reads a message; `None` if the peer closed before its head was whole.
     pub fn read(&mut self) -> Option<Message> {
         let mut message = Message { first: self.line()?, ..Message::default() };
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -97,6 +97,19 @@
     pub speaks: bool,
 }
 
+/// A result that a runner made.
+#[derive(Debug, Clone)]
+pub struct Made {
+    /// Its handle.
+    pub handle: String,
+    /// When its call came.
+    pub called: Instant,
+    /// When it was made.
+    pub at: Instant,
+    /// Whether whoever called had closed the connection before the answer: nobody learns the handle.
+    pub is_unheard: bool,
+}
+
 /// What a runner saw and does.
 #[derive(Default)]
 struct State {
@@ -107,8 +120,8 @@
     script: Vec<Act>,
     usual: Option<Act>,
     released: Vec<String>,
-    /// Handles of the results that it made.
-    made: Vec<String>,
+    /// Results that it made.
+    made: Vec<Made>,
     /// Words that results are given up which it will lose: it closes with no answer and frees nothing.
     losing: usize,
     /// Pieces made: request, stage, piece.
@@ -245,8 +258,8 @@
         self.with(|state| state.pieces.clone())
     }
 
-    /// Handles of the results that it made.
-    pub fn made(&self) -> Vec<String> {
+    /// Results that it made.
+    pub fn made(&self) -> Vec<Made> {
         self.with(|state| state.made.clone())
     }
 
@@ -427,6 +440,7 @@
     }
 
     fn make_pieces(&self, wire: &mut Wire, req: &Message) -> bool {
+        let called = Instant::now();
         let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
         let items = body["items"].as_array().cloned().unwrap_or_default();
         let act = self.with(|state| {
@@ -448,11 +462,13 @@
             _ => sleep(Duration::from_millis(20)),
         }
         self.with(|state| state.calls.push(items.len()));
-        let made = items.iter().map(|item| self.make_piece(item, &act)).collect::<Vec<_>>();
+        let is_unheard = wire.is_closed();
+        let made = |item| self.make_piece(item, &act, called, is_unheard);
+        let made = items.iter().map(made).collect::<Vec<_>>();
         wire.write(&self.reply("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
     }
 
-    fn make_piece(&self, item: &Value, act: &Act) -> Value {
+    fn make_piece(&self, item: &Value, act: &Act, called: Instant, is_unheard: bool) -> Value {
         if *act == Act::InputGone {
             return json!({"reason": "gone"});
         }
@@ -461,7 +477,8 @@
         self.with(|state| state.pieces.push((id, number("stage"), number("piece"))));
         let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
         let handle = format!("{}/{handle:x}", self.address);
-        self.with(|state| state.made.push(handle.clone()));
+        let made = Made { handle: handle.clone(), called, at: Instant::now(), is_unheard };
+        self.with(|state| state.made.push(made));
         json!({ "handle": handle })
     }
 
--- a/standins/src/users/soak.rs
+++ b/standins/src/users/soak.rs
@@ -24,7 +24,7 @@
 use super::link::{Link, Passing};
 use super::runners::{Act, Runner};
 use super::serving::{HOST, Site, Vm, usual_configuration};
-use super::soak_checks::{check_answer, check_fragile, check_rates, check_words};
+use super::soak_checks::{check_answer, check_fragile, check_rates, check_results, check_words};
 use super::soak_words::{come_back, let_runners_leave, let_runners_name_rates};
 use super::store::Mood;
 
@@ -79,6 +79,8 @@
     pub words: usize,
     /// Requests from VMs that had heard of it which reached runners while they named a rate.
     pub at_rates: usize,
+    /// Results of stages that were made, but for those of which no VM learned the handle.
+    pub results: usize,
     /// Promises that were broken.
     pub broken: Vec<String>,
 }
@@ -96,6 +98,8 @@
 pub(super) struct Interruption {
     pub(super) vm: usize,
     pub(super) at: Instant,
+    /// Whether its process ended.
+    pub(super) is_end: bool,
 }
 
 /// Plays one run.
@@ -152,6 +156,7 @@
     if !recovers(&addresses, seed) {
         report.broken.push(format!("not every VM serves {RECOVERY:?} after the last fault"));
     }
+    check_results(&site, &interruptions, &mut report);
     report
 }
 
@@ -243,12 +248,12 @@
             }
             8 => {
                 pause(&vms[vm], Duration::from_millis(rng.random_range(50..900)));
-                interruptions.push(Interruption { vm, at: Instant::now() });
+                interruptions.push(Interruption { vm, at: Instant::now(), is_end: false });
             }
             9 => {
                 report.restarts += 1;
                 vms[vm].restart();
-                interruptions.push(Interruption { vm, at: Instant::now() });
+                interruptions.push(Interruption { vm, at: Instant::now(), is_end: true });
             }
             10 => vms[vm].signal("-HUP"),
             _ => spoil(&mut rng, site),
--- a/standins/src/users/soak_checks.rs
+++ b/standins/src/users/soak_checks.rs
@@ -1,11 +1,12 @@
 //! What a randomized run must have kept to, from what callers and runners saw.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use super::Message;
 use super::fragile::Fragile;
-use super::runners::Received;
+use super::runners::{Made, Received, Runner};
 use super::serving::{Site, Vm};
 use super::soak::{Answered, Interruption, KINDS, Report};
 
@@ -25,6 +26,8 @@
 
 /// The span in which requests to a runner that names a rate are counted.
 const RATE_SPAN: Duration = Duration::from_secs(4);
+/// Time after which a result that nobody gives up runs out, as the usual configuration says.
+const RESULT_LIFE: Duration = Duration::from_secs(4);
 /// Such a runner bears this many times what its rate allows in that span,
 const RATE_FACTOR: f64 = 1.5;
 /// and so many requests more.
@@ -79,6 +82,31 @@
     }
 }
 
+/// Workers hear of every result before it runs out, but for those of which a VM's end may have taken the handle. Waits
+/// for the last ones.
+pub(super) fn check_results(site: &Site, interruptions: &[Interruption], report: &mut Report) {
+    let until = Instant::now() + RESULT_LIFE;
+    let ends: Vec<Instant> = interruptions.iter().filter(|i| i.is_end).map(|i| i.at).collect();
+    let is_owed = |made: &Made| {
+        let life = made.called..made.at + RESULT_LIFE;
+        !made.is_unheard && !ends.iter().any(|end| life.contains(end))
+    };
+    let owed: Vec<Made> = site.pool.iter().flat_map(Runner::made).filter(is_owed).collect();
+    report.results = owed.len();
+    loop {
+        let given_up: BTreeSet<String> = site.pool.iter().flat_map(Runner::released).collect();
+        let kept = owed.iter().filter(|made| !given_up.contains(&made.handle)).count();
+        if kept == 0 {
+            return;
+        }
+        if Instant::now() > until {
+            report.broken.push(format!("{kept} of {} results are not given up", owed.len()));
+            return;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
 fn by_id(answered: &[Answered]) -> HashMap<&str, &Answered> {
     answered.iter().map(|one| (one.id.as_str(), one)).collect()
 }
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -52,7 +52,7 @@
 }
 
 fn made(site: &Site) -> BTreeSet<String> {
-    site.pool.iter().flat_map(Runner::made).collect()
+    site.pool.iter().flat_map(Runner::made).map(|made| made.handle).collect()
 }
 
 fn given_up(site: &Site) -> BTreeSet<String> {
