Soak: the number of VMs and callers of a run can be named

Runs by hand were of three VMs only, where each VM tells workers itself that results are given up; the way through the owner, taken from eleven VMs on, was played by no soak.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,11 +1,11 @@
-//! Plays randomized runs of the serving path under faults: `soak --seed N --runs N --seconds N`.
+//! Plays randomized runs of the serving path under faults: `soak --seed N --runs N --seconds N --vms N --callers N`.
 //! Ends with 1 if a promise was broken.
 
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use standins::users::soak;
+use standins::users::soak::{self, Size};
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
@@ -20,12 +20,16 @@
         .arg(number("seed", "1", "First seed"))
         .arg(number("runs", "1", "Runs, each with the next seed"))
         .arg(number("seconds", "6", "Seconds of faults in a run"))
+        .arg(number("vms", "3", "VMs of a run"))
+        .arg(number("callers", "4", "Callers of a run"))
         .get_matches();
     let time = Duration::from_secs(value(&args, "seconds"));
     let first = value(&args, "seed");
+    let vms = usize::try_from(value(&args, "vms")).unwrap_or(usize::MAX);
+    let size = Size { vms, callers: value(&args, "callers") };
     let mut broken = 0;
     for seed in first..first + value(&args, "runs") {
-        let report = soak::run(seed, time);
+        let report = soak::run(seed, time, size);
         println!(
             "seed={seed} requests={} whole={} faults={} results={} broken={}",
             report.requests,
--- a/standins/src/users/soak.rs
+++ b/standins/src/users/soak.rs
@@ -28,10 +28,6 @@
 use super::soak_words::{come_back, let_runners_leave, let_runners_name_rates};
 use super::store::Mood;
 
-/// VMs of a run.
-const VMS: usize = 3;
-/// Callers of a run.
-const CALLERS: u64 = 4;
 /// Pause between two faults, in milliseconds.
 const FAULT_PAUSE: std::ops::Range<u64> = 80..500;
 /// Halls in which runners stand: the first one of each service in the first, the second in the other.
@@ -64,6 +60,21 @@
     ("/chain/", false, true),
 ];
 
+/// How large a run is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    /// VMs.
+    pub vms: usize,
+    /// Callers.
+    pub callers: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Size { vms: 3, callers: 4 }
+    }
+}
+
 /// What a run showed.
 #[derive(Debug, Default)]
 pub struct Report {
@@ -103,10 +114,10 @@
 }
 
 /// Plays one run.
-pub fn run(seed: u64, time: Duration) -> Report {
+pub fn run(seed: u64, time: Duration, size: Size) -> Report {
     let site = Site::start_in(HALLS);
     let links: Vec<Link> =
-        (0..VMS).map(|_| Link::start(site.store.address).expect("a link")).collect();
+        (0..size.vms).map(|_| Link::start(site.store.address).expect("a link")).collect();
     let mut vms: Vec<Vm> = links
         .iter()
         .enumerate()
@@ -124,7 +135,7 @@
     let mut report = Report::default();
     let mut interruptions = Vec::new();
     thread::scope(|scope| {
-        for caller in 0..CALLERS {
+        for caller in 0..size.callers {
             let (addresses, over, sent, answered) = (&addresses, &over, &sent, &answered);
             scope.spawn(move || {
                 let mut rng = StdRng::seed_from_u64(seed * 1000 + caller);
@@ -233,7 +244,7 @@
     let mut version = 1;
     while Instant::now() < end {
         report.faults += 1;
-        let vm = rng.random_range(0..VMS);
+        let vm = rng.random_range(0..vms.len());
         match rng.random_range(0..12) {
             0 => site.store.set_mood(Mood::Busy),
             1 => site.store.set_mood(Mood::Silent),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use standins::users::soak;
+use standins::users::soak::{self, Size};
 
 /// Seeds that are played.
 /// In 503 six runners ended under one request, before VMs told each other of an end at once.
@@ -15,7 +15,7 @@
 #[test]
 fn promises_hold_under_random_faults() {
     for seed in SEEDS {
-        let report = soak::run(seed, TIME);
+        let report = soak::run(seed, TIME, Size::default());
 
         assert_eq!(report.broken, Vec::<String>::new(), "seed {seed}");
         assert!(report.whole > 20 && report.faults > 5, "seed {seed}: {report:?}");
