Results are given up at the worker that made them only, and the owner hears of it on the link that stands

What callers saw: nothing yet; found by reading the change before it was landed.

Cause: a worker was looked for by its address, each time that it was told. And a holder told the owner on the link by which the result had come, also after that link had ended and another one stood: the owner counted the room as taken until a second after the request's time, and told the worker once more.

Change: only targets of pools are told, and no lifetime but the one that was told first; the owner hears on the link that stands.

Test: another_target_at_the_address_of_a_worker_is_told_nothing; on it failed (two handles reached a plain target), now it passes. The second fault has no test of its own.

--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -96,13 +96,23 @@
     for (worker, handles) in by_worker(app, handles) {
         let (app, link) = (Rc::clone(app), Rc::clone(link));
         spawn_local(async move {
-            if tell_until_heard(&app, worker, &handles, Teller::Requester).await {
+            if tell_until_heard(&app, worker, &handles, Teller::Requester).await
+                && let Some(link) = link_now(&app, link)
+            {
                 link.told(&handles);
             }
         });
     }
 }
 
+/// The link that stands to the VM which a link led to.
+fn link_now(app: &App, link: Rc<Link>) -> Option<Rc<Link>> {
+    if !link.is_over() {
+        return Some(link);
+    }
+    app.links.borrow().values().find(|other| other.address == link.address).cloned()
+}
+
 fn by_worker(app: &App, handles: Vec<String>) -> HashMap<SocketAddr, Vec<String>> {
     let mut by_worker: HashMap<SocketAddr, Vec<String>> = HashMap::new();
     for handle in handles {
@@ -240,6 +250,19 @@
     fill_calls(app, pool);
 }
 
+/// The worker at an address; `None` if no target of a pool is known there.
+fn worker_at(app: &App, address: SocketAddr) -> Option<Target> {
+    app.hub.with(|shared, _| {
+        let target = shared.targets.at(address)?;
+        shared.pools.contains_key(&target.service).then(|| target.clone())
+    })
+}
+
+/// Whether a target is not the lifetime that was told before.
+fn is_another(target: &Target, before: Option<&Target>) -> bool {
+    before.is_some_and(|before| target.id != before.id || target.is_reborn_since(before))
+}
+
 /// What came of telling a worker.
 enum Told {
     Heard,
@@ -282,7 +305,7 @@
 /// Tells a worker of all results that are given up, until there are none.
 async fn tell_all(app: Rc<App>, worker: SocketAddr, teller: Teller) {
     loop {
-        let target = app.hub.with(|shared, _| shared.targets.at(worker).cloned());
+        let target = worker_at(&app, worker);
         if let Some(time) = target.and_then(|target| permits::gathers_for(&app, &target)) {
             sleep(time).await;
         }
@@ -302,7 +325,8 @@
     }
 }
 
-/// Tells a worker again until it has heard. It is looked for each time: its entry may have lapsed for a moment.
+/// Tells a worker again until it has heard. It is looked for each time: its entry may have lapsed for a moment, or
+/// another target may have its address by now.
 async fn tell_repeatedly(
     app: &Rc<App>,
     worker: SocketAddr,
@@ -310,10 +334,15 @@
     teller: Teller,
 ) -> bool {
     let mut pause = FIRST_PAUSE;
+    let mut told_before: Option<Target> = None;
     for telling in 1..=MOST_TELLINGS {
-        let target = app.hub.with(|shared, _| shared.targets.at(worker).cloned());
-        let told = match target {
-            Some(target) => tell(app, &target, handles, teller).await,
+        let told = match worker_at(app, worker) {
+            Some(target) if is_another(&target, told_before.as_ref()) => Told::Replaced,
+            Some(target) => {
+                let told = tell(app, &target, handles, teller).await;
+                told_before = Some(target);
+                told
+            }
             None => Told::Missed("not known".to_owned()),
         };
         let Told::Missed(why) = told else { return true };
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -13,7 +13,7 @@
 use standins::fleet::wait_until;
 use standins::users::Message;
 use standins::users::runners::{Act, Runner};
-use standins::users::serving::{Site, Vm, answered, post};
+use standins::users::serving::{A_WHILE, Site, Vm, answered, post};
 
 /// Two VMs that are linked: the owner of the pool and the other one.
 struct Pair {
@@ -202,6 +202,27 @@
     wait_all_given_up(&site);
 }
 
+/// Guards against calls of pools that reach a target of another service, which has the address of a worker that ended.
+#[test]
+fn another_target_at_the_address_of_a_worker_is_told_nothing() {
+    let site = Site::start();
+    let Pair { owner: _owner, requester } = Pair::start(&site, "address-reused");
+    let asked = ask_silent_engines(&site, requester.callers, 1);
+    for worker in &site.pool {
+        site.store.remove(&format!("servers/{}", worker.id));
+        let entry = worker.entry("plain", "hall-a", "ready");
+        site.store.put(&format!("servers/{}-other", worker.id), &entry);
+    }
+    wait_until("the others are known", || requester.targets() == 6);
+    thread::sleep(A_WHILE);
+    let before = given_up(&site);
+
+    join(asked);
+    thread::sleep(Duration::from_secs(5));
+
+    assert_eq!(given_up(&site), before);
+}
+
 /// Guards against results that VMs which stop as planned leave behind.
 #[test]
 fn results_are_given_up_by_vms_that_stop() {
