Failing test: inputs of a call that waits for its turn are taken back, known red

What callers see: stages of their requests are made anew, some of them until the time is over, and the answer is late or a refusal.

The stand-in worker can let a call wait for its turn, and finds an input gone that was given up at any stand-in.

--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -1,8 +1,9 @@
 //! Runners: plain services, engines that stream, and pools of pieces, each with its faults.
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -124,6 +125,8 @@
     made: Vec<Made>,
     /// Words that results are given up which it will lose: it closes with no answer and frees nothing.
     losing: usize,
+    /// How long the next call of pieces waits for its turn, behind a call of somebody else.
+    turn_after: Duration,
     /// Pieces made: request, stage, piece.
     pieces: Vec<(String, u64, u64)>,
     /// Sizes of calls.
@@ -263,6 +266,11 @@
         self.with(|state| state.made.clone())
     }
 
+    /// Lets the next call of pieces wait for its turn, as one behind a call of somebody else does.
+    pub fn delay_turn(&self, time: Duration) {
+        self.with(|state| state.turn_after = time);
+    }
+
     /// Loses the next words that results are given up.
     pub fn lose_releases(&self, count: usize) {
         self.with(|state| state.losing = count);
@@ -449,6 +457,7 @@
             state.receive(req, &act);
             act
         });
+        sleep(self.with(|state| std::mem::take(&mut state.turn_after)));
         match act {
             Act::Decline => {
                 return wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b""));
@@ -469,7 +478,7 @@
     }
 
     fn make_piece(&self, item: &Value, act: &Act, called: Instant, is_unheard: bool) -> Value {
-        if *act == Act::InputGone {
+        if *act == Act::InputGone || inputs_of(item).any(|input| is_given_up(&input)) {
             return json!({"reason": "gone"});
         }
         let number = |name: &str| item[name].as_u64().unwrap_or(u64::MAX);
@@ -494,7 +503,26 @@
         if is_lost {
             return false;
         }
+        let handles: Vec<String> = handles.collect();
+        given_up().extend(handles.iter().cloned());
         self.with(|state| state.released.extend(handles));
         wire.write(&self.reply("200 OK", &[], b""))
     }
 }
+
+/// Results that were given up at any runner of this process: whoever needs one as an input finds it gone.
+static GIVEN_UP: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
+fn given_up() -> MutexGuard<'static, BTreeSet<String>> {
+    GIVEN_UP.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn is_given_up(handle: &str) -> bool {
+    given_up().contains(handle)
+}
+
+/// Results that a piece needs.
+fn inputs_of(item: &Value) -> impl Iterator<Item = String> {
+    let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
+    inputs.into_iter().filter_map(|input| input.as_str().map(str::to_owned))
+}
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -13,7 +13,7 @@
 use standins::fleet::wait_until;
 use standins::users::Message;
 use standins::users::runners::{Act, Runner};
-use standins::users::serving::{A_WHILE, Site, Vm, answered, post};
+use standins::users::serving::{A_WHILE, Site, Vm, answered, post, usual_configuration};
 
 /// Two VMs that are linked: the owner of the pool and the other one.
 struct Pair {
@@ -239,6 +239,31 @@
     }
 }
 
+/// Guards against inputs that are taken back as fetched while the call which needs them waits for its turn behind a call
+/// of another VM, as all calls of a new owner do while the one before ends its own.
+#[test]
+fn inputs_of_a_call_that_waits_for_its_turn_are_not_taken_back() {
+    let site = Site::start();
+    let mut scarce = usual_configuration(2);
+    // Six results take 0.6 of the room of 1 MB that a worker has.
+    scarce["routes"][4]["stages"][0]["bytes"] = json!(100_000);
+    site.store.put("op/config", &scarce);
+    site.store.remove("servers/i-pool-2");
+    let vm = site.start_vm("waits-for-turn", "");
+    wait_until("it is in force", || vm.state()["configuration"] == json!(2));
+    let address = vm.callers;
+    let call = post("/chain/", "c-1").with("Pieces", "6,1").with("Piece-Key", "k");
+
+    let asked = thread::spawn(move || call.send(address));
+    wait_until("the first stage is at work", || site.pool[0].seen().len() == 1);
+    thread::sleep(Duration::from_millis(5));
+    site.pool[0].delay_turn(Duration::from_millis(150));
+
+    let answer = asked.join().expect("no panic").expect("an answer");
+    assert_eq!(answer.status(), 200, "{answer:?}");
+    assert_eq!(site.pool[0].seen().len(), 2, "each stage is called once");
+}
+
 /// Guards against inputs that an owner takes back from a requester that lives and still needs them.
 #[test]
 fn results_in_use_outlive_a_link_that_was_lost() {
