--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -77,6 +77,21 @@
     asked
 }
 
+/// Starts three requests whose first pieces take 0.4 s; waits until one is at work.
+fn ask_slow_workers(site: &Site, address: SocketAddr) -> Vec<JoinHandle<Option<Message>>> {
+    site.pool.iter().for_each(|worker| worker.next(&[Act::Hang(Duration::from_millis(400))]));
+    let asked = ask(address, 3);
+    wait_until("a piece is at work", || site.pool.iter().any(|worker| !worker.seen().is_empty()));
+    asked
+}
+
+/// Stops a VM's process for longer than its requests have.
+fn stand_still(vm: &Vm) {
+    vm.signal("-STOP");
+    thread::sleep(Duration::from_secs(4));
+    vm.signal("-CONT");
+}
+
 /// Guards against results that stay at their workers when the VM of their requests is killed.
 #[test]
 fn results_of_a_killed_requester_are_given_up_by_the_owner() {
@@ -98,9 +113,7 @@
     let Pair { owner: _owner, requester } = Pair::start(&site, "requester-paused");
     let asked = ask_silent_engines(&site, requester.callers, 3);
 
-    requester.signal("-STOP");
-    thread::sleep(Duration::from_secs(4));
-    requester.signal("-CONT");
+    stand_still(&requester);
 
     join(asked);
     wait_all_given_up(&site);
@@ -111,13 +124,9 @@
 fn results_that_a_paused_requester_did_not_read_are_given_up() {
     let site = Site::start();
     let Pair { owner: _owner, requester } = Pair::start(&site, "unread");
-    site.pool.iter().for_each(|worker| worker.next(&[Act::Hang(Duration::from_millis(400))]));
-    let asked = ask(requester.callers, 3);
-    wait_until("a piece is at work", || site.pool.iter().any(|worker| !worker.seen().is_empty()));
+    let asked = ask_slow_workers(&site, requester.callers);
 
-    requester.signal("-STOP");
-    thread::sleep(Duration::from_secs(4));
-    requester.signal("-CONT");
+    stand_still(&requester);
 
     join(asked);
     wait_all_given_up(&site);
@@ -128,13 +137,9 @@
 fn results_that_a_paused_owner_hands_over_too_late_are_given_up() {
     let site = Site::start();
     let Pair { owner, requester } = Pair::start(&site, "owner-paused");
-    site.pool.iter().for_each(|worker| worker.next(&[Act::Hang(Duration::from_millis(400))]));
-    let asked = ask(requester.callers, 3);
-    wait_until("a piece is at work", || site.pool.iter().any(|worker| !worker.seen().is_empty()));
+    let asked = ask_slow_workers(&site, requester.callers);
 
-    owner.signal("-STOP");
-    thread::sleep(Duration::from_secs(4));
-    owner.signal("-CONT");
+    stand_still(&owner);
 
     join(asked);
     wait_all_given_up(&site);
