--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -52,8 +52,10 @@
     pub const UNKNOWN_WORDS: &str = "saddlerail_unknown_words";
     /// Results of stages that were given up, by cause.
     pub const RESULTS_GIVEN_UP: &str = "saddlerail_results_given_up";
+    /// Requests that the end of the process closed, by what they waited for.
+    pub const CLOSED_BY_STOP: &str = "saddlerail_requests_closed_by_stop";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 19] = [
+    pub const ALL: [&str; 20] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -73,6 +75,7 @@
         PERMITS,
         UNKNOWN_WORDS,
         RESULTS_GIVEN_UP,
+        CLOSED_BY_STOP,
     ];
 }
 
@@ -99,6 +102,7 @@
     permits: Counter<u64>,
     unknown_words: Counter<u64>,
     results_given_up: Counter<u64>,
+    closed_by_stop: Counter<u64>,
 }
 
 impl Metrics {
@@ -138,6 +142,7 @@
             permits: meter.u64_counter(metric_names::PERMITS).build(),
             unknown_words: meter.u64_counter(metric_names::UNKNOWN_WORDS).build(),
             results_given_up: meter.u64_counter(metric_names::RESULTS_GIVEN_UP).build(),
+            closed_by_stop: meter.u64_counter(metric_names::CLOSED_BY_STOP).build(),
             _provider: provider,
         })
     }
@@ -159,6 +164,11 @@
         self.results_given_up.add(results as u64, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a request that the end of the process closed, by what it waited for.
+    pub fn request_closed_by_stop(&self, waits_for: &'static str) {
+        self.closed_by_stop.add(1, &[KeyValue::new("waits_for", waits_for)]);
+    }
+
     /// Counts a lifetime of a target that is first heard to leave.
     pub fn target_departed(&self, service: &str, source: &'static str) {
         let labels =
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod halls;
 mod held_results;
 mod hub;
+mod in_work;
 mod link_words;
 mod links;
 mod logs;
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -43,7 +43,7 @@
         };
         let over = tokio::time::Instant::now() >= last;
         if over || !tries.may_go_on(&missed) {
-            let told = match (over, tries.may_have_run) {
+            let told = match (over, tries.may_have_run()) {
                 (true, true) => Refusal::FailedInTime,
                 (true, false) => Refusal::NotRunInTime,
                 (false, _) => tries.refusal(),
@@ -75,7 +75,7 @@
         Err(e) => {
             crashes::connection_broke(app, tries.req(), &a_try).await;
             a_try.end(End::Failed);
-            tries.may_have_run = true;
+            tries.set_may_have_run();
             return Ok(Err(Missed::Lost(e.to_string())));
         }
     };
@@ -87,7 +87,7 @@
     let own_failure = head.status.is_server_error();
     a_try.end(if own_failure { End::OwnFailure } else { End::Answered });
     if own_failure {
-        tries.may_have_run = true;
+        tries.set_may_have_run();
         let again = Missed::Lost(format!("status {}", head.status.as_u16()));
         if tries.may_go_on(&again) {
             return Box::pin(one_try(app, tries)).await;
--- a/gateway/src/request_stages.rs
+++ b/gateway/src/request_stages.rs
@@ -9,10 +9,11 @@
 
 use crate::admission::InFlight;
 use crate::app::App;
-use crate::crashes;
 use crate::hub::now;
+use crate::in_work::Waits;
 use crate::requests::Accepted;
 use crate::stages::{self, Results, StagesMiss, StagesOf};
+use crate::{crashes, in_work};
 
 /// When to come back after a piece could not be made.
 const BROKEN_WAIT: Duration = Duration::from_millis(800);
@@ -43,11 +44,13 @@
         due: (req.arrived + req.entry.aim).checked_sub(first_event).unwrap_or(req.arrived),
     };
     let began = now();
+    in_work::waits_for(app, req.work, Waits::Stages);
     let results = tokio::select! {
         results = stages::run(&of, in_flight) => results,
         // It would be held until its stages are done, only to be refused then.
         refusal = crashes::until_refused(app, req, false) => return Err(refusal),
     };
+    in_work::waits_for(app, req.work, Waits::Target);
     info!(app.log, "stages ended"; "request" => %req.id, "entry" => &req.entry.name,
         "missed" => results.as_ref().err().map(|miss| format!("{miss:?}")),
         "took_ms" => (now() - began).as_millis(), "at_ms" => (now() - req.arrived).as_millis());
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -18,6 +18,7 @@
 use crate::answers::{AnswerBody, refusal};
 use crate::app::App;
 use crate::hub::now;
+use crate::in_work::{InWork, WorkKey};
 use crate::{crashes, plain, streams};
 
 /// When to come back to a VM that has no configuration yet or is ending.
@@ -28,6 +29,7 @@
 /// A request that may be served.
 pub(crate) struct Accepted {
     pub(crate) id: RequestId,
+    pub(crate) work: WorkKey,
     /// The same for each attempt at the same request.
     pub(crate) content: Content,
     pub(crate) head: CallerHead,
@@ -43,22 +45,6 @@
     pub(crate) until: Instant,
 }
 
-/// Counts a request in work for as long as it lives.
-struct InWork(Rc<App>);
-
-impl InWork {
-    fn new(app: &Rc<App>) -> Self {
-        app.hub.with(|shared, _| shared.in_work += 1);
-        InWork(Rc::clone(app))
-    }
-}
-
-impl Drop for InWork {
-    fn drop(&mut self) {
-        self.0.hub.with(|shared, _| shared.in_work = shared.in_work.saturating_sub(1));
-    }
-}
-
 /// Logs a request that ends because its caller is gone.
 struct Ending<'a> {
     app: &'a App,
@@ -79,11 +65,11 @@
 /// Answers one request.
 pub(crate) async fn answer(app: Rc<App>, req: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = now();
-    let in_work = InWork::new(&app);
     let (parts, body) = req.into_parts();
     let head = (app.doors.callers.read)(&parts);
     let id = head.id.clone();
-    let accepted = match accept(&app, parts, head, body, arrived).await {
+    let in_work = InWork::new(&app, id.clone(), arrived);
+    let accepted = match accept(&app, parts, head, body, &in_work).await {
         Ok(accepted) => accepted,
         Err((why, told)) => {
             info!(app.log, "request ended"; "request" => id.as_ref().map(ToString::to_string),
@@ -120,8 +106,9 @@
     parts: Parts,
     head: CallerHead,
     body: Incoming,
-    arrived: Instant,
+    in_work: &InWork,
 ) -> Result<Accepted, (&'static str, Refusal)> {
+    let arrived = now();
     let elsewhere = Refusal::NotRun { come_back: ELSEWHERE };
     let intent = app.hub.with(|shared, _| shared.intent.clone());
     let intent = intent.ok_or(("no configuration", elsewhere))?;
@@ -150,6 +137,7 @@
     let content = content_of(&parts, &host, customer.as_ref(), &body);
     Ok(Accepted {
         id,
+        work: in_work.key(),
         content,
         head,
         parts,
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -25,8 +25,8 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{
-    accepted_links, accounts, callers, dials, logs, news, own_entry, pages, reach, releases,
-    settings, store, stored_refusals,
+    accepted_links, accounts, callers, dials, in_work, logs, news, own_entry, pages, reach,
+    releases, settings, store, stored_refusals,
 };
 
 /// Pause between two looks at connections at rest.
@@ -169,13 +169,14 @@
     let mut closing = false;
     loop {
         let now = now();
-        let in_work = app.hub.with(|shared, _| shared.in_work);
+        let in_work = app.hub.with(|shared, _| shared.works.len());
         if !closing && now >= closing_at {
             closing = true;
             app.closing.send_replace(true);
         }
         if (closing && in_work == 0) || now >= end_at {
             info!(app.log, "last requests ended"; "in_work" => in_work);
+            in_work::tell_closed(app);
             break;
         }
         sleep(STOP_LOOK).await;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -21,6 +21,7 @@
 
 use crate::admission::Admission;
 use crate::belief::Behind;
+use crate::in_work::Works;
 use crate::settings::{ColdMargin, Policy, Settings};
 
 /// Time to a first event that is believed until one was seen.
@@ -82,7 +83,8 @@
     pub(crate) cold: ColdMargin,
     /// Targets that were cold when last looked at.
     pub(crate) cold_targets: usize,
-    pub(crate) in_work: usize,
+    /// Requests in work.
+    pub(crate) works: Works,
     order: Order,
     rules: RepeatRules,
     budgets: HashMap<ServiceName, RepeatBudget>,
@@ -140,7 +142,7 @@
             choices_changed: false,
             cold: cfg.cold,
             cold_targets: 0,
-            in_work: 0,
+            works: Works::default(),
             order,
             rules: RepeatRules {
                 ratio: cfg.repeats.ratio,
--- a/gateway/src/stream_reader.rs
+++ b/gateway/src/stream_reader.rs
@@ -35,9 +35,9 @@
     }
 
     /// Ends a try that brought no event.
-    pub(crate) fn lost(&mut self, tries: &mut Tries, why: String) -> Missed {
+    pub(crate) fn lost(&mut self, tries: &Tries, why: String) -> Missed {
         self.answer.a_try.end(End::Failed);
-        tries.may_have_run = true;
+        tries.set_may_have_run();
         Missed::Lost(why)
     }
 
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -23,7 +23,7 @@
 use crate::stream_passing::{Events, Stream, pass_on};
 use crate::stream_reader::{Next, Reader};
 use crate::tries::{Answer, Missed, OUT_OF_REACH, Tries};
-use crate::{admission, crashes};
+use crate::{admission, crashes, in_work};
 
 /// Events that wait for a caller that reads slowly.
 const EVENTS_WAITING: usize = 64;
@@ -49,6 +49,7 @@
 ) -> (Response<AnswerBody>, &'static str) {
     match begin(app, req).await {
         Ok(Begun::Stream(stream, first)) => {
+            in_work::note(app, req.work, |work| work.head_sent = true);
             let mut answer = Response::new(whole(Bytes::new()));
             let head = &stream.reader.answer.head;
             *answer.status_mut() = head.status;
@@ -129,7 +130,7 @@
 }
 
 fn in_time(tries: &Tries) -> Refusal {
-    if tries.may_have_run { Refusal::FailedInTime } else { Refusal::NotRunInTime }
+    if tries.may_have_run() { Refusal::FailedInTime } else { Refusal::NotRunInTime }
 }
 
 /// When the caller gives up a stream that has not begun.
--- a/gateway/src/tries.rs
+++ b/gateway/src/tries.rs
@@ -16,6 +16,7 @@
 use crate::connections::{Carrier, NoAnswer};
 use crate::crashes;
 use crate::hub::{left, now};
+use crate::in_work::{self, Waits};
 use crate::permits::{self, AtItsRate, Permit};
 use crate::reach;
 use crate::requests::{Accepted, call_of};
@@ -45,8 +46,6 @@
     tried: Vec<TargetKey>,
     sent: u32,
     unreachable: u32,
-    /// Whether it may have run.
-    pub(crate) may_have_run: bool,
 }
 
 /// A try under way; dropped before its end, it counts as given up.
@@ -119,7 +118,6 @@
             tried: Vec::new(),
             sent: 0,
             unreachable: 0,
-            may_have_run: false,
         }
     }
 
@@ -140,7 +138,7 @@
 
     /// The last try was given up because nothing came.
     pub(crate) fn was_silent(&mut self) {
-        self.may_have_run = true;
+        self.set_may_have_run();
         if let Some(key) = self.tried.last() {
             self.app.hub.with(|shared, now| shared.targets.was_silent(*key, now));
         }
@@ -154,10 +152,12 @@
         last_event: Option<u64>,
     ) -> Result<Result<Answer, Missed>, Refusal> {
         // Word of it may have come since the request was admitted, or since the last try.
-        if let Some(refusal) = crashes::refusal(&self.app, &self.req, self.may_have_run) {
+        if let Some(refusal) = crashes::refusal(&self.app, &self.req, self.may_have_run()) {
             return Err(refusal);
         }
+        in_work::waits_for(&self.app, self.req.work, Waits::Target);
         let (mut a_try, permit) = self.choose(size).await?;
+        in_work::waits_for(&self.app, self.req.work, Waits::Answer);
         self.tried.push(a_try.pick.key);
         self.began = now();
         let target = a_try.pick.target.clone();
@@ -211,12 +211,32 @@
         Ok(match result {
             Ok((head, read, body, carrier)) => Ok(Answer { head, read, body, carrier, a_try }),
             Err(missed) => {
-                self.may_have_run |= matches!(missed, Missed::Lost(_));
+                self.not_answered(&missed);
                 Err(missed)
             }
         })
     }
 
+    /// Notes that a try brought no answer.
+    fn not_answered(&self, missed: &Missed) {
+        in_work::waits_for(&self.app, self.req.work, Waits::Target);
+        if matches!(missed, Missed::Lost(_)) {
+            self.set_may_have_run();
+        }
+    }
+
+    /// Notes that a try may have run the request.
+    pub(crate) fn set_may_have_run(&self) {
+        in_work::note(&self.app, self.req.work, |work| work.may_have_run = true);
+    }
+
+    /// Whether a try may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.app
+            .hub
+            .with(|shared, _| shared.works.get(self.req.work).is_some_and(|work| work.may_have_run))
+    }
+
     /// Chooses the best target that was not tried and takes another request now.
     async fn choose(&mut self, size: Option<&CallSize>) -> Result<(Try, Permit), Refusal> {
         let mut passed_over = self.tried.clone();
@@ -364,15 +384,15 @@
     /// A refusal as it is true of a request that may have run in an earlier try.
     pub(crate) fn truthful(&self, refusal: Refusal) -> Refusal {
         match refusal {
-            Refusal::NotRun { .. } if self.may_have_run => Refusal::Failed,
-            Refusal::NotRunInTime if self.may_have_run => Refusal::FailedInTime,
+            Refusal::NotRun { .. } if self.may_have_run() => Refusal::Failed,
+            Refusal::NotRunInTime if self.may_have_run() => Refusal::FailedInTime,
             other => other,
         }
     }
 
     /// The refusal when no try is left.
     pub(crate) fn refusal(&self) -> Refusal {
-        match (self.may_have_run, left(self.req.until).is_zero()) {
+        match (self.may_have_run(), left(self.req.until).is_zero()) {
             (true, true) => Refusal::FailedInTime,
             (true, false) => Refusal::Failed,
             (false, true) => Refusal::NotRunInTime,
