--- a/standins/src/users/callers.rs
+++ b/standins/src/users/callers.rs
@@ -58,6 +58,20 @@
         self.send_on(&mut Wire::new(TcpStream::connect(address).ok()?))
     }
 
+    /// Sends it and begins to read its answer once `begin` returns.
+    pub fn send_and_read_after(
+        &self,
+        address: SocketAddr,
+        begin: impl FnOnce(),
+    ) -> Option<Message> {
+        let mut wire = Wire::new(TcpStream::connect(address).ok()?);
+        if !wire.write(&self.bytes()) {
+            return None;
+        }
+        begin();
+        wire.read()
+    }
+
     /// Sends it and closes the connection after a while without reading.
     pub fn send_and_leave(&self, address: SocketAddr, after: std::time::Duration) {
         if let Ok(stream) = TcpStream::connect(address) {
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -16,6 +16,8 @@
 pub enum Act {
     /// A whole answer.
     Answer,
+    /// A whole answer of so many bytes.
+    Large(usize),
     /// It answers with a failure of its own, after it ran.
     Fail,
     /// It is full and does not run it.
@@ -66,6 +68,7 @@
             | Act::Encoded
             | Act::Hang(_) => false,
             Act::Answer
+            | Act::Large(_)
             | Act::Fail
             | Act::Decline
             | Act::DeclineFor(_)
@@ -354,6 +357,7 @@
         let whole = self.reply("200 OK", &own, body.as_bytes());
         match act {
             Act::Answer => wire.write(&whole),
+            Act::Large(bytes) => wire.write(&self.reply("200 OK", &own, &vec![b'x'; *bytes])),
             Act::Fail => wire.write(&self.reply("500 Oops", &own, b"failed")),
             Act::Decline => wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b"")),
             Act::DeclineFor(seconds) => {
--- /dev/null
+++ b/tests/serving_stops.rs
@@ -0,0 +1,148 @@
+//! Planned stops of the serving path, with requests whose time is longer than the grace of a stop.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::expect_used)]
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standins::fleet::wait_until;
+use standins::users::Message;
+use standins::users::callers::Call;
+use standins::users::runners::{Act, Runner};
+use standins::users::serving::{HOST, Site, Vm, usual_configuration};
+
+/// Times of a stop: the grace is shorter than the time that requests have.
+const STOP: &str = "stop: {notice_ms: 1000, grace_s: 4}\n";
+/// Time after the signal within which the process has to end by itself.
+const GRACE: Duration = Duration::from_secs(4);
+/// Time that requests have, in milliseconds.
+const LONG_MS: u32 = 20_000;
+/// Requests in each case.
+const REQUESTS: usize = 6;
+/// Pause between two requests: some come before the signal, some during the notice.
+const PAUSE: Duration = Duration::from_millis(250);
+/// When the signal comes after the first request.
+const SIGNAL_AFTER: Duration = Duration::from_millis(700);
+/// Longer than a stop.
+const SILENT: Act = Act::Hang(Duration::from_secs(15));
+
+/// A site whose requests have [`LONG_MS`] and may wait for most of it.
+fn long_site() -> Site {
+    let site = Site::start();
+    let mut cfg = usual_configuration(2);
+    for route in cfg["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(LONG_MS);
+        route["target_latency_ms"] = json!(2500);
+    }
+    site.store.put("op/config", &cfg);
+    site
+}
+
+fn start_vm(site: &Site, name: &str) -> Vm {
+    let vm = site.start_vm(name, STOP);
+    wait_until("the configuration is in force", || vm.state()["configuration"] == json!(2));
+    vm
+}
+
+fn long_call(path: &str, id: &str) -> Call {
+    let call = Call::new("POST", HOST, path, id)
+        .with("Deadline-Milliseconds", &LONG_MS.to_string())
+        .body(b"a body");
+    if path == "/chain/" { call.with("Pieces", "1,2").with("Piece-Key", "k") } else { call }
+}
+
+/// Sends requests one after the other, without waiting for answers, and stops the VM among them; gives the answers.
+fn ask_and_stop(vm: &mut Vm, path: &str) -> Vec<Option<Message>> {
+    let address = vm.callers;
+    thread::scope(|scope| {
+        let asked: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                scope.spawn(move || {
+                    thread::sleep(PAUSE * u32::try_from(number).unwrap_or(u32::MAX));
+                    long_call(path, &format!("r-{number}")).send(address)
+                })
+            })
+            .collect();
+        thread::sleep(SIGNAL_AFTER);
+        let signalled = Instant::now();
+        vm.signal("-TERM");
+        assert_eq!(vm.wait_end(), Some(0));
+        assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
+        asked.into_iter().map(|one| one.join().expect("no panic")).collect()
+    })
+}
+
+fn statuses(answers: &[Option<Message>]) -> Vec<u16> {
+    answers.iter().map(|answer| answer.as_ref().map_or(0, Message::status)).collect()
+}
+
+/// All of a list of runners do so from now on.
+fn always(runners: &[Runner], act: &Act) {
+    runners.iter().for_each(|runner| runner.next(&vec![act.clone(); 1000]));
+}
+
+/// Guards against requests that a stopping VM closes without an answer (LOST).
+#[test]
+fn requests_without_an_answer_at_the_end_of_a_stop_are_told_so() {
+    type Case = (&'static str, &'static str, fn(&Site), u16);
+    let cases: [Case; 6] = [
+        ("workers-silent", "/chain/", |site| always(&site.pool, &SILENT), 503),
+        ("workers-full", "/chain/", |site| always(&site.pool, &Act::Decline), 503),
+        ("no-worker", "/chain/", |site| remove(site, &site.pool), 503),
+        ("engines-silent", "/stream/", |site| always(&site.engines, &SILENT), 502),
+        ("resumable-engines-silent", "/resumed/", |site| always(&site.engines, &SILENT), 502),
+        ("targets-silent", "/once/", |site| always(&site.plain, &SILENT), 502),
+    ];
+    thread::scope(|scope| {
+        for (name, path, hinder, unserved) in cases {
+            scope.spawn(move || {
+                let site = long_site();
+                let mut vm = start_vm(&site, &format!("stop-{name}"));
+                hinder(&site);
+
+                let answers = ask_and_stop(&mut vm, path);
+
+                let statuses = statuses(&answers);
+                let is_told = |status: &u16| [200, unserved, 503].contains(status);
+                assert!(statuses.iter().all(is_told), "{name}: {statuses:?}");
+                assert!(answers.iter().flatten().all(|answer| answer.whole), "{name}: {answers:?}");
+                for answer in answers.iter().flatten().filter(|answer| answer.status() == 503) {
+                    assert!(!answer.header("retry-after").is_empty(), "{name}: {answer:?}");
+                }
+                let told_not_run =
+                    statuses.iter().enumerate().filter(|(_, status)| **status == 503);
+                for (number, _) in told_not_run {
+                    assert_eq!(site.runs(&format!("r-{number}")), 0, "{name}: {number}");
+                }
+            });
+        }
+    });
+}
+
+fn remove(site: &Site, runners: &[Runner]) {
+    runners.iter().for_each(|runner| site.store.remove(&format!("servers/{}", runner.id)));
+}
+
+/// Guards against answers that a stopping VM has begun to send and cuts for a caller that reads slowly.
+#[test]
+fn a_caller_that_reads_late_gets_its_whole_answer_from_a_vm_that_stops() {
+    const BYTES: usize = 48 << 20;
+    let site = long_site();
+    let mut vm = start_vm(&site, "stop-slow-reader");
+    always(&site.plain, &Act::Large(BYTES));
+    let (address, is_answered) = (vm.callers, || vm.log().contains("outcome=whole"));
+    let read_late = || {
+        wait_until("the VM has answered", is_answered);
+        vm.signal("-TERM");
+        thread::sleep(GRACE.mul_f64(0.7));
+    };
+
+    let answer = long_call("/once/", "r-1").send_and_read_after(address, read_late);
+
+    let answer = answer.expect("a head");
+    assert!(answer.whole, "cut");
+    assert_eq!(answer.body.len(), BYTES);
+    assert_eq!(vm.wait_end(), Some(0));
+}
