--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -54,8 +54,10 @@
     pub const RESULTS_GIVEN_UP: &str = "saddlerail_results_given_up";
     /// Requests that the end of the process closed, by what they waited for.
     pub const CLOSED_BY_STOP: &str = "saddlerail_requests_closed_by_stop";
+    /// Requests that a stop did not leave time for, by what they waited for.
+    pub const ENDED_BY_STOP: &str = "saddlerail_requests_ended_by_stop";
     /// All of them, for the test that keeps the docs true.
-    pub const ALL: [&str; 20] = [
+    pub const ALL: [&str; 21] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -76,6 +78,7 @@
         UNKNOWN_WORDS,
         RESULTS_GIVEN_UP,
         CLOSED_BY_STOP,
+        ENDED_BY_STOP,
     ];
 }
 
@@ -103,6 +106,7 @@
     unknown_words: Counter<u64>,
     results_given_up: Counter<u64>,
     closed_by_stop: Counter<u64>,
+    ended_by_stop: Counter<u64>,
 }
 
 impl Metrics {
@@ -143,6 +147,7 @@
             unknown_words: meter.u64_counter(metric_names::UNKNOWN_WORDS).build(),
             results_given_up: meter.u64_counter(metric_names::RESULTS_GIVEN_UP).build(),
             closed_by_stop: meter.u64_counter(metric_names::CLOSED_BY_STOP).build(),
+            ended_by_stop: meter.u64_counter(metric_names::ENDED_BY_STOP).build(),
             _provider: provider,
         })
     }
@@ -164,6 +169,11 @@
         self.results_given_up.add(results as u64, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a request that was told that it can't be served since the process stops, by what it waited for.
+    pub fn request_ended_by_stop(&self, waits_for: &'static str) {
+        self.ended_by_stop.add(1, &[KeyValue::new("waits_for", waits_for)]);
+    }
+
     /// Counts a request that the end of the process closed, by what it waited for.
     pub fn request_closed_by_stop(&self, waits_for: &'static str) {
         self.closed_by_stop.add(1, &[KeyValue::new("waits_for", waits_for)]);
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -171,8 +171,13 @@
     ranks.into_iter().filter(|urgency| *urgency < req.urgency).count() as f64
 }
 
-/// Time until the first event, along the longest way through the stages.
+/// Time until the first event.
 fn expected_time(shared: &Shared, req: &Accepted, now: Instant) -> Duration {
+    stages_time(shared, req, now) + shared.first_event(&req.service)
+}
+
+/// Time that the stages take, along the longest way through them.
+pub(crate) fn stages_time(shared: &Shared, req: &Accepted, now: Instant) -> Duration {
     let stages = &req.entry.stages;
     let mut done: Vec<Duration> = Vec::with_capacity(stages.len());
     for (index, stage) in stages.iter().enumerate() {
@@ -183,8 +188,7 @@
             if pieces == 0 { Duration::ZERO } else { pool_time(shared, req, index, begin, now) };
         done.push(begin + own);
     }
-    let longest = done.into_iter().max().unwrap_or(Duration::ZERO);
-    longest + shared.first_event(&req.service)
+    done.into_iter().max().unwrap_or(Duration::ZERO)
 }
 
 fn pool_time(
--- a/gateway/src/in_work.rs
+++ b/gateway/src/in_work.rs
@@ -1,14 +1,12 @@
 //! Requests that this VM has in work, and what each of them waits for.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ids::RequestId;
-use slog::warn;
 use slotmap::{SlotMap, new_key_type};
 
 use crate::app::App;
-use crate::hub::now;
 
 new_key_type! {
     /// A request in work.
@@ -50,6 +48,8 @@
     pub(crate) may_have_run: bool,
     /// Whether its caller has the head of its answer.
     pub(crate) head_sent: bool,
+    /// Time that few of its kind take longer than, from being sent to a target to the end of the answer.
+    pub(crate) passing: Option<Duration>,
 }
 
 /// Requests in work.
@@ -64,8 +64,14 @@
 impl InWork {
     /// Takes a request whose head was read.
     pub(crate) fn new(app: &Rc<App>, id: Option<RequestId>, arrived: Instant) -> Self {
-        let work =
-            Work { id, arrived, waits: Waits::Checks, may_have_run: false, head_sent: false };
+        let work = Work {
+            id,
+            arrived,
+            waits: Waits::Checks,
+            may_have_run: false,
+            head_sent: false,
+            passing: None,
+        };
         let key = app.hub.with(|shared, _| shared.works.insert(work));
         InWork { app: Rc::clone(app), key }
     }
@@ -91,17 +97,3 @@
 pub(crate) fn waits_for(app: &App, key: WorkKey, waits: Waits) {
     note(app, key, |work| work.waits = waits);
 }
-
-/// Tells of each request that the end of the process closes.
-pub(crate) fn tell_closed(app: &App) {
-    app.hub.with(|shared, _| {
-        for work in shared.works.values() {
-            let id = work.id.as_ref().map(ToString::to_string);
-            warn!(app.log, "request closed by the stop"; "request" => id,
-                "waits_for" => work.waits.name(), "may_have_run" => work.may_have_run,
-                "head_sent" => work.head_sent,
-                "took_ms" => (now() - work.arrived).as_millis());
-            app.metrics.request_closed_by_stop(work.waits.name());
-        }
-    });
-}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod settings;
 mod shared;
 mod stages;
+mod stops;
 mod store;
 mod store_connection;
 mod stored_refusals;
--- a/gateway/src/link_words.rs
+++ b/gateway/src/link_words.rs
@@ -52,7 +52,7 @@
 fn new_beat(app: &App) -> Beat {
     app.hub.with(|shared, now| Beat {
         as_of: shared.view.as_of(),
-        draining: shared.draining.is_some(),
+        draining: shared.is_stopping(),
         store_age_ms: shared.contact.age(now).map(millis),
         watches: shared.watches && !shared.contact.is_lost(now),
         configuration: shared.intent.as_ref().map_or(0, |intent| intent.version),
--- a/gateway/src/owners.rs
+++ b/gateway/src/owners.rs
@@ -84,14 +84,14 @@
     }
 
     fn owner_of_part(&self, pool: &ServiceName, split: &Split, part: Part, now: Instant) -> Owner {
-        self.fleet.owner_of(pool.as_str(), split, part, self.draining.is_some(), now)
+        self.fleet.owner_of(pool.as_str(), split, part, self.is_stopping(), now)
     }
 
     /// VMs that rank before the owner of this VM's part of a pool, each with why it is not the owner.
     pub(crate) fn owners_passed_over(&self, pool: &ServiceName, now: Instant) -> Vec<String> {
         let Some(split) = self.splits.get(pool) else { return Vec::new() };
         let own = split.part_of(&self.own_hall);
-        self.fleet.passed_over(pool.as_str(), split, own, self.draining.is_some(), now)
+        self.fleet.passed_over(pool.as_str(), split, own, self.is_stopping(), now)
     }
 
     /// Whether this VM fills the calls of its own part of a pool.
--- a/gateway/src/pages.rs
+++ b/gateway/src/pages.rs
@@ -103,7 +103,7 @@
 /// Why new connections are not wanted, if so.
 fn unready(app: &App) -> Option<&'static str> {
     app.hub.with(|shared, now| match () {
-        () if shared.draining.is_some() => Some("stopping"),
+        () if shared.is_stopping() => Some("stopping"),
         () if shared.intent.is_none() => Some("no configuration"),
         () if shared.is_behind(now) => Some("peers have a newer configuration"),
         () => None,
@@ -204,7 +204,7 @@
             "watches_store": shared.watches,
             "store_lost": shared.contact.is_lost(now),
             "store_heard_ms": shared.contact.age(now).map(|age| age.as_millis() as u64),
-            "stopping": shared.draining.is_some(),
+            "stopping": shared.is_stopping(),
             "in_work": shared.works.len(),
             "targets": shared.targets.len(),
             "halls_out_of_reach": shared.fleet.out_halls.iter().map(|hall| hall.as_str()).collect::<Vec<_>>(),
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -209,7 +209,7 @@
 
     /// The same, for whoever only looks.
     pub(crate) fn account_owner_known(&self, service: &ServiceName, now: Instant) -> Owner {
-        let (split, draining) = (Split::default(), self.draining.is_some());
+        let (split, draining) = (Split::default(), self.is_stopping());
         self.fleet.owner_of(service.as_str(), &split, Part::default(), draining, now)
     }
 
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -84,6 +84,8 @@
     }
     // It also lives on after a failure of its own.
     crashes::completed(app, tries.req());
+    let took = now() - tries.began();
+    app.hub.with(|shared, _| shared.learn_passing(&tries.req().entry.name, took));
     let own_failure = head.status.is_server_error();
     a_try.end(if own_failure { End::OwnFailure } else { End::Answered });
     if own_failure {
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -19,10 +19,9 @@
 use crate::app::App;
 use crate::hub::now;
 use crate::in_work::{InWork, WorkKey};
-use crate::{crashes, plain, streams};
+use crate::stops::ELSEWHERE;
+use crate::{crashes, in_work, plain, stops, streams};
 
-/// When to come back to a VM that has no configuration yet or is ending.
-const ELSEWHERE: Duration = Duration::from_millis(50);
 /// Longest time for a caller that names none, where its entry is not known yet.
 const BODY_WAIT: Duration = Duration::from_secs(20);
 
@@ -69,7 +68,11 @@
     let head = (app.doors.callers.read)(&parts);
     let id = head.id.clone();
     let in_work = InWork::new(&app, id.clone(), arrived);
-    let accepted = match accept(&app, parts, head, body, &in_work).await {
+    let accepted = tokio::select! {
+        accepted = accept(&app, parts, head, body, in_work.key()) => accepted,
+        told = stops::last_word(&app, in_work.key()) => Err(("stopping", told)),
+    };
+    let accepted = match accepted {
         Ok(accepted) => accepted,
         Err((why, told)) => {
             info!(app.log, "request ended"; "request" => id.as_ref().map(ToString::to_string),
@@ -78,17 +81,14 @@
             return refusal(&app, told, id.as_ref());
         }
     };
-    serve(&app, Rc::new(accepted), in_work).await
+    serve(&app, Rc::new(accepted), Rc::new(in_work)).await
 }
 
-async fn serve(app: &Rc<App>, req: Rc<Accepted>, in_work: InWork) -> Response<AnswerBody> {
+async fn serve(app: &Rc<App>, req: Rc<Accepted>, in_work: Rc<InWork>) -> Response<AnswerBody> {
     let mut ending = Ending { app, req: &req, told: false };
-    let (answer, outcome) = if let Some(told) = crashes::refusal(app, &req, false) {
-        (refusal(app, told, Some(&req.id)), "quarantined")
-    } else if req.entry.streams {
-        streams::answer(app, &req, Box::new(in_work)).await
-    } else {
-        plain::answer(app, &req).await
+    let (answer, outcome) = tokio::select! {
+        served = serve_to_end(app, &req, &in_work) => served,
+        told = stops::last_word(app, req.work) => (refusal(app, told, Some(&req.id)), "stopping"),
     };
     ending.told = true;
     let took = now() - req.arrived;
@@ -100,13 +100,31 @@
     answer
 }
 
+async fn serve_to_end(
+    app: &Rc<App>,
+    req: &Rc<Accepted>,
+    in_work: &Rc<InWork>,
+) -> (Response<AnswerBody>, &'static str) {
+    if let Some(told) = crashes::refusal(app, req, false) {
+        return (refusal(app, told, Some(&req.id)), "quarantined");
+    }
+    if let Some(told) = stops::refusal(app, req) {
+        return (refusal(app, told, Some(&req.id)), "stopping");
+    }
+    if req.entry.streams {
+        streams::answer(app, req, Box::new(Rc::clone(in_work))).await
+    } else {
+        plain::answer(app, req).await
+    }
+}
+
 /// Checks a request against the configuration in force and reads its body.
 async fn accept(
     app: &App,
     parts: Parts,
     head: CallerHead,
     body: Incoming,
-    in_work: &InWork,
+    work: WorkKey,
 ) -> Result<Accepted, (&'static str, Refusal)> {
     let arrived = now();
     let elsewhere = Refusal::NotRun { come_back: ELSEWHERE };
@@ -131,13 +149,17 @@
     let left = head.left.unwrap_or(entry.longest).min(entry.longest);
     let until = arrived + left;
     let body = read_body(body, intent.bounds.body_bytes, until).await?;
-    app.hub.with(|shared, now| shared.count_request(&service, now));
+    let passing = app.hub.with(|shared, now| {
+        shared.count_request(&service, now);
+        shared.passing_time(&entry.name)
+    });
+    in_work::note(app, work, |work| work.passing = passing);
     let urgency = customer.as_ref().and_then(|c| c.urgency).unwrap_or(entry.urgency);
     let customer = customer.map(|customer| customer.name.clone());
     let content = content_of(&parts, &host, customer.as_ref(), &body);
     Ok(Accepted {
         id,
-        work: in_work.key(),
+        work,
         content,
         head,
         parts,
@@ -165,8 +187,7 @@
 
 /// Whether the process stops and its balancer has had time to hear of it.
 fn is_late_in_stop(app: &App) -> bool {
-    let notice = app.cfg.stop.notice();
-    app.hub.with(|shared, now| shared.draining.is_some_and(|since| now >= since + notice))
+    app.hub.with(|shared, now| shared.stop.is_some_and(|plan| !plan.takes_requests(now)))
 }
 
 fn customer_of(
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -11,6 +11,7 @@
 use errors::{Error, Result};
 use fleet::OutHalls;
 use slog::{info, warn};
+use stopping::{Limits, StopPlan};
 use telemetry::Metrics;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -25,18 +26,14 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::{
-    accepted_links, accounts, callers, dials, in_work, logs, news, own_entry, pages, reach,
-    releases, settings, store, stored_refusals,
+    accepted_links, accounts, callers, dials, logs, news, own_entry, pages, reach, releases,
+    settings, stops, store, stored_refusals,
 };
 
 /// Pause between two looks at connections at rest.
 const CLEANING: Duration = Duration::from_secs(1);
 /// Pause between two looks at what is still in work while stopping.
 const STOP_LOOK: Duration = Duration::from_millis(25);
-/// Part of the grace after which callers' connections at rest are closed.
-const CLOSING_PART: f64 = 0.55;
-/// Time before the end of the grace at which the process ends by itself.
-const END_MARGIN: Duration = Duration::from_millis(350);
 
 /// Runs until the process is told to stop and has finished.
 ///
@@ -159,24 +156,22 @@
 
 /// Tells balancer and peers, takes nothing new once they have heard, finishes what runs.
 async fn stop(app: &Rc<App>) {
-    let began = now();
-    let grace = app.cfg.stop.grace();
-    app.hub.with(|shared, now| shared.draining = Some(now));
+    let limits =
+        Limits { notice: app.cfg.stop.notice(), grace: app.cfg.stop.grace(), cores: app.cfg.cores };
+    let plan = StopPlan::new(now(), limits);
+    app.hub.with(|shared, _| shared.begin_stop(plan));
     app.stopping.send_replace(true);
-    sleep(app.cfg.stop.notice()).await;
-    let closing_at = began + grace.mul_f64(CLOSING_PART);
-    let end_at = began + grace.saturating_sub(END_MARGIN);
     let mut closing = false;
     loop {
         let now = now();
         let in_work = app.hub.with(|shared, _| shared.works.len());
-        if !closing && now >= closing_at {
+        if !closing && now >= plan.closes_at() {
             closing = true;
             app.closing.send_replace(true);
         }
-        if (closing && in_work == 0) || now >= end_at {
+        if (closing && in_work == 0) || now >= plan.ends_at() {
             info!(app.log, "last requests ended"; "in_work" => in_work);
-            in_work::tell_closed(app);
+            stops::tell_closed(app);
             break;
         }
         sleep(STOP_LOOK).await;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -1,6 +1,6 @@
 //! The state that the tasks of a VM share.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +16,7 @@
 use selection::{RepeatBudget, RepeatRules, Targets};
 use slog::{Logger, info, warn};
 use stakker::CX;
+use stopping::{PassingTime, StopPlan};
 use store_view::{Change, Contact, Item, View};
 use tokio::sync::watch;
 
@@ -60,7 +61,8 @@
     pub(crate) behind: Behind,
     /// Time within which a change of the configuration must be in force.
     pub(crate) in_force: Duration,
-    pub(crate) draining: Option<Instant>,
+    /// The times of the stop that began.
+    pub(crate) stop: Option<StopPlan>,
     /// Targets that said in answers that they leave, to this VM or to peers.
     pub(crate) departures: Departures,
     /// Targets that want no work from this VM for some time.
@@ -89,6 +91,8 @@
     rules: RepeatRules,
     budgets: HashMap<ServiceName, RepeatBudget>,
     first_events: HashMap<ServiceName, Duration>,
+    /// Times from being sent to a target to the end of the answer, by entry.
+    passing_times: HashMap<String, PassingTime>,
     pub(crate) admission: Admission,
     /// Requests that end targets.
     pub(crate) quarantine: Quarantine,
@@ -130,7 +134,7 @@
             contact: Contact::default(),
             behind: Behind::default(),
             in_force: cfg.in_force(),
-            draining: None,
+            stop: None,
             departures: Departures::default(),
             left_alone: LeftAlone::default(),
             rates: RateLimits::default(),
@@ -151,6 +155,7 @@
             },
             budgets: HashMap::new(),
             first_events: HashMap::new(),
+            passing_times: HashMap::new(),
             admission: Admission::default(),
             quarantine: Quarantine::new(cfg.quarantine.rules()),
             crashes_known: watch::channel(()).0,
@@ -246,6 +251,7 @@
                 }
                 info!(self.log, "configuration in force"; "version" => intent.version,
                     "entries" => intent.entries().count(), "from" => from, "as_of" => as_of);
+                self.forget_passing_times(&intent);
                 self.intent = Some(Arc::new(intent));
                 self.sync_pools();
             }
@@ -257,6 +263,12 @@
         }
     }
 
+    /// Forgets what was learned of entries that a configuration does not have.
+    fn forget_passing_times(&mut self, intent: &Intent) {
+        let names: HashSet<&str> = intent.entries().map(|entry| entry.name.as_str()).collect();
+        self.passing_times.retain(|name, _| names.contains(name.as_str()));
+    }
+
     pub(crate) fn sync_pools(&mut self) {
         let Some(intent) = &self.intent else { return };
         for (name, service) in &intent.services {
@@ -310,6 +322,19 @@
         self.first_events.get(service).copied().unwrap_or(FIRST_EVENT)
     }
 
+    /// Takes how long a request of an entry took from being sent to its target to the end of its answer.
+    pub(crate) fn learn_passing(&mut self, entry: &str, took: Duration) {
+        match self.passing_times.get_mut(entry) {
+            Some(time) => time.learn(took),
+            None => drop(self.passing_times.insert(entry.to_owned(), PassingTime::new(took))),
+        }
+    }
+
+    /// Time that few requests of an entry take longer than, as far as it was seen.
+    pub(crate) fn passing_time(&self, entry: &str) -> Option<Duration> {
+        self.passing_times.get(entry).map(PassingTime::bound)
+    }
+
     /// Whether a result lies in a hall that is out of reach.
     pub(crate) fn is_out_of_reach(&self, handle: &str) -> bool {
         let hall = (self.doors.calls.worker)(handle).and_then(|at| self.targets.hall_at(at));
--- /dev/null
+++ b/gateway/src/stops.rs
@@ -0,0 +1,104 @@
+//! A planned stop: what is told to callers whose requests can't end before the process does.
+
+use std::time::{Duration, Instant};
+
+use doors::callers::Refusal;
+use slog::info;
+use stopping::{Progress, StopPlan, Word};
+use tokio::time::sleep;
+
+use crate::admission;
+use crate::app::App;
+use crate::hub::now;
+use crate::in_work::{Waits, Work, WorkKey};
+use crate::requests::Accepted;
+use crate::shared::Shared;
+
+/// When to come back to a VM that has no configuration yet or is ending.
+pub(crate) const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Pause between two looks at a request while the process stops.
+const LOOK: Duration = Duration::from_millis(25);
+
+impl Work {
+    fn progress(&self) -> Progress {
+        match self.waits {
+            _ if self.head_sent => Progress::Begun,
+            Waits::Answer => Progress::MayRun,
+            _ if self.may_have_run => Progress::MayRun,
+            Waits::Checks | Waits::Stages | Waits::Target => Progress::NotRun,
+        }
+    }
+}
+
+impl Shared {
+    /// Begins a stop.
+    pub(crate) fn begin_stop(&mut self, plan: StopPlan) {
+        self.stop = Some(plan);
+    }
+
+    /// Whether the process stops.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stop.is_some()
+    }
+
+    /// What the caller of a request is told now, if it can't be served on.
+    fn last_word(&self, key: WorkKey, now: Instant) -> Option<Refusal> {
+        let plan = self.stop?;
+        let work = self.works.get(key)?;
+        match plan.word(work.progress(), work.passing, self.works.len(), now) {
+            Word::ServeOn => None,
+            Word::HandBack => Some(Refusal::NotRun { come_back: ELSEWHERE }),
+            Word::GiveUp => Some(Refusal::Failed),
+        }
+    }
+}
+
+/// Ends once the process stops and can't serve a request to its end; gives what its caller is told. Raced against all
+/// that a request waits for, so that no wait has to know of the stop.
+pub(crate) async fn last_word(app: &App, key: WorkKey) -> Refusal {
+    let mut stopping = app.stopping.subscribe();
+    loop {
+        // The sender lives as long as the process.
+        drop(stopping.wait_for(|stopping| *stopping).await);
+        let word = app.hub.with(|shared, now| {
+            let word = shared.last_word(key, now)?;
+            Some((word, shared.works.get(key).map(|work| (work.waits, work.id.clone()))))
+        });
+        if let Some((word, work)) = word {
+            if let Some((waits, id)) = work {
+                info!(app.log, "request ended by the stop"; "waits_for" => waits.name(),
+                    "request" => id.map(|id| id.to_string()));
+                app.metrics.request_ended_by_stop(waits.name());
+            }
+            return word;
+        }
+        sleep(LOOK).await;
+    }
+}
+
+/// Refuses a request that came in while the process stops and is not expected to end before it.
+pub(crate) fn refusal(app: &App, req: &Accepted) -> Option<Refusal> {
+    let expected = app.hub.with(|shared, now| {
+        let plan = shared.stop?;
+        let passing = shared.passing_time(&req.entry.name).unwrap_or_default();
+        let expected = admission::stages_time(shared, req, now) + passing;
+        (!plan.can_serve(expected, shared.works.len(), now)).then_some(expected)
+    })?;
+    info!(app.log, "not admitted"; "request" => %req.id, "entry" => &req.entry.name,
+        "expected_ms" => expected.as_millis(), "why" => "the process stops before");
+    Some(Refusal::NotRun { come_back: ELSEWHERE })
+}
+
+/// Tells of each request that the end of the process closes.
+pub(crate) fn tell_closed(app: &App) {
+    app.hub.with(|shared, _| {
+        for work in shared.works.values() {
+            let id = work.id.as_ref().map(ToString::to_string);
+            slog::warn!(app.log, "request closed by the stop"; "request" => id,
+                "waits_for" => work.waits.name(), "may_have_run" => work.may_have_run,
+                "head_sent" => work.head_sent,
+                "took_ms" => (now() - work.arrived).as_millis());
+            app.metrics.request_closed_by_stop(work.waits.name());
+        }
+    });
+}
--- a/gateway/src/stream_passing.rs
+++ b/gateway/src/stream_passing.rs
@@ -70,6 +70,8 @@
     }
     if outcome == "whole" {
         crashes::completed(&stream.app, req);
+        let took = now() - stream.tries.began();
+        stream.app.hub.with(|shared, _| shared.learn_passing(&stream.req.entry.name, took));
         let Reader { answer, .. } = *stream.reader;
         let Answer { read, carrier, mut a_try, .. } = answer;
         a_try.end(End::Answered);
--- a/tests/serving_stops.rs
+++ b/tests/serving_stops.rs
@@ -121,10 +121,91 @@
     });
 }
 
+/// Calls and requests that workers have received.
+fn calls(site: &Site) -> usize {
+    site.pool.iter().map(|worker| worker.received().len()).sum()
+}
+
 fn remove(site: &Site, runners: &[Runner]) {
     runners.iter().for_each(|runner| site.store.remove(&format!("servers/{}", runner.id)));
 }
 
+/// Guards against requests that wait for the end of a stop though it is known that they can't be served by then.
+#[test]
+fn a_request_that_can_not_end_before_the_process_is_handed_back_at_once() {
+    let site = long_site();
+    let mut vm = start_vm(&site, "stop-known");
+    let slow = Act::SlowStream(30, Duration::from_millis(100));
+    site.engines.iter().for_each(|engine| engine.next(&vec![slow.clone(); 8]));
+    let address = vm.callers;
+    let ask = move |path, id: &str| {
+        let call = long_call(path, id);
+        thread::spawn(move || {
+            let began = Instant::now();
+            (call.send(address).expect("an answer"), began.elapsed())
+        })
+    };
+    let learned: Vec<_> = (0..8).map(|number| ask("/chain/", &format!("l-{number}"))).collect();
+    assert!(learned.into_iter().all(|one| one.join().expect("no panic").0.whole));
+
+    always(&site.pool, &SILENT);
+    let made_before = calls(&site);
+    let before = ask("/chain/", "before");
+    wait_until("it waits for its stages", || calls(&site) > made_before);
+    vm.signal("-TERM");
+    wait_until("it stops", || vm.state()["stopping"] == json!(true));
+    let (during, took) = ask("/chain/", "during").join().expect("no panic");
+    let (short, _) = ask("/repeat/", "short").join().expect("no panic");
+    let (before, held) = before.join().expect("no panic");
+
+    assert_eq!((during.status(), before.status(), short.status()), (503, 503, 200));
+    assert!(took < Duration::from_millis(300), "{took:?}");
+    assert!(held < Duration::from_secs(2), "{held:?}");
+    assert_eq!(site.runs("before") + site.runs("during"), 0);
+    assert_eq!(vm.wait_end(), Some(0));
+}
+
+/// Guards against a stop that further signals end early or begin anew.
+#[test]
+fn signals_amid_a_stop_change_nothing() {
+    let site = long_site();
+    let mut vm = start_vm(&site, "stop-signals");
+    always(&site.engines, &SILENT);
+    let (address, id) = (vm.callers, "r-1");
+    let asked = thread::spawn(move || long_call("/stream/", id).send(address));
+    wait_until("it is at an engine", || site.runs(id) == 1);
+
+    let signalled = Instant::now();
+    for signal in ["-TERM", "-HUP", "-TERM", "-INT", "-HUP", "-TERM"] {
+        vm.signal(signal);
+        thread::sleep(Duration::from_millis(150));
+    }
+
+    assert_eq!(asked.join().expect("no panic").map(|answer| answer.status()), Some(502));
+    assert_eq!(vm.wait_end(), Some(0));
+    assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
+}
+
+/// Guards against a VM that stood still past the end of its stop and ends without a word as it wakes.
+#[test]
+fn a_vm_that_wakes_after_its_end_was_due_still_answers() {
+    let site = long_site();
+    let mut vm = start_vm(&site, "stop-asleep");
+    always(&site.engines, &SILENT);
+    let (address, id) = (vm.callers, "r-1");
+    let asked = thread::spawn(move || long_call("/stream/", id).send(address));
+    wait_until("it is at an engine", || site.runs(id) == 1);
+
+    vm.signal("-TERM");
+    wait_until("it stops", || vm.state()["stopping"] == json!(true));
+    vm.signal("-STOP");
+    thread::sleep(GRACE + SIGNAL_AFTER);
+    vm.signal("-CONT");
+
+    assert_eq!(asked.join().expect("no panic").map(|answer| answer.status()), Some(502));
+    assert_eq!(vm.wait_end(), Some(0));
+}
+
 /// Guards against answers that a stopping VM has begun to send and cuts for a caller that reads slowly.
 #[test]
 fn a_caller_that_reads_late_gets_its_whole_answer_from_a_vm_that_stops() {
