--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -1,6 +1,6 @@
 //! Everything that the tasks of a VM hold on to.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -60,6 +60,8 @@
     pub(crate) store_reached: tokio::sync::watch::Sender<bool>,
     /// Told when the process begins to stop.
     pub(crate) stopping: tokio::sync::watch::Sender<bool>,
+    /// Callers' connections that are open.
+    pub(crate) open_callers: Cell<usize>,
     /// Told when connections at rest are to be closed.
     pub(crate) closing: tokio::sync::watch::Sender<bool>,
 }
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -46,14 +46,34 @@
     }
 }
 
+/// Counts a caller's connection for as long as it is open: what was answered on it may not have been written yet.
+struct Open(Rc<App>);
+
+impl Open {
+    fn new(app: &Rc<App>) -> Self {
+        app.open_callers.update(|open| open + 1);
+        Open(Rc::clone(app))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open_callers.update(|open| open - 1);
+    }
+}
+
 async fn serve(app: Rc<App>, stream: TcpStream) {
+    let _open = Open::new(&app);
     // Without it events wait for earlier ones to be confirmed; the connection works all the same.
     drop(stream.set_nodelay(true));
     let busy = Rc::new(Cell::new(0u32));
     let rested = Rc::new(Cell::new(now()));
+    let used = Rc::new(Cell::new(false));
     let service = service_fn({
         let (app, busy, rested) = (Rc::clone(&app), Rc::clone(&busy), Rc::clone(&rested));
+        let used = Rc::clone(&used);
         move |req| {
+            used.set(true);
             let (app, busy, rested) = (Rc::clone(&app), Rc::clone(&busy), Rc::clone(&rested));
             async move {
                 busy.set(busy.get() + 1);
@@ -72,11 +92,19 @@
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut closing = app.closing.subscribe();
+    let mut is_closing = false;
     loop {
         tokio::select! {
             // However it ends, its tasks have ended with it.
             _ = connection.as_mut() => return,
-            _ = closing.changed() => connection.as_mut().graceful_shutdown(),
+            _ = closing.wait_for(|closing| *closing), if !is_closing => {
+                // hyper would wait for the first request.
+                if !used.get() {
+                    return;
+                }
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = sleep(REST_LOOK) => {
                 let granted = app.hub.with(|shared, _| {
                     shared.intent.as_ref().map_or(REST_UNKNOWN, |intent| intent.bounds.idle_wait)
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -1,6 +1,6 @@
 //! Starts the parts of the serving path in order and stops them in order.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -69,6 +69,7 @@
             out_halls: watch::channel(OutHalls::new()).0,
             store_reached: watch::channel(false).0,
             stopping: watch::channel(false).0,
+            open_callers: Cell::new(0),
             closing: watch::channel(false).0,
         });
         serve(&app, &path).await
@@ -165,12 +166,14 @@
     loop {
         let now = now();
         let in_work = app.hub.with(|shared, _| shared.works.len());
+        let is_written = in_work == 0 && app.open_callers.get() == 0;
         if !closing && now >= plan.closes_at() {
             closing = true;
             app.closing.send_replace(true);
         }
-        if (closing && in_work == 0) || now >= plan.ends_at() {
-            info!(app.log, "last requests ended"; "in_work" => in_work);
+        if (closing && is_written) || now >= plan.ends_at() {
+            info!(app.log, "last requests ended"; "in_work" => in_work,
+                "open_connections" => app.open_callers.get());
             stops::tell_closed(app);
             break;
         }
--- a/tests/serving_stops.rs
+++ b/tests/serving_stops.rs
@@ -3,15 +3,16 @@
 // A fixture that can't be set up fails its test.
 #![allow(clippy::expect_used)]
 
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 use standins::fleet::wait_until;
-use standins::users::Message;
 use standins::users::callers::Call;
 use standins::users::runners::{Act, Runner};
 use standins::users::serving::{HOST, Site, Vm, usual_configuration};
+use standins::users::{Message, Wire};
 
 /// Times of a stop: the grace is shorter than the time that requests have.
 const STOP: &str = "stop: {notice_ms: 1000, grace_s: 4}\n";
@@ -227,3 +228,20 @@
     assert_eq!(answer.body.len(), BYTES);
     assert_eq!(vm.wait_end(), Some(0));
 }
+
+/// Guards against stops that last as long as the grace for connections on which nothing is under way.
+#[test]
+fn connections_at_rest_do_not_hold_up_a_stop() {
+    let site = long_site();
+    let mut vm = start_vm(&site, "stop-rest");
+    let _unused = TcpStream::connect(vm.callers).expect("a connection");
+    let mut kept = Wire::new(TcpStream::connect(vm.callers).expect("a connection"));
+    let answer = long_call("/repeat/", "r-1").send_on(&mut kept).expect("an answer");
+    assert!(answer.whole);
+
+    let signalled = Instant::now();
+    vm.signal("-TERM");
+
+    assert_eq!(vm.wait_end(), Some(0));
+    assert!(signalled.elapsed() < GRACE.mul_f64(0.75), "{:?}", signalled.elapsed());
+}
