--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -50,6 +50,11 @@
     begun.job == other.job || (!is_lone(begun) && !is_lone(other))
 }
 
+/// Time after which a call is given up.
+pub(crate) fn patience(expected: Duration) -> Duration {
+    expected.mul_f64(PATIENCE) + PATIENCE_EXTRA
+}
+
 impl Pool {
     /// The next call to make now, if a worker is free and something waits for it.
     pub fn next_call(&mut self, now: Instant) -> Option<Call> {
@@ -201,7 +206,7 @@
         let expected = (self.spec.call + self.spec.piece * count).max(LEAST_TIME);
         self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
         self.learn_pressed(count);
-        let fetch = self.fetch_time(&pieces);
+        let fetch = self.fetch_time(&pieces).map(|time| self.turn_comes_in(key, now) + time);
         let worker = &mut self.workers[key];
         let room_before = worker.room_used;
         worker.at_work += 1;
@@ -220,7 +225,7 @@
             waited,
             still_waiting: self.waiting.len(),
             fetch,
-            patience: expected.mul_f64(PATIENCE) + PATIENCE_EXTRA,
+            patience: patience(expected),
         }
     }
 
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -11,6 +11,7 @@
 mod room;
 mod slack;
 mod submission;
+mod turns;
 mod worker;
 
 pub use filling::order_due;
