--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod contact;
 mod parts;
+mod standstill;
 
 use std::collections::{BTreeSet, HashMap};
 
@@ -10,6 +11,7 @@
 
 pub use contact::{Contact, SILENCE_WAIT};
 pub use parts::{Ask, Assembly, Batch, Part, Place};
+pub use standstill::Standstill;
 
 /// One key at one revision.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -58,6 +58,8 @@
     pub(crate) out_halls: tokio::sync::watch::Sender<OutHalls>,
     /// Whether the last call to the store was answered.
     pub(crate) store_reached: tokio::sync::watch::Sender<bool>,
+    /// Told when the watch of the store stands still.
+    pub(crate) watch_stands_still: Notify,
     /// Told when the process begins to stop.
     pub(crate) stopping: tokio::sync::watch::Sender<bool>,
     /// Callers' connections that are open.
--- a/gateway/src/news.rs
+++ b/gateway/src/news.rs
@@ -1,21 +1,22 @@
-//! Changes in the store from peers, for a VM that does not follow the store or that the store does not
-//! answer: it asks one peer at a time for the next part of what it lacks, so that its link carries
+//! Changes in the store from peers, for a VM that does not follow the store, that the store does not
+//! answer, or whose watch stands still: it asks one peer at a time for the next part of what it lacks, so that its link carries
 //! heartbeats in between.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use fleet::BEAT;
 use ids::VmName;
 use peering::work::{Ask, News, StoreItem};
-use slog::{debug, info};
+use slog::{debug, info, warn};
 use store_view::{Assembly, Batch, Item, Part, Place, View};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::app::App;
 use crate::halls::look_at_pools;
 use crate::links::Link;
+use crate::shared::Shared;
 
 /// Bytes of changes in one message: 26 ms of a link of 10 Mbit/s, a fraction of the pause between
 /// two heartbeats, which wait behind it.
@@ -29,6 +30,10 @@
 /// After news a VM that has the store waits for this part of the time in which changes must be in force.
 const GATHER_PART: u32 = 8;
 
+/// A watch that tells nothing for this part of the time in which changes must be in force, while peers know more,
+/// stands still: longer than changes are gathered for, and short enough to learn them from a peer in time.
+const STANDSTILL_PART: f64 = 0.625;
+
 /// Asks peers for as long as the process runs, whenever this VM does not follow the store itself.
 pub(crate) async fn follow(app: Rc<App>) {
     let mut looks = interval(BEAT);
@@ -51,19 +56,34 @@
 fn peer_to_ask(app: &App, silent: Option<VmName>) -> Option<(VmName, Rc<Link>)> {
     let links = app.links.borrow();
     app.hub.with(|shared, now| {
+        let known = shared.view.as_of();
+        let peers = &shared.fleet.peers;
+        let knows = |vm: &VmName| peers.get(vm).map_or(0, |peer| peer.as_of);
+        let ahead = || links.iter().filter(|(vm, _)| knows(vm) > known);
+        let most = ahead().map(|(vm, _)| knows(vm)).max();
+        shared.standstill.look(known, most.unwrap_or(known), now);
         let follows = shared.watches || shared.asks_store;
         let store_tells = !shared.contact.is_lost(now) || shared.contact.brings_bytes(now);
-        if follows && store_tells {
+        if follows && store_tells && !watch_stands_still(app, shared, now) {
             return None;
         }
-        let known = shared.view.as_of();
-        let knows = |vm: &VmName| shared.fleet.peers.get(vm).map_or(0, |peer| peer.as_of);
-        let ahead = links.iter().filter(|(vm, _)| knows(vm) > known && silent.as_ref() != Some(vm));
-        let (vm, link) = ahead.max_by_key(|(vm, _)| knows(vm))?;
+        let others = ahead().filter(|(vm, _)| silent.as_ref() != Some(vm));
+        let (vm, link) = others.max_by_key(|(vm, _)| knows(vm))?;
         Some((vm.clone(), Rc::clone(link)))
     })
 }
 
+/// Whether the watch tells nothing while peers know more; it is begun anew then.
+fn watch_stands_still(app: &App, shared: &Shared, now: Instant) -> bool {
+    let borne = shared.in_force.mul_f64(STANDSTILL_PART);
+    let stands_still = shared.standstill.lasts(borne, now) && !shared.contact.brings_bytes(now);
+    if stands_still {
+        warn!(app.log, "watch of the store stands still"; "as_of" => shared.view.as_of());
+        app.watch_stands_still.notify_waiters();
+    }
+    stands_still
+}
+
 /// Asks a peer part by part until nothing is left; `None` if it does not answer.
 async fn fetch(app: &Rc<App>, vm: &VmName, link: &Link) -> Option<()> {
     let mut assembly = Assembly::after(app.hub.with(|shared, _| shared.view.as_of()));
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -68,6 +68,7 @@
             vms_changed: Notify::new(),
             out_halls: watch::channel(OutHalls::new()).0,
             store_reached: watch::channel(false).0,
+            watch_stands_still: Notify::new(),
             stopping: watch::channel(false).0,
             open_callers: Cell::new(0),
             closing: watch::channel(false).0,
@@ -160,7 +161,7 @@
     let limits =
         Limits { notice: app.cfg.stop.notice(), grace: app.cfg.stop.grace(), cores: app.cfg.cores };
     let plan = StopPlan::new(now(), limits);
-    app.hub.with(|shared, _| shared.begin_stop(plan));
+    app.hub.with(|shared, _| shared.stop = Some(plan));
     app.stopping.send_replace(true);
     let mut closing = false;
     loop {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, info, warn};
 use stakker::CX;
 use stopping::{PassingTime, StopPlan};
-use store_view::{Change, Contact, Item, View};
+use store_view::{Change, Contact, Item, Standstill, View};
 use tokio::sync::watch;
 
 use crate::admission::Admission;
@@ -58,6 +58,8 @@
     /// Whether the next changes are better read from the store than from a peer.
     pub(crate) asks_store: bool,
     pub(crate) contact: Contact,
+    /// Whether this VM's watch of the store tells nothing while peers learn more.
+    pub(crate) standstill: Standstill,
     pub(crate) behind: Behind,
     /// Time within which a change of the configuration must be in force.
     pub(crate) in_force: Duration,
@@ -132,6 +134,7 @@
             fleet: Fleet::new(cfg.vm.clone(), own_entry(cfg), incarnation, now),
             own_hall: cfg.hall.clone(),
             contact: Contact::default(),
+            standstill: Standstill::default(),
             behind: Behind::default(),
             in_force: cfg.in_force(),
             stop: None,
--- a/gateway/src/stops.rs
+++ b/gateway/src/stops.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use doors::callers::Refusal;
-use slog::info;
-use stopping::{Progress, StopPlan, Word};
+use slog::{info, warn};
+use stopping::{Progress, Word};
 use tokio::time::sleep;
 
 use crate::admission;
@@ -31,11 +31,6 @@
 }
 
 impl Shared {
-    /// Begins a stop.
-    pub(crate) fn begin_stop(&mut self, plan: StopPlan) {
-        self.stop = Some(plan);
-    }
-
     /// Whether the process stops.
     pub(crate) fn is_stopping(&self) -> bool {
         self.stop.is_some()
@@ -94,7 +89,7 @@
     app.hub.with(|shared, _| {
         for work in shared.works.values() {
             let id = work.id.as_ref().map(ToString::to_string);
-            slog::warn!(app.log, "request closed by the stop"; "request" => id,
+            warn!(app.log, "request closed by the stop"; "request" => id,
                 "waits_for" => work.waits.name(), "may_have_run" => work.may_have_run,
                 "head_sent" => work.head_sent,
                 "took_ms" => (now() - work.arrived).as_millis());
--- a/gateway/src/store.rs
+++ b/gateway/src/store.rs
@@ -202,8 +202,8 @@
     store.call("probe", call, Duration::ZERO).await.map(|_| heard(app))
 }
 
-/// Asks for changes; `None` if the store was lost while it was waited for. Once the answer has
-/// begun, it is read for as long as it brings bytes.
+/// Asks for changes; `None` if the store was lost while it was waited for, or peers know more than the
+/// store tells. Once the answer has begun, it is read for as long as it brings bytes.
 async fn changes_after(
     app: &Rc<App>,
     store: &mut StoreConnection,
@@ -215,6 +215,7 @@
     tokio::select! {
         begun = store.begin("watch", call, WATCH_WAIT) => return begun.map(Some),
         () = lost(&mut reached) => {}
+        () = app.watch_stands_still.notified() => {}
     }
     store.close();
     Ok(None)
--- a/standins/src/users/link.rs
+++ b/standins/src/users/link.rs
@@ -2,7 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::{self, sleep};
 use std::time::Duration;
 
@@ -27,12 +28,22 @@
     Reset,
 }
 
+/// A connection over a link.
+#[derive(Default)]
+struct Connection {
+    /// Whether the side that connected sent last: it waits for an answer.
+    waits: AtomicBool,
+    /// Whether nothing passes any more.
+    silent: AtomicBool,
+}
+
 /// A link from a port of its own to an address.
 #[derive(Clone)]
 pub struct Link {
     /// Where to connect.
     pub address: SocketAddr,
     passing: Arc<Mutex<Passing>>,
+    connections: Arc<Mutex<Vec<Arc<Connection>>>>,
 }
 
 impl Link {
@@ -42,7 +53,8 @@
     /// The system's, if no port is free.
     pub fn start(to: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let link = Link { address: listener.local_addr()?, passing: Arc::default() };
+        let address = listener.local_addr()?;
+        let link = Link { address, passing: Arc::default(), connections: Arc::default() };
         let own = link.clone();
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
@@ -50,8 +62,10 @@
                 let both =
                     |a: &TcpStream, b: &TcpStream| Some((a.try_clone().ok()?, b.try_clone().ok()?));
                 if let (Some(there), Some(back)) = (both(&near, &far), both(&far, &near)) {
-                    own.pass(there, true);
-                    own.pass(back, false);
+                    let connection = Arc::new(Connection::default());
+                    own.connections().push(Arc::clone(&connection));
+                    own.pass(there, Arc::clone(&connection), true);
+                    own.pass(back, connection, false);
                 }
             }
         });
@@ -63,18 +77,43 @@
         *self.passing.lock().unwrap_or_else(PoisonError::into_inner) = passing;
     }
 
+    /// Lets nothing pass any more on connections whose answer is waited for now; others and new ones work.
+    pub fn silence_waiting(&self) {
+        for connection in self.connections().iter() {
+            let waits = connection.waits.load(Ordering::Relaxed);
+            connection.silent.fetch_or(waits, Ordering::Relaxed);
+        }
+    }
+
+    fn connections(&self) -> MutexGuard<'_, Vec<Arc<Connection>>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn now(&self) -> Passing {
         *self.passing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn pass(&self, (mut from, mut to): (TcpStream, TcpStream), there: bool) {
+    fn pass(
+        &self,
+        (mut from, mut to): (TcpStream, TcpStream),
+        connection: Arc<Connection>,
+        there: bool,
+    ) {
         let link = self.clone();
         thread::spawn(move || {
             let mut buf = [0; 16 * 1024];
             while let Ok(count) = from.read(&mut buf) {
+                // What is read of a silent connection is dropped, its end included.
+                if connection.silent.load(Ordering::Relaxed) {
+                    if count == 0 {
+                        return;
+                    }
+                    continue;
+                }
                 if count == 0 || !link.wait(there, count) || to.write_all(&buf[..count]).is_err() {
                     break;
                 }
+                connection.waits.store(there, Ordering::Relaxed);
             }
             drop(to.shutdown(Shutdown::Both));
             drop(from.shutdown(Shutdown::Both));
