--- a/standins/src/users/callers.rs
+++ b/standins/src/users/callers.rs
@@ -53,6 +53,19 @@
         wire.write(&self.bytes()).then(|| wire.read()).flatten()
     }
 
+    /// Sends it on a connection and reads the answer after a while.
+    pub fn send_on_and_read_after(
+        &self,
+        wire: &mut Wire,
+        wait: std::time::Duration,
+    ) -> Option<Message> {
+        if !wire.write(&self.bytes()) {
+            return None;
+        }
+        std::thread::sleep(wait);
+        wire.read()
+    }
+
     /// Sends it on a new connection.
     pub fn send(&self, address: SocketAddr) -> Option<Message> {
         self.send_on(&mut Wire::new(TcpStream::connect(address).ok()?))
--- a/standins/src/users/mod.rs
+++ b/standins/src/users/mod.rs
@@ -10,6 +10,7 @@
 pub mod soak;
 mod soak_checks;
 mod soak_words;
+pub mod stop_soak;
 pub mod store;
 
 use std::collections::HashMap;
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -357,7 +357,10 @@
         let whole = self.reply("200 OK", &own, body.as_bytes());
         match act {
             Act::Answer => wire.write(&whole),
-            Act::Large(bytes) => wire.write(&self.reply("200 OK", &own, &vec![b'x'; *bytes])),
+            Act::Large(bytes) => {
+                let large = "x".repeat(bytes.saturating_sub(body.len())) + &body;
+                wire.write(&self.reply("200 OK", &own, large.as_bytes()))
+            }
             Act::Fail => wire.write(&self.reply("500 Oops", &own, b"failed")),
             Act::Decline => wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b"")),
             Act::DeclineFor(seconds) => {
