--- a/components/stopping/src/plan.rs
+++ b/components/stopping/src/plan.rs
@@ -51,12 +51,18 @@
 pub struct StopPlan {
     began: Instant,
     limits: Limits,
+    lateness: Duration,
 }
 
 impl StopPlan {
     /// A stop that began at a moment.
     pub fn new(began: Instant, limits: Limits) -> Self {
-        StopPlan { began, limits }
+        StopPlan { began, limits, lateness: Duration::ZERO }
+    }
+
+    /// Takes how late a timer of this process was: the last answers may be begun that late too.
+    pub fn ran_late(&mut self, by: Duration) {
+        self.lateness = self.lateness.max(by);
     }
 
     /// Whether requests that come in are still taken.
@@ -78,7 +84,8 @@
     pub fn answers_by(&self, in_work: usize) -> Instant {
         let answers = u32::try_from(in_work).unwrap_or(u32::MAX);
         let processor = ANSWER_TIME.saturating_mul(answers).div_f64(self.limits.cores);
-        let writing = (LAST_WRITES + processor).min(self.limits.grace / MOST_ANSWERING);
+        let writing =
+            (LAST_WRITES + self.lateness + processor).min(self.limits.grace / MOST_ANSWERING);
         let until_end = self.ends_at().saturating_duration_since(self.began);
         self.began + until_end.saturating_sub(writing)
     }
--- a/components/stopping/tests/plan.rs
+++ b/components/stopping/tests/plan.rs
@@ -50,6 +50,19 @@
     assert!(small.answers_by(1_000_000) >= began + SECOND * 5, "not much of the grace");
 }
 
+#[test]
+fn a_process_that_runs_late_begins_its_last_answers_that_much_earlier() {
+    let (mut plan, began) = plan(1.0);
+    let usual = plan.answers_by(1);
+
+    plan.ran_late(MS * 300);
+    plan.ran_late(MS * 20);
+
+    assert_eq!(plan.answers_by(1), usual - MS * 300);
+    plan.ran_late(SECOND * 60);
+    assert!(plan.answers_by(1) > began + SECOND * 5, "not much of the grace");
+}
+
 #[test]
 fn the_bound_of_a_passing_time_follows_what_was_seen() {
     let mut time = PassingTime::new(SECOND * 3);
@@ -75,6 +88,7 @@
         in_work in 0usize..5_000,
         passing_ms in 0u64..30_000,
         may_run in any::<bool>(),
+        late_ms in 0u32..3_000,
     ) {
         let began = Instant::now();
         let limits = Limits {
@@ -82,7 +96,8 @@
             grace: MS * u32::try_from(grace_ms)?,
             cores,
         };
-        let plan = StopPlan::new(began, limits);
+        let mut plan = StopPlan::new(began, limits);
+        plan.ran_late(MS * late_ms);
         let progress = if may_run { Progress::MayRun } else { Progress::NotRun };
         let passing = Some(Duration::from_millis(passing_ms));
         let word = |at| plan.word(progress, passing, in_work, at);
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -164,8 +164,12 @@
     app.hub.with(|shared, _| shared.stop = Some(plan));
     app.stopping.send_replace(true);
     let mut closing = false;
+    let mut looked = now();
     loop {
         let now = now();
+        let late = (now - looked).saturating_sub(STOP_LOOK);
+        looked = now;
+        app.hub.with(|shared, _| shared.stop.iter_mut().for_each(|plan| plan.ran_late(late)));
         let in_work = app.hub.with(|shared, _| shared.works.len());
         let is_written = in_work == 0 && app.open_callers.get() == 0;
         if !closing && now >= plan.closes_at() {
