--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -149,6 +149,13 @@
         self.failed_dials.insert(address);
     }
 
+    /// Whether another VM takes requests, as far as it is known: of VMs that are not linked, as in large fleets, it
+    /// is not.
+    pub fn others_serve(&self, now: Instant) -> bool {
+        let serves = |peer: &PeerVm| peer.is_fresh(now) && !peer.draining && peer.configuration > 0;
+        !self.is_full_mesh() || self.peers.values().any(serves)
+    }
+
     /// VMs that serve or did until just now, this one too.
     pub fn size(&self) -> usize {
         let unlisted = self.peers.keys().filter(|vm| !self.listed.contains_key(*vm)).count();
--- a/components/fleet/tests/ownership.rs
+++ b/components/fleet/tests/ownership.rs
@@ -331,3 +331,21 @@
     assert_eq!(before, Owner::Unknown, "a better one is being dialled");
     assert_eq!(after, Owner::Peer(vm(third)));
 }
+
+#[test]
+fn others_serve_unless_all_that_are_known_stop_or_are_silent() {
+    let now = Instant::now();
+    let serves = |draining: bool, configuration: u64, at: Instant| {
+        let mut fleet = listed(0, 2, 1, now);
+        fleet.heard(&vm(1), true, now);
+        fleet.told_draining(&vm(1), draining, now);
+        fleet.peers.get_mut(&vm(1)).unwrap().configuration = configuration;
+        fleet.others_serve(at)
+    };
+
+    assert!(serves(false, 1, now));
+    assert!(!serves(true, 1, now), "it stops too");
+    assert!(!serves(false, 0, now), "it has only started");
+    assert!(!serves(false, 1, now + fleet::SILENCE * 2), "it is silent");
+    assert!(listed(0, 60, 1, now).others_serve(now), "not all are known");
+}
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -131,7 +131,7 @@
     let intent = app.hub.with(|shared, _| shared.intent.clone());
     let intent = intent.ok_or(("no configuration", elsewhere))?;
     if is_late_in_stop(app) {
-        return Err(("stopping", elsewhere));
+        return Err(("stopping", app.hub.with(|shared, now| shared.come_back_elsewhere(now))));
     }
     let id = head.id.clone().ok_or(("no id", Refusal::Malformed))?;
     let host = host_of(&parts).unwrap_or_default();
--- a/gateway/src/stops.rs
+++ b/gateway/src/stops.rs
@@ -14,8 +14,10 @@
 use crate::requests::Accepted;
 use crate::shared::Shared;
 
-/// When to come back to a VM that has no configuration yet or is ending.
+/// When to come back where another VM serves.
 pub(crate) const ELSEWHERE: Duration = Duration::from_millis(50);
+/// Time in which a process that ended is started again and ready; those who come back then come within as long.
+const START: Duration = Duration::from_secs(1);
 /// Pause between two looks at a request while the process stops.
 const LOOK: Duration = Duration::from_millis(25);
 
@@ -36,13 +38,23 @@
         self.stop.is_some()
     }
 
+    /// Refuses a request that another VM may serve, or this one once it was started again.
+    pub(crate) fn come_back_elsewhere(&self, now: Instant) -> Refusal {
+        let returns = self.stop.filter(|_| !self.fleet.others_serve(now));
+        let come_back = returns.map_or(ELSEWHERE, |plan| {
+            let ends = plan.ends_at().saturating_duration_since(now);
+            ends + START.mul_f64(1.0 + rand::random::<f64>())
+        });
+        Refusal::NotRun { come_back }
+    }
+
     /// What the caller of a request is told now, if it can't be served on.
     fn last_word(&self, key: WorkKey, now: Instant) -> Option<Refusal> {
         let plan = self.stop?;
         let work = self.works.get(key)?;
         match plan.word(work.progress(), work.passing, self.works.len(), now) {
             Word::ServeOn => None,
-            Word::HandBack => Some(Refusal::NotRun { come_back: ELSEWHERE }),
+            Word::HandBack => Some(self.come_back_elsewhere(now)),
             Word::GiveUp => Some(Refusal::Failed),
         }
     }
@@ -73,15 +85,16 @@
 
 /// Refuses a request that came in while the process stops and is not expected to end before it.
 pub(crate) fn refusal(app: &App, req: &Accepted) -> Option<Refusal> {
-    let expected = app.hub.with(|shared, now| {
+    let (expected, refusal) = app.hub.with(|shared, now| {
         let plan = shared.stop?;
         let passing = shared.passing_time(&req.entry.name).unwrap_or_default();
         let expected = admission::stages_time(shared, req, now) + passing;
-        (!plan.can_serve(expected, shared.works.len(), now)).then_some(expected)
+        let can_serve = plan.can_serve(expected, shared.works.len(), now);
+        (!can_serve).then(|| (expected, shared.come_back_elsewhere(now)))
     })?;
     info!(app.log, "not admitted"; "request" => %req.id, "entry" => &req.entry.name,
         "expected_ms" => expected.as_millis(), "why" => "the process stops before");
-    Some(Refusal::NotRun { come_back: ELSEWHERE })
+    Some(refusal)
 }
 
 /// Tells of each request that the end of the process closes.
--- a/tests/serving_stops.rs
+++ b/tests/serving_stops.rs
@@ -18,6 +18,8 @@
 const STOP: &str = "stop: {notice_ms: 1000, grace_s: 4}\n";
 /// Time after the signal within which the process has to end by itself.
 const GRACE: Duration = Duration::from_secs(4);
+/// Time after the signal within which requests are taken.
+const NOTICE: Duration = Duration::from_secs(1);
 /// Time that requests have, in milliseconds.
 const LONG_MS: u32 = 20_000;
 /// Requests in each case.
@@ -166,6 +168,31 @@
     assert_eq!(vm.wait_end(), Some(0));
 }
 
+/// Guards against callers who are sent elsewhere at once where no other VM serves, or held off where one does.
+#[test]
+fn callers_come_back_at_once_if_another_vm_serves_and_else_after_the_restart() {
+    for has_peer in [true, false] {
+        let site = long_site();
+        let mut vm = start_vm(&site, "stop-elsewhere");
+        let peer = has_peer.then(|| start_vm(&site, "stop-elsewhere-peer"));
+        let peers = usize::from(has_peer);
+        wait_until("they are linked", || vm.linked_peers() == peers);
+
+        vm.signal("-TERM");
+        thread::sleep(NOTICE + PAUSE);
+        let answer = long_call("/repeat/", "r-1").send(vm.callers).expect("an answer");
+
+        let come_back = answer.header("retry-after").parse::<f64>().expect("seconds");
+        assert_eq!(answer.status(), 503);
+        assert!(
+            if has_peer { come_back < 0.1 } else { come_back > 1.0 },
+            "{has_peer}: {come_back}"
+        );
+        assert_eq!(vm.wait_end(), Some(0));
+        drop(peer);
+    }
+}
+
 /// Guards against a stop that further signals end early or begin anew.
 #[test]
 fn signals_amid_a_stop_change_nothing() {
