--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -132,6 +132,19 @@
     wait_all_given_up(&site);
 }
 
+/// Guards against results that stay at their workers when their owner stands still while engines are at work.
+#[test]
+fn results_in_use_while_their_owner_is_paused_are_given_up() {
+    let site = Site::start();
+    let Pair { owner, requester } = Pair::start(&site, "owner-paused-late");
+    let asked = ask_silent_engines(&site, requester.callers, 3);
+
+    stand_still(&owner);
+
+    join(asked);
+    wait_all_given_up(&site);
+}
+
 /// Guards against results that an owner which stood still hands to a link that has ended meanwhile.
 #[test]
 fn results_that_a_paused_owner_hands_over_too_late_are_given_up() {
