--- a/gateway/src/news.rs
+++ b/gateway/src/news.rs
@@ -1,6 +1,6 @@
 //! Changes in the store from peers, for a VM that does not follow the store, that the store does not
-//! answer, or whose watch stands still: it asks one peer at a time for the next part of what it lacks, so that its link carries
-//! heartbeats in between.
+//! answer, or whose watch stands still: it asks one peer at a time for the next part of what it lacks,
+//! so that its link carries heartbeats in between.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
