--- a/standins/src/users/mod.rs
+++ b/standins/src/users/mod.rs
@@ -2,9 +2,11 @@
 //! runners with the faults that its pages name, and callers. Threads with plain sockets, so that
 //! each byte can be spoiled.
 
+mod acts;
 pub mod callers;
 pub mod fragile;
 pub mod link;
+mod pieces;
 pub mod runners;
 pub mod serving;
 pub mod soak;
--- /dev/null
+++ b/standins/src/users/pieces.rs
@@ -0,0 +1,93 @@
+//! What a runner of a pool does: it makes pieces, and is told which results are given up.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::runners::{Act, Made, Runner};
+use super::{Message, Wire};
+
+impl Runner {
+    pub(super) fn make_pieces(&self, wire: &mut Wire, req: &Message) -> bool {
+        let called = Instant::now();
+        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+        let items = body["items"].as_array().cloned().unwrap_or_default();
+        let act = self.with(|state| {
+            let next = (!state.script.is_empty()).then(|| state.script.remove(0));
+            let act = next.unwrap_or(Act::Answer);
+            state.receive(req, &act);
+            act
+        });
+        sleep(self.with(|state| std::mem::take(&mut state.turn_after)));
+        match act {
+            Act::Decline => {
+                return wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b""));
+            }
+            Act::DeclineFor(seconds) => {
+                let turned_away = [("Not-Executed", "1"), ("Retry-After", seconds)];
+                return wire.write(&self.reply("503 Full", &turned_away, b""));
+            }
+            Act::Lose => return false,
+            Act::Hang(time) => sleep(time),
+            _ => sleep(Duration::from_millis(20)),
+        }
+        self.with(|state| state.calls.push(items.len()));
+        let is_unheard = wire.is_closed();
+        let made = |item| self.make_piece(item, &act, called, is_unheard);
+        let made = items.iter().map(made).collect::<Vec<_>>();
+        wire.write(&self.reply("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
+    }
+
+    fn make_piece(&self, item: &Value, act: &Act, called: Instant, is_unheard: bool) -> Value {
+        if *act == Act::InputGone || inputs_of(item).any(|input| is_given_up(&input)) {
+            return json!({"reason": "gone"});
+        }
+        let number = |name: &str| item[name].as_u64().unwrap_or(u64::MAX);
+        let id = item["id"].as_str().unwrap_or_default().to_owned();
+        self.with(|state| state.pieces.push((id, number("stage"), number("piece"))));
+        let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
+        let handle = format!("{}/{handle:x}", self.address);
+        let made = Made { handle: handle.clone(), called, at: Instant::now(), is_unheard };
+        self.with(|state| state.made.push(made));
+        json!({ "handle": handle })
+    }
+
+    pub(super) fn release(&self, wire: &mut Wire, req: &Message) -> bool {
+        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
+        let handles = body["handles"].as_array().cloned().unwrap_or_default();
+        let handles = handles.iter().filter_map(|h| h.as_str().map(str::to_owned));
+        let is_lost = self.with(|state| {
+            let is_lost = state.losing > 0;
+            state.losing = state.losing.saturating_sub(1);
+            is_lost
+        });
+        if is_lost {
+            return false;
+        }
+        let handles: Vec<String> = handles.collect();
+        given_up().extend(handles.iter().cloned());
+        self.with(|state| state.released.extend(handles));
+        wire.write(&self.reply("200 OK", &[], b""))
+    }
+}
+
+/// Results that were given up at any runner of this process: whoever needs one as an input finds it gone.
+static GIVEN_UP: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
+
+fn given_up() -> MutexGuard<'static, BTreeSet<String>> {
+    GIVEN_UP.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn is_given_up(handle: &str) -> bool {
+    given_up().contains(handle)
+}
+
+/// Results that a piece needs.
+fn inputs_of(item: &Value) -> impl Iterator<Item = String> {
+    let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
+    inputs.into_iter().filter_map(|input| input.as_str().map(str::to_owned))
+}
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -1,89 +1,16 @@
 //! Runners: plain services, engines that stream, and pools of pieces, each with its faults.
 
-use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
 
+pub use super::acts::Act;
 use super::{Message, Wire, answer, serve_each};
 
-/// How a runner behaves towards the next request.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Act {
-    /// A whole answer.
-    Answer,
-    /// A whole answer of so many bytes.
-    Large(usize),
-    /// It answers with a failure of its own, after it ran.
-    Fail,
-    /// It is full and does not run it.
-    Decline,
-    /// It does not run it, and wants nothing more for so long: the text of `Retry-After`.
-    DeclineFor(&'static str),
-    /// Another lifetime stands at its address.
-    Misdirected,
-    /// It runs it and closes with no answer.
-    Lose,
-    /// Half of the body, then the connection ends.
-    CutBody,
-    /// A whole answer to another request.
-    Cross,
-    /// A whole answer, and a second one a moment later.
-    Extra,
-    /// Bytes that are no answer.
-    Garbage,
-    /// A success with no receipt.
-    Unsigned,
-    /// A success in another coding.
-    Encoded,
-    /// An answer with no length that ends with its connection.
-    Unframed,
-    /// It runs it and says nothing for this long.
-    Hang(Duration),
-    /// A stream of so many events.
-    Stream(u64),
-    /// A stream of so many events from the first on, whatever the caller has.
-    StreamFromFirst(u64),
-    /// A stream that breaks off in the middle of the event after so many.
-    BreakStream(u64),
-    /// A stream of so many events with a pause after each.
-    SlowStream(u64, Duration),
-    /// An input is gone.
-    InputGone,
-}
-
-impl Act {
-    /// Whether an answer comes at once that is the runner's own.
-    fn speaks_for_it(&self) -> bool {
-        match self {
-            Act::Misdirected
-            | Act::Lose
-            | Act::Cross
-            | Act::Garbage
-            | Act::Unsigned
-            | Act::Encoded
-            | Act::Hang(_) => false,
-            Act::Answer
-            | Act::Large(_)
-            | Act::Fail
-            | Act::Decline
-            | Act::DeclineFor(_)
-            | Act::CutBody
-            | Act::Extra
-            | Act::Unframed
-            | Act::Stream(_)
-            | Act::StreamFromFirst(_)
-            | Act::BreakStream(_)
-            | Act::SlowStream(..)
-            | Act::InputGone => true,
-        }
-    }
-}
-
 /// A request that a runner received, and what its answer said beside the rest.
 #[derive(Debug, Clone)]
 pub struct Received {
@@ -116,24 +43,24 @@
 
 /// What a runner saw and does.
 #[derive(Default)]
-struct State {
+pub(super) struct State {
     seen: Vec<Message>,
     ran: Vec<String>,
     /// Requests and calls that it received, in order.
     received: Vec<Received>,
-    script: Vec<Act>,
+    pub(super) script: Vec<Act>,
     usual: Option<Act>,
-    released: Vec<String>,
+    pub(super) released: Vec<String>,
     /// Results that it made.
-    made: Vec<Made>,
+    pub(super) made: Vec<Made>,
     /// Words that results are given up which it will lose: it closes with no answer and frees nothing.
-    losing: usize,
+    pub(super) losing: usize,
     /// How long the next call of pieces waits for its turn, behind a call of somebody else.
-    turn_after: Duration,
+    pub(super) turn_after: Duration,
     /// Pieces made: request, stage, piece.
-    pieces: Vec<(String, u64, u64)>,
+    pub(super) pieces: Vec<(String, u64, u64)>,
     /// Sizes of calls.
-    calls: Vec<usize>,
+    pub(super) calls: Vec<usize>,
     cut_off: u64,
     /// Connections that are open.
     open: u64,
@@ -146,7 +73,7 @@
 }
 
 impl State {
-    fn receive(&mut self, req: &Message, act: &Act) {
+    pub(super) fn receive(&mut self, req: &Message, act: &Act) {
         let left_alone = match act {
             Act::DeclineFor(seconds) => seconds.parse().ok().map(Duration::from_secs_f64),
             _ => None,
@@ -169,7 +96,7 @@
     /// Its id.
     pub id: String,
     state: Arc<Mutex<State>>,
-    next_handle: Arc<AtomicU64>,
+    pub(super) next_handle: Arc<AtomicU64>,
 }
 
 impl Runner {
@@ -294,7 +221,7 @@
         self.with(|state| state.cut_off)
     }
 
-    fn with<R>(&self, f: impl FnOnce(&mut State) -> R) -> R {
+    pub(super) fn with<R>(&self, f: impl FnOnce(&mut State) -> R) -> R {
         f(&mut self.state.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
@@ -334,7 +261,7 @@
     }
 
     /// An answer, which says what the runner says of itself.
-    fn reply(&self, status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    pub(super) fn reply(&self, status: &str, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
         let words = self.words();
         let words = words.iter().map(|(name, value)| (*name, value.as_str()));
         let headers: Vec<(&str, &str)> = headers.iter().copied().chain(words).collect();
@@ -453,83 +380,4 @@
         }
         wire.write(b"0\r\n\r\n")
     }
-
-    fn make_pieces(&self, wire: &mut Wire, req: &Message) -> bool {
-        let called = Instant::now();
-        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
-        let items = body["items"].as_array().cloned().unwrap_or_default();
-        let act = self.with(|state| {
-            let next = (!state.script.is_empty()).then(|| state.script.remove(0));
-            let act = next.unwrap_or(Act::Answer);
-            state.receive(req, &act);
-            act
-        });
-        sleep(self.with(|state| std::mem::take(&mut state.turn_after)));
-        match act {
-            Act::Decline => {
-                return wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b""));
-            }
-            Act::DeclineFor(seconds) => {
-                let turned_away = [("Not-Executed", "1"), ("Retry-After", seconds)];
-                return wire.write(&self.reply("503 Full", &turned_away, b""));
-            }
-            Act::Lose => return false,
-            Act::Hang(time) => sleep(time),
-            _ => sleep(Duration::from_millis(20)),
-        }
-        self.with(|state| state.calls.push(items.len()));
-        let is_unheard = wire.is_closed();
-        let made = |item| self.make_piece(item, &act, called, is_unheard);
-        let made = items.iter().map(made).collect::<Vec<_>>();
-        wire.write(&self.reply("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
-    }
-
-    fn make_piece(&self, item: &Value, act: &Act, called: Instant, is_unheard: bool) -> Value {
-        if *act == Act::InputGone || inputs_of(item).any(|input| is_given_up(&input)) {
-            return json!({"reason": "gone"});
-        }
-        let number = |name: &str| item[name].as_u64().unwrap_or(u64::MAX);
-        let id = item["id"].as_str().unwrap_or_default().to_owned();
-        self.with(|state| state.pieces.push((id, number("stage"), number("piece"))));
-        let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
-        let handle = format!("{}/{handle:x}", self.address);
-        let made = Made { handle: handle.clone(), called, at: Instant::now(), is_unheard };
-        self.with(|state| state.made.push(made));
-        json!({ "handle": handle })
-    }
-
-    fn release(&self, wire: &mut Wire, req: &Message) -> bool {
-        let body: Value = serde_json::from_slice(&req.body).unwrap_or_default();
-        let handles = body["handles"].as_array().cloned().unwrap_or_default();
-        let handles = handles.iter().filter_map(|h| h.as_str().map(str::to_owned));
-        let is_lost = self.with(|state| {
-            let is_lost = state.losing > 0;
-            state.losing = state.losing.saturating_sub(1);
-            is_lost
-        });
-        if is_lost {
-            return false;
-        }
-        let handles: Vec<String> = handles.collect();
-        given_up().extend(handles.iter().cloned());
-        self.with(|state| state.released.extend(handles));
-        wire.write(&self.reply("200 OK", &[], b""))
-    }
-}
-
-/// Results that were given up at any runner of this process: whoever needs one as an input finds it gone.
-static GIVEN_UP: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
-
-fn given_up() -> MutexGuard<'static, BTreeSet<String>> {
-    GIVEN_UP.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn is_given_up(handle: &str) -> bool {
-    given_up().contains(handle)
-}
-
-/// Results that a piece needs.
-fn inputs_of(item: &Value) -> impl Iterator<Item = String> {
-    let inputs = item["inputs"].as_array().cloned().unwrap_or_default();
-    inputs.into_iter().filter_map(|input| input.as_str().map(str::to_owned))
 }
