A worker is asked whether calls wait before inputs count as fetched

What callers see: stages of their requests are made anew, and answers are late or refusals.

Cause: the owner of a pool told the request that the inputs of a call are fetched by a forecast of the call's turn, and where room is scarce they were taken back. A call of another VM that comes between two calls of a pool at work gives no sign beforehand; the forecast of waits longer only where the pool was quiet for a second or the worker's last answer showed others.

Why an earlier answer can't tell: it is older than the call of the other VM. What tells it surely: the worker's report, asked for once the call is there, if it says that a call is at work and none waits. A report that shows no call at work is older than the call, and tells nothing. Closing the connection tells it too, but ends the call; the room that a worker has free is told in whole megabytes.

Change: 20 ms after a call with inputs was sent its worker is asked, and again every 60 ms while calls wait; where it does not say, or names a rate, the inputs stay until the answer. The forecast and its two constants are gone (components/batching/src/turns.rs). Its tests said when the forecast was long or short; they are replaced by two that the pool tells the time from the turn on only, whatever the worker did before, by reports read and not understood, by two with processes (given up while at work; kept where the worker says nothing), and by the scenes.

Holding inputs deadlocks nothing: a call takes the room for its results at its turn or ends at once without, so that no call at a worker waits for room that only another call could free; what it holds lies at other workers, and it ends within its owner's patience.

--- a/components/batching/src/ends.rs
+++ b/components/batching/src/ends.rs
@@ -46,7 +46,6 @@
         } else {
             self.free_room(call.worker, call.bytes);
         }
-        self.note_others(&call, &end, took, now);
         if let Some(worker) = self.workers.get_mut(call.worker) {
             worker.at_work = worker.at_work.saturating_sub(1);
             match end {
--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -28,9 +28,9 @@
 /// Weight of a new call in the learned number of pieces of calls that leave others waiting: what makes
 /// them smaller, results that wait to be used, lasts for some seconds and dozens of calls.
 const PRESSED_WEIGHT: f64 = 0.05;
-/// Time beside the transfer itself within which a target begins a call and has fetched its inputs:
-/// many times the way between halls.
-const FETCH_EXTRA: Duration = Duration::from_millis(40);
+/// Time beside the transfer itself within which a target that begins a call has fetched its inputs: many times the
+/// way between halls.
+const FETCH_EXTRA: Duration = Duration::from_millis(20);
 /// An input crosses the link of its worker and that of the target that fetches it.
 const FETCH_LINKS: f64 = 2.0;
 
@@ -51,7 +51,7 @@
 }
 
 /// Time after which a call is given up.
-pub(crate) fn patience(expected: Duration) -> Duration {
+fn patience(expected: Duration) -> Duration {
     expected.mul_f64(PATIENCE) + PATIENCE_EXTRA
 }
 
@@ -206,7 +206,7 @@
         let expected = (self.spec.call + self.spec.piece * count).max(LEAST_TIME);
         self.usual_pieces += PIECES_WEIGHT * (f64::from(count) - self.usual_pieces);
         self.learn_pressed(count);
-        let fetch = self.fetch_time(&pieces).map(|time| self.turn_comes_in(key, now) + time);
+        let fetch = self.fetch_time(&pieces);
         let worker = &mut self.workers[key];
         let room_before = worker.room_used;
         worker.at_work += 1;
@@ -237,7 +237,7 @@
         self.pressed_pieces = Some(before + PRESSED_WEIGHT * (seen - before));
     }
 
-    /// Time within which a target has fetched the inputs of a call's pieces.
+    /// Time within which a target that begins a call has fetched the inputs of its pieces.
     fn fetch_time(&self, pieces: &[Waiting]) -> Option<Duration> {
         let mut jobs: Vec<JobKey> = pieces.iter().map(|waiting| waiting.job).collect();
         jobs.dedup();
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -11,7 +11,6 @@
 mod room;
 mod slack;
 mod submission;
-mod turns;
 mod worker;
 
 pub use filling::order_due;
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -67,9 +67,6 @@
     /// that it is learned from those that found none.
     pub(crate) room_part: f64,
     pub(crate) halls: Halls,
-    pub(crate) last_submission: Option<Instant>,
-    /// Until when calls of an owner before this one may be at the workers.
-    pub(crate) others_until: Option<Instant>,
 }
 
 impl Pool {
@@ -89,8 +86,6 @@
             pressed_pieces: None,
             room_part: 1.0,
             halls: Halls::default(),
-            last_submission: None,
-            others_until: None,
         }
     }
 
@@ -192,7 +187,6 @@
 
     /// Takes pieces.
     pub fn submit(&mut self, submission: Submission, now: Instant) -> JobKey {
-        self.note_submission(now);
         let pieces = submission.pieces.clone();
         let (left, unfetched) = (pieces.len(), pieces.len());
         let job = self.jobs.insert(Job { submission, since: now, left, unfetched });
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -70,7 +70,7 @@
     pub waited: Duration,
     /// Pieces that go on waiting, for the log.
     pub still_waiting: usize,
-    /// After this time of the call its inputs have been fetched; `None` if that can't be told.
+    /// Time within which its inputs have been fetched once it has its turn; `None` if that can't be told.
     pub fetch: Option<Duration>,
     /// After this time it is given up.
     pub patience: Duration,
--- a/components/batching/src/worker.rs
+++ b/components/batching/src/worker.rs
@@ -42,8 +42,6 @@
     failures: u32,
     rests_until: Option<Instant>,
     foreign: Option<ForeignRoom>,
-    /// Until when calls of others may be there, as its answers to calls of this owner show.
-    pub(crate) others_until: Option<Instant>,
 }
 
 impl Worker {
@@ -56,7 +54,6 @@
             failures: 0,
             rests_until: None,
             foreign: None,
-            others_until: None,
         }
     }
 
--- a/components/doors/src/calls.rs
+++ b/components/doors/src/calls.rs
@@ -111,6 +111,23 @@
     Failed,
 }
 
+/// What a worker of a pool says of its calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct WorkerReport {
+    /// Whether a call is at work.
+    pub is_at_work: bool,
+    /// Calls that wait for their turn.
+    pub waiting: u32,
+}
+
+impl WorkerReport {
+    /// Whether each call that was at the worker had its turn. A report with no call at work says nothing of a call that
+    /// was sent before it was asked for: it is older than that call, or the call has ended.
+    pub fn all_have_their_turn(&self) -> bool {
+        self.is_at_work && self.waiting == 0
+    }
+}
+
 /// A request to a target that is no caller's.
 #[derive(Debug, Clone)]
 pub struct OwnCall {
@@ -140,6 +157,10 @@
     pub pieces: fn(&TargetName, &[PieceCall]) -> OwnCall,
     /// Reads the answer to a pool's call.
     pub read_pieces: fn(&[u8]) -> errors::Result<Vec<PieceAnswer>>,
+    /// Asks a worker for its report.
+    pub report: fn(&TargetName) -> OwnCall,
+    /// Reads a worker's report.
+    pub read_report: fn(&[u8]) -> errors::Result<WorkerReport>,
     /// Gives up results at their worker.
     pub release: fn(&TargetName, &[String]) -> OwnCall,
     /// The worker's address in a handle.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod target_entries;
 mod target_words;
 mod tries;
+mod turns;
 mod work;
 
 pub use run::run;
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -118,6 +118,12 @@
     Some((pause * PAUSES_GATHERED).min(LONGEST_GATHERED))
 }
 
+/// The permit to ask a worker for its report; `None` if it names a rate, of which its calls need each part.
+pub(crate) fn for_report(app: &Rc<App>, target: &Target) -> Option<Permit> {
+    let names_rate = app.hub.with(|shared, _| shared.rates.limit(target).is_some());
+    (!names_rate).then(|| permit(app, target, Kind::Free))
+}
+
 fn permit(app: &Rc<App>, target: &Target, kind: Kind) -> Permit {
     Permit { app: Rc::clone(app), target: target.clone(), kind }
 }
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -17,7 +17,7 @@
 use crate::own_calls::{OwnCallMiss, own_call};
 use crate::permits::Permit;
 use crate::piece_news::{PeerSink, PieceNews, Sink};
-use crate::{crashes, link_words, permits, reach, releases};
+use crate::{crashes, link_words, permits, reach, releases, turns};
 
 /// Time in which an answer is read that has arrived when its call is given up: a VM that stood still has not read it
 /// yet, and nobody else learns the results' handles.
@@ -161,7 +161,7 @@
         async move { own_call(&app, &target, req, permit).await }
     });
     let mut patience = std::pin::pin!(tokio::time::sleep(call.patience));
-    let mut fetch = std::pin::pin!(fetched(call.fetch));
+    let mut fetch = std::pin::pin!(turns::inputs_fetched(app, call));
     let mut out = app.out_halls.subscribe();
     let mut fetches = true;
     loop {
@@ -208,14 +208,6 @@
     drop(releases::give_up_as_owner(&app, handles));
 }
 
-/// Ends when the inputs of a call have been fetched, if that can be told.
-async fn fetched(time: Option<Duration>) {
-    match time {
-        Some(time) => tokio::time::sleep(time).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Tells those whose inputs are needed no more: room at their workers is scarcer than time.
 fn tell_fetched(app: &App, pool: &ServiceName, call: CallKey) {
     let jobs = app.hub.with(|shared, _| {
--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,11 +1,13 @@
-//! Plays randomized runs of the serving path under faults, or of planned stops in series:
-//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops]`.
+//! Plays randomized runs of the serving path under faults, or of planned stops in series, or scenes drawn from seeds:
+//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --turns | --results]`.
 //! Ends with 1 if a promise was broken.
 
+use std::ops::Range;
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use standins::users::scenes::{ResultScene, TurnScene};
 use standins::users::soak::{self, Size};
 use standins::users::stop_soak;
 
@@ -17,6 +19,34 @@
     args.get_one(name).copied().unwrap_or_default()
 }
 
+fn flag(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+}
+
+/// Plays scenes; `play` gives what a seed's scene was and showed, and whether it kept its promise.
+fn play_scenes(seeds: Range<u64>, play: fn(u64) -> (String, bool)) -> ExitCode {
+    let mut broken = 0;
+    for seed in seeds {
+        let (shown, is_kept) = play(seed);
+        println!("seed={seed} kept={is_kept} {shown}");
+        broken += usize::from(!is_kept);
+    }
+    println!("broken={broken}");
+    if broken == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn turn_scene(seed: u64) -> (String, bool) {
+    let scene = TurnScene::draw(seed);
+    let calls = scene.calls(&format!("turn-{seed}"));
+    (format!("{scene:?} calls={calls}"), calls == 2)
+}
+
+fn result_scene(seed: u64) -> (String, bool) {
+    let scene = ResultScene::draw(seed);
+    let told = scene.told(&format!("result-{seed}"));
+    (format!("{scene:?} {told:?}"), scene.keeps(&told))
+}
+
 fn main() -> ExitCode {
     let args = Command::new("soak")
         .arg(number("seed", "1", "First seed"))
@@ -24,15 +54,27 @@
         .arg(number("seconds", "6", "Seconds of faults in a run"))
         .arg(number("vms", "3", "VMs of a run"))
         .arg(number("callers", "4", "Callers of a run"))
-        .arg(Arg::new("stops").long("stops").action(ArgAction::SetTrue).help("Planned stops only"))
+        .arg(flag("stops", "Planned stops only"))
+        .arg(flag("turns", "Scenes of calls that wait for their turn"))
+        .arg(flag(
+            "results",
+            "Scenes of results whose owner or requester is killed or stands still",
+        ))
         .get_matches();
+    let first = value(&args, "seed");
+    let seeds = first..first + value(&args, "runs");
+    if args.get_flag("turns") {
+        return play_scenes(seeds, turn_scene);
+    }
+    if args.get_flag("results") {
+        return play_scenes(seeds, result_scene);
+    }
     let play = if args.get_flag("stops") { stop_soak::run } else { soak::run };
     let time = Duration::from_secs(value(&args, "seconds"));
-    let first = value(&args, "seed");
     let vms = usize::try_from(value(&args, "vms")).unwrap_or(usize::MAX);
     let size = Size { vms, callers: value(&args, "callers") };
     let mut broken = 0;
-    for seed in first..first + value(&args, "runs") {
+    for seed in seeds {
         let report = play(seed, time, size);
         println!(
             "seed={seed} requests={} whole={} faults={} results={} broken={}",
--- a/standins/src/users/mod.rs
+++ b/standins/src/users/mod.rs
@@ -8,6 +8,7 @@
 pub mod link;
 mod pieces;
 pub mod runners;
+pub mod scenes;
 pub mod serving;
 pub mod soak;
 mod soak_checks;
--- a/standins/src/users/pieces.rs
+++ b/standins/src/users/pieces.rs
@@ -22,7 +22,8 @@
             state.receive(req, &act);
             act
         });
-        sleep(self.with(|state| std::mem::take(&mut state.turn_after)));
+        self.wait_for_turn();
+        let at_work = AtWork::begin(self);
         match act {
             Act::Decline => {
                 return wire.write(&self.reply("503 Full", &[("Not-Executed", "1")], b""));
@@ -39,9 +40,33 @@
         let is_unheard = wire.is_closed();
         let made = |item| self.make_piece(item, &act, called, is_unheard);
         let made = items.iter().map(made).collect::<Vec<_>>();
+        drop(at_work);
         wire.write(&self.reply("200 OK", &[], json!({ "items": made }).to_string().as_bytes()))
     }
 
+    /// Waits for as long as a call of somebody else is before this one.
+    fn wait_for_turn(&self) {
+        let time = self.with(|state| {
+            state.waiting += 1;
+            std::mem::take(&mut state.turn_after)
+        });
+        sleep(time);
+        self.with(|state| state.waiting -= 1);
+    }
+
+    /// Tells how many calls wait; while one does, another one is at work.
+    pub(super) fn report(&self, wire: &mut Wire) -> bool {
+        if self.with(|state| state.reports_nothing) {
+            return wire.write(&self.reply("404 None", &[], b""));
+        }
+        let report = self.with(|state| {
+            let is_used = state.waiting + state.at_work > 0;
+            json!({"waiting_requests": state.waiting, "utilization": u8::from(is_used),
+                "free_mb": 1})
+        });
+        wire.write(&self.reply("200 OK", &[], report.to_string().as_bytes()))
+    }
+
     fn make_piece(&self, item: &Value, act: &Act, called: Instant, is_unheard: bool) -> Value {
         if *act == Act::InputGone || inputs_of(item).any(|input| is_given_up(&input)) {
             return json!({"reason": "gone"});
@@ -75,6 +100,22 @@
     }
 }
 
+/// A call at work, until this is dropped.
+struct AtWork<'a>(&'a Runner);
+
+impl<'a> AtWork<'a> {
+    fn begin(runner: &'a Runner) -> Self {
+        runner.with(|state| state.at_work += 1);
+        AtWork(runner)
+    }
+}
+
+impl Drop for AtWork<'_> {
+    fn drop(&mut self) {
+        self.0.with(|state| state.at_work -= 1);
+    }
+}
+
 /// Results that were given up at any runner of this process: whoever needs one as an input finds it gone.
 static GIVEN_UP: Mutex<BTreeSet<String>> = Mutex::new(BTreeSet::new());
 
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -57,6 +57,12 @@
     pub(super) losing: usize,
     /// How long the next call of pieces waits for its turn, behind a call of somebody else.
     pub(super) turn_after: Duration,
+    /// Calls of pieces that wait for their turn, behind a call of somebody else.
+    pub(super) waiting: usize,
+    /// Calls of pieces at work.
+    pub(super) at_work: usize,
+    /// Whether it answers that it has no report.
+    pub(super) reports_nothing: bool,
     /// Pieces made: request, stage, piece.
     pub(super) pieces: Vec<(String, u64, u64)>,
     /// Sizes of calls.
@@ -201,6 +207,11 @@
         self.with(|state| state.turn_after = time);
     }
 
+    /// Tells its report when it is asked, or that it has none.
+    pub fn set_reports(&self, reports: bool) {
+        self.with(|state| state.reports_nothing = !reports);
+    }
+
     /// Loses the next words that results are given up.
     pub fn lose_releases(&self, count: usize) {
         self.with(|state| state.losing = count);
@@ -238,6 +249,7 @@
         match req.target() {
             "/stage-run" => self.make_pieces(wire, req),
             "/stage-free" => self.release(wire, req),
+            "/report" => self.report(wire),
             _ => self.run(wire, req),
         }
     }
--- /dev/null
+++ b/standins/src/users/scenes.rs
@@ -0,0 +1,243 @@
+//! Scenes drawn from a seed: calls that wait for their turn, and owners of pools that are killed.
+
+// A fixture that can't be set up fails its scene.
+#![allow(clippy::expect_used)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde_json::json;
+
+use super::Message;
+use super::callers::Call;
+use super::runners::{Act, Runner};
+use super::serving::{Site, Vm, post, usual_configuration};
+use crate::fleet::wait_until;
+
+/// Requests before the one whose call waits.
+const BEFORE: std::ops::Range<u64> = 0..9;
+/// Pause after each of them, in milliseconds.
+const GAP: std::ops::Range<u64> = 0..400;
+/// How long the call waits for its turn, in milliseconds; less than the owner is patient for.
+const DELAY: std::ops::Range<u64> = 0..220;
+/// Bytes of a result of the first stage: six take 0.36 to 0.78 of their worker's room.
+const RESULT_BYTES: std::ops::Range<u64> = 60_000..130_000;
+
+/// Name by which a VM speaks of itself.
+const THIS_VM: &str = "this VM";
+/// VMs of a fleet, on both sides of the size from which each is linked to some others only.
+const FLEETS: [usize; 4] = [2, 3, 12, 14];
+/// Requests at their engines as the owner is killed.
+const REQUESTS: std::ops::Range<usize> = 1..4;
+/// How long the engines say nothing.
+const SILENCE: Duration = Duration::from_millis(900);
+/// The moment of the fault after the engines have the requests, in milliseconds: words about the first stage's results
+/// are on their way then.
+const AFTER: std::ops::Range<u64> = 0..6;
+/// How long a VM stands still: longer than its requests have.
+const PAUSE: Duration = Duration::from_secs(4);
+/// Time in which a later word about a result would come: words are repeated for 4 s at most.
+const LATER: Duration = Duration::from_secs(5);
+
+/// A call that waits for its turn behind a call of another VM.
+#[derive(Debug)]
+pub struct TurnScene {
+    before: u64,
+    gap: Duration,
+    delay: Duration,
+    result_bytes: u64,
+}
+
+impl TurnScene {
+    /// Draws a scene.
+    pub fn draw(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        TurnScene {
+            before: rng.random_range(BEFORE),
+            gap: Duration::from_millis(rng.random_range(GAP)),
+            delay: Duration::from_millis(rng.random_range(DELAY)),
+            result_bytes: rng.random_range(RESULT_BYTES),
+        }
+    }
+
+    /// Plays it; gives how often the stages of the request were called, which are two.
+    ///
+    /// # Panics
+    /// If a fixture can't be set up, or the request is not served.
+    pub fn calls(&self, name: &str) -> usize {
+        let site = Site::start();
+        let mut scarce = usual_configuration(2);
+        scarce["routes"][4]["stages"][0]["bytes"] = json!(self.result_bytes);
+        site.store.put("op/config", &scarce);
+        site.store.remove("servers/i-pool-2");
+        let vm = site.start_vm(name, "");
+        wait_until("it is in force", || vm.state()["configuration"] == json!(2));
+        let worker = &site.pool[0];
+        for number in 0..self.before {
+            let answer = chain(&format!("before-{number}"), "6,1").send(vm.callers);
+            assert!(is_served(answer.as_ref()), "a request before: {answer:?}");
+            thread::sleep(self.gap);
+        }
+        let before = worker.seen().len();
+
+        let call = chain("waits", "6,1");
+        let address = vm.callers;
+        let asked = thread::spawn(move || call.send(address));
+        wait_until("the first stage is at work", || worker.seen().len() > before);
+        thread::sleep(Duration::from_millis(5));
+        worker.delay_turn(self.delay);
+
+        let answer = asked.join().expect("no panic");
+        assert!(is_served(answer.as_ref()), "{answer:?}");
+        worker.seen().len() - before
+    }
+}
+
+/// What happens to a VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The owner of the pool is killed.
+    OwnerKilled,
+    /// The owner of the pool stands still.
+    OwnerPaused,
+    /// The VM of the requests stands still.
+    RequesterPaused,
+}
+
+/// A fault while engines are at work on requests whose stages were made by another VM.
+#[derive(Debug)]
+pub struct ResultScene {
+    vms: usize,
+    requests: usize,
+    fault: Fault,
+    after: Duration,
+}
+
+/// What became of the results of a scene.
+#[derive(Debug)]
+pub struct Told {
+    /// Results that were made.
+    pub made: usize,
+    /// Those among them that their workers were told to give up.
+    pub given_up: usize,
+    /// Words beyond the first one for each.
+    pub again: usize,
+}
+
+impl ResultScene {
+    /// Draws a scene.
+    pub fn draw(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let faults =
+            [Fault::OwnerKilled, Fault::OwnerKilled, Fault::OwnerPaused, Fault::RequesterPaused];
+        ResultScene {
+            vms: FLEETS[rng.random_range(0..FLEETS.len())],
+            requests: rng.random_range(REQUESTS),
+            fault: faults[rng.random_range(0..faults.len())],
+            after: Duration::from_millis(rng.random_range(AFTER)),
+        }
+    }
+
+    /// Whether each result is given up once. One that the owner had as it stood still may have run out meanwhile.
+    pub fn keeps(&self, told: &Told) -> bool {
+        let all = self.fault != Fault::OwnerKilled || told.given_up == told.made;
+        all && told.again == 0
+    }
+
+    /// Plays it; gives what the workers were told once nothing more comes.
+    ///
+    /// # Panics
+    /// If a fixture can't be set up.
+    pub fn told(&self, name: &str) -> Told {
+        let site = Site::start();
+        let mut vms = start_vms(&site, name, self.vms);
+        let owner = owner_of_the_pool(&vms);
+        let requester = (owner + 1) % vms.len();
+        let silent = vec![Act::Hang(SILENCE); REQUESTS.end];
+        site.engines.iter().for_each(|engine| engine.next(&silent));
+        let asked = ask(vms[requester].callers, self.requests);
+        wait_until("the engines have them", || at(&site.engines) >= self.requests);
+        thread::sleep(self.after);
+
+        match self.fault {
+            Fault::OwnerKilled => drop(vms.remove(owner)),
+            Fault::OwnerPaused => stand_still(&vms[owner]),
+            Fault::RequesterPaused => stand_still(&vms[requester]),
+        }
+
+        for asked in asked {
+            // Its answer is another matter.
+            drop(asked.join().expect("no panic"));
+        }
+        thread::sleep(LATER);
+        told(&site)
+    }
+}
+
+fn stand_still(vm: &Vm) {
+    vm.signal("-STOP");
+    thread::sleep(PAUSE);
+    vm.signal("-CONT");
+}
+
+fn chain(id: &str, pieces: &str) -> Call {
+    post("/chain/", id).with("Pieces", pieces).with("Piece-Key", "k")
+}
+
+fn is_served(answer: Option<&Message>) -> bool {
+    answer.is_some_and(|answer| answer.status() == 200)
+}
+
+fn ask(address: SocketAddr, requests: usize) -> Vec<thread::JoinHandle<Option<Message>>> {
+    let ask = |number: usize| {
+        let call = chain(&format!("c-{number}"), "1,2");
+        thread::spawn(move || call.send(address))
+    };
+    (0..requests).map(ask).collect()
+}
+
+fn at(runners: &[Runner]) -> usize {
+    runners.iter().map(|runner| runner.seen().len()).sum()
+}
+
+/// Starts VMs; waits until all of them have the same one fill the calls of the pool.
+fn start_vms(site: &Site, name: &str, count: usize) -> Vec<Vm> {
+    let start = |number| Vm::start(&format!("{name}-{number}"), "hall-a", site.store.address, "");
+    let vms: Vec<Vm> = (0..count).map(start).collect();
+    vms.iter().for_each(|vm| site.wait_known(vm));
+    wait_until("one VM fills the calls", || {
+        let fillers: Vec<String> = vms.iter().map(filler).collect();
+        let others = fillers.iter().filter(|filler| *filler != THIS_VM);
+        let others: BTreeSet<&String> = others.collect();
+        others.len() == 1 && fillers.iter().filter(|filler| *filler == THIS_VM).count() == 1
+    });
+    vms
+}
+
+/// The VM that fills the calls of the pool, as a VM names it.
+fn filler(vm: &Vm) -> String {
+    vm.state()["pools"][0]["filled_by"].as_str().unwrap_or_default().to_owned()
+}
+
+fn owner_of_the_pool(vms: &[Vm]) -> usize {
+    vms.iter().position(|vm| filler(vm) == THIS_VM).expect("a VM fills the calls")
+}
+
+/// What the workers were told.
+fn told(site: &Site) -> Told {
+    let mut words: BTreeMap<String, usize> = BTreeMap::new();
+    for handle in site.pool.iter().flat_map(Runner::released) {
+        *words.entry(handle).or_default() += 1;
+    }
+    let made: Vec<String> =
+        site.pool.iter().flat_map(Runner::made).map(|made| made.handle).collect();
+    Told {
+        given_up: made.iter().filter(|handle| words.contains_key(*handle)).count(),
+        made: made.len(),
+        again: words.values().map(|count| count - 1).sum(),
+    }
+}
