A result is given up by one VM at each moment, in fleets of any size

What callers see: nothing by itself; a worker that names a rate pays for a second word, and nobody could say whether a word had been told.

A VM of requests that stood still past their time told workers of what the owner had taken over. And a VM told an owner that stood still, or whose link had just ended without its knowledge, that workers have heard; that word was lost with the link, and on the next link the owner took the results for lost and told the workers again.

Change: the VM of a request tells workers itself at any size, but where a worker names a rate. It tells nobody of results that have run out or are half a second past their request's time: the owner has them then. What workers have heard is kept until the owner confirms it, is said again on the next link, and counts as held until then. An owner that stood still waits for its links before it takes results over.

Left: where a worker names a rate, the word goes through the owner, and a worker may hear it twice when that one dies: once for each word that was under way. When the VM of a request dies just after it told a worker, the owner tells it again: neither can be known.

--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -245,21 +245,22 @@
 
 /// Takes word that results which a peer had made here are needed no more; confirms it if that is wanted.
 fn take_release(app: &Rc<App>, release: Release, tx: &ToDialer) {
-    if release.told {
-        releases::heard_by_workers(app, &release.handles);
-        return;
-    }
-    let tasks = releases::give_up_for_peer(app, release.handles, release.if_scarce);
+    let Release { handles, if_scarce, number, told } = release;
+    let tasks = if told {
+        releases::heard_by_workers(app, &handles);
+        Vec::new()
+    } else {
+        releases::give_up_for_peer(app, handles, if_scarce)
+    };
+    let Some(number) = number else { return };
     let tx = tx.clone();
     spawn_local(async move {
         for task in tasks {
             // One that panicked ends the process.
             drop(task.await);
         }
-        if let Some(number) = release.number {
-            let kind = from_owner::Kind::Released(Released { number });
-            // A peer that is gone tells the workers itself.
-            drop(tx.send(Ok(FromOwner { kind: Some(kind) })));
-        }
+        let kind = from_owner::Kind::Released(Released { number });
+        // A peer that is gone tells the workers itself, or this VM on its next link.
+        drop(tx.send(Ok(FromOwner { kind: Some(kind) })));
     });
 }
--- a/gateway/src/gone_inputs.rs
+++ b/gateway/src/gone_inputs.rs
@@ -1,7 +1,5 @@
 //! Why inputs are gone which a stage or a request needs, as far as the VM of the request can tell.
 
-use std::time::Duration;
-
 use crate::app::App;
 use crate::hub::now;
 use crate::shared::Shared;
@@ -31,19 +29,19 @@
     }
 }
 
-/// The cause for the first of `handles` for which there is one; `life` is that of a result.
-pub(crate) fn cause(app: &App, handles: &[String], life: Duration) -> Cause {
-    let mut causes = handles.iter().map(|handle| cause_of(app, handle, life));
+/// The cause for the first of `handles` for which there is one.
+pub(crate) fn cause(app: &App, handles: &[String]) -> Cause {
+    let mut causes = handles.iter().map(|handle| cause_of(app, handle));
     causes.find(|cause| *cause != Cause::Unknown).unwrap_or(Cause::Unknown)
 }
 
-fn cause_of(app: &App, handle: &str, life: Duration) -> Cause {
-    let Some(held_for) = app.held.held_for(handle, now()) else { return Cause::TakenBack };
+fn cause_of(app: &App, handle: &str) -> Cause {
+    let Some(has_run_out) = app.held.has_run_out(handle, now()) else { return Cause::TakenBack };
     let worker = (app.doors.calls.worker)(handle);
     let is_known =
         |shared: &Shared| worker.is_some_and(|worker| shared.targets.at(worker).is_some());
     if !app.hub.with(|shared, _| is_known(shared)) {
         return Cause::WorkerGone;
     }
-    if held_for >= life { Cause::RunOut } else { Cause::Unknown }
+    if has_run_out { Cause::RunOut } else { Cause::Unknown }
 }
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -16,6 +16,7 @@
     Ask, Cancel, Claims, Done, FromDialer, FromOwner, Hello, News, Permit, PermitAsk, Release,
     Submit, from_dialer, from_owner,
 };
+use result_leases::REQUEST_GRACE;
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -25,7 +26,7 @@
 use tonic::{Status, Streaming};
 
 use crate::app::App;
-use crate::held_results::Maker;
+use crate::held_results::{Maker, Term};
 use crate::hub::{left, now};
 use crate::link_words::{
     Told, beat, crashes_of, departures_of, hello, made_of, meet, take_beat, untold,
@@ -68,12 +69,15 @@
     permits: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
     /// Results that were given up through this link, until the peer confirms it.
     unconfirmed: RefCell<BTreeMap<u64, Vec<String>>>,
+    /// Results of which the peer was told that their workers have heard, until it confirms it.
+    told: RefCell<HashMap<u64, Vec<String>>>,
 }
 
 /// A submission whose results are waited for.
 struct Waiting {
     news: UnboundedSender<PieceNews>,
     of: StageTurn,
+    term: Term,
     /// Pieces that are not done.
     left: usize,
 }
@@ -89,6 +93,7 @@
             asked: RefCell::default(),
             permits: RefCell::default(),
             unconfirmed: RefCell::default(),
+            told: RefCell::default(),
         }
     }
 
@@ -98,10 +103,12 @@
         pool: &ServiceName,
         submission: &Submission,
         of: StageTurn,
+        life: Duration,
         news: UnboundedSender<PieceNews>,
     ) -> u64 {
         let job = self.next_number();
-        let waiting = Waiting { news, of, left: submission.pieces.len() };
+        let term = Term { until: submission.until, life };
+        let waiting = Waiting { news, of, term, left: submission.pieces.len() };
         self.jobs.borrow_mut().insert(job, waiting);
         let millis = |at: Instant| u32::try_from(left(at).as_millis()).unwrap_or(u32::MAX);
         self.send(from_dialer::Kind::Submit(Submit {
@@ -145,11 +152,29 @@
         oldest.map(|(_, handles)| handles).unwrap_or_default()
     }
 
-    /// Tells the peer that the workers of results have heard that these are given up.
-    pub(crate) fn told(&self, handles: &[String]) {
-        let handles = handles.to_vec();
-        let release = Release { handles, if_scarce: false, number: None, told: true };
-        self.send(from_dialer::Kind::Release(release));
+    /// Tells the peer of which results the workers have heard that they are given up.
+    pub(crate) fn tell_heard(&self, app: &App) {
+        let handles = app.held.to_tell(self.address);
+        if handles.is_empty() {
+            return;
+        }
+        let number = self.next_number();
+        self.told.borrow_mut().insert(number, handles.clone());
+        let number = Some(number);
+        self.send(from_dialer::Kind::Release(Release {
+            handles,
+            if_scarce: false,
+            number,
+            told: true,
+        }));
+    }
+
+    /// Takes the peer's confirmation of a word that results are given up.
+    fn confirmed(&self, app: &App, number: u64) {
+        self.unconfirmed.borrow_mut().remove(&number);
+        if let Some(handles) = self.told.borrow_mut().remove(&number) {
+            app.held.confirmed(&handles);
+        }
     }
 
     /// Gives up results that were made through this link if room is scarce.
@@ -229,6 +254,13 @@
         unread
     }
 
+    /// How long the results of a submission are this VM's to give up; those of one that nobody waits for any more are
+    /// given up at once.
+    fn term(&self, job: u64, now: Instant) -> Term {
+        let term = self.jobs.borrow().get(&job).map(|waiting| waiting.term);
+        term.unwrap_or(Term { until: now, life: REQUEST_GRACE })
+    }
+
     fn fetched(&self, job: u64) {
         if let Some(waiting) = self.jobs.borrow().get(&job) {
             // A request that is gone gives its results up by itself.
@@ -285,6 +317,7 @@
     }
     let link = Rc::new(Link::new(address, tx));
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
+    link.tell_heard(app);
     meet(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
     let why = read_link(app, &vm, &link, &mut inbound, address).await;
@@ -296,14 +329,17 @@
         app.vms_changed.notify_one();
     }
     drop(links);
+    app.held.link_ended(address);
     releases::tell_as_requester(app, &link, link.lost());
     Ok(())
 }
 
 /// Takes finished pieces; their results are held until they are given up.
 fn take_done(app: &Rc<App>, link: &Rc<Link>, done: Done) {
-    for handle in done.pieces.iter().filter(|piece| !piece.handle.is_empty()) {
-        app.held.add(&handle.handle, Maker::Peer(Rc::clone(link)), now());
+    let now = now();
+    let term = link.term(done.job, now);
+    for piece in done.pieces.iter().filter(|piece| !piece.handle.is_empty()) {
+        app.held.add(&piece.handle, Maker::Peer(Rc::clone(link)), term, now);
     }
     releases::give_up(app, &link.done(done));
 }
@@ -362,10 +398,10 @@
                         }
                         from_owner::Kind::Permit(permit) => link.permit(permit),
                         from_owner::Kind::Released(released) => {
-                            link.unconfirmed.borrow_mut().remove(&released.number);
+                            link.confirmed(app, released.number);
                         }
                         from_owner::Kind::Reclaimed(reclaimed) => {
-                            drop(app.held.take(&reclaimed.handles));
+                            app.held.forget(&reclaimed.handles);
                         }
                         from_owner::Kind::Hello(_) => {}
                     },
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -12,7 +12,7 @@
 
 use crate::app::App;
 use crate::call_counts::{Counts, end_name};
-use crate::held_results::Maker;
+use crate::held_results::{Maker, Term};
 use crate::hub::now;
 use crate::own_calls::{OwnCallMiss, own_call};
 use crate::permits::Permit;
@@ -274,11 +274,14 @@
     let mut sinks = app.sinks.borrow_mut();
     let jobs: BTreeSet<JobKey> = finished.iter().map(|finished| finished.job).collect();
     let mut unread = Vec::new();
+    let now = now();
+    let life = app.hub.with(|shared, _| shared.pools.get(pool).map(Pool::result_life));
+    let life = life.unwrap_or_default();
     for Finished { job, piece, made } in finished {
         match sinks.get(&(pool.clone(), job)) {
             Some(Sink::Here(tx, of)) => {
                 if let Made::At(handle) = &made {
-                    app.held.add(handle, Maker::Here, now());
+                    app.held.add(handle, Maker::Here, Term { until: now + life, life }, now);
                 }
                 if tx.send(PieceNews::Done { of: *of, piece, made: made.clone() }).is_err() {
                     unread.extend(made.handle().map(str::to_owned));
--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -2,8 +2,8 @@
 //!
 //! One VM is responsible for a result at each moment: the owner, which had it made, until it hands it over; then the
 //! VM of the request; and the owner again once its lease ended ([`result_leases`]). The VM of a request tells workers
-//! itself, so that no word is lost with an owner, and the owner hears of it for its accounts of room. In a large fleet,
-//! and where a worker names a rate, the word goes through the owner, which has connections to its workers anyway.
+//! itself, so that no word is lost with an owner, and the owner hears of it for its accounts of room. Where a worker
+//! names a rate the word goes through the owner, which joins what all VMs give up.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 use crate::app::App;
 use crate::connections::SETTLE;
 use crate::held_results::Maker;
-use crate::hub::left;
+use crate::hub::{left, now};
 use crate::links::Link;
 use crate::own_calls::{OwnCallMiss, own_call};
 use crate::permits;
@@ -42,6 +42,11 @@
 /// Pause between two looks for leases that are over.
 const LEASE_LOOK: Duration = Duration::from_millis(250);
 
+/// A look that comes this long after the one before shows that this VM stood still.
+const STOOD_STILL: Duration = Duration::from_secs(1);
+/// Time in which VMs that lost their links to this one link again and say what they hold: they dial every 0.4 s.
+const RELINK: Duration = Duration::from_millis(1500);
+
 /// Which VM tells a worker that results are given up, for the log.
 #[derive(Debug, Clone, Copy)]
 enum Teller {
@@ -53,7 +58,7 @@
 
 /// Gives up results that requests of this VM hold.
 pub(crate) fn give_up(app: &Rc<App>, handles: &[String]) {
-    for (maker, handles) in app.held.take(handles) {
+    for (maker, handles) in app.held.take(handles, now()) {
         match maker {
             Maker::Here => drop(give_up_as_owner(app, handles)),
             Maker::Peer(link) => give_up_as_requester(app, &link, handles),
@@ -81,36 +86,35 @@
     }
 }
 
-/// Whether this VM tells the worker of a result itself, beside all others that do: each of them keeps a connection to
-/// each worker for that, which few VMs use often enough to be worth it.
+/// Whether this VM tells the worker of a result itself. One that names a rate is told by the owner, which joins what all
+/// VMs give up.
 fn tells_itself(app: &App, handle: &str) -> bool {
     let Some(worker) = (app.doors.calls.worker)(handle) else { return true };
     app.hub.with(|shared, _| {
         let names_rate = shared.targets.at(worker).is_some_and(|target| target.pause.is_some());
-        shared.fleet.is_full_mesh() && !names_rate
+        !names_rate
     })
 }
 
 /// Tells the workers of results that a peer had made, and the peer once they have heard.
 pub(crate) fn tell_as_requester(app: &Rc<App>, link: &Rc<Link>, handles: Vec<String>) {
+    app.held.telling(&handles, link.address, now());
     for (worker, handles) in by_worker(app, handles) {
-        let (app, link) = (Rc::clone(app), Rc::clone(link));
+        let (app, maker) = (Rc::clone(app), link.address);
         spawn_local(async move {
-            if tell_until_heard(&app, worker, &handles, Teller::Requester).await
-                && let Some(link) = link_now(&app, link)
-            {
-                link.told(&handles);
+            let is_heard = tell_until_heard(&app, worker, &handles, Teller::Requester).await;
+            app.held.told(&handles, is_heard);
+            // Without a link the peer hears of it on the next one.
+            if let Some(link) = link_to(&app, maker) {
+                link.tell_heard(&app);
             }
         });
     }
 }
 
-/// The link that stands to the VM which a link led to.
-fn link_now(app: &App, link: Rc<Link>) -> Option<Rc<Link>> {
-    if !link.is_over() {
-        return Some(link);
-    }
-    app.links.borrow().values().find(|other| other.address == link.address).cloned()
+/// The link that stands to the VM which takes links at an address.
+fn link_to(app: &App, address: SocketAddr) -> Option<Rc<Link>> {
+    app.links.borrow().values().find(|link| link.address == address).cloned()
 }
 
 fn by_worker(app: &App, handles: Vec<String>) -> HashMap<SocketAddr, Vec<String>> {
@@ -192,7 +196,7 @@
 /// them hear of it, so that the workers are told once.
 pub(crate) fn reclaim(app: &Rc<App>, pool: &ServiceName, told: Vec<GivenUp>) {
     for told in told {
-        drop(app.held.take(&told.handles));
+        app.held.forget(&told.handles);
         let links = app.hub.with(|shared, _| shared.leases.reclaimed(&told.handles));
         for (link, handles) in links {
             if let Some(tx) = app.lease_links.borrow().get(&link) {
@@ -209,8 +213,14 @@
 pub(crate) async fn take_over(app: Rc<App>) {
     let mut looks = interval(LEASE_LOOK);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = now();
     loop {
         looks.tick().await;
+        if now().saturating_duration_since(last) > STOOD_STILL {
+            // Holders may have given up meanwhile what they could not tell.
+            sleep(RELINK).await;
+        }
+        last = now();
         let ended = app.hub.with(|shared, now| shared.leases.take_ended(now));
         let mut by_why: BTreeMap<Why, Vec<String>> = BTreeMap::new();
         for Ended { handle, why } in ended {
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -141,11 +141,8 @@
     }
 
     /// Why the engine found an input gone.
-    pub(crate) fn cause_of_gone(&self, req: &Accepted) -> Cause {
-        let life = |index: &usize| req.intent.pool(&req.entry.stages[*index].pool);
-        let life = self.last.iter().filter_map(life).map(|pool| pool.result_life).min();
-        let Some(run) = self.runs.first() else { return Cause::Unknown };
-        gone_inputs::cause(&run.app, &self.inputs(), life.unwrap_or_default())
+    pub(crate) fn cause_of_gone(&self, app: &App) -> Cause {
+        gone_inputs::cause(app, &self.inputs())
     }
 
     /// Time within which the engine that was sent the request has fetched the results.
@@ -325,11 +322,9 @@
 
 /// Why a result is gone that a stage needs.
 fn cause_of_gone(of: &StagesOf<'_>, runs: &[StageRun], index: usize) -> Cause {
-    let needs = || of.entry.stages[index].needs.iter();
-    let inputs: Vec<String> = needs().flat_map(|need| runs[*need].results()).collect();
-    let life = |need: &usize| Some(of.intent.pool(&of.entry.stages[*need].pool)?.result_life);
-    let life = needs().filter_map(life).min().unwrap_or_default();
-    gone_inputs::cause(of.app, &inputs, life)
+    let needs = of.entry.stages[index].needs.iter();
+    let inputs: Vec<String> = needs.flat_map(|need| runs[*need].results()).collect();
+    gone_inputs::cause(of.app, &inputs)
 }
 
 /// Forgets what a stage made, and what it needs too where that was given up.
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -134,7 +134,7 @@
 
 /// Logs and counts why the stages of a request are made anew.
 fn tell_input_gone(app: &App, req: &Accepted, results: Option<&Results>) {
-    let cause = results.map_or(Cause::Unknown, |results| results.cause_of_gone(req));
+    let cause = results.map_or(Cause::Unknown, |results| results.cause_of_gone(app));
     info!(app.log, "stages made anew"; "request" => %req.id,
         "why" => "the engine found an input gone", "cause" => cause.name());
     app.metrics.inputs_gone(cause.name());
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::app::App;
-use crate::own_calls::own_call;
+use crate::own_calls::{OwnCallMiss, own_call};
 use crate::permits;
 
 /// Time within which a call is at its worker: many times the way between halls.
@@ -23,27 +23,47 @@
 /// Longest wait for a worker's report.
 const REPORT_WAIT: Duration = Duration::from_millis(200);
 
+/// What a worker says of the calls that are there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Said {
+    /// Each has its turn.
+    AllAtWork,
+    /// Some may wait, or nothing was heard.
+    SomeMayWait,
+    /// It does not say.
+    Nothing,
+}
+
 /// Ends once the worker of a call has fetched its inputs; never where that can't be told before the answer.
 pub(crate) async fn inputs_fetched(app: &Rc<App>, call: &Call) {
     let Some(fetch) = call.fetch else { return pending().await };
     sleep(ARRIVAL).await;
-    while !has_had_its_turn(app, &call.target).await {
-        sleep(ASK_PAUSE).await;
+    loop {
+        match ask(app, &call.target).await {
+            Said::AllAtWork => return sleep(fetch).await,
+            Said::SomeMayWait => sleep(ASK_PAUSE).await,
+            Said::Nothing => return pending().await,
+        }
     }
-    sleep(fetch).await;
 }
 
-/// Whether a worker says that each call which is there has its turn.
-async fn has_had_its_turn(app: &Rc<App>, worker: &Target) -> bool {
-    let Some(permit) = permits::for_report(app, worker) else { return false };
+async fn ask(app: &Rc<App>, worker: &Target) -> Said {
+    let Some(permit) = permits::for_report(app, worker) else { return Said::Nothing };
     let ask = (app.doors.calls.report)(&worker.id);
-    let answer = timeout(REPORT_WAIT, own_call(app, worker, ask, permit)).await;
-    let Ok(Ok(body)) = answer else { return false };
-    match (app.doors.calls.read_report)(&body) {
-        Ok(report) => report.all_have_their_turn(),
+    match timeout(REPORT_WAIT, own_call(app, worker, ask, permit)).await {
+        Ok(Ok(body)) => read(app, worker, &body),
+        Ok(Err(OwnCallMiss::Failed)) => Said::Nothing,
+        Ok(Err(_)) | Err(_) => Said::SomeMayWait,
+    }
+}
+
+fn read(app: &App, worker: &Target, body: &[u8]) -> Said {
+    match (app.doors.calls.read_report)(body) {
+        Ok(report) if report.all_have_their_turn() => Said::AllAtWork,
+        Ok(_) => Said::SomeMayWait,
         Err(e) => {
             debug!(app.log, "report not understood"; "target" => %worker.id, "why" => %e);
-            false
+            Said::Nothing
         }
     }
 }
--- a/gateway/src/work.rs
+++ b/gateway/src/work.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use batching::{JobKey, Submission};
+use batching::{JobKey, Pool, Submission};
 use fleet::Owner;
 use ids::ServiceName;
 use tokio::sync::mpsc::UnboundedSender;
@@ -48,7 +48,8 @@
     };
     let place = match link {
         Some(link) => {
-            let job = link.submit(pool, &submission, of, news.clone());
+            let life = app.hub.with(|shared, _| shared.pools.get(pool).map(Pool::result_life));
+            let job = link.submit(pool, &submission, of, life.unwrap_or_default(), news.clone());
             Place::Peer(link, job)
         }
         None => {
--- a/standins/src/users/scenes.rs
+++ b/standins/src/users/scenes.rs
@@ -40,6 +40,8 @@
 const AFTER: std::ops::Range<u64> = 0..6;
 /// How long a VM stands still: longer than its requests have.
 const PAUSE: Duration = Duration::from_secs(4);
+/// Life of a result, in seconds.
+const LIFE_S: std::ops::Range<u64> = 4..12;
 /// Time in which a later word about a result would come: words are repeated for 4 s at most.
 const LATER: Duration = Duration::from_secs(5);
 
@@ -115,6 +117,8 @@
     requests: usize,
     fault: Fault,
     after: Duration,
+    /// Life of a result in seconds, which a pause outlasts or not.
+    life_s: u64,
 }
 
 /// What became of the results of a scene.
@@ -139,6 +143,7 @@
             requests: rng.random_range(REQUESTS),
             fault: faults[rng.random_range(0..faults.len())],
             after: Duration::from_millis(rng.random_range(AFTER)),
+            life_s: rng.random_range(LIFE_S),
         }
     }
 
@@ -154,6 +159,9 @@
     /// If a fixture can't be set up.
     pub fn told(&self, name: &str) -> Told {
         let site = Site::start();
+        let mut config = usual_configuration(1);
+        config["services"][1]["pieces"]["handle_s"] = json!(self.life_s);
+        site.store.put("op/config", &config);
         let mut vms = start_vms(&site, name, self.vms);
         let owner = owner_of_the_pool(&vms);
         let requester = (owner + 1) % vms.len();
