A word that is repeated is dropped once its result is somebody else's

Change: each telling asks whether the result is still this VM's.

Ruled out: what is in the connection as a VM stands still goes out when it wakes; that can't be taken back.

--- a/gateway/src/held_results.rs
+++ b/gateway/src/held_results.rs
@@ -37,16 +37,28 @@
 }
 
 impl Held {
-    /// Whether this VM has to give it up. After the request's time its maker does, which may have begun to; a VM that
-    /// stood still would tell the worker a second time.
+    /// Until when this VM gives it up. After the request's time its maker does, which may have begun to; a VM that stood
+    /// still would tell the worker a second time.
+    fn is_ours_until(&self) -> Instant {
+        self.runs_out.min(self.until + REQUEST_GRACE / 2)
+    }
+
     fn is_ours(&self, now: Instant) -> bool {
         match self.maker {
             Maker::Here => true,
-            Maker::Peer(_) => now < self.runs_out && now < self.until + REQUEST_GRACE / 2,
+            Maker::Peer(_) => now < self.is_ours_until(),
         }
     }
 }
 
+/// Results of one maker that this VM has to give up.
+pub(crate) struct Taken {
+    pub(crate) maker: Maker,
+    pub(crate) handles: Vec<String>,
+    /// After this their maker gives them up.
+    pub(crate) until: Instant,
+}
+
 /// A result of a peer's that was given up.
 struct GivenUp {
     /// Where its maker takes links.
@@ -90,15 +102,21 @@
     }
 
     /// Takes results out; gives those that this VM has to give up, by maker.
-    pub(crate) fn take(&self, handles: &[String], now: Instant) -> Vec<(Maker, Vec<String>)> {
+    pub(crate) fn take(&self, handles: &[String], now: Instant) -> Vec<Taken> {
         let mut by_handle = self.by_handle.borrow_mut();
-        let mut taken: Vec<(Maker, Vec<String>)> = Vec::new();
+        let mut taken: Vec<Taken> = Vec::new();
         for handle in handles {
             let held = by_handle.remove(handle).filter(|held| held.is_ours(now));
-            let Some(Held { maker, .. }) = held else { continue };
-            match taken.iter_mut().find(|(other, _)| other.is_same(&maker)) {
-                Some((_, of_maker)) => of_maker.push(handle.clone()),
-                None => taken.push((maker, vec![handle.clone()])),
+            let Some(held) = held else { continue };
+            let until = held.is_ours_until();
+            match taken.iter_mut().find(|other| other.maker.is_same(&held.maker)) {
+                Some(of_maker) => {
+                    of_maker.handles.push(handle.clone());
+                    of_maker.until = of_maker.until.min(until);
+                }
+                None => {
+                    taken.push(Taken { maker: held.maker, handles: vec![handle.clone()], until })
+                }
             }
         }
         taken
--- a/gateway/src/links.rs
+++ b/gateway/src/links.rs
@@ -330,7 +330,7 @@
     }
     drop(links);
     app.held.link_ended(address);
-    releases::tell_as_requester(app, &link, link.lost());
+    releases::tell_as_requester(app, &link, link.lost(), None);
     Ok(())
 }
 
--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use batching::{GivenUp, Pool};
 use ids::ServiceName;
@@ -22,7 +22,7 @@
 
 use crate::app::App;
 use crate::connections::SETTLE;
-use crate::held_results::Maker;
+use crate::held_results::{Maker, Taken};
 use crate::hub::{left, now};
 use crate::links::Link;
 use crate::own_calls::{OwnCallMiss, own_call};
@@ -58,10 +58,10 @@
 
 /// Gives up results that requests of this VM hold.
 pub(crate) fn give_up(app: &Rc<App>, handles: &[String]) {
-    for (maker, handles) in app.held.take(handles, now()) {
+    for Taken { maker, handles, until } in app.held.take(handles, now()) {
         match maker {
             Maker::Here => drop(give_up_as_owner(app, handles)),
-            Maker::Peer(link) => give_up_as_requester(app, &link, handles),
+            Maker::Peer(link) => give_up_as_requester(app, &link, handles, until),
         }
     }
 }
@@ -76,13 +76,13 @@
     }
 }
 
-fn give_up_as_requester(app: &Rc<App>, link: &Rc<Link>, handles: Vec<String>) {
+fn give_up_as_requester(app: &Rc<App>, link: &Rc<Link>, handles: Vec<String>, until: Instant) {
     let is_told_here = |handle: &String| link.is_over() || tells_itself(app, handle);
     let (here, through_owner): (Vec<_>, Vec<_>) = handles.into_iter().partition(is_told_here);
-    tell_as_requester(app, link, here);
+    tell_as_requester(app, link, here, Some(until));
     if !through_owner.is_empty() {
         let given_up_on = link.release(through_owner);
-        tell_as_requester(app, link, given_up_on);
+        tell_as_requester(app, link, given_up_on, None);
     }
 }
 
@@ -96,13 +96,18 @@
     })
 }
 
-/// Tells the workers of results that a peer had made, and the peer once they have heard.
-pub(crate) fn tell_as_requester(app: &Rc<App>, link: &Rc<Link>, handles: Vec<String>) {
+/// Tells the workers of results that a peer had made, before `until` if that is set, and the peer once they have heard.
+pub(crate) fn tell_as_requester(
+    app: &Rc<App>,
+    link: &Rc<Link>,
+    handles: Vec<String>,
+    until: Option<Instant>,
+) {
     app.held.telling(&handles, link.address, now());
     for (worker, handles) in by_worker(app, handles) {
         let (app, maker) = (Rc::clone(app), link.address);
         spawn_local(async move {
-            let is_heard = tell_until_heard(&app, worker, &handles, Teller::Requester).await;
+            let is_heard = tell_until_heard(&app, worker, &handles, Teller::Requester, until).await;
             app.held.told(&handles, is_heard);
             // Without a link the peer hears of it on the next one.
             if let Some(link) = link_to(&app, maker) {
@@ -136,7 +141,7 @@
     let unknown = by_worker(app, unknown).into_iter().map(|(worker, handles)| {
         let app = Rc::clone(app);
         spawn_local(async move {
-            tell_until_heard(&app, worker, &handles, Teller::Owner).await;
+            tell_until_heard(&app, worker, &handles, Teller::Owner, None).await;
         })
     });
     let mut tasks: Vec<_> = unknown.collect();
@@ -247,7 +252,7 @@
     let app = Rc::clone(app);
     spawn_local(async move {
         let worker = told.target.address;
-        let heard = tell_until_heard(&app, worker, &told.handles, Teller::Owner).await;
+        let heard = tell_until_heard(&app, worker, &told.handles, Teller::Owner, None).await;
         account(&app, &pool, &told, heard);
     })
 }
@@ -285,10 +290,18 @@
 /// Results of one worker that are given up, and who waits until it has heard.
 pub(crate) struct Word {
     handles: Vec<String>,
+    /// After this nobody here tells the worker any more.
+    until: Option<Instant>,
     /// Told whether the worker has heard.
     heard: oneshot::Sender<bool>,
 }
 
+impl Word {
+    fn is_ours(&self, now: Instant) -> bool {
+        self.until.is_none_or(|until| now < until)
+    }
+}
+
 /// Tells a worker until it has heard; false if it may not have. Words to a worker follow one another, and those that
 /// come meanwhile go together: requests of which pieces were made in one call give them up at the same moment.
 async fn tell_until_heard(
@@ -296,9 +309,10 @@
     worker: SocketAddr,
     handles: &[String],
     teller: Teller,
+    until: Option<Instant>,
 ) -> bool {
     let (tx, rx) = oneshot::channel();
-    let word = Word { handles: handles.to_vec(), heard: tx };
+    let word = Word { handles: handles.to_vec(), until, heard: tx };
     let is_first = {
         let mut words = app.release_words.borrow_mut();
         let is_first = !words.contains_key(&worker);
@@ -324,9 +338,9 @@
             app.release_words.borrow_mut().remove(&worker);
             return;
         }
-        let handles: Vec<String> = words.iter().flat_map(|word| word.handles.clone()).collect();
-        let heard = tell_repeatedly(&app, worker, &handles, teller).await;
+        let heard = tell_repeatedly(&app, worker, &words, teller).await;
         for word in words {
+            let heard = heard && word.is_ours(now());
             // Whoever waited may be gone.
             word.heard.send(heard).ok();
         }
@@ -340,16 +354,20 @@
 async fn tell_repeatedly(
     app: &Rc<App>,
     worker: SocketAddr,
-    handles: &[String],
+    words: &[Word],
     teller: Teller,
 ) -> bool {
     let mut pause = FIRST_PAUSE;
     let mut told_before: Option<Target> = None;
     for telling in 1..=MOST_TELLINGS {
+        let handles = still_to_tell(words);
+        if handles.is_empty() {
+            return false;
+        }
         let told = match worker_at(app, worker) {
             Some(target) if is_another(&target, told_before.as_ref()) => Told::Replaced,
             Some(target) => {
-                let told = tell(app, &target, handles, teller).await;
+                let told = tell(app, &target, &handles, teller).await;
                 told_before = Some(target);
                 told
             }
@@ -363,10 +381,17 @@
             pause *= 2;
         }
     }
-    app.metrics.results_given_up("not_heard", handles.len());
+    app.metrics.results_given_up("not_heard", still_to_tell(words).len());
     false
 }
 
+/// Results that are not given up by somebody else by now.
+fn still_to_tell(words: &[Word]) -> Vec<String> {
+    let now = now();
+    let words = words.iter().filter(|word| word.is_ours(now));
+    words.flat_map(|word| word.handles.clone()).collect()
+}
+
 async fn tell(app: &Rc<App>, target: &Target, handles: &[String], teller: Teller) -> Told {
     let told = send(app, target, handles).await;
     if matches!(told, Told::Heard) {
--- a/standins/src/users/pieces.rs
+++ b/standins/src/users/pieces.rs
@@ -116,7 +116,9 @@
         }
         let handles: Vec<String> = handles.collect();
         given_up().extend(handles.iter().cloned());
-        self.with(|state| state.released.extend(handles));
+        let at = Instant::now();
+        let words = handles.into_iter().map(|handle| (handle, at));
+        self.with(|state| state.released.extend(words));
         wire.write(&self.reply("200 OK", &[], b""))
     }
 }
--- a/standins/src/users/runners.rs
+++ b/standins/src/users/runners.rs
@@ -50,7 +50,7 @@
     received: Vec<Received>,
     pub(super) script: Vec<Act>,
     usual: Option<Act>,
-    pub(super) released: Vec<String>,
+    pub(super) released: Vec<(String, Instant)>,
     /// Results that it made.
     pub(super) made: Vec<Made>,
     /// Words that results are given up which it will lose: it closes with no answer and frees nothing.
@@ -219,6 +219,11 @@
 
     /// Handles that it was told to give up.
     pub fn released(&self) -> Vec<String> {
+        self.given_up().into_iter().map(|(handle, _)| handle).collect()
+    }
+
+    /// The same, with the times of the words.
+    pub fn given_up(&self) -> Vec<(String, Instant)> {
         self.with(|state| state.released.clone())
     }
 
