Results that are left to an owner are given up by their holder if that owner is gone

What callers see: room that is taken until results run out by themselves.

Cause: leaves results past their request's time to the owner, without asking whether it lives. What held the process up is not shown: no gap of the machine's clocks over half a second was seen later, in minutes of looking. A VM that stands still for seconds is a case to bear, whatever the reason.

Change: before results are left to an owner it is looked whether its process listens, as an owner looks for a holder; if it has ended, the holder tells the workers.

results_of_a_killed_owner_are_given_up_by_a_requester_that_stood_still failed before (not within 20 s) and passes.

--- a/gateway/src/accepted_links.rs
+++ b/gateway/src/accepted_links.rs
@@ -154,16 +154,23 @@
     peers: SocketAddr,
 }
 
-/// Looks whether the process of a peer whose link ended is gone: then nothing listens where it took links. One that
-/// stands still or is out of reach does not refuse connections.
+/// Ends the leases of a peer whose link ended, if its process did.
 async fn look_whether_gone(app: &App, leases: LeaseLink) {
+    if process_has_ended(leases.peers).await {
+        app.hub.with(|shared, now| shared.leases.holder_gone(&leases.holder, now));
+    }
+}
+
+/// Whether the process of a peer has ended: then nothing listens where it took links. One that stands still or is out of
+/// reach does not refuse connections.
+pub(crate) async fn process_has_ended(peers: SocketAddr) -> bool {
     for pause in GONE_LOOKS {
         sleep(pause).await;
-        if is_refused(leases.peers, GONE_WAIT).await {
-            app.hub.with(|shared, now| shared.leases.holder_gone(&leases.holder, now));
-            return;
+        if is_refused(peers, GONE_WAIT).await {
+            return true;
         }
     }
+    false
 }
 
 /// Notes a link from a peer that holds results; a peer of an older build names none.
--- a/gateway/src/held_results.rs
+++ b/gateway/src/held_results.rs
@@ -49,12 +49,18 @@
             Maker::Peer(_) => now < self.is_ours_until(),
         }
     }
+
+    fn is_left(&self, now: Instant) -> bool {
+        matches!(self.maker, Maker::Here) || now < self.runs_out
+    }
 }
 
-/// Results of one maker that this VM has to give up.
+/// Results of one maker that are needed no more.
 pub(crate) struct Taken {
     pub(crate) maker: Maker,
     pub(crate) handles: Vec<String>,
+    /// Whether this VM has to give them up, not their maker.
+    pub(crate) is_ours: bool,
     /// After this their maker gives them up.
     pub(crate) until: Instant,
 }
@@ -101,21 +107,24 @@
         Some(self.by_handle.borrow().get(handle)?.runs_out <= now)
     }
 
-    /// Takes results out; gives those that this VM has to give up, by maker.
+    /// Takes results out; gives those that have not run out, by maker.
     pub(crate) fn take(&self, handles: &[String], now: Instant) -> Vec<Taken> {
         let mut by_handle = self.by_handle.borrow_mut();
         let mut taken: Vec<Taken> = Vec::new();
         for handle in handles {
-            let held = by_handle.remove(handle).filter(|held| held.is_ours(now));
+            let held = by_handle.remove(handle).filter(|held| held.is_left(now));
             let Some(held) = held else { continue };
-            let until = held.is_ours_until();
-            match taken.iter_mut().find(|other| other.maker.is_same(&held.maker)) {
-                Some(of_maker) => {
-                    of_maker.handles.push(handle.clone());
-                    of_maker.until = of_maker.until.min(until);
+            let (is_ours, until) = (held.is_ours(now), held.is_ours_until());
+            let is_alike =
+                |other: &&mut Taken| other.is_ours == is_ours && other.maker.is_same(&held.maker);
+            match taken.iter_mut().find(is_alike) {
+                Some(alike) => {
+                    alike.handles.push(handle.clone());
+                    alike.until = alike.until.min(until);
                 }
                 None => {
-                    taken.push(Taken { maker: held.maker, handles: vec![handle.clone()], until })
+                    let handles = vec![handle.clone()];
+                    taken.push(Taken { maker: held.maker, handles, is_ours, until });
                 }
             }
         }
--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -20,6 +20,7 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use crate::accepted_links::process_has_ended;
 use crate::app::App;
 use crate::connections::SETTLE;
 use crate::held_results::{Maker, Taken};
@@ -58,14 +59,24 @@
 
 /// Gives up results that requests of this VM hold.
 pub(crate) fn give_up(app: &Rc<App>, handles: &[String]) {
-    for Taken { maker, handles, until } in app.held.take(handles, now()) {
+    for Taken { maker, handles, is_ours, until } in app.held.take(handles, now()) {
         match maker {
             Maker::Here => drop(give_up_as_owner(app, handles)),
-            Maker::Peer(link) => give_up_as_requester(app, &link, handles, until),
+            Maker::Peer(link) if is_ours => give_up_as_requester(app, &link, handles, until),
+            Maker::Peer(link) => {
+                spawn_local(give_up_for_gone_owner(Rc::clone(app), link, handles));
+            }
         }
     }
 }
 
+/// Gives up results that are their owner's by now, if its process has ended: nobody else does.
+async fn give_up_for_gone_owner(app: Rc<App>, link: Rc<Link>, handles: Vec<String>) {
+    if process_has_ended(link.address).await {
+        tell_as_requester(&app, &link, handles, None);
+    }
+}
+
 /// Gives up results that requests of this VM hold, if their workers' room is scarce.
 pub(crate) fn give_up_if_scarce(app: &Rc<App>, handles: &[String]) {
     for (maker, handle) in app.held.look_up(handles) {
--- a/tests/given_up_results.rs
+++ b/tests/given_up_results.rs
@@ -132,6 +132,23 @@
     wait_all_given_up(&site);
 }
 
+/// Guards against results that a requester which stood still leaves to an owner that is gone.
+#[test]
+fn results_of_a_killed_owner_are_given_up_by_a_requester_that_stood_still() {
+    let site = Site::start();
+    let mut long_lives = usual_configuration(1);
+    long_lives["services"][1]["pieces"]["handle_s"] = json!(20);
+    site.store.put("op/config", &long_lives);
+    let Pair { owner, requester } = Pair::start(&site, "both");
+    let asked = ask_silent_engines(&site, requester.callers, 1);
+
+    drop(owner);
+    stand_still(&requester);
+
+    join(asked);
+    wait_all_given_up(&site);
+}
+
 /// Guards against results that stay at their workers when their owner stands still while engines are at work.
 #[test]
 fn results_in_use_while_their_owner_is_paused_are_given_up() {
