Keep a removal that a peer reports only while the store answers no VM

Cause: StoreContact counted the store as lost by all VMs from this VM's first failed call until a later answer to a peer was known. The answer that brought the removal is older than the failure, so the removal was taken for an expiry in an outage and kept for 2.1 s.

Ruled out: a shorter time-out of calls (the same race), counting answers to peers for some time after a failure (an outage is noticed later).

Change: a removal says who reported it. One from a peer was read from a store that answered, so only a silence towards all VMs keeps it.

--- a/components/store_view/src/contact.rs
+++ b/components/store_view/src/contact.rs
@@ -20,6 +20,15 @@
 /// answered no VM for this long, since any VM would have noticed an outage by then.
 const STORE_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Who reported the removal of an entry to this VM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reporter {
+    /// The store itself.
+    Store,
+    /// Another VM, which read it from the store or heard of it from a further one.
+    Peer,
+}
+
 /// State of the contact between the store and the VMs.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreContact {
@@ -114,9 +123,14 @@
     ///
     /// An outage that only this VM sees must not count: a VM that kept entries for that reason sent
     /// requests to a removed target for 2.8 s after its peers knew of the removal
-    /// (`tests/lapsed_entries.rs`); some platforms tolerate 2 s.
-    pub fn grace_until(&self, now: Instant) -> Option<Instant> {
-        let returned = if self.is_down(now) { Some(now) } else { self.returned };
+    /// (`tests/lapsed_entries.rs`); some platforms tolerate 2 s. A removal that a peer reports was
+    /// read from a store that answered the peer, so failed calls of this VM say nothing about it.
+    pub fn grace_until(&self, reporter: Reporter, now: Instant) -> Option<Instant> {
+        let is_down = match reporter {
+            Reporter::Store => self.is_down(now),
+            Reporter::Peer => self.is_silent_to_all(now),
+        };
+        let returned = if is_down { Some(now) } else { self.returned };
         returned.map(|at| at + EXPIRY_GRACE).filter(|until| *until > now)
     }
 }
--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 
-pub use contact::{SILENCE_TIMEOUT, StoreContact};
+pub use contact::{Reporter, SILENCE_TIMEOUT, StoreContact};
 pub use stall::StallDetector;
 pub use transfer::{Assembler, Batch, BatchRequest, ItemPart, Position};
 
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -17,7 +17,7 @@
 use crate::app::App;
 use crate::halls::recheck_pools;
 use crate::outbound_links::Link;
-use crate::shared::Shared;
+use crate::shared::{Shared, Source};
 
 /// Most bytes of changes in one message. They take 26 ms on a link of 10 Mbit/s, a fraction of the
 /// interval between two heartbeats, which wait behind them.
@@ -108,7 +108,7 @@
         info!(app.log, "news of the store from a peer"; "peer" => %vm, "parts" => count,
             "whole" => items.len(), "as_of" => complete_to, "last" => changes.is_last);
         app.state.with(|shared, now| {
-            shared.merge(items, vm.as_str(), now);
+            shared.merge(items, Source::Peer(vm), now);
             if changes.is_last {
                 shared.view.advance_to(complete_to);
             } else if number >= MAX_PARTS && !shared.contact.is_lost(now) {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -18,7 +18,7 @@
 use slog::{Logger, info, warn};
 use stakker::CX;
 use stopping::{ResponseTime, StopPlan};
-use store_view::{Change, Item, StallDetector, StoreContact, View};
+use store_view::{Change, Item, Reporter, StallDetector, StoreContact, View};
 use tokio::sync::watch;
 
 use crate::active_requests::ActiveRequests;
@@ -40,6 +40,35 @@
     VmEntry { peers: cfg.peers, hall: cfg.hall.clone(), cores: cfg.cores }
 }
 
+/// Where changes of the store's content come from.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Source<'a> {
+    /// The answer to a watch.
+    Watch,
+    /// A complete listing of a prefix.
+    Listing,
+    /// Another VM.
+    Peer(&'a VmName),
+}
+
+impl<'a> Source<'a> {
+    /// The source's name in the log.
+    pub(crate) fn name(self) -> &'a str {
+        match self {
+            Source::Watch => "store",
+            Source::Listing => "store listing",
+            Source::Peer(vm) => vm.as_str(),
+        }
+    }
+
+    pub(crate) fn reporter(self) -> Reporter {
+        match self {
+            Source::Watch | Source::Listing => Reporter::Store,
+            Source::Peer(_) => Reporter::Peer,
+        }
+    }
+}
+
 /// State shared by the tasks of a VM; accessed through [`crate::state_handle::StateHandle`].
 pub(crate) struct Shared {
     pub(crate) adapter: PlatformAdapter,
@@ -184,11 +213,10 @@
         Some(shared)
     }
 
-    /// Applies changes read from the store or received from a peer; `from` names the source in the
-    /// log.
-    pub(crate) fn merge(&mut self, items: Vec<Item>, from: &str, now: Instant) {
+    /// Applies changes read from the store or received from a peer.
+    pub(crate) fn merge(&mut self, items: Vec<Item>, source: Source<'_>, now: Instant) {
         let changes = self.view.merge(items);
-        self.apply(changes, from, now);
+        self.apply(changes, source, now);
     }
 
     /// Applies a complete listing of the keys with a prefix, as of store revision `as_of`.
@@ -200,10 +228,11 @@
         now: Instant,
     ) {
         let changes = self.view.merge_listing(prefix, items, as_of);
-        self.apply(changes, "store listing", now);
+        self.apply(changes, Source::Listing, now);
     }
 
-    fn apply(&mut self, changes: Vec<Change>, from: &str, now: Instant) {
+    fn apply(&mut self, changes: Vec<Change>, source: Source<'_>, now: Instant) {
+        let from = source.name();
         let (intent_key, targets_prefix) =
             (self.adapter.intents.intent_key, self.adapter.intents.targets_prefix);
         let evacuations_prefix = self.adapter.intents.evacuations_prefix;
@@ -227,7 +256,7 @@
                 }
                 Change::Removed(key) => match key.strip_prefix(targets_prefix) {
                     Some(id) => {
-                        self.target_entry_removed(id, from, now);
+                        self.target_entry_removed(id, source, now);
                         targets_changed = true;
                     }
                     None => self.apply_own_prefix_entry(&key, None, now),
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -11,7 +11,7 @@
 
 use crate::app::App;
 use crate::halls::recheck_pools;
-use crate::shared::vms_prefix;
+use crate::shared::{Source, vms_prefix};
 use crate::store_connection::{OpenAnswer, StoreCallError, StoreConnection};
 
 /// Longest wait of one watch call. It is long because the platform counts each call. It need not be
@@ -247,7 +247,7 @@
     let may_change_vms = page.items.iter().any(|item| item.key.starts_with(own_prefix));
     app.state.with(|shared, now| {
         let items = page.items.into_iter().map(to_view_item).collect();
-        shared.merge(items, "store", now);
+        shared.merge(items, Source::Watch, now);
         shared.view.advance_to(page.as_of);
         shared.prefers_store = false;
     });
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -8,7 +8,7 @@
 use intent::Target;
 use slog::{info, warn};
 
-use crate::shared::Shared;
+use crate::shared::{Shared, Source};
 
 /// Time within which a running target has written its entry again after another writer overwrote
 /// it: longer than the interval between two of its writes, 1.2 s on the known platforms.
@@ -63,9 +63,10 @@
 
     /// Handles the removal of a target's entry from the store. Around an outage of the store the
     /// target is kept for a grace period.
-    pub(crate) fn target_entry_removed(&mut self, id: &str, from: &str, now: Instant) {
+    pub(crate) fn target_entry_removed(&mut self, id: &str, source: Source<'_>, now: Instant) {
         let Ok(id) = TargetName::new(id) else { return };
-        if let Some(until) = self.contact.grace_until(now) {
+        let from = source.name();
+        if let Some(until) = self.contact.grace_until(source.reporter(), now) {
             info!(self.log, "target's entry lapsed around an outage"; "target" => %id,
                 "from" => from, "kept_ms" => (until - now).as_millis());
             self.lapsed.insert(id, until);
