Serve requests only in the regions that their route and customer allow

Change: the settings name the region of each hall; a request carries the halls in which it may be served (eligibility::AllowedHalls), and each way to a target asks it: choices and further attempts, resumed streams, the hall in which results are wanted, the owner of a part, the workers of a call, and whether a service is closed for the request. Peers hand pieces on with their halls. Where nothing in an allowed hall can serve, the request is refused at once.

Ruled out: a pool for each set of regions (calls would be filled apart where regions overlap), and leaving the choice of the part as it is (a part without an allowed hall fails pieces that another one could make).

Open: an owner of an older build ignores the halls of a submission; while builds are mixed, pieces of restricted requests may run elsewhere.

--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -132,14 +132,16 @@
             let held = self.hold_until(waiting, now).is_some();
             let preferred =
                 self.jobs.get(waiting.job).and_then(|job| job.submission.preferred_hall.as_ref());
+            let is_allowed = |key: &&WorkerKey| self.may_run(waiting, &self.workers[**key]);
             let is_preferred = |key: &&WorkerKey| {
                 let worker = &self.workers[**key];
                 preferred == Some(&worker.target.hall) && !worker.last_call_failed()
             };
-            let worker = match free.iter().find(is_preferred) {
+            let mut allowed = free.iter().filter(is_allowed);
+            let worker = match allowed.clone().find(is_preferred) {
                 Some(worker) => Some(worker),
                 None if held => None,
-                None => free.first(),
+                None => allowed.next(),
             };
             let Some(worker) = worker else { continue };
             let pieces = self.select_pieces(*worker, index, now);
@@ -163,7 +165,7 @@
             if selected.len() == max_pieces {
                 break;
             }
-            if !may_share(&first_piece, waiting) {
+            if !may_share(&first_piece, waiting) || !self.may_run(waiting, worker) {
                 continue;
             }
             let Some(job) = self.jobs.get(waiting.job) else { continue };
@@ -180,6 +182,12 @@
         selected
     }
 
+    /// Whether a worker is in a hall in which the piece's request may be served.
+    fn may_run(&self, waiting: &PendingPiece, worker: &Worker) -> bool {
+        let submission = self.submission(waiting.job);
+        submission.is_some_and(|s| s.allowed_halls.permits(&worker.target.hall))
+    }
+
     /// Returns the bytes of a worker's room that new results may use. A worker that holds nothing
     /// may take a result of any size up to its whole room.
     fn usable_room(&self, worker: &Worker, now: Instant) -> u64 {
@@ -198,8 +206,11 @@
         let job = self.jobs.get(waiting.job)?;
         let preferred = job.submission.preferred_hall.as_ref()?;
         let mut workers = self.workers.values();
-        let is_preferred =
-            |worker: &Worker| worker.target.hall == *preferred && !worker.last_call_failed();
+        let is_preferred = |worker: &Worker| {
+            worker.target.hall == *preferred
+                && !worker.last_call_failed()
+                && self.may_run(waiting, worker)
+        };
         if self.order == PieceOrder::Arrival
             || !workers.any(|worker| is_preferred(worker) && self.is_open(worker, now))
         {
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use eligibility::Halls;
+use eligibility::{AllowedHalls, Halls};
 use ids::TargetName;
 use intent::{PoolSpec, Target};
 use slotmap::SlotMap;
@@ -141,12 +141,12 @@
     /// Whether all workers are leaving or in halls that operators took out of service, so that the
     /// waiting pieces can't be made.
     pub fn is_closed(&self, now: Instant) -> bool {
-        !self.workers.is_empty() && self.opens_at(now).is_none()
+        !self.workers.is_empty() && self.opens_at(&AllowedHalls::Any, now).is_none()
     }
 
-    /// Returns the earliest known time at which a worker may be called.
-    fn opens_at(&self, now: Instant) -> Option<Instant> {
-        let workers = self.workers.values();
+    /// Returns the earliest known time at which a worker in `halls` may be called.
+    fn opens_at(&self, halls: &AllowedHalls, now: Instant) -> Option<Instant> {
+        let workers = self.workers.values().filter(|worker| halls.permits(&worker.target.hall));
         workers.filter_map(|worker| self.halls.opens_at(&worker.target, now)).min()
     }
 
@@ -156,16 +156,17 @@
         if self.workers.is_empty() {
             return Vec::new();
         }
-        let opens = self.opens_at(now);
-        if opens == Some(now) {
-            return Vec::new();
-        }
-        let jobs = &self.jobs;
+        let opens = self.opens_at(&AllowedHalls::Any, now);
+        let is_unservable = |waiting: &&PendingPiece| {
+            let Some(job) = self.jobs.get(waiting.job) else { return opens != Some(now) };
+            let opens = match &job.submission.allowed_halls {
+                AllowedHalls::Any => opens,
+                halls => self.opens_at(halls, now),
+            };
+            opens.is_none_or(|opens| opens > now && job.submission.deadline <= opens)
+        };
         let (unservable, left): (Vec<PendingPiece>, Vec<PendingPiece>) =
-            self.waiting.iter().partition(|waiting| {
-                let deadline = jobs.get(waiting.job).map(|job| job.submission.deadline);
-                opens.is_none_or(|opens| deadline.is_none_or(|deadline| deadline <= opens))
-            });
+            self.waiting.iter().partition(is_unservable);
         self.waiting = left;
         unservable.iter().filter_map(|piece| self.finish(piece, PieceOutcome::Failed)).collect()
     }
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use eligibility::AllowedHalls;
 use ids::{HallName, RequestId};
 use intent::Target;
 use platform_interface::calls::PieceAnswer;
@@ -54,6 +55,8 @@
     pub result_bytes: u64,
     /// Hall where the inputs are stored or the results are wanted, if that matters.
     pub preferred_hall: Option<HallName>,
+    /// Halls whose workers may run the pieces.
+    pub allowed_halls: AllowedHalls,
 }
 
 /// A call to be made.
--- a/components/batching/tests/support/mod.rs
+++ b/components/batching/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use batching::{PieceOrder, Pool, Submission};
+use eligibility::AllowedHalls;
 use ids::{HallName, RequestId, ServiceName, TargetName};
 use intent::{PoolSpec, Target};
 
@@ -64,5 +65,6 @@
         urgency: 0,
         result_bytes: 10,
         preferred_hall: None,
+        allowed_halls: AllowedHalls::Any,
     }
 }
--- a/components/eligibility/src/lib.rs
+++ b/components/eligibility/src/lib.rs
@@ -4,6 +4,7 @@
 //! It does not affect work in progress, which finishes at its target, or results stored at a
 //! target, which may still be fetched.
 
+mod allowed_halls;
 mod backoffs;
 mod change_log;
 mod cold;
@@ -12,6 +13,7 @@
 mod rates;
 mod token_buckets;
 
+pub use allowed_halls::AllowedHalls;
 pub use backoffs::Backoffs;
 pub use change_log::ChangeCursor;
 pub use cold::{ColdBound, ColdShare, ColdState, cold_share};
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -92,6 +92,9 @@
 name_type!(
     /// Name of a data hall.
     HallName, "hall");
+name_type!(
+    /// Name of a region, which consists of data halls.
+    RegionName, "region");
 name_type!(
     /// Name of a VM that runs a daemon.
     VmName, "vm");
--- a/components/intent/src/entry.rs
+++ b/components/intent/src/entry.rs
@@ -1,10 +1,10 @@
 //! Entries: routes that match the requests of callers by host and path, with the limits, latency
 //! goals and services that apply to them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use ids::{CustomerName, ServiceName};
+use ids::{CustomerName, RegionName, ServiceName};
 
 use crate::{InvalidIntent, Service};
 
@@ -15,6 +15,8 @@
     pub name: CustomerName,
     /// Urgency of all its requests, which replaces the entry's; 0 is the most urgent.
     pub urgency: Option<u8>,
+    /// Regions in which its requests may be served; `None` if all.
+    pub allowed_regions: Option<BTreeSet<RegionName>>,
 }
 
 /// A service that runs a share of an entry's requests.
@@ -68,6 +70,8 @@
     pub stages: Vec<EntryStage>,
     /// Whether callers need no API key.
     pub public: bool,
+    /// Regions in which its requests may be served; `None` if all.
+    pub allowed_regions: Option<BTreeSet<RegionName>>,
 }
 
 impl Entry {
--- a/components/intent/tests/entries.rs
+++ b/components/intent/tests/entries.rs
@@ -48,6 +48,7 @@
         max_attempts: 1,
         stages: Vec::new(),
         public: true,
+        allowed_regions: None,
     }
 }
 
--- a/components/selection/src/choice.rs
+++ b/components/selection/src/choice.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use eligibility::AllowedHalls;
 use ids::{HallName, ServiceName};
 use intent::Target;
 use slotmap::new_key_type;
@@ -46,6 +47,8 @@
     pub exclude: &'a [TargetKey],
     /// Size of the call; `None` if the service is not an inference engine.
     pub size: Option<&'a CallSize>,
+    /// Halls whose targets may be selected.
+    pub halls: &'a AllowedHalls,
 }
 
 /// A selected target.
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use eligibility::{Eligibility, Halls};
+use eligibility::{AllowedHalls, Eligibility, Halls};
 use ids::{HallName, ServiceName, TargetName};
 use intent::Target;
 use slotmap::SlotMap;
@@ -109,10 +109,14 @@
         &self,
         service: &ServiceName,
         size: &CallSize,
+        halls: &AllowedHalls,
         now: Instant,
     ) -> Option<HallName> {
         let keys = self.by_service.get(service)?;
-        let open = |key: &TargetKey| self.is_open(&self.states[*key], now);
+        let open = |key: &TargetKey| {
+            let state = &self.states[*key];
+            halls.permits(&state.target.hall) && self.is_open(state, now)
+        };
         let candidates: Vec<TargetKey> = keys.iter().copied().filter(open).collect();
         Some(self.states[self.home(&candidates, size)?].target.hall.clone())
     }
@@ -157,10 +161,10 @@
         self.by_service.get(service).map_or(0, Vec::len)
     }
 
-    /// Whether a service has targets but none of them accepts requests: all are leaving or in halls
-    /// that operators took out of service.
-    pub fn is_closed(&self, service: &ServiceName, now: Instant) -> bool {
-        self.count_of(service) > 0 && self.opens_at(service, now).is_none()
+    /// Whether a service has targets but none in `halls` accepts requests: all there are leaving or
+    /// in halls that operators took out of service.
+    pub fn is_closed(&self, service: &ServiceName, halls: &AllowedHalls, now: Instant) -> bool {
+        self.count_of(service) > 0 && self.opens_at(service, halls, now).is_none()
     }
 
     /// Returns the targets of a service that announced a rate limit.
@@ -172,10 +176,15 @@
             .collect()
     }
 
-    /// Returns the earliest time at which some target of a service may be sent requests: now, or
-    /// when the first backoff or rate limit ends. `None` if no such time is known.
-    pub fn opens_at(&self, service: &ServiceName, now: Instant) -> Option<Instant> {
-        let targets = self.of_service(service);
+    /// Returns the earliest time at which some target of a service in `halls` may be sent requests:
+    /// now, or when the first backoff or rate limit ends. `None` if no such time is known.
+    pub fn opens_at(
+        &self,
+        service: &ServiceName,
+        halls: &AllowedHalls,
+        now: Instant,
+    ) -> Option<Instant> {
+        let targets = self.of_service(service).filter(|target| halls.permits(&target.hall));
         targets.filter_map(|target| self.halls.opens_at(target, now)).min()
     }
 
@@ -222,8 +231,11 @@
     pub fn pick(&mut self, request: &SelectionRequest<'_>, now: Instant) -> Option<Pick> {
         let keys = self.by_service.get(request.service)?;
         let untried = keys.iter().copied().filter(|key| !request.exclude.contains(key));
-        let allowed: Vec<TargetKey> =
-            untried.filter(|key| self.is_allowed(&self.states[*key], now)).collect();
+        let is_allowed = |key: &TargetKey| {
+            let state = &self.states[*key];
+            request.halls.permits(&state.target.hall) && self.is_allowed(state, now)
+        };
+        let allowed: Vec<TargetKey> = untried.filter(is_allowed).collect();
         let open = |key: &TargetKey| self.is_open(&self.states[*key], now);
         let mut candidates: Vec<TargetKey> = allowed.iter().copied().filter(open).collect();
         if candidates.is_empty() {
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -5,7 +5,7 @@
 
 use std::time::{Duration, Instant};
 
-use eligibility::Halls;
+use eligibility::{AllowedHalls, Halls};
 use ids::{HallName, ServiceName, TargetName};
 use intent::Target;
 use selection::{
@@ -50,7 +50,10 @@
 }
 
 fn pick(targets: &mut Targets, exclude: &[TargetKey], now: Instant) -> Option<Pick> {
-    targets.pick(&SelectionRequest { service: &service(), exclude, size: None }, now)
+    targets.pick(
+        &SelectionRequest { service: &service(), exclude, size: None, halls: &AllowedHalls::Any },
+        now,
+    )
 }
 
 fn name(pick: &Pick) -> &str {
@@ -134,7 +137,12 @@
             inputs: Vec::new(),
             memory_tokens: 100_000,
         };
-        let request = SelectionRequest { service: &service(), exclude: &[], size: Some(&size) };
+        let request = SelectionRequest {
+            service: &service(),
+            exclude: &[],
+            size: Some(&size),
+            halls: &AllowedHalls::Any,
+        };
         homes.push(name(&targets.pick(&request, now).unwrap()).to_owned());
     }
 
@@ -154,7 +162,12 @@
     };
     let mut unread = |id: u64, at: Instant| {
         let size = size(id);
-        let request = SelectionRequest { service: &service(), exclude: &[], size: Some(&size) };
+        let request = SelectionRequest {
+            service: &service(),
+            exclude: &[],
+            size: Some(&size),
+            halls: &AllowedHalls::Any,
+        };
         targets.pick(&request, at).unwrap().unread_tokens
     };
 
@@ -248,14 +261,17 @@
     let mut halls = Halls::default();
     halls.evacuate(hall("a"));
     targets.set_halls(halls.clone());
-    let closed_by_one = targets.is_closed(&service(), now);
+    let closed_by_one = targets.is_closed(&service(), &AllowedHalls::Any, now);
     halls.evacuate(hall("b"));
     targets.set_halls(halls);
 
     assert!(!closed_by_one);
-    assert!(targets.is_closed(&service(), now));
+    assert!(targets.is_closed(&service(), &AllowedHalls::Any, now));
     let unknown = ServiceName::new("unknown").unwrap();
-    assert!(!targets.is_closed(&unknown, now), "an unknown service is not closed");
+    assert!(
+        !targets.is_closed(&unknown, &AllowedHalls::Any, now),
+        "an unknown service is not closed"
+    );
 }
 
 #[test]
@@ -333,7 +349,12 @@
     let until = now + Duration::from_secs(1);
     let mut targets = targets(&[("near", "a"), ("far", "b")]);
     let id = |name: &str| TargetName::new(name).unwrap();
-    let request = SelectionRequest { service: &service(), exclude: &[], size: None };
+    let request = SelectionRequest {
+        service: &service(),
+        exclude: &[],
+        size: None,
+        halls: &AllowedHalls::Any,
+    };
 
     assert!(targets.update_announced(&announcing("near", true, None)));
     let other = targets.pick(&request, now).unwrap();
@@ -344,10 +365,32 @@
 
     assert_eq!(other.target.id, id("far"));
     assert!(none.is_none());
-    assert_eq!(targets.opens_at(&service(), now), Some(until));
-    assert!(!targets.is_closed(&service(), now));
+    assert_eq!(targets.opens_at(&service(), &AllowedHalls::Any, now), Some(until));
+    assert!(!targets.is_closed(&service(), &AllowedHalls::Any, now));
     assert_eq!(targets.pick(&request, until).unwrap().target.id, id("far"));
     targets.update_announced(&announcing("far", true, None));
-    assert!(targets.is_closed(&service(), until));
+    assert!(targets.is_closed(&service(), &AllowedHalls::Any, until));
     assert!(!targets.update_announced(&announcing("unknown", true, None)));
 }
+
+#[test]
+fn a_request_restricted_to_halls_is_sent_to_no_target_in_another_hall() {
+    let now = Instant::now();
+    let mut targets = targets(&[("near", "a"), ("allowed", "b"), ("also-allowed", "b")]);
+    let only_b = AllowedHalls::Only([hall("b")].into());
+    let mut pick_in_b = |exclude: &[TargetKey]| {
+        let service = service();
+        let request = SelectionRequest { service: &service, exclude, size: None, halls: &only_b };
+        targets.pick(&request, now)
+    };
+
+    let first = pick_in_b(&[]).unwrap();
+    let second = pick_in_b(&[first.key]).unwrap();
+    let third = pick_in_b(&[first.key, second.key]);
+
+    assert!(first.target.hall == hall("b") && second.target.hall == hall("b"));
+    assert!(third.is_none(), "the target near by may not serve it");
+    let only_c = AllowedHalls::Only([hall("c")].into());
+    assert!(targets.is_closed(&service(), &only_c, now));
+    assert!(!targets.is_closed(&service(), &only_b, now));
+}
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -298,7 +298,8 @@
 
     /// Picks a target that is not in `exclude`.
     fn pick(&self, size: Option<&CallSize>, exclude: &[TargetKey]) -> Option<Attempt> {
-        let wanted = SelectionRequest { service: &self.req.service, exclude, size };
+        let halls = &self.req.allowed_halls;
+        let wanted = SelectionRequest { service: &self.req.service, exclude, size, halls };
         self.app.state.with(|shared, now| {
             let pick = shared.targets.pick(&wanted, now)?;
             let announced = shared.departures.announced_at(&pick.target);
@@ -446,8 +447,9 @@
     /// Retry time for the caller: until the first target accepts work again, plus a random part of
     /// `usual`; just `usual` if some target may be sent work now.
     fn retry_after_time(&self, usual: Duration) -> Duration {
-        let opens =
-            self.app.state.with(|shared, now| shared.time_until_open(&self.req.service, now));
+        let opens = self.app.state.with(|shared, now| {
+            shared.time_until_open(&self.req.service, &self.req.allowed_halls, now)
+        });
         opens.map_or(usual, |time| time + usual.mul_f64(rand::random()))
     }
 
--- a/gateway/src/halls.rs
+++ b/gateway/src/halls.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eligibility::ColdBound;
+use eligibility::{AllowedHalls, ColdBound};
 use fleet::{Part, Split, UnreachableHalls};
 use ids::{HallName, ServiceName};
 use intent::Target;
@@ -101,7 +101,7 @@
     /// that nothing can run on them.
     fn closed_services(&self, now: Instant) -> impl Iterator<Item = &ServiceName> {
         let services = self.intent.iter().flat_map(|intent| intent.services.keys());
-        services.filter(move |service| self.targets.is_closed(service, now))
+        services.filter(move |service| self.targets.is_closed(service, &AllowedHalls::Any, now))
     }
 
     /// Retry delay for a request that needs a service whose targets accept no work before the
@@ -114,22 +114,25 @@
         let stages = req.entry.stages.iter().zip(pieces_of(&req.entry, &req.head));
         let pools = stages.filter(|(_, pieces)| *pieces > 0).map(|(stage, _)| &stage.pool);
         let closed = |service: &ServiceName| {
-            if self.targets.is_closed(service, now) {
+            if self.targets.is_closed(service, &req.allowed_halls, now) {
                 return Some(NO_TARGET_RETRY_AFTER);
             }
-            self.time_until_open(service, now).filter(|time| now + *time >= req.deadline)
+            let opens = self.time_until_open(service, &req.allowed_halls, now);
+            opens.filter(|time| now + *time >= req.deadline)
         };
         pools.chain([&req.service]).filter_map(closed).max()
     }
 
     /// The part of a pool that receives pieces meant for part `wanted`: `wanted` itself, or the
-    /// first other part with an eligible worker if all workers of `wanted` are out of service,
-    /// leaving or backing off. Falls back to `wanted` if no part has an eligible worker.
+    /// first other part with an eligible worker in `halls` if all workers of `wanted` are in other
+    /// halls, out of service, leaving or backing off. Falls back to `wanted` if no part has an
+    /// eligible worker.
     pub(crate) fn open_part(
         &self,
         pool: &ServiceName,
         split: &Split,
         wanted: Part,
+        halls: &AllowedHalls,
         now: Instant,
     ) -> Part {
         if split.has_one_part() {
@@ -139,6 +142,7 @@
             let mut workers = self.targets.of_service(pool);
             workers.any(|target| {
                 split.part_of(&target.hall) == *part
+                    && halls.permits(&target.hall)
                     && self.halls.eligibility(target, now).is_allowed()
             })
         };
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use batching::{PieceOutcome, QueueCounts, Submission};
-use eligibility::{ChangeCursor, Departure};
+use eligibility::{AllowedHalls, ChangeCursor, Departure};
 use fleet::VmEntry;
 use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
 use peering::work::{
@@ -190,6 +190,22 @@
     drop(tx.send(Ok(FromOwner { kind: Some(from_owner::Kind::Fetched(Fetched { job })) })));
 }
 
+/// Names of the halls in which pieces may run; none if they may run in all.
+pub(crate) fn encode_halls(halls: &AllowedHalls) -> Vec<String> {
+    match halls {
+        AllowedHalls::Any => Vec::new(),
+        AllowedHalls::Only(halls) => halls.iter().map(ToString::to_string).collect(),
+    }
+}
+
+/// Decodes [`encode_halls`]. A name that is invalid names no hall, so that it allows nothing.
+fn decode_halls(names: &[String]) -> AllowedHalls {
+    if names.is_empty() {
+        return AllowedHalls::Any;
+    }
+    AllowedHalls::Only(names.iter().filter_map(|name| HallName::new(name).ok()).collect())
+}
+
 /// Decodes a submission of a peer; `None` if one of its names is invalid.
 pub(crate) fn decode_submission(submit: Submit) -> Option<(ServiceName, Submission)> {
     let now = crate::state_handle::now();
@@ -207,6 +223,7 @@
         urgency: u8::try_from(submit.urgency).unwrap_or(u8::MAX),
         result_bytes: submit.result_bytes,
         preferred_hall: HallName::new(&submit.hall).ok(),
+        allowed_halls: decode_halls(&submit.allowed_halls),
     };
     Some((ServiceName::new(&submit.pool).ok()?, submission))
 }
--- a/gateway/src/outbound_links.rs
+++ b/gateway/src/outbound_links.rs
@@ -30,8 +30,8 @@
 use crate::app::App;
 use crate::held_results::{Origin, ResultExpiry};
 use crate::link_messages::{
-    SentCursors, apply_heartbeat, decode_crashes, decode_departures, own_heartbeat, own_hello,
-    piece_outcome, record_peer, take_unsent,
+    SentCursors, apply_heartbeat, decode_crashes, decode_departures, encode_halls, own_heartbeat,
+    own_hello, piece_outcome, record_peer, take_unsent,
 };
 use crate::piece_events::{PieceEvent, StageSubmission};
 use crate::state_handle::{now, time_until};
@@ -135,6 +135,7 @@
             urgency: u32::from(submission.urgency),
             result_bytes: submission.result_bytes,
             hall: submission.preferred_hall.as_ref().map(ToString::to_string).unwrap_or_default(),
+            allowed_halls: encode_halls(&submission.allowed_halls),
         }));
         job
     }
--- a/gateway/src/owner_selection.rs
+++ b/gateway/src/owner_selection.rs
@@ -4,6 +4,7 @@
 
 use std::time::{Duration, Instant};
 
+use eligibility::AllowedHalls;
 use fleet::{Owner, Part, PoolLoad, Split};
 use ids::{HallName, ServiceName};
 
@@ -20,6 +21,21 @@
     margin: Duration,
 }
 
+/// Where the pieces of a submission are wanted and where they may run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Placement<'a> {
+    /// Hall in which the results are wanted; `None` if anywhere.
+    pub(crate) preferred_hall: Option<&'a HallName>,
+    /// Halls whose workers may run the pieces.
+    pub(crate) allowed_halls: &'a AllowedHalls,
+}
+
+impl Placement<'_> {
+    /// Pieces that may run anywhere.
+    pub(crate) const ANYWHERE: Placement<'static> =
+        Placement { preferred_hall: None, allowed_halls: &AllowedHalls::Any };
+}
+
 /// The owner's name for logs and status pages.
 pub(crate) fn owner_name(owner: &Owner) -> String {
     match owner {
@@ -30,17 +46,21 @@
 }
 
 impl Shared {
-    /// The VM to which the pieces of a submission are sent. Results are wanted in the hall
-    /// `preferred_hall`, or anywhere if that is `None`. The number `random`, from 0 to 1, decides
-    /// whether an owner whose queue drains sooner is chosen, see [`fleet::should_spill`].
+    /// The VM to which the pieces of a submission are sent. The number `random`, from 0 to 1,
+    /// decides whether an owner whose queue drains sooner is chosen, see [`fleet::should_spill`];
+    /// pieces that may not run in all halls stay with the preferred owner, since workers in an
+    /// allowed hall need not be behind another one.
     pub(crate) fn choose_owner(
         &self,
         pool: &ServiceName,
-        preferred_hall: Option<&HallName>,
+        pieces: Placement<'_>,
         random: f64,
         now: Instant,
     ) -> Owner {
-        let preferred = self.preferred_owner(pool, preferred_hall, now);
+        let preferred = self.preferred_owner(pool, pieces, now);
+        if *pieces.allowed_halls != AllowedHalls::Any {
+            return preferred;
+        }
         let alternative = self.fastest_owner_against(pool, &preferred, now).filter(|candidate| {
             fleet::should_spill(candidate.baseline, candidate.drain, candidate.margin, random)
         });
@@ -50,7 +70,7 @@
     /// The VM to which a pool's pieces from this VM are expected to be sent, whatever the random
     /// number.
     pub(crate) fn expected_owner(&self, pool: &ServiceName, now: Instant) -> Owner {
-        let preferred = self.preferred_owner(pool, None, now);
+        let preferred = self.preferred_owner(pool, Placement::ANYWHERE, now);
         let alternative = self.fastest_owner_against(pool, &preferred, now);
         let alternative =
             alternative.filter(|candidate| candidate.drain + candidate.margin < candidate.baseline);
@@ -63,15 +83,17 @@
     pub(crate) fn preferred_owner(
         &self,
         pool: &ServiceName,
-        preferred_hall: Option<&HallName>,
+        pieces: Placement<'_>,
         now: Instant,
     ) -> Owner {
         let Some(split) = self.splits.get(pool) else { return Owner::This };
         let own = split.part_of(&self.own_hall);
-        let wanted = preferred_hall.map_or(own, |hall| split.part_of(hall));
-        let wanted = self.open_part(pool, split, wanted, now);
+        let wanted = pieces.preferred_hall.map_or(own, |hall| split.part_of(hall));
+        let wanted = self.open_part(pool, split, wanted, pieces.allowed_halls, now);
         match self.owner_of_part(pool, split, wanted, now) {
-            Owner::Unknown => self.owner_of_part(pool, split, own, now),
+            Owner::Unknown if *pieces.allowed_halls == AllowedHalls::Any => {
+                self.owner_of_part(pool, split, own, now)
+            }
             owner => owner,
         }
     }
--- a/gateway/src/pool_log.rs
+++ b/gateway/src/pool_log.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use crate::app::App;
-use crate::owner_selection::owner_name;
+use crate::owner_selection::{Placement, owner_name};
 
 /// Interval between two log lines on the use of a pool's room. A burst can fill the room within a
 /// few seconds.
@@ -41,7 +41,7 @@
 fn log_owner_changes(app: &App, owners: &mut HashMap<ServiceName, Owner>) {
     app.state.with(|shared, now| {
         for pool in shared.pools.keys() {
-            let owner = shared.preferred_owner(pool, None, now);
+            let owner = shared.preferred_owner(pool, Placement::ANYWHERE, now);
             if owners.get(pool) == Some(&owner) {
                 continue;
             }
--- a/gateway/src/request_stages.rs
+++ b/gateway/src/request_stages.rs
@@ -43,6 +43,7 @@
         id: &req.id,
         digest: req.digest,
         urgency: req.urgency,
+        allowed_halls: &req.allowed_halls,
         service: &req.service,
         size: &size,
         deadline,
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use eligibility::AllowedHalls;
 use http::request::Parts;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -43,6 +44,8 @@
     pub(crate) customer: Option<CustomerName>,
     /// Urgency; 0 is the most urgent.
     pub(crate) urgency: u8,
+    /// Halls in which it may be served.
+    pub(crate) allowed_halls: AllowedHalls,
     pub(crate) arrived: Instant,
     /// When the caller no longer has a use for the answer, or the entry's longest duration is over.
     pub(crate) deadline: Instant,
@@ -169,6 +172,11 @@
     });
     active_requests::update(app, active_key, |request| request.response_time = response_time);
     let urgency = customer.as_ref().and_then(|c| c.urgency).unwrap_or(entry.urgency);
+    let restrictions = [
+        entry.allowed_regions.as_ref(),
+        customer.as_ref().and_then(|customer| customer.allowed_regions.as_ref()),
+    ];
+    let allowed_halls = AllowedHalls::within(&app.cfg.regions, &restrictions);
     let customer = customer.map(|customer| customer.name.clone());
     let digest = request_digest(&parts, &host, customer.as_ref(), &body);
     Ok(AcceptedRequest {
@@ -183,6 +191,7 @@
         service,
         customer,
         urgency,
+        allowed_halls,
         arrived,
         deadline,
     })
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,11 +1,12 @@
 //! Settings file of the gateway: YAML, read and checked before anything starts.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
 use errors::{Error, Result};
-use ids::{HallName, VmName};
+use ids::{HallName, RegionName, VmName};
 use serde::{Deserialize, Serialize};
 pub use settings::{LogLevel, Policy};
 
@@ -17,6 +18,10 @@
     pub vm: VmName,
     /// Data hall in which this VM runs.
     pub hall: HallName,
+    /// Region of each data hall. A request that is restricted to regions is not served in a hall
+    /// that is left out.
+    #[serde(default)]
+    pub regions: BTreeMap<HallName, RegionName>,
     /// Address on which callers connect.
     pub callers: SocketAddr,
     /// Address on which the balancer checks readiness.
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -9,6 +9,7 @@
 use std::time::{Duration, Instant};
 
 use batching::{PieceOutcome, Submission};
+use eligibility::AllowedHalls;
 use fleet::{Owner, SETTLE_TIME};
 use ids::{HallName, RequestId, ServiceName};
 use intent::{Entry, Intent};
@@ -22,6 +23,7 @@
 use crate::admission::UnsubmittedPieces;
 use crate::app::App;
 use crate::missing_inputs::{self, Cause};
+use crate::owner_selection::Placement;
 use crate::piece_events::{PieceEvent, PieceEventReceiver, StageSubmission};
 use crate::releases;
 use crate::requests::AcceptedRequest;
@@ -207,6 +209,8 @@
     pub(crate) id: &'a RequestId,
     pub(crate) digest: RequestDigest,
     pub(crate) urgency: u8,
+    /// Halls in which the request may be served.
+    pub(crate) allowed_halls: &'a AllowedHalls,
     /// The service that runs the request after its stages.
     pub(crate) service: &'a ServiceName,
     pub(crate) size: &'a CallSize,
@@ -249,10 +253,10 @@
 /// settle: links lost one after the other must not hold a request for longer.
 async fn wait_for_owners(ctx: &StagesContext<'_>) {
     let is_unknown = |shared: &Shared, now: Instant| {
-        ctx.entry
-            .stages
-            .iter()
-            .any(|stage| shared.preferred_owner(&stage.pool, None, now) == Owner::Unknown)
+        ctx.entry.stages.iter().any(|stage| {
+            let pieces = Placement { preferred_hall: None, allowed_halls: ctx.allowed_halls };
+            shared.preferred_owner(&stage.pool, pieces, now) == Owner::Unknown
+        })
     };
     let deadline = tokio::time::Instant::from_std(ctx.deadline.min(now() + SETTLE_TIME));
     while ctx.app.state.with(|shared, now| is_unknown(shared, now)) {
@@ -436,6 +440,7 @@
         urgency: ctx.urgency,
         result_bytes: stage.result_bytes,
         preferred_hall,
+        allowed_halls: ctx.allowed_halls.clone(),
     };
     runs[index].submitted =
         Some(submissions::submit_to_owner(ctx.app, &stage.pool, submission, stage_submission, tx));
@@ -458,7 +463,9 @@
     if used_by_stages || bytes < MIN_BYTES_FOR_PREFERRED_HALL {
         return None;
     }
-    ctx.app.state.with(|shared, now| shared.targets.home_hall(ctx.service, ctx.size, now))
+    ctx.app
+        .state
+        .with(|shared, now| shared.targets.home_hall(ctx.service, ctx.size, ctx.allowed_halls, now))
 }
 
 /// When a stage has to be done so that the stages that need it can be in time.
--- a/gateway/src/submissions.rs
+++ b/gateway/src/submissions.rs
@@ -9,6 +9,7 @@
 
 use crate::app::App;
 use crate::outbound_links::Link;
+use crate::owner_selection::Placement;
 use crate::piece_events::{PieceEvent, Sink, StageSubmission};
 use crate::pool_calls::dispatch_calls;
 
@@ -42,9 +43,12 @@
     stage_submission: StageSubmission,
     events: &UnboundedSender<PieceEvent>,
 ) -> SubmissionGuard {
-    let (preferred_hall, random) = (submission.preferred_hall.as_ref(), rand::random());
-    let owner =
-        app.state.with(|shared, now| shared.choose_owner(pool, preferred_hall, random, now));
+    let pieces = Placement {
+        preferred_hall: submission.preferred_hall.as_ref(),
+        allowed_halls: &submission.allowed_halls,
+    };
+    let random = rand::random();
+    let owner = app.state.with(|shared, now| shared.choose_owner(pool, pieces, random, now));
     let link = match owner {
         Owner::Peer(vm) => app.links.borrow().get(&vm).cloned(),
         Owner::This | Owner::Unknown => None,
--- a/gateway/src/target_announcements.rs
+++ b/gateway/src/target_announcements.rs
@@ -7,7 +7,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use eligibility::{Departure, Lifetime, RateChange, RateLimit, RateObservation, RateObservations};
+use eligibility::{
+    AllowedHalls, Departure, Lifetime, RateChange, RateLimit, RateObservation, RateObservations,
+};
 use http::response::Parts;
 use ids::ServiceName;
 use intent::Target;
@@ -230,11 +232,16 @@
         target.request_interval = limit.map(|limit| Duration::from_secs_f64(1.0 / limit.per_s()));
     }
 
-    /// Time until some target of a service may be sent requests, that is, until the first backoff
-    /// or rate limit ends. `None` if a target may be sent requests now, or if no such time is
-    /// known.
-    pub(crate) fn time_until_open(&self, service: &ServiceName, now: Instant) -> Option<Duration> {
-        let opens = self.targets.opens_at(service, now)?;
+    /// Time until some target of a service in `halls` may be sent requests, that is, until the first
+    /// backoff or rate limit ends. `None` if a target may be sent requests now, or if no such time
+    /// is known.
+    pub(crate) fn time_until_open(
+        &self,
+        service: &ServiceName,
+        halls: &AllowedHalls,
+        now: Instant,
+    ) -> Option<Duration> {
+        let opens = self.targets.opens_at(service, halls, now)?;
         Some(opens.saturating_duration_since(now)).filter(|time| !time.is_zero())
     }
 }
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
+use eligibility::AllowedHalls;
 use ids::{HallName, ServiceName, TargetName};
 use intent::Target;
 use selection::{CallSize, Policy, SelectionRequest, TargetOutcome, Targets, prefix_chain};
@@ -48,7 +49,12 @@
     let began = Instant::now();
     for number in 0..SELECTIONS {
         let size = call_size(number);
-        let request = SelectionRequest { service: &service, exclude: &[], size: Some(&size) };
+        let request = SelectionRequest {
+            service: &service,
+            exclude: &[],
+            size: Some(&size),
+            halls: &AllowedHalls::Any,
+        };
         if let Some(pick) = targets.pick(&request, began) {
             targets.record_outcome(pick.key, TargetOutcome::Answered, began);
         }
