Read a long listing of the store at few VMs and pass it on

Cause: at a start of the whole fleet each of 985 VMs read 24 pages of the store, some 4 MB as JSON, from a link of 1,000 Mbit/s.

Ruled out: a longer history or pages read more slowly (both only move the size at which it breaks).

Change: a VM reads the first page of the targets, then the VMs of its hall take turns: two read the rest at once, twice as many with each 1.5 s, so that the last one waits for a time that grows with the logarithm of the hall. All others take it from peers, whatever its length: any peer that knows something at a start, and another one goes on where a peer stopped. Targets of the first copy are counted in one log line.

Measured by count: a VM that starts again in a fleet of 12 reads 3 pages of 3 before and 1 after (a_vm_that_starts_in_a_large_fleet_...); of 160 VMs of a hall 2 read at once, 4 by 1.5 s, 16 by 4.5 s; the last of 1,000 VMs waits 9.6 s, that of 2,000 a turn longer.

--- a/components/fleet/src/watchers.rs
+++ b/components/fleet/src/watchers.rs
@@ -7,7 +7,7 @@
 //! VMs say with each heartbeat whether the store answers them.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ids::VmName;
 
@@ -15,6 +15,9 @@
 
 /// Number of VMs of each hall that watch the store, so that one is left if the other fails.
 const WATCHERS_PER_HALL: usize = 2;
+/// Interval after which twice as many VMs of a hall read a long listing of the store. Within it, a
+/// VM with a tenth of a core passes the content of some megabytes on to another one.
+const LISTING_TURN: Duration = Duration::from_millis(1500);
 /// Key by which VMs are ranked as watchers.
 const WATCHERS_KEY: &str = "store";
 
@@ -39,16 +42,31 @@
         self.ranked(WATCHERS_KEY)
     }
 
+    /// Time for which this VM leaves a long listing of the store to other VMs of its hall, so that
+    /// they can pass the content on. The first [`WATCHERS_PER_HALL`] read it at once, and with each
+    /// [`LISTING_TURN`] twice as many, so that the delay grows with the logarithm of the hall's VMs
+    /// and the store's bandwidth is enough for a fleet of any size that starts at once.
+    pub fn listing_delay(&self) -> Duration {
+        let turns = (self.rank_in_hall() / WATCHERS_PER_HALL + 1) as f64;
+        LISTING_TURN.mul_f64(turns.log2())
+    }
+
     /// Whether this VM is one of the first [`WATCHERS_PER_HALL`] of its hall that are not known to
     /// be silent.
     fn is_watcher(&self) -> bool {
+        self.rank_in_hall() < WATCHERS_PER_HALL
+    }
+
+    /// Number of VMs of this VM's hall that rank before it as watchers and are not known to be
+    /// silent.
+    fn rank_in_hall(&self) -> usize {
         let ranked = self.ranked_watchers();
         let before = ranked.iter().take_while(|vm| **vm != self.own);
         let of_hall = before.filter(|vm| {
             self.entry_of(vm).is_some_and(|entry| entry.hall == self.own_entry.hall)
                 && !self.is_silent(vm)
         });
-        of_hall.count() < WATCHERS_PER_HALL
+        of_hall.count()
     }
 
     /// Whether a live peer that this VM is linked to watches the store.
--- a/components/fleet/tests/ownership.rs
+++ b/components/fleet/tests/ownership.rs
@@ -367,6 +367,34 @@
     assert!(listed(0, 60, 1, now).others_serve(now), "not all VMs of a large fleet are linked");
 }
 
+/// Delays with which the VMs of one of six halls read a long listing of the store, shortest first.
+fn listing_delays(vms: usize) -> Vec<Duration> {
+    let now = Instant::now();
+    let of_hall = (0..vms).step_by(6);
+    let mut delays: Vec<Duration> =
+        of_hall.map(|own| listed(own, vms, 6, now).listing_delay()).collect();
+    delays.sort_unstable();
+    delays
+}
+
+/// Guards against a start at which all VMs read the whole content of the store: 985 VMs before 9,999
+/// targets read some gigabytes, for longer than the store keeps its history.
+#[test]
+fn two_vms_of_a_hall_read_a_long_listing_and_twice_as_many_with_each_turn() {
+    let sizes = [60, 300, 1000, 2000];
+    let delays_by_size = sizes.map(listing_delays);
+
+    for (vms, delays) in sizes.iter().zip(&delays_by_size) {
+        let by = |secs: f64| delays.iter().filter(|d| d.as_secs_f64() <= secs).count();
+
+        assert_eq!(by(0.0), 2, "{vms} VMs");
+        assert!(by(1.5) <= 4 && by(3.0) <= 8 && by(4.5) <= 16, "{vms} VMs: {delays:?}");
+    }
+    let [.., of_1000, of_2000] = delays_by_size.map(|delays| *delays.last().unwrap());
+    assert!(of_1000 < Duration::from_secs(12));
+    assert!(of_2000 - of_1000 <= Duration::from_millis(1500), "it grows by a turn");
+}
+
 /// Guards against ranking all VMs again for each of the hellos of a fleet that starts.
 #[test]
 fn a_hello_of_a_listed_vm_ranks_no_names_again() {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod stages;
 mod state_handle;
 mod store_connection;
+mod store_listing;
 mod store_watch;
 mod stored_refusals;
 mod stream_forwarding;
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -10,6 +10,7 @@
 use fleet::HEARTBEAT_INTERVAL;
 use ids::VmName;
 use peering::work::{Ask, News, StoreItem};
+use rand::seq::IteratorRandom;
 use slog::{debug, info, warn};
 use store_view::{Assembler, Batch, Item, ItemPart, Position, View};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -26,7 +27,9 @@
 const PART_TIMEOUT: Duration = Duration::from_millis(900);
 
 /// Most parts that a VM takes from a peer while it can reach the store. Larger changes are read
-/// from the store, which has more bandwidth than a VM that two dozen others ask.
+/// from the store, which has more bandwidth than a VM that two dozen others ask. A VM that starts
+/// takes all: it chooses among all peers, and waits for its turn at the store
+/// ([`crate::store_listing`]).
 const MAX_PARTS: usize = 4;
 /// After changes from a peer, a VM that can reach the store waits for this fraction (1/n) of the
 /// time within which changes must be in force, so that it fetches several changes together.
@@ -43,10 +46,11 @@
     let mut checks = interval(HEARTBEAT_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut silent = None;
+    let mut transfer = Transfer::default();
     loop {
         checks.tick().await;
         let Some((vm, link)) = peer_to_ask(&app, silent.take()) else { continue };
-        if fetch(&app, &vm, &link).await.is_none() {
+        if fetch(&app, &vm, &link, &mut transfer).await.is_none() {
             debug!(app.log, "peer did not answer a request for changes in the store";
                 "peer" => %vm);
             silent = Some(vm);
@@ -56,8 +60,38 @@
     }
 }
 
+/// Progress of a transfer of changes. If a peer stops answering, another one goes on from there:
+/// all peers send changes in the same order.
+#[derive(Default)]
+struct Transfer {
+    /// The parts received since the last complete transfer; `None` if there are none.
+    assembly: Option<Assembler>,
+    /// Lowest revision up to which the peers that sent them knew all changes.
+    complete_to: Option<u64>,
+}
+
+impl Transfer {
+    /// The parts received so far. Starts anew if this VM knows more by now than at the start.
+    fn assembly(&mut self, known: u64) -> &mut Assembler {
+        let is_behind =
+            |assembly: &Assembler| assembly.next_request().after < Position::after(known);
+        if self.assembly.as_ref().is_some_and(is_behind) {
+            *self = Transfer::default();
+        }
+        self.assembly.get_or_insert_with(|| Assembler::after(known))
+    }
+
+    /// Records that a peer that knew all changes up to `revision` sent a part. Only changes that it
+    /// knew when it sent the first part are sure to be complete after the last part.
+    fn limit_to(&mut self, revision: u64) -> u64 {
+        let complete_to = self.complete_to.map_or(revision, |before| before.min(revision));
+        *self.complete_to.insert(complete_to)
+    }
+}
+
 /// The linked peer with the newest revision, except the one that did not answer; `None` if this VM
-/// lacks nothing or the store delivers what it lacks.
+/// lacks nothing or the store delivers what it lacks. A VM that knows nothing asks any peer that
+/// knows something, so that VMs that start together do not all ask the same ones.
 fn peer_to_ask(app: &App, silent: Option<VmName>) -> Option<(VmName, Rc<Link>)> {
     let links = app.links.borrow();
     app.state.with(|shared, now| {
@@ -73,7 +107,11 @@
             return None;
         }
         let others = ahead().filter(|(vm, _)| silent.as_ref() != Some(vm));
-        let (vm, link) = others.max_by_key(|(vm, _)| revision_of(vm))?;
+        let (vm, link) = if shared.is_first_snapshot() {
+            others.choose(&mut rand::rng())?
+        } else {
+            others.max_by_key(|(vm, _)| revision_of(vm))?
+        };
         Some((vm.clone(), Rc::clone(link)))
     })
 }
@@ -93,15 +131,13 @@
 
 /// Fetches changes from a peer part by part until nothing is left, or until there are too many and
 /// the store is to be read instead; `None` if the peer does not answer.
-async fn fetch(app: &Rc<App>, vm: &VmName, link: &Link) -> Option<()> {
-    let mut assembly = Assembler::after(app.state.with(|shared, _| shared.view.as_of()));
-    let mut complete_to = u64::MAX;
+async fn fetch(app: &Rc<App>, vm: &VmName, link: &Link, transfer: &mut Transfer) -> Option<()> {
     for number in 1.. {
-        let changes = link.request_changes(next_request(&assembly));
+        let known = app.state.with(|shared, _| shared.view.as_of());
+        let changes = link.request_changes(next_request(transfer.assembly(known)));
         let changes = timeout(PART_TIMEOUT, changes).await.ok()?.ok()?;
-        // Only changes that the peer knew when it sent the first part are sure to be complete after
-        // the last part.
-        complete_to = complete_to.min(changes.as_of);
+        let complete_to = transfer.limit_to(changes.as_of);
+        let assembly = transfer.assembly(known);
         let parts: Vec<ItemPart> = changes.items.into_iter().map(decode_part).collect();
         let count = parts.len();
         let items: Vec<Item> = parts.into_iter().filter_map(|part| assembly.push(part)).collect();
@@ -109,12 +145,17 @@
             "whole" => items.len(), "as_of" => complete_to, "last" => changes.is_last);
         app.state.with(|shared, now| {
             shared.merge(items, Source::Peer(vm), now);
+            shared.changes_received_at = Some(now);
+            let is_too_long = number >= MAX_PARTS && !shared.is_first_snapshot();
             if changes.is_last {
                 shared.view.advance_to(complete_to);
-            } else if number >= MAX_PARTS && !shared.contact.is_lost(now) {
+            } else if is_too_long && !shared.contact.is_lost(now) {
                 shared.prefers_store = true;
             }
         });
+        if changes.is_last {
+            *transfer = Transfer::default();
+        }
         recheck_pools(app);
         app.vms_changed.notify_one();
         if changes.is_last || app.state.with(|shared, _| shared.prefers_store) {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -93,6 +93,8 @@
     /// Whether the next changes are to be read from the store because too many are missing to fetch
     /// them from a peer.
     pub(crate) prefers_store: bool,
+    /// When changes of the store last arrived from a peer.
+    pub(crate) changes_received_at: Option<Instant>,
     /// When the store last answered, and whether it is lost.
     pub(crate) contact: StoreContact,
     /// Detects that this VM's watch on the store is silent while peers learn of newer changes.
@@ -174,6 +176,7 @@
             prefers_store: false,
             fleet: Fleet::new(cfg.vm.clone(), own_entry(cfg), incarnation, now),
             own_hall: cfg.hall.clone(),
+            changes_received_at: None,
             contact: StoreContact::default(),
             stall_detector: StallDetector::default(),
             configuration_lag: ConfigurationLag::default(),
@@ -219,6 +222,11 @@
         self.apply(changes, source, now);
     }
 
+    /// Whether changes of the store arrived from a peer within the last `patience`.
+    pub(crate) fn is_receiving_changes(&self, patience: Duration, now: Instant) -> bool {
+        self.changes_received_at.is_some_and(|at| now.saturating_duration_since(at) < patience)
+    }
+
     /// Applies a complete listing of the keys with a prefix, as of store revision `as_of`.
     pub(crate) fn merge_listing(
         &mut self,
@@ -237,6 +245,7 @@
             (self.adapter.intents.intent_key, self.adapter.intents.targets_prefix);
         let evacuations_prefix = self.adapter.intents.evacuations_prefix;
         let mut targets_changed = false;
+        let targets_before = self.targets.len();
         for change in changes {
             match change {
                 Change::Put(key, value) if key == intent_key => {
@@ -266,9 +275,17 @@
         if targets_changed {
             self.sync_pools();
         }
+        if self.is_first_snapshot() && self.targets.len() != targets_before {
+            info!(self.log, "targets known"; "targets" => self.targets.len(), "from" => from);
+        }
         self.update_cold_shares(now);
     }
 
+    /// Whether this VM still reads or receives its first copy of the store's content.
+    pub(crate) fn is_first_snapshot(&self) -> bool {
+        self.view.as_of() == 0
+    }
+
     /// Applies a change under this system's own prefix: a VM's entry or a refused request.
     fn apply_own_prefix_entry(&mut self, key: &str, value: Option<&[u8]>, now: Instant) {
         if value.is_some_and(|value| self.apply_stored_refusal(key, value, now)) {
--- /dev/null
+++ b/gateway/src/store_listing.rs
@@ -0,0 +1,185 @@
+//! Lists the content of the platform's store, at the start and after the store dropped history that
+//! this VM needs.
+//!
+//! A listing of one page per prefix is read by each VM itself. A longer one is read by few VMs and
+//! passed on from VM to VM: together the VMs have far more bandwidth than the store, and all of
+//! them may start at once. Until then a VM works with the first page.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use fleet::HEARTBEAT_INTERVAL;
+use platform_interface::store::Freshness;
+use slog::info;
+use store_view::Item;
+use tokio::time::sleep;
+
+use crate::app::App;
+use crate::halls::recheck_pools;
+use crate::shared::Source;
+use crate::state_handle::now;
+use crate::store_connection::{StoreCallError, StoreConnection};
+use crate::store_watch::{Backoff, record_failure, record_success, to_view_item, unreadable};
+
+/// Time without changes from peers after which a VM whose turn has come reads the rest from the
+/// store. Longer than the timeout for one part of the changes.
+const PEER_PATIENCE: Duration = Duration::from_millis(1200);
+
+/// Progress of a listing; pages that were read are kept when a call fails.
+#[derive(Default)]
+struct Listing {
+    /// Items read so far of the current prefix.
+    items: Vec<Item>,
+    /// Lowest revision of the current prefix's pages.
+    as_of: Option<u64>,
+    /// Number of prefixes read completely.
+    done: usize,
+    /// Lowest revision of all pages.
+    known: Option<u64>,
+    /// Whether the rest of the targets was left to other VMs for some time.
+    was_left_to_others: bool,
+}
+
+/// How a listing went on.
+enum Step {
+    /// It is complete.
+    Complete,
+    /// A prefix has more than one page: the rest is left to others for some time.
+    IsLong,
+}
+
+/// Lists everything that this VM has to know; returns the revision from which to watch for changes.
+/// The listing also ends once peers delivered everything.
+pub(crate) async fn list_all(
+    app: &Rc<App>,
+    store: &mut StoreConnection,
+    freshness: Freshness,
+) -> u64 {
+    let before = app.state.with(|shared, _| shared.view.as_of());
+    let delivered =
+        || Some(app.state.with(|shared, _| shared.view.as_of())).filter(|r| *r > before);
+    let mut listing = Listing::default();
+    let mut backoff = Backoff::new();
+    loop {
+        match list(app, store, &mut listing, freshness).await {
+            Ok(Step::Complete) => break,
+            Ok(Step::IsLong) => wait_for_turn(app, store, before).await,
+            Err(error) => {
+                record_failure(app, "list", &error);
+                backoff.pause().await;
+            }
+        }
+        if let Some(revision) = delivered() {
+            return revision;
+        }
+    }
+    let known = listing.known.unwrap_or(0);
+    app.state.with(|shared, _| shared.view.advance_to(known));
+    app.vms_changed.notify_one();
+    known
+}
+
+/// Continues a listing until it is complete, is found to be long, or a call fails.
+async fn list(
+    app: &Rc<App>,
+    store: &mut StoreConnection,
+    so_far: &mut Listing,
+    freshness: Freshness,
+) -> Result<Step, StoreCallError> {
+    let adapter = app.adapter.intents;
+    // The targets come last: who reads more than their first page depends on the list of VMs.
+    let prefixes = [
+        adapter.intent_key,
+        adapter.evacuations_prefix,
+        adapter.own_prefix,
+        adapter.targets_prefix,
+    ];
+    while let Some(prefix) = prefixes.get(so_far.done) {
+        let more = read_page(app, store, prefix, so_far, freshness).await?;
+        if !more {
+            finish_prefix(app, prefix, so_far);
+            continue;
+        }
+        if *prefix == adapter.targets_prefix && !so_far.was_left_to_others {
+            so_far.was_left_to_others = true;
+            apply_first_page(app, so_far);
+            return Ok(Step::IsLong);
+        }
+    }
+    Ok(Step::Complete)
+}
+
+/// Reads the next page of a prefix; returns whether there are more.
+async fn read_page(
+    app: &Rc<App>,
+    store: &mut StoreConnection,
+    prefix: &str,
+    so_far: &mut Listing,
+    freshness: Freshness,
+) -> Result<bool, StoreCallError> {
+    let after = so_far.items.last().map(|item| item.key.clone());
+    let call = (app.adapter.store.list)(prefix, after.as_deref(), freshness);
+    let body = store.call("list", call, Duration::ZERO).await?;
+    let page = (app.adapter.store.read_list)(&body).map_err(unreadable)?;
+    record_success(app);
+    let as_of = so_far.as_of.map_or(page.as_of, |first| first.min(page.as_of));
+    so_far.as_of = Some(as_of);
+    let more = page.truncated && !page.items.is_empty();
+    so_far.items.extend(page.items.into_iter().map(to_view_item));
+    Ok(more)
+}
+
+/// Applies a prefix of which all pages were read.
+fn finish_prefix(app: &Rc<App>, prefix: &str, so_far: &mut Listing) {
+    let items = std::mem::take(&mut so_far.items);
+    let as_of = so_far.as_of.take().unwrap_or(0);
+    app.state.with(|shared, now| shared.merge_listing(prefix, items, as_of, now));
+    recheck_pools(app);
+    so_far.known = Some(so_far.known.map_or(as_of, |known| known.min(as_of)));
+    so_far.done += 1;
+}
+
+/// Applies the first page of a long listing, so that this VM can serve before it knows the rest.
+fn apply_first_page(app: &Rc<App>, so_far: &Listing) {
+    let items = so_far.items.clone();
+    app.state.with(|shared, now| shared.merge(items, Source::Listing, now));
+    recheck_pools(app);
+    app.vms_changed.notify_one();
+}
+
+/// Waits until it is this VM's turn to read a long listing, or until peers delivered everything.
+/// `before` is the revision that was known before the listing.
+async fn wait_for_turn(app: &Rc<App>, store: &mut StoreConnection, before: u64) {
+    // A stale list of VMs may lack those that start with this one.
+    if let Err(error) = list_vms(app, store).await {
+        record_failure(app, "list", &error);
+    }
+    let since = now();
+    let watched = app.state.with(|shared, _| std::mem::replace(&mut shared.watches_store, false));
+    let mut delay;
+    loop {
+        delay = app.state.with(|shared, _| shared.fleet.listing_delay());
+        let is_due = app.state.with(|shared, now| {
+            shared.view.as_of() > before
+                || (now - since >= delay && !shared.is_receiving_changes(PEER_PATIENCE, now))
+        });
+        if is_due {
+            break;
+        }
+        sleep(HEARTBEAT_INTERVAL).await;
+    }
+    app.state.with(|shared, _| shared.watches_store = watched);
+    info!(app.log, "wait for a turn at a long listing ended";
+        "by_peers" => app.state.with(|shared, _| shared.view.as_of() > before),
+        "delay_ms" => delay.as_millis(), "waited_ms" => (now() - since).as_millis());
+}
+
+/// Reads the current list of VMs.
+async fn list_vms(app: &Rc<App>, store: &mut StoreConnection) -> Result<(), StoreCallError> {
+    let prefix = app.adapter.intents.own_prefix;
+    let mut listing = Listing::default();
+    while read_page(app, store, prefix, &mut listing, Freshness::Current).await? {}
+    finish_prefix(app, prefix, &mut listing);
+    app.vms_changed.notify_one();
+    Ok(())
+}
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -1,4 +1,5 @@
-//! Follows the platform's store: lists its content and watches for changes.
+//! Follows the platform's store: watches for changes after [`crate::store_listing`] listed its
+//! content.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,7 @@
 use crate::halls::recheck_pools;
 use crate::shared::{Source, vms_prefix};
 use crate::store_connection::{OpenAnswer, StoreCallError, StoreConnection};
+use crate::store_listing::list_all;
 
 /// Longest wait of one watch call. It is long because the platform counts each call. It need not be
 /// short to detect that the store is unreachable: the renewals of this VM's lease show that sooner,
@@ -31,14 +33,14 @@
 pub(crate) const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
 
 /// Exponential backoff between failed calls; holds the next pause.
-struct Backoff(Duration);
+pub(crate) struct Backoff(Duration);
 
 impl Backoff {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Backoff(FIRST_RETRY_PAUSE)
     }
 
-    async fn pause(&mut self) {
+    pub(crate) async fn pause(&mut self) {
         sleep(self.0).await;
         self.0 = (self.0 * 2).min(MAX_RETRY_PAUSE);
     }
@@ -112,80 +114,6 @@
     }
 }
 
-/// Progress of a listing; pages that were read are kept when a call fails.
-#[derive(Default)]
-struct Listing {
-    /// Items read so far of the current prefix.
-    items: Vec<Item>,
-    /// Lowest revision of the current prefix's pages.
-    as_of: Option<u64>,
-    /// Number of prefixes read completely.
-    done: usize,
-    /// Lowest revision of all pages.
-    known: Option<u64>,
-}
-
-/// Lists everything that this VM has to know; returns the revision from which to watch for changes.
-/// A listing that may be stale also ends if a call fails after peers delivered everything.
-async fn list_all(app: &Rc<App>, store: &mut StoreConnection, freshness: Freshness) -> u64 {
-    let mut listing = Listing::default();
-    let mut backoff = Backoff::new();
-    loop {
-        match list(app, store, &mut listing, freshness).await {
-            Ok(()) => break,
-            Err(error) => {
-                record_failure(app, "list", &error);
-                backoff.pause().await;
-            }
-        }
-        let from_peers = app.state.with(|shared, _| shared.view.as_of());
-        if freshness == Freshness::MayBeStale && from_peers > 0 {
-            return from_peers;
-        }
-    }
-    let known = listing.known.unwrap_or(0);
-    app.state.with(|shared, _| shared.view.advance_to(known));
-    app.vms_changed.notify_one();
-    known
-}
-
-/// Continues a listing until it is complete or a call fails.
-async fn list(
-    app: &Rc<App>,
-    store: &mut StoreConnection,
-    so_far: &mut Listing,
-    freshness: Freshness,
-) -> Result<(), StoreCallError> {
-    let adapter = app.adapter.intents;
-    let prefixes = [
-        adapter.intent_key,
-        adapter.evacuations_prefix,
-        adapter.targets_prefix,
-        adapter.own_prefix,
-    ];
-    while let Some(prefix) = prefixes.get(so_far.done) {
-        let after = so_far.items.last().map(|item| item.key.clone());
-        let call = (app.adapter.store.list)(prefix, after.as_deref(), freshness);
-        let body = store.call("list", call, Duration::ZERO).await?;
-        let page = (app.adapter.store.read_list)(&body).map_err(unreadable)?;
-        let as_of = so_far.as_of.map_or(page.as_of, |first| first.min(page.as_of));
-        so_far.as_of = Some(as_of);
-        let more = page.truncated && !page.items.is_empty();
-        so_far.items.extend(page.items.into_iter().map(to_view_item));
-        record_success(app);
-        if more {
-            continue;
-        }
-        let items = std::mem::take(&mut so_far.items);
-        app.state.with(|shared, now| shared.merge_listing(prefix, items, as_of, now));
-        recheck_pools(app);
-        so_far.known = Some(so_far.known.map_or(as_of, |known| known.min(as_of)));
-        so_far.as_of = None;
-        so_far.done += 1;
-    }
-    Ok(())
-}
-
 /// Makes one watch call for changes after a revision; returns the revision up to which everything
 /// is known then.
 async fn watch(
@@ -257,7 +185,7 @@
     }
 }
 
-fn to_view_item(item: StoreItem) -> Item {
+pub(crate) fn to_view_item(item: StoreItem) -> Item {
     Item { key: item.key, revision: item.revision, value: item.value }
 }
 
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -6,7 +6,7 @@
 
 use ids::TargetName;
 use intent::Target;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use crate::shared::{Shared, Source};
 
@@ -41,11 +41,7 @@
     /// Adds or updates a target, unless the entry is from an earlier lifetime than the known one.
     fn put_target(&mut self, mut target: Target, from: &str, now: Instant) {
         self.add_announcements(&mut target);
-        info!(self.log, "target known"; "target" => %target.id,
-            "service" => %target.service, "address" => %target.address,
-            "hall" => %target.hall, "leaving" => target.leaving,
-            "cold_ms" => target.cold_start_remaining.as_millis(), "from" => from,
-            "as_of" => self.view.as_of());
+        self.log_target(&target, from);
         let known = self.targets.get(&target.id).cloned();
         if let Some(known) = known.as_ref().filter(|known| target.is_earlier_lifetime_than(known)) {
             info!(self.log, "target's entry of an earlier lifetime"; "target" => %target.id,
@@ -61,6 +57,20 @@
         self.targets.upsert(target, now);
     }
 
+    /// Logs a target's entry. Those of the first snapshot are counted in one line instead, except
+    /// at debug level: thousands of lines would delay each start of a VM.
+    fn log_target(&self, target: &Target, from: &str) {
+        if self.is_first_snapshot() {
+            debug!(self.log, "target known"; "target" => %target.id, "from" => from);
+            return;
+        }
+        info!(self.log, "target known"; "target" => %target.id,
+            "service" => %target.service, "address" => %target.address,
+            "hall" => %target.hall, "leaving" => target.leaving,
+            "cold_ms" => target.cold_start_remaining.as_millis(), "from" => from,
+            "as_of" => self.view.as_of());
+    }
+
     /// Handles the removal of a target's entry from the store. Around an outage of the store the
     /// target is kept for a grace period.
     pub(crate) fn target_entry_removed(&mut self, id: &str, source: Source<'_>, now: Instant) {
--- a/tests/relayed_changes.rs
+++ b/tests/relayed_changes.rs
@@ -145,3 +145,24 @@
 
     wait_for_version(&fleet, 2);
 }
+
+/// Guards against a start at which each VM reads a long listing of the store to its end: in a fleet
+/// of 985 VMs before 9,999 targets that took longer than the store keeps its history.
+#[test]
+fn a_vm_that_starts_in_a_large_fleet_reads_one_page_of_a_long_listing_and_the_rest_from_peers() {
+    let site = Site::start();
+    site.store.set_page_size(2);
+    let mut fleet = start_fleet(&site, "relay-listing");
+    wait_for_two_watchers_per_hall(&site, &fleet);
+    let restarted =
+        fleet.iter_mut().find(|member| !member.watches()).expect("a VM that relies on others");
+    let before = site.store.listed_pages("servers/");
+
+    restarted.vm.restart();
+    site.wait_for_all_runners(&restarted.vm);
+
+    assert_eq!(site.store.listed_pages("servers/") - before, 1);
+    wait_until("it has received the rest", || restarted.vm.log().contains("by_peers=true"));
+    site.store.put("op/config", &default_configuration(2));
+    wait_for_version(&fleet, 2);
+}
