Carry out rollouts: a small share, a test beside the other versions, one verdict

A version that operators ordered got its part of all requests at once, good or bad, and no status was ever written.

Change: components/rollout holds the decisions, without a network: what each VM sends by itself, counts that can be added in any order, Page's test for each route, and when a version is promoted, completed or rolled back. gateway/src/rollouts.rs reports to one VM, which is chosen like the owner of a pool, and stores its decisions under a condition; platform/src/rollouts.rs translates. Choices of targets and calls of pools ask which versions may be sent work. Messages grow by a report and by phases in heartbeats; older builds ignore both.

Ruled out, in docs/design/rollouts.md: exposure by share of VMs, fixed steps, steps by evidence.

--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -74,10 +74,13 @@
             .filter(|(_, worker)| self.can_take_call(worker, self.spec.at_once.max(1), now))
             .map(|(key, _)| key)
             .collect();
-        // Workers whose last call failed come last.
+        // Workers whose last call failed come last. Those of a version with limited traffic come
+        // first, since it would get less than its part otherwise.
         free.sort_by(|a, b| {
             let (a, b) = (&self.workers[*a], &self.workers[*b]);
-            a.last_call_failed().cmp(&b.last_call_failed()).then(a.slowdown.total_cmp(&b.slowdown))
+            let by_failure = a.last_call_failed().cmp(&b.last_call_failed());
+            let by_limit = self.is_limited(b).cmp(&self.is_limited(a));
+            by_failure.then(by_limit).then(a.slowdown.total_cmp(&b.slowdown))
         });
         let (worker, pieces) = self.choose_call(&free, now)?;
         Some(self.start_call(worker, pieces, now))
@@ -106,6 +109,7 @@
     /// Whether the worker's hall and the worker itself accept calls now.
     fn is_open(&self, worker: &Worker, now: Instant) -> bool {
         self.halls.eligibility(&worker.target, now) == Eligibility::Open
+            && self.is_version_open(worker)
     }
 
     /// Sorts the waiting pieces: those that can still be in time first, by effective due time, then
@@ -156,8 +160,7 @@
     /// call and the worker's room.
     fn select_pieces(&self, key: WorkerKey, first: usize, now: Instant) -> Vec<usize> {
         let worker = &self.workers[key];
-        // One piece is enough to find out whether a worker that failed has recovered.
-        let max_pieces = if worker.last_call_failed() { 1 } else { self.spec.batch };
+        let max_pieces = self.max_pieces(worker);
         let mut room = self.usable_room(worker, now);
         let mut selected = Vec::new();
         let first_piece = self.waiting[first];
@@ -237,6 +240,7 @@
         self.mean_pieces += PIECES_WEIGHT * (f64::from(count) - self.mean_pieces);
         self.update_backlogged_pieces(count);
         let fetch_time = self.fetch_time(&pieces);
+        self.take_limited_pieces(self.is_limited(&self.workers[key]), pieces.len());
         let worker = &mut self.workers[key];
         let room_before = worker.room_used;
         worker.active_calls += 1;
@@ -267,6 +271,7 @@
             waited,
             still_waiting: self.waiting.len(),
             fetch_time,
+            expected: expected_duration,
             timeout: call_timeout(expected_duration),
         }
     }
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -18,6 +18,7 @@
 mod results;
 mod room_use;
 mod submission;
+mod version_limits;
 mod worker;
 
 pub use filling::effective_due;
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use eligibility::{AllowedHalls, Halls};
-use ids::TargetName;
+use ids::{TargetName, VersionName};
 use intent::{PoolSpec, Target};
+use rollout::Versions;
 use slotmap::SlotMap;
 
 use crate::results::Results;
@@ -82,6 +83,10 @@
     /// fraction is adjusted by whether results found room.
     pub(crate) room_fraction: f64,
     pub(crate) halls: Halls,
+    /// Versions whose workers may be called.
+    pub(crate) versions: Versions,
+    /// Pieces that workers of a version with limited traffic may run now.
+    pub(crate) limited_pieces: f64,
 }
 
 impl Pool {
@@ -101,6 +106,8 @@
             backlogged_pieces: None,
             room_fraction: 1.0,
             halls: Halls::default(),
+            versions: Versions::Any,
+            limited_pieces: 0.0,
         }
     }
 
@@ -138,6 +145,22 @@
         self.halls = halls;
     }
 
+    /// Replaces the versions whose workers may be called; returns whether they are others.
+    pub fn set_versions(&mut self, versions: Versions) -> bool {
+        let is_other = self.versions != versions;
+        self.versions = versions;
+        is_other
+    }
+
+    /// Number of calls in progress at workers of other versions than this one.
+    pub fn calls_of_other_versions(&self, version: &VersionName) -> usize {
+        let is_other = |call: &&ActiveCall| {
+            let worker = self.workers.get(call.worker);
+            worker.is_some_and(|worker| worker.target.version.as_ref() != Some(version))
+        };
+        self.calls.values().filter(is_other).count()
+    }
+
     /// Whether all workers are leaving or in halls that operators took out of service, so that the
     /// waiting pieces can't be made.
     pub fn is_closed(&self, now: Instant) -> bool {
@@ -206,6 +229,7 @@
     /// Adds a submission; its pieces wait to be called.
     pub fn submit(&mut self, submission: Submission, now: Instant) -> JobKey {
         let pieces = submission.pieces.clone();
+        self.grant_limited_pieces(pieces.len());
         let (unfinished, unfetched) = (pieces.len(), pieces.len());
         let job = self.jobs.insert(Job { submission, submitted: now, unfinished, unfetched });
         let pending = |piece| PendingPiece { job, piece, failed_attempts: 0, fetched: false };
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -77,6 +77,8 @@
     /// Time from the start of the call at the target until its inputs are fetched; `None` if
     /// unknown.
     pub fetch_time: Option<Duration>,
+    /// Time that the call should take by the pool's configuration.
+    pub expected: Duration,
     /// Time after which the call is given up.
     pub timeout: Duration,
 }
--- a/components/batching/tests/support/mod.rs
+++ b/components/batching/tests/support/mod.rs
@@ -34,6 +34,7 @@
         service: ServiceName::new("pool").unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: HallName::new(hall).unwrap(),
+        version: None,
         slots: 1,
         leaving: false,
         backoff_until: None,
--- a/components/eligibility/tests/support/mod.rs
+++ b/components/eligibility/tests/support/mod.rs
@@ -16,6 +16,7 @@
         service: ServiceName::new("s").unwrap(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: HallName::new(hall).unwrap(),
+        version: None,
         slots: 1,
         leaving: false,
         backoff_until: None,
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -95,6 +95,9 @@
 name_type!(
     /// Name of a region, which consists of data halls.
     RegionName, "region");
+name_type!(
+    /// Version of the software of a service's targets.
+    VersionName, "version");
 name_type!(
     /// Name of a VM that runs a daemon.
     VmName, "vm");
--- a/components/intent/src/target.rs
+++ b/components/intent/src/target.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use ids::{HallName, ServiceName, TargetName};
+use ids::{HallName, ServiceName, TargetName, VersionName};
 
 /// A target as it describes itself in its entry in the platform's store and in its answers. A
 /// restart begins another lifetime: under another id, or under the same id with another start time.
@@ -16,6 +16,8 @@
     pub born: Option<u64>,
     /// The service that it belongs to.
     pub service: ServiceName,
+    /// Version of its software, if it states one.
+    pub version: Option<VersionName>,
     /// Address at which it accepts requests.
     pub address: SocketAddr,
     /// Data hall of the target.
--- a/components/platform_interface/src/intents.rs
+++ b/components/platform_interface/src/intents.rs
@@ -3,6 +3,9 @@
 
 use ids::HallName;
 use intent::{Intent, Target};
+use rollout::{Order, Phase};
+
+use crate::store::Write;
 
 /// Keys of the store, and functions that read the values under them.
 #[derive(Debug, Clone, Copy)]
@@ -13,6 +16,8 @@
     pub targets_prefix: &'static str,
     /// Prefix of the keys by which operators take a hall's targets out of service.
     pub evacuations_prefix: &'static str,
+    /// Prefix of the keys by which operators order rollouts.
+    pub rollouts_prefix: &'static str,
     /// Prefix of the keys that this system writes.
     pub own_prefix: &'static str,
     /// Reads the operators' intent.
@@ -21,4 +26,8 @@
     pub target: fn(&str, &[u8]) -> errors::Result<Target>,
     /// Reads the name of the hall that is taken out of service from an evacuation's key and value.
     pub evacuation: fn(&str, &[u8]) -> errors::Result<HallName>,
+    /// Reads an order of a rollout from its key, its value and its revision.
+    pub rollout: fn(&str, &[u8], u64) -> errors::Result<Order>,
+    /// Writes how an order went, for operators.
+    pub rollout_status: fn(&Order, Phase) -> Write,
 }
--- a/components/platform_interface/src/store.rs
+++ b/components/platform_interface/src/store.rs
@@ -49,6 +49,24 @@
     pub lease: u64,
 }
 
+/// The revision that a key must have for a transaction to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Condition {
+    /// The key.
+    pub key: String,
+    /// Its revision; 0 if the key must be absent.
+    pub revision: u64,
+}
+
+/// Writes that are done together, or not at all.
+#[derive(Debug, Clone)]
+pub struct Transaction {
+    /// Conditions, all of which must hold.
+    pub conditions: Vec<Condition>,
+    /// The writes.
+    pub writes: Vec<Write>,
+}
+
 /// A lease and its duration.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Lease {
@@ -77,6 +95,8 @@
     pub watch: fn(prefix: &str, after: u64, wait: Duration) -> StoreCall,
     /// Writes a key.
     pub put: fn(&Write) -> StoreCall,
+    /// Writes several keys under conditions.
+    pub commit: fn(&Transaction) -> StoreCall,
     /// Requests a lease of the given duration.
     pub lease: fn(Duration) -> StoreCall,
     /// Renews the lease with the given id.
--- /dev/null
+++ b/components/rollout/src/order.rs
@@ -0,0 +1,33 @@
+//! Operators' orders to move a service to another version, and how far they are carried out.
+
+use std::time::Duration;
+
+use ids::{ServiceName, VersionName};
+
+/// An order to move a service's traffic to targets of another version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that is to get the traffic.
+    pub version: VersionName,
+    /// Time within which the rollout has to be decided.
+    pub duration: Duration,
+    /// The store's revision of the order; a later order for the service has a higher one.
+    pub revision: u64,
+}
+
+/// How far an order is carried out. Of two phases that VMs report for the same order, the greater
+/// one holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+pub enum Phase {
+    /// The new version gets a small share of the requests.
+    #[default]
+    Trial,
+    /// The new version gets all new requests; the others finish what they have.
+    Promoted,
+    /// The new version gets nothing: it is bad, or the order was withdrawn.
+    RolledBack,
+    /// The targets of other versions have ended.
+    Completed,
+}
--- a/components/selection/src/choice.rs
+++ b/components/selection/src/choice.rs
@@ -5,6 +5,7 @@
 use eligibility::AllowedHalls;
 use ids::{HallName, ServiceName};
 use intent::Target;
+use rollout::Versions;
 use slotmap::new_key_type;
 
 new_key_type! {
@@ -49,6 +50,20 @@
     pub size: Option<&'a CallSize>,
     /// Halls whose targets may be selected.
     pub halls: &'a AllowedHalls,
+    /// Versions whose targets may be selected. If it is one version only and none of its targets
+    /// may be sent the request, the others may.
+    pub versions: &'a Versions,
+}
+
+/// Slots of a service's targets by version, and this VM's calls there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct VersionUse {
+    /// Slots of the targets of the version that are not leaving.
+    pub slots: u64,
+    /// Slots of the other targets that are not leaving.
+    pub other_slots: u64,
+    /// Calls of this VM in progress at the other targets.
+    pub other_calls: u64,
 }
 
 /// A selected target.
--- a/components/selection/src/lib.rs
+++ b/components/selection/src/lib.rs
@@ -7,7 +7,7 @@
 mod target_state;
 mod targets;
 
-pub use choice::{CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome};
+pub use choice::{CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse};
 pub use prefix_cache::prefix_chain;
 pub use retry_budget::{FleetRetryBudget, FleetRetryRules};
 pub use targets::Targets;
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 use eligibility::{AllowedHalls, Eligibility, Halls};
-use ids::{HallName, ServiceName, TargetName};
+use ids::{HallName, ServiceName, TargetName, VersionName};
 use intent::Target;
+use rollout::Versions;
 use slotmap::SlotMap;
 
-use crate::choice::{CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome};
+use crate::choice::{
+    CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse,
+};
 use crate::target_state::TargetState;
 
 /// All known targets with their state.
@@ -82,6 +85,23 @@
         keys.iter().filter_map(|key| self.states.get(*key)).map(|state| &state.target)
     }
 
+    /// Returns the slots of a service's usable targets and the calls of this VM in progress there,
+    /// for the targets of a version and for all others.
+    pub fn use_by_version(&self, service: &ServiceName, version: &VersionName) -> VersionUse {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let mut used = VersionUse::default();
+        for state in keys.iter().filter_map(|key| self.states.get(*key)) {
+            let slots = if state.target.leaving { 0 } else { u64::from(state.target.slots) };
+            if state.target.version.as_ref() == Some(version) {
+                used.slots += slots;
+            } else {
+                used.other_slots += slots;
+                used.other_calls += u64::from(state.calls);
+            }
+        }
+        used
+    }
+
     /// Returns the service of a target.
     pub fn service_of(&self, id: &TargetName) -> Option<&ServiceName> {
         self.states.get(*self.by_id.get(id)?).map(|state| &state.target.service)
@@ -235,7 +255,13 @@
             let state = &self.states[*key];
             request.halls.permits(&state.target.hall) && self.is_allowed(state, now)
         };
-        let allowed: Vec<TargetKey> = untried.filter(is_allowed).collect();
+        let mut allowed: Vec<TargetKey> = untried.filter(is_allowed).collect();
+        let of_version =
+            |key: &TargetKey| request.versions.permits(self.states[*key].target.version.as_ref());
+        let is_fallback = matches!(request.versions, Versions::Only(_));
+        if !is_fallback || allowed.iter().any(of_version) {
+            allowed.retain(of_version);
+        }
         let open = |key: &TargetKey| self.is_open(&self.states[*key], now);
         let mut candidates: Vec<TargetKey> = allowed.iter().copied().filter(open).collect();
         if candidates.is_empty() {
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use eligibility::{AllowedHalls, Halls};
-use ids::{HallName, ServiceName, TargetName};
+use ids::{HallName, ServiceName, TargetName, VersionName};
 use intent::Target;
+use rollout::Versions;
 use selection::{
     CallSize, FleetRetryBudget, FleetRetryRules, Pick, Policy, SelectionRequest, TargetKey,
     TargetOutcome, Targets, prefix_chain,
@@ -28,6 +29,7 @@
         service: service(),
         address: "127.0.0.1:9".parse().unwrap(),
         hall: hall(in_hall),
+        version: None,
         slots: 4,
         leaving: false,
         backoff_until: None,
@@ -51,7 +53,13 @@
 
 fn pick(targets: &mut Targets, exclude: &[TargetKey], now: Instant) -> Option<Pick> {
     targets.pick(
-        &SelectionRequest { service: &service(), exclude, size: None, halls: &AllowedHalls::Any },
+        &SelectionRequest {
+            service: &service(),
+            exclude,
+            size: None,
+            halls: &AllowedHalls::Any,
+            versions: &Versions::Any,
+        },
         now,
     )
 }
@@ -142,6 +150,7 @@
             exclude: &[],
             size: Some(&size),
             halls: &AllowedHalls::Any,
+            versions: &Versions::Any,
         };
         homes.push(name(&targets.pick(&request, now).unwrap()).to_owned());
     }
@@ -167,6 +176,7 @@
             exclude: &[],
             size: Some(&size),
             halls: &AllowedHalls::Any,
+            versions: &Versions::Any,
         };
         targets.pick(&request, at).unwrap().unread_tokens
     };
@@ -354,6 +364,7 @@
         exclude: &[],
         size: None,
         halls: &AllowedHalls::Any,
+        versions: &Versions::Any,
     };
 
     assert!(targets.update_announced(&announcing("near", true, None)));
@@ -380,7 +391,13 @@
     let only_b = AllowedHalls::Only([hall("b")].into());
     let mut pick_in_b = |exclude: &[TargetKey]| {
         let service = service();
-        let request = SelectionRequest { service: &service, exclude, size: None, halls: &only_b };
+        let request = SelectionRequest {
+            service: &service,
+            exclude,
+            size: None,
+            halls: &only_b,
+            versions: &Versions::Any,
+        };
         targets.pick(&request, now)
     };
 
@@ -394,3 +411,41 @@
     assert!(targets.is_closed(&service(), &only_c, now));
     assert!(!targets.is_closed(&service(), &only_b, now));
 }
+
+/// Picks a target for a request that may be sent to these versions.
+fn pick_of(targets: &mut Targets, versions: &Versions, now: Instant) -> Option<String> {
+    let service = service();
+    let request = SelectionRequest {
+        service: &service,
+        exclude: &[],
+        size: None,
+        halls: &AllowedHalls::Any,
+        versions,
+    };
+    targets.pick(&request, now).map(|pick| name(&pick).to_owned())
+}
+
+#[test]
+fn the_versions_of_a_request_limit_the_choice() {
+    let now = Instant::now();
+    let version = |name: &str| VersionName::new(name).unwrap();
+    let mut targets = targets(&[]);
+    targets.upsert(Target { version: Some(version("v1")), ..target("old", "a") }, now);
+    let leaving = Target { version: Some(version("v2")), leaving: true, ..target("new", "a") };
+
+    let without = pick_of(&mut targets, &Versions::Without(version("v1")), now);
+    let only_missing = pick_of(&mut targets, &Versions::Only(version("v2")), now);
+    targets.upsert(Target { leaving: false, ..leaving.clone() }, now);
+    let only = pick_of(&mut targets, &Versions::Only(version("v2")), now);
+    let without_new = pick_of(&mut targets, &Versions::Without(version("v2")), now);
+    let used = targets.use_by_version(&service(), &version("v2"));
+    targets.upsert(leaving, now);
+    let only_leaving = pick_of(&mut targets, &Versions::Only(version("v2")), now);
+
+    assert_eq!(without, None, "a version without traffic gets none, also if no other is left");
+    assert_eq!(only_missing.as_deref(), Some("old"), "no target of the version is there");
+    assert_eq!(only.as_deref(), Some("new"));
+    assert_eq!(without_new.as_deref(), Some("old"));
+    assert_eq!((used.slots, used.other_slots, used.other_calls), (4, 4, 2));
+    assert_eq!(only_leaving.as_deref(), Some("old"));
+}
--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -89,6 +89,12 @@
         self.items.get(key)?.value.as_ref()
     }
 
+    /// Revision of a key's latest known change; 0 if the key is unknown or removed.
+    pub fn revision_of(&self, key: &str) -> u64 {
+        let item = self.items.get(key).filter(|item| item.value.is_some());
+        item.map_or(0, |item| item.revision)
+    }
+
     /// Keys that start with `prefix` and have a value, with their values.
     pub fn keys<'a>(&'a self, prefix: &'a str) -> impl Iterator<Item = (&'a str, &'a Bytes)> {
         self.items
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -10,6 +10,7 @@
 use platform_interface::callers::Refusal;
 use platform_interface::calls::{AnswerHead, CallHead, Evidence};
 use quarantine::LifetimeId;
+use rollout::Observation;
 use selection::{CallSize, Pick, SelectionRequest, TargetKey, TargetOutcome};
 use slog::info;
 
@@ -64,6 +65,10 @@
     leaving_age: Option<Duration>,
     /// The rate limit of the target, if one was known.
     rate: Option<RateLimit>,
+    /// Name of the request's entry.
+    route: String,
+    /// When the target was chosen.
+    started: Instant,
     ended: bool,
     /// Prompt tokens that are counted as load of the target until it has read them.
     unread_tokens: u64,
@@ -80,12 +85,19 @@
 
     /// Records how the attempt ended.
     pub(crate) fn end(&mut self, end: TargetOutcome) {
-        if !std::mem::replace(&mut self.ended, true) {
-            self.prompt_read();
-            self.app
-                .state
-                .with(|shared, now| shared.targets.record_outcome(self.pick.key, end, now));
+        if std::mem::replace(&mut self.ended, true) {
+            return;
         }
+        self.prompt_read();
+        self.app.state.with(|shared, now| {
+            shared.targets.record_outcome(self.pick.key, end, now);
+            let observation = match end {
+                TargetOutcome::Answered => Observation::Took(now - self.started),
+                TargetOutcome::OwnFailure => Observation::Failed,
+                _ => return,
+            };
+            shared.record_version_answer(&self.pick.target, &self.route, observation, now);
+        });
     }
 }
 
@@ -299,8 +311,11 @@
     /// Picks a target that is not in `exclude`.
     fn pick(&self, size: Option<&CallSize>, exclude: &[TargetKey]) -> Option<Attempt> {
         let halls = &self.req.allowed_halls;
-        let wanted = SelectionRequest { service: &self.req.service, exclude, size, halls };
+        let is_first = self.attempted.is_empty();
         self.app.state.with(|shared, now| {
+            let service = &self.req.service;
+            let versions = &shared.versions_for(service, self.req.id.as_str(), is_first);
+            let wanted = SelectionRequest { service, exclude, size, halls, versions };
             let pick = shared.targets.pick(&wanted, now)?;
             let announced = shared.departures.announced_at(&pick.target);
             Some(Attempt {
@@ -309,6 +324,8 @@
                 lifetime: shared.lifetime_of(&pick.target),
                 leaving_age: announced.map(|at| now.saturating_duration_since(at)),
                 rate: shared.rates.limit(&pick.target),
+                route: self.req.entry.name.clone(),
+                started: now,
                 pick,
                 ended: false,
             })
--- a/gateway/src/inbound_links.rs
+++ b/gateway/src/inbound_links.rs
@@ -31,6 +31,7 @@
 };
 use crate::outbound_links::DialerSender;
 use crate::piece_events::{PeerSink, Sink};
+use crate::rollout_messages::decode_report;
 use crate::{peer_sync, permits, releases, submissions, target_announcements};
 
 /// Pauses before each check whether the process of a peer has ended after its link did: its port
@@ -271,6 +272,14 @@
                 decode_departures(&departures),
             );
         }
+        from_dialer::Kind::RolloutReport(report) => {
+            if let Some((service, order, report)) = decode_report(report) {
+                app.state.with(|shared, _| {
+                    let process = shared.fleet.peers.get(vm).map_or(0, |peer| peer.incarnation);
+                    shared.rollouts.report(&service, order, process, &report);
+                });
+            }
+        }
         from_dialer::Kind::Hello(_) => {}
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,8 @@
 mod releases;
 mod request_stages;
 mod requests;
+mod rollout_messages;
+mod rollouts;
 mod run;
 pub mod settings;
 mod shared;
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -12,10 +12,12 @@
     PoolLoad, Rates, Submit, TargetLoad, Waiting, from_owner,
 };
 use quarantine::{Crash, CrashCursor, LifetimeHash, LifetimeId, RequestDigest};
+use rollout::Phase;
 
 use crate::app::App;
 use crate::outbound_links::DialerSender;
 use crate::rate_messages::take_unsent_rates;
+use crate::rollout_messages::{decode_phase, encode_phase};
 
 /// How long an assembled heartbeat is reused: a tenth of the interval between two heartbeats.
 const HEARTBEAT_REUSE: Duration = Duration::from_millis(20);
@@ -80,6 +82,12 @@
                 coming: load.incoming as u32,
             })
             .collect(),
+        rollouts: shared
+            .rollouts
+            .phases()
+            .filter(|(_, phase)| *phase > Phase::Trial)
+            .map(|(order, phase)| encode_phase(order, phase))
+            .collect(),
     })
 }
 
@@ -144,6 +152,9 @@
         peer.pools = pools.collect();
         let coming = beat.coming.iter();
         peer.incoming = coming.map(|c| (c.pool.clone(), f64::from(c.pieces))).collect();
+        for (service, order, phase) in beat.rollouts.iter().filter_map(decode_phase) {
+            shared.apply_phase(&service, order, phase, now);
+        }
         shared.compare_versions(now);
         let age = beat.store_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
         if let Some(at) = age.and_then(|age| now.checked_sub(age)) {
--- a/gateway/src/outbound_links.rs
+++ b/gateway/src/outbound_links.rs
@@ -19,6 +19,7 @@
     Submit, from_dialer, from_owner,
 };
 use result_leases::REQUEST_GRACE;
+use rollout::{Order, Report};
 use slog::info;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -34,6 +35,7 @@
     own_hello, piece_outcome, record_peer, take_unsent,
 };
 use crate::piece_events::{PieceEvent, StageSubmission};
+use crate::rollout_messages::encode_report;
 use crate::state_handle::{now, time_until};
 use crate::{releases, target_announcements};
 
@@ -204,6 +206,11 @@
         rx
     }
 
+    /// Reports to the peer, which judges a rollout, what this VM observed of it.
+    pub(crate) fn report_rollout(&self, order: &Order, report: &Report) {
+        self.send(from_dialer::Kind::RolloutReport(encode_report(order, report)));
+    }
+
     /// Requests a permit for a call to a target with a rate limit.
     pub(crate) fn request_permit(&self, ask: PermitAsk) -> oneshot::Receiver<Permit> {
         let (tx, rx) = oneshot::channel();
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -141,6 +141,12 @@
         "room_used" => call.room_used, "waited_ms" => call.waited.as_millis(),
         "still_waiting" => call.still_waiting, "took_ms" => (now() - started).as_millis());
     app.metrics.attempt_ended(pool.as_str(), call.target.id.as_str(), name);
+    if matches!(end, CallEnd::Answered(_)) {
+        let (has_failed, took) = (counts.failed > 0, now() - started);
+        app.state.with(|shared, now| {
+            shared.record_pool_answer(&call.target, has_failed, took, call.expected, now);
+        });
+    }
     if end == CallEnd::TargetGone {
         app.state.with(|shared, now| shared.target_replaced(&call.target, now));
     }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -27,7 +27,7 @@
 use crate::state_handle::{StateHandle, now};
 use crate::{
     callers, hall_reachability, http_endpoints, inbound_links, link_dialer, logs, own_entry,
-    peer_sync, pool_log, releases, settings, shutdown, store_watch, stored_refusals,
+    peer_sync, pool_log, releases, rollouts, settings, shutdown, store_watch, stored_refusals,
 };
 
 /// Interval between two sweeps for idle connections to targets.
@@ -100,6 +100,7 @@
     spawn_local(peer_sync::follow(Rc::clone(app)));
     spawn_local(pool_log::run(Rc::clone(app)));
     spawn_local(stored_refusals::run(Rc::clone(app)));
+    spawn_local(rollouts::run(Rc::clone(app)));
     spawn_local(releases::release_ended_leases(Rc::clone(app)));
     spawn_local(close_idle_connections(Rc::clone(app)));
     info!(app.log, "started"; "callers" => %cfg.callers, "peers" => %cfg.peers,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -56,6 +56,9 @@
     /// When a request that crashes targets is refused.
     #[serde(default)]
     pub quarantine: QuarantineRules,
+    /// What a version that turns out bad in a rollout may get.
+    #[serde(default)]
+    pub rollouts: RolloutRules,
     /// Times of a shutdown.
     #[serde(default)]
     pub stop: Stop,
@@ -178,6 +181,49 @@
     }
 }
 
+/// What a version that turns out bad may get, from the order of its rollout to the order's time
+/// limit: `requests * exposure_share + exposure_slack`, over all VMs.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
+#[serde(from = "RawRolloutRules")]
+pub struct RolloutRules {
+    /// Fraction of the requests of its service.
+    pub exposure_share: f64,
+    /// Requests beyond that fraction.
+    pub exposure_slack: f64,
+}
+
+/// `RolloutRules` as written in the file; a field that is missing or empty has its default.
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRolloutRules {
+    #[serde(default)]
+    exposure_share: Option<f64>,
+    #[serde(default)]
+    exposure_slack: Option<f64>,
+}
+
+impl From<RawRolloutRules> for RolloutRules {
+    fn from(raw: RawRolloutRules) -> Self {
+        let defaults = RolloutRules::default();
+        RolloutRules {
+            exposure_share: raw.exposure_share.unwrap_or(defaults.exposure_share),
+            exposure_slack: raw.exposure_slack.unwrap_or(defaults.exposure_slack),
+        }
+    }
+}
+
+impl Default for RolloutRules {
+    fn default() -> Self {
+        RolloutRules { exposure_share: 0.1, exposure_slack: 20.0 }
+    }
+}
+
+impl RolloutRules {
+    pub(crate) fn rules(&self) -> rollout::Rules {
+        rollout::Rules { exposure_share: self.exposure_share, exposure_slack: self.exposure_slack }
+    }
+}
+
 /// Times of a shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -261,6 +307,8 @@
         ("repeats.window_s", cfg.repeats.window_s, 0.1, MAX_DURATION_S),
         ("quarantine.crashes", cfg.quarantine.crashes as f64, 1.0, MAX_CRASHES),
         ("quarantine.lasts_s", cfg.quarantine.lasts_s, 1.0, MAX_DURATION_S),
+        ("rollouts.exposure_share", cfg.rollouts.exposure_share, 0.0, 1.0),
+        ("rollouts.exposure_slack", cfg.rollouts.exposure_slack, 0.0, f64::MAX),
         ("stop.grace_s", cfg.stop.grace_s, 0.1, MAX_DURATION_S),
     ];
     match ranges.iter().find(|(_, value, least, most)| !(least..=most).contains(&value)) {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -14,6 +14,7 @@
 use platform_interface::PlatformAdapter;
 use quarantine::Quarantine;
 use result_leases::Leases;
+use rollout::Rollouts;
 use selection::{FleetRetryBudget, FleetRetryRules, Targets};
 use slog::{Logger, info, warn};
 use stakker::CX;
@@ -24,6 +25,7 @@
 use crate::active_requests::ActiveRequests;
 use crate::admission::Admission;
 use crate::configuration_lag::ConfigurationLag;
+use crate::rollouts::judge_key;
 use crate::settings::{ColdMargin, Policy, Settings};
 
 /// Estimated time to the first event of a service of which none was observed yet.
@@ -140,6 +142,8 @@
     pub(crate) admission: Admission,
     /// Requests that crash targets.
     pub(crate) quarantine: Quarantine,
+    /// Rollouts that operators ordered.
+    pub(crate) rollouts: Rollouts,
     /// Notified when a target crash caused by a request becomes known; peers are notified at once.
     pub(crate) crashes_changed: watch::Sender<()>,
     /// Targets whose store entries lapsed, that is, were removed around an outage of the store or
@@ -205,6 +209,7 @@
             response_times: HashMap::new(),
             admission: Admission::default(),
             quarantine: Quarantine::new(cfg.quarantine.rules()),
+            rollouts: Rollouts::new(cfg.rollouts.rules()),
             crashes_changed: watch::channel(()).0,
             lapsed: HashMap::new(),
             leases: Leases::default(),
@@ -244,6 +249,7 @@
         let (intent_key, targets_prefix) =
             (self.adapter.intents.intent_key, self.adapter.intents.targets_prefix);
         let evacuations_prefix = self.adapter.intents.evacuations_prefix;
+        let rollouts_prefix = self.adapter.intents.rollouts_prefix;
         let mut targets_changed = false;
         let targets_before = self.targets.len();
         for change in changes {
@@ -259,10 +265,16 @@
                 Change::Put(key, value) if key.starts_with(evacuations_prefix) => {
                     self.apply_evacuation(&key, &value, from, now);
                 }
+                Change::Put(key, value) if key.starts_with(rollouts_prefix) => {
+                    self.apply_rollout(&key, &value, from, now);
+                }
                 Change::Put(key, value) => self.apply_own_prefix_entry(&key, Some(&value), now),
                 Change::Removed(key) if key.starts_with(evacuations_prefix) => {
                     self.end_evacuation(&key, from, now);
                 }
+                Change::Removed(key) if key.starts_with(rollouts_prefix) => {
+                    self.withdraw_rollout(&key, from);
+                }
                 Change::Removed(key) => match key.strip_prefix(targets_prefix) {
                     Some(id) => {
                         self.target_entry_removed(id, source, now);
@@ -288,7 +300,9 @@
 
     /// Applies a change under this system's own prefix: a VM's entry or a refused request.
     fn apply_own_prefix_entry(&mut self, key: &str, value: Option<&[u8]>, now: Instant) {
-        if value.is_some_and(|value| self.apply_stored_refusal(key, value, now)) {
+        if value.is_some_and(|value| self.apply_stored_refusal(key, value, now))
+            || self.apply_rollout_decision(key, now)
+        {
             return;
         }
         let Some(vm) = key.strip_prefix(&vms_prefix(&self.adapter)) else { return };
@@ -345,10 +359,11 @@
             let split = split.with_first_seen(first_seen);
             let own = split.part_of(&self.own_hall);
             let queue_order = self.queue_order;
-            let halls = &self.halls;
+            let (halls, rollouts) = (&self.halls, &self.rollouts);
             let pool = self.pools.entry(name.clone()).or_insert_with(|| {
                 let mut pool = Pool::new(spec, queue_order);
                 pool.set_halls(halls.clone());
+                pool.set_versions(rollouts.versions(name));
                 pool
             });
             pool.set_spec(spec);
@@ -364,7 +379,10 @@
         let pools = self.splits.iter().map(|(name, split)| (name.as_str(), split));
         let (rate_limited, whole) = (self.rate_limited_services(), Split::default());
         let bucket_services = rate_limited.iter().map(|service| (service.as_str(), &whole));
-        self.fleet.wanted_links(pools.chain(bucket_services))
+        let orders = self.rollouts.undecided();
+        let judges: Vec<String> = orders.map(|order| judge_key(&order.service)).collect();
+        let judges = judges.iter().map(|key| (key.as_str(), &whole));
+        self.fleet.wanted_links(pools.chain(bucket_services).chain(judges))
     }
 
     /// Counts a request of a service toward its retry budget.
--- a/gateway/src/store_connection.rs
+++ b/gateway/src/store_connection.rs
@@ -33,6 +33,8 @@
     HistoryCompacted,
     /// the lease has expired
     LeaseNotFound,
+    /// a condition of the transaction does not hold
+    ConditionFailed,
     /// {0}; the call may have been executed
     Failed(String),
 }
@@ -109,7 +111,7 @@
     ///
     /// # Errors
     /// `Failed` if the body breaks off, pauses or takes too long, or for an error status other than
-    /// those of `HistoryCompacted` and `LeaseNotFound`.
+    /// those of `HistoryCompacted`, `LeaseNotFound` and `ConditionFailed`.
     pub(crate) async fn finish(&mut self, begun: OpenAnswer) -> Result<Bytes, StoreCallError> {
         let OpenAnswer { kind, status, mut body, began } = begun;
         let mut buf = BytesMut::new();
@@ -135,6 +137,7 @@
             StatusCode::OK => Ok(buf.freeze()),
             StatusCode::GONE => Err(StoreCallError::HistoryCompacted),
             StatusCode::NOT_FOUND => Err(StoreCallError::LeaseNotFound),
+            StatusCode::PRECONDITION_FAILED => Err(StoreCallError::ConditionFailed),
             other => Err(StoreCallError::Failed(format!("status {}", other.as_u16()))),
         }
     }
--- a/gateway/src/store_listing.rs
+++ b/gateway/src/store_listing.rs
@@ -91,6 +91,7 @@
     let prefixes = [
         adapter.intent_key,
         adapter.evacuations_prefix,
+        adapter.rollouts_prefix,
         adapter.own_prefix,
         adapter.targets_prefix,
     ];
--- a/gateway/tests/settings.rs
+++ b/gateway/tests/settings.rs
@@ -71,6 +71,7 @@
     let filled = template
         .replace("{{node_name}}", "front-1")
         .replace("{{zone}}", "lim-a")
+        .replace("{{zones|json}}", r#"{"lim-a":"lima","lim-b":"lima"}"#)
         .replace("{{listen_addresses.front}}", "127.0.0.1:8001")
         .replace("{{listen_addresses.ready}}", "127.0.0.1:8002")
         .replace("{{listen_addresses.control}}", "127.0.0.1:8003")
@@ -85,10 +86,14 @@
         .replace("{{bounds.evacuation_ms}}", "5000")
         .replace("{{bounds.cold_overshoot}}", "1.5")
         .replace("{{bounds.cold_slack}}", "5")
+        .replace("{{bounds.exposure_share}}", "0.1")
+        .replace("{{bounds.exposure_slack}}", "50")
         .replace("{{bounds.grace_period_s}}", "8.0");
 
     let cfg = parse(&filled).unwrap();
 
     assert_eq!(cfg.seeds.len(), 2);
+    assert_eq!(cfg.regions.len(), 2);
+    assert_eq!((cfg.rollouts.exposure_share, cfg.rollouts.exposure_slack), (0.1, 50.0));
     assert!(!filled.contains("{{"), "template placeholder that this test does not replace");
 }
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -6,6 +6,7 @@
 use eligibility::AllowedHalls;
 use ids::{HallName, ServiceName, TargetName};
 use intent::Target;
+use rollout::Versions;
 use selection::{CallSize, Policy, SelectionRequest, TargetOutcome, Targets, prefix_chain};
 
 /// Number of selections timed together.
@@ -37,6 +38,7 @@
             service: service.clone(),
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, number + 1)),
             hall: hall.clone(),
+            version: None,
             slots: 16,
             leaving: false,
             backoff_until: None,
@@ -54,6 +56,7 @@
             exclude: &[],
             size: Some(&size),
             halls: &AllowedHalls::Any,
+            versions: &Versions::Any,
         };
         if let Some(pick) = targets.pick(&request, began) {
             targets.record_outcome(pick.key, TargetOutcome::Answered, began);
--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -92,6 +92,12 @@
         self.with(|state| state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect())
     }
 
+    /// The value of a key; null if it is absent or no JSON.
+    pub fn value(&self, key: &str) -> Value {
+        let text = self.with(|state| state.items.get(key).map(|(_, text, _)| text.clone()));
+        text.and_then(|text| serde_json::from_str(&text).ok()).unwrap_or_default()
+    }
+
     /// Limits the pages of listings to `items` items.
     pub fn set_page_size(&self, items: usize) {
         self.with(|state| state.page_size = items);
@@ -261,6 +267,14 @@
     }
 
     fn txn(&mut self, body: &Value) -> (&'static str, Value) {
+        let holds = |condition: &Value| {
+            let key = condition["private_key"].as_str().unwrap_or_default();
+            let revision = self.items.get(key).map_or(0, |(revision, ..)| *revision);
+            condition["revision"].as_u64() == Some(revision)
+        };
+        if !body["expected_revision"].as_array().into_iter().flatten().all(holds) {
+            return ("412 Precondition Failed", json!({"items": []}));
+        }
         for write in body["writes"].as_array().into_iter().flatten() {
             let lease = write["lease"].as_u64().unwrap_or(0);
             if lease != 0 && !self.leases.contains_key(&lease) {
