Take changes from a peer for as long as it is fast

Cause, from the same log: a VM that lacked more than four parts of 32 KiB turned to the store for the rest, one counted watch each time.

Ruled out: a larger number of parts, which holds up to some size only.

Change: what counts is the mean time between parts. While it is below 50 ms the peer goes on; dozens of VMs that ask one peer for a megabyte exceed it and read the store, which has more bandwidth then.

Measured by the decision's test (store_view): 60 parts in 2 s stay with the peer, where the code before left it after the fourth.

--- a/components/store_view/src/transfer.rs
+++ b/components/store_view/src/transfer.rs
@@ -3,10 +3,28 @@
 //! The peer requests one batch after the other, in the order of changes, so that other messages on
 //! the link can be sent between two batches.
 
+use std::time::Duration;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::{Item, View};
 
+/// Number of parts that are taken from a peer however slowly they arrive: small changes are not worth
+/// a call to the store.
+const MIN_PARTS: usize = 4;
+/// Mean time between two parts above which the store is asked instead of the peer. A peer with
+/// little bandwidth that serves a few others stays below it; one that dozens ask for a large value
+/// does not, and the store has more bandwidth then.
+const SLOW_PART: Duration = Duration::from_millis(50);
+
+/// Whether a transfer of which `parts` parts arrived within `elapsed` is so slow that the rest is
+/// better read from the store. While peers are fast, the length of a transfer does not matter: all
+/// VMs of a fleet may be behind by as much at the same time, and the store serves all of them.
+pub fn is_slow_transfer(parts: usize, elapsed: Duration) -> bool {
+    let parts = u32::try_from(parts).unwrap_or(u32::MAX);
+    parts as usize >= MIN_PARTS && elapsed > SLOW_PART.saturating_mul(parts)
+}
+
 /// Position of a change in the order of changes: by revision, then by key.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
--- a/components/store_view/tests/view.rs
+++ b/components/store_view/tests/view.rs
@@ -1,8 +1,10 @@
 //! Tests of the view: newer revisions replace older ones, whatever their source, and a peer
 //! receives all changes in batches.
 
+use std::time::Duration;
+
 use bytes::Bytes;
-use store_view::{Assembler, Change, Item, ItemPart, View};
+use store_view::{Assembler, Change, Item, ItemPart, View, is_slow_transfer};
 
 fn put(key: &str, revision: u64, value: &str) -> Item {
     let value = Some(Bytes::copy_from_slice(value.as_bytes()));
@@ -153,3 +155,16 @@
     assert_eq!(assembler.push(part), None);
     assert_eq!(assembler.next_request(), Assembler::after(0).next_request());
 }
+
+/// Guards against a fleet whose VMs all read the store because a transfer from a peer has many parts:
+/// at a start of 985 VMs each made some two dozen counted calls for changes that peers had.
+#[test]
+fn the_store_is_asked_instead_of_a_peer_if_the_peer_is_slow_however_long_the_transfer() {
+    let ms = Duration::from_millis;
+
+    assert!(!is_slow_transfer(1, ms(900)), "a single part says nothing");
+    assert!(!is_slow_transfer(4, ms(150)));
+    assert!(!is_slow_transfer(60, ms(2000)), "2 MB from a peer that is fast");
+    assert!(is_slow_transfer(4, ms(400)));
+    assert!(is_slow_transfer(30, ms(2500)), "1 MB from a peer that dozens ask");
+}
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -12,13 +12,14 @@
 use peering::work::{Ask, News, StoreItem};
 use rand::seq::IteratorRandom;
 use slog::{debug, info, warn};
-use store_view::{Assembler, Batch, Item, ItemPart, Position, View};
+use store_view::{Assembler, Batch, Item, ItemPart, Position, View, is_slow_transfer};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::app::App;
 use crate::halls::recheck_pools;
 use crate::outbound_links::Link;
 use crate::shared::{Shared, Source};
+use crate::state_handle::now;
 
 /// Most bytes of changes in one message. They take 26 ms on a link of 10 Mbit/s, a fraction of the
 /// interval between two heartbeats, which wait behind them.
@@ -26,11 +27,6 @@
 /// Timeout for one part; after that another peer is asked.
 const PART_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Most parts that a VM takes from a peer while it can reach the store. Larger changes are read
-/// from the store, which has more bandwidth than a VM that two dozen others ask. A VM that starts
-/// takes all: it chooses among all peers, and waits for its turn at the store
-/// ([`crate::store_listing`]).
-const MAX_PARTS: usize = 4;
 /// After changes from a peer, a VM that can reach the store waits for this fraction (1/n) of the
 /// time within which changes must be in force, so that it fetches several changes together.
 const BATCH_DIVISOR: u32 = 8;
@@ -132,6 +128,7 @@
 /// Fetches changes from a peer part by part until nothing is left, or until there are too many and
 /// the store is to be read instead; `None` if the peer does not answer.
 async fn fetch(app: &Rc<App>, vm: &VmName, link: &Link, transfer: &mut Transfer) -> Option<()> {
+    let began = now();
     for number in 1.. {
         let known = app.state.with(|shared, _| shared.view.as_of());
         let changes = link.request_changes(next_request(transfer.assembly(known)));
@@ -146,10 +143,11 @@
         app.state.with(|shared, now| {
             shared.merge(items, Source::Peer(vm), now);
             shared.changes_received_at = Some(now);
-            let is_too_long = number >= MAX_PARTS && !shared.is_first_snapshot();
+            // A VM that starts waits for its turn at the store ([`crate::store_listing`]).
+            let may_use_store = !shared.is_first_snapshot() && !shared.contact.is_lost(now);
             if changes.is_last {
                 shared.view.advance_to(complete_to);
-            } else if is_too_long && !shared.contact.is_lost(now) {
+            } else if may_use_store && is_slow_transfer(number, now - began) {
                 shared.prefers_store = true;
             }
         });
