--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -46,6 +46,8 @@
 mod shutdown;
 mod stages;
 mod state_handle;
+mod store_calls;
+mod store_changes;
 mod store_connection;
 mod store_listing;
 mod store_watch;
--- a/gateway/src/own_entry.rs
+++ b/gateway/src/own_entry.rs
@@ -10,9 +10,9 @@
 use tokio::time::sleep;
 
 use crate::app::App;
-use crate::shared::vms_prefix;
+use crate::store_calls::{MAX_RETRY_PAUSE, record_failure, record_success, unreadable};
+use crate::store_changes::vms_prefix;
 use crate::store_connection::{StoreCallError, StoreConnection};
-use crate::store_watch::{MAX_RETRY_PAUSE, record_failure, record_success, unreadable};
 
 /// Time to live of the lease: how long the entry remains after this VM has ended.
 const LEASE_TTL: Duration = Duration::from_secs(6);
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -18,8 +18,9 @@
 use crate::app::App;
 use crate::halls::recheck_pools;
 use crate::outbound_links::Link;
-use crate::shared::{Shared, Source};
+use crate::shared::Shared;
 use crate::state_handle::now;
+use crate::store_changes::Source;
 
 /// Most bytes of changes in one message. They take 26 ms on a link of 10 Mbit/s, a fraction of the
 /// interval between two heartbeats, which wait behind them.
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -66,12 +66,6 @@
     }
 }
 
-/// Key by which the VM that judges a service's rollout is chosen, like the owner of a pool with one
-/// part.
-pub(crate) fn judge_key(service: &ServiceName) -> String {
-    format!("rollout {service}")
-}
-
 impl Shared {
     /// Applies an order of a rollout. One that can't be carried out is logged, and what is in force
     /// stays.
@@ -211,11 +205,11 @@
         Report { evidence, old_in_progress: calls + pool_calls as u64 }
     }
 
-    /// The VM that judges a service's rollout.
-    fn rollout_judge(&self, service: &ServiceName, now: Instant) -> Owner {
+    /// The VM that judges an order.
+    fn rollout_judge(&self, order: &Order, now: Instant) -> Owner {
         let whole = Split::default();
         let part = whole.part_of(&self.own_hall);
-        self.fleet.owner_of(&judge_key(service), &whole, part, self.is_stopping(), now)
+        self.fleet.owner_of(&order.judge_key(), &whole, part, self.is_stopping(), now)
     }
 
     /// The decision of this VM as the judge of an order.
@@ -260,7 +254,7 @@
             }
         });
         for order in orders {
-            match app.state.with(|shared, now| shared.rollout_judge(&order.service, now)) {
+            match app.state.with(|shared, now| shared.rollout_judge(&order, now)) {
                 Owner::Peer(vm) => report_to(&app, &vm, &order),
                 Owner::This => judge(&app, &mut store, &order).await,
                 Owner::Unknown => {}
--- a/gateway/src/store_listing.rs
+++ b/gateway/src/store_listing.rs
@@ -16,10 +16,10 @@
 
 use crate::app::App;
 use crate::halls::recheck_pools;
-use crate::shared::Source;
 use crate::state_handle::now;
+use crate::store_calls::{Backoff, record_failure, record_success, to_view_item, unreadable};
+use crate::store_changes::Source;
 use crate::store_connection::{StoreCallError, StoreConnection};
-use crate::store_watch::{Backoff, record_failure, record_success, to_view_item, unreadable};
 
 /// Time without changes from peers after which a VM whose turn has come reads the rest from the
 /// store. Longer than the timeout for one part of the changes.
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -5,14 +5,14 @@
 use std::time::Duration;
 
 use fleet::HEARTBEAT_INTERVAL;
-use platform_interface::store::{Freshness, Page, StoreItem};
-use slog::{info, warn};
-use store_view::Item;
+use platform_interface::store::{Freshness, Page};
+use slog::info;
 use tokio::time::sleep;
 
 use crate::app::App;
 use crate::halls::recheck_pools;
-use crate::shared::{Source, vms_prefix};
+use crate::store_calls::{Backoff, record_failure, record_success, to_view_item, unreadable};
+use crate::store_changes::{Source, vms_prefix};
 use crate::store_connection::{OpenAnswer, StoreCallError, StoreConnection};
 use crate::store_listing::list_all;
 
@@ -25,27 +25,6 @@
 const BATCH_DIVISOR: u32 = 2;
 /// The same if other VMs receive changes from this VM: the rest of the time is left for them.
 const RELAYED_BATCH_DIVISOR: u32 = 4;
-/// Pause after the first failed call; doubles with each further failure in a row.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(80);
-/// Longest pause after a failed call. The platform counts refused calls too, so the pause is not
-/// shorter. The return of the store is still noticed early enough for changes to take effect in
-/// time, within seconds of that return.
-pub(crate) const MAX_RETRY_PAUSE: Duration = Duration::from_millis(500);
-
-/// Exponential backoff between failed calls; holds the next pause.
-pub(crate) struct Backoff(Duration);
-
-impl Backoff {
-    pub(crate) fn new() -> Self {
-        Backoff(FIRST_RETRY_PAUSE)
-    }
-
-    pub(crate) async fn pause(&mut self) {
-        sleep(self.0).await;
-        self.0 = (self.0 * 2).min(MAX_RETRY_PAUSE);
-    }
-}
-
 /// Follows the store; runs as long as the process.
 pub(crate) async fn follow(app: Rc<App>) {
     let mut store = StoreConnection::new(&app);
@@ -188,15 +167,6 @@
     }
 }
 
-pub(crate) fn to_view_item(item: StoreItem) -> Item {
-    Item { key: item.key, revision: item.revision, value: item.value }
-}
-
-/// The error of a call whose answer could not be parsed.
-pub(crate) fn unreadable(e: errors::Error) -> StoreCallError {
-    StoreCallError::Failed(e.to_string())
-}
-
 /// Completes when the store becomes unreachable.
 async fn wait_until_unreachable(reachable: &mut tokio::sync::watch::Receiver<bool>) {
     if reachable.wait_for(|reachable| !reachable).await.is_err() {
@@ -204,26 +174,3 @@
         std::future::pending::<()>().await;
     }
 }
-
-/// Records a complete answer from the store.
-pub(crate) fn record_success(app: &App) {
-    app.store_reachable.send_if_modified(|reachable| !std::mem::replace(reachable, true));
-    if app.state.with(|shared, now| shared.contact.record_answer(now)) {
-        info!(app.log, "store reachable again");
-    }
-}
-
-/// Records a failed call to the store; `what` names the kind of call in the log.
-pub(crate) fn record_failure(app: &App, what: &str, error: &StoreCallError) {
-    let (is_newly_lost, is_unreachable, age) = app.state.with(|shared, now| {
-        let is_newly_lost = shared.contact.record_failure(now);
-        (is_newly_lost, !shared.contact.is_receiving(now), shared.contact.age(now))
-    });
-    if is_unreachable {
-        app.store_reachable.send_if_modified(|reachable| std::mem::replace(reachable, false));
-    }
-    if is_newly_lost {
-        warn!(app.log, "store lost"; "call" => what, "why" => %error,
-            "heard_ms" => age.map(|age| age.as_millis()));
-    }
-}
--- a/gateway/src/stored_refusals.rs
+++ b/gateway/src/stored_refusals.rs
@@ -15,8 +15,8 @@
 use crate::app::App;
 use crate::shared::Shared;
 use crate::state_handle;
+use crate::store_calls::unreadable;
 use crate::store_connection::{StoreCallError, StoreConnection};
-use crate::store_watch::unreadable;
 
 /// Interval at which refused requests are written to the store; peers hear of them sooner, over
 /// links.
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -8,7 +8,8 @@
 use intent::Target;
 use slog::{debug, info, warn};
 
-use crate::shared::{Shared, Source};
+use crate::shared::Shared;
+use crate::store_changes::Source;
 
 /// Time within which a running target has written its entry again after another writer overwrote
 /// it: longer than the interval between two of its writes, 1.2 s on the known platforms.
