Count what grows with VMs and targets, without a network

saddlerail-load growth drives fleet, store_view and selection at 100, 300, 1,000 and 2,000 VMs with ten times as many targets.

--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -27,7 +27,7 @@
 }
 
 /// Mean time of a selection among `engines` engines.
-fn mean_selection_time(engines: u16) -> errors::Result<Duration> {
+pub(crate) fn mean_selection_time(engines: u16) -> errors::Result<Duration> {
     let service = ServiceName::new("engines")?;
     let hall = HallName::new("hall-a")?;
     let mut targets = Targets::new(Policy::Adaptive, hall.clone());
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -5,6 +5,7 @@
 mod choice;
 mod client;
 mod fleet;
+mod growth;
 mod overhead;
 mod process;
 mod prove;
@@ -40,6 +41,10 @@
                 .arg(seconds("5")),
         )
         .subcommand(Command::new("choice").about("CPU time of selecting an engine"))
+        .subcommand(
+            Command::new("growth")
+                .about("Count what grows with the numbers of VMs and targets, without a network"),
+        )
         .subcommand(
             Command::new("rates")
                 .about("Compare ways to share a target's rate limit among the VMs")
@@ -85,6 +90,12 @@
                 return ExitCode::FAILURE;
             }
         }
+        Some(("growth", _)) => {
+            if let Err(e) = growth::measure() {
+                eprintln!("{e}");
+                return ExitCode::FAILURE;
+            }
+        }
         Some(("rates", args)) => {
             if let Err(e) = rates::measure(number(args, "seed").unwrap_or(1)) {
                 eprintln!("{e}");
