--- a/load/src/growth.rs
+++ b/load/src/growth.rs
@@ -119,7 +119,7 @@
         let peers: Vec<usize> =
             dialed.iter().filter_map(|address| by_address.get(address).copied()).collect();
         peers.iter().for_each(|peer| links[*peer] += 1);
-        if own % HALLS == 0 {
+        if own.is_multiple_of(HALLS) {
             delays.push(fleet.listing_delay());
         }
         if own == 0 {
@@ -166,7 +166,8 @@
     let third = u8::try_from(number / 200).unwrap_or(u8::MAX);
     let fourth = u8::try_from(number % 200).unwrap_or(u8::MAX);
     let peers = SocketAddr::from((Ipv4Addr::new(10, 0, third, fourth), 7000));
-    let cores = if number / HALLS % LARGE_EVERY == 0 { LARGE_CORES } else { SMALL_CORES };
+    let cores =
+        if (number / HALLS).is_multiple_of(LARGE_EVERY) { LARGE_CORES } else { SMALL_CORES };
     Ok((VmName::new(&format!("vm-{number}"))?, VmEntry { peers, hall: hall(number)?, cores }))
 }
 
