Count targets' entries that arrive in bulk in one log line

More than 50 entries in one batch are counted in one line; each stays a debug line, and targets that leave are always named. Counted, not timed.

--- a/gateway/src/store_changes.rs
+++ b/gateway/src/store_changes.rs
@@ -47,6 +47,20 @@
     }
 }
 
+/// Number of targets' entries in one batch of changes up to which each is logged. More come when
+/// thousands of targets start or a VM reads its first copy of the store: as many lines would delay
+/// both.
+const MAX_LOGGED_ENTRIES: usize = 50;
+
+/// How changes arrived, for the log.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Arrival<'a> {
+    /// Name of the source.
+    pub(crate) from: &'a str,
+    /// Whether the batch holds more targets' entries than are logged one by one.
+    pub(crate) in_bulk: bool,
+}
+
 impl Shared {
     /// Applies changes read from the store or received from a peer.
     pub(crate) fn merge(&mut self, items: Vec<Item>, source: Source<'_>, now: Instant) {
@@ -77,8 +91,10 @@
             (self.adapter.intents.intent_key, self.adapter.intents.targets_prefix);
         let evacuations_prefix = self.adapter.intents.evacuations_prefix;
         let rollouts_prefix = self.adapter.intents.rollouts_prefix;
+        let is_entry = |change: &&Change| matches!(change, Change::Put(key, _) if key.starts_with(targets_prefix));
+        let entries = changes.iter().filter(is_entry).count();
+        let arrival = Arrival { from, in_bulk: entries > MAX_LOGGED_ENTRIES };
         let mut targets_changed = false;
-        let targets_before = self.targets.len();
         for change in changes {
             match change {
                 Change::Put(key, value) if key == intent_key => {
@@ -86,7 +102,7 @@
                     self.compare_versions(now);
                 }
                 Change::Put(key, value) if key.starts_with(targets_prefix) => {
-                    self.apply_target(&key, &value, from, now);
+                    self.apply_target(&key, &value, arrival, now);
                     targets_changed = true;
                 }
                 Change::Put(key, value) if key.starts_with(evacuations_prefix) => {
@@ -114,8 +130,9 @@
         if targets_changed {
             self.sync_pools();
         }
-        if self.is_first_snapshot() && self.targets.len() != targets_before {
-            info!(self.log, "targets known"; "targets" => self.targets.len(), "from" => from);
+        if arrival.in_bulk {
+            info!(self.log, "targets known"; "entries" => entries, "targets" => self.targets.len(),
+                "from" => from, "as_of" => self.view.as_of());
         }
         self.update_cold_shares(now);
     }
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -9,19 +9,25 @@
 use slog::{debug, info, warn};
 
 use crate::shared::Shared;
-use crate::store_changes::Source;
+use crate::store_changes::{Arrival, Source};
 
 /// Time within which a running target has written its entry again after another writer overwrote
 /// it: longer than the interval between two of its writes, 1.2 s on the known platforms.
 const REWRITE_TIME: Duration = Duration::from_millis(2100);
 
 impl Shared {
-    /// Parses and applies a target's entry; `from` names its source in the log.
-    pub(crate) fn apply_target(&mut self, key: &str, value: &[u8], from: &str, now: Instant) {
+    /// Parses and applies a target's entry.
+    pub(crate) fn apply_target(
+        &mut self,
+        key: &str,
+        value: &[u8],
+        arrival: Arrival<'_>,
+        now: Instant,
+    ) {
         match (self.adapter.intents.target)(key, value) {
-            Ok(target) => self.put_target(target, from, now),
+            Ok(target) => self.put_target(target, arrival, now),
             Err(e) => {
-                warn!(self.log, "target's entry left out"; "key" => key, "from" => from,
+                warn!(self.log, "target's entry left out"; "key" => key, "from" => arrival.from,
                     "why" => %e);
                 self.entry_overwritten(key, now);
             }
@@ -40,9 +46,9 @@
     }
 
     /// Adds or updates a target, unless the entry is from an earlier lifetime than the known one.
-    fn put_target(&mut self, mut target: Target, from: &str, now: Instant) {
+    fn put_target(&mut self, mut target: Target, arrival: Arrival<'_>, now: Instant) {
         self.add_announcements(&mut target);
-        self.log_target(&target, from);
+        self.log_target(&target, arrival);
         let known = self.targets.get(&target.id).cloned();
         if let Some(known) = known.as_ref().filter(|known| target.is_earlier_lifetime_than(known)) {
             info!(self.log, "target's entry of an earlier lifetime"; "target" => %target.id,
@@ -58,10 +64,11 @@
         self.targets.upsert(target, now);
     }
 
-    /// Logs a target's entry. Those of the first snapshot are counted in one line instead, except
-    /// at debug level: thousands of lines would delay each start of a VM.
-    fn log_target(&self, target: &Target, from: &str) {
-        if self.is_first_snapshot() {
+    /// Logs a target's entry. Entries in bulk are counted in one line instead, except at debug level
+    /// and for targets that leave.
+    fn log_target(&self, target: &Target, arrival: Arrival<'_>) {
+        let from = arrival.from;
+        if arrival.in_bulk && !target.leaving {
             debug!(self.log, "target known"; "target" => %target.id, "from" => from);
             return;
         }
