Turn from a slow peer to another one before the store

Change: a slow peer is avoided next, if more peers than the few that watch have as much; the store is asked otherwise. A transfer that goes on at another peer is complete up to what that one knew, as far as the first knew all before it; until now it ended at what the first knew, and the rest came twice.

Not measured by itself; tests of relayed changes, large configurations and departures pass.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 pub use peer::{PeerVm, PoolLoad, VmEntry};
 pub use spill::{fastest_owner, should_spill};
 pub use split::{Part, Split};
+pub use watchers::WATCHERS_PER_HALL;
 
 use ownership::RankingCache;
 
--- a/components/fleet/src/watchers.rs
+++ b/components/fleet/src/watchers.rs
@@ -14,7 +14,7 @@
 use crate::{FULL_MESH_MAX_VMS, Fleet};
 
 /// Number of VMs of each hall that watch the store, so that one is left if the other fails.
-const WATCHERS_PER_HALL: usize = 2;
+pub const WATCHERS_PER_HALL: usize = 2;
 /// Interval after which twice as many VMs of a hall read a long listing of the store. Within it, a
 /// VM with a tenth of a core passes the content of some megabytes on to another one.
 const LISTING_TURN: Duration = Duration::from_millis(1500);
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::HEARTBEAT_INTERVAL;
+use fleet::{HEARTBEAT_INTERVAL, WATCHERS_PER_HALL};
 use ids::VmName;
 use peering::work::{Ask, News, StoreItem};
 use rand::seq::IteratorRandom;
@@ -44,21 +44,48 @@
 pub(crate) async fn follow(app: Rc<App>) {
     let mut checks = interval(HEARTBEAT_INTERVAL);
     checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut silent = None;
+    let mut avoided = None;
     let mut transfer = Transfer::default();
     loop {
         checks.tick().await;
-        let Some((vm, link)) = peer_to_ask(&app, silent.take()) else { continue };
-        if fetch(&app, &vm, &link, &mut transfer).await.is_none() {
-            debug!(app.log, "peer did not answer a request for changes in the store";
-                "peer" => %vm);
-            silent = Some(vm);
-        } else if *app.store_reachable.borrow() {
-            sleep(app.cfg.max_apply_time() / BATCH_DIVISOR).await;
+        let Some(source) = choose_source(&app, avoided.take()) else { continue };
+        match fetch(&app, &source, &mut transfer).await {
+            FetchEnd::Complete if *app.store_reachable.borrow() => {
+                sleep(app.cfg.max_apply_time() / BATCH_DIVISOR).await;
+            }
+            FetchEnd::Complete => {}
+            FetchEnd::Slow if source.has_alternatives => avoided = Some(source.vm),
+            FetchEnd::Slow => app.state.with(|shared, now| {
+                // A VM that starts waits for its turn at the store ([`crate::store_listing`]).
+                shared.prefers_store = !shared.is_first_snapshot() && !shared.contact.is_lost(now);
+            }),
+            FetchEnd::NoAnswer => {
+                debug!(app.log, "peer did not answer a request for changes in the store";
+                    "peer" => %source.vm);
+                avoided = Some(source.vm);
+            }
         }
     }
 }
 
+/// How a transfer from one peer ended.
+enum FetchEnd {
+    /// The peer has no further changes.
+    Complete,
+    /// The peer sends its changes slowly.
+    Slow,
+    /// The peer did not answer in time.
+    NoAnswer,
+}
+
+/// A peer that is asked for changes.
+struct ChangeSource {
+    vm: VmName,
+    link: Rc<Link>,
+    /// Whether more peers than the few that watch the store have as much.
+    has_alternatives: bool,
+}
+
 /// Progress of a transfer of changes. If a peer stops answering, another one goes on from there:
 /// all peers send changes in the same order.
 #[derive(Default)]
@@ -80,6 +107,15 @@
         self.assembly.get_or_insert_with(|| Assembler::after(known))
     }
 
+    /// Prepares for another peer. What was received so far is complete up to its last position if the
+    /// earlier peers knew all changes up to there; only what follows depends on the next one.
+    fn change_source(&mut self) {
+        let position = self.assembly.as_ref().map(|assembly| assembly.next_request().after);
+        if position.is_some_and(|position| Some(position.revision) <= self.complete_to) {
+            self.complete_to = None;
+        }
+    }
+
     /// Records that a peer that knew all changes up to `revision` sent a part. Only changes that it
     /// knew when it sent the first part are sure to be complete after the last part.
     fn limit_to(&mut self, revision: u64) -> u64 {
@@ -88,10 +124,9 @@
     }
 }
 
-/// A linked peer that knows more, except the one that did not answer; `None` if this VM lacks nothing
-/// or the store delivers what it lacks. See [`store_view::is_useful_source`] for which peers are
-/// asked.
-fn peer_to_ask(app: &App, silent: Option<VmName>) -> Option<(VmName, Rc<Link>)> {
+/// A linked peer that knows more, except the one to avoid; `None` if this VM lacks nothing or the
+/// store delivers what it lacks. See [`store_view::is_useful_source`] for which peers are asked.
+fn choose_source(app: &App, avoided: Option<VmName>) -> Option<ChangeSource> {
     let links = app.links.borrow();
     app.state.with(|shared, now| {
         let known = shared.view.as_of();
@@ -105,11 +140,12 @@
         if follows && store_delivers && !detect_stalled_watch(app, shared, now) {
             return None;
         }
-        let others = ahead().filter(|(vm, _)| silent.as_ref() != Some(vm));
+        let others = ahead().filter(|(vm, _)| avoided.as_ref() != Some(vm));
         let newest = others.clone().map(|(vm, _)| revision_of(vm)).max()?;
         let useful = others.filter(|(vm, _)| is_useful_source(revision_of(vm), known, newest));
+        let has_alternatives = useful.clone().count() > WATCHERS_PER_HALL;
         let (vm, link) = useful.choose(&mut rand::rng())?;
-        Some((vm.clone(), Rc::clone(link)))
+        Some(ChangeSource { vm: vm.clone(), link: Rc::clone(link), has_alternatives })
     })
 }
 
@@ -126,17 +162,21 @@
     has_stalled
 }
 
-/// Fetches changes from a peer part by part until nothing is left, or until there are too many and
-/// the store is to be read instead; `None` if the peer does not answer.
-async fn fetch(app: &Rc<App>, vm: &VmName, link: &Link, transfer: &mut Transfer) -> Option<()> {
-    let mut waited = Duration::ZERO;
-    for number in 1.. {
+/// Fetches changes from a peer part by part until nothing is left or the peer turns out to be slow.
+async fn fetch(app: &Rc<App>, source: &ChangeSource, transfer: &mut Transfer) -> FetchEnd {
+    let ChangeSource { vm, link, .. } = source;
+    transfer.change_source();
+    let (mut received, mut waited) = (0, Duration::ZERO);
+    loop {
         let known = app.state.with(|shared, _| shared.view.as_of());
         let asked_at = now();
         let changes = link.request_changes(next_request(transfer.assembly(known)));
-        let changes = timeout(PART_TIMEOUT, changes).await.ok()?.ok()?;
+        let Ok(Ok(changes)) = timeout(PART_TIMEOUT, changes).await else {
+            return FetchEnd::NoAnswer;
+        };
         // Without the time that this VM takes to apply changes, which the store would not save.
         waited += now() - asked_at;
+        received += 1;
         let complete_to = transfer.limit_to(changes.as_of);
         let assembly = transfer.assembly(known);
         let parts: Vec<ItemPart> = changes.items.into_iter().map(decode_part).collect();
@@ -147,24 +187,20 @@
         app.state.with(|shared, now| {
             shared.merge(items, Source::Peer(vm), now);
             shared.changes_received_at = Some(now);
-            // A VM that starts waits for its turn at the store ([`crate::store_listing`]).
-            let may_use_store = !shared.is_first_snapshot() && !shared.contact.is_lost(now);
             if changes.is_last {
                 shared.view.advance_to(complete_to);
-            } else if may_use_store && is_slow_transfer(number, waited) {
-                shared.prefers_store = true;
             }
         });
+        recheck_pools(app);
+        app.vms_changed.notify_one();
         if changes.is_last {
             *transfer = Transfer::default();
+            return FetchEnd::Complete;
         }
-        recheck_pools(app);
-        app.vms_changed.notify_one();
-        if changes.is_last || app.state.with(|shared, _| shared.prefers_store) {
-            break;
+        if is_slow_transfer(received, waited) {
+            return FetchEnd::Slow;
         }
     }
-    Some(())
 }
 
 fn next_request(assembly: &Assembler) -> Ask {
