Store a rollout's phase as it is, and keep its platform names in the adapter

The names of phases in the store stood twice, as an enum of their own with two conversions. No decision changes; tests of rollouts and names pass.

--- a/components/rollout/src/order.rs
+++ b/components/rollout/src/order.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ids::{ServiceName, VersionName};
+use serde::{Deserialize, Serialize};
 
 /// An order to move a service's traffic to targets of another version.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -25,8 +26,11 @@
 }
 
 /// How far an order is carried out. Of two phases that VMs report for the same order, the greater
-/// one holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+/// one holds. The names of the variants are those in the platform's store.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
 pub enum Phase {
     /// The new version gets a small share of the requests.
     #[default]
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -31,39 +31,7 @@
 struct StoredPhase {
     /// Revision of the order.
     order: u64,
-    phase: PhaseName,
-}
-
-/// Names of phases in the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum PhaseName {
-    Trial,
-    Promoted,
-    RolledBack,
-    Completed,
-}
-
-impl From<Phase> for PhaseName {
-    fn from(phase: Phase) -> Self {
-        match phase {
-            Phase::Trial => PhaseName::Trial,
-            Phase::Promoted => PhaseName::Promoted,
-            Phase::RolledBack => PhaseName::RolledBack,
-            Phase::Completed => PhaseName::Completed,
-        }
-    }
-}
-
-impl From<PhaseName> for Phase {
-    fn from(name: PhaseName) -> Self {
-        match name {
-            PhaseName::Trial => Phase::Trial,
-            PhaseName::Promoted => Phase::Promoted,
-            PhaseName::RolledBack => Phase::RolledBack,
-            PhaseName::Completed => Phase::Completed,
-        }
-    }
+    phase: Phase,
 }
 
 impl Shared {
@@ -114,7 +82,7 @@
         let value = self.view.get(&decision_key(self, service));
         let stored = value.and_then(|value| serde_json::from_slice(value).ok());
         if let Some(StoredPhase { order, phase }) = stored {
-            self.rollouts.set_stored(service, order, phase.into(), now);
+            self.rollouts.set_stored(service, order, phase, now);
         }
     }
 
@@ -308,7 +276,7 @@
 fn transaction(shared: &Shared, order: &Order, phase: Phase) -> Transaction {
     let key = decision_key(shared, &order.service);
     let order_key = format!("{}{}", shared.adapter.intents.rollouts_prefix, order.service);
-    let stored = StoredPhase { order: order.revision, phase: phase.into() };
+    let stored = StoredPhase { order: order.revision, phase };
     // A struct of numbers and names always serializes.
     let value = Bytes::from(serde_json::to_vec(&stored).unwrap_or_default());
     Transaction {
--- a/tests/platform_names.rs
+++ b/tests/platform_names.rs
@@ -9,7 +9,7 @@
 
 /// Names of the platform's protocols and data that may occur only in the adapter. Terms of the
 /// field that the platform happens to use as well are not listed.
-const PLATFORM_NAMES: [&str; 20] = [
+const PLATFORM_NAMES: [&str; 22] = [
     "deadline-milliseconds",
     "expected-instance",
     "response-signature",
@@ -26,6 +26,8 @@
     "stage-free",
     "op/config",
     "op/evacuate",
+    "op/rollout",
+    "target_version",
     "cold_remaining",
     "servers/",
     "private_key",
