Pause after changes from a peer only once nothing known is missing

A VM that asked a peer which has half of what is missing paused for an eighth of the bound on changes before it asked for the rest. The pause is there to gather changes that are not known yet; what a linked peer has is fetched at once. Tests of relayed changes pass; not measured by itself.

--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -50,7 +50,7 @@
         checks.tick().await;
         let Some(source) = choose_source(&app, avoided.take()) else { continue };
         match fetch(&app, &source, &mut transfer).await {
-            FetchEnd::Complete if *app.store_reachable.borrow() => {
+            FetchEnd::Complete if gathers_changes(&app, &source) => {
                 sleep(app.cfg.max_apply_time() / BATCH_DIVISOR).await;
             }
             FetchEnd::Complete => {}
@@ -68,6 +68,13 @@
     }
 }
 
+/// Whether to pause after a transfer so that the next one brings several changes: this VM can reach
+/// the store, and knows all that a peer knew at the start.
+fn gathers_changes(app: &App, source: &ChangeSource) -> bool {
+    let known = app.state.with(|shared, _| shared.view.as_of());
+    *app.store_reachable.borrow() && known >= source.newest
+}
+
 /// How a transfer from one peer ended.
 enum FetchEnd {
     /// The peer has no further changes.
@@ -82,6 +89,8 @@
 struct ChangeSource {
     vm: VmName,
     link: Rc<Link>,
+    /// Newest revision that any linked peer knows.
+    newest: u64,
     /// Whether more peers than the few that watch the store have as much.
     has_alternatives: bool,
 }
@@ -145,7 +154,7 @@
         let useful = others.filter(|(vm, _)| is_useful_source(revision_of(vm), known, newest));
         let has_alternatives = useful.clone().count() > WATCHERS_PER_HALL;
         let (vm, link) = useful.choose(&mut rand::rng())?;
-        Some(ChangeSource { vm: vm.clone(), link: Rc::clone(link), has_alternatives })
+        Some(ChangeSource { vm: vm.clone(), link: Rc::clone(link), newest, has_alternatives })
     })
 }
 
