Gather few changes as before, and spread only many

Supposed from the code: peers know changes at different times now, a VM that took a part of few asked again at once, up to five times a second in place of 1.6, and each transfer runs through pools and links; the check of the renewal's interval asked for the rank among all VMs five times a second as well.

Change: half of what is missing is enough from 500 changes on, which is what the store sends at a time; fewer are asked of a peer that has all of them, with the pause between transfers as it was. The interval of renewals is checked each 0.95 s.

--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -14,6 +14,7 @@
 pub use stall::StallDetector;
 pub use transfer::{
     Assembler, Batch, BatchRequest, ItemPart, Position, is_slow_transfer, is_useful_source,
+    lacks_many,
 };
 
 /// State of one key at one revision.
--- a/components/store_view/src/transfer.rs
+++ b/components/store_view/src/transfer.rs
@@ -25,13 +25,25 @@
     parts as usize >= MIN_PARTS && waited > SLOW_PART.saturating_mul(parts)
 }
 
+/// Number of missing changes from which on they count as many: what the store sends in one answer.
+const MANY_CHANGES: u64 = 500;
+
+/// Whether a VM that knows all changes up to `known` lacks many, while a peer knows those up to
+/// `newest`.
+pub fn lacks_many(known: u64, newest: u64) -> bool {
+    newest.saturating_sub(known) >= MANY_CHANGES
+}
+
 /// Whether a peer that knows all changes up to `revision` is worth asking by a VM that knows those up
-/// to `known`, while another peer knows those up to `newest`: it has at least half of what is missing.
-/// One of these peers is chosen at random. If all VMs asked the one that knows most, a few VMs of
-/// each hall would send thousands of changes to hundreds of others; so each VM that has received
-/// some passes them on, and a single change is still asked of those that have it.
+/// to `known`, while another peer knows those up to `newest`. Few changes are asked of a peer that has
+/// all of them. Of many, a peer has to have half, and one of these peers is chosen at random: if all
+/// VMs asked the one that knows most, a few VMs of each hall would send thousands of changes to
+/// hundreds of others; so each VM that has received some passes them on.
 pub fn is_useful_source(revision: u64, known: u64, newest: u64) -> bool {
-    revision > known && revision - known >= newest.saturating_sub(known).div_ceil(2)
+    if lacks_many(known, newest) {
+        return revision.saturating_sub(known) >= (newest - known).div_ceil(2);
+    }
+    revision > known && revision >= newest
 }
 
 /// Position of a change in the order of changes: by revision, then by key.
--- a/gateway/src/own_entry.rs
+++ b/gateway/src/own_entry.rs
@@ -27,7 +27,7 @@
 const RELAYED_RENEWAL_INTERVAL: Duration = Duration::from_millis(6000);
 
 /// Interval at which a VM that receives changes from others checks whether it still does.
-const RENEWAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+const RENEWAL_CHECK_INTERVAL: Duration = Duration::from_millis(950);
 
 /// Keeps the entry in the store; runs as long as the process.
 pub(crate) async fn maintain(app: Rc<App>) {
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -14,6 +14,7 @@
 use slog::{debug, info, warn};
 use store_view::{
     Assembler, Batch, Item, ItemPart, Position, View, is_slow_transfer, is_useful_source,
+    lacks_many,
 };
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -69,10 +70,10 @@
 }
 
 /// Whether to pause after a transfer so that the next one brings several changes: this VM can reach
-/// the store, and knows all that a peer knew at the start.
+/// the store and does not lack many.
 fn gathers_changes(app: &App, source: &ChangeSource) -> bool {
     let known = app.state.with(|shared, _| shared.view.as_of());
-    *app.store_reachable.borrow() && known >= source.newest
+    *app.store_reachable.borrow() && !lacks_many(known, source.newest)
 }
 
 /// How a transfer from one peer ended.
