--- a/daemon/tests/pages.rs
+++ b/daemon/tests/pages.rs
@@ -29,7 +29,8 @@
     let cfg = serde_json::to_value(settings::parse(text).expect("settings")).expect("JSON");
     let mut keys = BTreeSet::new();
     for (key, value) in cfg.as_object().expect("a map") {
-        match value.as_object() {
+        // A map that is empty by default has keys of the operator's choice; the page lists the map.
+        match value.as_object().filter(|inner| !inner.is_empty()) {
             Some(inner) => keys.extend(inner.keys().map(|k| format!("{key}.{k}"))),
             None => drop(keys.insert(key.clone())),
         }
