Renew an entry when it is due, not at the next check

Seen by: a VM that relies on others counted the store as lost for some 50 ms every 6.65 s, so that it refused what it does not know with 503 and asked peers only.

Change: the wait ends when the renewal is due. The test looks at the state all the time, for longer than the interval.

--- a/gateway/src/own_entry.rs
+++ b/gateway/src/own_entry.rs
@@ -79,8 +79,10 @@
             relies
         })
     };
-    while relies_on_peers() && now() - since < RELAYED_RENEWAL_INTERVAL {
-        sleep(RENEWAL_CHECK_INTERVAL).await;
+    let until_due = || RELAYED_RENEWAL_INTERVAL.saturating_sub(now() - since);
+    while relies_on_peers() && !until_due().is_zero() {
+        // A renewal that is late by a check's interval would look like a loss of the store.
+        sleep(RENEWAL_CHECK_INTERVAL.min(until_due())).await;
     }
     wait_until_store_reachable(app).await;
 }
--- a/tests/relayed_changes.rs
+++ b/tests/relayed_changes.rs
@@ -8,7 +8,7 @@
 // A failing `expect` in a fixture fails the test.
 #![allow(clippy::expect_used)]
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use standins::fleet::wait_until;
@@ -169,24 +169,30 @@
     wait_for_version(&fleet, 2);
 }
 
-/// Time over which renewals are counted: the interval of a VM that receives changes from others.
-const RENEWALS_WINDOW: Duration = Duration::from_secs(6);
+/// Time over which renewals are counted: longer than the interval of a VM that receives changes from
+/// others.
+const RENEWALS_WINDOW: Duration = Duration::from_secs(8);
 
-/// Guards against renewals that grow with the fleet at the rate of the few VMs that follow the store.
+/// Guards against renewals that grow with the fleet at the rate of the few VMs that follow the store,
+/// and against a VM that takes the time between two of its renewals for a loss of the store.
 #[test]
 fn vms_that_receive_changes_from_others_renew_their_entries_rarely_and_keep_them() {
     let site = Site::start();
     let fleet = start_fleet(&site, "relay-renewals");
     wait_for_two_watchers_per_hall(&site, &fleet);
 
-    let before = site.store.renewals();
-    std::thread::sleep(RENEWALS_WINDOW);
+    let (before, since) = (site.store.renewals(), Instant::now());
+    let mut lost = 0;
+    while since.elapsed() < RENEWALS_WINDOW {
+        lost +=
+            fleet.iter().filter(|member| member.vm.state()["store_lost"] == json!(true)).count();
+    }
     let renewals = site.store.renewals() - before;
 
-    // Four watch, with at most four renewals each; each other one has one, and one at an edge.
+    // Four watch, with at most five renewals each; each other one has one, and one at an edge.
     let watchers = 2 * HALLS.len() as u64;
     let relayed = fleet.len() as u64 - watchers;
-    assert!(renewals <= watchers * 4 + relayed * 2, "{renewals}");
+    assert!(renewals <= watchers * 5 + relayed * 2, "{renewals}");
     assert_eq!(site.store.keys("saddlerail/vms/").len(), fleet.len());
-    assert!(fleet.iter().all(|member| member.vm.state()["store_lost"] == json!(false)));
+    assert_eq!(lost, 0, "the store answers all the time");
 }
