--- a/components/rollout/src/rollouts.rs
+++ b/components/rollout/src/rollouts.rs
@@ -18,8 +18,8 @@
 /// Fraction of an order's duration that the new version is on trial at least, however few requests
 /// come.
 const MIN_TRIAL: f64 = 0.5;
-/// Fraction of an order's duration that is planned with. The rest is for the time in which VMs hear
-/// of the order and of decisions.
+/// Fraction of an order's duration that is planned with. The rest is for the time that orders
+/// and decisions take to reach all VMs.
 const PLANNED_DURATION: f64 = 0.9;
 /// The new version is promoted only if its targets can run at least this fraction of what those of
 /// other versions can.
@@ -56,7 +56,7 @@
     pub old_slots: u64,
 }
 
-/// A decision of the VM that judges a rollout, to be stored and told to the others.
+/// A decision of the VM that judges a rollout, to be stored and sent to the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
     /// The rollout has begun.
@@ -90,7 +90,7 @@
     phase: Phase,
     /// Phase that the platform's store holds; `None` if it holds none for this order.
     stored: Option<Phase>,
-    /// When this VM heard that the rollout is completed.
+    /// When this VM received the completion of the rollout.
     completed_at: Option<Instant>,
     /// Whether operators withdrew the order.
     withdrawn: bool,
--- a/components/store_view/src/contact.rs
+++ b/components/store_view/src/contact.rs
@@ -25,7 +25,7 @@
 pub enum Reporter {
     /// The store itself.
     Store,
-    /// Another VM, which read it from the store or heard of it from a further one.
+    /// Another VM, which read it from the store or received it from a peer of its own.
     Peer,
 }
 
--- a/gateway/src/rollout_messages.rs
+++ b/gateway/src/rollout_messages.rs
@@ -1,4 +1,4 @@
-//! Encodes and decodes the messages in which VMs tell each other of rollouts.
+//! Encodes and decodes the parts of messages between VMs that concern rollouts.
 
 use ids::ServiceName;
 use peering::work::{Answers, Phase as WirePhase, RolloutPhase, RolloutReport, RouteAnswers};
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -260,7 +260,8 @@
                 shared.rollouts.set_stored(&order.service, order.revision, phase, now);
             });
         }
-        // Another VM may have decided, or this call's answer was lost: the store's content tells.
+        // Another VM decided, or the answer to an earlier try was lost. The store's content shows
+        // which phase holds.
         Err(StoreCallError::ConditionFailed) => {
             info!(app.log, "rollout decided elsewhere"; "service" => %order.service);
         }
--- a/load/src/growth.rs
+++ b/load/src/growth.rs
@@ -1,6 +1,6 @@
 //! What grows with the number of VMs and of targets, counted on the components that decide it,
 //! without a network: links, heartbeats, names ranked, turns at the store's listing, and the size of
-//! what a starting VM has to be told.
+//! the content that a starting VM receives.
 
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -67,7 +67,7 @@
 struct Counts {
     /// Links of each VM, dialed and accepted, sorted.
     links: Vec<usize>,
-    /// Names ranked by a VM that was started and greeted by all VMs that it dials.
+    /// Names ranked by a VM that started and exchanged hellos with all VMs that it dials.
     names_ranked: u64,
     /// Delays of the VMs of a hall before a long listing, sorted.
     delays: Vec<Duration>,
