--- a/components/rollout/src/order.rs
+++ b/components/rollout/src/order.rs
@@ -34,7 +34,7 @@
 pub enum Phase {
     /// The new version gets a small share of the requests.
     #[default]
-    Trial,
+    Canary,
     /// The new version gets all new requests; the others finish what they have.
     Promoted,
     /// The new version gets nothing: it is bad, or the order was withdrawn.
--- a/components/rollout/src/rollouts.rs
+++ b/components/rollout/src/rollouts.rs
@@ -10,14 +10,14 @@
 use crate::order::{Order, Phase};
 use crate::versions::Versions;
 
-/// Part of the share that a bad version may get which the new version gets on trial. The rest is
+/// Part of the share that a bad version may get which the new version gets in the canary phase. The rest is
 /// left for the time from the promotion to the time limit.
-const TRIAL_FRACTION: f64 = 0.3;
+const CANARY_FRACTION: f64 = 0.3;
 /// Part of the slack of a bad version's requests that is planned with; the rest is for chance.
 const PLANNED_SLACK: f64 = 0.5;
-/// Fraction of an order's duration that the new version is on trial at least, however few requests
+/// Fraction of an order's duration that the new version stays in the canary phase at least, however few requests
 /// come.
-const MIN_TRIAL: f64 = 0.5;
+const MIN_CANARY_TIME: f64 = 0.5;
 /// Fraction of an order's duration that is planned with. The rest is for the time that orders
 /// and decisions take to reach all VMs.
 const PLANNED_DURATION: f64 = 0.9;
@@ -73,7 +73,7 @@
     /// The phase that follows.
     pub fn phase(&self) -> Phase {
         match self {
-            Decision::Begin => Phase::Trial,
+            Decision::Begin => Phase::Canary,
             Decision::Promote => Phase::Promoted,
             Decision::Complete => Phase::Completed,
             Decision::RollBack(_) => Phase::RolledBack,
@@ -111,7 +111,7 @@
         Rollout {
             order,
             known_since: now,
-            phase: Phase::Trial,
+            phase: Phase::Canary,
             stored: None,
             completed_at: None,
             withdrawn: false,
@@ -143,7 +143,7 @@
             Phase::Completed => Versions::Only(version),
             _ if self.is_bad_here => Versions::Without(version),
             Phase::Promoted => Versions::Only(version),
-            Phase::Trial => Versions::Limited(version, rules.exposure_share * TRIAL_FRACTION),
+            Phase::Canary => Versions::Limited(version, rules.exposure_share * CANARY_FRACTION),
         }
     }
 
@@ -152,7 +152,7 @@
     fn may_promote(&self, rules: &Rules, now: Instant) -> bool {
         let elapsed = now.saturating_duration_since(self.known_since).as_secs_f64();
         let duration = self.planned_duration().as_secs_f64();
-        if elapsed < duration * MIN_TRIAL {
+        if elapsed < duration * MIN_CANARY_TIME {
             return false;
         }
         let (exposed, all) = self.judge.totals();
@@ -190,7 +190,7 @@
             return Some(Decision::Complete);
         }
         let can_take_all = state.new_slots as f64 >= MIN_CAPACITY * state.old_slots as f64;
-        if self.phase == Phase::Trial && can_take_all && self.may_promote(rules, now) {
+        if self.phase == Phase::Canary && can_take_all && self.may_promote(rules, now) {
             return Some(Decision::Promote);
         }
         self.begin()
--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/rollouts.rs
@@ -172,7 +172,7 @@
     let none = ServiceState { new_slots: 0, old_slots: 8 };
 
     let begin = rollouts.decide(&service(), none, now);
-    rollouts.set_stored(&service(), 1, Phase::Trial, now);
+    rollouts.set_stored(&service(), 1, Phase::Canary, now);
     let meanwhile = rollouts.decide(&service(), none, now + DURATION / 2);
     let at_the_end = rollouts.decide(&service(), none, now + DURATION);
 
@@ -218,7 +218,7 @@
     rollouts.set_phase(&service(), 1, Phase::Completed, now);
 
     let phases: Vec<_> = rollouts.phases().map(|(o, p)| (o.version.to_string(), p)).collect();
-    assert_eq!(phases, [("v3".to_owned(), Phase::Trial)]);
+    assert_eq!(phases, [("v3".to_owned(), Phase::Canary)]);
 }
 
 #[test]
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -85,7 +85,7 @@
         rollouts: shared
             .rollouts
             .phases()
-            .filter(|(_, phase)| *phase > Phase::Trial)
+            .filter(|(_, phase)| *phase > Phase::Canary)
             .map(|(order, phase)| encode_phase(order, phase))
             .collect(),
     })
--- a/gateway/src/rollout_messages.rs
+++ b/gateway/src/rollout_messages.rs
@@ -7,7 +7,7 @@
 /// How far an order is carried out, for a heartbeat.
 pub(crate) fn encode_phase(order: &Order, phase: Phase) -> RolloutPhase {
     let phase = match phase {
-        Phase::Trial => WirePhase::Trial,
+        Phase::Canary => WirePhase::Canary,
         Phase::Promoted => WirePhase::Promoted,
         Phase::RolledBack => WirePhase::RolledBack,
         Phase::Completed => WirePhase::Completed,
@@ -19,7 +19,7 @@
 /// service's name is invalid.
 pub(crate) fn decode_phase(message: &RolloutPhase) -> Option<(ServiceName, u64, Phase)> {
     let phase = match message.phase() {
-        WirePhase::Trial => Phase::Trial,
+        WirePhase::Canary => Phase::Canary,
         WirePhase::Promoted => Phase::Promoted,
         WirePhase::RolledBack => Phase::RolledBack,
         WirePhase::Completed => Phase::Completed,
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -117,7 +117,7 @@
     }
 
     /// Versions of a service's targets to which an attempt of a request may be sent. Further
-    /// attempts don't go to a version on trial.
+    /// attempts don't go to a version in its canary phase.
     pub(crate) fn versions_for(
         &self,
         service: &ServiceName,
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -166,20 +166,23 @@
     let mut sent = 0;
     let is_completed = || site.store.value("status/rollout/pool")["state"] == json!("completed");
     let start = Instant::now();
-    let (mut on_trial, mut of_trial) = (0, 0);
+    let (mut in_canary, mut of_canary) = (0, 0);
     while !is_completed() && start.elapsed() < Duration::from_secs_f64(DURATION_S * 2.0) {
         let chain = post("/chain/", &format!("c-{sent}"));
         let chain = chain.with_header("Pieces", "4,1").with_header("Piece-Key", "secret");
         assert_eq!(send_expecting_answer(&chain, &vms[0]).status(), 200);
         sent += 1;
         if start.elapsed() < Duration::from_secs(2) {
-            (on_trial, of_trial) = (worker.pieces().len(), sent * 5);
+            (in_canary, of_canary) = (worker.pieces().len(), sent * 5);
         }
     }
 
     assert!(is_completed(), "{:?}", site.store.value("status/rollout/pool"));
-    assert!(on_trial <= of_trial / 10 + 20, "{on_trial} of {of_trial} pieces on trial");
-    assert!(worker.pieces().len() > on_trial, "it gets all pieces once it is promoted");
+    assert!(
+        in_canary <= of_canary / 10 + 20,
+        "{in_canary} of {of_canary} pieces in the canary phase"
+    );
+    assert!(worker.pieces().len() > in_canary, "it gets all pieces once it is promoted");
 }
 
 #[test]
