--- a/components/rollout/src/rollouts.rs
+++ b/components/rollout/src/rollouts.rs
@@ -20,7 +20,7 @@
 const MIN_CANARY_TIME: f64 = 0.5;
 /// Fraction of an order's duration that is planned with. The rest is for the time that orders
 /// and decisions take to reach all VMs.
-const PLANNED_DURATION: f64 = 0.9;
+const PLANNED_DURATION: f64 = 0.8;
 /// The new version is promoted only if its targets can run at least this fraction of what those of
 /// other versions can.
 const MIN_CAPACITY: f64 = 0.5;
@@ -185,7 +185,10 @@
             return if is_over { Some(Decision::RollBack(why)) } else { self.begin() };
         }
         let in_progress: u64 = self.old_in_progress.values().sum();
-        let has_left_old = self.phase == Phase::Promoted && in_progress == 0;
+        // Until the planned time the new version's answers are still compared: where few requests
+        // come, those of the canary phase alone don't tell a bad version from a good one.
+        let has_left_old =
+            self.phase == Phase::Promoted && in_progress == 0 && elapsed >= self.planned_duration();
         if state.old_slots == 0 || has_left_old {
             return Some(Decision::Complete);
         }
--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/rollouts.rs
@@ -275,3 +275,21 @@
     assert_eq!(rollouts.remove_ended(now + Duration::from_secs(30)), [service()]);
     assert_eq!(rollouts.versions(&service()), Versions::Any, "a later release needs no order");
 }
+
+/// Guards against a version that is completed as soon as it is promoted: with few requests, too few
+/// answers have come by then to show that it is bad.
+#[test]
+fn a_promoted_version_is_judged_until_the_planned_time() {
+    let now = Instant::now();
+    let mut rollouts = ordered(now);
+    rollouts.set_stored(&service(), 1, Phase::Promoted, now);
+    let mut evidence = Evidence::default();
+
+    let just_promoted = rollouts.decide(&service(), BOTH, now + DURATION / 2);
+    (0..6).for_each(|_| evidence.record(ROUTE, true, Observation::Failed));
+    rollouts.report(&service(), 1, 1, &Report { evidence, old_in_progress: 0 });
+    let after_bad_answers = rollouts.decide(&service(), BOTH, now + DURATION * 6 / 10);
+
+    assert_eq!(just_promoted, None);
+    assert_eq!(after_bad_answers.map(|d| d.phase()), Some(Phase::RolledBack));
+}
