Call the VM that decides on a rollout its coordinator, and choose it in one place

Cause: "judge", "verdict" and "condemn" are figures of speech, and the type Judge named both a statistical test and, in comments, a VM. Which VM has a role for the whole fleet stood in three places: the key in the rollout crate, the choice in rollouts.rs and permits.rs, the links to these VMs in shared.rs; a change to one of them would have sent reports or permits where nobody listens.

Ruled out: other keys for the roles; builds that serve together rank VMs by them.

Change: Judge is Comparison (what it does), the VM is the coordinator (the field's term). Roles, their keys, the VM that has one and the links that this needs are in gateway/src/roles.rs.

Conclusion: who holds buckets and who coordinates is decided, and linked to, in one module.

--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -40,8 +40,7 @@
 }
 
 /// Caches the list of all VMs for each key, the best-ranked one first, until the known VMs change.
-/// Without it, a VM in a fleet of 295 would rank all of them for every heartbeat: 294 peers send
-/// five per second each.
+/// Without it, a VM would rank all VMs for every heartbeat that it receives.
 #[derive(Debug, Default)]
 pub(crate) struct RankingCache {
     by_key: RefCell<HashMap<RankKey, Rc<[VmName]>>>,
--- a/components/rollout/src/judge.rs
+++ b/components/rollout/src/comparison.rs
@@ -1,5 +1,5 @@
-//! Judges a new version by comparing its answers with those that other versions gave on the same
-//! route at the same time.
+//! Compares a new version's answers with those that other versions gave on the same route at the
+//! same time, and tells whether the new version is bad.
 //!
 //! The test is a cumulative sum of log-likelihood ratios (Page's test) for each route and for all
 //! routes together: each answer moves the sum by the logarithm of how much more likely it is if the
@@ -30,7 +30,7 @@
 
 /// The state of the test. Counts are reported per VM and never shrink.
 #[derive(Debug, Default)]
-pub struct Judge {
+pub struct Comparison {
     /// Latest counts of each VM's process.
     reported: BTreeMap<u64, Evidence>,
     /// What was counted since the last test.
@@ -43,7 +43,7 @@
     sums: BTreeMap<String, f64>,
 }
 
-impl Judge {
+impl Comparison {
     /// Records the counts of a VM's process, identified by `process`.
     pub fn report(&mut self, process: u64, evidence: &Evidence) {
         let earlier = self.reported.insert(process, evidence.clone()).unwrap_or_default();
--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -2,19 +2,19 @@
 //! version proves bad.
 //!
 //! Each VM limits by itself what it sends to the new version, so that no VM has to ask another one
-//! before it sends a request. VMs count the answers of both versions, and one VM, the judge of the
-//! rollout, adds the counts up and decides. This crate holds counts and decisions only: which VM
-//! judges, how counts reach it and how decisions are stored is the caller's part, as is the choice
+//! before it sends a request. VMs count the answers of both versions, and one VM, the coordinator of
+//! the rollout, adds the counts up and decides. This crate holds counts and decisions only: which VM
+//! is the coordinator, how counts reach it and how decisions are stored is the caller's part, as is the choice
 //! of a target among those of a version.
 
+mod comparison;
 mod evidence;
-mod judge;
 mod order;
 mod rollouts;
 mod versions;
 
+pub use comparison::Comparison;
 pub use evidence::{AnswerCounts, BUCKETS, Evidence, Observation, VersionCounts};
-pub use judge::Judge;
 pub use order::{Order, Phase};
 pub use rollouts::{Decision, Report, Rollouts, Rules, ServiceState};
 pub use versions::Versions;
--- a/components/rollout/src/order.rs
+++ b/components/rollout/src/order.rs
@@ -18,13 +18,6 @@
     pub revision: u64,
 }
 
-impl Order {
-    /// Key by which the VM that judges the rollout is chosen, like the owner of a pool with one part.
-    pub fn judge_key(&self) -> String {
-        format!("rollout {}", self.service)
-    }
-}
-
 /// How far an order is carried out. Of two phases that VMs report for the same order, the greater
 /// one holds. The names of the variants are those in the platform's store.
 #[derive(
--- a/components/rollout/src/rollouts.rs
+++ b/components/rollout/src/rollouts.rs
@@ -1,12 +1,12 @@
-//! The rollouts that a VM knows, and the decisions of the VM that judges one.
+//! The rollouts that a VM knows, and the decisions of a rollout's coordinator.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use ids::{ServiceName, VersionName};
 
+use crate::comparison::Comparison;
 use crate::evidence::{Evidence, Observation};
-use crate::judge::Judge;
 use crate::order::{Order, Phase};
 use crate::versions::Versions;
 
@@ -38,7 +38,7 @@
     pub exposure_slack: f64,
 }
 
-/// What a VM reports to the judge of a rollout.
+/// What a VM reports to the coordinator of a rollout.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Report {
     /// Answers that the VM received since it knows of the order.
@@ -47,7 +47,7 @@
     pub old_in_progress: u64,
 }
 
-/// State of a service's targets, as its judge sees it.
+/// State of a service's targets, as the coordinator sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ServiceState {
     /// Requests that the usable targets of the new version run at once.
@@ -56,7 +56,7 @@
     pub old_slots: u64,
 }
 
-/// A decision of the VM that judges a rollout, to be stored and sent to the others.
+/// A decision of a rollout's coordinator, to be stored and sent to the others.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Decision {
     /// The rollout has begun.
@@ -96,12 +96,13 @@
     withdrawn: bool,
     /// Answers that this VM received.
     own: Evidence,
-    /// Test of this VM's own answers. It stops this VM before the judge's decision arrives.
-    own_judge: Judge,
+    /// Comparison of this VM's own answers. It stops this VM before the coordinator's decision
+    /// arrives.
+    own_comparison: Comparison,
     /// Whether this VM's own answers show that the version is bad.
     is_bad_here: bool,
-    /// Test of all VMs' answers, while this VM is the judge.
-    judge: Judge,
+    /// Comparison of all VMs' answers, while this VM is the coordinator.
+    comparison: Comparison,
     /// Calls in progress at targets of other versions, by process.
     old_in_progress: BTreeMap<u64, u64>,
 }
@@ -116,9 +117,9 @@
             completed_at: None,
             withdrawn: false,
             own: Evidence::default(),
-            own_judge: Judge::default(),
+            own_comparison: Comparison::default(),
             is_bad_here: false,
-            judge: Judge::default(),
+            comparison: Comparison::default(),
             old_in_progress: BTreeMap::new(),
         }
     }
@@ -155,7 +156,7 @@
         if elapsed < duration * MIN_CANARY_TIME {
             return false;
         }
-        let (exposed, all) = self.judge.totals();
+        let (exposed, all) = self.comparison.totals();
         let rate = all as f64 / elapsed.max(f64::MIN_POSITIVE);
         let allowed = rules.exposure_share * rate * duration + rules.exposure_slack * PLANNED_SLACK;
         let remaining = rate * (duration - elapsed).max(0.0);
@@ -172,9 +173,9 @@
             return None;
         }
         if self.phase == Phase::RolledBack {
-            return Some(Decision::RollBack("decided by an earlier judge".to_owned()));
+            return Some(Decision::RollBack("decided by an earlier coordinator".to_owned()));
         }
-        if let Some(route) = self.judge.test(now) {
+        if let Some(route) = self.comparison.test(now) {
             let route = if route.is_empty() { "all routes" } else { &route };
             return Some(Decision::RollBack(format!("bad answers on {route}")));
         }
@@ -242,7 +243,7 @@
         }
     }
 
-    /// Applies the phase that a peer, or this VM as the judge, has for the order of a revision;
+    /// Applies the phase that a peer, or this VM as the coordinator, has for the order of a revision;
     /// returns whether it is new here.
     pub fn set_phase(
         &mut self,
@@ -302,8 +303,8 @@
         if !is_new || rollout.is_bad_here {
             return false;
         }
-        rollout.own_judge.report(0, &rollout.own);
-        rollout.is_bad_here = rollout.own_judge.test(now).is_some();
+        rollout.own_comparison.report(0, &rollout.own);
+        rollout.is_bad_here = rollout.own_comparison.test(now).is_some();
         rollout.is_bad_here
     }
 
@@ -315,7 +316,7 @@
     /// Records the report of a VM's process, this one's included, about the order of a revision.
     pub fn report(&mut self, service: &ServiceName, revision: u64, process: u64, report: &Report) {
         if let Some(rollout) = self.of_order(service, revision) {
-            rollout.judge.report(process, &report.evidence);
+            rollout.comparison.report(process, &report.evidence);
             rollout.old_in_progress.insert(process, report.old_in_progress);
         }
     }
@@ -327,7 +328,7 @@
         }
     }
 
-    /// The next decision on a service's rollout; to be called by its judge only.
+    /// The next decision on a service's rollout; to be called by its coordinator only.
     pub fn decide(
         &mut self,
         service: &ServiceName,
--- a/components/rollout/tests/judge.rs
+++ b/components/rollout/tests/comparison.rs
@@ -1,4 +1,4 @@
-//! The test that tells a bad version from a good one: how seldom it condemns a good one, and how
+//! The test that tells a bad version from a good one: how seldom it rejects a good one, and how
 //! many bad answers it takes to notice a bad one.
 
 // A fixture that can't be set up fails its test.
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use rollout::{Evidence, Judge};
+use rollout::{Comparison, Evidence};
 use support::{FAILING, GOOD, Quality, Random, SLOW, answer};
 
 /// Interval between two tests.
@@ -19,15 +19,16 @@
 const TICKS: u32 = 60;
 const ROUTES: [&str; 2] = ["first", "second"];
 
-/// Feeds a judge with random answers; `quality` gives that of the new version by tick and route, and
-/// `old` that of the others. Returns the tick of the verdict and the bad answers until then.
-fn verdict(
+/// Compares random answers; `quality` gives that of the new version by tick and route, and
+/// `old` that of the others. Returns the tick at which the new version
+/// is found bad and the bad answers until then.
+fn found_bad(
     seed: u64,
     quality: impl Fn(u32, &str) -> Quality,
     old: impl Fn(u32) -> Quality,
 ) -> Option<(u32, u64)> {
-    let (mut random, mut judge, mut evidence) =
-        (Random::new(seed), Judge::default(), Evidence::default());
+    let (mut random, mut comparison, mut evidence) =
+        (Random::new(seed), Comparison::default(), Evidence::default());
     let start = Instant::now();
     (0..TICKS).find_map(|tick| {
         for route in ROUTES {
@@ -36,29 +37,29 @@
             (0..of_new).for_each(|_| evidence.record(route, true, answer(new, &mut random)));
             (0..of_old).for_each(|_| evidence.record(route, false, answer(old(tick), &mut random)));
         }
-        judge.report(1, &evidence);
-        judge.test(start + TICK * tick)?;
+        comparison.report(1, &evidence);
+        comparison.test(start + TICK * tick)?;
         let failed = evidence.by_route.values().map(|counts| counts.new.failed).sum();
         Some((tick, failed))
     })
 }
 
 #[test]
-fn a_good_version_is_rarely_condemned() {
-    let condemned = (0..1000).filter(|seed| verdict(*seed, |_, _| GOOD, |_| GOOD).is_some());
+fn a_good_version_is_rarely_rejected() {
+    let rejected = (0..1000).filter(|seed| found_bad(*seed, |_, _| GOOD, |_| GOOD).is_some());
 
-    let count = condemned.count();
+    let count = rejected.count();
     assert!(count <= 10, "{count} of 1000");
 }
 
 #[test]
-fn a_good_version_is_rarely_condemned_for_trouble_that_all_versions_have() {
+fn a_good_version_is_rarely_rejected_for_trouble_that_all_versions_have() {
     let in_trouble = |tick: u32| match tick {
         20..40 => Quality { failures: 0.35, slowdown: 3.0 },
         _ => GOOD,
     };
     let runs =
-        (0..1000).filter(|seed| verdict(*seed, |tick, _| in_trouble(tick), in_trouble).is_some());
+        (0..1000).filter(|seed| found_bad(*seed, |tick, _| in_trouble(tick), in_trouble).is_some());
 
     let count = runs.count();
     assert!(count <= 20, "{count} of 1000");
@@ -66,14 +67,14 @@
 
 #[test]
 fn a_version_that_fails_a_part_of_its_requests_is_noticed_before_50_bad_answers() {
-    let runs: Vec<_> = (0..200).map(|seed| verdict(seed, |_, _| FAILING, |_| GOOD)).collect();
+    let runs: Vec<_> = (0..200).map(|seed| found_bad(seed, |_, _| FAILING, |_| GOOD)).collect();
 
     assert!(runs.iter().all(|run| run.is_some_and(|(_, failed)| failed < 50)), "{runs:?}");
 }
 
 #[test]
 fn a_version_that_answers_slowly_is_noticed_within_seconds() {
-    let runs: Vec<_> = (0..200).map(|seed| verdict(seed, |_, _| SLOW, |_| GOOD)).collect();
+    let runs: Vec<_> = (0..200).map(|seed| found_bad(seed, |_, _| SLOW, |_| GOOD)).collect();
 
     assert!(runs.iter().all(|run| run.is_some_and(|(tick, _)| tick <= 12)), "{runs:?}");
 }
@@ -81,7 +82,7 @@
 #[test]
 fn a_version_that_turns_bad_late_is_noticed_as_soon_as_one_that_is_bad_at_once() {
     let late = |tick, _: &str| if tick < 30 { GOOD } else { FAILING };
-    let runs: Vec<_> = (0..200).map(|seed| verdict(seed, late, |_| GOOD)).collect();
+    let runs: Vec<_> = (0..200).map(|seed| found_bad(seed, late, |_| GOOD)).collect();
 
     let in_time = |run: &&Option<(u32, u64)>| run.is_some_and(|(tick, _)| (30..42).contains(&tick));
     assert!(runs.iter().filter(in_time).count() >= 195, "{runs:?}");
@@ -90,7 +91,7 @@
 #[test]
 fn a_version_that_is_bad_on_one_route_only_is_noticed() {
     let one_route = |_, route: &str| if route == "second" { FAILING } else { GOOD };
-    let runs: Vec<_> = (0..200).map(|seed| verdict(seed, one_route, |_| GOOD)).collect();
+    let runs: Vec<_> = (0..200).map(|seed| found_bad(seed, one_route, |_| GOOD)).collect();
 
     assert!(runs.iter().all(|run| run.is_some_and(|(_, failed)| failed < 50)), "{runs:?}");
 }
@@ -100,14 +101,14 @@
     let now = Instant::now();
     let mut failing = Evidence::default();
     (0..3).for_each(|_| failing.record("first", true, rollout::Observation::Failed));
-    let mut judge = Judge::default();
+    let mut comparison = Comparison::default();
 
-    judge.report(1, &failing);
-    judge.report(1, &failing);
-    let after_one = judge.test(now);
-    judge.report(2, &failing);
-    let after_two = judge.test(now + TICK);
+    comparison.report(1, &failing);
+    comparison.report(1, &failing);
+    let after_one = comparison.test(now);
+    comparison.report(2, &failing);
+    let after_two = comparison.test(now + TICK);
 
-    assert_eq!(judge.totals(), (6, 6));
+    assert_eq!(comparison.totals(), (6, 6));
     assert_eq!((after_one, after_two.as_deref()), (None, Some("first")));
 }
--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/rollouts.rs
@@ -1,4 +1,4 @@
-//! Rollouts from the order to its end: what each VM sends to the new version, and what the judge
+//! Rollouts from the order to its end: what each VM sends to the new version, and what the coordinator
 //! decides.
 
 // A fixture that can't be set up fails its test.
@@ -70,7 +70,7 @@
     }
 
     /// Reports all VMs' counts to the first one, and applies its decision everywhere.
-    fn judge(&mut self, now: Instant) -> Option<Decision> {
+    fn coordinate(&mut self, now: Instant) -> Option<Decision> {
         let reports: Vec<Evidence> =
             self.vms.iter().map(|vm| vm.evidence(&service()).unwrap().clone()).collect();
         for (process, evidence) in reports.into_iter().enumerate() {
@@ -89,7 +89,7 @@
         for tick in 0..(DURATION.as_millis() / TICK.as_millis()) as u32 {
             let elapsed = TICK * tick;
             self.send(quality(elapsed), start + elapsed);
-            last = self.judge(start + elapsed).or(last);
+            last = self.coordinate(start + elapsed).or(last);
         }
         last
     }
@@ -138,7 +138,7 @@
         let at = now + TICK * tick;
         let has_all = matches!(fleet.vms[0].versions(&service()), Versions::Only(_));
         fleet.send(if has_all { FAILING } else { GOOD }, at);
-        last = fleet.judge(at).or(last);
+        last = fleet.coordinate(at).or(last);
         if matches!(last, Some(Decision::Complete)) {
             break;
         }
@@ -153,7 +153,7 @@
 }
 
 #[test]
-fn a_vm_that_sees_enough_bad_answers_itself_stops_before_the_verdict() {
+fn a_vm_that_sees_enough_bad_answers_itself_stops_before_the_decision() {
     let now = Instant::now();
     let mut rollouts = ordered(now);
     let v2 = version("v2");
@@ -240,10 +240,10 @@
 
     assert!(rollouts.set_phase(&service(), 1, Phase::RolledBack, now));
     assert!(!rollouts.set_phase(&service(), 1, Phase::Promoted, now));
-    let by_the_next_judge = rollouts.decide(&service(), BOTH, now);
+    let by_the_next_coordinator = rollouts.decide(&service(), BOTH, now);
     rollouts.set_stored(&service(), 1, Phase::RolledBack, now);
 
-    assert_eq!(by_the_next_judge.map(|d| d.phase()), Some(Phase::RolledBack));
+    assert_eq!(by_the_next_coordinator.map(|d| d.phase()), Some(Phase::RolledBack));
     assert_eq!(rollouts.decide(&service(), BOTH, now), None);
 }
 
@@ -279,7 +279,7 @@
 /// Guards against a version that is completed as soon as it is promoted: with few requests, too few
 /// answers have come by then to show that it is bad.
 #[test]
-fn a_promoted_version_is_judged_until_the_planned_time() {
+fn a_promoted_version_is_compared_until_the_planned_time() {
     let now = Instant::now();
     let mut rollouts = ordered(now);
     rollouts.set_stored(&service(), 1, Phase::Promoted, now);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -38,6 +38,7 @@
 mod releases;
 mod request_stages;
 mod requests;
+mod roles;
 mod rollout_messages;
 mod rollouts;
 mod run;
--- a/gateway/src/outbound_links.rs
+++ b/gateway/src/outbound_links.rs
@@ -206,7 +206,7 @@
         rx
     }
 
-    /// Reports to the peer, which judges a rollout, what this VM observed of it.
+    /// Reports to the peer, which coordinates a rollout, what this VM observed of it.
     pub(crate) fn report_rollout(&self, order: &Order, report: &Report) {
         self.send(from_dialer::Kind::RolloutReport(encode_report(order, report)));
     }
--- a/gateway/src/permits.rs
+++ b/gateway/src/permits.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use eligibility::{Lifetime, PermitDecision, RateLimit};
-use fleet::{Owner, Part, Split};
+use fleet::Owner;
 use ids::{ServiceName, VmName};
 use intent::Target;
 use peering::work::{Permit as PermitReply, PermitAsk};
@@ -226,12 +226,6 @@
         owner
     }
 
-    /// The VM that holds the token buckets of a service's targets; changes nothing.
-    pub(crate) fn bucket_owner(&self, service: &ServiceName, now: Instant) -> Owner {
-        let (split, draining) = (Split::default(), self.is_stopping());
-        self.fleet.owner_of(service.as_str(), &split, Part::default(), draining, now)
-    }
-
     /// Determines the owners of token buckets again, so that a change is noticed even if nobody
     /// requests a permit.
     pub(crate) fn refresh_bucket_owners(&mut self, now: Instant) {
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -1,12 +1,12 @@
 //! Carries out rollouts: applies operators' orders, counts the answers of both versions, sends the
-//! counts to the VM that judges, and stores the judge's decisions. What is decided, and why, is in
-//! the `rollout` crate.
+//! counts to the rollout's coordinator, and stores the coordinator's decisions. What is decided, and
+//! why, is in the `rollout` crate.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{Owner, Split};
+use fleet::Owner;
 use ids::ServiceName;
 use platform_interface::store::{Condition, Transaction, Write};
 use rollout::{Decision, Observation, Order, Phase, Report, ServiceState, Versions};
@@ -18,7 +18,7 @@
 use crate::shared::Shared;
 use crate::store_connection::{StoreCallError, StoreConnection};
 
-/// Interval at which VMs report to the judge, and the judge decides. Several of them fit into the
+/// Interval at which VMs report to the coordinator, and the coordinator decides. Several of them fit into the
 /// time within which a bad version must get nothing more.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Prefix of the keys of decisions, below this system's own prefix.
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Applies the phase of an order that a peer or this VM's judgement has.
+    /// Applies the phase of an order that a peer or this VM as the coordinator has.
     pub(crate) fn apply_phase(
         &mut self,
         service: &ServiceName,
@@ -173,14 +173,7 @@
         Report { evidence, old_in_progress: calls + pool_calls as u64 }
     }
 
-    /// The VM that judges an order.
-    fn rollout_judge(&self, order: &Order, now: Instant) -> Owner {
-        let whole = Split::default();
-        let part = whole.part_of(&self.own_hall);
-        self.fleet.owner_of(&order.judge_key(), &whole, part, self.is_stopping(), now)
-    }
-
-    /// The decision of this VM as the judge of an order.
+    /// The decision of this VM as the coordinator of a rollout.
     fn decide_rollout(&mut self, order: &Order, now: Instant) -> Option<Decision> {
         let report = self.rollout_report(order);
         let own = self.fleet.incarnation;
@@ -206,7 +199,7 @@
     format!("{}{KEY_PREFIX}{service}", shared.adapter.intents.own_prefix)
 }
 
-/// Reports to the judges of all rollouts, or judges, for as long as the process runs.
+/// Reports to the coordinators of all rollouts, or decides as one, for as long as the process runs.
 pub(crate) async fn run(app: Rc<App>) {
     let mut store = StoreConnection::new(&app);
     let mut ticks = interval(REPORT_INTERVAL);
@@ -222,25 +215,25 @@
             }
         });
         for order in orders {
-            match app.state.with(|shared, now| shared.rollout_judge(&order, now)) {
+            match app.state.with(|shared, now| shared.rollout_coordinator(&order.service, now)) {
                 Owner::Peer(vm) => report_to(&app, &vm, &order),
-                Owner::This => judge(&app, &mut store, &order).await,
+                Owner::This => coordinate(&app, &mut store, &order).await,
                 Owner::Unknown => {}
             }
         }
     }
 }
 
-fn report_to(app: &App, judge: &ids::VmName, order: &Order) {
+fn report_to(app: &App, coordinator: &ids::VmName, order: &Order) {
     let report = app.state.with(|shared, _| shared.rollout_report(order));
-    if let Some(link) = app.links.borrow().get(judge) {
+    if let Some(link) = app.links.borrow().get(coordinator) {
         link.report_rollout(order, &report);
     }
 }
 
 /// Decides on an order, and stores the decision before it is carried out. A rollback is carried out
 /// at once: sending less to a version needs nobody's consent.
-async fn judge(app: &Rc<App>, store: &mut StoreConnection, order: &Order) {
+async fn coordinate(app: &Rc<App>, store: &mut StoreConnection, order: &Order) {
     let decision = app.state.with(|shared, now| {
         let decision = shared.decide_rollout(order, now)?;
         if decision.phase() == Phase::RolledBack {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -2,7 +2,6 @@
 //! pools, peers and requests, and how changes from the store or from peers are applied to it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -14,7 +13,7 @@
 use platform_interface::PlatformAdapter;
 use quarantine::Quarantine;
 use result_leases::Leases;
-use rollout::{Order, Rollouts};
+use rollout::Rollouts;
 use selection::{FleetRetryBudget, FleetRetryRules, Targets};
 use slog::Logger;
 use stakker::CX;
@@ -212,18 +211,6 @@
         }
     }
 
-    /// Addresses of the VMs to which this VM should have links, see [`Fleet::wanted_links`]. A
-    /// service with token buckets counts like a pool that is not split.
-    pub(crate) fn wanted_links(&self) -> BTreeSet<SocketAddr> {
-        let pools = self.splits.iter().map(|(name, split)| (name.as_str(), split));
-        let (rate_limited, whole) = (self.rate_limited_services(), Split::default());
-        let bucket_services = rate_limited.iter().map(|service| (service.as_str(), &whole));
-        let orders = self.rollouts.undecided();
-        let judges: Vec<String> = orders.map(Order::judge_key).collect();
-        let judges = judges.iter().map(|key| (key.as_str(), &whole));
-        self.fleet.wanted_links(pools.chain(bucket_services).chain(judges))
-    }
-
     /// Counts a request of a service toward its retry budget.
     pub(crate) fn count_request(&mut self, service: &ServiceName, now: Instant) {
         self.retry_budgets.entry(service.clone()).or_default().record_request(now);
--- a/tests/rollouts.rs
+++ b/tests/rollouts.rs
@@ -1,7 +1,7 @@
 //! Rollouts that operators order, with real processes and the stand-ins of the users' platform.
 //!
 //! A bad version gets a small part of the requests and then nothing, and its order is reported as
-//! rolled back, whichever VM judges it. A good one gets all requests, and its order is reported as
+//! rolled back, whichever VM coordinates it. A good one gets all requests, and its order is reported as
 //! completed only when the others have nothing left to do. An order that can't be carried out changes
 //! nothing.
 
@@ -114,17 +114,17 @@
 }
 
 #[test]
-fn the_next_vm_decides_when_the_one_that_judges_is_killed() {
+fn the_next_vm_decides_when_the_coordinator_is_killed() {
     let site = Site::start();
     let mut vms: Vec<Vm> =
         ["kill-1", "kill-2", "kill-3"].into_iter().map(|name| site.start_vm(name, RULES)).collect();
     order(&site);
     start_new_version(&site, &Behavior::Fail);
-    let judge = |vms: &[Vm]| vms.iter().position(|vm| vm.log().contains("rollout decided"));
-    wait_until("one VM has begun", || judge(&vms).is_some());
+    let coordinator = |vms: &[Vm]| vms.iter().position(|vm| vm.log().contains("rollout decided"));
+    wait_until("one VM has begun", || coordinator(&vms).is_some());
 
-    let judge = judge(&vms);
-    drop(vms.remove(judge.expect("a VM that judges")));
+    let coordinator = coordinator(&vms);
+    drop(vms.remove(coordinator.expect("a VM that has decided")));
     send_until(&vms, || state_of(&site) == json!("rolled_back"));
 
     assert_eq!(state_of(&site), json!("rolled_back"));
