Keep the departures of all targets, however many the fleet has

Cause: departures that targets announced were kept up to 4,096, by a comment five times the number of targets of the largest fleet; the whole fleet has 9,999. Once more of them left within the ten minutes for which a departure holds, the earliest were forgotten, and a target whose entry still stood in the store would have been sent new work.

Ruled out: a larger constant, which the next fleet outgrows; dropping a departure with its entry, since an entry can come back while the store is unreachable.

Change: the bound is twice the number of known targets, and never under what it was. The bound on changes of rate limits keeps its value: it counts what this VM saw itself, and its comment says so.

Before: 4,096 of 10,000 kept (the old bound; the test doesn't compile on the code before). After: all of 10,000 and of 20,000, test departures_of_all_targets_of_a_large_fleet_are_kept; tests/departures.rs passes. Memory at 20,000 targets 4 MB, worked out, not measured.

Conclusion: the bound grows with the fleet and holds at twice its size.

--- a/components/eligibility/src/departures.rs
+++ b/components/eligibility/src/departures.rs
@@ -15,9 +15,10 @@
 /// Time for which a departure is kept after its last announcement. It is the longest lease that the
 /// store grants, so that the entry of a target that ended has lapsed by then.
 const DEPARTURE_TTL: Duration = Duration::from_secs(600);
-/// Most departures that are kept; the oldest are evicted. It is five times the number of targets of
-/// the largest fleet, at about 100 bytes each.
-const MAX_DEPARTURES: usize = 4096;
+/// Number of departures that are kept however few targets are known.
+const MIN_CAPACITY: usize = 4096;
+/// Number of departures that are kept for each known target: of its lifetime, and of the one before.
+const KEPT_PER_TARGET: usize = 2;
 
 /// One lifetime of a target, from its start to its end, as the target identifies it.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -51,11 +52,21 @@
     announced_at: HashMap<Lifetime, Instant>,
     /// Lifetimes in the order in which they became known.
     order: ChangeLog<Lifetime>,
+    /// Number of known targets, which bounds the departures that are kept.
+    targets: usize,
 }
 
 impl Departures {
+    /// Sets the number of known targets: more departures are kept in a larger fleet, in which more
+    /// targets can leave at once. Without it, a target that left among the first would be sent new
+    /// work again.
+    pub fn set_targets(&mut self, targets: usize) {
+        self.targets = targets;
+    }
+
     /// Records that a target announced its departure at `announced_at`. Returns whether it is the
-    /// first announcement of its lifetime. An announcement older than `DEPARTURE_TTL` is ignored.
+    /// first announcement of its lifetime. An announcement older than `DEPARTURE_TTL` is ignored. If
+    /// too many are kept, the oldest is evicted.
     pub fn record(&mut self, lifetime: Lifetime, announced_at: Instant, now: Instant) -> bool {
         if is_old(announced_at, now) {
             return false;
@@ -64,7 +75,7 @@
             *known = announced_at.max(*known);
             return false;
         }
-        if self.order.len() >= MAX_DEPARTURES {
+        if self.order.len() >= self.capacity() {
             self.evict_first();
         }
         self.order.push(lifetime.clone());
@@ -100,6 +111,10 @@
         }
     }
 
+    fn capacity(&self) -> usize {
+        MIN_CAPACITY.max(KEPT_PER_TARGET * self.targets)
+    }
+
     fn departure_of(&self, lifetime: &Lifetime) -> Option<Departure> {
         Some(Departure {
             lifetime: lifetime.clone(),
--- a/components/eligibility/src/rates.rs
+++ b/components/eligibility/src/rates.rs
@@ -18,8 +18,8 @@
 /// time for which targets need a limit, and the time that a target goes without a request because
 /// of its limit.
 const RATE_TTL: Duration = Duration::from_secs(600);
-/// Most changes that are kept for peers; the oldest are dropped. One for each target of the largest
-/// fleet.
+/// Most changes that are kept for peers; the oldest are dropped. A peer that connects later learns
+/// of those limits by its own calls.
 const MAX_CHANGES: usize = 1024;
 /// Units in one request per second. Rates are stored in thousandths of a request per second, since
 /// integers can be compared exactly and used as map keys.
--- a/components/eligibility/tests/departures.rs
+++ b/components/eligibility/tests/departures.rs
@@ -62,6 +62,21 @@
     assert_eq!(first.all().count(), 0, "otherwise two VMs would send it to each other forever");
 }
 
+#[test]
+fn departures_of_all_targets_of_a_large_fleet_are_kept() {
+    let now = Instant::now();
+    for targets in [10_000, 20_000] {
+        let mut departures = Departures::default();
+        departures.set_targets(targets);
+        for born in 0..targets as u64 {
+            departures.record(lifetime(Some(born)), now, now);
+        }
+
+        assert_eq!(departures.all().count(), targets);
+        assert!(departures.announced_at(&target(Some(0))).is_some());
+    }
+}
+
 #[test]
 fn each_departure_is_sent_once_and_the_oldest_are_evicted() {
     let now = Instant::now();
--- a/gateway/src/target_announcements.rs
+++ b/gateway/src/target_announcements.rs
@@ -145,6 +145,7 @@
         from: &str,
         now: Instant,
     ) -> bool {
+        self.departures.set_targets(self.targets.len());
         if !self.departures.record(lifetime.clone(), announced, now) {
             return false;
         }
