Comments say why, without figures of past runs

Such figures age, and belong to commits.

Ruled out: removing the reasons with the figures; each comment still says what is gained or guarded.

Change: comments only; constants of rollouts name the rule whose fraction they are.

Before and after: nothing runs differently; format, clippy and the tests of eligibility, rollout, fleet, batching, selection, departures and pages pass. No figure was measured.

--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -13,8 +13,7 @@
 const PREFERRED_HALL_WAIT_FRACTION: f64 = 0.8;
 /// Slack added to a piece for each step of lower urgency, so that requests of high value with many
 /// stages precede requests of low value with few. It decides only among pieces that can still be in
-/// time. A smaller step lets more pieces of low urgency with an early due time precede urgent ones:
-/// with 150 ms, two deployments lost 0.9 and 1.5 % of the requests' value on a day of high load.
+/// time. A smaller step lets more pieces of low urgency with an early due time precede urgent ones.
 const URGENCY_STEP: Duration = Duration::from_millis(400);
 /// A call that takes longer than this multiple of the expected time, plus [`TIMEOUT_MARGIN`], is
 /// given up and its pieces are requeued.
--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -47,8 +47,7 @@
 /// A VM that has just started, or has just lost a peer, waits for this long for a link to a better
 /// owner than itself: time for one dial and one retry.
 ///
-/// Without the wait, 72 of 295 VMs that had lost power together filled calls of the same 42 workers
-/// for two seconds. On fleets of 6 to 18 VMs the wait makes no difference.
+/// Without the wait, many VMs that start together fill calls of the same workers.
 pub const SETTLE_TIME: Duration = Duration::from_millis(1200);
 
 /// Data halls that can't be reached from this VM.
--- a/components/fleet/src/ownership.rs
+++ b/components/fleet/src/ownership.rs
@@ -255,9 +255,8 @@
     /// start or the loss of a peer. It lasts as long after a VM announced that it stops, unless the
     /// awaited VM is known to be silent.
     ///
-    /// Without the wait for the successor of a stopping VM, three to five VMs filled the calls of
-    /// one part for ten seconds while all VMs of a fleet of 59 stopped in turn, each for the VMs
-    /// that were linked to it.
+    /// Without the wait for the successor of a stopping VM, several VMs fill the calls of one part
+    /// while all VMs stop in turn, each for the VMs that are linked to it.
     fn should_wait_for(&self, vm: &VmName, now: Instant) -> bool {
         let may_succeed = is_recent(self.last_stop_notice, now) && !self.is_silent(vm);
         self.may_take_work_soon(vm) && (is_recent(Some(self.unsettled_since), now) || may_succeed)
--- a/components/fleet/src/spill.rs
+++ b/components/fleet/src/spill.rs
@@ -2,8 +2,7 @@
 //!
 //! All VMs learn of the same queues with the same heartbeats. If every submission went to the least
 //! loaded part as soon as it was faster there, all VMs would send all their submissions there until
-//! the next heartbeat, and the parts would alternate between overload and idleness: of two parts
-//! with nine workers each, one was busy for 0.97 of the time and the other for 0.3, in turn. So
+//! the next heartbeat, and the parts would alternate between overload and idleness. So
 //! only a fraction of the submissions spills, which grows with the lead of the other part, that is,
 //! with how much earlier its queue drains.
 
--- a/components/fleet/src/split.rs
+++ b/components/fleet/src/split.rs
@@ -1,8 +1,7 @@
 //! Splits a pool into parts, each of which is owned by one VM that fills its calls.
 //!
-//! A single VM can't fill the calls of a pool of any size: in a fleet of 295 VMs, one with half a
-//! core that filled the calls of 35 workers kept up with 1,540 pieces per second and stopped
-//! sending heartbeats at 2,460. A part consists of several data halls with their workers and VMs.
+//! A single VM can't fill the calls of a pool of any size: past the rate that its
+//! processor can carry, it stops sending heartbeats. A part consists of several data halls with their workers and VMs.
 //! Every VM computes the parts from the configuration and the list of targets, so that all agree
 //! without exchanging messages.
 
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -14,7 +14,7 @@
 use crate::{Crash, LifetimeHash, LifetimeId, RequestDigest};
 
 /// Most requests that are kept. The one with the fewest crashes is evicted first, and of several
-/// such the oldest. An engine has 64 requests in progress when it crashes, and each of them gets a
+/// such the oldest. Each request that is in progress at an engine when it crashes gets a
 /// record.
 const MAX_RECORDS: usize = 1024;
 /// Most changes that are kept for VMs that connect later. All changes of the kept records fit, with
--- a/components/rollout/src/comparison.rs
+++ b/components/rollout/src/comparison.rs
@@ -18,7 +18,7 @@
 /// Excess of the rate of bad answers over that of the other versions for which the test is made.
 const EXCESS: f64 = 0.2;
 /// Sum at which a version counts as bad. A version that is as good as the others reaches it within
-/// one answer with a probability of less than `exp(-THRESHOLD)`, one in 13,000.
+/// one answer with a probability of less than `exp(-THRESHOLD)`.
 const THRESHOLD: f64 = 9.5;
 /// Time over which the answers of the other versions count as given at the same time.
 const COMPARED_FOR: Duration = Duration::from_secs(4);
@@ -90,8 +90,8 @@
     }
 
     /// Rate of bad answers of the other versions on a route: the highest one over the last test, the
-    /// last two, and so on up to [`COMPARED_FOR`], so that trouble that has just begun for all
-    /// versions is not taken for the new one's.
+    /// last two, and so on up to [`COMPARED_FOR`], so that failures that have just begun for all
+    /// versions don't count against the new one.
     fn old_rate(&self, route: &str, slow_from: Option<usize>) -> f64 {
         let (prior_bad, prior_all) = PRIOR;
         let mut sum = AnswerCounts::default();
--- a/components/rollout/src/rollouts.rs
+++ b/components/rollout/src/rollouts.rs
@@ -10,13 +10,13 @@
 use crate::order::{Order, Phase};
 use crate::versions::Versions;
 
-/// Part of the share that a bad version may get which the new version gets in the canary phase. The rest is
+/// Fraction of [`Rules::exposure_share`] that the new version gets in the canary phase. The rest is
 /// left for the time from the promotion to the time limit.
 const CANARY_FRACTION: f64 = 0.3;
-/// Part of the slack of a bad version's requests that is planned with; the rest is for chance.
+/// Fraction of [`Rules::exposure_slack`] that is planned with; the rest is for random variation.
 const PLANNED_SLACK: f64 = 0.5;
-/// Fraction of an order's duration that the new version stays in the canary phase at least, however few requests
-/// come.
+/// Least fraction of an order's duration that the new version stays in the canary phase, however few
+/// requests come.
 const MIN_CANARY_TIME: f64 = 0.5;
 /// Fraction of an order's duration that is planned with. The rest is for the time that orders
 /// and decisions take to reach all VMs.
--- a/components/selection/src/cost.rs
+++ b/components/selection/src/cost.rs
@@ -12,8 +12,8 @@
 const OTHER_HALL_COST: f64 = 0.25;
 /// Prompt tokens that cost as much as one request in progress. Such a request slows each step of
 /// the engine by a few percent; over a whole answer this adds up to the time to process this many
-/// tokens. With 40 tokens, nearly idle engines reprocess a tenth fewer shared prompt tokens, but a
-/// deployment of busy engines loses 1.5 % of the requests' value on a day of high load.
+/// tokens. A smaller number reprocesses fewer shared prompt tokens while engines are nearly idle, and
+/// loses requests while they are busy.
 const TOKENS_PER_REQUEST: f64 = 120.0;
 /// Weight of a token that the target still has to process for other calls, relative to one of this
 /// call. It costs waiting time, but no repeated work.
@@ -40,9 +40,8 @@
         costs.min_by(|(_, a), (_, b)| a.total_cmp(b)).map(|(key, _)| key)
     }
 
-    /// Returns the home of a call's prompt. It is computed once for all candidates, so that a
-    /// selection among 240 targets takes 7 us; computed for each candidate, it takes 1,151 us
-    /// (`saddlerail-load choice`).
+    /// Returns the home of a call's prompt. It is computed once for all candidates, so that the
+    /// time of a selection grows with their number only (`saddlerail-load choice`).
     pub(crate) fn prompt_home(
         &self,
         candidates: &[TargetKey],
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -38,7 +38,7 @@
 }
 
 /// This VM's heartbeat. It is the same for all peers and therefore assembled once for many links:
-/// in a fleet of 295 VMs, an owner sends it to 294 peers five times a second.
+/// an owner sends it to every VM at each interval.
 pub(crate) fn own_heartbeat(app: &App) -> Beat {
     let now = tokio::time::Instant::now();
     let mut last = app.last_heartbeat.borrow_mut();
--- a/gateway/src/outbound_links.rs
+++ b/gateway/src/outbound_links.rs
@@ -49,8 +49,8 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause before a link that ended is dialed again.
 const REDIAL_PAUSE: Duration = Duration::from_millis(400);
-/// Pause before a dial that failed is repeated. With a longer pause, after a power loss of the
-/// whole fleet, VMs that were dialed before they accepted links were dialed again only 1.2 s later.
+/// Pause before a dial that failed is repeated. While all VMs start, a VM is dialed
+/// before it accepts links; a longer pause would delay its link by that much.
 const FAILED_DIAL_PAUSE: Duration = Duration::from_millis(150);
 /// A link that was not needed for this long is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/gateway/src/owner_selection.rs
+++ b/gateway/src/owner_selection.rs
@@ -78,8 +78,8 @@
     }
 
     /// The owner of the part for the hall where results are wanted; without such a hall, of this
-    /// VM's own part. Choosing by this VM's hall alone transferred more results between halls than
-    /// one part for all halls: 9.4 GB against 5.1 GB in a day of low load with 295 VMs.
+    /// VM's own part. Choosing by this VM's hall alone would transfer more results between
+    /// halls than one part for all halls.
     pub(crate) fn preferred_owner(
         &self,
         pool: &ServiceName,
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -18,8 +18,8 @@
 use crate::shared::Shared;
 use crate::store_connection::{StoreCallError, StoreConnection};
 
-/// Interval at which VMs report to the coordinator, and the coordinator decides. Several of them fit into the
-/// time within which a bad version must get nothing more.
+/// Interval at which VMs report to the coordinator, and the coordinator decides. Several of them fit
+/// into the time within which a bad version must get nothing more.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 /// Prefix of the keys of decisions, below this system's own prefix.
 const KEY_PREFIX: &str = "rollouts/";
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -44,8 +44,7 @@
 
 /// Time, beyond the transfer itself, within which an engine accepts a request and has fetched its
 /// inputs. A shorter time frees the workers' room earlier, but some engines find their inputs
-/// gone: with 25 ms, one deployment gains 1.0 % of the requests' value on a day of high load, and
-/// another loses 1.3 %.
+/// gone.
 const FETCH_OVERHEAD: Duration = Duration::from_millis(60);
 /// Number of network links that a result crosses: that of its worker and that of the engine.
 const FETCH_LINKS: f64 = 2.0;
@@ -177,9 +176,8 @@
         FETCH_OVERHEAD + self.last.iter().filter_map(time).sum::<Duration>()
     }
 
-    /// Lets the workers drop the results as soon as their room is scarce. Reading a prompt takes
-    /// 140 to 420 ms, for which the results would otherwise occupy that room. That would cost 1.0 %
-    /// of the requests' value on a day of high load.
+    /// Lets the workers drop the results as soon as their room is scarce. Otherwise the results
+    /// would occupy it while the engine reads the prompt.
     pub(crate) fn release_if_scarce(&mut self) {
         for index in &self.last {
             self.runs[*index].release_if_scarce();
--- a/load/src/choice.rs
+++ b/load/src/choice.rs
@@ -16,8 +16,7 @@
 const ENGINE_COUNTS: [u16; 3] = [24, 240, 740];
 
 /// Prints the mean time of a selection in microseconds. The engine that holds the prompt's prefix
-/// must be looked up once per selection (7 us among 240 engines in a release build); a lookup per
-/// candidate took 1,151 us.
+/// must be looked up once per selection and not per candidate.
 pub(crate) fn measure() -> errors::Result<()> {
     for engines in ENGINE_COUNTS {
         let took = mean_selection_time(engines)?;
