--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -59,18 +59,57 @@
     /// Address on which the store listens.
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    /// Addresses that are replaced in the values it returns.
+    replaced: Arc<Vec<AddressReplacement>>,
+}
+
+/// An address in the values of a store, and what a view of the store returns instead.
+#[derive(Debug, Clone, Copy)]
+pub struct AddressReplacement {
+    /// The address in the store.
+    pub stored: SocketAddr,
+    /// The address that is returned.
+    pub returned: SocketAddr,
 }
 
 impl Store {
     /// Starts an empty store on a free port.
     pub fn start() -> std::io::Result<Self> {
+        Store::serve_view(Arc::default(), Vec::new())
+    }
+
+    /// Starts another listener of the same store that returns values with other addresses, so that
+    /// a VM uses paths of its own.
+    pub fn view_with_addresses(&self, replaced: Vec<AddressReplacement>) -> std::io::Result<Self> {
+        Store::serve_view(Arc::clone(&self.state), replaced)
+    }
+
+    fn serve_view(
+        state: Arc<Mutex<State>>,
+        replaced: Vec<AddressReplacement>,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
-        let store = Store { address: listener.local_addr()?, state: Arc::default() };
+        let address = listener.local_addr()?;
+        let store = Store { address, state, replaced: Arc::new(replaced) };
         let serving = store.clone();
         serve_connections(listener, move |conn| serving.serve(conn));
         Ok(store)
     }
 
+    /// Replaces addresses in the values of an answer.
+    fn replace_addresses(&self, answer: &mut Value) {
+        for list in ["items", "events"] {
+            for item in answer[list].as_array_mut().into_iter().flatten() {
+                let Some(value) = item["value"].as_str() else { continue };
+                let mut text = String::from_utf8_lossy(&base64_decode(value)).into_owned();
+                for AddressReplacement { stored, returned } in self.replaced.iter() {
+                    text = text.replace(&stored.to_string(), &returned.to_string());
+                }
+                item["value"] = json!(base64_encode(text.as_bytes()));
+            }
+        }
+    }
+
     /// Writes a key without a lease.
     pub fn put(&self, key: &str, value: &Value) {
         self.with(|state| state.put(key, &value.to_string(), 0));
@@ -156,7 +195,10 @@
                 }
                 StoreMode::Normal => {}
             }
-            let Some((status, body)) = self.answer_to(&req) else { return };
+            let Some((status, mut body)) = self.answer_to(&req) else { return };
+            if !self.replaced.is_empty() {
+                self.replace_addresses(&mut body);
+            }
             if !conn.write(&response_bytes(status, &[], body.to_string().as_bytes())) {
                 return;
             }
--- /dev/null
+++ b/tests/cut_off_vms.rs
@@ -0,0 +1,152 @@
+//! VMs that can't reach targets while callers, the store and other VMs reach them.
+
+// A failing `expect` in a fixture fails the test.
+#![allow(clippy::expect_used)]
+
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use standins::fleet::wait_until;
+use standins::serving_path::runners::Runner;
+use standins::serving_path::site::{Site, Vm, event_ids, get, post};
+use standins::serving_path::store::AddressReplacement;
+use standins::serving_path::target_path::{PathCut, TargetPath};
+
+/// Time after the start of a cut from which on requests have to be served.
+const CONTACT: Duration = Duration::from_millis(3000);
+/// Pause between two requests at the same VM.
+const REQUEST_PAUSE: Duration = Duration::from_millis(50);
+/// Requests at each VM from [`CONTACT`] on.
+const REQUESTS: usize = 40;
+/// Of the requests at a VM, at most one in this many may fail.
+const FAILING_DIVISOR: usize = 50;
+/// Paths of the routes, in turn.
+const ROUTES: [&str; 5] = ["/repeat/", "/once/", "/stream/", "/resumed/", "/chain/"];
+
+/// A site with VMs of which the first ones use paths of their own to the targets.
+struct CutSite {
+    site: Site,
+    vms: Vec<Vm>,
+    /// Paths of the VMs that can be cut off.
+    paths: Vec<TargetPath>,
+}
+
+impl CutSite {
+    /// Starts `vms` VMs, of which `cut` can be cut off.
+    fn start(name: &str, vms: usize, cut: usize) -> Self {
+        let site = Site::start();
+        let (mut paths, mut replaced) = (Vec::new(), Vec::new());
+        for runner in runners(&site) {
+            let path = TargetPath::start(runner.address).expect("a path");
+            replaced.push(AddressReplacement { stored: runner.address, returned: path.address });
+            paths.push(path);
+        }
+        let view = site.store.view_with_addresses(replaced).expect("a view of the store");
+        let vms: Vec<Vm> = (0..vms)
+            .map(|index| {
+                let store = if index < cut { view.address } else { site.store.address };
+                let vm = Vm::start(&format!("{name}-{index}"), "hall-a", store, "");
+                site.wait_for_all_runners(&vm);
+                vm
+            })
+            .collect();
+        wait_until("the VMs are linked", || {
+            vms.iter().all(|vm| vm.linked_peers() == vms.len() - 1)
+        });
+        CutSite { site, vms, paths }
+    }
+
+    fn cut(&self, cut: PathCut) {
+        self.paths.iter().for_each(|path| path.cut(cut));
+    }
+
+    fn heal(&self) {
+        self.paths.iter().for_each(TargetPath::heal);
+    }
+}
+
+fn runners(site: &Site) -> impl Iterator<Item = &Runner> {
+    site.services().into_iter().flat_map(|(_, runners)| runners)
+}
+
+/// Sends a request on a route; returns whether its first attempt is served whole.
+fn is_served(vm: &Vm, path: &str, id: &str) -> bool {
+    let call = match path {
+        "/once/" => post(path, id),
+        "/chain/" => get(path, id).with_header("Pieces", "2,1").with_header("Piece-Key", "k"),
+        _ => get(path, id),
+    };
+    let Some(answer) = call.send(vm.callers) else { return false };
+    let is_stream = !matches!(path, "/once/" | "/repeat/");
+    answer.status() == 200 && answer.is_complete && (!is_stream || event_ids(&answer).len() == 5)
+}
+
+/// Sends requests on all routes in turn, for at least `time`; returns how many were sent and
+/// served.
+fn send_requests(vm: &Vm, name: &str, least: usize, time: Duration) -> (usize, usize) {
+    let start = Instant::now();
+    let (mut sent, mut served) = (0, 0);
+    while sent < least || start.elapsed() < time {
+        let path = ROUTES[sent % ROUTES.len()];
+        let id = format!("{name}-{sent}-{}", path.trim_matches('/'));
+        served += usize::from(is_served(vm, path, &id));
+        sent += 1;
+        sleep(REQUEST_PAUSE);
+    }
+    (sent, served)
+}
+
+/// Sends requests to all VMs at the same time; returns how many were sent and served at each.
+fn send_to_all(vms: &[Vm], name: &str, least: usize, time: Duration) -> Vec<(usize, usize)> {
+    std::thread::scope(|scope| {
+        let sending: Vec<_> = vms
+            .iter()
+            .enumerate()
+            .map(|(index, vm)| {
+                let name = format!("{name}-{index}");
+                scope.spawn(move || send_requests(vm, &name, least, time))
+            })
+            .collect();
+        sending.into_iter().map(|sending| sending.join().expect("requests are sent")).collect()
+    })
+}
+
+/// Cuts the first VMs of a site off from all targets and checks that callers of all VMs are served
+/// from [`CONTACT`] on, and after the cut.
+fn assert_served_in_cut(name: &str, vms: usize, cut_off: usize, cut: PathCut) {
+    let site = CutSite::start(name, vms, cut_off);
+    send_to_all(&site.vms, "before", REQUESTS / 2, Duration::ZERO);
+
+    site.cut(cut);
+    send_to_all(&site.vms, "begun", 1, CONTACT);
+    let in_cut = send_to_all(&site.vms, "cut", REQUESTS, Duration::ZERO);
+    site.heal();
+    send_to_all(&site.vms, "healing", 1, CONTACT);
+    let after = send_to_all(&site.vms, "after", REQUESTS, Duration::ZERO);
+
+    for (sent, served) in in_cut.iter().chain(&after) {
+        assert!(
+            sent - served <= sent / FAILING_DIVISOR,
+            "{cut:?}, {cut_off} of {vms} VMs cut off: served of sent during the cut {in_cut:?}, \
+             after it {after:?}"
+        );
+    }
+    let ran: Vec<String> = runners(&site.site).flat_map(Runner::ran).collect();
+    let mut once: Vec<&String> = ran.iter().filter(|id| id.ends_with("-once")).collect();
+    let runs = once.len();
+    once.sort_unstable();
+    once.dedup();
+    assert_eq!(once.len(), runs, "a request that may not be repeated ran twice");
+}
+
+#[test]
+fn callers_of_a_vm_that_reaches_no_target_are_served() {
+    for cut in PathCut::ALL {
+        assert_served_in_cut(&format!("cut-{cut:?}").to_lowercase(), 3, 1, cut);
+    }
+}
+
+#[test]
+fn callers_of_most_vms_that_reach_no_target_are_served() {
+    assert_served_in_cut("cut-most", 4, 3, PathCut::Hang);
+}
