Ask peers before a refused connection counts as the end of a target

Cause: after a connection breaks under a request, the address is probed, and a refused connection counts as the end of the target's lifetime. A path that is cut refuses as well.

Change: two peers are asked to connect as well. One that connects shows that the target lives; if the path is known to be broken, only their word counts; without a peer that can tell, the VM's own view does, as before.

Where the peers that are asked are cut off too and do not know it yet, the evidence can still be false; the next good answer to the request clears it.

--- a/gateway/src/crashes.rs
+++ b/gateway/src/crashes.rs
@@ -20,7 +20,7 @@
 use crate::requests::AcceptedRequest;
 use crate::shared::Shared;
 use crate::stages::pieces_of;
-use crate::{connections, target_connecting};
+use crate::target_connecting;
 
 /// Time limit of the first probe of a target whose connection broke. The next try of the request
 /// waits for the probe; without that wait a request is sent once more before its last crash counts,
@@ -64,13 +64,13 @@
 ) {
     app.state.with(|shared, now| shared.record_lost_connections(digests, target, lifetime, now));
     target_connecting::check_path(app, target);
-    if connections::is_refused(target.address, FIRST_PROBE_TIMEOUT).await {
+    if target_connecting::is_refused(app, target, FIRST_PROBE_TIMEOUT).await {
         record_probe(app, digests, target, lifetime, true);
         return;
     }
     let (app, target, digests) = (Rc::clone(app), target.clone(), digests.to_vec());
     spawn_local(async move {
-        let ended = has_ended(&target).await;
+        let ended = has_ended(&app, &target).await;
         record_probe(&app, &digests, &target, lifetime, ended);
     });
 }
@@ -78,10 +78,10 @@
 /// Runs the later probes; returns whether the target's address refuses connections. A target that
 /// is unreachable doesn't answer at all, and one that only aborted an answer accepts the
 /// connection; neither counts as ended.
-async fn has_ended(target: &Target) -> bool {
+async fn has_ended(app: &Rc<App>, target: &Target) -> bool {
     for pause in LATER_PROBE_PAUSES {
         sleep(pause).await;
-        if connections::is_refused(target.address, LATER_PROBE_TIMEOUT).await {
+        if target_connecting::is_refused(app, target, LATER_PROBE_TIMEOUT).await {
             return true;
         }
     }
--- a/gateway/src/target_connecting.rs
+++ b/gateway/src/target_connecting.rs
@@ -14,7 +14,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::{JoinSet, spawn_local};
-use tokio::time::{Instant, interval, sleep, sleep_until};
+use tokio::time::{Instant, interval, sleep, sleep_until, timeout, timeout_at};
 use tokio_stream::wrappers::UnboundedReceiverStream;
 use tonic::transport::{Channel, Endpoint};
 
@@ -28,6 +28,8 @@
 const NEXT_WAY_DELAY: Duration = Duration::from_millis(100);
 /// Most peers that are asked to relay one connection.
 const MAX_RELAYS: usize = 3;
+/// Most peers that are asked whether a target refuses connections.
+const MAX_WITNESSES: usize = 2;
 /// Interval between two checks which targets to probe.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Other targets that are checked at once when the path to one turns out to be broken.
@@ -303,3 +305,35 @@
         }
     }
 }
+
+/// Whether an address refuses connections, as this VM sees it and as a peer does: a path that is cut
+/// may refuse connections to a target that is up. Without a peer that can tell, this VM's own view
+/// counts.
+pub(crate) async fn is_refused(app: &Rc<App>, target: &Target, within: Duration) -> bool {
+    let path = app.state.with(|shared, _| shared.target_paths.path_to(&target.id));
+    let deadline = Instant::now() + within;
+    if path == Path::Direct {
+        let connected = timeout(within, connect(target.address)).await;
+        if !matches!(connected, Ok(Err(ConnectError::Refused))) {
+            return false;
+        }
+    }
+    let mut asked = JoinSet::new();
+    for vm in relays_for(app, &target.hall).into_iter().take(MAX_WITNESSES) {
+        asked.spawn_local(try_way(Rc::clone(app), target.clone(), Way::Through(vm)));
+    }
+    let mut refused = path == Path::Direct;
+    while !asked.is_empty() {
+        match timeout_at(deadline, asked.join_next()).await {
+            Ok(Some(Ok(Tried { result: Ok(_), .. }))) => {
+                record_broken(app, target);
+                return false;
+            }
+            Ok(Some(Ok(Tried { result: Err(ConnectError::Refused), .. }))) => refused = true,
+            // This peer can't tell.
+            Ok(_) => {}
+            Err(_) => return false,
+        }
+    }
+    refused
+}
--- a/tests/cut_off_vms.rs
+++ b/tests/cut_off_vms.rs
@@ -7,8 +7,8 @@
 use std::time::{Duration, Instant};
 
 use standins::fleet::wait_until;
-use standins::serving_path::runners::Runner;
-use standins::serving_path::site::{Site, Vm, event_ids, get, post};
+use standins::serving_path::runners::{Behavior, Runner};
+use standins::serving_path::site::{SETTLE_TIME, Site, Vm, event_ids, get, post};
 use standins::serving_path::store::AddressReplacement;
 use standins::serving_path::target_path::{PathCut, TargetPath};
 
@@ -32,8 +32,8 @@
 }
 
 impl CutSite {
-    /// Starts `vms` VMs, of which `cut` can be cut off.
-    fn start(name: &str, vms: usize, cut: usize) -> Self {
+    /// Starts `vms` VMs, of which `cut` can be cut off; `extra` is appended to their settings.
+    fn start(name: &str, vms: usize, cut: usize, extra: &str) -> Self {
         let site = Site::start();
         let (mut paths, mut replaced) = (Vec::new(), Vec::new());
         for runner in runners(&site) {
@@ -45,7 +45,7 @@
         let vms: Vec<Vm> = (0..vms)
             .map(|index| {
                 let store = if index < cut { view.address } else { site.store.address };
-                let vm = Vm::start(&format!("{name}-{index}"), "hall-a", store, "");
+                let vm = Vm::start(&format!("{name}-{index}"), "hall-a", store, extra);
                 site.wait_for_all_runners(&vm);
                 vm
             })
@@ -114,7 +114,7 @@
 /// Cuts the first VMs of a site off from all targets and checks that callers of all VMs are served
 /// from [`CONTACT`] on, and after the cut.
 fn assert_served_in_cut(name: &str, vms: usize, cut_off: usize, cut: PathCut) {
-    let site = CutSite::start(name, vms, cut_off);
+    let site = CutSite::start(name, vms, cut_off, "");
     send_to_all(&site.vms, "before", REQUESTS / 2, Duration::ZERO);
 
     site.cut(cut);
@@ -153,3 +153,30 @@
 fn callers_of_most_vms_that_reach_no_target_are_served() {
     assert_served_in_cut("cut-most", 4, 3, PathCut::Hang);
 }
+
+/// Guards against a cut path, which resets and refuses connections, being taken for the end of the
+/// targets behind it.
+#[test]
+fn requests_whose_paths_are_cut_are_not_refused_as_ones_that_end_targets() {
+    let site = CutSite::start("cut-evidence", 3, 1, "quarantine:\n  crashes: 2\n");
+    let (cut_vm, other_vm) = (&site.vms[0], &site.vms[1]);
+    let held = Behavior::Hang(Duration::from_millis(1500));
+    Site::queue_behavior(&site.site.plain, &held);
+    std::thread::scope(|scope| {
+        for runner in &site.site.plain {
+            let id = format!("held-{}", runner.id);
+            scope.spawn(move || post("/once/", &id).send(cut_vm.callers));
+        }
+        wait_until("both runners have a request", || {
+            site.site.plain.iter().all(|runner| !runner.ran().is_empty())
+        });
+        site.cut(PathCut::Reset);
+    });
+    // Later probes of the targets end within this time.
+    sleep(SETTLE_TIME);
+
+    let answer = post("/once/", "same-request").send(other_vm.callers).expect("an answer");
+
+    assert_eq!(answer.status(), 200, "{}", cut_vm.log());
+    assert_eq!(other_vm.state_list("quarantine"), Vec::<serde_json::Value>::new());
+}
