--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -13,6 +13,8 @@
 
 /// Most events in the answer to a watch.
 const MAX_WATCH_EVENTS: usize = 500;
+/// Header with the era of the store.
+const ERA: &str = "Store-Era";
 /// Polling interval of a waiting call.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -30,6 +32,8 @@
 
 #[derive(Default)]
 struct State {
+    /// Rises by one each time the store comes back from a copy.
+    era: u64,
     /// Revision of the last change.
     revision: u64,
     /// Revision, value and lease (0 for none) by key.
@@ -53,6 +57,14 @@
     failing_page: Option<(String, u64)>,
 }
 
+/// The content of a store at an earlier time.
+pub struct StoreCopy {
+    revision: u64,
+    items: BTreeMap<String, (u64, String, u64)>,
+    changes: Vec<(u64, String)>,
+    leases: BTreeMap<u64, (Instant, Duration)>,
+}
+
 /// A running store; clones share its state.
 #[derive(Clone)]
 pub struct Store {
@@ -130,6 +142,28 @@
         self.with(|state| state.compacted_revision = state.revision);
     }
 
+    /// A copy of the present content, from which the store can come back.
+    pub fn copy(&self) -> StoreCopy {
+        self.with(|state| StoreCopy {
+            revision: state.revision,
+            items: state.items.clone(),
+            changes: state.changes.clone(),
+            leases: state.leases.clone(),
+        })
+    }
+
+    /// Comes back from a copy: what was written since is gone, leases too, and revisions are given
+    /// out again.
+    pub fn come_back_from(&self, copy: StoreCopy) {
+        self.with(|state| {
+            state.era += 1;
+            state.revision = copy.revision;
+            state.items = copy.items;
+            state.changes = copy.changes;
+            state.leases = copy.leases;
+        });
+    }
+
     /// Keys that start with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.with(|state| state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect())
@@ -176,13 +210,13 @@
 
     fn serve(&self, mut conn: HttpConnection) {
         while let Some(req) = conn.read() {
-            let mode = self.with(|state| {
+            let (mode, era) = self.with(|state| {
                 state.calls += 1;
-                state.mode
+                (state.mode, state.era)
             });
             match mode {
                 StoreMode::Unavailable => {
-                    conn.write(&response_bytes("503 Busy", &[], b""));
+                    conn.write(&response_bytes("503 Busy", &[(ERA, &era.to_string())], b""));
                     continue;
                 }
                 StoreMode::Unresponsive => {
@@ -199,7 +233,9 @@
             if !self.replaced.is_empty() {
                 self.replace_addresses(&mut body);
             }
-            if !conn.write(&response_bytes(status, &[], body.to_string().as_bytes())) {
+            // A watch that waited across a return of the store answers with the new era.
+            let era = self.with(|state| state.era).to_string();
+            if !conn.write(&response_bytes(status, &[(ERA, &era)], body.to_string().as_bytes())) {
                 return;
             }
         }
@@ -253,7 +289,7 @@
                     (StoreMode::Unavailable, _) | (StoreMode::Normal, true) => return Some(None),
                     (StoreMode::Normal, false) => {}
                 }
-                if after < state.compacted_revision {
+                if after < state.compacted_revision || after > state.revision {
                     return Some(Some(("410 Gone", json!({}))));
                 }
                 let (events, as_of) = state.events(prefix, after);
