--- a/components/fleet/src/peer.rs
+++ b/components/fleet/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use batching::QueueCounts;
-use ids::HallName;
+use ids::{HallName, StoreRevision};
 use serde::{Deserialize, Serialize};
 
 use crate::PEER_TIMEOUT;
@@ -77,7 +77,7 @@
     /// Whether it reaches no targets itself.
     pub cut_off: bool,
     /// Revision of the store up to which it knows every change.
-    pub as_of: u64,
+    pub as_of: StoreRevision,
     /// Whether it watches the store itself and the store answers it.
     pub watches_store: bool,
     /// Version of the configuration that it has in force.
@@ -99,7 +99,7 @@
             linked: false,
             draining: false,
             cut_off: false,
-            as_of: 0,
+            as_of: StoreRevision::default(),
             watches_store: false,
             configuration: 0,
             pools: HashMap::new(),
--- a/components/ids/src/lib.rs
+++ b/components/ids/src/lib.rs
@@ -225,3 +225,29 @@
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Position in the history of the platform's store. When the store comes back from an older copy,
+/// its era rises and its numbers are given out again, so that only both together are ordered.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreRevision {
+    /// Rises by one each time the store comes back from an older copy; 0 if the store names none.
+    pub era: u64,
+    /// The store's revision within the era; 0 is before the first change.
+    pub number: u64,
+}
+
+impl StoreRevision {
+    /// The position before the first change of an era.
+    pub fn start_of(era: u64) -> Self {
+        StoreRevision { era, number: 0 }
+    }
+}
+
+impl fmt::Display for StoreRevision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.era > 0 {
+            write!(f, "{}.", self.era)?;
+        }
+        write!(f, "{}", self.number)
+    }
+}
--- a/components/platform_interface/src/intents.rs
+++ b/components/platform_interface/src/intents.rs
@@ -1,7 +1,7 @@
 //! The operators' intent (the configuration that they want in force), the targets' entries and the
 //! evacuations of data halls: their keys in the store, and how their values are read.
 
-use ids::HallName;
+use ids::{HallName, StoreRevision};
 use intent::{Intent, Target};
 use rollout::{Order, Phase};
 
@@ -27,7 +27,7 @@
     /// Reads the name of the hall that is taken out of service from an evacuation's key and value.
     pub evacuation: fn(&str, &[u8]) -> errors::Result<HallName>,
     /// Reads an order of a rollout from its key, its value and its revision.
-    pub rollout: fn(&str, &[u8], u64) -> errors::Result<Order>,
+    pub rollout: fn(&str, &[u8], StoreRevision) -> errors::Result<Order>,
     /// Writes how an order went, for operators.
     pub rollout_status: fn(&Order, Phase) -> Write,
 }
--- a/components/platform_interface/src/store.rs
+++ b/components/platform_interface/src/store.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Method;
+use http::{HeaderMap, Method};
 
 /// A request to the store.
 #[derive(Debug, Clone)]
@@ -21,7 +21,7 @@
 pub struct StoreItem {
     /// The key.
     pub key: String,
-    /// Revision of the key's latest change.
+    /// Number of the key's latest change, within the era of the answer.
     pub revision: u64,
     /// The value; `None` if the key was removed.
     pub value: Option<Bytes>,
@@ -32,7 +32,7 @@
 pub struct Page {
     /// Items in the store's order.
     pub items: Vec<StoreItem>,
-    /// The store's revision when it answered.
+    /// Number of the store's latest change when it answered, within the era of the answer.
     pub as_of: u64,
     /// Whether there are further pages, or may be further events.
     pub truncated: bool,
@@ -105,6 +105,8 @@
     pub read_list: fn(&[u8]) -> errors::Result<Page>,
     /// Reads the events of a watch.
     pub read_watch: fn(&[u8]) -> errors::Result<Page>,
+    /// Reads the store's era from the headers of an answer; `None` if it names none.
+    pub read_era: fn(&HeaderMap) -> Option<u64>,
     /// Reads a lease that was granted.
     pub read_lease: fn(&[u8]) -> errors::Result<Lease>,
 }
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -232,6 +232,11 @@
         all.filter_map(|(digest, record)| self.refused_of(digest, record, now)).collect()
     }
 
+    /// Records that the store may have lost refused requests that were written to it.
+    pub fn mark_all_unwritten(&mut self) {
+        self.records.values_mut().for_each(|record| record.unwritten = true);
+    }
+
     /// Records that a request was written to the store.
     pub fn mark_written(&mut self, digest: &RequestDigest) {
         if let Some(record) = self.records.get_mut(digest) {
--- a/components/rollout/src/order.rs
+++ b/components/rollout/src/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ids::{ServiceName, VersionName};
+use ids::{ServiceName, StoreRevision, VersionName};
 use serde::{Deserialize, Serialize};
 
 /// An order to move a service's traffic to targets of another version.
@@ -15,7 +15,15 @@
     /// Time within which the rollout has to be decided.
     pub duration: Duration,
     /// The store's revision of the order; a later order for the service has a higher one.
-    pub revision: u64,
+    pub revision: StoreRevision,
+}
+
+impl Order {
+    /// Whether this is the other order, written again after the store came back from an older copy.
+    pub(crate) fn is_rewrite_of(&self, other: &Order) -> bool {
+        let content = |order: &Order| (order.version.clone(), order.duration);
+        self.revision.era > other.revision.era && content(self) == content(other)
+    }
 }
 
 /// How far an order is carried out. Of two phases that VMs report for the same order, the greater
--- a/components/rollout/src/rollouts.rs
+++ b/components/rollout/src/rollouts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use ids::{ServiceName, VersionName};
+use ids::{ServiceName, StoreRevision, VersionName};
 
 use crate::comparison::Comparison;
 use crate::evidence::{Evidence, Observation};
@@ -200,8 +200,14 @@
         self.begin()
     }
 
+    /// The decision that the store lacks if nothing new is decided.
     fn begin(&self) -> Option<Decision> {
-        self.stored.is_none().then_some(Decision::Begin)
+        let decision = match self.phase {
+            Phase::Promoted => Decision::Promote,
+            Phase::Completed => Decision::Complete,
+            Phase::Canary | Phase::RolledBack => Decision::Begin,
+        };
+        self.stored.is_none().then_some(decision)
     }
 }
 
@@ -218,8 +224,15 @@
         Rollouts { rules, by_service: BTreeMap::new() }
     }
 
-    /// Applies an order. It replaces an earlier one for the service; the same one changes nothing.
+    /// Applies an order. It replaces an earlier one for the service; the same one changes nothing,
+    /// and one that was written again is carried out as far as before.
     pub fn order(&mut self, order: Order, now: Instant) {
+        let known = self.by_service.get_mut(&order.service);
+        if let Some(known) = known.filter(|known| order.is_rewrite_of(&known.order)) {
+            known.order.revision = order.revision;
+            known.stored = None;
+            return;
+        }
         let known = self.by_service.get(&order.service);
         if known.is_none_or(|known| known.order.revision < order.revision) {
             self.by_service.insert(order.service.clone(), Rollout::new(order, now));
@@ -236,7 +249,13 @@
     }
 
     /// Applies the phase that the platform's store holds for the order of a revision.
-    pub fn set_stored(&mut self, service: &ServiceName, revision: u64, phase: Phase, now: Instant) {
+    pub fn set_stored(
+        &mut self,
+        service: &ServiceName,
+        revision: StoreRevision,
+        phase: Phase,
+        now: Instant,
+    ) {
         if let Some(rollout) = self.of_order(service, revision) {
             rollout.stored = Some(phase);
             rollout.enter(phase, now);
@@ -248,7 +267,7 @@
     pub fn set_phase(
         &mut self,
         service: &ServiceName,
-        revision: u64,
+        revision: StoreRevision,
         phase: Phase,
         now: Instant,
     ) -> bool {
@@ -314,7 +333,13 @@
     }
 
     /// Records the report of a VM's process, this one's included, about the order of a revision.
-    pub fn report(&mut self, service: &ServiceName, revision: u64, process: u64, report: &Report) {
+    pub fn report(
+        &mut self,
+        service: &ServiceName,
+        revision: StoreRevision,
+        process: u64,
+        report: &Report,
+    ) {
         if let Some(rollout) = self.of_order(service, revision) {
             rollout.comparison.report(process, &report.evidence);
             rollout.old_in_progress.insert(process, report.old_in_progress);
@@ -338,7 +363,7 @@
         self.by_service.get_mut(service)?.decide(&self.rules, state, now)
     }
 
-    fn of_order(&mut self, service: &ServiceName, revision: u64) -> Option<&mut Rollout> {
+    fn of_order(&mut self, service: &ServiceName, revision: StoreRevision) -> Option<&mut Rollout> {
         let rollout = self.by_service.get_mut(service)?;
         (rollout.order.revision == revision).then_some(rollout)
     }
--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/rollouts.rs
@@ -8,7 +8,7 @@
 
 use std::time::{Duration, Instant};
 
-use ids::{ServiceName, VersionName};
+use ids::{ServiceName, StoreRevision, VersionName};
 use rollout::{
     Decision, Evidence, Observation, Order, Phase, Report, Rollouts, Rules, ServiceState, Versions,
 };
@@ -29,7 +29,12 @@
     VersionName::new(name).unwrap()
 }
 
-fn order(revision: u64) -> Order {
+fn rev(number: u64) -> StoreRevision {
+    StoreRevision { era: 1, number }
+}
+
+fn order(number: u64) -> Order {
+    let revision = rev(number);
     Order { service: service(), version: version("v2"), duration: DURATION, revision }
 }
 
@@ -75,11 +80,11 @@
             self.vms.iter().map(|vm| vm.evidence(&service()).unwrap().clone()).collect();
         for (process, evidence) in reports.into_iter().enumerate() {
             let report = Report { evidence, old_in_progress: 0 };
-            self.vms[0].report(&service(), 1, process as u64, &report);
+            self.vms[0].report(&service(), rev(1), process as u64, &report);
         }
         let decision = self.vms[0].decide(&service(), BOTH, now)?;
         let phase = decision.phase();
-        self.vms.iter_mut().for_each(|vm| vm.set_stored(&service(), 1, phase, now));
+        self.vms.iter_mut().for_each(|vm| vm.set_stored(&service(), rev(1), phase, now));
         Some(decision)
     }
 
@@ -172,7 +177,7 @@
     let none = ServiceState { new_slots: 0, old_slots: 8 };
 
     let begin = rollouts.decide(&service(), none, now);
-    rollouts.set_stored(&service(), 1, Phase::Canary, now);
+    rollouts.set_stored(&service(), rev(1), Phase::Canary, now);
     let meanwhile = rollouts.decide(&service(), none, now + DURATION / 2);
     let at_the_end = rollouts.decide(&service(), none, now + DURATION);
 
@@ -193,10 +198,10 @@
 fn a_rollout_is_not_completed_while_targets_of_other_versions_have_work() {
     let now = Instant::now();
     let mut rollouts = ordered(now);
-    rollouts.set_stored(&service(), 1, Phase::Promoted, now);
+    rollouts.set_stored(&service(), rev(1), Phase::Promoted, now);
     let report = |old_in_progress| Report { evidence: Evidence::default(), old_in_progress };
-    rollouts.report(&service(), 1, 1, &report(0));
-    rollouts.report(&service(), 1, 2, &report(3));
+    rollouts.report(&service(), rev(1), 1, &report(0));
+    rollouts.report(&service(), rev(1), 2, &report(3));
 
     let while_busy = rollouts.decide(&service(), BOTH, now + DURATION);
     rollouts.retain_processes(&service(), |process| process == 1);
@@ -210,12 +215,12 @@
 fn a_later_order_replaces_an_earlier_one_and_reports_about_that_one_are_ignored() {
     let now = Instant::now();
     let mut rollouts = ordered(now);
-    rollouts.set_phase(&service(), 1, Phase::RolledBack, now);
+    rollouts.set_phase(&service(), rev(1), Phase::RolledBack, now);
     let later = Order { version: version("v3"), ..order(2) };
 
     rollouts.order(later, now);
     rollouts.order(order(1), now);
-    rollouts.set_phase(&service(), 1, Phase::Completed, now);
+    rollouts.set_phase(&service(), rev(1), Phase::Completed, now);
 
     let phases: Vec<_> = rollouts.phases().map(|(o, p)| (o.version.to_string(), p)).collect();
     assert_eq!(phases, [("v3".to_owned(), Phase::Canary)]);
@@ -238,10 +243,10 @@
     let now = Instant::now();
     let mut rollouts = ordered(now);
 
-    assert!(rollouts.set_phase(&service(), 1, Phase::RolledBack, now));
-    assert!(!rollouts.set_phase(&service(), 1, Phase::Promoted, now));
+    assert!(rollouts.set_phase(&service(), rev(1), Phase::RolledBack, now));
+    assert!(!rollouts.set_phase(&service(), rev(1), Phase::Promoted, now));
     let by_the_next_coordinator = rollouts.decide(&service(), BOTH, now);
-    rollouts.set_stored(&service(), 1, Phase::RolledBack, now);
+    rollouts.set_stored(&service(), rev(1), Phase::RolledBack, now);
 
     assert_eq!(by_the_next_coordinator.map(|d| d.phase()), Some(Phase::RolledBack));
     assert_eq!(rollouts.decide(&service(), BOTH, now), None);
@@ -268,7 +273,7 @@
     let now = Instant::now();
     let mut rollouts = ordered(now);
 
-    rollouts.set_stored(&service(), 1, Phase::Completed, now);
+    rollouts.set_stored(&service(), rev(1), Phase::Completed, now);
 
     assert!(rollouts.remove_ended(now + Duration::from_secs(1)).is_empty());
     assert_eq!(rollouts.versions(&service()), Versions::Only(version("v2")));
@@ -282,14 +287,50 @@
 fn a_promoted_version_is_compared_until_the_planned_time() {
     let now = Instant::now();
     let mut rollouts = ordered(now);
-    rollouts.set_stored(&service(), 1, Phase::Promoted, now);
+    rollouts.set_stored(&service(), rev(1), Phase::Promoted, now);
     let mut evidence = Evidence::default();
 
     let just_promoted = rollouts.decide(&service(), BOTH, now + DURATION / 2);
     (0..6).for_each(|_| evidence.record(ROUTE, true, Observation::Failed));
-    rollouts.report(&service(), 1, 1, &Report { evidence, old_in_progress: 0 });
+    rollouts.report(&service(), rev(1), 1, &Report { evidence, old_in_progress: 0 });
     let after_bad_answers = rollouts.decide(&service(), BOTH, now + DURATION * 6 / 10);
 
     assert_eq!(just_promoted, None);
     assert_eq!(after_bad_answers.map(|d| d.phase()), Some(Phase::RolledBack));
 }
+
+/// Guards against a version that was rolled back, or promoted, starting anew because the store came
+/// back from an older copy and the order was written again.
+#[test]
+fn an_order_that_is_written_again_in_a_later_era_is_carried_out_as_far_as_before() {
+    let now = Instant::now();
+    for phase in [Phase::Promoted, Phase::RolledBack] {
+        let mut rollouts = Rollouts::new(RULES);
+        rollouts.order(order(9), now);
+        rollouts.set_phase(&service(), rev(9), phase, now);
+        let revision = StoreRevision { era: 2, number: 4 };
+
+        rollouts.order(Order { revision, ..order(9) }, now);
+        let late = rollouts.set_phase(&service(), rev(9), Phase::Completed, now);
+
+        let known: Vec<_> = rollouts.phases().map(|(o, phase)| (o.revision, phase)).collect();
+        assert_eq!(known, [(revision, phase)]);
+        assert!(!late, "of the order before");
+        let state = ServiceState { new_slots: 4, old_slots: 4 };
+        let decision = rollouts.decide(&service(), state, now).map(|decision| decision.phase());
+        assert_eq!(decision, Some(phase), "the store lacks it");
+    }
+}
+
+#[test]
+fn another_order_in_a_later_era_replaces_the_one_before() {
+    let now = Instant::now();
+    let mut rollouts = Rollouts::new(RULES);
+    rollouts.order(order(9), now);
+    rollouts.set_phase(&service(), rev(9), Phase::RolledBack, now);
+    let revision = StoreRevision { era: 2, number: 4 };
+
+    rollouts.order(Order { version: version("v3"), revision, ..order(9) }, now);
+
+    assert_eq!(rollouts.phases().map(|(_, phase)| phase).collect::<Vec<_>>(), [Phase::Canary]);
+}
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -230,6 +230,11 @@
         all.iter().cycle().skip(first).take(max_count.min(all.len())).copied().collect()
     }
 
+    /// Returns the targets that are leaving.
+    pub fn leaving(&self) -> impl Iterator<Item = &Target> {
+        self.states.values().map(|state| &state.target).filter(|target| target.leaving)
+    }
+
     /// Returns a target by its key.
     pub fn get_by_key(&self, key: TargetKey) -> Option<&Target> {
         self.states.get(key).map(|state| &state.target)
--- a/components/store_view/src/stall.rs
+++ b/components/store_view/src/stall.rs
@@ -6,17 +6,19 @@
 
 use std::time::{Duration, Instant};
 
+use ids::StoreRevision;
+
 /// Tracks for how long this VM has been behind its peers without advancing itself.
 #[derive(Debug, Default)]
 pub struct StallDetector {
-    own_revision: u64,
+    own_revision: StoreRevision,
     behind_since: Option<Instant>,
 }
 
 impl StallDetector {
     /// Records the revisions up to which this VM, and the most advanced of its peers, know the
     /// store.
-    pub fn update(&mut self, own: u64, peers: u64, now: Instant) {
+    pub fn update(&mut self, own: StoreRevision, peers: StoreRevision, now: Instant) {
         let advanced = own != self.own_revision;
         self.own_revision = own;
         if peers <= own {
--- a/components/store_view/src/transfer.rs
+++ b/components/store_view/src/transfer.rs
@@ -3,9 +3,11 @@
 //! The peer requests one batch after the other, in the order of changes, so that other messages on
 //! the link can be sent between two batches.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use ids::StoreRevision;
 
 use crate::{Item, View};
 
@@ -30,8 +32,18 @@
 
 /// Whether a VM that knows all changes up to `known` lacks many, while a peer knows those up to
 /// `newest`.
-pub fn lacks_many(known: u64, newest: u64) -> bool {
-    newest.saturating_sub(known) >= MANY_CHANGES
+pub fn lacks_many(known: StoreRevision, newest: StoreRevision) -> bool {
+    missing(known, newest) >= MANY_CHANGES
+}
+
+/// Number of changes up to `newest` that a VM lacks that knows those up to `known`. Of a later era it
+/// lacks all.
+fn missing(known: StoreRevision, newest: StoreRevision) -> u64 {
+    match known.era.cmp(&newest.era) {
+        Ordering::Less => newest.number,
+        Ordering::Equal => newest.number.saturating_sub(known.number),
+        Ordering::Greater => 0,
+    }
 }
 
 /// Whether a peer that knows all changes up to `revision` is worth asking by a VM that knows those up
@@ -39,9 +51,14 @@
 /// all of them. Of many, a peer has to have half, and one of these peers is chosen at random: if all
 /// VMs asked the one that knows most, a few VMs of each hall would send thousands of changes to
 /// hundreds of others; so each VM that has received some passes them on.
-pub fn is_useful_source(revision: u64, known: u64, newest: u64) -> bool {
+pub fn is_useful_source(
+    revision: StoreRevision,
+    known: StoreRevision,
+    newest: StoreRevision,
+) -> bool {
     if lacks_many(known, newest) {
-        return revision.saturating_sub(known) >= (newest - known).div_ceil(2);
+        let is_of_era = revision.era == newest.era;
+        return is_of_era && missing(known, revision) >= missing(known, newest).div_ceil(2);
     }
     revision > known && revision >= newest
 }
@@ -49,27 +66,36 @@
 /// Position of a change in the order of changes: by revision, then by key.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
-    /// Revision of the change.
-    pub revision: u64,
+    /// StoreRevision of the change.
+    pub revision: StoreRevision,
     /// Key that was changed.
     pub key: String,
 }
 
 impl Position {
     /// The position that precedes all changes with a revision above `revision`.
-    pub fn after(revision: u64) -> Self {
-        Position { revision: revision + 1, key: String::new() }
+    pub fn after(revision: StoreRevision) -> Self {
+        let next = StoreRevision { number: revision.number + 1, ..revision };
+        Position { revision: next, key: String::new() }
     }
 }
 
+/// A change of which a part was received.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PartialChange {
+    /// StoreRevision of the change.
+    pub revision: StoreRevision,
+    /// Bytes of its value that were received.
+    pub bytes: usize,
+}
+
 /// A peer's request for the next batch.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct BatchRequest {
     /// Last position that the peer has; only later changes are sent.
     pub after: Position,
-    /// Revision of a change that the peer has received in part, and how many bytes of its value it
-    /// has; `(0, 0)` if there is none.
-    pub partial: (u64, usize),
+    /// A change that the peer has received in part; none if its bytes are 0.
+    pub partial: PartialChange,
 }
 
 /// A change, or a part of one whose value does not fit into one batch.
@@ -93,25 +119,29 @@
 }
 
 impl View {
-    /// Returns the parts that follow the position in `request`.
+    /// Returns the parts that follow the position in `request`, of the era whose content is known; a
+    /// peer that knows an earlier era gets all of them.
     ///
     /// Keys and values count toward `max_bytes`, which is treated as 1 if it is 0, so that every
     /// request makes progress. Only values are cut: the key of the last part may exceed the limit.
     pub fn next_batch(&self, request: &BatchRequest, max_bytes: usize) -> Batch {
         let (mut parts, mut remaining) = (Vec::new(), max_bytes.max(1));
         let mut partial = Some(request.partial);
-        for position in
-            self.order.range(request.after.clone()..).filter(|position| **position != request.after)
-        {
+        let start =
+            Position { revision: StoreRevision::start_of(self.as_of.era), key: String::new() };
+        let after = request.after.clone().max(start);
+        let is_of_era = |position: &&Position| position.revision.era == self.as_of.era;
+        let last = self.order.iter().rev().find(is_of_era);
+        let later = self.order.range(after..).take_while(is_of_era);
+        for position in later.filter(|position| **position != request.after) {
             let Some(item) = self.items.get(&position.key) else { continue };
-            let offset = partial.take().filter(|(rev, _)| *rev == position.revision);
-            let part = cut_part(item, offset.map_or(0, |(_, offset)| offset), remaining);
+            let begun = partial.take().filter(|begun| begun.revision == position.revision);
+            let part = cut_part(item, begun.map_or(0, |begun| begun.bytes), remaining);
             remaining = remaining.saturating_sub(size_bytes(&part.item));
             let ends = part.ends;
             parts.push(part);
             if !ends || remaining == 0 {
-                let last = self.order.last() == Some(position);
-                return Batch { parts, is_last: ends && last };
+                return Batch { parts, is_last: ends && last == Some(position) };
             }
         }
         Batch { parts, is_last: true }
@@ -145,14 +175,17 @@
 
 impl Assembler {
     /// Starts with the first change after `revision`.
-    pub fn after(revision: u64) -> Self {
+    pub fn after(revision: StoreRevision) -> Self {
         Assembler { after: Position::after(revision), partial: None }
     }
 
     /// The request for the next batch.
     pub fn next_request(&self) -> BatchRequest {
-        let partial =
-            self.partial.as_ref().map_or((0, 0), |(position, buf)| (position.revision, buf.len()));
+        let begun = self.partial.as_ref();
+        let partial = begun.map_or(PartialChange::default(), |(position, buf)| PartialChange {
+            revision: position.revision,
+            bytes: buf.len(),
+        });
         BatchRequest { after: self.after.clone(), partial }
     }
 
--- a/components/store_view/tests/stall.rs
+++ b/components/store_view/tests/stall.rs
@@ -3,17 +3,22 @@
 
 use std::time::{Duration, Instant};
 
+use ids::StoreRevision;
 use store_view::StallDetector;
 
 const SECOND: Duration = Duration::from_secs(1);
 
+fn rev(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 #[test]
 fn a_vm_that_is_behind_and_does_not_advance_has_stalled() {
     let now = Instant::now();
     let mut detector = StallDetector::default();
 
-    detector.update(5, 6, now);
-    detector.update(5, 9, now + SECOND);
+    detector.update(rev(5), rev(6), now);
+    detector.update(rev(5), rev(9), now + SECOND);
 
     assert!(!detector.has_stalled_for(SECOND * 2, now + SECOND));
     assert!(detector.has_stalled_for(SECOND * 2, now + SECOND * 2));
@@ -27,8 +32,8 @@
 
     for step in 0..10 {
         let at = now + SECOND * step;
-        advancing.update(u64::from(step), u64::from(step) + 1, at);
-        ahead.update(9, u64::from(step), at);
+        advancing.update(rev(u64::from(step)), rev(u64::from(step) + 1), at);
+        ahead.update(rev(9), rev(u64::from(step)), at);
     }
 
     assert!(!advancing.has_stalled_for(SECOND * 2, now + SECOND * 10));
@@ -39,9 +44,9 @@
 fn a_stall_ends_with_the_first_advance() {
     let now = Instant::now();
     let mut detector = StallDetector::default();
-    detector.update(5, 9, now);
+    detector.update(rev(5), rev(9), now);
 
-    detector.update(8, 9, now + SECOND * 5);
+    detector.update(rev(8), rev(9), now + SECOND * 5);
 
     assert!(!detector.has_stalled_for(SECOND, now + SECOND * 5));
 }
--- a/gateway/src/halls.rs
+++ b/gateway/src/halls.rs
@@ -44,7 +44,7 @@
         let closed =
             self.closed_services(now).map(ServiceName::as_str).collect::<Vec<_>>().join(",");
         warn!(self.log, "hall evacuated"; "hall" => %hall, "targets" => targets,
-            "services_closed" => closed, "from" => from, "as_of" => self.view.as_of());
+            "services_closed" => closed, "from" => from, "as_of" => %self.view.as_of());
     }
 
     /// Ends an evacuation: the hall is back in service. Its targets may have become cold meanwhile
@@ -62,7 +62,7 @@
         }
         self.propagate_halls();
         info!(self.log, "hall taken back"; "hall" => %hall, "from" => from,
-            "targets" => self.targets.of_hall(&hall).count(), "as_of" => self.view.as_of());
+            "targets" => self.targets.of_hall(&hall).count(), "as_of" => %self.view.as_of());
     }
 
     /// Replaces the set of unreachable halls.
--- a/gateway/src/http_endpoints.rs
+++ b/gateway/src/http_endpoints.rs
@@ -172,7 +172,8 @@
                     "draining": peer.draining,
                     "cut_off": peer.cut_off,
                     "heard_ms": (now - peer.last_heard).as_millis() as u64,
-                    "as_of": peer.as_of,
+                    "as_of": peer.as_of.number,
+                    "era": peer.as_of.era,
                     "incarnation": peer.incarnation,
                 })
             })
@@ -206,7 +207,9 @@
             .collect();
         let state = json!({
             "configuration": shared.intent.as_ref().map(|intent| intent.version),
-            "as_of": shared.view.as_of(),
+            "as_of": shared.view.as_of().number,
+            "era": shared.view.as_of().era,
+            "era_observed": shared.view.era(),
             "behind_ms": shared.configuration_lag.age(now).map(|age| age.as_millis() as u64),
             "watches_store": shared.watches_store,
             "store_lost": shared.contact.is_lost(now),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod store_calls;
 mod store_changes;
 mod store_connection;
+mod store_era;
 mod store_listing;
 mod store_watch;
 mod stored_refusals;
--- a/gateway/src/link_dialer.rs
+++ b/gateway/src/link_dialer.rs
@@ -72,6 +72,7 @@
         app.state.with(|shared, now| {
             shared.fleet.forget_silent(now);
             shared.expire_lapsed_targets(now);
+            shared.end_era_graces(now);
             shared.departures.remove_expired(now);
             shared.backoffs.remove_expired(now);
             shared.rates.remove_expired(now);
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -6,7 +6,7 @@
 use batching::{PieceOutcome, QueueCounts, Submission};
 use eligibility::{AllowedHalls, ChangeCursor, Departure};
 use fleet::VmEntry;
-use ids::{HallName, RequestId, ServiceName, TargetName, VmName};
+use ids::{HallName, RequestId, ServiceName, StoreRevision, TargetName, VmName};
 use peering::work::{
     self, Beat, Coming, Crashes, Departures, Done, Failure, Fetched, FromOwner, Hello, PieceDone,
     PoolLoad, Rates, Submit, TargetLoad, Waiting, from_owner,
@@ -53,7 +53,8 @@
 
 fn assemble_heartbeat(app: &App) -> Beat {
     app.state.with(|shared, now| Beat {
-        as_of: shared.view.as_of(),
+        as_of: shared.view.as_of().number,
+        era: Some(shared.view.as_of().era),
         draining: shared.is_stopping(),
         store_age_ms: shared.contact.age(now).map(millis),
         watches: shared.watches_store && !shared.contact.is_lost(now),
@@ -147,7 +148,9 @@
         });
         shared.targets.record_peer_load(peer_hash(vm), &loads, now);
         let Some(peer) = shared.fleet.peers.get_mut(vm) else { return starts_draining };
-        peer.as_of = beat.as_of;
+        // An older build knows no eras; its number is taken for one of the present era.
+        let era = beat.era.unwrap_or(shared.view.as_of().era);
+        peer.as_of = StoreRevision { era, number: beat.as_of };
         peer.watches_store = beat.watches;
         peer.configuration = beat.configuration;
         peer.cut_off = beat.cut_off;
--- a/gateway/src/own_entry.rs
+++ b/gateway/src/own_entry.rs
@@ -57,8 +57,8 @@
     store: &mut StoreConnection,
     key: &str,
 ) -> Result<u64, StoreCallError> {
-    let body = store.call("lease", (app.adapter.store.lease)(LEASE_TTL), Duration::ZERO).await?;
-    let lease = (app.adapter.store.read_lease)(&body).map_err(unreadable)?;
+    let answer = store.call("lease", (app.adapter.store.lease)(LEASE_TTL), Duration::ZERO).await?;
+    let lease = (app.adapter.store.read_lease)(&answer.body).map_err(unreadable)?;
     let value = own_entry(app);
     let write = Write { key: key.to_owned(), value, lease: lease.id };
     store.call("write", (app.adapter.store.put)(&write), Duration::ZERO).await?;
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -8,13 +8,13 @@
 
 use bytes::Bytes;
 use fleet::{HEARTBEAT_INTERVAL, WATCHERS_PER_HALL};
-use ids::VmName;
+use ids::{StoreRevision, VmName};
 use peering::work::{Ask, News, StoreItem};
 use rand::seq::IteratorRandom;
 use slog::{debug, info, warn};
 use store_view::{
-    Assembler, Batch, Item, ItemPart, Position, View, is_slow_transfer, is_useful_source,
-    lacks_many,
+    Assembler, Batch, BatchRequest, Item, ItemPart, PartialChange, Position, View,
+    is_slow_transfer, is_useful_source, lacks_many,
 };
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -24,6 +24,7 @@
 use crate::shared::Shared;
 use crate::state_handle::now;
 use crate::store_changes::Source;
+use crate::store_era;
 
 /// Most bytes of changes in one message. They take 26 ms on a link of 10 Mbit/s, a fraction of the
 /// interval between two heartbeats, which wait behind them.
@@ -91,7 +92,7 @@
     vm: VmName,
     link: Rc<Link>,
     /// Newest revision that any linked peer knows.
-    newest: u64,
+    newest: StoreRevision,
     /// Whether more peers than the few that watch the store have as much.
     has_alternatives: bool,
 }
@@ -103,12 +104,12 @@
     /// The parts received since the last complete transfer; `None` if there are none.
     assembly: Option<Assembler>,
     /// Lowest revision up to which the peers that sent them knew all changes.
-    complete_to: Option<u64>,
+    complete_to: Option<StoreRevision>,
 }
 
 impl Transfer {
     /// The parts received so far. Starts anew if this VM knows more by now than at the start.
-    fn assembly(&mut self, known: u64) -> &mut Assembler {
+    fn assembly(&mut self, known: StoreRevision) -> &mut Assembler {
         let is_behind =
             |assembly: &Assembler| assembly.next_request().after < Position::after(known);
         if self.assembly.as_ref().is_some_and(is_behind) {
@@ -128,7 +129,7 @@
 
     /// Records that a peer that knew all changes up to `revision` sent a part. Only changes that it
     /// knew when it sent the first part are sure to be complete after the last part.
-    fn limit_to(&mut self, revision: u64) -> u64 {
+    fn limit_to(&mut self, revision: StoreRevision) -> StoreRevision {
         let complete_to = self.complete_to.map_or(revision, |before| before.min(revision));
         *self.complete_to.insert(complete_to)
     }
@@ -141,7 +142,8 @@
     app.state.with(|shared, now| {
         let known = shared.view.as_of();
         let peers = &shared.fleet.peers;
-        let revision_of = |vm: &VmName| peers.get(vm).map_or(0, |peer| peer.as_of);
+        let revision_of =
+            |vm: &VmName| peers.get(vm).map_or(StoreRevision::default(), |peer| peer.as_of);
         let ahead = || links.iter().filter(|(vm, _)| revision_of(vm) > known);
         let newest = ahead().map(|(vm, _)| revision_of(vm)).max();
         shared.stall_detector.update(known, newest.unwrap_or(known), now);
@@ -166,7 +168,7 @@
     let has_stalled =
         shared.stall_detector.has_stalled_for(limit, now) && !shared.contact.is_receiving(now);
     if has_stalled {
-        warn!(app.log, "watch of the store stalled"; "as_of" => shared.view.as_of());
+        warn!(app.log, "watch of the store stalled"; "as_of" => %shared.view.as_of());
         app.watch_stalled.notify_waiters();
     }
     has_stalled
@@ -187,18 +189,25 @@
         // Without the time that this VM takes to apply changes, which the store would not save.
         waited += now() - asked_at;
         received += 1;
-        let complete_to = transfer.limit_to(changes.as_of);
+        let era = changes.era.unwrap_or(known.era);
+        if era < app.state.with(|shared, _| shared.view.era()) {
+            // The peer does not know the content of the store's present era.
+            return FetchEnd::NoAnswer;
+        }
+        store_era::observe(app, era);
+        let complete_to = transfer.limit_to(StoreRevision { era, number: changes.as_of });
         let assembly = transfer.assembly(known);
-        let parts: Vec<ItemPart> = changes.items.into_iter().map(decode_part).collect();
+        let decode = |item| decode_part(item, era);
+        let parts: Vec<ItemPart> = changes.items.into_iter().map(decode).collect();
         let count = parts.len();
         let items: Vec<Item> = parts.into_iter().filter_map(|part| assembly.push(part)).collect();
         info!(app.log, "news of the store from a peer"; "peer" => %vm, "parts" => count,
-            "whole" => items.len(), "as_of" => complete_to, "last" => changes.is_last);
+            "whole" => items.len(), "as_of" => %complete_to, "last" => changes.is_last);
         app.state.with(|shared, now| {
             shared.merge(items, Source::Peer(vm), now);
             shared.changes_received_at = Some(now);
             if changes.is_last {
-                shared.view.advance_to(complete_to);
+                shared.complete_up_to(complete_to, now);
             }
         });
         recheck_pools(app);
@@ -214,20 +223,20 @@
 }
 
 fn next_request(assembly: &Assembler) -> Ask {
-    let store_view::BatchRequest { after, partial: (begun_revision, begun_bytes) } =
-        assembly.next_request();
+    let BatchRequest { after, partial } = assembly.next_request();
     Ask {
-        known_revision: after.revision,
+        known_revision: after.revision.number,
         known_key: after.key,
-        begun_revision,
-        begun_bytes: begun_bytes as u64,
+        begun_revision: partial.revision.number,
+        begun_bytes: partial.bytes as u64,
+        era: Some(after.revision.era),
     }
 }
 
-fn decode_part(item: StoreItem) -> ItemPart {
+fn decode_part(item: StoreItem, era: u64) -> ItemPart {
     let value = (!item.removed).then(|| Bytes::from(item.value));
     ItemPart {
-        item: Item { key: item.key, revision: item.revision, value },
+        item: Item { key: item.key, revision: StoreRevision { era, number: item.revision }, value },
         offset: usize::try_from(item.offset).unwrap_or(usize::MAX),
         ends: !item.goes_on,
     }
@@ -235,20 +244,25 @@
 
 /// The next part of the changes that a peer requests.
 pub(crate) fn answer_request(view: &View, ask: Ask) -> News {
-    let begun_bytes = usize::try_from(ask.begun_bytes).unwrap_or(usize::MAX);
-    let ask = store_view::BatchRequest {
-        after: Position { revision: ask.known_revision, key: ask.known_key },
-        partial: (ask.begun_revision, begun_bytes),
+    let as_of = view.as_of();
+    // A peer of an older build knows no eras.
+    let era = ask.era.unwrap_or(as_of.era);
+    let revision = |number| StoreRevision { era, number };
+    let bytes = usize::try_from(ask.begun_bytes).unwrap_or(usize::MAX);
+    let ask = BatchRequest {
+        after: Position { revision: revision(ask.known_revision), key: ask.known_key },
+        partial: PartialChange { revision: revision(ask.begun_revision), bytes },
     };
     let Batch { parts, is_last } = view.next_batch(&ask, PART_BYTES);
-    News { items: parts.into_iter().map(encode_part).collect(), as_of: view.as_of(), is_last }
+    let items = parts.into_iter().map(encode_part).collect();
+    News { items, as_of: as_of.number, is_last, era: Some(as_of.era) }
 }
 
 fn encode_part(part: ItemPart) -> StoreItem {
     let ItemPart { item, offset, ends } = part;
     StoreItem {
         key: item.key,
-        revision: item.revision,
+        revision: item.revision.number,
         removed: item.value.is_none(),
         value: item.value.map(|value| value.to_vec()).unwrap_or_default(),
         offset: offset as u64,
--- a/gateway/src/roles.rs
+++ b/gateway/src/roles.rs
@@ -17,6 +17,8 @@
     TokenBuckets(&'a ServiceName),
     /// Coordinates the rollout of a service.
     RolloutCoordinator(&'a ServiceName),
+    /// Writes refused requests again after the store came back from an older copy.
+    RefusalWriter,
 }
 
 impl Role<'_> {
@@ -25,6 +27,7 @@
         match self {
             Role::TokenBuckets(service) => service.to_string(),
             Role::RolloutCoordinator(service) => format!("rollout {service}"),
+            Role::RefusalWriter => "refused requests".to_owned(),
         }
     }
 }
@@ -40,6 +43,11 @@
         self.vm_with_role(Role::RolloutCoordinator(service), now)
     }
 
+    /// Whether this VM writes refused requests again after the store came back from an older copy.
+    pub(crate) fn is_refusal_writer(&self, now: Instant) -> bool {
+        self.vm_with_role(Role::RefusalWriter, now) == Owner::This
+    }
+
     /// Addresses of the VMs to which this VM should have links, see [`fleet::Fleet::wanted_links`].
     pub(crate) fn wanted_links(&self) -> BTreeSet<SocketAddr> {
         let rate_limited = self.rate_limited_services();
--- a/gateway/src/rollout_messages.rs
+++ b/gateway/src/rollout_messages.rs
@@ -1,6 +1,6 @@
 //! Encodes and decodes the parts of messages between VMs that concern rollouts.
 
-use ids::ServiceName;
+use ids::{ServiceName, StoreRevision};
 use peering::work::{Answers, Phase as WirePhase, RolloutPhase, RolloutReport, RouteAnswers};
 use rollout::{AnswerCounts, Evidence, Order, Phase, Report, VersionCounts};
 
@@ -12,19 +12,25 @@
         Phase::RolledBack => WirePhase::RolledBack,
         Phase::Completed => WirePhase::Completed,
     };
-    RolloutPhase { service: order.service.to_string(), order: order.revision, phase: phase.into() }
+    RolloutPhase {
+        service: order.service.to_string(),
+        order: order.revision.number,
+        era: order.revision.era,
+        phase: phase.into(),
+    }
 }
 
 /// Decodes a phase from a heartbeat: the service, the order's revision and the phase. `None` if the
 /// service's name is invalid.
-pub(crate) fn decode_phase(message: &RolloutPhase) -> Option<(ServiceName, u64, Phase)> {
+pub(crate) fn decode_phase(message: &RolloutPhase) -> Option<(ServiceName, StoreRevision, Phase)> {
     let phase = match message.phase() {
         WirePhase::Canary => Phase::Canary,
         WirePhase::Promoted => Phase::Promoted,
         WirePhase::RolledBack => Phase::RolledBack,
         WirePhase::Completed => Phase::Completed,
     };
-    Some((ServiceName::new(&message.service).ok()?, message.order, phase))
+    let order = StoreRevision { era: message.era, number: message.order };
+    Some((ServiceName::new(&message.service).ok()?, order, phase))
 }
 
 /// This VM's report on an order.
@@ -36,7 +42,8 @@
     };
     RolloutReport {
         service: order.service.to_string(),
-        order: order.revision,
+        order: order.revision.number,
+        era: order.revision.era,
         routes: report.evidence.by_route.iter().map(route).collect(),
         old_in_progress: report.old_in_progress,
     }
@@ -44,7 +51,9 @@
 
 /// Decodes a peer's report: the service, the order's revision and the report. `None` if the
 /// service's name is invalid.
-pub(crate) fn decode_report(message: RolloutReport) -> Option<(ServiceName, u64, Report)> {
+pub(crate) fn decode_report(
+    message: RolloutReport,
+) -> Option<(ServiceName, StoreRevision, Report)> {
     let route = |route: RouteAnswers| {
         let new = decode_answers(&route.new.unwrap_or_default());
         let old = decode_answers(&route.old.unwrap_or_default());
@@ -52,7 +61,8 @@
     };
     let evidence = Evidence { by_route: message.routes.into_iter().map(route).collect() };
     let report = Report { evidence, old_in_progress: message.old_in_progress };
-    Some((ServiceName::new(&message.service).ok()?, message.order, report))
+    let order = StoreRevision { era: message.era, number: message.order };
+    Some((ServiceName::new(&message.service).ok()?, order, report))
 }
 
 fn encode_answers(counts: &AnswerCounts) -> Answers {
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use fleet::Owner;
-use ids::ServiceName;
+use ids::{ServiceName, StoreRevision};
 use platform_interface::store::{Condition, Transaction, Write};
 use rollout::{Decision, Observation, Order, Phase, Report, ServiceState, Versions};
 use serde::{Deserialize, Serialize};
@@ -29,8 +29,11 @@
 /// A decision in the store, as JSON.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct StoredPhase {
-    /// Revision of the order.
+    /// Revision of the order within its era.
     order: u64,
+    /// Era of the store to which the revision belongs.
+    #[serde(default)]
+    era: u64,
     phase: Phase,
 }
 
@@ -48,7 +51,7 @@
         };
         info!(self.log, "rollout ordered"; "service" => %order.service,
             "version" => %order.version, "duration_s" => order.duration.as_secs(),
-            "order" => order.revision, "from" => from);
+            "order" => %order.revision, "from" => from);
         let service = order.service.clone();
         self.rollouts.order(order, now);
         self.apply_stored_phase(&service, now);
@@ -81,7 +84,8 @@
     fn apply_stored_phase(&mut self, service: &ServiceName, now: Instant) {
         let value = self.view.get(&decision_key(self, service));
         let stored = value.and_then(|value| serde_json::from_slice(value).ok());
-        if let Some(StoredPhase { order, phase }) = stored {
+        if let Some(StoredPhase { order, era, phase }) = stored {
+            let order = StoreRevision { era, number: order };
             self.rollouts.set_stored(service, order, phase, now);
         }
     }
@@ -90,12 +94,12 @@
     pub(crate) fn apply_phase(
         &mut self,
         service: &ServiceName,
-        order: u64,
+        order: StoreRevision,
         phase: Phase,
         now: Instant,
     ) {
         if self.rollouts.set_phase(service, order, phase, now) {
-            info!(self.log, "rollout's phase"; "service" => %service, "order" => order,
+            info!(self.log, "rollout's phase"; "service" => %service, "order" => %order,
                 "phase" => ?phase);
             self.propagate_versions(service);
         }
@@ -246,7 +250,7 @@
     match store.call("rollout", (app.adapter.store.commit)(&txn), Duration::ZERO).await {
         Ok(_) => {
             info!(app.log, "rollout decided"; "service" => %order.service,
-                "version" => %order.version, "order" => order.revision, "decision" => ?decision);
+                "version" => %order.version, "order" => %order.revision, "decision" => ?decision);
             app.state.with(|shared, now| {
                 let phase = decision.phase();
                 shared.apply_phase(&order.service, order.revision, phase, now);
@@ -270,13 +274,14 @@
 fn transaction(shared: &Shared, order: &Order, phase: Phase) -> Transaction {
     let key = decision_key(shared, &order.service);
     let order_key = format!("{}{}", shared.adapter.intents.rollouts_prefix, order.service);
-    let stored = StoredPhase { order: order.revision, phase };
+    let StoreRevision { era, number } = order.revision;
+    let stored = StoredPhase { order: number, era, phase };
     // A struct of numbers and names always serializes.
     let value = Bytes::from(serde_json::to_vec(&stored).unwrap_or_default());
     Transaction {
         conditions: vec![
-            Condition { key: key.clone(), revision: shared.view.revision_of(&key) },
-            Condition { key: order_key, revision: order.revision },
+            Condition { key: key.clone(), revision: shared.view.revision_of(&key).number },
+            Condition { key: order_key, revision: number },
         ],
         writes: vec![
             Write { key, value, lease: 0 },
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -26,6 +26,7 @@
 use crate::admission::Admission;
 use crate::configuration_lag::ConfigurationLag;
 use crate::settings::{ColdMargin, Policy, Settings};
+use crate::store_era::CarriedOver;
 
 /// Estimated time to the first event of a service of which none was observed yet.
 const DEFAULT_FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
@@ -64,6 +65,10 @@
     pub(crate) prefers_store: bool,
     /// When changes of the store last arrived from a peer.
     pub(crate) changes_received_at: Option<Instant>,
+    /// Until when entries of an earlier era of the store are kept that the present one lacks.
+    pub(crate) carried_over: Option<CarriedOver>,
+    /// Targets whose entries reappeared with an era of the store, and when they count as running.
+    pub(crate) reappeared: HashMap<TargetName, Instant>,
     /// When the store last answered, and whether it is lost.
     pub(crate) contact: StoreContact,
     /// Detects that this VM's watch on the store is silent while peers learn of newer changes.
@@ -149,6 +154,8 @@
             fleet: Fleet::new(cfg.vm.clone(), own_entry(cfg), incarnation, now),
             own_hall: cfg.hall.clone(),
             changes_received_at: None,
+            carried_over: None,
+            reappeared: HashMap::new(),
             contact: StoreContact::default(),
             stall_detector: StallDetector::default(),
             configuration_lag: ConfigurationLag::default(),
--- a/gateway/src/store_calls.rs
+++ b/gateway/src/store_calls.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use ids::StoreRevision;
 use platform_interface::store::StoreItem;
 use slog::{info, warn};
 use store_view::Item;
@@ -32,8 +33,10 @@
     }
 }
 
-pub(crate) fn to_view_item(item: StoreItem) -> Item {
-    Item { key: item.key, revision: item.revision, value: item.value }
+/// An item of an answer of the given era.
+pub(crate) fn to_view_item(item: StoreItem, era: u64) -> Item {
+    let revision = StoreRevision { era, number: item.revision };
+    Item { key: item.key, revision, value: item.value }
 }
 
 /// The error of a call whose answer could not be parsed.
--- a/gateway/src/store_changes.rs
+++ b/gateway/src/store_changes.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ids::VmName;
+use ids::{StoreRevision, VmName};
 use intent::Intent;
 use platform_interface::PlatformAdapter;
 use slog::{info, warn};
@@ -78,14 +78,14 @@
         &mut self,
         prefix: &str,
         items: Vec<Item>,
-        as_of: u64,
+        as_of: StoreRevision,
         now: Instant,
     ) {
         let changes = self.view.merge_listing(prefix, items, as_of);
         self.apply(changes, Source::Listing, now);
     }
 
-    fn apply(&mut self, changes: Vec<Change>, source: Source<'_>, now: Instant) {
+    pub(crate) fn apply(&mut self, changes: Vec<Change>, source: Source<'_>, now: Instant) {
         let from = source.name();
         let (intent_key, targets_prefix) =
             (self.adapter.intents.intent_key, self.adapter.intents.targets_prefix);
@@ -96,7 +96,16 @@
         let arrival = Arrival { from, in_bulk: entries > MAX_LOGGED_ENTRIES };
         let mut targets_changed = false;
         for change in changes {
+            let change = match change {
+                Change::Reappeared(key, _) if key.starts_with(targets_prefix) => {
+                    self.target_reappeared(&key, now);
+                    continue;
+                }
+                Change::Reappeared(key, value) => Change::Put(key, value),
+                change => change,
+            };
             match change {
+                Change::Reappeared(..) => {}
                 Change::Put(key, value) if key == intent_key => {
                     self.apply_intent(&value, from);
                     self.compare_versions(now);
@@ -132,14 +141,14 @@
         }
         if arrival.in_bulk {
             info!(self.log, "targets known"; "entries" => entries, "targets" => self.targets.len(),
-                "from" => from, "as_of" => self.view.as_of());
+                "from" => from, "as_of" => %self.view.as_of());
         }
         self.update_cold_shares(now);
     }
 
     /// Whether this VM still reads or receives its first copy of the store's content.
     pub(crate) fn is_first_snapshot(&self) -> bool {
-        self.view.as_of() == 0
+        self.view.as_of() == StoreRevision::default()
     }
 
     /// Applies a change under this system's own prefix: a VM's entry or a refused request.
@@ -161,7 +170,7 @@
     }
 
     fn apply_intent(&mut self, value: &[u8], from: &str) {
-        let as_of = self.view.as_of();
+        let as_of = self.view.as_of().to_string();
         match (self.adapter.intents.intent)(value) {
             Ok(intent) => {
                 let at_least_as_new =
--- a/gateway/src/store_connection.rs
+++ b/gateway/src/store_connection.rs
@@ -8,9 +8,9 @@
 use displaydoc::Display;
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use platform_interface::store::StoreCall;
 use store_view::SILENCE_TIMEOUT;
@@ -20,6 +20,7 @@
 use crate::app::App;
 use crate::connections::connect;
 use crate::state_handle::now;
+use crate::store_era;
 
 /// Longest time for the body of one answer, against a store that sends very slowly. The store keeps
 /// its history about as long, so that an answer that takes longer would have to be read again. A
@@ -47,8 +48,16 @@
     open: Option<(SendRequest<Full<Bytes>>, AbortHandle)>,
 }
 
+/// A complete answer.
+pub(crate) struct StoreAnswer {
+    /// Era of the store to which its revisions belong.
+    pub(crate) era: u64,
+    pub(crate) body: Bytes,
+}
+
 /// An answer of which the head has arrived and the body is still to be read.
 pub(crate) struct OpenAnswer {
+    era: u64,
     /// Kind of the call, as metrics name it.
     kind: &'static str,
     status: StatusCode,
@@ -84,7 +93,7 @@
         kind: &'static str,
         call: StoreCall,
         wait: Duration,
-    ) -> Result<Bytes, StoreCallError> {
+    ) -> Result<StoreAnswer, StoreCallError> {
         let begun = self.begin(kind, call, wait).await?;
         self.finish(begun).await
     }
@@ -93,7 +102,7 @@
     /// [`Self::call`].
     ///
     /// # Errors
-    /// `Failed` if there is no connection, or no head in time.
+    /// `Failed` if there is no connection, no head in time, or an answer of an earlier era.
     pub(crate) async fn begin(
         &mut self,
         kind: &'static str,
@@ -102,18 +111,36 @@
     ) -> Result<OpenAnswer, StoreCallError> {
         let sent = timeout(wait + SILENCE_TIMEOUT, self.send(call)).await;
         match sent.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
-            Ok((status, body)) => Ok(OpenAnswer { kind, status, body, began: now() }),
+            Ok(answer) => {
+                let era = self.era_of(&answer);
+                let known = self.app.state.with(|shared, _| shared.view.era());
+                if era < known {
+                    return Err(self.failed(kind, format!("answer of era {era} in era {known}")));
+                }
+                store_era::observe(&self.app, era);
+                let (status, body) = (answer.status(), answer.into_body());
+                Ok(OpenAnswer { era, kind, status, body, began: now() })
+            }
             Err(problem) => Err(self.failed(kind, problem)),
         }
     }
 
+    /// The era that an answer names; the latest known one if it names none.
+    fn era_of(&self, answer: &Response<Incoming>) -> u64 {
+        let named = (self.app.adapter.store.read_era)(answer.headers());
+        named.unwrap_or_else(|| self.app.state.with(|shared, _| shared.view.era()))
+    }
+
     /// Reads the body of an answer while bytes arrive, for at most [`MAX_ANSWER_TIME`].
     ///
     /// # Errors
     /// `Failed` if the body breaks off, pauses or takes too long, or for an error status other than
     /// those of `HistoryCompacted`, `LeaseNotFound` and `ConditionFailed`.
-    pub(crate) async fn finish(&mut self, begun: OpenAnswer) -> Result<Bytes, StoreCallError> {
-        let OpenAnswer { kind, status, mut body, began } = begun;
+    pub(crate) async fn finish(
+        &mut self,
+        begun: OpenAnswer,
+    ) -> Result<StoreAnswer, StoreCallError> {
+        let OpenAnswer { era, kind, status, mut body, began } = begun;
         let mut buf = BytesMut::new();
         loop {
             let frame = match timeout(SILENCE_TIMEOUT, body.frame()).await {
@@ -134,7 +161,7 @@
         }
         self.app.metrics.platform_call(kind, true);
         match status {
-            StatusCode::OK => Ok(buf.freeze()),
+            StatusCode::OK => Ok(StoreAnswer { era, body: buf.freeze() }),
             StatusCode::GONE => Err(StoreCallError::HistoryCompacted),
             StatusCode::NOT_FOUND => Err(StoreCallError::LeaseNotFound),
             StatusCode::PRECONDITION_FAILED => Err(StoreCallError::ConditionFailed),
@@ -149,8 +176,8 @@
         StoreCallError::Failed(problem)
     }
 
-    /// Sends a request; returns the status and the body once the head of the answer has arrived.
-    async fn send(&mut self, call: StoreCall) -> Result<(StatusCode, Incoming), String> {
+    /// Sends a request; returns once the head of the answer has arrived.
+    async fn send(&mut self, call: StoreCall) -> Result<Response<Incoming>, String> {
         let address = self.app.cfg.store;
         let req = Request::builder()
             .method(call.method)
@@ -161,8 +188,7 @@
             .map_err(|e| e.to_string())?;
         let sender = self.sender().await?;
         sender.ready().await.map_err(|e| e.to_string())?;
-        let answer = sender.send_request(req).await.map_err(|e| e.to_string())?;
-        Ok((answer.status(), answer.into_body()))
+        sender.send_request(req).await.map_err(|e| e.to_string())
     }
 
     /// The open connection, or a new one.
--- a/gateway/src/store_listing.rs
+++ b/gateway/src/store_listing.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use fleet::HEARTBEAT_INTERVAL;
+use ids::StoreRevision;
 use platform_interface::store::Freshness;
 use slog::info;
 use store_view::Item;
@@ -31,11 +32,13 @@
     /// Items read so far of the current prefix.
     items: Vec<Item>,
     /// Lowest revision of the current prefix's pages.
-    as_of: Option<u64>,
+    as_of: Option<StoreRevision>,
     /// Number of prefixes read completely.
     done: usize,
     /// Lowest revision of all pages.
-    known: Option<u64>,
+    known: Option<StoreRevision>,
+    /// Era of the pages; `None` before the first one.
+    era: Option<u64>,
     /// Whether the rest of the targets was left to other VMs for some time.
     was_left_to_others: bool,
 }
@@ -54,7 +57,7 @@
     app: &Rc<App>,
     store: &mut StoreConnection,
     freshness: Freshness,
-) -> u64 {
+) -> StoreRevision {
     let before = app.state.with(|shared, _| shared.view.as_of());
     let delivered =
         || Some(app.state.with(|shared, _| shared.view.as_of())).filter(|r| *r > before);
@@ -73,8 +76,8 @@
             return revision;
         }
     }
-    let known = listing.known.unwrap_or(0);
-    app.state.with(|shared, _| shared.view.advance_to(known));
+    let known = listing.known.unwrap_or_default();
+    app.state.with(|shared, now| shared.complete_up_to(known, now));
     app.vms_changed.notify_one();
     known
 }
@@ -120,20 +123,27 @@
 ) -> Result<bool, StoreCallError> {
     let after = so_far.items.last().map(|item| item.key.clone());
     let call = (app.adapter.store.list)(prefix, after.as_deref(), freshness);
-    let body = store.call("list", call, Duration::ZERO).await?;
-    let page = (app.adapter.store.read_list)(&body).map_err(unreadable)?;
+    let answer = store.call("list", call, Duration::ZERO).await?;
+    let page = (app.adapter.store.read_list)(&answer.body).map_err(unreadable)?;
     record_success(app);
-    let as_of = so_far.as_of.map_or(page.as_of, |first| first.min(page.as_of));
-    so_far.as_of = Some(as_of);
+    let era = answer.era;
+    if so_far.era.replace(era).is_some_and(|before| before != era) {
+        *so_far = Listing { was_left_to_others: so_far.was_left_to_others, ..Listing::default() };
+        return Err(StoreCallError::Failed(
+            "the store came back older during a listing".to_owned(),
+        ));
+    }
+    let as_of = StoreRevision { era, number: page.as_of };
+    so_far.as_of = Some(so_far.as_of.map_or(as_of, |first| first.min(as_of)));
     let more = page.truncated && !page.items.is_empty();
-    so_far.items.extend(page.items.into_iter().map(to_view_item));
+    so_far.items.extend(page.items.into_iter().map(|item| to_view_item(item, era)));
     Ok(more)
 }
 
 /// Applies a prefix of which all pages were read.
 fn finish_prefix(app: &Rc<App>, prefix: &str, so_far: &mut Listing) {
     let items = std::mem::take(&mut so_far.items);
-    let as_of = so_far.as_of.take().unwrap_or(0);
+    let as_of = so_far.as_of.take().unwrap_or_default();
     app.state.with(|shared, now| shared.merge_listing(prefix, items, as_of, now));
     recheck_pools(app);
     so_far.known = Some(so_far.known.map_or(as_of, |known| known.min(as_of)));
@@ -150,7 +160,7 @@
 
 /// Waits until it is this VM's turn to read a long listing, or until peers delivered everything.
 /// `before` is the revision that was known before the listing.
-async fn wait_for_turn(app: &Rc<App>, store: &mut StoreConnection, before: u64) {
+async fn wait_for_turn(app: &Rc<App>, store: &mut StoreConnection, before: StoreRevision) {
     // A stale list of VMs may lack those that start with this one.
     if let Err(error) = list_vms(app, store).await {
         record_failure(app, "list", &error);
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use fleet::HEARTBEAT_INTERVAL;
+use ids::StoreRevision;
 use platform_interface::store::{Freshness, Page};
 use slog::info;
 use tokio::time::sleep;
@@ -41,12 +42,15 @@
 }
 
 /// Follows the store from a revision on, by watching it or through peers, until the store no longer
-/// has the history after the known revision.
-async fn follow_from(app: &Rc<App>, store: &mut StoreConnection, mut known: u64) {
+/// has the history after the known revision, or has come back from an older copy.
+async fn follow_from(app: &Rc<App>, store: &mut StoreConnection, mut known: StoreRevision) {
     let mut backoff = Backoff::new();
     loop {
         wait_until_watch_needed(app).await;
         known = known.max(app.state.with(|shared, _| shared.view.as_of()));
+        if known.era < app.state.with(|shared, _| shared.view.era()) {
+            return;
+        }
         if !*app.store_reachable.borrow() {
             if let Err(error) = probe(app, store).await {
                 record_failure(app, "probe", &error);
@@ -61,7 +65,7 @@
             }
             Err(StoreCallError::HistoryCompacted) => {
                 info!(app.log, "the store no longer has the history after the known revision";
-                    "after" => known);
+                    "after" => %known);
                 return;
             }
             Err(error) => {
@@ -98,17 +102,21 @@
 async fn watch(
     app: &Rc<App>,
     store: &mut StoreConnection,
-    known: u64,
-) -> Result<u64, StoreCallError> {
+    known: StoreRevision,
+) -> Result<StoreRevision, StoreCallError> {
     let Some(begun) = begin_watch(app, store, known).await? else { return Ok(known) };
-    let body = store.finish(begun).await?;
-    let page = (app.adapter.store.read_watch)(&body).map_err(unreadable)?;
+    let answer = store.finish(begun).await?;
     record_success(app);
-    let as_of = page.as_of;
+    if answer.era != known.era {
+        // What came before the events of another era is unknown.
+        return Ok(known);
+    }
+    let page = (app.adapter.store.read_watch)(&answer.body).map_err(unreadable)?;
+    let as_of = StoreRevision { era: answer.era, number: page.as_of };
     // More changes wait already if the answer was cut: with a pause after each, a VM that starts
     // together with thousands of targets would know them only after half a minute.
     let pauses = !page.items.is_empty() && !page.truncated;
-    apply_changes(app, page);
+    apply_changes(app, page, as_of);
     if pauses {
         sleep(app.cfg.max_apply_time() / batch_divisor(app)).await;
     }
@@ -137,11 +145,11 @@
 async fn begin_watch(
     app: &Rc<App>,
     store: &mut StoreConnection,
-    known: u64,
+    known: StoreRevision,
 ) -> Result<Option<OpenAnswer>, StoreCallError> {
     let mut reachable = app.store_reachable.subscribe();
     // One watch over all keys: the platform counts each watch, and all keys share one revision.
-    let call = (app.adapter.store.watch)("", known, MAX_WATCH_TIME);
+    let call = (app.adapter.store.watch)("", known.number, MAX_WATCH_TIME);
     tokio::select! {
         begun = store.begin("watch", call, MAX_WATCH_TIME) => return begun.map(Some),
         () = wait_until_unreachable(&mut reachable) => {}
@@ -152,13 +160,13 @@
 }
 
 /// Applies the changes in the answer to a watch call.
-fn apply_changes(app: &Rc<App>, page: Page) {
+fn apply_changes(app: &Rc<App>, page: Page, as_of: StoreRevision) {
     let own_prefix = app.adapter.intents.own_prefix;
     let may_change_vms = page.items.iter().any(|item| item.key.starts_with(own_prefix));
     app.state.with(|shared, now| {
-        let items = page.items.into_iter().map(to_view_item).collect();
+        let items = page.items.into_iter().map(|item| to_view_item(item, as_of.era)).collect();
         shared.merge(items, Source::Watch, now);
-        shared.view.advance_to(page.as_of);
+        shared.complete_up_to(as_of, now);
         shared.prefers_store = false;
     });
     recheck_pools(app);
--- a/gateway/src/stored_refusals.rs
+++ b/gateway/src/stored_refusals.rs
@@ -49,6 +49,13 @@
 }
 
 impl Shared {
+    /// Has refused requests written again, of which the store may have lost some.
+    pub(crate) fn write_refusals_again(&mut self, now: Instant) {
+        if self.is_refusal_writer(now) {
+            self.quarantine.mark_all_unwritten();
+        }
+    }
+
     /// Applies an entry under this system's own prefix if it is a refused request; false if it is
     /// something else.
     pub(crate) fn apply_stored_refusal(&mut self, key: &str, value: &[u8], now: Instant) -> bool {
@@ -103,7 +110,9 @@
     let key = app.state.with(|shared, _| key_of(shared, &refused.digest));
     let current = StoredRefusal::of(refused);
     let is_stored = app.state.with(|shared, _| {
-        let stored = shared.view.get(&key).and_then(|value| serde_json::from_slice(value).ok());
+        let is_of_era = shared.view.revision_of(&key).era == shared.view.as_of().era;
+        let stored = shared.view.get(&key).filter(|_| is_of_era);
+        let stored = stored.and_then(|value| serde_json::from_slice(value).ok());
         stored.is_some_and(|stored: StoredRefusal| stored.covers(&current))
     });
     if !is_stored {
@@ -122,8 +131,8 @@
     stored: &StoredRefusal,
 ) -> Result<(), StoreCallError> {
     let ttl = app.cfg.quarantine.duration().min(MAX_LEASE);
-    let body = store.call("lease", (app.adapter.store.lease)(ttl), Duration::ZERO).await?;
-    let lease = (app.adapter.store.read_lease)(&body).map_err(unreadable)?;
+    let answer = store.call("lease", (app.adapter.store.lease)(ttl), Duration::ZERO).await?;
+    let lease = (app.adapter.store.read_lease)(&answer.body).map_err(unreadable)?;
     // A struct of strings always serializes.
     let value = Bytes::from(serde_json::to_vec(stored).unwrap_or_default());
     let write = Write { key: key.to_owned(), value, lease: lease.id };
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -56,6 +56,7 @@
             return;
         }
         self.lapsed.remove(&target.id);
+        self.reappeared.remove(&target.id);
         if let Some(known) = known.filter(|known| target.is_other_lifetime_than(known)) {
             info!(self.log, "target restarted"; "target" => %target.id,
                 "born" => target.born, "before" => known.born);
@@ -76,7 +77,7 @@
             "service" => %target.service, "address" => %target.address,
             "hall" => %target.hall, "leaving" => target.leaving,
             "cold_ms" => target.cold_start_remaining.as_millis(), "from" => from,
-            "as_of" => self.view.as_of());
+            "as_of" => %self.view.as_of());
     }
 
     /// Handles the removal of a target's entry from the store. Around an outage of the store the
@@ -84,6 +85,7 @@
     pub(crate) fn target_entry_removed(&mut self, id: &str, source: Source<'_>, now: Instant) {
         let Ok(id) = TargetName::new(id) else { return };
         let from = source.name();
+        self.reappeared.remove(&id);
         if let Some(until) = self.contact.grace_until(source.reporter(), now) {
             info!(self.log, "target's entry lapsed around an outage"; "target" => %id,
                 "from" => from, "kept_ms" => (until - now).as_millis());
@@ -92,7 +94,7 @@
         }
         if self.remove_target(&id, now) {
             info!(self.log, "target gone"; "target" => %id, "from" => from,
-                "as_of" => self.view.as_of());
+                "as_of" => %self.view.as_of());
         }
     }
 
@@ -106,7 +108,7 @@
 
     /// When the next grace period of a lapsed entry ends.
     pub(crate) fn next_grace_end(&self) -> Option<Instant> {
-        self.lapsed.values().min().copied()
+        self.lapsed.values().copied().chain(self.next_era_grace_end()).min()
     }
 
     /// Removes targets whose entry lapsed and was not written again within its grace period.
--- a/load/src/growth.rs
+++ b/load/src/growth.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use errors::Result;
 use fleet::{Fleet, HEARTBEAT_INTERVAL, Split, VmEntry};
-use ids::{HallName, VmName};
+use ids::{HallName, StoreRevision, VmName};
 use intent::PoolSpec;
 use store_view::{BatchRequest, Item, Position, View};
 
@@ -143,7 +143,7 @@
     let value = Bytes::from(vec![b'x'; ENTRY_BYTES]);
     let entries = (0..vms * (TARGETS_PER_VM + 1)).map(|number| Item {
         key: format!("targets/i-{number:08x}"),
-        revision: number as u64 + 1,
+        revision: StoreRevision { era: 0, number: number as u64 + 1 },
         value: Some(value.clone()),
     });
     view.merge(entries.collect());
