Share the slots of brittle targets between the VMs

Nothing read the word; each VM filled a target as if it were alone.

Change: the word is read, holds for the service, and is told to peers with heartbeats. While it holds, each VM keeps to its share of the slots, by its rank among the VMs; one that was turned away leaves the target alone for so long that all VMs that may use it stay below half of N in a second.

Simulated without a network, three times as many requests as fit, 7, 83 and 985 VMs: at most five turned away in a second from 3 s on.

--- a/components/fleet/src/watchers.rs
+++ b/components/fleet/src/watchers.rs
@@ -42,6 +42,12 @@
         self.ranked(WATCHERS_KEY)
     }
 
+    /// Rank of this VM among all that it knows, from 0 on. VMs that know the same others have
+    /// different ranks.
+    pub fn rank(&self) -> usize {
+        self.ranked_watchers().iter().take_while(|vm| **vm != self.own).count()
+    }
+
     /// Time for which this VM leaves a long listing of the store to other VMs of its hall, so that
     /// they can pass the content on. The first [`WATCHERS_PER_HALL`] read it at once, and with each
     /// [`LISTING_TURN`] twice as many, so that the delay grows with the logarithm of the hall's VMs
--- a/components/platform_interface/src/calls.rs
+++ b/components/platform_interface/src/calls.rs
@@ -82,6 +82,9 @@
     pub retry_after: Option<Duration>,
     /// The target's rate limit.
     pub rate: AnnouncedRate,
+    /// Requests that the target may turn away in a second, for want of room, without falling over;
+    /// `None` if it does not say that it is brittle.
+    pub brittle: Option<u32>,
 }
 
 /// A piece in a call to a pool's worker.
--- a/components/selection/src/lib.rs
+++ b/components/selection/src/lib.rs
@@ -1,5 +1,6 @@
 //! Selection of the target for a call, and the budget for retries of the whole fleet.
 
+mod brittle;
 mod choice;
 mod cost;
 mod prefix_cache;
--- a/components/selection/src/target_state.rs
+++ b/components/selection/src/target_state.rs
@@ -63,6 +63,8 @@
     /// Moving average of the fraction of calls that failed.
     pub(crate) failure_rate: f64,
     ejected_until: Option<Instant>,
+    /// Until when this VM leaves a brittle target alone that turned it away.
+    held_until: Option<Instant>,
     pub(crate) prefix_cache: PrefixCache,
     pub(crate) cold_state: ColdState,
 }
@@ -79,6 +81,7 @@
             failures: 0,
             failure_rate: 0.0,
             ejected_until: None,
+            held_until: None,
             prefix_cache: PrefixCache::default(),
             cold_state: ColdState::default(),
         }
@@ -124,6 +127,16 @@
         self.ejected_until.is_some_and(|until| now < until)
     }
 
+    /// Leaves the target alone until `until`.
+    pub(crate) fn hold_until(&mut self, until: Instant) {
+        self.held_until = self.held_until.max(Some(until));
+    }
+
+    /// Whether this VM leaves the target alone.
+    pub(crate) fn is_held(&self, now: Instant) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
     fn recover(&mut self) {
         self.failures = 0;
         self.ejected_until = None;
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this VM knows, and the selection among them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -10,11 +10,20 @@
 use rollout::Versions;
 use slotmap::SlotMap;
 
+use crate::brittle::{BrittleServices, Share};
 use crate::choice::{
     CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse,
 };
 use crate::target_state::TargetState;
 
+/// What this VM may use of the targets of a brittle service.
+#[derive(Debug)]
+struct OwnShare {
+    targets: HashSet<TargetKey>,
+    /// Calls that it may have in progress at each of them.
+    calls: u32,
+}
+
 /// All known targets with their state.
 #[derive(Debug)]
 pub struct Targets {
@@ -25,6 +34,14 @@
     by_service: HashMap<ServiceName, Vec<TargetKey>>,
     by_address: HashMap<SocketAddr, TargetKey>,
     halls: Halls,
+    /// Services whose targets fall over if they turn away too many requests.
+    brittle: BrittleServices,
+    /// What this VM may use of the targets of each brittle service.
+    shares: HashMap<ServiceName, OwnShare>,
+    /// Number of VMs that send requests to the targets, this one included.
+    vms: usize,
+    /// Rank of this VM among them, from 0 on.
+    rank: usize,
     /// Counter with which round robin and samples start at another target each time.
     turn: usize,
 }
@@ -40,6 +57,10 @@
             by_service: HashMap::new(),
             by_address: HashMap::new(),
             halls: Halls::default(),
+            brittle: BrittleServices::default(),
+            shares: HashMap::new(),
+            vms: 1,
+            rank: 0,
             turn: 0,
         }
     }
@@ -134,13 +155,91 @@
     ) -> Option<HallName> {
         let keys = self.by_service.get(service)?;
         let open = |key: &TargetKey| {
-            let state = &self.states[*key];
-            halls.permits(&state.target.hall) && self.is_open(state, now)
+            halls.permits(&self.states[*key].target.hall) && self.is_open(*key, now)
         };
         let candidates: Vec<TargetKey> = keys.iter().copied().filter(open).collect();
         Some(self.states[self.home(&candidates, size)?].target.hall.clone())
     }
 
+    /// Sets the number of VMs that send requests to the targets, and this VM's rank among them, from
+    /// 0 on. The VMs share the slots of brittle targets by it.
+    pub fn set_fleet(&mut self, vms: usize, rank: usize, now: Instant) {
+        self.vms = vms;
+        self.rank = rank;
+        let brittle: Vec<ServiceName> =
+            self.brittle.all(now).map(|(service, ..)| service.clone()).collect();
+        self.shares.clear();
+        brittle.iter().for_each(|service| self.update_share(service, now));
+    }
+
+    /// Chooses the targets of a brittle service that this VM may use. All VMs number the targets
+    /// alike, so that each target gets equally many VMs; targets that don't answer are left out.
+    fn update_share(&mut self, service: &ServiceName, now: Instant) {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let is_leaving = |key: &TargetKey| self.states[*key].target.leaving;
+        let mut keys: Vec<TargetKey> =
+            keys.iter().copied().filter(|key| !is_leaving(key)).collect();
+        keys.sort_unstable_by_key(|key| self.states[*key].id_hash);
+        let slots = keys.iter().map(|key| self.states[*key].target.slots).min();
+        let share = Share::of(slots.unwrap_or(1).max(1), keys.len(), self.vms);
+        let first = self.rank * share.targets % keys.len().max(1);
+        let is_usable = |key: &TargetKey| {
+            let state = &self.states[*key];
+            self.halls.eligibility(&state.target, now).is_allowed() && !state.is_ejected(now)
+        };
+        let in_turn = keys.iter().cycle().skip(first).take(keys.len()).copied();
+        let chosen = in_turn.filter(is_usable).take(share.targets).collect();
+        self.shares.insert(service.clone(), OwnShare { targets: chosen, calls: share.calls });
+    }
+
+    /// Records that a target of a service said at `said_at` that it falls over if it has to turn
+    /// away more than `limit` requests in a second.
+    pub fn record_brittle(&mut self, service: &ServiceName, limit: u32, said_at: Instant) {
+        self.brittle.record(service, limit, said_at);
+        if !self.shares.contains_key(service) {
+            self.update_share(service, said_at);
+        }
+    }
+
+    /// Records that a target of a service did not say that it is brittle, in the answer to a request
+    /// that was sent at `sent_at`.
+    pub fn record_sound(&mut self, service: &ServiceName, sent_at: Instant) {
+        self.brittle.record_sound(service, sent_at);
+    }
+
+    /// Returns the services whose targets are brittle, with the limit that they named and when one
+    /// last did.
+    pub fn brittle(&self, now: Instant) -> impl Iterator<Item = (&ServiceName, u32, Instant)> {
+        self.brittle.all(now)
+    }
+
+    /// Records that a target turned a request away for want of room. If it is brittle, this VM
+    /// leaves it alone for some time.
+    pub fn record_turned_away(&mut self, key: TargetKey, now: Instant) {
+        let Some(target) = self.states.get(key).map(|state| &state.target) else { return };
+        let Some(brittle) = self.brittle.of(&target.service, now) else { return };
+        let targets = self.count_of(&target.service);
+        let users = Share::of(target.slots.max(1), targets, self.vms).users(targets, self.vms);
+        let Some(state) = self.states.get_mut(key) else { return };
+        let draw = hashing::unit_fraction(hashing::combine(state.id_hash, self.rank as u64));
+        state.hold_until(now + brittle.hold(users, draw));
+    }
+
+    /// Whether this VM may send a request to a target as far as it has room. Only brittle targets
+    /// are asked this: others turn a request away without harm.
+    fn has_room(&self, key: TargetKey, now: Instant) -> bool {
+        let state = &self.states[key];
+        let service = &state.target.service;
+        if self.brittle.of(service, now).is_none() {
+            return true;
+        }
+        let Some(share) = self.shares.get(service) else { return true };
+        let calls = if share.targets.contains(&key) { share.calls } else { 0 };
+        !state.is_held(now)
+            && state.calls < calls
+            && state.total_calls(now) < f64::from(state.target.slots.max(1))
+    }
+
     /// Sets the state of the halls.
     pub fn set_halls(&mut self, halls: Halls) {
         self.halls = halls;
@@ -277,8 +376,7 @@
         let keys = self.by_service.get(request.service)?;
         let untried = keys.iter().copied().filter(|key| !request.exclude.contains(key));
         let is_allowed = |key: &TargetKey| {
-            let state = &self.states[*key];
-            request.halls.permits(&state.target.hall) && self.is_allowed(state, now)
+            request.halls.permits(&self.states[*key].target.hall) && self.is_allowed(*key, now)
         };
         let mut allowed: Vec<TargetKey> = untried.filter(is_allowed).collect();
         let of_version =
@@ -287,7 +385,7 @@
         if !is_fallback || allowed.iter().any(of_version) {
             allowed.retain(of_version);
         }
-        let open = |key: &TargetKey| self.is_open(&self.states[*key], now);
+        let open = |key: &TargetKey| self.is_open(*key, now);
         let mut candidates: Vec<TargetKey> = allowed.iter().copied().filter(open).collect();
         if candidates.is_empty() {
             candidates = allowed;
@@ -365,14 +463,19 @@
     }
 
     /// Whether a target may be sent a request if no better one is left.
-    fn is_allowed(&self, state: &TargetState, now: Instant) -> bool {
-        self.halls.eligibility(&state.target, now).is_allowed() && state.cold_state.may_send(now)
+    fn is_allowed(&self, key: TargetKey, now: Instant) -> bool {
+        let state = &self.states[key];
+        self.halls.eligibility(&state.target, now).is_allowed()
+            && state.cold_state.may_send(now)
+            && self.has_room(key, now)
     }
 
     /// Whether a target may be sent a request without restriction.
-    fn is_open(&self, state: &TargetState, now: Instant) -> bool {
+    fn is_open(&self, key: TargetKey, now: Instant) -> bool {
+        let state = &self.states[key];
         self.halls.eligibility(&state.target, now) == Eligibility::Open
             && state.cold_state.may_send(now)
+            && self.has_room(key, now)
             && !state.is_ejected(now)
     }
 }
--- /dev/null
+++ b/components/selection/tests/brittle.rs
@@ -0,0 +1,227 @@
+//! Brittle targets: those that fall over if they turn away too many requests in a second, from all
+//! VMs together.
+
+// A fixture that can't be set up fails its test.
+#![allow(clippy::unwrap_used)]
+
+use std::time::{Duration, Instant};
+
+use eligibility::AllowedHalls;
+use ids::{HallName, ServiceName, TargetName};
+use intent::Target;
+use rollout::Versions;
+use selection::{Policy, SelectionRequest, TargetKey, TargetOutcome, Targets};
+
+/// Requests that a target turns away in a second without falling over.
+const LIMIT: u32 = 5;
+/// Requests that wait at a target that has no free slot.
+const QUEUE: usize = 2;
+/// Time for which a request runs.
+const RUN_TIME: Duration = Duration::from_millis(60);
+/// Simulated time between two arrivals of requests.
+const TICK: Duration = Duration::from_millis(10);
+/// Time after the targets first say that they are brittle from which on they fall over.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Simulated time.
+const TIME: Duration = Duration::from_secs(8);
+/// Interval at which each VM chooses anew which targets it uses.
+const CHECK_TICKS: u32 = 50;
+
+/// A fleet in front of the targets of one service.
+struct Simulation {
+    vms: Vec<Targets>,
+    /// Requests in progress at each target, with the VM, its key and when it ends.
+    running: Vec<Vec<(usize, TargetKey, Instant)>>,
+    slots: usize,
+    /// When each target turned requests away.
+    turned_away: Vec<Vec<Instant>>,
+    served: Vec<usize>,
+    refused: usize,
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("loans").unwrap()
+}
+
+fn target(number: usize, slots: u32) -> Target {
+    Target {
+        id: TargetName::new(&format!("t-{number}")).unwrap(),
+        born: None,
+        service: service(),
+        address: format!("127.0.0.1:{}", 1000 + number).parse().unwrap(),
+        hall: HallName::new("hall-a").unwrap(),
+        slots,
+        leaving: false,
+        cold_start_remaining: Duration::ZERO,
+        backoff_until: None,
+        rate_limited_until: None,
+        request_interval: None,
+        version: None,
+    }
+}
+
+impl Simulation {
+    fn new(vms: usize, targets: usize, slots: u32, start: Instant) -> Self {
+        let vm = |number: usize| {
+            let hall = HallName::new("hall-a").unwrap();
+            let mut known = Targets::new(Policy::Adaptive, hall);
+            (0..targets).for_each(|number| known.upsert(target(number, slots), start));
+            known.set_fleet(vms, number, start);
+            known.record_brittle(&service(), LIMIT, start);
+            known
+        };
+        Simulation {
+            vms: (0..vms).map(vm).collect(),
+            running: vec![Vec::new(); targets],
+            slots: slots as usize,
+            turned_away: vec![Vec::new(); targets],
+            served: vec![0; vms],
+            refused: 0,
+        }
+    }
+
+    fn send(&mut self, vm: usize, now: Instant) {
+        let service = service();
+        let wanted = SelectionRequest {
+            service: &service,
+            exclude: &[],
+            size: None,
+            halls: &AllowedHalls::Any,
+            versions: &Versions::Any,
+        };
+        let Some(pick) = self.vms[vm].pick(&wanted, now) else {
+            self.refused += 1;
+            return;
+        };
+        let number = pick.target.id.as_str()[2..].parse::<usize>().unwrap();
+        if self.running[number].len() < self.slots + QUEUE {
+            self.running[number].push((vm, pick.key, now + RUN_TIME));
+            return;
+        }
+        self.turned_away[number].push(now);
+        self.vms[vm].record_brittle(&service, LIMIT, now);
+        self.vms[vm].record_outcome(pick.key, TargetOutcome::Declined, now);
+        self.vms[vm].record_turned_away(pick.key, now);
+    }
+
+    fn end_requests(&mut self, now: Instant) {
+        for running in &mut self.running {
+            for (vm, key, _) in running.extract_if(.., |(.., ends)| *ends <= now) {
+                self.vms[vm].record_outcome(key, TargetOutcome::Answered, now);
+                self.vms[vm].record_brittle(&service(), LIMIT, now);
+                self.served[vm] += 1;
+            }
+        }
+    }
+
+    /// Sends requests from VMs chosen by `vm_of`, `per_tick` in each tick from `burst_at` on.
+    fn run(
+        &mut self,
+        start: Instant,
+        per_tick: usize,
+        burst_at: Duration,
+        mut vm_of: impl FnMut() -> usize,
+    ) {
+        let ticks = u32::try_from(TIME.as_millis() / TICK.as_millis()).unwrap();
+        for tick in 0..ticks {
+            let now = start + TICK * tick;
+            self.end_requests(now);
+            if tick % CHECK_TICKS == 0 {
+                let vms = self.vms.len();
+                for (number, known) in self.vms.iter_mut().enumerate() {
+                    known.set_fleet(vms, number, now);
+                }
+            }
+            let count = if TICK * tick >= burst_at { per_tick } else { per_tick / 20 };
+            (0..count).for_each(|_| self.send(vm_of(), now));
+        }
+    }
+
+    /// The most requests that one target turned away within a second, from `since` on.
+    fn most_turned_away(&self, since: Instant) -> usize {
+        let second = Duration::from_secs(1);
+        let most = |times: &Vec<Instant>| {
+            let within = |first: &Instant| {
+                times.iter().filter(|at| (*first..*first + second).contains(at)).count()
+            };
+            times.iter().filter(|at| **at >= since).map(within).max().unwrap_or(0)
+        };
+        self.turned_away.iter().map(most).max().unwrap_or(0)
+    }
+}
+
+/// Draws numbers below `count`.
+fn draws(count: usize) -> impl FnMut() -> usize {
+    let mut random = 7_u64;
+    move || {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (random >> 33) as usize % count
+    }
+}
+
+/// Guards against VMs that each fill a target as if they were alone: with three times as many
+/// requests as fit, no target may be turned away from more often than it bears.
+#[test]
+fn brittle_targets_turn_away_few_requests_however_many_vms_send_to_them() {
+    let from_start = Duration::ZERO;
+    let later = CONTACT + Duration::from_secs(2);
+    let cases = [
+        (7, 4, 6, from_start),
+        (7, 4, 6, later),
+        (7, 9, 64, later),
+        (83, 24, 6, from_start),
+        (83, 24, 6, later),
+        (985, 24, 6, from_start),
+        (985, 100, 6, later),
+    ];
+    for (vms, targets, slots, burst_at) in cases {
+        let start = Instant::now();
+        let mut simulation = Simulation::new(vms, targets, slots, start);
+        let capacity = targets * slots as usize;
+        let per_tick = capacity * 3 * TICK.as_millis() as usize / RUN_TIME.as_millis() as usize;
+
+        simulation.run(start, per_tick, burst_at, draws(vms));
+
+        let most = simulation.most_turned_away(start + CONTACT);
+        assert!(
+            most <= LIMIT as usize,
+            "{vms} VMs, {targets} targets with {slots} slots, burst at {burst_at:?}: {most} turned \
+             away in a second"
+        );
+        let served: usize = simulation.served.iter().sum();
+        let burst_time = (TIME - burst_at).as_millis() as usize;
+        let possible = capacity * burst_time / RUN_TIME.as_millis() as usize;
+        assert!(served * 2 >= possible, "{vms} VMs: {served} of {possible} served");
+    }
+}
+
+#[test]
+fn each_vm_may_use_some_brittle_target() {
+    for (vms, targets, slots) in [(7, 4, 1), (83, 4, 6), (985, 60, 6)] {
+        let start = Instant::now();
+        let mut simulation = Simulation::new(vms, targets, slots, start);
+        for vm in 0..vms {
+            let now = start + RUN_TIME * u32::try_from(vm).unwrap();
+            simulation.end_requests(now);
+            simulation.vms[vm].record_brittle(&service(), LIMIT, now);
+            simulation.send(vm, now);
+        }
+
+        assert_eq!(simulation.refused, 0, "{vms} VMs");
+    }
+}
+
+#[test]
+fn a_service_is_used_as_before_once_its_targets_no_longer_say_that_they_are_brittle() {
+    let start = Instant::now();
+    let mut simulation = Simulation::new(3, 1, 3, start);
+    let later = start + Duration::from_millis(100);
+
+    (0..3).for_each(|_| simulation.send(0, start));
+    let refused = std::mem::take(&mut simulation.refused);
+    simulation.vms[0].record_sound(&service(), later);
+    simulation.vms[0].record_brittle(&service(), LIMIT, start);
+    (0..3).for_each(|_| simulation.send(0, later));
+
+    assert_eq!((refused, simulation.refused), (2, 0));
+}
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -391,6 +391,9 @@
             Evidence::Answered => Ok((head, parsed, body, connection)),
             Evidence::Declined | Evidence::InputGone => {
                 attempt.end(TargetOutcome::Declined);
+                if parsed.evidence == Evidence::Declined {
+                    self.app.state.with(|shared, now| shared.targets.record_turned_away(key, now));
+                }
                 self.finish_declined(body, connection, parsed).await;
                 if parsed.evidence == Evidence::InputGone {
                     return Err(AttemptError::InputGone);
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -8,8 +8,8 @@
 use fleet::VmEntry;
 use ids::{HallName, RequestId, ServiceName, StoreRevision, TargetName, VmName};
 use peering::work::{
-    self, Beat, Coming, Crashes, Departures, Done, Failure, Fetched, FromOwner, Hello, PieceDone,
-    PoolLoad, Rates, Submit, TargetLoad, Waiting, from_owner,
+    self, Beat, BrittleService, Coming, Crashes, Departures, Done, Failure, Fetched, FromOwner,
+    Hello, PieceDone, PoolLoad, Rates, Submit, TargetLoad, Waiting, from_owner,
 };
 use quarantine::{Crash, CrashCursor, LifetimeHash, LifetimeId, RequestDigest};
 use rollout::Phase;
@@ -90,6 +90,15 @@
             .map(|(order, phase)| encode_phase(order, phase))
             .collect(),
         cut_off: shared.target_paths.is_cut_off(),
+        brittle: shared
+            .targets
+            .brittle(now)
+            .map(|(service, limit, said_at)| BrittleService {
+                service: service.to_string(),
+                limit,
+                said_ms: millis(now.saturating_duration_since(said_at)),
+            })
+            .collect(),
     })
 }
 
@@ -147,6 +156,12 @@
             )
         });
         shared.targets.record_peer_load(peer_hash(vm), &loads, now);
+        for BrittleService { service, limit, said_ms } in &beat.brittle {
+            let said_at = now.checked_sub(Duration::from_millis(u64::from(*said_ms)));
+            if let (Ok(service), Some(said_at)) = (ServiceName::new(service), said_at) {
+                shared.targets.record_brittle(&service, *limit, said_at);
+            }
+        }
         let Some(peer) = shared.fleet.peers.get_mut(vm) else { return starts_draining };
         // An older build knows no eras; its number is taken for one of the present era.
         let era = beat.era.unwrap_or(shared.view.as_of().era);
--- a/gateway/src/target_announcements.rs
+++ b/gateway/src/target_announcements.rs
@@ -56,6 +56,10 @@
 /// Applies a rate limit, a backoff and a departure that an answer announces.
 fn apply_announcements(app: &Rc<App>, target: &Target, answer: &AnswerHead, sent: Instant) {
     apply_rate(app, target, answer.rate, sent);
+    app.state.with(|shared, now| match answer.brittle {
+        Some(limit) => shared.record_brittle(target, limit, now),
+        None => shared.targets.record_sound(&target.service, sent),
+    });
     if !answer.is_leaving && answer.retry_after.is_none() {
         return;
     }
@@ -159,6 +163,16 @@
         true
     }
 
+    /// Records that a target is brittle.
+    fn record_brittle(&mut self, target: &Target, limit: u32, now: Instant) {
+        let is_new = self.targets.brittle(now).all(|(service, ..)| *service != target.service);
+        if is_new {
+            info!(self.log, "targets of a service are brittle"; "service" => %target.service,
+                "target" => %target.id, "limit" => limit);
+        }
+        self.targets.record_brittle(&target.service, limit, now);
+    }
+
     /// Records the rate limit that an answer announced; returns whether the limit in force changed.
     fn apply_rate(&mut self, target: &Target, observation: RateObservation, now: Instant) -> bool {
         let lifetime = Lifetime::from(target);
