Let the soak's store come back from older copies, and test relays that end

A thread with random numbers of its own takes copies and lets the store come back from them, 0.1 to 1.5 s old; what the operator and the runners wrote is written again.

Two tests of relayed streams: a VM that gets SIGTERM finishes the streams that it relays, and a stream that may be resumed survives a SIGKILL of the VM that relays it (two runs, no event lost or repeated).

--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -4,7 +4,8 @@
 //! - Links to the store delay or drop bytes, in one or both directions, or are reset.
 //! - VM processes are paused, killed and restarted, or sent SIGHUP, at which they check their
 //!   settings file again.
-//! - The store refuses calls, doesn't answer or compacts its history.
+//! - The store refuses calls, doesn't answer, compacts its history, or comes back from a copy some
+//!   hundred milliseconds old.
 //! - Runners lose, truncate, mix up, corrupt or refuse answers, announce in answers but not in the
 //!   store that they are leaving, ask for a pause or for a rate limit, or report a cold start.
 //! - A request crashes each runner that runs it.
@@ -56,6 +57,11 @@
 /// Probability that a fault comes with a refusal that has a `Retry-After`.
 const REFUSAL_PROBABILITY: f64 = 0.3;
 
+/// Age of the copies from which the store can come back, in milliseconds.
+const COPY_AGE_MS: std::ops::Range<u64> = 100..1500;
+/// Probability that it comes back from a copy of that age.
+const RETURN_PROBABILITY: f64 = 0.4;
+
 /// Pause between two requests to the service `fragile`, fatal or not, in milliseconds.
 const FATAL_PAUSE_MS: std::ops::Range<u64> = 20..200;
 
@@ -164,6 +170,7 @@
         let site = &site;
         scope.spawn(move || announce_leaving(seed, time, site));
         scope.spawn(move || announce_rates(seed, time, site));
+        scope.spawn(move || return_store(seed, time, site));
         let faults = Faults { seed, time, site, links: &links };
         interruptions = inject_faults(&faults, &mut vms, &mut report);
         over.store(true, Ordering::Relaxed);
@@ -202,6 +209,22 @@
     (0..CRASHING_RUNNERS).map(start).collect()
 }
 
+/// Lets the store come back from older copies.
+fn return_store(seed: u64, time: Duration, site: &Site) {
+    let mut rng = StdRng::seed_from_u64(seed + 9 * SEED_OFFSET);
+    let end = Instant::now() + time;
+    loop {
+        let copy = site.store.copy();
+        thread::sleep(Duration::from_millis(rng.random_range(COPY_AGE_MS)));
+        if Instant::now() >= end {
+            return;
+        }
+        if rng.random_bool(RETURN_PROBABILITY) {
+            site.store.come_back_and_rewrite(copy);
+        }
+    }
+}
+
 /// Sends fatal and harmless requests to the service `fragile`, through random VMs.
 fn send_fatal_requests(seed: u64, addresses: &[SocketAddr], over: &AtomicBool) {
     let mut rng = StdRng::seed_from_u64(seed + 2 * SEED_OFFSET);
--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -164,6 +164,24 @@
         });
     }
 
+    /// Like [`Store::come_back_from`]; what the operator and the runners had written since the copy
+    /// is written again.
+    pub fn come_back_and_rewrite(&self, copy: StoreCopy) {
+        let is_rewritten = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        let written = self.with(|state| state.items.clone());
+        self.come_back_from(copy);
+        self.with(|state| {
+            let known = state.items.clone();
+            let removed = known.keys().filter(|key| !written.contains_key(*key));
+            removed.filter(|key| is_rewritten(key)).for_each(|key| state.remove(key));
+            for (key, (_, value, _)) in written.iter().filter(|(key, _)| is_rewritten(key)) {
+                if known.get(key).is_none_or(|(_, before, _)| before != value) {
+                    state.put(key, value, 0);
+                }
+            }
+        });
+    }
+
     /// Keys that start with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.with(|state| state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect())
--- a/tests/cut_off_vms.rs
+++ b/tests/cut_off_vms.rs
@@ -203,3 +203,52 @@
     }
     assert_eq!(runners(&site.site).flat_map(Runner::ran).count(), 0);
 }
+
+/// Starts a slow stream at the first VM, which is cut off, calls `fault` once it has begun, and
+/// returns the ids of the events that its caller gets.
+fn slow_stream(site: &CutSite, path: &str, fault: impl FnOnce() + Send) -> Vec<u64> {
+    let slow = Behavior::SlowStream(8, Duration::from_millis(100));
+    // Further attempts behave alike.
+    site.site
+        .engines
+        .iter()
+        .for_each(|runner| runner.queue_behaviors(&[slow.clone(), slow.clone()]));
+    let vm = &site.vms[0];
+    std::thread::scope(|scope| {
+        let answer = scope.spawn(move || get(path, "slow").send(vm.callers));
+        wait_until("an engine streams", || site.site.runs("slow") > 0);
+        sleep(Duration::from_millis(150));
+        fault();
+        let answer = answer.join().expect("the caller ends");
+        answer.filter(|answer| answer.is_complete).map(|a| event_ids(&a)).unwrap_or_default()
+    })
+}
+
+#[test]
+fn a_vm_that_stops_finishes_the_streams_that_it_relays() {
+    let mut site = CutSite::start("cut-stop", 2, 1, "stop: {notice_ms: 200, grace_s: 4}\n");
+    site.cut(PathCut::RefuseNew);
+    let stopping = &site.vms[1];
+
+    let events = slow_stream(&site, "/stream/", || stopping.signal("-TERM"));
+
+    assert_eq!(events, (1..=8).collect::<Vec<u64>>(), "{}", site.vms[0].log());
+    assert_eq!(site.vms[1].wait_exit(), Some(0));
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_survives_the_end_of_the_vm_that_relays_it() {
+    let site = CutSite::start("cut-killed", 4, 1, "");
+    site.cut(PathCut::RefuseNew);
+    let relays = || {
+        let relays = |vm: &Vm| vm.state()["relayed_for_peers"].as_u64().unwrap_or(0) > 0;
+        site.vms[1..].iter().filter(|vm| relays(vm)).collect::<Vec<_>>()
+    };
+
+    let events = slow_stream(&site, "/resumed/", || {
+        relays().iter().for_each(|vm| vm.signal("-KILL"));
+    });
+
+    assert_eq!(events, (1..=8).collect::<Vec<u64>>(), "{}", site.vms[0].log());
+    assert_eq!(site.site.runs("slow"), 2);
+}
