Name checks and announcements by what they are, and say why in two comments

Read as a newcomer: MAX_WITNESSES is the number of peers that are asked whether a target refuses connections, Said is what the targets of a service announced; one comment told what had happened instead of why. No logic changes.

--- a/components/selection/src/brittle.rs
+++ b/components/selection/src/brittle.rs
@@ -24,11 +24,11 @@
 
 /// The services whose targets are brittle.
 #[derive(Debug, Default)]
-pub(crate) struct BrittleServices(HashMap<ServiceName, Said>);
+pub(crate) struct BrittleServices(HashMap<ServiceName, Announcement>);
 
 /// What the targets of a service said last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Said {
+struct Announcement {
     /// `None` if they are not brittle.
     brittle: Option<Brittle>,
     at: Instant,
@@ -45,7 +45,7 @@
     /// Records that a target of the service said at `said_at` that it is brittle.
     pub(crate) fn record(&mut self, service: &ServiceName, limit: u32, said_at: Instant) {
         if self.0.get(service).is_none_or(|known| known.at < said_at) {
-            let said = Said { brittle: Some(Brittle { limit }), at: said_at };
+            let said = Announcement { brittle: Some(Brittle { limit }), at: said_at };
             self.0.insert(service.clone(), said);
         }
     }
@@ -54,7 +54,7 @@
     /// request that was sent at `sent_at`.
     pub(crate) fn record_sound(&mut self, service: &ServiceName, sent_at: Instant) {
         if let Some(known) = self.0.get_mut(service).filter(|known| known.at < sent_at) {
-            *known = Said { brittle: None, at: sent_at };
+            *known = Announcement { brittle: None, at: sent_at };
         }
     }
 
@@ -65,13 +65,14 @@
 
     /// The brittle services, with their limits and when a target last said so.
     pub(crate) fn all(&self, now: Instant) -> impl Iterator<Item = (&ServiceName, u32, Instant)> {
-        let known =
-            move |(service, said): (_, &Said)| Some((service, said.in_force(now)?.limit, said.at));
+        let known = move |(service, said): (_, &Announcement)| {
+            Some((service, said.in_force(now)?.limit, said.at))
+        };
         self.0.iter().filter_map(known)
     }
 }
 
-impl Said {
+impl Announcement {
     fn in_force(&self, now: Instant) -> Option<Brittle> {
         let is_recent = now.saturating_duration_since(self.at) < BRITTLE_TTL;
         self.brittle.filter(|_| is_recent)
--- a/gateway/src/target_connecting.rs
+++ b/gateway/src/target_connecting.rs
@@ -30,7 +30,7 @@
 /// Most peers that are asked to relay one connection.
 const MAX_RELAYS: usize = 3;
 /// Most peers that are asked whether a target refuses connections.
-const MAX_WITNESSES: usize = 2;
+const MAX_REFUSAL_CHECKS: usize = 2;
 /// Interval between two checks which targets to probe.
 const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Other targets that are checked at once when the path to one turns out to be broken.
@@ -289,13 +289,13 @@
     app.path_checks.set(app.path_checks.get() + 1);
     let (app, target) = (Rc::clone(app), target.clone());
     spawn_local(async move {
-        // What it finds out is recorded there.
+        // `connect_to` records which path is broken; the connection itself is not needed.
         drop(connect_to(&app, &target).await);
         app.path_checks.set(app.path_checks.get().saturating_sub(1));
     });
 }
 
-/// Checks the paths to some other targets after one turned out to be broken.
+/// Checks the paths to some other targets: if they are broken too, this VM is cut off.
 fn verify_others(app: &Rc<App>, broken: &Target) {
     let others = app.state.with(|shared, _| shared.targets.sample(VERIFIED_TARGETS, &broken.id));
     others.iter().for_each(|target| check_path(app, target));
@@ -338,7 +338,7 @@
         }
     }
     let mut asked = JoinSet::new();
-    for vm in relays_for(app, &target.hall).into_iter().take(MAX_WITNESSES) {
+    for vm in relays_for(app, &target.hall).into_iter().take(MAX_REFUSAL_CHECKS) {
         asked.spawn_local(try_way(Rc::clone(app), target.clone(), Way::Through(vm)));
     }
     let mut refused = path == Path::Direct;
