Log versions of targets, and which stream a caller takes up

"target known" and "try" name the version; "stream taken up" names the request that brought the first event, read from `Resumes`. No decision changes.

--- a/components/platform_interface/src/callers.rs
+++ b/components/platform_interface/src/callers.rs
@@ -33,6 +33,8 @@
     pub prompt: Vec<PromptPart>,
     /// Number of the last event that the caller has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the caller the first event of the stream that it resumes.
+    pub resumes: Option<RequestId>,
     /// Number of pieces of each stage.
     pub pieces: Vec<u32>,
     /// Secret that is passed to the workers of stages that need no results of other stages.
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -440,6 +440,7 @@
         info!(self.app.log, "try"; "request" => %self.req.id, "content" => %self.req.digest,
             "service" => %self.req.service,
             "target" => %pick.target.id, "hall" => %pick.target.hall,
+            "version" => pick.target.version.as_ref().map(ToString::to_string),
             "cost" => format!("{:.2}", pick.cost), "of" => pick.candidates,
             "load_age_ms" => pick.load_age.map(|age| age.as_millis()),
             "unread" => pick.unread_tokens,
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -83,6 +83,7 @@
 /// Runs the stages and tries targets until the first event has arrived.
 async fn start_stream(app: &Rc<App>, req: &Rc<AcceptedRequest>) -> Result<Started, Refusal> {
     let deadline = stream_deadline(req);
+    log_resumption(app, req);
     let unsubmitted = admission::admit(app, req)?;
     let mut attempts = Attempts::new(app, req);
     let mut results = run_stages(app, req, deadline, Some(unsubmitted)).await?;
@@ -118,6 +119,14 @@
     }
 }
 
+/// Logs that a caller resumes a stream, and which attempt brought its first event.
+fn log_resumption(app: &App, req: &AcceptedRequest) {
+    if let Some(last_event) = req.head.last_event {
+        info!(app.log, "stream taken up"; "request" => %req.id, "after" => last_event,
+            "first" => req.head.resumes.as_ref().map(ToString::to_string));
+    }
+}
+
 /// Waits for an attempt. Once its engine has had time to fetch the results of the stages, workers
 /// keep these only while they have room to spare: results of a megabyte and more would otherwise
 /// occupy it for as long as a prompt is read.
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -75,6 +75,7 @@
         }
         info!(self.log, "target known"; "target" => %target.id,
             "service" => %target.service, "address" => %target.address,
+            "version" => target.version.as_ref().map(ToString::to_string),
             "hall" => %target.hall, "leaving" => target.leaving,
             "cold_ms" => target.cold_start_remaining.as_millis(), "from" => from,
             "as_of" => %self.view.as_of());
