Test that streams stay at the version of the engine that began them

Engines are registered with alternating versions, since equally good ones are chosen in the order of their entries.

--- /dev/null
+++ b/tests/stream_versions.rs
@@ -0,0 +1,166 @@
+//! Streams of a service whose engines are of several software versions, with real processes and the
+//! stand-ins of the users' platform. A stream goes on at engines of the version that began it, or not
+//! at all.
+
+// A failing `expect` in a helper fails the test.
+#![allow(clippy::expect_used)]
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use standins::fleet::wait_until;
+use standins::serving_path::runners::{Behavior, Runner};
+use standins::serving_path::site::{Site, Vm, event_ids, post};
+
+/// Events of each stream.
+const EVENTS: u64 = 20;
+/// Time between two events.
+const PAUSE: Duration = Duration::from_millis(10);
+/// Last event that a caller has when it takes its stream up again.
+const LAST_EVENT: u64 = 3;
+
+/// Engines by software version.
+struct Versions {
+    site: Site,
+    engines: Vec<(&'static str, Runner)>,
+}
+
+impl Versions {
+    /// A site whose engines are these, each with its version.
+    fn start(versions: &[&'static str]) -> Self {
+        let site = Site::start();
+        site.engines.iter().for_each(|engine| site.store.remove(&format!("servers/{}", engine.id)));
+        let mut started = Versions { site, engines: Vec::new() };
+        versions.iter().for_each(|version| started.add(version));
+        started
+    }
+
+    /// Starts another engine.
+    fn add(&mut self, version: &'static str) {
+        let id = format!("i-{}-{version}", self.engines.len());
+        let engine = Runner::start(&id, Behavior::SlowStream(EVENTS, PAUSE)).expect("an engine");
+        self.engines.push((version, engine));
+        self.register(self.engines.len() - 1, "ready");
+    }
+
+    /// Writes the entry of an engine.
+    fn register(&self, number: usize, state: &str) {
+        let (version, engine) = &self.engines[number];
+        let mut entry = engine.entry("engine", "hall-a", state);
+        entry["version"] = json!(version);
+        self.site.store.put(&format!("servers/{}", engine.id), &entry);
+    }
+
+    fn start_vms<const N: usize>(&self, names: [&str; N]) -> [Vm; N] {
+        let vms = names.map(|name| Vm::start(name, "hall-a", self.site.store.address, ""));
+        vms.iter().for_each(|vm| self.site.wait_for_all_runners(vm));
+        wait_until("the VMs are linked", || vms.iter().all(|vm| vm.linked_peers() == N - 1));
+        vms
+    }
+
+    /// Versions that ran a request, in the order of the engines.
+    fn versions_of(&self, id: &str) -> Vec<&'static str> {
+        let ran = |engine: &Runner| engine.ran().iter().any(|ran| ran == id);
+        self.engines.iter().filter(|(_, engine)| ran(engine)).map(|(of, _)| *of).collect()
+    }
+
+    /// Begins streams at a VM at the same time, so that they spread over the engines, and leaves them
+    /// after some events; returns the version that began each.
+    fn begin_streams(&self, vm: &Vm, count: usize) -> Vec<BegunStream> {
+        let ids: Vec<String> = (0..count).map(|number| format!("stream-{number}")).collect();
+        thread::scope(|scope| {
+            for id in &ids {
+                scope.spawn(|| post("/resumed/", id).send_and_disconnect(vm.callers, PAUSE * 10));
+            }
+        });
+        let begun = |id: String| {
+            wait_until("the stream began", || !self.versions_of(&id).is_empty());
+            let version = self.versions_of(&id)[0];
+            BegunStream { id, version }
+        };
+        ids.into_iter().map(begun).collect()
+    }
+
+    /// Takes streams up again at the same time at VMs in turn, and compares the versions.
+    fn take_up(&self, begun: &[BegunStream], vms: &[Vm]) -> TakenUp {
+        let went_on = thread::scope(|scope| {
+            let take_up = |(stream, vm)| scope.spawn(move || take_up(vm, stream));
+            let vms = vms.iter().cycle();
+            let taken_up: Vec<_> = begun.iter().zip(vms).map(take_up).collect();
+            taken_up.into_iter().filter_map(|went_on| went_on.join().ok()).filter(|on| *on).count()
+        });
+        let crossed = |stream: &&BegunStream| {
+            self.versions_of(&stream.id_of_second()).iter().any(|on| *on != stream.version)
+        };
+        TakenUp { went_on, crossed: begun.iter().filter(crossed).count() }
+    }
+}
+
+/// A stream that began and was left.
+struct BegunStream {
+    /// Id of the attempt that brought its first event.
+    id: String,
+    version: &'static str,
+}
+
+impl BegunStream {
+    /// Id of the attempt that takes it up.
+    fn id_of_second(&self) -> String {
+        format!("{}-again", self.id)
+    }
+}
+
+/// How streams went on.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+struct TakenUp {
+    /// Streams that were answered to their end.
+    went_on: usize,
+    /// Streams that another version than the one that began them ran.
+    crossed: usize,
+}
+
+/// Takes a stream up; whether it went on to its end.
+fn take_up(vm: &Vm, stream: &BegunStream) -> bool {
+    let call = post("/resumed/", &stream.id_of_second())
+        .with_header("Last-Event-Id", &LAST_EVENT.to_string())
+        .with_header("Resumes", &stream.id);
+    let answer = call.send(vm.callers).expect("an answer");
+    let went_on = answer.status() == 200;
+    if went_on {
+        assert!(answer.is_complete, "{answer:?}");
+        assert_eq!(event_ids(&answer), (LAST_EVENT + 1..=EVENTS).collect::<Vec<_>>());
+    }
+    went_on
+}
+
+#[test]
+fn streams_that_callers_take_up_at_another_vm_stay_at_their_version() {
+    let scene = Versions::start(&["v1", "v1", "v2", "v2"]);
+    let [first, second] = scene.start_vms(["taken-up-1", "taken-up-2"]);
+
+    let begun = scene.begin_streams(&first, 16);
+    let taken_up = scene.take_up(&begun, &[second]);
+
+    assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
+}
+
+#[test]
+fn streams_resumed_within_their_answer_stay_at_their_version() {
+    let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
+    let [vm] = scene.start_vms(["within-answer"]);
+
+    for number in 0..8 {
+        let id = format!("stream-{number}");
+        for (_, engine) in &scene.engines {
+            engine.clear_script();
+            engine.queue_behaviors(&[Behavior::BreakStream(LAST_EVENT)]);
+        }
+        post("/resumed/", &id).send(vm.callers).expect("an answer");
+
+        let versions = scene.versions_of(&id);
+        assert!(versions.iter().all(|version| *version == versions[0]), "{id}: {versions:?}");
+    }
+    let resumed = (0..8).filter(|number| scene.versions_of(&format!("stream-{number}")).len() > 1);
+    assert!(resumed.count() > 2, "some are resumed");
+}
