Resume a stream within its answer at the version that began it only

Callers saw answers whose first events came from one software version and whose later ones came from another. Cause: `Stream::resume` chose any target that was not tried yet, and nothing held the version of the one that sent the first event. Fallbacks of rollouts were ruled out: the test has none.

If no target of the version is left, the answer is cut at once, before its stages run again and before the retry budget is charged.

Test before: the first stream of eight had events of two versions.

--- a/components/rollout/src/lib.rs
+++ b/components/rollout/src/lib.rs
@@ -17,4 +17,4 @@
 pub use evidence::{AnswerCounts, BUCKETS, Evidence, Observation, VersionCounts};
 pub use order::{Order, Phase};
 pub use rollouts::{Decision, Report, Rollouts, Rules, ServiceState};
-pub use versions::Versions;
+pub use versions::{TargetVersion, Versions};
--- a/components/selection/src/choice.rs
+++ b/components/selection/src/choice.rs
@@ -55,6 +55,17 @@
     pub versions: &'a Versions,
 }
 
+/// Which targets a request may be sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    /// Some may be sent it without restriction.
+    Open,
+    /// Only some that are used if no better one is left, such as those that failed lately.
+    LastResort,
+    /// None.
+    None,
+}
+
 /// Slots of a service's targets by version, and this VM's calls there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct VersionUse {
--- a/components/selection/src/lib.rs
+++ b/components/selection/src/lib.rs
@@ -8,7 +8,9 @@
 mod target_state;
 mod targets;
 
-pub use choice::{CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse};
+pub use choice::{
+    Availability, CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse,
+};
 pub use prefix_cache::prefix_chain;
 pub use retry_budget::{FleetRetryBudget, FleetRetryRules};
 pub use targets::Targets;
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -12,7 +12,7 @@
 
 use crate::brittle::{BrittleServices, Share};
 use crate::choice::{
-    CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse,
+    Availability, CallSize, Pick, Policy, SelectionRequest, TargetKey, TargetOutcome, VersionUse,
 };
 use crate::target_state::TargetState;
 
@@ -370,10 +370,19 @@
         self.states.is_empty()
     }
 
-    /// Selects a target and counts the call there. The caller must report the end of the call with
-    /// [`Targets::record_outcome`].
-    pub fn pick(&mut self, request: &SelectionRequest<'_>, now: Instant) -> Option<Pick> {
-        let keys = self.by_service.get(request.service)?;
+    /// Which targets a request may be sent to.
+    pub fn availability(&self, request: &SelectionRequest<'_>, now: Instant) -> Availability {
+        let allowed = self.allowed(request, now);
+        match allowed.iter().any(|key| self.is_open(*key, now)) {
+            true => Availability::Open,
+            false if !allowed.is_empty() => Availability::LastResort,
+            false => Availability::None,
+        }
+    }
+
+    /// Targets that may be sent a request, some of them only if no better one is left.
+    fn allowed(&self, request: &SelectionRequest<'_>, now: Instant) -> Vec<TargetKey> {
+        let keys = self.by_service.get(request.service).map(Vec::as_slice).unwrap_or_default();
         let untried = keys.iter().copied().filter(|key| !request.exclude.contains(key));
         let is_allowed = |key: &TargetKey| {
             request.halls.permits(&self.states[*key].target.hall) && self.is_allowed(*key, now)
@@ -385,6 +394,13 @@
         if !is_fallback || allowed.iter().any(of_version) {
             allowed.retain(of_version);
         }
+        allowed
+    }
+
+    /// Selects a target and counts the call there. The caller must report the end of the call with
+    /// [`Targets::record_outcome`].
+    pub fn pick(&mut self, request: &SelectionRequest<'_>, now: Instant) -> Option<Pick> {
+        let allowed = self.allowed(request, now);
         let open = |key: &TargetKey| self.is_open(*key, now);
         let mut candidates: Vec<TargetKey> = allowed.iter().copied().filter(open).collect();
         if candidates.is_empty() {
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -11,8 +11,8 @@
 use platform_interface::callers::Refusal;
 use platform_interface::calls::{AnswerHead, CallHead, Evidence};
 use quarantine::LifetimeId;
-use rollout::Observation;
-use selection::{CallSize, Pick, SelectionRequest, TargetKey, TargetOutcome};
+use rollout::{Observation, TargetVersion, Versions};
+use selection::{Availability, CallSize, Pick, SelectionRequest, TargetKey, TargetOutcome};
 use slog::info;
 
 use crate::active_requests::{self, WaitReason};
@@ -20,6 +20,7 @@
 use crate::connections::{SendError, SentMark, TargetConnection};
 use crate::permits::{self, Permit, RateLimited};
 use crate::requests::{AcceptedRequest, build_call};
+use crate::shared::Shared;
 use crate::state_handle::{now, time_until};
 use crate::{crashes, hall_reachability, target_announcements, target_connecting};
 
@@ -48,6 +49,9 @@
     started: Instant,
     /// Targets that were tried.
     attempted: Vec<TargetKey>,
+    /// Version of the target that began the stream, once it has events: another version can't go on
+    /// with it.
+    bound: Option<TargetVersion>,
     /// Attempts that may have reached their target; the entry limits their number.
     sent: u32,
     /// Attempts that did not reach their target.
@@ -143,6 +147,7 @@
             req: Rc::clone(req),
             started: now(),
             attempted: Vec::new(),
+            bound: None,
             sent: 0,
             unreachable: 0,
             sent_mark: SentMark::default(),
@@ -164,6 +169,11 @@
         self.started
     }
 
+    /// Sends further attempts only to targets of the version that began the stream.
+    pub(crate) fn bind(&mut self, version: TargetVersion) {
+        self.bound = Some(version);
+    }
+
     /// Records that the last attempt was abandoned because its time was up; `why` tells what was
     /// awaited. Returns what is known of the attempt.
     pub(crate) fn record_timeout(&mut self, why: &str) -> AttemptError {
@@ -349,10 +359,9 @@
     /// Picks a target that is not in `exclude`.
     fn pick(&self, size: Option<&CallSize>, exclude: &[TargetKey]) -> Option<Attempt> {
         let halls = &self.req.allowed_halls;
-        let is_first = self.attempted.is_empty();
         self.app.state.with(|shared, now| {
             let service = &self.req.service;
-            let versions = &shared.versions_for(service, self.req.id.as_str(), is_first);
+            let versions = &self.versions(shared)?;
             let wanted = SelectionRequest { service, exclude, size, halls, versions };
             let pick = shared.targets.pick(&wanted, now)?;
             let announced = shared.departures.announced_at(&pick.target);
@@ -370,6 +379,33 @@
         })
     }
 
+    /// Whether some target that was not tried may be sent the next attempt.
+    pub(crate) fn has_target(&self) -> bool {
+        self.app.state.with(|shared, now| {
+            let Some(versions) = &self.versions(shared) else { return false };
+            let wanted = SelectionRequest {
+                service: &self.req.service,
+                exclude: &self.attempted,
+                size: None,
+                halls: &self.req.allowed_halls,
+                versions,
+            };
+            shared.targets.availability(&wanted, now) != Availability::None
+        })
+    }
+
+    /// Versions of targets to which the next attempt may be sent; `None` if to none.
+    fn versions(&self, shared: &Shared) -> Option<Versions> {
+        let service = &self.req.service;
+        match &self.bound {
+            Some(version) => shared.rollouts.versions(service).for_resumption(version),
+            None => {
+                let is_first = self.attempted.is_empty();
+                Some(shared.versions_for(service, self.req.id.as_str(), is_first))
+            }
+        }
+    }
+
     /// Reads the head of an answer and records what it says about the target.
     async fn read(
         &mut self,
--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -176,7 +176,14 @@
     async fn resume(&mut self, why: &str) -> Result<(), String> {
         let mut error = AttemptError::Lost(why.to_owned());
         loop {
-            if !self.req.entry.repeatable || !self.attempts.take_retry(&error) {
+            if !self.req.entry.repeatable {
+                return Err("no further attempt is allowed".to_owned());
+            }
+            // Its stages would run in vain.
+            if !self.attempts.has_target() {
+                return Err("no target of its version could be used".to_owned());
+            }
+            if !self.attempts.take_retry(&error) {
                 return Err("no further attempt is allowed".to_owned());
             }
             let last_event = self.last_event.ok_or("no event with an ID was forwarded")?;
