Let callers take streams up at the version that began them only

Callers that took a stream up at any VM got events of another software version in about half of the cases while two versions served. Cause: a VM knew nothing of a stream that began elsewhere, and `Last-Event-Id` went to whichever target was best. The class: an attempt goes on from what an earlier one made, without a word of who made it.

Which version a new stream begins at now follows from its request's id and from shares of the versions that all VMs read in the store (weighted rendezvous hashing, so that a change moves few streams). A VM that a stream is taken up at works the version out alike, also after all VMs lost their memory, and trusts it only if all shares of the last seconds agree. Streams for which they don't, and those that began at another version since none of the first one's targets could be used, are told to peers. Nothing is written for a single stream; a service with one version writes nothing at all. What can't be told, or has no target of its version left, is refused before anything runs.

--- a/components/platform_interface/src/callers.rs
+++ b/components/platform_interface/src/callers.rs
@@ -49,6 +49,9 @@
         /// Time until the caller may repeat the request.
         retry_after: Duration,
     },
+    /// The request resumes a stream that no target can go on with. It has not run, and repeating it
+    /// is of no use.
+    NotResumable,
     /// The request has not run, and its deadline has passed.
     NotRunTimedOut,
     /// The request may have run, and its answer is lost.
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -1,13 +1,13 @@
 //! The targets that this VM knows, and the selection among them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use eligibility::{AllowedHalls, Eligibility, Halls};
 use ids::{HallName, ServiceName, TargetName, VersionName};
 use intent::Target;
-use rollout::Versions;
+use rollout::{TargetVersion, Versions};
 use slotmap::SlotMap;
 
 use crate::brittle::{BrittleServices, Share};
@@ -123,6 +123,28 @@
         used
     }
 
+    /// Returns the slots of a service's targets by version, without those that leave, are out of
+    /// service or are cold. Cold ones count if there are no others.
+    pub fn slots_by_version(
+        &self,
+        service: &ServiceName,
+        now: Instant,
+    ) -> BTreeMap<TargetVersion, u64> {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        let states = keys.iter().filter_map(|key| self.states.get(*key));
+        let evacuated = self.halls.evacuated();
+        let staying: Vec<&TargetState> = states
+            .filter(|state| !state.target.leaving && !evacuated.contains(&state.target.hall))
+            .collect();
+        let has_warm = staying.iter().any(|state| !state.cold_state.is_cold(now));
+        let mut slots = BTreeMap::new();
+        for state in staying.iter().filter(|state| !has_warm || !state.cold_state.is_cold(now)) {
+            let of_version = slots.entry(state.target.version.clone()).or_default();
+            *of_version += u64::from(state.target.slots.max(1));
+        }
+        slots
+    }
+
     /// Returns the service of a target.
     pub fn service_of(&self, id: &TargetName) -> Option<&ServiceName> {
         self.states.get(*self.by_id.get(id)?).map(|state| &state.target.service)
@@ -307,6 +329,22 @@
         targets.filter_map(|target| self.halls.opens_at(target, now)).min()
     }
 
+    /// Whether some target of a service in `halls` has one of the versions, and may be sent requests
+    /// now or after a backoff or a rate limit.
+    pub fn has_staying(
+        &self,
+        service: &ServiceName,
+        halls: &AllowedHalls,
+        versions: &Versions,
+        now: Instant,
+    ) -> bool {
+        let of_version = |target: &&Target| {
+            halls.permits(&target.hall) && versions.permits(target.version.as_ref())
+        };
+        let mut targets = self.of_service(service).filter(of_version);
+        targets.any(|target| self.halls.opens_at(target, now).is_some())
+    }
+
     /// Updates the state that a target announced in its answers: departure, backoff and rate limit.
     /// Returns false if the target is unknown.
     pub fn update_announced(&mut self, announced: &Target) -> bool {
@@ -370,13 +408,20 @@
         self.states.is_empty()
     }
 
-    /// Which targets a request may be sent to.
+    /// Which targets a request may be sent to, without other versions as a fallback.
     pub fn availability(&self, request: &SelectionRequest<'_>, now: Instant) -> Availability {
-        let allowed = self.allowed(request, now);
-        match allowed.iter().any(|key| self.is_open(*key, now)) {
-            true => Availability::Open,
-            false if !allowed.is_empty() => Availability::LastResort,
-            false => Availability::None,
+        let keys = self.by_service.get(request.service).map(Vec::as_slice).unwrap_or_default();
+        let is_wanted = |key: &&TargetKey| {
+            let target = &self.states[**key].target;
+            !request.exclude.contains(*key)
+                && request.halls.permits(&target.hall)
+                && request.versions.permits(target.version.as_ref())
+        };
+        let wanted = keys.iter().filter(is_wanted);
+        match () {
+            () if wanted.clone().any(|key| self.is_open(*key, now)) => Availability::Open,
+            () if wanted.clone().any(|key| self.is_allowed(*key, now)) => Availability::LastResort,
+            () => Availability::None,
         }
     }
 
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -59,6 +59,9 @@
     pub const RESULTS_GIVEN_UP: &str = "saddlerail_results_given_up";
     /// Number of times that stages of a request were rerun because an input was lost, by cause.
     pub const INPUTS_GONE: &str = "saddlerail_inputs_gone";
+    /// Number of streams that callers took up, by service and by what told the version that began
+    /// them: a `record` of this VM, a `peer`, the `shares` of the versions, or `unknown`.
+    pub const STREAMS_TAKEN_UP: &str = "saddlerail_streams_taken_up";
     /// Number of requests closed by the end of the process, by what they were waiting for.
     pub const CLOSED_BY_STOP: &str = "saddlerail_requests_closed_by_stop";
     /// Number of requests ended because the shutdown left no time for them, by what they were
@@ -124,6 +127,7 @@
     unknown_headers: Counter<u64>,
     results_given_up: Counter<u64>,
     inputs_gone: Counter<u64>,
+    streams_taken_up: Counter<u64>,
     closed_by_stop: Counter<u64>,
     ended_by_stop: Counter<u64>,
     connections_relayed: Counter<u64>,
@@ -169,6 +173,7 @@
             unknown_headers: meter.u64_counter(metric_names::UNKNOWN_HEADERS).build(),
             results_given_up: meter.u64_counter(metric_names::RESULTS_GIVEN_UP).build(),
             inputs_gone: meter.u64_counter(metric_names::INPUTS_GONE).build(),
+            streams_taken_up: meter.u64_counter(metric_names::STREAMS_TAKEN_UP).build(),
             closed_by_stop: meter.u64_counter(metric_names::CLOSED_BY_STOP).build(),
             ended_by_stop: meter.u64_counter(metric_names::ENDED_BY_STOP).build(),
             connections_relayed: meter.u64_counter(metric_names::CONNECTIONS_RELAYED).build(),
@@ -201,6 +206,13 @@
         self.inputs_gone.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a stream that a caller took up, by what told the version that began it.
+    pub fn stream_taken_up(&self, service: &str, known_by: &'static str) {
+        let labels =
+            [KeyValue::new("service", service.to_owned()), KeyValue::new("known_by", known_by)];
+        self.streams_taken_up.add(1, &labels);
+    }
+
     /// Counts a request that was ended because the shutdown left no time for it, by what it was
     /// waiting for.
     pub fn request_ended_by_stop(&self, waits_for: &'static str) {
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -22,7 +22,7 @@
 use crate::requests::{AcceptedRequest, build_call};
 use crate::shared::Shared;
 use crate::state_handle::{now, time_until};
-use crate::{crashes, hall_reachability, target_announcements, target_connecting};
+use crate::{crashes, hall_reachability, stream_origins, target_announcements, target_connecting};
 
 /// Retry time for the caller while no target can be used.
 pub(crate) const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(700);
@@ -362,7 +362,12 @@
         self.app.state.with(|shared, now| {
             let service = &self.req.service;
             let versions = &self.versions(shared)?;
-            let wanted = SelectionRequest { service, exclude, size, halls, versions };
+            let mut wanted = SelectionRequest { service, exclude, size, halls, versions };
+            let for_stream;
+            if self.bound.is_none() && stream_origins::is_resumable(&self.req) {
+                for_stream = shared.versions_for_stream(&self.req, &wanted, now);
+                wanted.versions = &for_stream;
+            }
             let pick = shared.targets.pick(&wanted, now)?;
             let announced = shared.departures.announced_at(&pick.target);
             Some(Attempt {
@@ -394,6 +399,21 @@
         })
     }
 
+    /// Whether the stream can't go on, now or later: no target of its version is left that may get
+    /// new work.
+    fn is_bound_in_vain(&self) -> bool {
+        let Some(version) = &self.bound else { return false };
+        let service = &self.req.service;
+        self.app.state.with(|shared, now| {
+            let versions = shared.rollouts.versions(service).for_resumption(version);
+            let stays = |versions: &Versions| {
+                let halls = &self.req.allowed_halls;
+                shared.targets.has_staying(service, halls, versions, now)
+            };
+            !versions.as_ref().is_some_and(stays)
+        })
+    }
+
     /// Versions of targets to which the next attempt may be sent; `None` if to none.
     fn versions(&self, shared: &Shared) -> Option<Versions> {
         let service = &self.req.service;
@@ -401,7 +421,11 @@
             Some(version) => shared.rollouts.versions(service).for_resumption(version),
             None => {
                 let is_first = self.attempted.is_empty();
-                Some(shared.versions_for(service, self.req.id.as_str(), is_first))
+                Some(if stream_origins::is_resumable(&self.req) {
+                    shared.rollout_versions_for_stream(&self.req, is_first)
+                } else {
+                    shared.versions_for(service, self.req.id.as_str(), is_first)
+                })
             }
         }
     }
@@ -550,8 +574,9 @@
     }
 
     /// The refusal when no target can be chosen.
-    fn no_target(&self) -> Refusal {
+    pub(crate) fn no_target(&self) -> Refusal {
         match self.refusal() {
+            Refusal::NotRun { .. } if self.is_bound_in_vain() => Refusal::NotResumable,
             Refusal::NotRun { .. } if self.sent == 0 => {
                 Refusal::NotRun { retry_after: self.retry_after_time(NO_TARGET_RETRY_AFTER) }
             }
--- a/gateway/src/http_endpoints.rs
+++ b/gateway/src/http_endpoints.rs
@@ -13,8 +13,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use ids::ServiceName;
 use quarantine::RequestDigest;
 use serde_json::{Value, json};
+use stream_versions::VersionPlan;
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -23,6 +25,7 @@
 use crate::owner_selection::owner_name;
 use crate::shared::Shared;
 use crate::stored_refusals;
+use crate::version_plans::describe;
 
 /// Pause after a failed accept, for example because no file descriptor was free.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
@@ -157,6 +160,20 @@
     shared.rates.all().map(entry).collect()
 }
 
+/// The shares of versions in new streams, for the state dump.
+fn version_plans(shared: &Shared, now: Instant) -> Vec<Value> {
+    let origins = &shared.stream_origins;
+    let plan = |(service, plan): (&ServiceName, &VersionPlan)| {
+        json!({
+            "service": service.as_str(),
+            "shares": describe(plan.shares()),
+            "stored": plan.is_stored(),
+            "earlier": plan.recent_past(origins.horizon, now).map(describe).collect::<Vec<_>>(),
+        })
+    };
+    origins.plans.iter().map(plan).collect()
+}
+
 /// The state dump: what this VM knows of the fleet, targets and pools, for operators who
 /// investigate a failure.
 fn state(app: &App) -> String {
@@ -226,6 +243,8 @@
             "targets_leaving": departures(shared, now),
             "targets_left_alone": backoffs(shared, now),
             "targets_rates": rate_limits(shared, now),
+            "versions": version_plans(shared, now),
+            "streams_recorded": shared.stream_origins.records.len(),
             "quarantine": quarantine,
             "quarantine_suspects": shared.quarantine.suspect_count(),
             "peers": peers,
--- a/gateway/src/inbound_links.rs
+++ b/gateway/src/inbound_links.rs
@@ -35,7 +35,9 @@
 use crate::piece_events::{PeerSink, Sink};
 use crate::relays::AcceptedRelay;
 use crate::rollout_messages::decode_report;
-use crate::{peer_sync, permits, relays, releases, submissions, target_announcements};
+use crate::{
+    peer_sync, permits, relays, releases, stream_origins, submissions, target_announcements,
+};
 
 /// Pauses before each check whether the process of a peer has ended after its link did: its port
 /// may close a little later than the link.
@@ -307,6 +309,12 @@
                 });
             }
         }
+        from_dialer::Kind::StreamStarts(starts) => stream_origins::apply_starts(app, starts),
+        from_dialer::Kind::StreamAsk(ask) => {
+            let kind = from_owner::Kind::StreamOrigin(stream_origins::answer(app, &ask));
+            // A peer whose link ended asks other VMs.
+            drop(tx.send(Ok(FromOwner { kind: Some(kind) })));
+        }
         from_dialer::Kind::Hello(_) => {}
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -57,12 +57,14 @@
 mod store_watch;
 mod stored_refusals;
 mod stream_forwarding;
+mod stream_origins;
 mod stream_reader;
 mod streams;
 mod submissions;
 mod target_announcements;
 mod target_connecting;
 mod target_entries;
+mod version_plans;
 mod whole_answers;
 
 pub use run::run;
--- a/gateway/src/outbound_links.rs
+++ b/gateway/src/outbound_links.rs
@@ -16,7 +16,7 @@
 use peering::WorkClient;
 use peering::work::{
     Ask, Cancel, Claims, Done, FromDialer, FromOwner, Hello, News, Permit, PermitAsk, Release,
-    Submit, from_dialer, from_owner,
+    StreamAsk, StreamOrigin, StreamStarts, Submit, from_dialer, from_owner,
 };
 use result_leases::REQUEST_GRACE;
 use rollout::{Order, Report};
@@ -38,7 +38,7 @@
 use crate::rollout_messages::encode_report;
 use crate::state_handle::{now, time_until};
 use crate::target_connecting::relay_channel;
-use crate::{releases, target_announcements};
+use crate::{releases, stream_origins, target_announcements};
 
 /// Sends messages to the VM that dialed a link.
 pub(crate) type DialerSender = UnboundedSender<Result<FromOwner, Status>>;
@@ -75,6 +75,8 @@
     pending_changes: RefCell<Option<oneshot::Sender<News>>>,
     /// Where to deliver permits, by the request's number.
     permits: RefCell<HashMap<u64, oneshot::Sender<Permit>>>,
+    /// Where to deliver what the peer knows of streams, by the request's number.
+    stream_origins: RefCell<HashMap<u64, oneshot::Sender<StreamOrigin>>>,
     /// Results released through this link, until the peer confirms, by the release's number.
     unconfirmed: RefCell<BTreeMap<u64, Vec<String>>>,
     /// Results reported to the peer as released at their workers, until it confirms, by the
@@ -106,6 +108,7 @@
             jobs: RefCell::default(),
             pending_changes: RefCell::default(),
             permits: RefCell::default(),
+            stream_origins: RefCell::default(),
             unconfirmed: RefCell::default(),
             reported: RefCell::default(),
             relayed: Cell::new(0),
@@ -235,6 +238,30 @@
         rx
     }
 
+    /// Tells the peer which versions began streams.
+    pub(crate) fn send_stream_starts(&self, starts: StreamStarts) {
+        self.send(from_dialer::Kind::StreamStarts(starts));
+    }
+
+    /// Asks the peer which version began a stream.
+    pub(crate) fn request_stream_origin(&self, ask: StreamAsk) -> oneshot::Receiver<StreamOrigin> {
+        let (tx, rx) = oneshot::channel();
+        let mut pending = self.stream_origins.borrow_mut();
+        // Drops requests whose task stopped waiting.
+        pending.retain(|_, tx| !tx.is_closed());
+        let number = self.next_number();
+        pending.insert(number, tx);
+        self.send(from_dialer::Kind::StreamAsk(StreamAsk { number, ..ask }));
+        rx
+    }
+
+    fn deliver_stream_origin(&self, origin: StreamOrigin) {
+        if let Some(tx) = self.stream_origins.borrow_mut().remove(&origin.number) {
+            // The task that asked may have stopped waiting.
+            tx.send(origin).ok();
+        }
+    }
+
     fn next_number(&self) -> u64 {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
@@ -309,6 +336,7 @@
         self.closed.set(true);
         self.pending_changes.take();
         self.permits.borrow_mut().clear();
+        self.stream_origins.borrow_mut().clear();
         for (_, pending) in self.jobs.borrow_mut().drain() {
             drop(
                 pending.events.send(PieceEvent::OwnerLost { submission: pending.stage_submission }),
@@ -357,6 +385,7 @@
     let link = Rc::new(Link::new(address, tx));
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     link.report_releases(app);
+    stream_origins::tell_new_link(app, &link);
     record_peer(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
     let why = read_link(app, &vm, &link, &mut inbound, address).await;
@@ -438,6 +467,9 @@
                             target_announcements::apply_peer_rates(app, vm.as_str(), &rates);
                         }
                         from_owner::Kind::Permit(permit) => link.deliver_permit(permit),
+                        from_owner::Kind::StreamOrigin(origin) => {
+                            link.deliver_stream_origin(origin);
+                        }
                         from_owner::Kind::Released(released) => {
                             link.record_confirmed(app, released.number);
                         }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -28,7 +28,7 @@
 use crate::{
     callers, hall_reachability, http_endpoints, inbound_links, link_dialer, logs, own_entry,
     peer_sync, pool_log, releases, rollouts, settings, shutdown, store_watch, stored_refusals,
-    target_connecting,
+    target_connecting, version_plans,
 };
 
 /// Interval between two sweeps for idle connections to targets.
@@ -104,6 +104,7 @@
     spawn_local(pool_log::run(Rc::clone(app)));
     spawn_local(stored_refusals::run(Rc::clone(app)));
     spawn_local(rollouts::run(Rc::clone(app)));
+    spawn_local(version_plans::run(Rc::clone(app)));
     spawn_local(releases::release_ended_leases(Rc::clone(app)));
     spawn_local(close_idle_connections(Rc::clone(app)));
     spawn_local(target_connecting::probe_broken_paths(Rc::clone(app)));
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::configuration_lag::ConfigurationLag;
 use crate::settings::{ColdMargin, Policy, Settings};
 use crate::store_era::CarriedOver;
+use crate::stream_origins::StreamOrigins;
 
 /// Estimated time to the first event of a service of which none was observed yet.
 const DEFAULT_FIRST_EVENT_TIME: Duration = Duration::from_millis(200);
@@ -116,6 +117,8 @@
     pub(crate) quarantine: Quarantine,
     /// Rollouts that operators ordered.
     pub(crate) rollouts: Rollouts,
+    /// Versions of streams that may be resumed.
+    pub(crate) stream_origins: StreamOrigins,
     /// Notified when a target crash caused by a request becomes known; peers are notified at once.
     pub(crate) crashes_changed: watch::Sender<()>,
     /// Targets whose store entries lapsed, that is, were removed around an outage of the store or
@@ -185,6 +188,7 @@
             admission: Admission::default(),
             quarantine: Quarantine::new(cfg.quarantine.rules()),
             rollouts: Rollouts::new(cfg.rollouts.rules()),
+            stream_origins: StreamOrigins::default(),
             crashes_changed: watch::channel(()).0,
             lapsed: HashMap::new(),
             leases: Leases::default(),
--- a/gateway/src/store_changes.rs
+++ b/gateway/src/store_changes.rs
@@ -139,6 +139,7 @@
         if targets_changed {
             self.sync_pools();
         }
+        self.set_initial_shares(now);
         if arrival.in_bulk {
             info!(self.log, "targets known"; "entries" => entries, "targets" => self.targets.len(),
                 "from" => from, "as_of" => %self.view.as_of());
@@ -155,6 +156,7 @@
     fn apply_own_prefix_entry(&mut self, key: &str, value: Option<&[u8]>, now: Instant) {
         if value.is_some_and(|value| self.apply_stored_refusal(key, value, now))
             || self.apply_rollout_decision(key, now)
+            || self.apply_stored_plan(key, value, now)
         {
             return;
         }
@@ -183,6 +185,7 @@
                 info!(self.log, "configuration in force"; "version" => intent.version,
                     "entries" => intent.entries().count(), "from" => from, "as_of" => as_of);
                 self.drop_obsolete_response_times(&intent);
+                self.stream_origins.set_intent(&intent);
                 self.intent = Some(Arc::new(intent));
                 self.sync_pools();
             }
--- /dev/null
+++ b/gateway/src/stream_origins.rs
@@ -0,0 +1,373 @@
+//! Versions of streams on this VM: at which one a new stream begins, and at which one a stream that a
+//! caller takes up goes on. What follows from the shares of the versions, and what is recorded of
+//! single streams, is in the `stream_versions` crate.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use ids::{RequestId, ServiceName};
+use intent::Intent;
+use peering::work::{OriginSource, StreamAsk, StreamOrigin, StreamStart, StreamStarts};
+use rollout::{TargetVersion, Versions};
+use selection::{Availability, SelectionRequest};
+use slog::info;
+use stream_versions::{Record, Records, StreamKey, VersionPlan};
+use tokio::time::timeout;
+
+use crate::app::App;
+use crate::outbound_links::Link;
+use crate::requests::AcceptedRequest;
+use crate::shared::Shared;
+use crate::state_handle::{now, time_until};
+
+/// Longest wait for what peers know of a stream; dozens of round trips between halls.
+const ASK_TIMEOUT: Duration = Duration::from_millis(80);
+/// Time for which a VM that the store does not answer may begin streams by shares that others have
+/// replaced.
+const MAX_SHARES_LAG: Duration = Duration::from_secs(15);
+
+/// What this VM knows of the versions of streams.
+#[derive(Debug, Default)]
+pub(crate) struct StreamOrigins {
+    /// Services whose streams may be resumed.
+    services: BTreeSet<ServiceName>,
+    /// Time from the first event of a stream during which it may be resumed.
+    pub(crate) horizon: Duration,
+    /// Plans of these services.
+    pub(crate) plans: BTreeMap<ServiceName, VersionPlan>,
+    pub(crate) records: Records,
+    /// Streams that peers have to be told of.
+    unsent: Vec<Record>,
+    /// Versions whose streams began at another one on this VM, until the store's plan says so.
+    pub(crate) deviations: BTreeMap<ServiceName, TargetVersion>,
+}
+
+impl StreamOrigins {
+    /// Applies a new configuration.
+    pub(crate) fn set_intent(&mut self, intent: &Intent) {
+        let resumable = || intent.entries().filter(|entry| entry.streams && entry.repeatable);
+        let shares = resumable().flat_map(|entry| &entry.shares);
+        self.services = shares.map(|share| share.service.clone()).collect();
+        let longest = resumable().map(|entry| entry.max_duration).max().unwrap_or_default();
+        self.horizon = longest + MAX_SHARES_LAG;
+        self.plans.retain(|service, _| self.services.contains(service));
+        for service in &self.services {
+            self.plans.entry(service.clone()).or_default();
+        }
+    }
+
+    /// Has peers told of the streams of this VM whose versions a changed plan no longer tells.
+    pub(crate) fn recheck(&mut self, service: &ServiceName, now: Instant) {
+        let Some(plan) = self.plans.get(service) else { return };
+        let horizon = self.horizon;
+        let is_known = |record: &Record| {
+            record.service != *service
+                || plan.origin(record.stream, horizon, now) == Some(&record.version)
+        };
+        self.unsent.extend(self.records.take_unpublished(is_known));
+    }
+
+    /// Records a stream of which this VM sends events.
+    fn record_own(&mut self, record: Record, now: Instant) {
+        let plan = self.plans.get(&record.service);
+        let origin = plan.and_then(|plan| plan.origin(record.stream, self.horizon, now));
+        let is_known = origin == Some(&record.version);
+        if !is_known {
+            self.unsent.push(record.clone());
+        }
+        self.records.record_own(record, !is_known);
+    }
+}
+
+/// How a VM knows the version that began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// This VM recorded the stream.
+    Record,
+    /// A peer did.
+    Peer,
+    /// The shares of the versions tell.
+    Shares,
+}
+
+impl Source {
+    /// Name in the log and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Source::Record => "record",
+            Source::Peer => "peer",
+            Source::Shares => "shares",
+        }
+    }
+}
+
+/// Whether the attempts of a request have to stay at one version.
+pub(crate) fn is_resumable(req: &AcceptedRequest) -> bool {
+    req.entry.streams && req.entry.repeatable
+}
+
+/// The key of the stream whose first event the request `first` of the same caller brought.
+fn key(req: &AcceptedRequest, first: &RequestId) -> StreamKey {
+    StreamKey::new(&req.service, req.customer.as_ref(), first)
+}
+
+/// Records the version that began a stream, once its first event arrived, and tells peers of it if
+/// they can't work it out.
+pub(crate) fn stream_begun(app: &App, req: &AcceptedRequest, version: &TargetVersion) {
+    let is_taken_up = req.head.last_event.is_some();
+    let first = if is_taken_up { req.head.resumes.as_ref() } else { Some(&req.id) };
+    let Some(stream) = first.map(|first| key(req, first)) else { return };
+    app.state.with(|shared, now| {
+        let versions = &mut shared.stream_origins;
+        let record = Record {
+            stream,
+            service: req.service.clone(),
+            version: version.clone(),
+            expires: now + versions.horizon,
+        };
+        versions.record_own(record, now);
+        let plan = versions.plans.get(&req.service);
+        let planned = plan.and_then(|plan| plan.version_of(stream));
+        if let Some(planned) = planned.filter(|planned| !is_taken_up && *planned != version) {
+            info!(shared.log, "stream began at another version than planned"; "request" => %req.id,
+                "version" => version.as_ref().map(ToString::to_string),
+                "planned" => planned.as_ref().map(ToString::to_string));
+            versions.deviations.insert(req.service.clone(), planned.clone());
+        }
+    });
+    send_unsent(app);
+}
+
+/// The version that began the stream which a caller takes up; `None` if this VM can't tell.
+pub(crate) async fn origin(app: &App, req: &AcceptedRequest) -> Option<TargetVersion> {
+    let found = match req.head.resumes.as_ref().map(|first| key(req, first)) {
+        Some(stream) => find(app, &req.service, stream).await,
+        None => app.state.with(|shared, now| shared.sole_version(&req.service, now)),
+    };
+    let source = found.as_ref().map_or("unknown", |(_, source)| source.name());
+    let version = found.map(|(version, _)| version);
+    app.metrics.stream_taken_up(req.service.as_str(), source);
+    info!(app.log, "stream taken up"; "request" => %req.id, "after" => req.head.last_event,
+        "first" => req.head.resumes.as_ref().map(ToString::to_string), "known_by" => source,
+        "version" => version.as_ref().and_then(Option::as_ref).map(ToString::to_string));
+    version
+}
+
+/// Looks for the version of a stream in this VM's records, then in those of peers, then in the shares
+/// of the versions.
+async fn find(
+    app: &App,
+    service: &ServiceName,
+    stream: StreamKey,
+) -> Option<(TargetVersion, Source)> {
+    let recorded = app.state.with(|shared, now| shared.recorded_version(stream, now));
+    if recorded.is_some() {
+        return recorded.map(|version| (version, Source::Record));
+    }
+    let replies = ask_peers(app, service, stream).await;
+    if let Some(reply) = replies.iter().find(|reply| reply.source() == OriginSource::Recorded) {
+        return Some((decode_version(reply.version.as_deref())?, Source::Peer));
+    }
+    let from_shares = app.state.with(|shared, now| {
+        if !shared.contact.is_lost(now) || shared.fleet.size() == 1 {
+            return shared.version_by_shares(service, stream, now);
+        }
+        // Others may have newer shares than this VM.
+        let in_contact = |reply: &&StreamOrigin| reply.source() != OriginSource::StoreLost;
+        match replies.iter().find(in_contact) {
+            Some(reply) if reply.source() == OriginSource::Shares => {
+                decode_version(reply.version.as_deref())
+            }
+            Some(_) => None,
+            None if replies.is_empty() => None,
+            None => shared.version_by_shares(service, stream, now),
+        }
+    });
+    from_shares.map(|version| (version, Source::Shares))
+}
+
+/// Asks the peers that are told of streams; returns the replies that came in time.
+async fn ask_peers(app: &App, service: &ServiceName, stream: StreamKey) -> Vec<StreamOrigin> {
+    let ask = StreamAsk { number: 0, stream: stream.0, service: service.to_string() };
+    let keepers = keepers(app).into_iter().filter(|keeper| !keeper.passes_on);
+    let pending: Vec<_> =
+        keepers.map(|keeper| keeper.link.request_stream_origin(ask.clone())).collect();
+    let until = now() + ASK_TIMEOUT;
+    let mut replies = Vec::new();
+    for reply in pending {
+        if let Ok(Ok(reply)) = timeout(time_until(until), reply).await {
+            replies.push(reply);
+        }
+    }
+    replies
+}
+
+/// Answers a peer that asks for the version of a stream.
+pub(crate) fn answer(app: &App, ask: &StreamAsk) -> StreamOrigin {
+    let (source, version) = app.state.with(|shared, now| {
+        let stream = StreamKey(ask.stream);
+        if let Some(version) = shared.recorded_version(stream, now) {
+            return (OriginSource::Recorded, Some(version));
+        }
+        if shared.contact.is_lost(now) {
+            return (OriginSource::StoreLost, None);
+        }
+        let service = ServiceName::new(&ask.service).ok();
+        match service.and_then(|service| shared.version_by_shares(&service, stream, now)) {
+            Some(version) => (OriginSource::Shares, Some(version)),
+            None => (OriginSource::Unknown, None),
+        }
+    });
+    let version = version.flatten().map(|version| version.to_string());
+    StreamOrigin { number: ask.number, source: source.into(), version }
+}
+
+/// Records the streams that a peer tells of, and passes them on if the peer asks for that.
+pub(crate) fn apply_starts(app: &App, message: StreamStarts) {
+    let now = now();
+    app.state.with(|shared, _| {
+        for record in message.starts.iter().filter_map(|start| decode_start(start, now)) {
+            shared.stream_origins.records.record_of_peer(record);
+        }
+    });
+    if message.pass_on {
+        let to_hall = StreamStarts { pass_on: false, ..message };
+        for keeper in keepers(app).into_iter().filter(|keeper| !keeper.passes_on) {
+            keeper.link.send_stream_starts(to_hall.clone());
+        }
+    }
+}
+
+/// Tells a peer that was just linked of the streams that others were told of.
+pub(crate) fn tell_new_link(app: &App, link: &Link) {
+    let starts: Vec<StreamStart> = app.state.with(|shared, now| {
+        shared.stream_origins.records.published(now).map(encode_start).collect()
+    });
+    if !starts.is_empty() {
+        link.send_stream_starts(StreamStarts { starts, pass_on: false });
+    }
+}
+
+/// Tells peers of streams that they were not told of yet.
+pub(crate) fn send_unsent(app: &App) {
+    let unsent = app.state.with(|shared, _| std::mem::take(&mut shared.stream_origins.unsent));
+    if unsent.is_empty() {
+        return;
+    }
+    let starts: Vec<StreamStart> = unsent.iter().map(encode_start).collect();
+    for Keeper { link, passes_on } in keepers(app) {
+        link.send_stream_starts(StreamStarts { starts: starts.clone(), pass_on: passes_on });
+    }
+}
+
+/// A peer that is told of streams.
+struct Keeper {
+    link: Rc<Link>,
+    /// Whether it tells others of its hall.
+    passes_on: bool,
+}
+
+/// The peers that are told of streams: all in a small fleet; in a large one the linked ones of this
+/// VM's hall, which all VMs of the hall are linked to, and one of each other hall.
+fn keepers(app: &App) -> Vec<Keeper> {
+    let links = app.links.borrow();
+    app.state.with(|shared, _| {
+        let is_small = shared.fleet.is_full_mesh();
+        let mut reached = BTreeSet::new();
+        let mut keepers = Vec::new();
+        for (vm, link) in links.iter() {
+            let entry = shared.fleet.peers.get(vm).and_then(|peer| peer.entry.as_ref());
+            let Some(hall) = entry.map(|entry| &entry.hall) else { continue };
+            let passes_on = !is_small && *hall != shared.own_hall;
+            if !passes_on || reached.insert(hall) {
+                keepers.push(Keeper { link: Rc::clone(link), passes_on });
+            }
+        }
+        keepers
+    })
+}
+
+fn encode_start(record: &Record) -> StreamStart {
+    StreamStart {
+        stream: record.stream.0,
+        service: record.service.to_string(),
+        version: record.version.as_ref().map(ToString::to_string),
+        left_ms: u32::try_from(time_until(record.expires).as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+/// Decodes a stream's start; `None` if one of its names is invalid.
+fn decode_start(start: &StreamStart, now: Instant) -> Option<Record> {
+    Some(Record {
+        stream: StreamKey(start.stream),
+        service: ServiceName::new(&start.service).ok()?,
+        version: decode_version(start.version.as_deref())?,
+        expires: now + Duration::from_millis(u64::from(start.left_ms)),
+    })
+}
+
+/// Decodes a version; `None` if its name is invalid.
+fn decode_version(name: Option<&str>) -> Option<TargetVersion> {
+    name.map(|name| ids::VersionName::new(name).ok()).map_or(Some(None), |name| name.map(Some))
+}
+
+impl Shared {
+    /// The version of a stream that this VM recorded.
+    fn recorded_version(&self, stream: StreamKey, now: Instant) -> Option<TargetVersion> {
+        self.stream_origins.records.version_of(stream, now).cloned()
+    }
+
+    /// The version of a stream that follows from the shares of the versions.
+    fn version_by_shares(
+        &self,
+        service: &ServiceName,
+        stream: StreamKey,
+        now: Instant,
+    ) -> Option<TargetVersion> {
+        if self.stream_origins.records.is_ambiguous(stream) {
+            return None;
+        }
+        let plan = self.stream_origins.plans.get(service)?;
+        plan.origin(stream, self.stream_origins.horizon, now).cloned()
+    }
+
+    /// The version of all streams of a service that may be resumed, if there is only one.
+    fn sole_version(&self, service: &ServiceName, now: Instant) -> Option<(TargetVersion, Source)> {
+        let plan = self.stream_origins.plans.get(service)?;
+        let sole = plan.sole_version(self.stream_origins.horizon, now)?;
+        (!self.contact.is_lost(now)).then(|| (sole.clone(), Source::Shares))
+    }
+
+    /// Versions of targets to which an attempt at a new stream may be sent: the one that follows from
+    /// the shares, unless none of its targets can be used. `wanted` tells what rollouts allow.
+    pub(crate) fn versions_for_stream(
+        &self,
+        req: &AcceptedRequest,
+        wanted: &SelectionRequest<'_>,
+        now: Instant,
+    ) -> Versions {
+        let allowed = wanted.versions.clone();
+        let Some(plan) = self.stream_origins.plans.get(&req.service) else { return allowed };
+        let ranked = plan.ranked(key(req, &req.id));
+        let permitted = ranked.into_iter().filter(|version| allowed.permits(version.as_ref()));
+        let exactly: Vec<Versions> =
+            permitted.map(|version| Versions::Exactly(version.clone())).collect();
+        let availability =
+            |versions| self.targets.availability(&SelectionRequest { versions, ..*wanted }, now);
+        let open = exactly.iter().find(|versions| availability(versions) == Availability::Open);
+        let usable =
+            || exactly.iter().find(|versions| availability(versions) != Availability::None);
+        open.or_else(usable).cloned().unwrap_or(allowed)
+    }
+
+    /// Versions that a rollout allows for an attempt at a stream.
+    pub(crate) fn rollout_versions_for_stream(
+        &self,
+        req: &AcceptedRequest,
+        is_first: bool,
+    ) -> Versions {
+        let number = if is_first { key(req, &req.id).fraction() } else { 1.0 };
+        self.rollouts.versions(&req.service).for_request(number)
+    }
+}
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -21,12 +21,13 @@
 use crate::missing_inputs::Cause;
 use crate::request_stages::{call_size, run_stages};
 use crate::requests::AcceptedRequest;
+use crate::shutdown::RETRY_ELSEWHERE_AFTER;
 use crate::stages::StageResults;
 use crate::state_handle::now;
 use crate::stream_forwarding::{EventBody, Stream, forward};
 use crate::stream_reader::{EventReader, NextEvent};
 use crate::whole_answers::outcome_of;
-use crate::{active_requests, admission, crashes};
+use crate::{active_requests, admission, crashes, stream_origins};
 
 /// Most events queued for a caller that reads slowly.
 const EVENT_QUEUE_LEN: usize = 64;
@@ -83,9 +84,9 @@
 /// Runs the stages and tries targets until the first event has arrived.
 async fn start_stream(app: &Rc<App>, req: &Rc<AcceptedRequest>) -> Result<Started, Refusal> {
     let deadline = stream_deadline(req);
-    log_resumption(app, req);
-    let unsubmitted = admission::admit(app, req)?;
     let mut attempts = Attempts::new(app, req);
+    bind_to_origin(app, req, &mut attempts).await?;
+    let unsubmitted = admission::admit(app, req)?;
     let mut results = run_stages(app, req, deadline, Some(unsubmitted)).await?;
     loop {
         let size = call_size(app, req, results.as_ref());
@@ -98,7 +99,11 @@
                 app.state.with(|shared, now| {
                     shared.record_first_event_time(&req.service, now - attempts.started());
                 });
-                attempts.bind(reader.answer.attempt.pick.target.version.clone());
+                let version = reader.answer.attempt.pick.target.version.clone();
+                if !first.is_empty() {
+                    stream_origins::stream_begun(app, req, &version);
+                }
+                attempts.bind(version);
                 let (app, req) = (Rc::clone(app), Rc::clone(req));
                 let stream = Stream { app, req, attempts, size, reader, results, last_event: None };
                 return Ok(Started::Stream(Box::new(stream), first));
@@ -120,12 +125,23 @@
     }
 }
 
-/// Logs that a caller resumes a stream, and which attempt brought its first event.
-fn log_resumption(app: &App, req: &AcceptedRequest) {
-    if let Some(last_event) = req.head.last_event {
-        info!(app.log, "stream taken up"; "request" => %req.id, "after" => last_event,
-            "first" => req.head.resumes.as_ref().map(ToString::to_string));
+/// Binds the attempts at a stream that the caller takes up to the version that began it.
+///
+/// # Errors
+/// The refusal for the caller, if this VM does not know that version or no target has it.
+async fn bind_to_origin(
+    app: &Rc<App>,
+    req: &AcceptedRequest,
+    attempts: &mut Attempts,
+) -> Result<(), Refusal> {
+    if req.head.last_event.is_none() || !stream_origins::is_resumable(req) {
+        return Ok(());
     }
+    let Some(version) = stream_origins::origin(app, req).await else {
+        return Err(Refusal::NotRun { retry_after: RETRY_ELSEWHERE_AFTER });
+    };
+    attempts.bind(version);
+    if attempts.has_target() { Ok(()) } else { Err(attempts.no_target()) }
 }
 
 /// Waits for an attempt. Once its engine has had time to fetch the results of the stages, workers
--- a/gateway/src/whole_answers.rs
+++ b/gateway/src/whole_answers.rs
@@ -55,7 +55,7 @@
 /// Name of a refusal's outcome in the log and metrics.
 pub(crate) fn outcome_of(refusal: Refusal) -> &'static str {
     match refusal {
-        Refusal::NotRun { .. } | Refusal::NotRunTimedOut => "not run",
+        Refusal::NotRun { .. } | Refusal::NotResumable | Refusal::NotRunTimedOut => "not run",
         Refusal::Failed | Refusal::TimedOut => "unknown",
         Refusal::NoEntry | Refusal::UnknownKey | Refusal::TooLarge | Refusal::Malformed => {
             "refused"
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -6,17 +6,21 @@
 #![allow(clippy::expect_used)]
 
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde_json::json;
 use standins::fleet::wait_until;
+use standins::serving_path::HttpMessage;
+use standins::serving_path::callers::Call;
 use standins::serving_path::runners::{Behavior, Runner};
-use standins::serving_path::site::{Site, Vm, event_ids, post};
+use standins::serving_path::site::{SETTLE_TIME, Site, Vm, event_ids, post};
 
 /// Events of each stream.
 const EVENTS: u64 = 20;
 /// Time between two events.
 const PAUSE: Duration = Duration::from_millis(10);
+/// Prefix of the store's keys that hold the shares of versions.
+const PLANS: &str = "saddlerail/versions/";
 /// Last event that a caller has when it takes its stream up again.
 const LAST_EVENT: u64 = 3;
 
@@ -65,6 +69,31 @@
         self.engines.iter().filter(|(_, engine)| ran(engine)).map(|(of, _)| *of).collect()
     }
 
+    /// Waits until the VMs have agreed on the shares of the versions.
+    fn wait_for_plan(&self) {
+        wait_until("the shares are stored", || {
+            let plans = self.site.store.keys(PLANS);
+            plans.iter().any(|key| key.ends_with("/engine"))
+        });
+        thread::sleep(SETTLE_TIME);
+    }
+
+    /// Removes the entries of a version's engines.
+    fn remove(&self, version: &str) {
+        let of_version = self.engines.iter().filter(|(of, _)| *of == version);
+        of_version.for_each(|(_, engine)| {
+            self.site.store.remove(&format!("servers/{}", engine.id));
+        });
+    }
+
+    /// Has the engines of a version say that they leave.
+    fn drain(&self, version: &str) {
+        let of_version = |number: &usize| self.engines[*number].0 == version;
+        let numbers = (0..self.engines.len()).filter(of_version);
+        numbers.for_each(|number| self.register(number, "draining"));
+        thread::sleep(SETTLE_TIME);
+    }
+
     /// Begins streams at a VM at the same time, so that they spread over the engines, and leaves them
     /// after some events; returns the version that began each.
     fn begin_streams(&self, vm: &Vm, count: usize) -> Vec<BegunStream> {
@@ -109,6 +138,13 @@
     fn id_of_second(&self) -> String {
         format!("{}-again", self.id)
     }
+
+    /// The attempt that takes it up.
+    fn call(&self) -> Call {
+        post("/resumed/", &self.id_of_second())
+            .with_header("Last-Event-Id", &LAST_EVENT.to_string())
+            .with_header("Resumes", &self.id)
+    }
 }
 
 /// How streams went on.
@@ -122,10 +158,7 @@
 
 /// Takes a stream up; whether it went on to its end.
 fn take_up(vm: &Vm, stream: &BegunStream) -> bool {
-    let call = post("/resumed/", &stream.id_of_second())
-        .with_header("Last-Event-Id", &LAST_EVENT.to_string())
-        .with_header("Resumes", &stream.id);
-    let answer = call.send(vm.callers).expect("an answer");
+    let answer = stream.call().send(vm.callers).expect("an answer");
     let went_on = answer.status() == 200;
     if went_on {
         assert!(answer.is_complete, "{answer:?}");
@@ -145,6 +178,109 @@
     assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
 }
 
+#[test]
+fn streams_of_a_vm_that_is_gone_stay_at_their_version() {
+    let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
+    let [first, second, third] = scene.start_vms(["gone-1", "gone-2", "gone-3"]);
+
+    let begun = scene.begin_streams(&first, 16);
+    drop(first);
+    let taken_up = scene.take_up(&begun, &[second, third]);
+
+    assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
+}
+
+#[test]
+fn streams_stay_at_their_version_after_all_vms_were_lost() {
+    let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
+    let mut vms = scene.start_vms(["lost-1", "lost-2", "lost-3"]);
+    scene.wait_for_plan();
+
+    let begun = scene.begin_streams(&vms[0], 16);
+    vms.iter_mut().for_each(Vm::restart);
+    vms.iter().for_each(|vm| scene.site.wait_for_all_runners(vm));
+    let taken_up = scene.take_up(&begun, &vms);
+
+    assert_eq!(taken_up.crossed, 0);
+    assert!(taken_up.went_on >= 12, "{taken_up:?}");
+}
+
+#[test]
+fn streams_that_began_before_another_version_came_stay_at_theirs() {
+    let mut scene = Versions::start(&["v1", "v1"]);
+    let vms = scene.start_vms(["before-1", "before-2"]);
+
+    let begun = scene.begin_streams(&vms[0], 16);
+    scene.add("v2");
+    scene.add("v2");
+    scene.wait_for_plan();
+    let taken_up = scene.take_up(&begun, &vms[1..]);
+
+    assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
+}
+
+#[test]
+fn streams_of_a_version_without_engines_are_refused_at_once() {
+    for is_removed in [true, false] {
+        let scene = Versions::start(&["v1", "v1", "v2", "v2"]);
+        let [vm] = scene.start_vms([if is_removed { "removed" } else { "drained" }]);
+        scene.wait_for_plan();
+        let begun = scene.begin_streams(&vm, 16);
+
+        if is_removed {
+            scene.remove("v1")
+        } else {
+            scene.drain("v1")
+        }
+        thread::sleep(SETTLE_TIME);
+        let (old, new): (Vec<_>, Vec<_>) =
+            begun.into_iter().partition(|stream| stream.version == "v1");
+        let started = Instant::now();
+        let answers: Vec<HttpMessage> =
+            old.iter().map(|stream| stream.call().send(vm.callers).expect("an answer")).collect();
+        let took = started.elapsed();
+
+        assert!(!old.is_empty() && !new.is_empty());
+        assert!(answers.iter().all(|answer| answer.status() == 503), "{answers:?}");
+        assert!(answers.iter().all(|answer| answer.header("retry-after").is_empty()));
+        assert!(took < Duration::from_secs(1), "{took:?}");
+        let went_on = new.len();
+        assert_eq!(scene.take_up(&new, &[vm]), TakenUp { went_on, crossed: 0 });
+    }
+}
+
+#[test]
+fn a_stream_that_is_taken_up_twice_stays_at_its_version() {
+    let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
+    let [first, second, third] = scene.start_vms(["twice-1", "twice-2", "twice-3"]);
+    let begun = scene.begin_streams(&first, 16);
+
+    drop(first);
+    for stream in &begun {
+        stream.call().send_and_disconnect(second.callers, PAUSE * 6);
+    }
+    drop(second);
+    let taken_up = scene.take_up(&begun, &[third]);
+
+    assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
+}
+
+#[test]
+fn a_stream_whose_first_request_is_not_named_goes_on_if_there_is_one_version() {
+    let mut scene = Versions::start(&["v1", "v1"]);
+    let [vm] = scene.start_vms(["not-named"]);
+    let call = |id| post("/resumed/", id).with_header("Last-Event-Id", "3");
+
+    let with_one_version = call("one").send(vm.callers).expect("an answer");
+    scene.add("v2");
+    scene.wait_for_plan();
+    let with_two = call("two").send(vm.callers).expect("an answer");
+
+    assert_eq!(with_one_version.status(), 200);
+    assert_eq!(with_two.status(), 503);
+    assert_eq!(scene.versions_of("two"), Vec::<&str>::new());
+}
+
 #[test]
 fn streams_resumed_within_their_answer_stay_at_their_version() {
     let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
