Let streams begin elsewhere only where all VMs can know it

A stream whose version had no free slot began at another version at once, and the store learned of it up to 250 ms later.

The plan now names the fraction of a version's streams that may begin at another one: a quarter at first, twice as many if that does not suffice for 2 s, all if none of its targets can be used. A stream that can wait begins at another version only within that fraction, so that a VM which lost its memory refuses these and tells all others.

VMs of older builds begin streams at any version: while one is linked, only a sole version is trusted.

--- a/components/fleet/src/peer.rs
+++ b/components/fleet/src/peer.rs
@@ -76,6 +76,9 @@
     pub draining: bool,
     /// Whether it reaches no targets itself.
     pub cut_off: bool,
+    /// Whether it begins streams at the versions that follow from their shares, as all builds but
+    /// older ones do.
+    pub shares_versions: bool,
     /// Revision of the store up to which it knows every change.
     pub as_of: StoreRevision,
     /// Whether it watches the store itself and the store answers it.
@@ -99,6 +102,7 @@
             linked: false,
             draining: false,
             cut_off: false,
+            shares_versions: false,
             as_of: StoreRevision::default(),
             watches_store: false,
             configuration: 0,
--- a/components/selection/src/choice.rs
+++ b/components/selection/src/choice.rs
@@ -56,10 +56,12 @@
 }
 
 /// Which targets a request may be sent to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Availability {
-    /// Some may be sent it without restriction.
-    Open,
+    /// Some may be sent it without restriction, and have a free slot.
+    Free,
+    /// Some may be sent it without restriction, but have no free slot.
+    Busy,
     /// Only some that are used if no better one is left, such as those that failed lately.
     LastResort,
     /// None.
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -417,11 +417,24 @@
                 && request.halls.permits(&target.hall)
                 && request.versions.permits(target.version.as_ref())
         };
-        let wanted = keys.iter().filter(is_wanted);
+        let mut wanted = keys.iter().filter(is_wanted).copied();
+        let mut best = Availability::None;
+        while best != Availability::Free
+            && let Some(key) = wanted.next()
+        {
+            best = best.min(self.availability_of(key, now));
+        }
+        best
+    }
+
+    fn availability_of(&self, key: TargetKey, now: Instant) -> Availability {
+        let state = &self.states[key];
+        let has_slot = state.total_calls(now) < f64::from(state.target.slots);
         match () {
-            () if wanted.clone().any(|key| self.is_open(*key, now)) => Availability::Open,
-            () if wanted.clone().any(|key| self.is_allowed(*key, now)) => Availability::LastResort,
-            () => Availability::None,
+            () if !self.is_allowed(key, now) => Availability::None,
+            () if !self.is_open(key, now) => Availability::LastResort,
+            () if has_slot => Availability::Free,
+            () => Availability::Busy,
         }
     }
 
--- a/components/stream_versions/src/key.rs
+++ b/components/stream_versions/src/key.rs
@@ -24,4 +24,9 @@
     pub fn fraction(self) -> f64 {
         hashing::unit_fraction(self.0)
     }
+
+    /// Another such number, independent of the first one and of the version of the stream.
+    pub(crate) fn deviation_draw(self) -> f64 {
+        hashing::unit_fraction(hashing::combine(self.0, hashing::hash_text("deviation")))
+    }
 }
--- a/components/stream_versions/src/lib.rs
+++ b/components/stream_versions/src/lib.rs
@@ -16,6 +16,6 @@
 mod shares;
 
 pub use key::StreamKey;
-pub use plan::{Plan, VersionPlan};
+pub use plan::{DeviationNeed, Plan, VersionPlan};
 pub use records::{Record, Records};
 pub use shares::Shares;
--- a/components/stream_versions/src/plan.rs
+++ b/components/stream_versions/src/plan.rs
@@ -11,18 +11,44 @@
 
 /// Shares are written anew when this fraction of the streams would begin at another version.
 const MAX_DRIFT: f64 = 0.1;
+/// A deviation that goes on is written again after this fraction (1/n) of the time for which it
+/// holds, so that it holds for as long as the streams that began meanwhile may be resumed.
+const DEVIATION_RENEWALS: u32 = 4;
+/// Fraction of a version's streams that may begin at another one at first.
+const FIRST_FRACTION: f64 = 0.25;
+/// The fraction is doubled if it does not suffice for this long.
+const FRACTION_TRIAL: Duration = Duration::from_secs(2);
 /// Most shares of the past that a plan holds, which bounds its size in the store.
 const MAX_EARLIER: usize = 32;
 
-/// Streams that should have begun at a version and began at another one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+/// Some streams that should begin at a version may begin at another one.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct Deviation {
     /// The version that the shares name.
     version: TargetVersion,
-    /// Rises while there are such streams.
+    /// Fraction of its streams that may.
+    fraction: f64,
+    /// Rises with each renewal.
     count: u64,
 }
 
+impl Deviation {
+    fn concerns(&self, version: &TargetVersion, stream: StreamKey) -> bool {
+        self.version == *version && stream.deviation_draw() < self.fraction
+    }
+}
+
+/// Which streams of a version have to begin at another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum DeviationNeed {
+    /// Some of those that may already.
+    Known,
+    /// More than those: its targets have no free slot, those of another version have.
+    More,
+    /// All: none of its targets can be used.
+    All,
+}
+
 /// The plan of a service in the platform's store.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Plan {
@@ -121,8 +147,7 @@
         let origin = self.current.version_of(stream)?;
         let agrees = |shares: &Shares| shares.version_of(stream) == Some(origin);
         let is_known = self.recent_past(horizon, now).all(agrees);
-        let deviates = self.recent_deviations(horizon, now).any(|known| known.version == *origin);
-        (is_known && !deviates).then_some(origin)
+        (is_known && !self.may_deviate(origin, stream, horizon, now)).then_some(origin)
     }
 
     /// The only version at which streams of the last `horizon` began; `None` if there were several.
@@ -153,27 +178,49 @@
         self.stored.as_ref().is_some_and(is_shorter).then_some(kept)
     }
 
-    /// The plan to store next after a stream that should have begun at `version` began at another
-    /// one; `None` if the stored one says so and will for long enough.
+    /// The plan to store next so that streams of `version` may begin at another one; `None` if the
+    /// stored one says so and will for long enough.
     pub fn with_deviation(
         &self,
         version: &TargetVersion,
+        need: DeviationNeed,
         horizon: Duration,
         now: Instant,
     ) -> Option<Plan> {
         let known = self.deviations.iter().find(|known| known.deviation.version == *version);
-        let is_recent =
-            |known: &KnownDeviation| now.saturating_duration_since(known.since) < horizon / 2;
-        if known.is_some_and(is_recent) {
+        let age = known.map(|known| now.saturating_duration_since(known.since));
+        let known = known.filter(|_| age.is_some_and(|age| age < horizon));
+        let renewed_after = horizon / DEVIATION_RENEWALS;
+        let present = known.map_or(0.0, |known| known.deviation.fraction);
+        let fraction = match need {
+            DeviationNeed::All => 1.0,
+            DeviationNeed::More if age.is_none_or(|age| age >= FRACTION_TRIAL) => {
+                (present * 2.0).clamp(FIRST_FRACTION, 1.0)
+            }
+            DeviationNeed::Known | DeviationNeed::More => present.max(FIRST_FRACTION),
+        };
+        if present >= fraction && age.is_some_and(|age| age < renewed_after) {
             return None;
         }
         let count = known.map_or(1, |known| known.deviation.count + 1);
         let mut plan = self.plan(&self.current, horizon, now);
         plan.deviations.retain(|deviation| deviation.version != *version);
-        plan.deviations.push(Deviation { version: version.clone(), count });
+        plan.deviations.push(Deviation { version: version.clone(), fraction, count });
         Some(plan)
     }
 
+    /// Whether all VMs can know that a stream which should begin at a version may begin at another
+    /// one.
+    pub fn may_deviate(
+        &self,
+        version: &TargetVersion,
+        stream: StreamKey,
+        horizon: Duration,
+        now: Instant,
+    ) -> bool {
+        self.recent_deviations(horizon, now).any(|known| known.concerns(version, stream))
+    }
+
     /// A plan with these shares in force and everything that may still matter.
     fn plan(&self, shares: &Shares, horizon: Duration, now: Instant) -> Plan {
         let mut earlier: Vec<Shares> = Vec::new();
--- a/components/stream_versions/tests/plans.rs
+++ b/components/stream_versions/tests/plans.rs
@@ -8,7 +8,7 @@
 
 use ids::{RequestId, ServiceName, VersionName};
 use rollout::{TargetVersion, Versions};
-use stream_versions::{Plan, Shares, StreamKey, VersionPlan};
+use stream_versions::{DeviationNeed, Plan, Shares, StreamKey, VersionPlan};
 
 const HORIZON: Duration = Duration::from_secs(30);
 const STREAMS: usize = 2_000;
@@ -131,28 +131,61 @@
     assert_eq!(told(&vms[0], &begin(&vms[0]), later), (STREAMS, 0));
 }
 
+/// Streams that begin at a version, as far as a VM can tell.
+fn told_for(vm: &VersionPlan, name: &str, now: Instant) -> usize {
+    let of = |number: &usize| vm.origin(stream(*number), HORIZON, now) == Some(&version(name));
+    (0..STREAMS).filter(of).count()
+}
+
 #[test]
-fn streams_of_a_version_with_deviations_are_not_told() {
+fn streams_of_a_version_that_can_not_be_used_are_not_told() {
     let now = Instant::now();
     let mut vms = [starting_with(&[("v1", 1), ("v2", 1)])];
     store(&mut vms, &shares(&[("v1", 1), ("v2", 1)]), now);
+    let deviation =
+        |vm: &VersionPlan, now| vm.with_deviation(&version("v2"), DeviationNeed::All, HORIZON, now);
 
-    let plan = vms[0].with_deviation(&version("v2"), HORIZON, now).expect("a plan");
+    let plan = deviation(&vms[0], now).expect("a plan");
     vms[0].apply(plan, now);
 
-    let told_for = |vm: &VersionPlan, name, now| {
-        let of = |number: &usize| vm.origin(stream(*number), HORIZON, now) == Some(&version(name));
-        (0..STREAMS).filter(of).count()
-    };
     assert_eq!(told_for(&vms[0], "v2", now), 0);
     assert!(told_for(&vms[0], "v1", now) > STREAMS * 4 / 10);
-    assert!(vms[0].with_deviation(&version("v2"), HORIZON, now).is_none(), "it is stored");
-    let renewed = vms[0].with_deviation(&version("v2"), HORIZON, now + HORIZON / 2);
-    vms[0].apply(renewed.expect("a plan"), now + HORIZON / 2);
+    assert!(deviation(&vms[0], now).is_none(), "it is stored");
+    let renewed = deviation(&vms[0], now + HORIZON / 2).expect("a plan");
+    vms[0].apply(renewed, now + HORIZON / 2);
     assert_eq!(told_for(&vms[0], "v2", now + HORIZON), 0, "it was renewed");
     assert!(told_for(&vms[0], "v2", now + HORIZON * 2) > 0);
 }
 
+#[test]
+fn few_streams_of_a_busy_version_begin_at_another_one_and_more_if_that_does_not_suffice() {
+    let mut now = Instant::now();
+    let mut vm = starting_with(&[("v1", 1), ("v2", 1)]);
+    let all = told_for(&vm, "v2", now);
+    let mut left = Vec::new();
+    for _ in 0..3 {
+        let plan = vm.with_deviation(&version("v2"), DeviationNeed::More, HORIZON, now);
+        vm.apply(plan.expect("a plan"), now);
+        let too_soon = now + Duration::from_millis(100);
+        assert!(
+            vm.with_deviation(&version("v2"), DeviationNeed::More, HORIZON, too_soon).is_none()
+        );
+        left.push(told_for(&vm, "v2", now) * 100 / all);
+        now += Duration::from_secs(3);
+    }
+
+    assert!((70..80).contains(&left[0]) && (45..55).contains(&left[1]), "{left:?}");
+    assert_eq!(left[2], 0);
+    let deviates = |number: &usize| vm.may_deviate(&version("v2"), stream(*number), HORIZON, now);
+    assert_eq!((0..STREAMS).filter(deviates).count(), STREAMS);
+    assert!(!(0..STREAMS).any(|number| vm.may_deviate(
+        &version("v1"),
+        stream(number),
+        HORIZON,
+        now
+    )));
+}
+
 #[test]
 fn shares_stay_known_when_the_store_comes_back_from_an_older_copy() {
     let now = Instant::now();
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -58,6 +58,8 @@
     /// The last heartbeat that was built, and when; it is the same for all peers, so one serves
     /// many links.
     pub(crate) last_heartbeat: RefCell<Option<(tokio::time::Instant, Beat)>>,
+    /// Notified when a stream began at another version than planned, or should.
+    pub(crate) versions_deviate: Notify,
     /// Notified when the list of VMs changes.
     pub(crate) vms_changed: Notify,
     /// Data halls that are currently unreachable.
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -33,6 +33,7 @@
             peers: entry.peers.to_string(),
             cores: entry.cores,
             claims: true,
+            shares_versions: true,
         }
     })
 }
@@ -131,6 +132,9 @@
         shared.fleet.record_heard(vm, linked, now);
         if let Some(hello) = hello {
             shared.fleet.record_identity(vm, hello.incarnation, entry);
+            if let Some(peer) = shared.fleet.peers.get_mut(vm) {
+                peer.shares_versions = hello.shares_versions;
+            }
         }
     });
 }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -68,6 +68,7 @@
             wanted_links: RefCell::default(),
             new_peer_addresses: RefCell::default(),
             last_heartbeat: RefCell::default(),
+            versions_deviate: Notify::new(),
             vms_changed: Notify::new(),
             unreachable_halls: watch::channel(UnreachableHalls::new()).0,
             store_reachable: watch::channel(false).0,
--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -12,7 +12,7 @@
 use rollout::{TargetVersion, Versions};
 use selection::{Availability, SelectionRequest};
 use slog::info;
-use stream_versions::{Record, Records, StreamKey, VersionPlan};
+use stream_versions::{DeviationNeed, Record, Records, StreamKey, VersionPlan};
 use tokio::time::timeout;
 
 use crate::app::App;
@@ -39,8 +39,9 @@
     pub(crate) records: Records,
     /// Streams that peers have to be told of.
     unsent: Vec<Record>,
-    /// Versions whose streams began at another one on this VM, until the store's plan says so.
-    pub(crate) deviations: BTreeMap<ServiceName, TargetVersion>,
+    /// Versions whose streams have to begin at another one on this VM, until the store's plan says
+    /// so.
+    pub(crate) deviations: BTreeMap<(ServiceName, TargetVersion), DeviationNeed>,
 }
 
 impl StreamOrigins {
@@ -68,6 +69,18 @@
         self.unsent.extend(self.records.take_unpublished(is_known));
     }
 
+    /// Has the plan say that streams of a version may begin at another one.
+    fn request_deviation(
+        &mut self,
+        service: &ServiceName,
+        version: TargetVersion,
+        need: DeviationNeed,
+    ) {
+        let requested =
+            self.deviations.entry((service.clone(), version)).or_insert(DeviationNeed::Known);
+        *requested = need.max(*requested);
+    }
+
     /// Records a stream of which this VM sends events.
     fn record_own(&mut self, record: Record, now: Instant) {
         let plan = self.plans.get(&record.service);
@@ -127,16 +140,23 @@
             expires: now + versions.horizon,
         };
         versions.record_own(record, now);
-        let plan = versions.plans.get(&req.service);
-        let planned = plan.and_then(|plan| plan.version_of(stream));
-        if let Some(planned) = planned.filter(|planned| !is_taken_up && *planned != version) {
+        let planned = versions.plans.get(&req.service).and_then(|plan| {
+            let planned = plan.version_of(stream).filter(|planned| *planned != version)?;
+            let is_known = plan.may_deviate(planned, stream, versions.horizon, now);
+            let need = if is_known { DeviationNeed::Known } else { DeviationNeed::All };
+            Some((planned.clone(), need))
+        });
+        if let Some((planned, need)) = planned.filter(|_| !is_taken_up) {
             info!(shared.log, "stream began at another version than planned"; "request" => %req.id,
                 "version" => version.as_ref().map(ToString::to_string),
                 "planned" => planned.as_ref().map(ToString::to_string));
-            versions.deviations.insert(req.service.clone(), planned.clone());
+            versions.request_deviation(&req.service, planned, need);
         }
     });
     send_unsent(app);
+    if app.state.with(|shared, _| !shared.stream_origins.deviations.is_empty()) {
+        app.versions_deviate.notify_one();
+    }
 }
 
 /// The version that began the stream which a caller takes up; `None` if this VM can't tell.
@@ -329,7 +349,15 @@
             return None;
         }
         let plan = self.stream_origins.plans.get(service)?;
-        plan.origin(stream, self.stream_origins.horizon, now).cloned()
+        let horizon = self.stream_origins.horizon;
+        // Older builds begin streams at any version.
+        let all_share = self.fleet.peers.values().all(|peer| peer.shares_versions);
+        let origin = if all_share {
+            plan.origin(stream, horizon, now)
+        } else {
+            plan.sole_version(horizon, now)
+        };
+        origin.cloned()
     }
 
     /// The version of all streams of a service that may be resumed, if there is only one.
@@ -340,25 +368,48 @@
     }
 
     /// Versions of targets to which an attempt at a new stream may be sent: the one that follows from
-    /// the shares, unless none of its targets can be used. `wanted` tells what rollouts allow.
+    /// the shares, unless another one can run it sooner. `wanted` tells what rollouts allow.
     pub(crate) fn versions_for_stream(
-        &self,
+        &mut self,
         req: &AcceptedRequest,
         wanted: &SelectionRequest<'_>,
         now: Instant,
     ) -> Versions {
-        let allowed = wanted.versions.clone();
-        let Some(plan) = self.stream_origins.plans.get(&req.service) else { return allowed };
-        let ranked = plan.ranked(key(req, &req.id));
-        let permitted = ranked.into_iter().filter(|version| allowed.permits(version.as_ref()));
-        let exactly: Vec<Versions> =
-            permitted.map(|version| Versions::Exactly(version.clone())).collect();
-        let availability =
-            |versions| self.targets.availability(&SelectionRequest { versions, ..*wanted }, now);
-        let open = exactly.iter().find(|versions| availability(versions) == Availability::Open);
-        let usable =
-            || exactly.iter().find(|versions| availability(versions) != Availability::None);
-        open.or_else(usable).cloned().unwrap_or(allowed)
+        let allowed = wanted.versions;
+        let Some(plan) = self.stream_origins.plans.get(&req.service) else {
+            return allowed.clone();
+        };
+        let stream = key(req, &req.id);
+        let ranked = plan.ranked(stream).into_iter();
+        let permitted = ranked.filter(|version| allowed.permits(version.as_ref()));
+        let rated: Vec<(Availability, &TargetVersion)> = permitted
+            .map(|version| {
+                let versions = &Versions::Exactly(version.clone());
+                let wanted = SelectionRequest { versions, ..*wanted };
+                (self.targets.availability(&wanted, now), version)
+            })
+            .collect();
+        // Of equally good ones the first.
+        let best = rated.iter().min_by_key(|(availability, _)| availability);
+        let (Some(first), Some(best)) = (rated.first(), best) else { return allowed.clone() };
+        if best.0 == Availability::None {
+            return allowed.clone();
+        }
+        if first.1 == best.1 {
+            return Versions::Exactly(first.1.clone());
+        }
+        // A stream that can wait for a slot begins at another version only once all VMs can know
+        // that such streams exist.
+        let is_known = plan.may_deviate(first.1, stream, self.stream_origins.horizon, now);
+        let waits = first.0 == Availability::Busy && !is_known;
+        let need = match first.0 {
+            _ if is_known => DeviationNeed::Known,
+            Availability::Busy => DeviationNeed::More,
+            _ => DeviationNeed::All,
+        };
+        let (planned, chosen) = (first.1.clone(), if waits { first.1 } else { best.1 }.clone());
+        self.stream_origins.request_deviation(&req.service, planned, need);
+        Versions::Exactly(chosen)
     }
 
     /// Versions that a rollout allows for an attempt at a stream.
--- a/gateway/src/version_plans.rs
+++ b/gateway/src/version_plans.rs
@@ -11,10 +11,11 @@
 use platform_interface::store::{Condition, Transaction, Write};
 use slog::{debug, info, warn};
 use stream_versions::{Plan, Shares};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::app::App;
 use crate::shared::Shared;
+use crate::state_handle;
 use crate::store_connection::{StoreCallError, StoreConnection};
 use crate::stream_origins::send_unsent;
 
@@ -24,8 +25,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for which a plan is left to the VM of the rank before.
 const PLAN_TURN: Duration = Duration::from_millis(300);
-/// The same for a deviation, which each VM has to write that makes one.
-const DEVIATION_TURN: Duration = Duration::from_millis(5);
+/// The same for a deviation, which each VM writes that makes one.
+const DEVIATION_TURN: Duration = Duration::from_millis(2);
 /// Prefix of the keys of plans, below this system's own prefix.
 const KEY_PREFIX: &str = "versions/";
 
@@ -41,9 +42,13 @@
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut due_since = BTreeMap::new();
-    let mut expired_at = crate::state_handle::now();
+    let mut expired_at = state_handle::now();
     loop {
-        let now = ticks.tick().await.into_std();
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = app.versions_deviate.notified() => sleep(deviation_turn(&app)).await,
+        }
+        let now = state_handle::now();
         if now.saturating_duration_since(expired_at) > EXPIRY_INTERVAL {
             expired_at = now;
             app.state.with(|shared, now| shared.stream_origins.records.remove_expired(now));
@@ -59,6 +64,12 @@
     }
 }
 
+/// Time for which this VM leaves a deviation to others that make the same one.
+fn deviation_turn(app: &App) -> Duration {
+    let rank = app.state.with(|shared, _| shared.fleet.rank());
+    DEVIATION_TURN * u32::try_from(rank).unwrap_or(u32::MAX)
+}
+
 /// Writes a plan unless another VM has written one since this VM last heard of the store.
 async fn write(app: &App, store: &mut StoreConnection, due: DuePlan) {
     let DuePlan { service, plan } = due;
@@ -151,38 +162,45 @@
         let services: Vec<ServiceName> = self.stream_origins.plans.keys().cloned().collect();
         let mut due = Vec::new();
         for service in services {
-            let (plan, turn) = match self.deviation_plan(&service, now) {
-                Some(plan) => (Some(plan), DEVIATION_TURN),
-                None => (self.next_plan(&service, now), PLAN_TURN),
-            };
-            let Some(plan) = plan else {
+            if let Some(plan) = self.deviation_plan(&service, now) {
+                due.push(DuePlan { service, plan });
+                continue;
+            }
+            let Some(plan) = self.next_plan(&service, now) else {
                 due_since.remove(&service);
                 continue;
             };
             let since = *due_since.entry(service.clone()).or_insert(now);
-            if now.saturating_duration_since(since) >= turn.saturating_mul(rank) {
+            if now.saturating_duration_since(since) >= PLAN_TURN.saturating_mul(rank) {
                 due.push(DuePlan { service, plan });
             }
         }
         due
     }
 
-    /// The plan that says which streams of this VM began at another version than planned.
+    /// The plan that says which streams of this VM begin at another version than planned.
     fn deviation_plan(&mut self, service: &ServiceName, now: Instant) -> Option<Plan> {
-        let versions = &mut self.stream_origins;
-        let version = versions.deviations.get(service)?;
-        let next = versions.plans.get(service)?.with_deviation(version, versions.horizon, now);
-        if next.is_none() {
-            versions.deviations.remove(service);
-        }
+        let origins = &mut self.stream_origins;
+        let plan = origins.plans.get(service)?;
+        let horizon = origins.horizon;
+        let mut next = None;
+        origins.deviations.retain(|(of, version), need| {
+            if of != service || next.is_some() {
+                return true;
+            }
+            next = plan.with_deviation(version, *need, horizon, now);
+            next.is_some()
+        });
         next
     }
 
     /// The plan that the present targets of a service need.
     fn next_plan(&self, service: &ServiceName, now: Instant) -> Option<Plan> {
+        if !self.watches_store {
+            return None;
+        }
         let wanted = self.wanted_shares(service, now);
-        let plan = self.stream_origins.plans.get(service)?;
-        plan.next(&wanted, self.stream_origins.horizon, now).filter(|_| self.watches_store)
+        self.stream_origins.plans.get(service)?.next(&wanted, self.stream_origins.horizon, now)
     }
 
     /// Shares that the present targets of a service would have.
--- a/standins/src/serving_path/callers.rs
+++ b/standins/src/serving_path/callers.rs
@@ -1,8 +1,9 @@
 //! Callers of the serving path: requests on new connections or on one that is kept open.
 
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-use super::{HttpConnection, HttpMessage};
+use super::{HttpConnection, HttpMessage, READ_TIMEOUT};
 
 /// A request that a caller sends.
 #[derive(Debug, Clone)]
@@ -87,6 +88,25 @@
         conn.read()
     }
 
+    /// Sends the request on a new connection, reads until `text` arrives, and closes it; whether the
+    /// text arrived before the end of the connection.
+    pub fn send_and_disconnect_at(&self, address: SocketAddr, text: &str) -> bool {
+        let Ok(mut stream) = TcpStream::connect(address) else { return false };
+        drop(stream.set_read_timeout(Some(READ_TIMEOUT)));
+        if stream.write_all(&self.bytes()).is_err() {
+            return false;
+        }
+        let mut received = Vec::new();
+        let mut buf = [0; 4096];
+        while !String::from_utf8_lossy(&received).contains(text) {
+            match stream.read(&mut buf) {
+                Ok(0) | Err(_) => return false,
+                Ok(read) => received.extend_from_slice(&buf[..read]),
+            }
+        }
+        true
+    }
+
     /// Sends the request on a new connection and closes it after `after` without reading.
     pub fn send_and_disconnect(&self, address: SocketAddr, after: std::time::Duration) {
         if let Ok(stream) = TcpStream::connect(address) {
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -98,16 +98,15 @@
     /// after some events; returns the version that began each.
     fn begin_streams(&self, vm: &Vm, count: usize) -> Vec<BegunStream> {
         let ids: Vec<String> = (0..count).map(|number| format!("stream-{number}")).collect();
+        let last_event = format!("id: {LAST_EVENT}\n");
         thread::scope(|scope| {
             for id in &ids {
-                scope.spawn(|| post("/resumed/", id).send_and_disconnect(vm.callers, PAUSE * 10));
+                let call = post("/resumed/", id);
+                let last_event = &last_event;
+                scope.spawn(move || assert!(call.send_and_disconnect_at(vm.callers, last_event)));
             }
         });
-        let begun = |id: String| {
-            wait_until("the stream began", || !self.versions_of(&id).is_empty());
-            let version = self.versions_of(&id)[0];
-            BegunStream { id, version }
-        };
+        let begun = |id: String| BegunStream { version: self.versions_of(&id)[0], id };
         ids.into_iter().map(begun).collect()
     }
 
@@ -257,7 +256,7 @@
 
     drop(first);
     for stream in &begun {
-        stream.call().send_and_disconnect(second.callers, PAUSE * 6);
+        assert!(stream.call().send_and_disconnect_at(second.callers, "id: 5\n"));
     }
     drop(second);
     let taken_up = scene.take_up(&begun, &[third]);
