Trace a stream over the attempts of its caller

`saddlerail trace FIRST-ID` printed the attempt that began a stream, and nothing of those that took it up under ids of their own. It follows "stream taken up" now. The fixture is the log of two VMs of tests/stream_versions.rs.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -235,8 +235,8 @@
     Command::new("trace")
         .about("Print the log lines of a request or a target, sorted by time")
         .arg(Arg::new("request").value_name("REQUEST-ID").required(true).help(
-            "Id of an attempt, the content hash shared by all attempts at a request, or a \
-                     target's id",
+            "Id of an attempt, which may have begun a stream, the content hash shared by all \
+                     attempts at a request, or a target's id",
         ))
         .arg(logs())
 }
--- a/src/cmd/trace.rs
+++ b/src/cmd/trace.rs
@@ -1,5 +1,5 @@
-//! `saddlerail trace`: prints the log lines of an attempt, of all attempts at a request, or of a
-//! target, merged from the VMs' log files and sorted by time.
+//! `saddlerail trace`: prints the log lines of an attempt, of all attempts at a request or a stream, or
+//! of a target, merged from the VMs' log files and sorted by time.
 
 use std::path::PathBuf;
 
@@ -26,10 +26,13 @@
 pub(crate) fn run(args: &ArgMatches) -> Result<()> {
     let id = args.get_one::<String>("request").cloned().unwrap_or_default();
     ids::RequestId::new(&id)?;
-    let mut lines = Vec::new();
-    for path in args.get_many::<PathBuf>("logs").into_iter().flatten() {
-        lines.extend(logs::read_text(path)?.lines().filter_map(|line| matching_line(line, &id)));
-    }
+    let paths = args.get_many::<PathBuf>("logs").into_iter().flatten();
+    let texts = paths.map(|path| logs::read_text(path)).collect::<Result<Vec<String>>>()?;
+    let all_lines = || texts.iter().flat_map(|text| text.lines());
+    let resumptions = all_lines().filter_map(|line| resumption_of(line, &id));
+    let wanted: Vec<String> = resumptions.chain([id.clone()]).collect();
+    let matching = |line| wanted.iter().find_map(|wanted| matching_line(line, wanted));
+    let mut lines: Vec<Line> = all_lines().filter_map(matching).collect();
     if lines.is_empty() {
         return Err(Error::bad_input(id, "no line of these logs names this request or target"));
     }
@@ -44,6 +47,17 @@
     Ok(())
 }
 
+/// The attempt that took up the stream whose first event the attempt `first` brought, if the line
+/// says so.
+fn resumption_of(line: &str, first: &str) -> Option<String> {
+    if !line.contains(first) {
+        return None;
+    }
+    let pairs = logs::parse_line(line);
+    let is_resumption = logs::text(&pairs, "first") == Some(first);
+    logs::text(&pairs, "request").filter(|_| is_resumption).map(str::to_owned)
+}
+
 /// Parses a line; `None` unless the value of one of `ID_KEYS` is the traced id.
 fn matching_line(line: &str, id: &str) -> Option<Line> {
     if !line.contains(id) {
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -50,6 +50,19 @@
     assert!(lines[6].contains("request refused as one that ends targets"));
 }
 
+#[test]
+fn trace_follows_a_stream_over_the_attempts_of_its_caller() {
+    let out = run_tool(&["trace", "stream-9", "tests/fixtures/logs/taken-up.log"]);
+
+    let text = stdout_text(&out);
+    let lines: Vec<&str> = text.lines().collect();
+    let line = |words: &str| lines.iter().position(|line| line.contains(words));
+    let (began, taken_up) = (line("request=stream-9"), line("stream taken up"));
+    assert!(began.is_some() && began < taken_up, "{text}");
+    assert!(lines.iter().any(|line| line.contains("try") && line.contains("stream-9-again")));
+    assert!(!text.contains("msg=started") && !text.contains("stream-8"));
+}
+
 #[test]
 fn trace_shows_how_each_vm_learned_of_a_departure() {
     let out = run_tool(&["trace", "i-plain-1", "tests/fixtures/logs/leaving.log"]);
