Soak streams that break and are taken up while versions come and go

Events name the engine that sent them, so that a caller sees a stream that changes its version. Checked are the order of events, that at most two streams hold events of two versions, and that at VMs without a fault for 3 s the share of streams that go on is at least half of the share that begin.

--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,7 +1,8 @@
 //! Command line tool for randomized tests of the serving path; a seed determines the faults:
-//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --turns | --results]`.
+//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --streams | --turns | --results]`.
 //!
-//! Without a flag it injects faults into a running site; `--stops` stops and restarts VMs instead.
+//! Without a flag it injects faults into a running site; `--stops` stops and restarts VMs instead, and
+//! `--streams` takes up streams while engines of several versions serve.
 //! `--turns` and `--results` run one short scenario per seed and ignore `--seconds`, `--vms` and
 //! `--callers`. The exit code is 1 if a check failed.
 
@@ -12,7 +13,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use standins::serving_path::scenarios::{QueuedCallScenario, ResultReleaseScenario};
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::stop_soak;
+use standins::serving_path::{stop_soak, stream_soak};
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
@@ -60,6 +61,7 @@
         .arg(number("vms", "3", "Number of VMs"))
         .arg(number("callers", "4", "Number of callers"))
         .arg(flag("stops", "Planned stops only"))
+        .arg(flag("streams", "Streams that callers take up while versions come and go"))
         .arg(flag("turns", "Scenarios with calls that wait in the queue of a pool"))
         .arg(flag("results", "Scenarios with results whose owner or requester is killed or paused"))
         .get_matches();
@@ -71,7 +73,11 @@
     if args.get_flag("results") {
         return run_scenarios(seeds, result_release_scenario);
     }
-    let run = if args.get_flag("stops") { stop_soak::run } else { soak::run };
+    let run = match () {
+        () if args.get_flag("stops") => stop_soak::run,
+        () if args.get_flag("streams") => stream_soak::run,
+        () => soak::run,
+    };
     let time = Duration::from_secs(value(&args, "seconds"));
     let vms = usize::try_from(value(&args, "vms")).unwrap_or(usize::MAX);
     let size = Size { vms, callers: value(&args, "callers") };
@@ -79,11 +85,13 @@
     for seed in seeds {
         let report = run(seed, time, size);
         println!(
-            "seed={seed} requests={} whole={} faults={} results={} broken={}",
+            "seed={seed} requests={} whole={} faults={} results={} crossed={} resumed={} broken={}",
             report.requests,
             report.complete,
             report.faults,
             report.results,
+            report.crossed,
+            report.resumed,
             report.violations.len()
         );
         report
--- a/standins/src/serving_path/callers.rs
+++ b/standins/src/serving_path/callers.rs
@@ -37,7 +37,7 @@
     }
 
     /// The request as sent.
-    fn bytes(&self) -> Vec<u8> {
+    pub(super) fn bytes(&self) -> Vec<u8> {
         let mut bytes = format!("{} {} HTTP/1.1\r\n", self.method, self.path).into_bytes();
         for (name, value) in &self.headers {
             bytes.extend_from_slice(format!("{name}: {value}\r\n").as_bytes());
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -18,6 +18,7 @@
 mod stage_calls;
 pub mod stop_soak;
 pub mod store;
+pub mod stream_soak;
 pub mod target_path;
 
 use std::collections::HashMap;
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -432,7 +432,7 @@
                 conn.write(b"8\r\nid: 99\nd\r\n");
                 return false;
             }
-            let event = format!("id: {number}\ndata: {id}/{number}\n\n");
+            let event = format!("id: {number}\nevent: {}\ndata: {id}/{number}\n\n", self.id);
             sent = sent && conn.write(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes());
             if !sent {
                 self.with(|state| state.aborted_streams += 1);
