--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -140,17 +140,8 @@
             expires: now + versions.horizon,
         };
         versions.record_own(record, now);
-        let planned = versions.plans.get(&req.service).and_then(|plan| {
-            let planned = plan.version_of(stream).filter(|planned| *planned != version)?;
-            let is_known = plan.may_deviate(planned, stream, versions.horizon, now);
-            let need = if is_known { DeviationNeed::Known } else { DeviationNeed::All };
-            Some((planned.clone(), need))
-        });
-        if let Some((planned, need)) = planned.filter(|_| !is_taken_up) {
-            info!(shared.log, "stream began at another version than planned"; "request" => %req.id,
-                "version" => version.as_ref().map(ToString::to_string),
-                "planned" => planned.as_ref().map(ToString::to_string));
-            versions.request_deviation(&req.service, planned, need);
+        if !is_taken_up {
+            shared.check_deviation(req, version, now);
         }
     });
     send_unsent(app);
@@ -381,7 +372,8 @@
         };
         let stream = key(req, &req.id);
         let ranked = plan.ranked(stream).into_iter();
-        let permitted = ranked.filter(|version| allowed.permits(version.as_ref()));
+        let permitted = ranked
+            .filter(|version| allowed.permits(version.as_ref()) && self.stays(req, version, now));
         let rated: Vec<(Availability, &TargetVersion)> = permitted
             .map(|version| {
                 let versions = &Versions::Exactly(version.clone());
@@ -412,6 +404,29 @@
         Versions::Exactly(chosen)
     }
 
+    /// Has the plan say that streams begin at another version than planned, if a new stream did. A
+    /// version without targets needs no such word: nobody can go on with its streams.
+    fn check_deviation(&mut self, req: &AcceptedRequest, version: &TargetVersion, now: Instant) {
+        let stream = key(req, &req.id);
+        let Some(plan) = self.stream_origins.plans.get(&req.service) else { return };
+        let planned = plan.version_of(stream).filter(|planned| *planned != version);
+        let Some(planned) = planned.filter(|planned| self.stays(req, planned, now)).cloned() else {
+            return;
+        };
+        info!(self.log, "stream began at another version than planned"; "request" => %req.id,
+            "version" => version.as_ref().map(ToString::to_string),
+            "planned" => planned.as_ref().map(ToString::to_string));
+        let is_known = plan.may_deviate(&planned, stream, self.stream_origins.horizon, now);
+        let need = if is_known { DeviationNeed::Known } else { DeviationNeed::All };
+        self.stream_origins.request_deviation(&req.service, planned, need);
+    }
+
+    /// Whether a request may be sent to targets of a version, now or later.
+    fn stays(&self, req: &AcceptedRequest, version: &TargetVersion, now: Instant) -> bool {
+        let versions = Versions::Exactly(version.clone());
+        self.targets.has_staying(&req.service, &req.allowed_halls, &versions, now)
+    }
+
     /// Versions that a rollout allows for an attempt at a stream.
     pub(crate) fn rollout_versions_for_stream(
         &self,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::stop_soak;
+use standins::serving_path::{stop_soak, stream_soak};
 
 /// Seeds of runs with random faults.
 ///
@@ -16,6 +16,9 @@
 /// Seeds of runs with planned stops. Both guard against a stopping VM that doesn't answer the
 /// requests that it can't serve.
 const STOP_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of runs with streams that are taken up. Each guards against VMs that go on with a stream at
+/// another software version than the one that began it.
+const STREAM_SEEDS: [u64; 2] = [1, 2];
 /// Number of callers in a run with planned stops.
 const STOP_CALLERS: u64 = 12;
 /// Time for which a run injects faults.
@@ -42,3 +45,15 @@
         assert!(report.complete > 20 && report.restarts > 3, "seed {seed}: {report:?}");
     }
 }
+
+#[test]
+fn streams_stay_at_their_version_under_random_faults() {
+    for seed in STREAM_SEEDS {
+        let size = Size { callers: STOP_CALLERS, ..Size::default() };
+
+        let report = stream_soak::run(seed, FAULT_TIME * 2, size);
+
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(report.complete > 20 && report.faults > 5, "seed {seed}: {report:?}");
+    }
+}
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -12,8 +12,10 @@
 use standins::fleet::wait_until;
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
+use standins::serving_path::faulty_link::{FaultyLink, LinkMode};
 use standins::serving_path::runners::{Behavior, Runner};
 use standins::serving_path::site::{SETTLE_TIME, Site, Vm, event_ids, post};
+use standins::serving_path::store::StoreMode;
 
 /// Events of each stream.
 const EVENTS: u64 = 20;
@@ -280,6 +282,49 @@
     assert_eq!(scene.versions_of("two"), Vec::<&str>::new());
 }
 
+/// A VM that neither the store nor a peer reaches may not know the versions that serve by now.
+#[test]
+fn a_vm_that_is_cut_off_from_all_others_refuses_streams_that_began_elsewhere() {
+    let mut scene = Versions::start(&["v1", "v1"]);
+    let link = FaultyLink::start(scene.site.store.address).expect("a link");
+    let other = Vm::start("cut-off-other", "hall-a", scene.site.store.address, "");
+    let cut_off = Vm::start("cut-off", "hall-a", link.address, "");
+    for vm in [&other, &cut_off] {
+        scene.site.wait_for_all_runners(vm);
+        wait_until("the VMs are linked", || vm.linked_peers() == 1);
+    }
+
+    link.set(LinkMode::Blackhole);
+    other.signal("-STOP");
+    wait_until("the VM is cut off", || {
+        cut_off.state()["store_lost"] == json!(true) && cut_off.linked_peers() == 0
+    });
+    scene.remove("v1");
+    scene.add("v2");
+    let began_elsewhere = BegunStream { id: "elsewhere".to_owned(), version: "v2" };
+    let answer = began_elsewhere.call().send(cut_off.callers).expect("an answer");
+
+    assert_eq!(answer.status(), 503);
+    assert_eq!(scene.versions_of(&began_elsewhere.id_of_second()), Vec::<&str>::new());
+}
+
+/// The store fails for all VMs, so that none can have newer shares than the others.
+#[test]
+fn streams_go_on_at_their_version_while_the_store_is_down() {
+    let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
+    let vms = scene.start_vms(["down-1", "down-2", "down-3"]);
+    scene.wait_for_plan();
+    scene.site.store.set_mode(StoreMode::Unresponsive);
+    wait_until("the store is lost", || {
+        vms.iter().all(|vm| vm.state()["store_lost"] == json!(true))
+    });
+
+    let begun = scene.begin_streams(&vms[0], 12);
+    let taken_up = scene.take_up(&begun, &vms[1..]);
+
+    assert_eq!(taken_up, TakenUp { went_on: 12, crossed: 0 });
+}
+
 #[test]
 fn streams_resumed_within_their_answer_stay_at_their_version() {
     let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
