--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -325,6 +325,29 @@
     assert_eq!(taken_up, TakenUp { went_on: 12, crossed: 0 });
 }
 
+/// In a large fleet, not all VMs are linked.
+#[test]
+fn streams_of_a_large_fleet_stay_at_their_version_in_all_halls() {
+    let mut scene = Versions::start(&["v1", "v1"]);
+    let start = |number: usize| {
+        let hall = ["hall-a", "hall-b"][number % 2];
+        Vm::start(&format!("large-{number}"), hall, scene.site.store.address, "")
+    };
+    let mut vms: Vec<Vm> = (0..14).map(start).collect();
+    vms.iter().for_each(|vm| scene.site.wait_for_all_runners(vm));
+    wait_until("the VMs are linked", || vms.iter().all(|vm| vm.linked_peers() >= 3));
+
+    let begun = scene.begin_streams(&vms[0], 16);
+    scene.add("v2");
+    scene.add("v2");
+    scene.wait_for_plan();
+    thread::sleep(SETTLE_TIME * 2);
+    drop(vms.remove(0));
+    let taken_up = scene.take_up(&begun, &vms);
+
+    assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
+}
+
 #[test]
 fn streams_resumed_within_their_answer_stay_at_their_version() {
     let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
