Tell peers of all streams in a small fleet while several versions serve

Traced: the VM had just stored that some streams of a busy version may begin at another one, which made streams ambiguous that had begun before, and it was killed before it told the peers of these. In a small fleet, where all VMs are told anyway, peers now hear of each stream while several versions serve, some 40 bytes a peer; with one version, of none. In a large fleet, where few VMs hear of all others, such streams are still refused.

--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -30,11 +30,9 @@
 /// What this VM knows of the versions of streams.
 #[derive(Debug, Default)]
 pub(crate) struct StreamOrigins {
-    /// Services whose streams may be resumed.
-    services: BTreeSet<ServiceName>,
     /// Time from the first event of a stream during which it may be resumed.
     pub(crate) horizon: Duration,
-    /// Plans of these services.
+    /// Plans of the services whose streams may be resumed, or might be by an earlier configuration.
     pub(crate) plans: BTreeMap<ServiceName, VersionPlan>,
     pub(crate) records: Records,
     /// Streams that peers have to be told of.
@@ -48,13 +46,10 @@
     /// Applies a new configuration.
     pub(crate) fn set_intent(&mut self, intent: &Intent) {
         let resumable = || intent.entries().filter(|entry| entry.streams && entry.repeatable);
-        let shares = resumable().flat_map(|entry| &entry.shares);
-        self.services = shares.map(|share| share.service.clone()).collect();
         let longest = resumable().map(|entry| entry.max_duration).max().unwrap_or_default();
         self.horizon = longest + MAX_SHARES_LAG;
-        self.plans.retain(|service, _| self.services.contains(service));
-        for service in &self.services {
-            self.plans.entry(service.clone()).or_default();
+        for share in resumable().flat_map(|entry| &entry.shares) {
+            self.plans.entry(share.service.clone()).or_default();
         }
     }
 
@@ -81,11 +76,15 @@
         *requested = need.max(*requested);
     }
 
-    /// Records a stream of which this VM sends events.
-    fn record_own(&mut self, record: Record, now: Instant) {
+    /// Records a stream of which this VM sends events. Peers are told of it if they can't work its
+    /// version out; `in_advance`, also if they could not after a change of the shares.
+    fn record_own(&mut self, record: Record, in_advance: bool, now: Instant) {
         let plan = self.plans.get(&record.service);
-        let origin = plan.and_then(|plan| plan.origin(record.stream, self.horizon, now));
-        let is_known = origin == Some(&record.version);
+        let is_known = plan.is_some_and(|plan| {
+            let has_one_version = plan.sole_version(self.horizon, now).is_some();
+            let origin = plan.origin(record.stream, self.horizon, now);
+            origin == Some(&record.version) && (has_one_version || !in_advance)
+        });
         if !is_known {
             self.unsent.push(record.clone());
         }
@@ -132,6 +131,8 @@
     let first = if is_taken_up { req.head.resumes.as_ref() } else { Some(&req.id) };
     let Some(stream) = first.map(|first| key(req, first)) else { return };
     app.state.with(|shared, now| {
+        // In a large fleet few VMs are told of the streams of all others.
+        let in_advance = shared.fleet.is_full_mesh();
         let versions = &mut shared.stream_origins;
         let record = Record {
             stream,
@@ -139,7 +140,7 @@
             version: version.clone(),
             expires: now + versions.horizon,
         };
-        versions.record_own(record, now);
+        versions.record_own(record, in_advance, now);
         if !is_taken_up {
             shared.check_deviation(req, version, now);
         }
@@ -172,8 +173,11 @@
     service: &ServiceName,
     stream: StreamKey,
 ) -> Option<(TargetVersion, Source)> {
-    let recorded = app.state.with(|shared, now| shared.recorded_version(stream, now));
-    if recorded.is_some() {
+    let (recorded, is_ambiguous) = app.state.with(|shared, now| {
+        let is_ambiguous = shared.stream_origins.records.is_ambiguous(stream);
+        (shared.recorded_version(stream, now), is_ambiguous)
+    });
+    if recorded.is_some() || is_ambiguous {
         return recorded.map(|version| (version, Source::Record));
     }
     let replies = ask_peers(app, service, stream).await;
--- a/gateway/src/version_plans.rs
+++ b/gateway/src/version_plans.rs
@@ -55,12 +55,14 @@
         }
         send_unsent(&app);
         let due = app.state.with(|shared, now| shared.due_plans(&mut due_since, now));
-        if !*app.store_reachable.borrow() {
+        if due.is_empty() || !*app.store_reachable.borrow() {
             continue;
         }
         for due in due {
             write(&app, &mut store, due).await;
         }
+        // A plan that another VM wrote arrives later, and would be called for again meanwhile.
+        sleep(CHECK_INTERVAL).await;
     }
 }
 
