End a stopping VM whose log is not read

A VM whose standard output nobody read did not end after SIGTERM: its last lines were written by the thread that ends the process, behind a write to the full pipe. The platform had to kill it.

The last lines are written by a thread of their own, which the end waits for 100 ms, within the margin that a stop keeps for its exit.

--- a/gateway/src/logs.rs
+++ b/gateway/src/logs.rs
@@ -3,6 +3,7 @@
 //! fit are dropped and counted.
 
 use std::io::Write;
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -19,6 +20,9 @@
 /// Interval between two writes; one wake-up writes many lines.
 const WRITE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Longest time for which the end of the process waits for the last lines to be written.
+const FINAL_WRITE_LIMIT: Duration = Duration::from_millis(100);
+
 /// Prefix of a line: wall-clock time and level. The time serves only to compare with other logs.
 fn time_and_level(line: &mut dyn Write, record: &Record<'_>) -> slog::Result {
     let millis = ids::unix_millis();
@@ -42,8 +46,22 @@
         std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    /// Writes the buffered lines at the end of the process, for [`FINAL_WRITE_LIMIT`] at most: nobody
+    /// may read the log any more.
+    pub(crate) fn write_last(&self) {
+        let (tx, rx) = channel();
+        let buffer = self.clone();
+        thread::spawn(move || {
+            buffer.write();
+            // The process may have stopped waiting.
+            tx.send(()).ok();
+        });
+        // The lines are lost if the limit passes.
+        rx.recv_timeout(FINAL_WRITE_LIMIT).ok();
+    }
+
     /// Writes the buffered lines to standard output; lines that can't be written are lost.
-    pub(crate) fn write(&self) {
+    fn write(&self) {
         let Buffer { mut buf, dropped } = self.take();
         if dropped > 0 {
             buf.extend_from_slice(
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -81,7 +81,7 @@
         });
         serve(&app, &path).await
     }));
-    log_buffer.write();
+    log_buffer.write_last();
     result
 }
 
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -79,9 +79,9 @@
     }
 
     /// Starts a VM whose standard output, its log, is a pipe; returns the reading end, which may be
-    /// read or left to fill.
-    pub fn start_piped(name: &str, store: SocketAddr) -> (Self, ChildStdout) {
-        let mut vm = Vm::start_with_output(name, "hall-a", store, "", |_| Stdio::piped());
+    /// read or left to fill. `extra` is appended to its settings.
+    pub fn start_piped(name: &str, store: SocketAddr, extra: &str) -> (Self, ChildStdout) {
+        let mut vm = Vm::start_with_output(name, "hall-a", store, extra, |_| Stdio::piped());
         let out = vm.child.stdout.take().expect("its standard output");
         (vm, out)
     }
