--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -362,12 +362,12 @@
         self.app.state.with(|shared, now| {
             let service = &self.req.service;
             let versions = &self.versions(shared)?;
-            let mut wanted = SelectionRequest { service, exclude, size, halls, versions };
-            let for_stream;
-            if self.bound.is_none() && stream_origins::is_resumable(&self.req) {
-                for_stream = shared.versions_for_stream(&self.req, &wanted, now);
-                wanted.versions = &for_stream;
-            }
+            let wanted = SelectionRequest { service, exclude, size, halls, versions };
+            let begins_stream = self.bound.is_none() && stream_origins::is_resumable(&self.req);
+            let for_stream =
+                begins_stream.then(|| shared.versions_for_stream(&self.req, &wanted, now));
+            let versions = for_stream.as_ref().unwrap_or(versions);
+            let wanted = SelectionRequest { versions, ..wanted };
             let pick = shared.targets.pick(&wanted, now)?;
             let announced = shared.departures.announced_at(&pick.target);
             Some(Attempt {
