Let a stream that a caller takes up stay at its service

On a route that is split over services, the service of each attempt was drawn by its own id: a stream that its caller took up went on at another service in about half of the cases.

The service of a resumed stream is drawn by the id of the request that brought its first event. A change of the weights in between can still move it.

--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -161,7 +161,7 @@
     let entry = Arc::clone(entry.ok_or_else(|| deny("no entry", Refusal::NoEntry))?);
     let customer = customer_of(&intent, &entry, &head);
     let customer = customer.map_err(|(why, denial)| deny(why, denial))?;
-    let service = entry.service_for(hashing::hash_text(id.as_str())).cloned();
+    let service = entry.service_for(hashing::hash_text(service_id(&entry, &head, &id))).cloned();
     let service = service.ok_or(("no entry", Refusal::NoEntry))?;
     let time_left = head.time_left.unwrap_or(entry.max_duration).min(entry.max_duration);
     let deadline = arrived + time_left;
@@ -197,6 +197,14 @@
     })
 }
 
+/// The id by which a service is drawn among those of the entry: a stream that the caller takes up
+/// stays at the service that began it.
+fn service_id<'a>(entry: &Entry, head: &'a CallerHead, id: &'a RequestId) -> &'a str {
+    let is_taken_up = entry.streams && entry.repeatable && head.last_event.is_some();
+    let first = head.resumes.as_ref().filter(|_| is_taken_up);
+    first.unwrap_or(id).as_str()
+}
+
 /// Digest of the request's content, computed once before it is sent to any target.
 fn request_digest(
     parts: &Parts,
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -14,7 +14,7 @@
 use standins::serving_path::callers::Call;
 use standins::serving_path::faulty_link::{FaultyLink, LinkMode};
 use standins::serving_path::runners::{Behavior, Runner};
-use standins::serving_path::site::{SETTLE_TIME, Site, Vm, event_ids, post};
+use standins::serving_path::site::{SETTLE_TIME, Site, Vm, default_configuration, event_ids, post};
 use standins::serving_path::store::StoreMode;
 
 /// Events of each stream.
@@ -26,10 +26,17 @@
 /// Last event that a caller has when it takes its stream up again.
 const LAST_EVENT: u64 = 3;
 
-/// Engines by software version.
+/// An engine of a service, with its software version.
+struct Engine {
+    service: &'static str,
+    version: &'static str,
+    runner: Runner,
+}
+
+/// A site with engines of several versions.
 struct Versions {
     site: Site,
-    engines: Vec<(&'static str, Runner)>,
+    engines: Vec<Engine>,
 }
 
 impl Versions {
@@ -44,18 +51,23 @@
 
     /// Starts another engine.
     fn add(&mut self, version: &'static str) {
+        self.add_to("engine", version);
+    }
+
+    /// Starts another engine of a service.
+    fn add_to(&mut self, service: &'static str, version: &'static str) {
         let id = format!("i-{}-{version}", self.engines.len());
-        let engine = Runner::start(&id, Behavior::SlowStream(EVENTS, PAUSE)).expect("an engine");
-        self.engines.push((version, engine));
+        let runner = Runner::start(&id, Behavior::SlowStream(EVENTS, PAUSE)).expect("an engine");
+        self.engines.push(Engine { service, version, runner });
         self.register(self.engines.len() - 1, "ready");
     }
 
     /// Writes the entry of an engine.
     fn register(&self, number: usize, state: &str) {
-        let (version, engine) = &self.engines[number];
-        let mut entry = engine.entry("engine", "hall-a", state);
+        let Engine { service, version, runner } = &self.engines[number];
+        let mut entry = runner.entry(service, "hall-a", state);
         entry["version"] = json!(version);
-        self.site.store.put(&format!("servers/{}", engine.id), &entry);
+        self.site.store.put(&format!("servers/{}", runner.id), &entry);
     }
 
     fn start_vms<const N: usize>(&self, names: [&str; N]) -> [Vm; N] {
@@ -67,8 +79,8 @@
 
     /// Versions that ran a request, in the order of the engines.
     fn versions_of(&self, id: &str) -> Vec<&'static str> {
-        let ran = |engine: &Runner| engine.ran().iter().any(|ran| ran == id);
-        self.engines.iter().filter(|(_, engine)| ran(engine)).map(|(of, _)| *of).collect()
+        let ran = |engine: &&Engine| engine.runner.ran().iter().any(|ran| ran == id);
+        self.engines.iter().filter(ran).map(|engine| engine.version).collect()
     }
 
     /// Waits until the VMs have agreed on the shares of the versions.
@@ -82,15 +94,15 @@
 
     /// Removes the entries of a version's engines.
     fn remove(&self, version: &str) {
-        let of_version = self.engines.iter().filter(|(of, _)| *of == version);
-        of_version.for_each(|(_, engine)| {
-            self.site.store.remove(&format!("servers/{}", engine.id));
+        let of_version = self.engines.iter().filter(|engine| engine.version == version);
+        of_version.for_each(|engine| {
+            self.site.store.remove(&format!("servers/{}", engine.runner.id));
         });
     }
 
     /// Has the engines of a version say that they leave.
     fn drain(&self, version: &str) {
-        let of_version = |number: &usize| self.engines[*number].0 == version;
+        let of_version = |number: &usize| self.engines[*number].version == version;
         let numbers = (0..self.engines.len()).filter(of_version);
         numbers.for_each(|number| self.register(number, "draining"));
         thread::sleep(SETTLE_TIME);
@@ -348,6 +360,29 @@
     assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
 }
 
+/// The service of a route with several is drawn for each request.
+#[test]
+fn streams_of_a_route_with_two_services_stay_at_their_service() {
+    let mut scene = Versions::start(&["v1", "v1"]);
+    let mut cfg = default_configuration(2);
+    let mut other = cfg["services"][2].clone();
+    other["name"] = json!("engine-b");
+    cfg["services"].as_array_mut().expect("services").push(other);
+    let route = &mut cfg["routes"][3];
+    route.as_object_mut().expect("a route").remove("service");
+    route["traffic_split"] = json!([
+        {"service": "engine", "weight": 1}, {"service": "engine-b", "weight": 1}]);
+    scene.site.store.put("op/config", &cfg);
+    scene.add_to("engine-b", "v1-b");
+    let [first, second] = scene.start_vms(["split-1", "split-2"]);
+
+    let begun = scene.begin_streams(&first, 16);
+    let taken_up = scene.take_up(&begun, &[second]);
+
+    assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
+    assert!(begun.iter().any(|stream| stream.version != begun[0].version), "both are used");
+}
+
 #[test]
 fn streams_resumed_within_their_answer_stay_at_their_version() {
     let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
@@ -355,9 +390,9 @@
 
     for number in 0..8 {
         let id = format!("stream-{number}");
-        for (_, engine) in &scene.engines {
-            engine.clear_script();
-            engine.queue_behaviors(&[Behavior::BreakStream(LAST_EVENT)]);
+        for Engine { runner, .. } in &scene.engines {
+            runner.clear_script();
+            runner.queue_behaviors(&[Behavior::BreakStream(LAST_EVENT)]);
         }
         post("/resumed/", &id).send(vm.callers).expect("an answer");
 
