--- a/components/rollout/tests/rollouts.rs
+++ b/components/rollout/tests/rollouts.rs
@@ -268,6 +268,26 @@
     assert!((200..400).contains(&to_new.count()));
 }
 
+#[test]
+fn a_stream_goes_on_at_the_version_that_began_it_unless_that_was_taken_out() {
+    let now = Instant::now();
+    let (old, new) = (Some(version("v1")), Some(version("v2")));
+    let in_phase = |phase| {
+        let mut rollouts = ordered(now);
+        rollouts.set_phase(&service(), rev(1), phase, now);
+        let versions = rollouts.versions(&service());
+        [&old, &new, &None].map(|version| versions.for_resumption(version))
+    };
+    let exactly = |version: &Option<VersionName>| Some(Versions::Exactly(version.clone()));
+
+    let all = [exactly(&old), exactly(&new), exactly(&None)];
+    assert_eq!(in_phase(Phase::Canary), all);
+    assert_eq!(in_phase(Phase::Promoted), all);
+    assert_eq!(in_phase(Phase::RolledBack), [exactly(&old), None, exactly(&None)]);
+    let exact = Versions::Exactly(None);
+    assert!(exact.permits(None) && !exact.permits(Some(&version("v1"))));
+}
+
 #[test]
 fn a_completed_rollout_restricts_nothing_once_the_other_targets_have_ended() {
     let now = Instant::now();
