--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -90,10 +90,11 @@
             report.complete,
             report.faults,
             report.results,
-            report.crossed,
+            report.crossed.len(),
             report.resumed,
             report.violations.len()
         );
+        report.crossed.iter().for_each(|stream| println!("seed={seed} crossed=\"{stream}\""));
         report
             .violations
             .iter()
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -134,6 +134,11 @@
         self.state_list("peers").iter().filter(|peer| peer["linked"] == true).count()
     }
 
+    /// File that holds the log since the last start.
+    pub fn log_path(&self) -> &std::path::Path {
+        &self.log
+    }
+
     /// The log since the last start.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -108,8 +108,8 @@
     pub rate_limited: usize,
     /// Number of stage results that have to be released, see `check_results`.
     pub results: usize,
-    /// Number of streams with events of two software versions.
-    pub crossed: usize,
+    /// Streams with events of two software versions.
+    pub crossed: Vec<String>,
     /// Number of attempts to take a stream up whose share is compared, see [`super::stream_soak`].
     pub resumed: usize,
     /// Descriptions of the checks that failed.
--- a/standins/src/serving_path/stream_soak.rs
+++ b/standins/src/serving_path/stream_soak.rs
@@ -59,6 +59,8 @@
 struct Run {
     site: Site,
     vms: Vec<Mutex<Vm>>,
+    /// Logs of the earlier processes of each VM.
+    logs: Vec<Mutex<String>>,
     addresses: Vec<SocketAddr>,
     /// Engines that may be registered, with their versions.
     engines: Mutex<Vec<Engine>>,
@@ -132,6 +134,7 @@
     let slots = SLOTS[usize::try_from(seed % 2).unwrap_or(0)];
     let mut run = Run {
         vms: Vec::new(),
+        logs: Vec::new(),
         addresses: Vec::new(),
         engines: Mutex::default(),
         disturbed: Vec::new(),
@@ -153,6 +156,7 @@
     vms.iter().for_each(|vm| run.site.wait_for_all_runners(vm));
     run.addresses = vms.iter().map(|vm| vm.callers).collect();
     run.disturbed = vms.iter().map(|_| Mutex::new(Instant::now())).collect();
+    run.logs = vms.iter().map(|_| Mutex::default()).collect();
     run.vms = vms.into_iter().map(Mutex::new).collect();
     run
 }
@@ -223,7 +227,7 @@
         }
         thread::scope(|scope| {
             for vm in &hit {
-                scope.spawn(|| disturb_vm(run, &mut lock(&run.vms[*vm]), kind, time));
+                scope.spawn(|| disturb_vm(run, *vm, kind, time));
             }
         });
         for vm in &hit {
@@ -232,7 +236,8 @@
     }
 }
 
-fn disturb_vm(run: &Run, vm: &mut Vm, kind: u32, time: Duration) {
+fn disturb_vm(run: &Run, number: usize, kind: u32, time: Duration) {
+    let vm = &mut *lock(&run.vms[number]);
     match kind {
         0 => {
             vm.signal("-STOP");
@@ -246,6 +251,7 @@
         }
         _ => {}
     }
+    lock(&run.logs[number]).push_str(&vm.log());
     vm.restart();
     run.restarts.fetch_add(1, Ordering::Relaxed);
 }
@@ -402,10 +408,13 @@
     };
     let crossed: Vec<String> =
         streams.iter().filter_map(|stream| crossed_versions(run, stream)).collect();
-    report.crossed = crossed.len();
     if crossed.len() > MAX_CROSSED {
-        report.violations.extend(crossed);
+        report.violations.extend(crossed.clone());
     }
+    if !crossed.is_empty() {
+        keep_logs(run);
+    }
+    report.crossed = crossed;
     report.violations.extend(streams.iter().flat_map(|stream| stream.disorder.clone()));
     let begun: Vec<bool> = streams.iter().flat_map(|stream| stream.begun.clone()).collect();
     let resumed: Vec<bool> = streams.iter().flat_map(|stream| stream.resumed.clone()).collect();
@@ -419,6 +428,15 @@
     report
 }
 
+/// Keeps the logs of all processes, to trace a stream with several versions.
+fn keep_logs(run: &Run) {
+    for (vm, earlier) in run.vms.iter().zip(&run.logs) {
+        let vm = lock(vm);
+        let path = vm.log_path().with_file_name("all-logs");
+        std::fs::write(path, lock(earlier).clone() + &vm.log()).expect("logs are kept");
+    }
+}
+
 /// The versions of a stream, if there are several.
 fn crossed_versions(run: &Run, stream: &StreamRecord) -> Option<String> {
     let mut versions: Vec<_> = stream.engines.iter().map(|engine| run.version_of(engine)).collect();
