Read the shares anew at a VM that no peer answers

A VM that had no linked peer, or whose peers did not answer in time, trusted its own copy of the shares, which may be a second old while the store answers. It reads them anew before it works a stream's version out, and refuses the stream if the store does not answer.

A version whose streams may begin at another one is announced again when the store came back from an older copy without it: the test of it failed before.

--- a/components/stream_versions/src/plan.rs
+++ b/components/stream_versions/src/plan.rs
@@ -199,7 +199,11 @@
             }
             DeviationNeed::Known | DeviationNeed::More => present.max(FIRST_FRACTION),
         };
-        if present >= fraction && age.is_some_and(|age| age < renewed_after) {
+        let is_stored = self.stored.as_ref().is_some_and(|stored| {
+            let is_it = |other: &Deviation| other.version == *version && other.fraction >= fraction;
+            stored.deviations.iter().any(is_it)
+        });
+        if is_stored && age.is_some_and(|age| age < renewed_after) {
             return None;
         }
         let count = known.map_or(1, |known| known.deviation.count + 1);
--- a/components/stream_versions/tests/plans.rs
+++ b/components/stream_versions/tests/plans.rs
@@ -205,6 +205,27 @@
     assert!(vm.next(&shares(&[("v1", 1), ("v2", 9)]), HORIZON, now).is_some());
 }
 
+#[test]
+fn a_deviation_is_written_again_when_the_store_comes_back_without_it() {
+    let now = Instant::now();
+    let mut vm = starting_with(&[("v1", 1), ("v2", 1)]);
+    let older = vm.next(&shares(&[("v1", 1), ("v2", 1)]), HORIZON, now).expect("a plan");
+    vm.apply(older.clone(), now);
+    let deviation =
+        |vm: &VersionPlan| vm.with_deviation(&version("v2"), DeviationNeed::All, HORIZON, now);
+    let plan = deviation(&vm).expect("a plan");
+    vm.apply(plan, now);
+    assert!(deviation(&vm).is_none());
+
+    vm.apply(older, now);
+    let after_older_copy = deviation(&vm);
+    vm.remove_stored();
+    let without_plan = deviation(&vm);
+
+    assert!(after_older_copy.is_some() && without_plan.is_some());
+    assert_eq!(told_for(&vm, "v2", now), 0, "this VM has not forgotten it");
+}
+
 #[test]
 fn a_plan_stays_small_however_often_the_targets_change() {
     let mut now = Instant::now();
--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -20,6 +20,7 @@
 use crate::requests::AcceptedRequest;
 use crate::shared::Shared;
 use crate::state_handle::{now, time_until};
+use crate::version_plans;
 
 /// Longest wait for what peers know of a stream; dozens of round trips between halls.
 const ASK_TIMEOUT: Duration = Duration::from_millis(80);
@@ -152,7 +153,7 @@
 }
 
 /// The version that began the stream which a caller takes up; `None` if this VM can't tell.
-pub(crate) async fn origin(app: &App, req: &AcceptedRequest) -> Option<TargetVersion> {
+pub(crate) async fn origin(app: &Rc<App>, req: &AcceptedRequest) -> Option<TargetVersion> {
     let found = match req.head.resumes.as_ref().map(|first| key(req, first)) {
         Some(stream) => find(app, &req.service, stream).await,
         None => app.state.with(|shared, now| shared.sole_version(&req.service, now)),
@@ -169,7 +170,7 @@
 /// Looks for the version of a stream in this VM's records, then in those of peers, then in the shares
 /// of the versions.
 async fn find(
-    app: &App,
+    app: &Rc<App>,
     service: &ServiceName,
     stream: StreamKey,
 ) -> Option<(TargetVersion, Source)> {
@@ -184,8 +185,13 @@
     if let Some(reply) = replies.iter().find(|reply| reply.source() == OriginSource::Recorded) {
         return Some((decode_version(reply.version.as_deref())?, Source::Peer));
     }
+    // A VM that no peer answers may not have heard of the latest shares.
+    let is_alone = replies.is_empty() && app.state.with(|shared, _| shared.fleet.size()) > 1;
+    if is_alone && !version_plans::read_again(app, service).await {
+        return None;
+    }
     let from_shares = app.state.with(|shared, now| {
-        if !shared.contact.is_lost(now) || shared.fleet.size() == 1 {
+        if !shared.contact.is_lost(now) || replies.is_empty() {
             return shared.version_by_shares(service, stream, now);
         }
         // Others may have newer shares than this VM.
@@ -195,7 +201,6 @@
                 decode_version(reply.version.as_deref())
             }
             Some(_) => None,
-            None if replies.is_empty() => None,
             None => shared.version_by_shares(service, stream, now),
         }
     });
--- a/gateway/src/version_plans.rs
+++ b/gateway/src/version_plans.rs
@@ -8,10 +8,10 @@
 
 use bytes::Bytes;
 use ids::ServiceName;
-use platform_interface::store::{Condition, Transaction, Write};
+use platform_interface::store::{Condition, Freshness, Transaction, Write};
 use slog::{debug, info, warn};
 use stream_versions::{Plan, Shares};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::app::App;
 use crate::shared::Shared;
@@ -27,6 +27,8 @@
 const PLAN_TURN: Duration = Duration::from_millis(300);
 /// The same for a deviation, which each VM writes that makes one.
 const DEVIATION_TURN: Duration = Duration::from_millis(2);
+/// Longest wait for a plan that is read again; the caller waits too.
+const READ_TIMEOUT: Duration = Duration::from_millis(200);
 /// Prefix of the keys of plans, below this system's own prefix.
 const KEY_PREFIX: &str = "versions/";
 
@@ -66,6 +68,22 @@
     }
 }
 
+/// Reads the plan of a service anew, for a VM that no peer answers; returns whether the store answered
+/// in time.
+pub(crate) async fn read_again(app: &Rc<App>, service: &ServiceName) -> bool {
+    let key = app.state.with(|shared, _| plan_key(shared, service));
+    let call = (app.adapter.store.list)(&key, None, Freshness::Current);
+    let mut store = StoreConnection::new(app);
+    let answer = timeout(READ_TIMEOUT, store.call("versions", call, Duration::ZERO)).await;
+    let Ok(Ok(answer)) = answer else { return false };
+    let Ok(page) = (app.adapter.store.read_list)(&answer.body) else { return false };
+    if let Some(item) = page.items.iter().find(|item| item.key == key) {
+        let value = item.value.as_deref();
+        app.state.with(|shared, now| shared.apply_stored_plan(&key, value, now));
+    }
+    true
+}
+
 /// Time for which this VM leaves a deviation to others that make the same one.
 fn deviation_turn(app: &App) -> Duration {
     let rank = app.state.with(|shared, _| shared.fleet.rank());
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -320,6 +320,23 @@
     assert_eq!(scene.versions_of(&began_elsewhere.id_of_second()), Vec::<&str>::new());
 }
 
+#[test]
+fn streams_go_on_at_a_vm_that_lost_its_memory_and_that_no_peer_answers() {
+    let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
+    let [paused, mut alone] = scene.start_vms(["paused", "alone"]);
+    scene.wait_for_plan();
+    let begun = scene.begin_streams(&paused, 12);
+
+    paused.signal("-STOP");
+    alone.restart();
+    scene.site.wait_for_all_runners(&alone);
+    let taken_up = scene.take_up(&begun, &[alone]);
+    paused.signal("-CONT");
+
+    assert_eq!(taken_up.crossed, 0);
+    assert!(taken_up.went_on >= 8, "{taken_up:?}");
+}
+
 /// The store fails for all VMs, so that none can have newer shares than the others.
 #[test]
 fn streams_go_on_at_their_version_while_the_store_is_down() {
