--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -74,7 +74,7 @@
     /// Whether this VM is cut off from targets: 1 or 0.
     pub const CUT_OFF: &str = "saddlerail_cut_off";
     /// Names of all metrics, for the test that compares them with the documentation.
-    pub const ALL: [&str; 25] = [
+    pub const ALL: [&str; 26] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -95,6 +95,7 @@
         UNKNOWN_HEADERS,
         RESULTS_GIVEN_UP,
         INPUTS_GONE,
+        STREAMS_TAKEN_UP,
         CLOSED_BY_STOP,
         ENDED_BY_STOP,
         CONNECTIONS_RELAYED,
