Name the resumption of streams in the field's terms

Cause: "taken up", "told" and "keepers" were words of the users' pages or figures of speech in a log message, a metric and names that are new since the last landing. Change: the message is "stream resumption requested", the metric saddlerail_stream_resumptions, peers are recipients that streams are announced to. No decision changes; the wire and the stored entry are the same. Conclusion: nothing that has landed is renamed.

--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -61,7 +61,7 @@
     pub const INPUTS_GONE: &str = "saddlerail_inputs_gone";
     /// Number of streams that callers took up, by service and by what told the version that began
     /// them: a `record` of this VM, a `peer`, the `shares` of the versions, or `unknown`.
-    pub const STREAMS_TAKEN_UP: &str = "saddlerail_streams_taken_up";
+    pub const STREAM_RESUMPTIONS: &str = "saddlerail_stream_resumptions";
     /// Number of requests closed by the end of the process, by what they were waiting for.
     pub const CLOSED_BY_STOP: &str = "saddlerail_requests_closed_by_stop";
     /// Number of requests ended because the shutdown left no time for them, by what they were
@@ -95,7 +95,7 @@
         UNKNOWN_HEADERS,
         RESULTS_GIVEN_UP,
         INPUTS_GONE,
-        STREAMS_TAKEN_UP,
+        STREAM_RESUMPTIONS,
         CLOSED_BY_STOP,
         ENDED_BY_STOP,
         CONNECTIONS_RELAYED,
@@ -128,7 +128,7 @@
     unknown_headers: Counter<u64>,
     results_given_up: Counter<u64>,
     inputs_gone: Counter<u64>,
-    streams_taken_up: Counter<u64>,
+    stream_resumptions: Counter<u64>,
     closed_by_stop: Counter<u64>,
     ended_by_stop: Counter<u64>,
     connections_relayed: Counter<u64>,
@@ -174,7 +174,7 @@
             unknown_headers: meter.u64_counter(metric_names::UNKNOWN_HEADERS).build(),
             results_given_up: meter.u64_counter(metric_names::RESULTS_GIVEN_UP).build(),
             inputs_gone: meter.u64_counter(metric_names::INPUTS_GONE).build(),
-            streams_taken_up: meter.u64_counter(metric_names::STREAMS_TAKEN_UP).build(),
+            stream_resumptions: meter.u64_counter(metric_names::STREAM_RESUMPTIONS).build(),
             closed_by_stop: meter.u64_counter(metric_names::CLOSED_BY_STOP).build(),
             ended_by_stop: meter.u64_counter(metric_names::ENDED_BY_STOP).build(),
             connections_relayed: meter.u64_counter(metric_names::CONNECTIONS_RELAYED).build(),
@@ -208,10 +208,10 @@
     }
 
     /// Counts a stream that a caller took up, by what told the version that began it.
-    pub fn stream_taken_up(&self, service: &str, known_by: &'static str) {
+    pub fn stream_resumption(&self, service: &str, known_by: &'static str) {
         let labels =
             [KeyValue::new("service", service.to_owned()), KeyValue::new("known_by", known_by)];
-        self.streams_taken_up.add(1, &labels);
+        self.stream_resumptions.add(1, &labels);
     }
 
     /// Counts a request that was ended because the shutdown left no time for it, by what it was
--- a/gateway/src/outbound_links.rs
+++ b/gateway/src/outbound_links.rs
@@ -385,7 +385,7 @@
     let link = Rc::new(Link::new(address, tx));
     app.links.borrow_mut().insert(vm.clone(), Rc::clone(&link));
     link.report_releases(app);
-    stream_origins::tell_new_link(app, &link);
+    stream_origins::send_published(app, &link);
     record_peer(app, &vm, Some(&hello));
     info!(app.log, "peer linked"; "peer" => %vm, "address" => %address);
     let why = read_link(app, &vm, &link, &mut inbound, address).await;
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -200,8 +200,8 @@
 /// The id by which a service is drawn among those of the entry: a stream that the caller takes up
 /// stays at the service that began it.
 fn service_id<'a>(entry: &Entry, head: &'a CallerHead, id: &'a RequestId) -> &'a str {
-    let is_taken_up = entry.streams && entry.repeatable && head.last_event.is_some();
-    let first = head.resumes.as_ref().filter(|_| is_taken_up);
+    let is_resumption = entry.streams && entry.repeatable && head.last_event.is_some();
+    let first = head.resumes.as_ref().filter(|_| is_resumption);
     first.unwrap_or(id).as_str()
 }
 
--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -1,5 +1,5 @@
 //! Versions of streams on this VM: at which one a new stream begins, and at which one a stream that a
-//! caller takes up goes on. What follows from the shares of the versions, and what is recorded of
+//! caller resumes goes on. What follows from the shares of the versions, and what is recorded of
 //! single streams, is in the `stream_versions` crate.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -36,7 +36,7 @@
     /// Plans of the services whose streams may be resumed, or might be by an earlier configuration.
     pub(crate) plans: BTreeMap<ServiceName, VersionPlan>,
     pub(crate) records: Records,
-    /// Streams that peers have to be told of.
+    /// Streams to announce to peers.
     unsent: Vec<Record>,
     /// Versions whose streams have to begin at another one on this VM, until the store's plan says
     /// so.
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Has peers told of the streams of this VM whose versions a changed plan no longer tells.
+    /// Has the streams of this VM announced to peers whose versions no longer follow from the plan.
     pub(crate) fn recheck(&mut self, service: &ServiceName, now: Instant) {
         let Some(plan) = self.plans.get(service) else { return };
         let horizon = self.horizon;
@@ -77,8 +77,8 @@
         *requested = need.max(*requested);
     }
 
-    /// Records a stream of which this VM sends events. Peers are told of it if they can't work its
-    /// version out; `in_advance`, also if they could not after a change of the shares.
+    /// Records a stream of which this VM sends events. It is announced to peers if its version does
+    /// not follow from the plan; with `in_advance`, also if it might not after the next change.
     fn record_own(&mut self, record: Record, in_advance: bool, now: Instant) {
         let plan = self.plans.get(&record.service);
         let is_known = plan.is_some_and(|plan| {
@@ -100,7 +100,7 @@
     Record,
     /// A peer did.
     Peer,
-    /// The shares of the versions tell.
+    /// It follows from the shares of the versions.
     Shares,
 }
 
@@ -125,14 +125,14 @@
     StreamKey::new(&req.service, req.customer.as_ref(), first)
 }
 
-/// Records the version that began a stream, once its first event arrived, and tells peers of it if
-/// they can't work it out.
+/// Records the version that began a stream, once its first event arrived, and announces the stream to
+/// peers if they can't compute its version.
 pub(crate) fn stream_begun(app: &App, req: &AcceptedRequest, version: &TargetVersion) {
-    let is_taken_up = req.head.last_event.is_some();
-    let first = if is_taken_up { req.head.resumes.as_ref() } else { Some(&req.id) };
+    let is_resumption = req.head.last_event.is_some();
+    let first = if is_resumption { req.head.resumes.as_ref() } else { Some(&req.id) };
     let Some(stream) = first.map(|first| key(req, first)) else { return };
     app.state.with(|shared, now| {
-        // In a large fleet few VMs are told of the streams of all others.
+        // In a large fleet, a few VMs receive the announcements of all others.
         let in_advance = shared.fleet.is_full_mesh();
         let versions = &mut shared.stream_origins;
         let record = Record {
@@ -142,7 +142,7 @@
             expires: now + versions.horizon,
         };
         versions.record_own(record, in_advance, now);
-        if !is_taken_up {
+        if !is_resumption {
             shared.check_deviation(req, version, now);
         }
     });
@@ -152,7 +152,7 @@
     }
 }
 
-/// The version that began the stream which a caller takes up; `None` if this VM can't tell.
+/// The version that began the stream which a caller resumes; `None` if this VM can't determine it.
 pub(crate) async fn origin(app: &Rc<App>, req: &AcceptedRequest) -> Option<TargetVersion> {
     let found = match req.head.resumes.as_ref().map(|first| key(req, first)) {
         Some(stream) => find(app, &req.service, stream).await,
@@ -160,8 +160,8 @@
     };
     let source = found.as_ref().map_or("unknown", |(_, source)| source.name());
     let version = found.map(|(version, _)| version);
-    app.metrics.stream_taken_up(req.service.as_str(), source);
-    info!(app.log, "stream taken up"; "request" => %req.id, "after" => req.head.last_event,
+    app.metrics.stream_resumption(req.service.as_str(), source);
+    info!(app.log, "stream resumption requested"; "request" => %req.id, "after" => req.head.last_event,
         "first" => req.head.resumes.as_ref().map(ToString::to_string), "known_by" => source,
         "version" => version.as_ref().and_then(Option::as_ref).map(ToString::to_string));
     version
@@ -185,7 +185,7 @@
     if let Some(reply) = replies.iter().find(|reply| reply.source() == OriginSource::Recorded) {
         return Some((decode_version(reply.version.as_deref())?, Source::Peer));
     }
-    // A VM that no peer answers may not have heard of the latest shares.
+    // A VM that no peer answers may not know the latest shares.
     let is_alone = replies.is_empty() && app.state.with(|shared, _| shared.fleet.size()) > 1;
     if is_alone && !version_plans::read_again(app, service).await {
         return None;
@@ -207,12 +207,12 @@
     from_shares.map(|version| (version, Source::Shares))
 }
 
-/// Asks the peers that are told of streams; returns the replies that came in time.
+/// Asks the peers that streams are announced to; returns the replies that arrived in time.
 async fn ask_peers(app: &App, service: &ServiceName, stream: StreamKey) -> Vec<StreamOrigin> {
     let ask = StreamAsk { number: 0, stream: stream.0, service: service.to_string() };
-    let keepers = keepers(app).into_iter().filter(|keeper| !keeper.passes_on);
+    let recipients = recipients(app).into_iter().filter(|recipient| !recipient.passes_on);
     let pending: Vec<_> =
-        keepers.map(|keeper| keeper.link.request_stream_origin(ask.clone())).collect();
+        recipients.map(|recipient| recipient.link.request_stream_origin(ask.clone())).collect();
     let until = now() + ASK_TIMEOUT;
     let mut replies = Vec::new();
     for reply in pending {
@@ -243,7 +243,7 @@
     StreamOrigin { number: ask.number, source: source.into(), version }
 }
 
-/// Records the streams that a peer tells of, and passes them on if the peer asks for that.
+/// Records the streams that a peer announces, and forwards them if the peer asks for that.
 pub(crate) fn apply_starts(app: &App, message: StreamStarts) {
     let now = now();
     app.state.with(|shared, _| {
@@ -253,14 +253,14 @@
     });
     if message.pass_on {
         let to_hall = StreamStarts { pass_on: false, ..message };
-        for keeper in keepers(app).into_iter().filter(|keeper| !keeper.passes_on) {
-            keeper.link.send_stream_starts(to_hall.clone());
+        for recipient in recipients(app).into_iter().filter(|recipient| !recipient.passes_on) {
+            recipient.link.send_stream_starts(to_hall.clone());
         }
     }
 }
 
-/// Tells a peer that was just linked of the streams that others were told of.
-pub(crate) fn tell_new_link(app: &App, link: &Link) {
+/// Announces to a peer that was just linked the streams that were announced to others.
+pub(crate) fn send_published(app: &App, link: &Link) {
     let starts: Vec<StreamStart> = app.state.with(|shared, now| {
         shared.stream_origins.records.published(now).map(encode_start).collect()
     });
@@ -269,42 +269,42 @@
     }
 }
 
-/// Tells peers of streams that they were not told of yet.
+/// Announces to peers the streams that were not announced yet.
 pub(crate) fn send_unsent(app: &App) {
     let unsent = app.state.with(|shared, _| std::mem::take(&mut shared.stream_origins.unsent));
     if unsent.is_empty() {
         return;
     }
     let starts: Vec<StreamStart> = unsent.iter().map(encode_start).collect();
-    for Keeper { link, passes_on } in keepers(app) {
+    for Recipient { link, passes_on } in recipients(app) {
         link.send_stream_starts(StreamStarts { starts: starts.clone(), pass_on: passes_on });
     }
 }
 
-/// A peer that is told of streams.
-struct Keeper {
+/// A peer that streams are announced to.
+struct Recipient {
     link: Rc<Link>,
-    /// Whether it tells others of its hall.
+    /// Whether it forwards them to others of its hall.
     passes_on: bool,
 }
 
-/// The peers that are told of streams: all in a small fleet; in a large one the linked ones of this
+/// The peers that streams are announced to: all in a small fleet; in a large one the linked ones of this
 /// VM's hall, which all VMs of the hall are linked to, and one of each other hall.
-fn keepers(app: &App) -> Vec<Keeper> {
+fn recipients(app: &App) -> Vec<Recipient> {
     let links = app.links.borrow();
     app.state.with(|shared, _| {
         let is_small = shared.fleet.is_full_mesh();
         let mut reached = BTreeSet::new();
-        let mut keepers = Vec::new();
+        let mut recipients = Vec::new();
         for (vm, link) in links.iter() {
             let entry = shared.fleet.peers.get(vm).and_then(|peer| peer.entry.as_ref());
             let Some(hall) = entry.map(|entry| &entry.hall) else { continue };
             let passes_on = !is_small && *hall != shared.own_hall;
             if !passes_on || reached.insert(hall) {
-                keepers.push(Keeper { link: Rc::clone(link), passes_on });
+                recipients.push(Recipient { link: Rc::clone(link), passes_on });
             }
         }
-        keepers
+        recipients
     })
 }
 
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -263,7 +263,7 @@
 }
 
 #[test]
-fn a_stream_that_is_taken_up_twice_stays_at_its_version() {
+fn a_stream_that_is_resumption_twice_stays_at_its_version() {
     let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
     let [first, second, third] = scene.start_vms(["twice-1", "twice-2", "twice-3"]);
     let begun = scene.begin_streams(&first, 16);
--- a/tests/tool.rs
+++ b/tests/tool.rs
@@ -57,7 +57,7 @@
     let text = stdout_text(&out);
     let lines: Vec<&str> = text.lines().collect();
     let line = |words: &str| lines.iter().position(|line| line.contains(words));
-    let (began, taken_up) = (line("request=stream-9"), line("stream taken up"));
+    let (began, taken_up) = (line("request=stream-9"), line("stream resumption requested"));
     assert!(began.is_some() && began < taken_up, "{text}");
     assert!(lines.iter().any(|line| line.contains("try") && line.contains("stream-9-again")));
     assert!(!text.contains("msg=started") && !text.contains("stream-8"));
