Refuse streams whose target turned out to have another version

Cause: the version of a target is that of its entry when it is chosen. A target that starts again under its id with other software gets streams before its new entry arrives, and they were recorded, announced and resumed at the version of the earlier lifetime. Ruled out: reading the version from answers, which don't state it, and comparing start times, which are of another clock.

Change: when an entry states another version than before, the streams that this VM began at the target become ambiguous, here and, by announcing both versions, at peers, also at those that are linked later; an answer in progress is not resumed. A target that starts again with the same version changes nothing.

Conclusion: left is a stream that is resumed before the new entry arrives.

--- a/components/stream_versions/src/records.rs
+++ b/components/stream_versions/src/records.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Instant;
 
-use ids::ServiceName;
+use ids::{ServiceName, TargetName};
 use rollout::TargetVersion;
 
 use crate::key::StreamKey;
@@ -27,15 +27,24 @@
 #[derive(Debug)]
 struct Entry {
     record: Record,
-    /// Whether two versions were recorded for it, as for an id that a caller used twice.
-    is_ambiguous: bool,
-    /// Whether this VM sent events of it.
-    is_own: bool,
-    /// Whether this VM told others of it.
+    /// Another version that was recorded for it, as for an id that a caller used twice.
+    other: Option<TargetVersion>,
+    /// The target that began it, if this VM sent events of it.
+    target: Option<TargetName>,
+    /// Whether it is announced to others.
     is_published: bool,
 }
 
-/// Versions of streams that this VM began or was told of.
+impl Entry {
+    /// The record, and one with the other version if there is one.
+    fn versions(&self) -> Vec<Record> {
+        let other = self.other.clone();
+        let other = other.map(|version| Record { version, ..self.record.clone() });
+        [self.record.clone()].into_iter().chain(other).collect()
+    }
+}
+
+/// Versions of streams that this VM began or that peers announced.
 #[derive(Debug, Default)]
 pub struct Records {
     entries: HashMap<StreamKey, Entry>,
@@ -49,14 +58,29 @@
         self.record(record);
     }
 
-    /// Records a stream of which this VM sends events; `is_published` says whether it tells others
-    /// of it.
-    pub fn record_own(&mut self, record: Record, is_published: bool) {
+    /// Records a stream of which this VM sends events, begun by `target`; `is_published` says whether
+    /// it is announced to others.
+    pub fn record_own(&mut self, record: Record, target: &TargetName, is_published: bool) {
         let entry = self.record(record);
-        entry.is_own = true;
+        entry.target.get_or_insert_with(|| target.clone());
         entry.is_published |= is_published;
     }
 
+    /// Records that a target has another version than its entry said: which one began its streams is
+    /// not known. Returns what to announce to others.
+    pub fn version_changed(&mut self, target: &TargetName, version: &TargetVersion) -> Vec<Record> {
+        let of_target = |entry: &&mut Entry| entry.target.as_ref() == Some(target);
+        let mut changed = Vec::new();
+        for entry in self.entries.values_mut().filter(of_target) {
+            if entry.record.version != *version {
+                entry.other = Some(version.clone());
+                entry.is_published = true;
+                changed.extend(entry.versions());
+            }
+        }
+        changed
+    }
+
     fn record(&mut self, record: Record) -> &mut Entry {
         if !self.entries.contains_key(&record.stream) {
             if self.entries.len() >= MAX_RECORDS {
@@ -64,14 +88,12 @@
             }
             self.order.push_back(record.stream);
         }
-        let new = || Entry {
-            record: record.clone(),
-            is_ambiguous: false,
-            is_own: false,
-            is_published: false,
-        };
+        let new =
+            || Entry { record: record.clone(), other: None, target: None, is_published: false };
         let known = self.entries.entry(record.stream).or_insert_with(new);
-        known.is_ambiguous |= known.record.version != record.version;
+        if known.record.version != record.version {
+            known.other = Some(record.version);
+        }
         known.record.expires = known.record.expires.max(record.expires);
         known
     }
@@ -79,19 +101,20 @@
     /// The version that began a stream, if it was recorded and is not ambiguous.
     pub fn version_of(&self, stream: StreamKey, now: Instant) -> Option<&TargetVersion> {
         let entry = self.entries.get(&stream)?;
-        let holds = !entry.is_ambiguous && now < entry.record.expires;
+        let holds = entry.other.is_none() && now < entry.record.expires;
         holds.then_some(&entry.record.version)
     }
 
     /// Whether a stream was recorded with several versions.
     pub fn is_ambiguous(&self, stream: StreamKey) -> bool {
-        self.entries.get(&stream).is_some_and(|entry| entry.is_ambiguous)
+        self.entries.get(&stream).is_some_and(|entry| entry.other.is_some())
     }
 
-    /// Takes the streams of this VM that others have to be told of because `is_known`, which says
-    /// whether they can tell the version by themselves, is false. Each is taken once.
+    /// Takes the streams of this VM that have to be announced to others because `is_known`, which says
+    /// whether they can compute the version by themselves, is false. Each is taken once.
     pub fn take_unpublished(&mut self, is_known: impl Fn(&Record) -> bool) -> Vec<Record> {
-        let own = self.entries.values_mut().filter(|entry| entry.is_own && !entry.is_published);
+        let own =
+            self.entries.values_mut().filter(|entry| entry.target.is_some() && !entry.is_published);
         let unknown = own.filter(|entry| !is_known(&entry.record));
         unknown
             .map(|entry| {
@@ -101,10 +124,10 @@
             .collect()
     }
 
-    /// The streams that others were told of, for a VM that was linked since.
-    pub fn published(&self, now: Instant) -> impl Iterator<Item = &Record> {
+    /// The streams that were announced to others, for a VM that was linked since.
+    pub fn published(&self, now: Instant) -> impl Iterator<Item = Record> {
         let published = self.entries.values().filter(|entry| entry.is_published);
-        published.map(|entry| &entry.record).filter(move |record| now < record.expires)
+        published.flat_map(Entry::versions).filter(move |record| now < record.expires)
     }
 
     /// Removes what can't be resumed any more.
--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -16,13 +16,13 @@
 use crate::answers::StreamCut;
 use crate::app::App;
 use crate::attempts::{Answer, AttemptError, Attempts, HALL_UNREACHABLE};
-use crate::crashes;
 use crate::events::Event;
 use crate::request_stages::run_stages;
 use crate::requests::AcceptedRequest;
 use crate::stages::StageResults;
 use crate::state_handle::now;
 use crate::stream_reader::{EventReader, NextEvent};
+use crate::{crashes, stream_origins};
 
 /// A stream that pauses for this many of its longest event gaps is resumed at another engine, if
 /// allowed.
@@ -179,6 +179,9 @@
             if !self.req.entry.repeatable {
                 return Err("no further attempt is allowed".to_owned());
             }
+            if stream_origins::is_uncertain(&self.app, &self.req) {
+                return Err("the version that began it is not known".to_owned());
+            }
             // Its stages would run in vain.
             if !self.attempts.has_target() {
                 return Err("no target of its version could be used".to_owned());
--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use ids::{RequestId, ServiceName};
-use intent::Intent;
+use ids::{RequestId, ServiceName, TargetName};
+use intent::{Intent, Target};
 use peering::work::{OriginSource, StreamAsk, StreamOrigin, StreamStart, StreamStarts};
 use rollout::{TargetVersion, Versions};
 use selection::{Availability, SelectionRequest};
@@ -79,7 +79,7 @@
 
     /// Records a stream of which this VM sends events. It is announced to peers if its version does
     /// not follow from the plan; with `in_advance`, also if it might not after the next change.
-    fn record_own(&mut self, record: Record, in_advance: bool, now: Instant) {
+    fn record_own(&mut self, record: Record, target: &TargetName, in_advance: bool, now: Instant) {
         let plan = self.plans.get(&record.service);
         let is_known = plan.is_some_and(|plan| {
             let has_one_version = plan.sole_version(self.horizon, now).is_some();
@@ -89,7 +89,13 @@
         if !is_known {
             self.unsent.push(record.clone());
         }
-        self.records.record_own(record, !is_known);
+        self.records.record_own(record, target, !is_known);
+    }
+
+    /// Handles that a target's entry states another version than before. Streams may have begun there
+    /// since its process changed and before the entry arrived.
+    pub(crate) fn version_changed(&mut self, target: &TargetName, version: &TargetVersion) {
+        self.unsent.extend(self.records.version_changed(target, version));
     }
 }
 
@@ -125,12 +131,25 @@
     StreamKey::new(&req.service, req.customer.as_ref(), first)
 }
 
+/// The key of the stream that a request begins or resumes; `None` if it does not name the first one.
+fn key_of(req: &AcceptedRequest) -> Option<StreamKey> {
+    let is_resumption = req.head.last_event.is_some();
+    let first = if is_resumption { req.head.resumes.as_ref() } else { Some(&req.id) };
+    first.map(|first| key(req, first))
+}
+
+/// Whether it has become uncertain which version began the stream of a request.
+pub(crate) fn is_uncertain(app: &App, req: &AcceptedRequest) -> bool {
+    app.state.with(|shared, _| {
+        key_of(req).is_some_and(|stream| shared.stream_origins.records.is_ambiguous(stream))
+    })
+}
+
 /// Records the version that began a stream, once its first event arrived, and announces the stream to
 /// peers if they can't compute its version.
-pub(crate) fn stream_begun(app: &App, req: &AcceptedRequest, version: &TargetVersion) {
+pub(crate) fn stream_begun(app: &App, req: &AcceptedRequest, target: &Target) {
+    let Some(stream) = key_of(req) else { return };
     let is_resumption = req.head.last_event.is_some();
-    let first = if is_resumption { req.head.resumes.as_ref() } else { Some(&req.id) };
-    let Some(stream) = first.map(|first| key(req, first)) else { return };
     app.state.with(|shared, now| {
         // In a large fleet, a few VMs receive the announcements of all others.
         let in_advance = shared.fleet.is_full_mesh();
@@ -138,12 +157,12 @@
         let record = Record {
             stream,
             service: req.service.clone(),
-            version: version.clone(),
+            version: target.version.clone(),
             expires: now + versions.horizon,
         };
-        versions.record_own(record, in_advance, now);
+        versions.record_own(record, &target.id, in_advance, now);
         if !is_resumption {
-            shared.check_deviation(req, version, now);
+            shared.check_deviation(req, &target.version, now);
         }
     });
     send_unsent(app);
@@ -262,7 +281,7 @@
 /// Announces to a peer that was just linked the streams that were announced to others.
 pub(crate) fn send_published(app: &App, link: &Link) {
     let starts: Vec<StreamStart> = app.state.with(|shared, now| {
-        shared.stream_origins.records.published(now).map(encode_start).collect()
+        shared.stream_origins.records.published(now).map(|record| encode_start(&record)).collect()
     });
     if !starts.is_empty() {
         link.send_stream_starts(StreamStarts { starts, pass_on: false });
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -99,11 +99,11 @@
                 app.state.with(|shared, now| {
                     shared.record_first_event_time(&req.service, now - attempts.started());
                 });
-                let version = reader.answer.attempt.pick.target.version.clone();
+                let target = &reader.answer.attempt.pick.target;
                 if !first.is_empty() {
-                    stream_origins::stream_begun(app, req, &version);
+                    stream_origins::stream_begun(app, req, target);
                 }
-                attempts.bind(version);
+                attempts.bind(target.version.clone());
                 let (app, req) = (Rc::clone(app), Rc::clone(req));
                 let stream = Stream { app, req, attempts, size, reader, results, last_event: None };
                 return Ok(Started::Stream(Box::new(stream), first));
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -57,10 +57,13 @@
         }
         self.lapsed.remove(&target.id);
         self.reappeared.remove(&target.id);
-        if let Some(known) = known.filter(|known| target.is_other_lifetime_than(known)) {
+        if let Some(known) = known.as_ref().filter(|known| target.is_other_lifetime_than(known)) {
             info!(self.log, "target restarted"; "target" => %target.id,
                 "born" => target.born, "before" => known.born);
-            self.target_ended(&known, now);
+            self.target_ended(known, now);
+        }
+        if known.is_some_and(|known| known.version != target.version) {
+            self.stream_origins.version_changed(&target.id, &target.version);
         }
         self.targets.upsert(target, now);
     }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -263,7 +263,7 @@
 }
 
 #[test]
-fn a_stream_that_is_resumption_twice_stays_at_its_version() {
+fn a_stream_that_is_resumed_twice_stays_at_its_version() {
     let scene = Versions::start(&["v1", "v2", "v1", "v2"]);
     let [first, second, third] = scene.start_vms(["twice-1", "twice-2", "twice-3"]);
     let begun = scene.begin_streams(&first, 16);
@@ -377,6 +377,28 @@
     assert_eq!(taken_up, TakenUp { went_on: 16, crossed: 0 });
 }
 
+/// Guards against a version that is taken from an entry of an earlier lifetime.
+#[test]
+fn streams_of_an_engine_whose_version_turns_out_to_be_another_are_refused() {
+    let mut scene = Versions::start(&["v1", "v1", "v2", "v2"]);
+    let vms = scene.start_vms(["restarted-1", "restarted-2"]);
+    scene.wait_for_plan();
+    let begun = scene.begin_streams(&vms[0], 16);
+    let began_there = |id: &str| scene.engines[0].runner.ran().iter().any(|ran| ran == id);
+    let (uncertain, others): (Vec<_>, Vec<_>) =
+        begun.into_iter().partition(|stream| began_there(&stream.id));
+
+    scene.engines[0].version = "v2";
+    scene.register(0, "ready");
+    thread::sleep(SETTLE_TIME * 2);
+    let taken_up = scene.take_up(&uncertain, &vms);
+
+    assert!(!uncertain.is_empty());
+    assert_eq!(taken_up.went_on, 0);
+    let went_on = others.len();
+    assert_eq!(scene.take_up(&others, &vms), TakenUp { went_on, crossed: 0 });
+}
+
 /// The service of a route with several is drawn for each request.
 #[test]
 fn streams_of_a_route_with_two_services_stay_at_their_service() {
