Logs say which entry of a target a call relied on

`try` and `pool call` name the revision of the target's entry (number 0: the entry is gone and the target kept) and the revision up to which the VM knew the store. `news of the store from a peer` names both VMs' revisions. The state dump lists targets that are kept without an entry.

An entry that is older than its removal beside an as_of that is newer shows a missed removal; an as_of that stands still, late changes; number 0, a lapse.

--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -7,7 +7,7 @@
 use eligibility::RateLimit;
 use hyper::Response;
 use hyper::body::Incoming;
-use ids::VmName;
+use ids::{StoreRevision, VmName};
 use platform_interface::callers::Refusal;
 use platform_interface::calls::{AnswerHead, CallHead, Evidence};
 use quarantine::LifetimeId;
@@ -73,6 +73,10 @@
     /// Leaving targets should not be chosen, so a value in the log reveals a code path that ignores
     /// announcements.
     leaving_age: Option<Duration>,
+    /// Revision of the target's entry when the target was chosen.
+    entry_as_of: StoreRevision,
+    /// Revision up to which this VM knew the store then.
+    as_of: StoreRevision,
     /// The rate limit of the target, if one was known.
     rate: Option<RateLimit>,
     /// Name of the request's entry.
@@ -385,6 +389,8 @@
                 unread_tokens: pick.unread_tokens,
                 lifetime: shared.lifetime_of(&pick.target),
                 leaving_age: announced.map(|at| now.saturating_duration_since(at)),
+                entry_as_of: shared.entry_revision(&pick.target.id),
+                as_of: shared.view.as_of(),
                 rate: shared.rates.limit(&pick.target),
                 route: self.req.entry.name.clone(),
                 started: now,
@@ -519,6 +525,7 @@
             "through" => relay.map(ToString::to_string),
             "rate_per_s" => attempt.rate.map(RateLimit::per_s),
             "said_leaving_ms" => attempt.leaving_age.map(|age| age.as_millis()),
+            "entry_as_of" => %attempt.entry_as_of, "as_of" => %attempt.as_of,
             "at_ms" => (now() - self.req.arrived).as_millis());
         let end = match error {
             None => "answered",
--- a/gateway/src/http_endpoints.rs
+++ b/gateway/src/http_endpoints.rs
@@ -13,7 +13,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use ids::ServiceName;
+use ids::{ServiceName, TargetName};
 use quarantine::Suspect;
 use serde_json::{Value, json};
 use stream_versions::VersionPlan;
@@ -130,6 +130,17 @@
     shared.departures.all().map(entry).collect()
 }
 
+/// Targets that are kept although their entries were removed or overwritten, for the state dump.
+fn lapsed(shared: &Shared, now: Instant) -> Vec<Value> {
+    let entry = |(target, until): (&TargetName, &Instant)| {
+        json!({
+            "target": target.as_str(),
+            "left_ms": until.saturating_duration_since(now).as_millis() as u64,
+        })
+    };
+    shared.lapsed.iter().map(entry).collect()
+}
+
 /// Targets that asked this VM to send no work for some time, for the state dump.
 fn backoffs(shared: &Shared, now: Instant) -> Vec<Value> {
     let entry = |(lifetime, until): (&Lifetime, Instant)| {
@@ -243,6 +254,7 @@
             "targets_relayed": shared.target_paths.broken_paths(),
             "relayed_for_peers": app.relayed_for_peers.get(),
             "targets_leaving": departures(shared, now),
+            "targets_lapsed": lapsed(shared, now),
             "targets_left_alone": backoffs(shared, now),
             "targets_rates": rate_limits(shared, now),
             "versions": version_plans(shared, now),
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -202,7 +202,8 @@
         let count = parts.len();
         let items: Vec<Item> = parts.into_iter().filter_map(|part| assembly.push(part)).collect();
         info!(app.log, "news of the store from a peer"; "peer" => %vm, "parts" => count,
-            "whole" => items.len(), "as_of" => %complete_to, "last" => changes.is_last);
+            "whole" => items.len(), "known" => %known, "as_of" => %complete_to,
+            "last" => changes.is_last);
         app.state.with(|shared, now| {
             shared.merge(items, Source::Peer(vm), now);
             shared.changes_received_at = Some(now);
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -118,6 +118,8 @@
     let pieces = piece_calls(&app, &pool, &call);
     let started = now();
     let digests = crashes::request_digests_of_call(&app, &pool, &call);
+    let (entry, as_of) =
+        app.state.with(|shared, _| (shared.entry_revision(&call.target.id), shared.view.as_of()));
     let end = if pieces.len() == call.pieces.len() {
         let lifetime = app.state.with(|shared, _| shared.lifetime_of(&call.target));
         let req = (app.adapter.calls.pool_call)(&call.target.id, &pieces);
@@ -141,7 +143,8 @@
         "failed" => counts.failed, "no_room" => counts.no_room, "input_gone" => counts.input_gone,
         "late" => counts.late,
         "room_used" => call.room_used, "waited_ms" => call.waited.as_millis(),
-        "still_waiting" => call.still_waiting, "took_ms" => (now() - started).as_millis());
+        "still_waiting" => call.still_waiting, "entry_as_of" => %entry, "as_of" => %as_of,
+        "took_ms" => (now() - started).as_millis());
     app.metrics.attempt_ended(pool.as_str(), call.target.id.as_str(), name);
     if matches!(end, CallEnd::Answered(_)) {
         let (has_failed, took) = (counts.failed > 0, now() - started);
--- a/gateway/src/target_entries.rs
+++ b/gateway/src/target_entries.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use ids::TargetName;
+use ids::{StoreRevision, TargetName};
 use intent::Target;
 use slog::{debug, info, warn};
 
@@ -102,6 +102,12 @@
         }
     }
 
+    /// Revision of a target's entry, for the log; number 0 if the entry was removed and the target is
+    /// kept around an outage of the store.
+    pub(crate) fn entry_revision(&self, id: &TargetName) -> StoreRevision {
+        self.view.revision_of(&format!("{}{id}", self.adapter.intents.targets_prefix))
+    }
+
     /// Removes a target; returns whether it was known. Connections to it that broke recently count
     /// as crashes under the requests that they carried.
     fn remove_target(&mut self, id: &TargetName, now: Instant) -> bool {
