--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -166,8 +166,18 @@
 
     /// Kills the process and starts another one with the same settings.
     pub fn restart(&mut self) {
+        self.kill();
+        self.start_again();
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
         drop(self.child.kill());
         drop(self.child.wait());
+    }
+
+    /// Starts another process with the same settings, after the end of the one before.
+    pub fn start_again(&mut self) {
         self.child = spawn(&self.settings, to_file(&self.log));
     }
 }
