VMs compare digests of the store's content and read it anew where they differ

Every twentieth heartbeat on a link tells a hash of all keys that have a value, with the revisions of their latest changes, and the history. Which VM is wrong can't be known from two contents: the one that differs from more peers than it agrees with reads the store's content once, without leaving the listing to others, after 3 s and at most once a minute. The listing corrects what is missing and what is left over. The state dump shows the hash.

Ruled out: taking the content of the majority of peers, which may be wrong alike (half of a fleet that started together), and the store is the authority.

--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -8,6 +8,7 @@
 mod catch_up;
 mod contact;
 mod content;
+mod content_check;
 mod digest;
 mod history;
 mod listed;
@@ -23,6 +24,7 @@
 pub use catch_up::{CatchUp, Reply, Request, Step};
 pub use contact::{Reporter, SILENCE_TIMEOUT, StoreContact};
 pub use content::{ContentRequest, Part};
+pub use content_check::{Comparison, ContentCheck};
 pub use digest::ContentDigest;
 pub use history::{Gap, History};
 pub use listed::Listed;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod callers;
 mod configuration_lag;
 mod connections;
+mod content_check;
 mod crashes;
 pub mod events;
 mod hall_reachability;
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -105,6 +105,9 @@
         shared.stall_detector.update(known, newest.unwrap_or(known), now);
         let follows = shared.watches_store || shared.prefers_store;
         let store_delivers = !shared.contact.is_lost(now) || shared.contact.is_receiving(now);
+        if shared.must_read_content && store_delivers {
+            return None;
+        }
         if follows && store_delivers && !detect_stalled_watch(app, shared, now) {
             return None;
         }
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -26,9 +26,9 @@
 use crate::shared::Shared;
 use crate::state_handle::{StateHandle, now};
 use crate::{
-    callers, hall_reachability, http_endpoints, inbound_links, link_dialer, logs, own_entry,
-    peer_sync, pool_log, releases, rollouts, settings, shutdown, store_watch, stored_refusals,
-    target_connecting, version_plans,
+    callers, content_check, hall_reachability, http_endpoints, inbound_links, link_dialer, logs,
+    own_entry, peer_sync, pool_log, releases, rollouts, settings, shutdown, store_watch,
+    stored_refusals, target_connecting, version_plans,
 };
 
 /// Interval between two sweeps for idle connections to targets.
@@ -102,6 +102,7 @@
     spawn_local(store_watch::follow(Rc::clone(app)));
     spawn_local(own_entry::maintain(Rc::clone(app)));
     spawn_local(peer_sync::follow(Rc::clone(app)));
+    spawn_local(content_check::run(Rc::clone(app)));
     spawn_local(pool_log::run(Rc::clone(app)));
     spawn_local(stored_refusals::run(Rc::clone(app)));
     spawn_local(rollouts::run(Rc::clone(app)));
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -18,7 +18,7 @@
 use slog::Logger;
 use stakker::CX;
 use stopping::{ResponseTime, StopPlan};
-use store_view::{StallDetector, StoreContact, View};
+use store_view::{ContentCheck, StallDetector, StoreContact, View};
 use target_paths::TargetPaths;
 use tokio::sync::watch;
 
@@ -75,6 +75,9 @@
     pub(crate) contact: StoreContact,
     /// Detects that this VM's watch on the store is silent while peers learn of newer changes.
     pub(crate) stall_detector: StallDetector,
+    pub(crate) content_check: ContentCheck,
+    /// Whether this VM reads the store's content anew, or is about to.
+    pub(crate) must_read_content: bool,
     /// Whether and since when a newer configuration is missing on this VM.
     pub(crate) configuration_lag: ConfigurationLag,
     /// Time within which a configuration change must take effect.
@@ -164,6 +167,8 @@
             reappeared: HashMap::new(),
             contact: StoreContact::default(),
             stall_detector: StallDetector::default(),
+            content_check: ContentCheck::default(),
+            must_read_content: false,
             configuration_lag: ConfigurationLag::default(),
             max_apply_time: cfg.max_apply_time(),
             stop: None,
--- a/gateway/src/store_listing.rs
+++ b/gateway/src/store_listing.rs
@@ -56,16 +56,19 @@
 }
 
 /// Lists everything that this VM has to know; returns the revision from which to watch for changes.
-/// The listing also ends once peers delivered everything.
+/// The listing also ends once peers delivered everything, unless it is to check what this VM knows.
 pub(crate) async fn list_all(
     app: &Rc<App>,
     store: &mut StoreConnection,
     freshness: Freshness,
 ) -> StoreRevision {
     let before = app.state.with(|shared, _| shared.view.as_of());
-    let delivered =
-        || Some(app.state.with(|shared, _| shared.view.as_of())).filter(|r| *r > before);
-    let mut listing = Listing::default();
+    let checks = app.state.with(|shared, _| shared.must_read_content);
+    let delivered = || {
+        let as_of = app.state.with(|shared, _| shared.view.as_of());
+        Some(as_of).filter(|as_of| *as_of > before && !checks)
+    };
+    let mut listing = Listing { was_left_to_others: checks, ..Listing::default() };
     let mut backoff = Backoff::new();
     loop {
         match list(app, store, &mut listing, freshness).await {
@@ -84,6 +87,7 @@
     app.state.with(|shared, now| {
         shared.remove_absent(&listing.listed, now);
         shared.complete_up_to(known, Completion::Listing(listing.latest), now);
+        shared.must_read_content = false;
     });
     recheck_pools(app);
     app.vms_changed.notify_one();
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -43,13 +43,16 @@
 }
 
 /// Follows the store from a revision on, by watching it or through peers, until the store no longer
-/// has the history after the known revision, or has come back from an older copy.
+/// has the history after the known revision, has come back from an older copy, or its content has to
+/// be read anew.
 async fn follow_from(app: &Rc<App>, store: &mut StoreConnection, mut known: StoreRevision) {
     let mut backoff = Backoff::new();
     loop {
         wait_until_watch_needed(app).await;
         known = known.max(app.state.with(|shared, _| shared.view.as_of()));
-        if known.era < app.state.with(|shared, _| shared.view.era()) {
+        let must_list =
+            app.state.with(|shared, _| shared.must_read_content || known.era < shared.view.era());
+        if must_list {
             return;
         }
         if !*app.store_reachable.borrow() {
@@ -77,21 +80,22 @@
     }
 }
 
-/// Waits until this VM has to watch the store itself. While the store is reachable and other VMs
-/// watch it, the changes that they pass on suffice.
+/// Waits until this VM has to watch the store itself, or to read its content anew. While the store is
+/// reachable and other VMs watch it, the changes that they pass on suffice.
 async fn wait_until_watch_needed(app: &App) {
     loop {
         let is_reachable = *app.store_reachable.borrow();
-        let (watched, watches) = app.state.with(|shared, now| {
+        let (watched, watches, must_read) = app.state.with(|shared, now| {
             let watches =
                 !is_reachable || shared.prefers_store || shared.fleet.must_watch_store(now);
-            (std::mem::replace(&mut shared.watches_store, watches), watches)
+            let watched = std::mem::replace(&mut shared.watches_store, watches);
+            (watched, watches, shared.must_read_content)
         });
         if watched != watches {
             info!(app.log, "role of this VM in watching the store changed";
                 "this_vm" => watches, "reached" => is_reachable);
         }
-        if watches {
+        if watches || must_read {
             return;
         }
         sleep(HEARTBEAT_INTERVAL).await;
--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -132,6 +132,11 @@
         self.with(|state| state.remove(key));
     }
 
+    /// Removes a key without a change, which a sound store never does: a VM that watches keeps it.
+    pub fn lose(&self, key: &str) {
+        self.with(|state| drop(state.items.remove(key)));
+    }
+
     /// Sets how the store answers calls.
     pub fn set_mode(&self, mode: StoreMode) {
         self.with(|state| state.mode = mode);
--- a/tests/missed_removals.rs
+++ b/tests/missed_removals.rs
@@ -176,3 +176,25 @@
 
     assert_eq!(fleet.vms[0].targets(), left);
 }
+
+/// Guards against VMs that go on with different contents, whatever made them differ.
+#[test]
+fn a_vm_whose_content_differs_from_that_of_its_peers_reads_it_anew() {
+    let site = Site::start();
+    let lost = format!("servers/{}", site.plain[0].id);
+    let mut fleet = Fleet::start("differing", site, 3);
+    let left = fleet.vms[0].targets() - 1;
+
+    fleet.site.store.lose(&lost);
+    fleet.vms[1..].iter_mut().for_each(Vm::restart);
+    fleet.vms[1..].iter().for_each(|vm| vm.wait_for_targets(left));
+    let pages = fleet.site.store.listed_pages("servers/");
+    wait_until("the content is read anew", || fleet.vms[0].targets() == left);
+
+    assert_eq!(fleet.site.store.listed_pages("servers/") - pages, 1);
+    wait_until("it is logged", || {
+        fleet.vms[0].log().contains("content differs from that of peers")
+    });
+    let contents: Vec<_> = fleet.vms.iter().map(|vm| vm.state()["content"].clone()).collect();
+    assert!(contents.iter().all(|content| *content == contents[0]), "{contents:?}");
+}
