--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,8 +1,9 @@
 //! Command line tool for randomized tests of the serving path; a seed determines the faults:
-//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --streams | --turns | --results]`.
+//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --streams | --removals | --turns | --results]`.
 //!
 //! Without a flag it injects faults into a running site; `--stops` stops and restarts VMs instead, and
-//! `--streams` takes up streams while engines of several versions serve.
+//! `--streams` takes up streams while engines of several versions serve, and `--removals` changes the
+//! store while some VMs miss it and others are down.
 //! `--turns` and `--results` run one short scenario per seed and ignore `--seconds`, `--vms` and
 //! `--callers`. The exit code is 1 if a check failed.
 
@@ -13,7 +14,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use standins::serving_path::scenarios::{QueuedCallScenario, ResultReleaseScenario};
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{stop_soak, stream_soak};
+use standins::serving_path::{removal_soak, stop_soak, stream_soak};
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
@@ -62,6 +63,7 @@
         .arg(number("callers", "4", "Number of callers"))
         .arg(flag("stops", "Planned stops only"))
         .arg(flag("streams", "Streams that callers take up while versions come and go"))
+        .arg(flag("removals", "Changes of the store that VMs miss while others are down"))
         .arg(flag("turns", "Scenarios with calls that wait in the queue of a pool"))
         .arg(flag("results", "Scenarios with results whose owner or requester is killed or paused"))
         .get_matches();
@@ -76,6 +78,7 @@
     let run = match () {
         () if args.get_flag("stops") => stop_soak::run,
         () if args.get_flag("streams") => stream_soak::run,
+        () if args.get_flag("removals") => removal_soak::run,
         () => soak::run,
     };
     let time = Duration::from_secs(value(&args, "seconds"));
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod crashing;
 pub mod faulty_link;
+pub mod removal_soak;
 pub mod runners;
 pub mod scenarios;
 pub mod site;
--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -32,7 +32,9 @@
 use super::faulty_link::{FaultyLink, LinkMode};
 use super::runners::{Behavior, Runner};
 use super::site::{HOST, Site, Vm, default_configuration};
-use super::soak_checks::{check_answer, check_crashes, check_notices, check_rates, check_results};
+use super::soak_checks::{
+    check_answer, check_contents, check_crashes, check_notices, check_rates, check_results,
+};
 use super::soak_connections::{CrowdedVm, leave_answers_unframed};
 use super::soak_notices::{announce_leaving, announce_rates, restart_runners};
 use super::store::StoreMode;
@@ -207,6 +209,7 @@
             "not every VM serves requests within {RECOVERY_TIMEOUT:?} after the last fault"
         ));
     }
+    check_contents(&vms, RECOVERY_TIMEOUT, &mut report);
     check_results(&site, &interruptions, &mut report);
     report
 }
--- a/standins/src/serving_path/soak_checks.rs
+++ b/standins/src/serving_path/soak_checks.rs
@@ -144,6 +144,40 @@
     }
 }
 
+/// What VMs know differently of the store: all have to know the same content at the same revision.
+pub(super) fn content_differences(vms: &[Vm]) -> Vec<String> {
+    let content = |vm: &Vm| {
+        let state = vm.state();
+        (state["era"].clone(), state["as_of"].clone(), state["content"].clone())
+    };
+    let contents: Vec<_> = vms.iter().map(content).collect();
+    let is_same = contents.iter().all(|content| *content == contents[0] && !content.2.is_null());
+    if is_same { Vec::new() } else { vec![format!("contents differ: {contents:?}")] }
+}
+
+/// VMs that read the store's content anew since peers knew other content at the same revision. That
+/// mends a fault, so that it counts as one.
+pub(super) fn logged_differences(vms: &[Vm]) -> Vec<String> {
+    let lines = vms.iter().map(Vm::log).flat_map(|log| {
+        let differs = |line: &&str| line.contains("content differs from that of peers");
+        log.lines().filter(differs).map(str::to_owned).collect::<Vec<_>>()
+    });
+    lines.collect()
+}
+
+/// Checks that all VMs come to know the same content of the store within `timeout`, by their own
+/// means or from peers.
+pub(super) fn check_contents(vms: &[Vm], timeout: Duration, report: &mut Report) {
+    let until = Instant::now() + timeout;
+    let mut differences = content_differences(vms);
+    while !differences.is_empty() && Instant::now() < until {
+        thread::sleep(Duration::from_millis(50));
+        differences = content_differences(vms);
+    }
+    report.violations.extend(differences);
+    report.violations.extend(logged_differences(vms));
+}
+
 /// Requests by their ids.
 fn by_id(answered: &[AnsweredRequest]) -> HashMap<&str, &AnsweredRequest> {
     answered.iter().map(|request| (request.id.as_str(), request)).collect()
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{stop_soak, stream_soak};
+use standins::serving_path::{removal_soak, stop_soak, stream_soak};
 
 /// Seeds of runs with random faults.
 ///
@@ -19,6 +19,11 @@
 /// Seeds of runs with streams that are taken up. Each guards against VMs that go on with a stream at
 /// another software version than the one that began it.
 const STREAM_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of runs with changes of the store that VMs miss. Both guard against VMs that keep what was
+/// removed while other VMs were down.
+const REMOVAL_SEEDS: [u64; 2] = [1, 3];
+/// Number of VMs in these runs.
+const REMOVAL_VMS: usize = 5;
 /// Number of callers in a run with planned stops.
 const STOP_CALLERS: u64 = 12;
 /// Time for which a run injects faults.
@@ -57,3 +62,15 @@
         assert!(report.complete > 20 && report.faults > 5, "seed {seed}: {report:?}");
     }
 }
+
+#[test]
+fn vms_agree_on_the_stores_content_after_changes_that_they_missed() {
+    for seed in REMOVAL_SEEDS {
+        let size = Size { vms: REMOVAL_VMS, ..Size::default() };
+
+        let report = removal_soak::run(seed, FAULT_TIME * 2, size);
+
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(report.complete > 20 && report.restarts > 3, "seed {seed}: {report:?}");
+    }
+}
