--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -141,7 +141,7 @@
         let before = self.entry_of(vm).cloned();
         let Some(peer) = self.peers.get_mut(vm) else { return };
         if peer.incarnation != incarnation {
-            (peer.history, peer.digest) = (None, None);
+            (peer.history, peer.content) = (None, None);
         }
         peer.incarnation = incarnation;
         peer.entry = entry;
--- a/components/fleet/src/peer.rs
+++ b/components/fleet/src/peer.rs
@@ -7,7 +7,7 @@
 use batching::QueueCounts;
 use ids::{HallName, StoreRevision};
 use serde::{Deserialize, Serialize};
-use store_view::{ContentDigest, History};
+use store_view::{History, KnownContent};
 
 use crate::PEER_TIMEOUT;
 
@@ -85,8 +85,8 @@
     /// Changes of the store that it knows one by one; `None` if it has not told them, as older
     /// builds never do.
     pub history: Option<History>,
-    /// Digest of the content that it last told.
-    pub digest: Option<ContentDigest>,
+    /// The content of the store that it last told.
+    pub content: Option<KnownContent>,
     /// Whether it watches the store itself and the store answers it.
     pub watches_store: bool,
     /// Version of the configuration that it has in force.
@@ -111,7 +111,7 @@
             shares_versions: false,
             as_of: StoreRevision::default(),
             history: None,
-            digest: None,
+            content: None,
             watches_store: false,
             configuration: 0,
             pools: HashMap::new(),
--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -24,7 +24,7 @@
 pub use catch_up::{CatchUp, Reply, Request, Step};
 pub use contact::{Reporter, SILENCE_TIMEOUT, StoreContact};
 pub use content::{ContentRequest, Part};
-pub use content_check::{Comparison, ContentCheck};
+pub use content_check::{Comparison, ContentCheck, KnownContent};
 pub use digest::ContentDigest;
 pub use history::{Gap, History};
 pub use listed::Listed;
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -191,7 +191,7 @@
         peer.as_of = StoreRevision { era, number: beat.as_of };
         if let Some(content) = &beat.content {
             peer.history = store_messages::decode_history(content.history.as_ref(), era);
-            peer.digest = store_messages::decode_digest(content, peer.as_of);
+            peer.content = store_messages::decode_content(content, peer.as_of);
         }
         peer.watches_store = beat.watches;
         peer.configuration = beat.configuration;
--- a/gateway/src/store_messages.rs
+++ b/gateway/src/store_messages.rs
@@ -5,8 +5,8 @@
 use ids::StoreRevision;
 use peering::work::{self, Ask, News, StoreContent, StoreItem};
 use store_view::{
-    BatchRequest, ContentDigest, ContentRequest, Gap, History, Item, ItemPart, Part, PartialChange,
-    Position, Reply, Request, View,
+    BatchRequest, ContentDigest, ContentRequest, Gap, History, Item, ItemPart, KnownContent, Part,
+    PartialChange, Position, Reply, Request, View,
 };
 
 use crate::app::App;
@@ -20,12 +20,14 @@
     app.state.with(|shared, _| StoreContent {
         hash: shared.view.digest().map(|digest| digest.hash),
         history: Some(encode_history(shared.view.history())),
+        confirmed: shared.is_content_confirmed(),
     })
 }
 
-/// The digest that a peer told with its revision.
-pub(crate) fn decode_digest(content: &StoreContent, as_of: StoreRevision) -> Option<ContentDigest> {
-    content.hash.map(|hash| ContentDigest { as_of, hash })
+/// The content that a peer knows at its revision; `None` if it tells no digest.
+pub(crate) fn decode_content(content: &StoreContent, as_of: StoreRevision) -> Option<KnownContent> {
+    let digest = ContentDigest { as_of, hash: content.hash? };
+    Some(KnownContent { digest, is_confirmed: content.confirmed })
 }
 
 fn encode_history(history: History) -> work::History {
--- a/tests/missed_removals.rs
+++ b/tests/missed_removals.rs
@@ -198,3 +198,20 @@
     let contents: Vec<_> = fleet.vms.iter().map(|vm| vm.state()["content"].clone()).collect();
     assert!(contents.iter().all(|content| *content == contents[0]), "{contents:?}");
 }
+
+/// Guards against VMs that missed the same change, are most of the fleet, and agree.
+#[test]
+fn vms_whose_content_differs_from_one_that_was_read_anew_read_theirs_too() {
+    let site = Site::start();
+    let lost = format!("servers/{}", site.plain[0].id);
+    let mut fleet = Fleet::start("differing-alike", site, 3);
+    let left = fleet.vms[0].targets() - 1;
+
+    fleet.site.store.lose(&lost);
+    fleet.vms[2].restart();
+    fleet.vms[2].wait_for_targets(left);
+
+    wait_until("the other two have read it anew", || {
+        fleet.vms.iter().all(|vm| vm.targets() == left)
+    });
+}
