--- a/components/store_view/src/catch_up.rs
+++ b/components/store_view/src/catch_up.rs
@@ -34,6 +34,17 @@
     pub history: Option<History>,
 }
 
+impl Reply {
+    /// Number of parts that end a value, or stand for one.
+    pub fn whole_parts(&self) -> usize {
+        let is_whole = |part: &&Part| match part {
+            Part::Value(part) => part.ends,
+            Part::Held(_) => true,
+        };
+        self.parts.iter().filter(is_whole).count()
+    }
+}
+
 impl View {
     /// The reply to a peer. `max_bytes` is as for [`View::next_batch`]. `None` while the content of
     /// the latest era is not complete: some of it has already replaced that of the era before.
@@ -202,11 +213,6 @@
         Ok(changes)
     }
 
-    /// Whether all that was received so far is of the whole content.
-    pub fn is_whole(&self) -> bool {
-        matches!(self.senders, Senders::Known { changes: 0, .. })
-    }
-
     fn completion(&self) -> Completion {
         match self.senders {
             Senders::Known { history, whole: 0, .. } => Completion::PeerChanges(Some(history)),
--- a/components/store_view/src/listed.rs
+++ b/components/store_view/src/listed.rs
@@ -6,7 +6,7 @@
 
 use ids::StoreRevision;
 
-use crate::{Change, Item, View};
+use crate::{Change, Item, Position, View};
 
 /// A range of keys and the keys that have a value in it.
 #[derive(Debug, Clone)]
@@ -90,11 +90,28 @@
     /// A listing of several ranges repeats this for all of them when it is complete: what came from
     /// elsewhere in between may be older.
     pub fn remove_absent(&mut self, listed: &Listed) -> Vec<Change> {
-        let known = self.items.range::<str, _>((listed.start(), Bound::Unbounded));
-        let known = known.map(|(_, item)| item).take_while(|item| listed.contains(&item.key));
+        let lacking = if listed.since == StoreRevision::default() {
+            self.lacking_in_range(listed)
+        } else {
+            self.lacking_among_changes(listed)
+        };
         let removal =
             |item: &Item| Item { key: item.key.clone(), revision: listed.as_of, value: None };
-        let removals = known.filter(|item| listed.lacks(item)).map(removal).collect();
+        let removals = lacking.into_iter().map(removal).collect();
         self.merge_as_of(removals, listed.as_of)
     }
+
+    /// Looks at all keys of the range.
+    fn lacking_in_range(&self, listed: &Listed) -> Vec<&Item> {
+        let known = self.items.range::<str, _>((listed.start(), Bound::Unbounded));
+        let known = known.map(|(_, item)| item).take_while(|item| listed.contains(&item.key));
+        known.filter(|item| listed.lacks(item)).collect()
+    }
+
+    /// Looks only at what changed since the listing's first revision, which is little.
+    fn lacking_among_changes(&self, listed: &Listed) -> Vec<&Item> {
+        let later = self.order.range(Position::after(listed.since)..);
+        let known = later.filter_map(|position| self.items.get(&position.key));
+        known.filter(|item| listed.lacks(item)).collect()
+    }
 }
--- a/components/store_view/src/transfer.rs
+++ b/components/store_view/src/transfer.rs
@@ -1,4 +1,5 @@
-//! Transfers changes of the view to a peer in batches of bounded size.
+//! What transfers between VMs are made of: positions, parts of changes, and which peer is asked; and
+//! transfers of changes to a peer of an older build, in the order of revisions.
 //!
 //! The peer requests one batch after the other, in the order of changes, so that other messages on
 //! the link can be sent between two batches.
--- a/gateway/src/peer_sync.rs
+++ b/gateway/src/peer_sync.rs
@@ -179,14 +179,15 @@
 
 /// Merges a reply of a peer; returns what follows.
 fn take(app: &Rc<App>, vm: &VmName, transfer: &mut Option<CatchUp>, reply: Reply) -> Step {
-    let (parts, as_of) = (reply.parts.len(), reply.as_of);
+    let (parts, whole, as_of) = (reply.parts.len(), reply.whole_parts(), reply.as_of);
+    let has_all_keys = reply.is_whole;
     let step = app.state.with(|shared, now| {
         let known = shared.view.as_of();
         let Some(transfer) = transfer else { return Step::Next };
         let (changes, step) = transfer.take(&mut shared.view, reply);
         info!(app.log, "news of the store from a peer"; "peer" => %vm, "parts" => parts,
-            "changes" => changes.len(), "whole" => transfer.is_whole(), "known" => %known,
-            "as_of" => %as_of, "last" => matches!(step, Step::Complete(..)));
+            "whole" => whole, "changes" => changes.len(), "all_keys" => has_all_keys,
+            "known" => %known, "as_of" => %as_of, "last" => matches!(step, Step::Complete(..)));
         shared.apply(changes, Source::Peer(vm), now);
         shared.changes_received_at = Some(now);
         if let Step::Complete(revision, completion) = step {
