--- a/components/store_view/tests/content.rs
+++ b/components/store_view/tests/content.rs
@@ -121,8 +121,7 @@
     }
 }
 
-/// Guards against a fleet whose VMs are all sent whole contents after the store has dropped the
-/// history that the watching VMs needed.
+/// Otherwise a whole fleet is sent all keys whenever the store drops its history.
 #[test]
 fn vms_at_the_revision_of_a_peer_before_its_second_listing_are_sent_changes_only() {
     for keys in FLEETS {
@@ -149,7 +148,6 @@
     assert_eq!(covered, expected);
 }
 
-/// Guards against a VM that lacks a value taking it for held.
 #[test]
 fn a_vm_that_lacks_a_value_which_was_left_out_is_sent_all_values() {
     let mut stayed = listed_view(10);
@@ -166,7 +164,6 @@
     assert!(lacking.get(&key(10)).is_some());
 }
 
-/// Guards against items that arrive late from elsewhere and bring back what was removed.
 #[test]
 fn an_item_that_the_known_content_has_passed_is_ignored() {
     let mut view = listed_view(10);
--- a/components/store_view/tests/content_check.rs
+++ b/components/store_view/tests/content_check.rs
@@ -44,7 +44,7 @@
     }
 }
 
-/// Guards against VMs that missed the same change, are most of the fleet, and agree.
+/// VMs that missed the same change agree, and may be most of the fleet.
 #[test]
 fn a_vm_that_differs_from_confirmed_content_reads_its_own_anew() {
     for vms in [3, 7, 83, 985] {
--- a/tests/missed_removals.rs
+++ b/tests/missed_removals.rs
@@ -1,6 +1,5 @@
-//! Entries that are removed from the store while most VMs are down. A VM that starts lists the store
-//! without them and never learns that they existed; a VM that stayed and missed the removal hears of
-//! later changes from those that started.
+//! Entries that are removed from the store while most VMs are down: those that start list the store
+//! without them, and those that stayed hear of later changes from these.
 
 // A failing `expect` in a fixture fails the test.
 #![allow(clippy::expect_used)]
@@ -151,8 +150,6 @@
     assert_eq!(refused, vec![0, 0]);
 }
 
-/// Guards against a VM that takes what it read of the store before for complete together with what a
-/// peer sends.
 #[test]
 fn a_removal_between_the_first_page_of_a_listing_and_the_rest_from_a_peer_is_not_missed() {
     let mut fleet = Fleet::start("missed-page", Site::start(), 3);
@@ -177,7 +174,6 @@
     assert_eq!(fleet.vms[0].targets(), left);
 }
 
-/// Guards against VMs that go on with different contents, whatever made them differ.
 #[test]
 fn a_vm_whose_content_differs_from_that_of_its_peers_reads_it_anew() {
     let site = Site::start();
@@ -199,7 +195,7 @@
     assert!(contents.iter().all(|content| *content == contents[0]), "{contents:?}");
 }
 
-/// Guards against VMs that missed the same change, are most of the fleet, and agree.
+/// VMs that missed the same change agree, and may be most of the fleet.
 #[test]
 fn vms_whose_content_differs_from_one_that_was_read_anew_read_theirs_too() {
     let site = Site::start();
