Stand-in answers without a length carry the runner's notices

Cause: the stand-in built the heads of these answers without notices, and recorded that they carry them. Ruled out: a word that the VM received and dropped (each head that is read is applied, and the next one, 2 s later, was), and a reset that overtook the head (it was read 30 ms before).

The stand-in sends its notices in these answers too, as targets say so in all of them; the check is unchanged. a_departure_in_an_answer_without_a_length_is_respected failed before the change (2 requests for 1) and passes after it. No change of the daemon.

--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -78,11 +78,6 @@
     }
 }
 
-/// The head of an answer that ends with its connection.
-fn unframed_head(id: &str, signature: &str) -> String {
-    format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {signature}\r\n\r\n")
-}
-
 /// What a runner recorded and how it behaves.
 #[derive(Default)]
 pub(super) struct State {
@@ -361,6 +356,20 @@
         })
     }
 
+    /// The notices as lines of a head.
+    fn notice_lines(&self) -> String {
+        let notices = self.notices();
+        notices.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect()
+    }
+
+    /// The head of an answer that ends with its connection.
+    fn unframed_head(&self, id: &str, signature: &str) -> String {
+        format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {signature}\r\n{}\r\n",
+            self.notice_lines()
+        )
+    }
+
     /// Answers a request according to a behavior; false if the connection is to end.
     fn respond(
         &self,
@@ -417,12 +426,12 @@
                 conn.write(&self.reply("200 OK", &encoded, b"coded"))
             }
             Behavior::Unframed => {
-                conn.write(unframed_head(id, &signature).as_bytes());
+                conn.write(self.unframed_head(id, &signature).as_bytes());
                 conn.write(body.as_bytes());
                 false
             }
             Behavior::ResetUnframed => {
-                conn.write(unframed_head(id, &signature).as_bytes());
+                conn.write(self.unframed_head(id, &signature).as_bytes());
                 conn.write(&body.as_bytes()[..body.len() / 2]);
                 sleep(RESET_PAUSE);
                 conn.reset();
@@ -468,9 +477,7 @@
         plan: &StreamPlan,
     ) -> bool {
         let first = req.header("last-event-id").parse::<u64>().map_or(1, |event| event + 1);
-        let notices = self.notices();
-        let notices = notices.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
-        let notices = notices.collect::<String>();
+        let notices = self.notice_lines();
         let framing = if plan.has_chunks { "Transfer-Encoding: chunked\r\n" } else { "" };
         let head = format!(
             "HTTP/1.1 200 OK\r\n{framing}Content-Type: text/event-stream\r\n\
--- a/tests/unframed_answers.rs
+++ b/tests/unframed_answers.rs
@@ -80,3 +80,20 @@
 
     assert!(answer.status() != 200 || !answer.is_complete, "{}", answer.text());
 }
+
+#[test]
+fn a_departure_in_an_answer_without_a_length_is_respected() {
+    let site = Site::start();
+    let vm = site.start_vm("unframed-leaving", "");
+    let leaving = &site.plain[0];
+    leaving.set_leaving(true);
+    for behavior in [Behavior::Unframed, Behavior::ResetUnframed] {
+        leaving.queue_behaviors(&[behavior]);
+    }
+
+    for number in 0..REQUESTS * 4 {
+        send_expecting_answer(&get("/repeat/", &format!("leaving-{number}")), &vm);
+    }
+
+    assert_eq!(leaving.messages().len(), 1);
+}
