Test streams whose targets fall silent for 1.5 s (red)

Callers see a stream that breaks off though its target goes on. On the code as it is all 8 streams of 3 events, with 1.5 s between them, are cut after the first or second event where both engines are silent ('the stream stalled; no further attempt is allowed'), and so are those whose only other engine is full.

--- /dev/null
+++ b/tests/silent_targets.rs
@@ -0,0 +1,108 @@
+//! Targets that fall silent for a second or so and then go on with what they were doing.
+
+// A failing `expect` in a fixture fails the test.
+#![allow(clippy::expect_used)]
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use standins::fleet::wait_until;
+use standins::serving_path::HttpMessage;
+use standins::serving_path::callers::Call;
+use standins::serving_path::runners::{Behavior, Runner};
+use standins::serving_path::site::{HOST, Site, Vm, default_configuration, event_ids};
+
+/// Timeout of requests, in milliseconds.
+const TIMEOUT_MS: u32 = 20_000;
+/// Latency goal of requests, in milliseconds.
+const LATENCY_GOAL_MS: u32 = 2500;
+/// How long a silent target pauses; longer than the pause after which a stream may be resumed.
+const SILENCE: Duration = Duration::from_millis(1500);
+/// Requests in each case.
+const REQUESTS: usize = 8;
+/// Pause between two requests.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// A site whose requests have a timeout of [`TIMEOUT_MS`].
+fn start_site() -> Site {
+    let site = Site::start();
+    let mut config = default_configuration(2);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(TIMEOUT_MS);
+        route["target_latency_ms"] = json!(LATENCY_GOAL_MS);
+    }
+    site.store.put("op/config", &config);
+    site
+}
+
+fn start_vm(site: &Site, name: &str) -> Vm {
+    let vm = site.start_vm(name, "");
+    wait_until("the configuration is in force", || vm.state()["configuration"] == json!(2));
+    vm
+}
+
+/// Queues a behavior so often that all these runners use it until the end of the test.
+fn set_behavior(runners: &[Runner], behavior: &Behavior) {
+    runners.iter().for_each(|runner| runner.queue_behaviors(&vec![behavior.clone(); 1000]));
+}
+
+/// Sends requests at intervals of [`PAUSE`] to the VMs in turn, without waiting for answers;
+/// returns the answers.
+fn send_all(vms: &[Vm], path: &str) -> Vec<Option<HttpMessage>> {
+    thread::scope(|scope| {
+        let callers: Vec<_> = (0..REQUESTS)
+            .map(|number| {
+                let address = vms[number % vms.len()].callers;
+                scope.spawn(move || {
+                    thread::sleep(PAUSE * u32::try_from(number).unwrap_or(u32::MAX));
+                    Call::new("POST", HOST, path, &format!("r-{number}"))
+                        .with_header("Deadline-Milliseconds", &TIMEOUT_MS.to_string())
+                        .body(b"a body")
+                        .send(address)
+                })
+            })
+            .collect();
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect()
+    })
+}
+
+/// The events that each caller got, and whether its stream is complete.
+fn streams(answers: &[Option<HttpMessage>]) -> Vec<(Vec<u64>, bool)> {
+    let stream = |answer: &Option<HttpMessage>| {
+        answer.as_ref().map_or_else(Default::default, |answer| {
+            (event_ids(answer), answer.is_complete && answer.status() == 200)
+        })
+    };
+    answers.iter().map(stream).collect()
+}
+
+/// Guards against streams that are cut since each target that may go on with them is silent.
+#[test]
+fn a_stream_is_not_cut_while_all_of_its_targets_are_silent() {
+    for vm_count in [1, 3] {
+        let site = start_site();
+        let start = |number| start_vm(&site, &format!("all-silent-{vm_count}-{number}"));
+        let vms: Vec<Vm> = (0..vm_count).map(start).collect();
+        set_behavior(&site.engines, &Behavior::SlowStream(3, SILENCE));
+
+        let answers = send_all(&vms, "/resumed/");
+
+        assert_eq!(streams(&answers), vec![(vec![1, 2, 3], true); REQUESTS], "{vm_count} VMs");
+    }
+}
+
+/// Guards against streams that are cut since no other target takes them over from a silent one.
+#[test]
+fn a_stream_stays_at_its_silent_target_if_no_other_takes_it_over() {
+    let site = start_site();
+    let vms = [start_vm(&site, "no-other")];
+    set_behavior(&site.engines[..1], &Behavior::SlowStream(3, SILENCE));
+    set_behavior(&site.engines[1..], &Behavior::Decline);
+
+    let answers = send_all(&vms, "/resumed/");
+
+    let served: Vec<_> = streams(&answers).into_iter().filter(|(ids, _)| !ids.is_empty()).collect();
+    assert!(!served.is_empty(), "{answers:?}");
+    assert_eq!(served, vec![(vec![1, 2, 3], true); served.len()]);
+}
