Keep a silent stream's target until another takes the stream over

Callers saw streams that may be resumed cut in the middle, though their targets only paused for 1.2 s or more and went on.

Cause: a pause of three event gaps (1.2 s at least), or the belief that the target's hall is out of reach, ended the attempt and closed its connection. Only then were attempts, the budget, targets and stages looked at; each that was missing cut the stream.

Ruled out: a longer limit, which moves the fault to longer pauses.

Change: a silence only begins a search, while the target is still read. The retry is taken from the budget right before a call is sent, and given back if nothing was sent. An event of the target ends the search as long as nothing was sent to another one. Afterwards what the target sends is held back: it is forwarded if the other one did not run the request or if it completes the stream, and dropped once the other one has begun, which goes on after the event named in its call. If no target takes the stream over, it stays where it is until its deadline, and the search is repeated after a further pause while it could succeed. Targets that got nothing in one search may be tried in the next. Log lines `stream silent`, `stream went on`; the counter `saddlerail_stream_silences`.

Conclusion: a stream is cut by its deadline, its target's end, or a target that took it over and then failed; not by a silence alone.

--- a/components/selection/src/retry_budget.rs
+++ b/components/selection/src/retry_budget.rs
@@ -43,16 +43,26 @@
     /// Takes one retry from the budget and returns true, or returns false if none is left. The
     /// fleet's slack is divided equally among `vms` VMs.
     pub fn try_take(&mut self, rules: &FleetRetryRules, vms: usize, now: Instant) -> bool {
-        remove_expired(&mut self.requests, rules.window, now);
-        remove_expired(&mut self.retries, rules.window, now);
-        let own_slack = rules.slack / vms.max(1) as f64;
-        let allowed = USED_FRACTION * (rules.ratio * self.requests.len() as f64 + own_slack);
-        let is_left = (self.retries.len() as f64) + 1.0 <= allowed;
+        let is_left = self.is_left(rules, vms, now);
         if is_left {
             self.retries.push_back(now);
         }
         is_left
     }
+
+    /// Whether a retry is left in the budget, which [`FleetRetryBudget::try_take`] would take.
+    pub fn is_left(&mut self, rules: &FleetRetryRules, vms: usize, now: Instant) -> bool {
+        remove_expired(&mut self.requests, rules.window, now);
+        remove_expired(&mut self.retries, rules.window, now);
+        let own_slack = rules.slack / vms.max(1) as f64;
+        let allowed = USED_FRACTION * (rules.ratio * self.requests.len() as f64 + own_slack);
+        (self.retries.len() as f64) + 1.0 <= allowed
+    }
+
+    /// Returns a retry that was taken and for which nothing was sent.
+    pub fn put_back(&mut self) {
+        self.retries.pop_back();
+    }
 }
 
 /// Removes the times that are older than the window; `times` are in ascending order.
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -62,6 +62,9 @@
     /// Number of streams that callers took up, by service and by what told the version that began
     /// them: a `record` of this VM, a `peer`, the `shares` of the versions, or `unknown`.
     pub const STREAM_RESUMPTIONS: &str = "saddlerail_stream_resumptions";
+    /// Number of streams whose target fell silent, by service and end: they `went on` there, or
+    /// another target has `taken over`.
+    pub const STREAM_SILENCES: &str = "saddlerail_stream_silences";
     /// Number of requests closed by the end of the process, by what they were waiting for.
     pub const CLOSED_BY_STOP: &str = "saddlerail_requests_closed_by_stop";
     /// Number of requests ended because the shutdown left no time for them, by what they were
@@ -74,7 +77,7 @@
     /// Whether this VM is cut off from targets: 1 or 0.
     pub const CUT_OFF: &str = "saddlerail_cut_off";
     /// Names of all metrics, for the test that compares them with the documentation.
-    pub const ALL: [&str; 26] = [
+    pub const ALL: [&str; 27] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -96,6 +99,7 @@
         RESULTS_GIVEN_UP,
         INPUTS_GONE,
         STREAM_RESUMPTIONS,
+        STREAM_SILENCES,
         CLOSED_BY_STOP,
         ENDED_BY_STOP,
         CONNECTIONS_RELAYED,
@@ -129,6 +133,7 @@
     results_given_up: Counter<u64>,
     inputs_gone: Counter<u64>,
     stream_resumptions: Counter<u64>,
+    stream_silences: Counter<u64>,
     closed_by_stop: Counter<u64>,
     ended_by_stop: Counter<u64>,
     connections_relayed: Counter<u64>,
@@ -174,6 +179,7 @@
             unknown_headers: meter.u64_counter(metric_names::UNKNOWN_HEADERS).build(),
             results_given_up: meter.u64_counter(metric_names::RESULTS_GIVEN_UP).build(),
             inputs_gone: meter.u64_counter(metric_names::INPUTS_GONE).build(),
+            stream_silences: meter.u64_counter(metric_names::STREAM_SILENCES).build(),
             stream_resumptions: meter.u64_counter(metric_names::STREAM_RESUMPTIONS).build(),
             closed_by_stop: meter.u64_counter(metric_names::CLOSED_BY_STOP).build(),
             ended_by_stop: meter.u64_counter(metric_names::ENDED_BY_STOP).build(),
@@ -214,6 +220,12 @@
         self.stream_resumptions.add(1, &labels);
     }
 
+    /// Counts a stream of a service whose target was silent, by how the silence ended.
+    pub fn stream_silence_ended(&self, service: &str, end: &'static str) {
+        let labels = [KeyValue::new("service", service.to_owned()), KeyValue::new("end", end)];
+        self.stream_silences.add(1, &labels);
+    }
+
     /// Counts a request that was ended because the shutdown left no time for it, by what it was
     /// waiting for.
     pub fn request_ended_by_stop(&self, waits_for: &'static str) {
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -57,10 +57,14 @@
     sent: u32,
     /// Attempts that did not reach their target.
     unreachable: u32,
-    /// Whether any byte of the last attempt may have been sent.
+    /// Targets that were tried and got nothing.
+    unreached: Vec<TargetKey>,
+    /// Whether any byte of the attempt under way may have been sent.
     sent_mark: SentMark,
-    /// Whether the last attempt is counted in `sent`; it is once its target was chosen.
+    /// Whether the last attempt is under way and counted in `sent`; it is once its target was chosen.
     is_counted: bool,
+    /// Whether a retry was taken from the budget for which nothing was sent yet.
+    has_unused_retry: bool,
 }
 
 /// An attempt under way. If dropped before its end, it is recorded as abandoned.
@@ -98,6 +102,11 @@
         }
     }
 
+    /// When its target was chosen.
+    pub(crate) fn started(&self) -> Instant {
+        self.started
+    }
+
     /// Records that the target has read the prompt.
     pub(crate) fn prompt_read(&mut self) {
         let unread_tokens = std::mem::take(&mut self.unread_tokens);
@@ -164,8 +173,10 @@
             bound: None,
             sent: 0,
             unreachable: 0,
+            unreached: Vec::new(),
             sent_mark: SentMark::default(),
             is_counted: false,
+            has_unused_retry: false,
         }
     }
 
@@ -197,8 +208,9 @@
         }
         self.check_last_path();
         if !self.sent_mark.is_set() {
-            self.sent -= 1;
-            self.unreachable += 1;
+            if let Some(key) = self.attempted.last() {
+                self.record_unreached(*key);
+            }
             return AttemptError::NotReached;
         }
         self.set_may_have_run();
@@ -208,6 +220,35 @@
         AttemptError::Lost(why.to_owned())
     }
 
+    /// The mark of the attempt under way; it is clear while there is none.
+    pub(crate) fn sent_mark(&self) -> SentMark {
+        self.sent_mark.clone()
+    }
+
+    /// Begins a search for a further target while the last attempt may go on. Targets that got
+    /// nothing in an earlier search may be tried once more.
+    pub(crate) fn begin_search(&mut self) {
+        self.sent_mark.set(false);
+        self.is_counted = false;
+        let unreached = std::mem::take(&mut self.unreached);
+        self.attempted.retain(|key| !unreached.contains(key));
+        self.unreachable = 0;
+    }
+
+    /// Takes back an attempt that was dropped, unless something was sent, and a retry for which
+    /// nothing was sent.
+    pub(crate) fn withdraw(&mut self) {
+        if self.is_counted && !self.sent_mark.is_set() {
+            self.is_counted = false;
+            self.sent -= 1;
+            self.attempted.pop();
+        }
+        let has_unused_retry = std::mem::take(&mut self.has_unused_retry);
+        if has_unused_retry && !self.sent_mark.is_set() {
+            self.app.state.with(|shared, _| shared.put_back_retry(&self.req.service));
+        }
+    }
+
     /// Checks the path to the target of the last attempt.
     fn check_last_path(&self) {
         let Some(key) = self.attempted.last() else { return };
@@ -227,14 +268,28 @@
         size: Option<&CallSize>,
         inputs: &[String],
         last_event: Option<u64>,
+    ) -> Result<Result<Answer, AttemptError>, Refusal> {
+        self.sent_mark.set(false);
+        self.is_counted = false;
+        let sent = self.send_to_best(size, inputs, last_event).await;
+        if !matches!(sent, Ok(Ok(_))) {
+            self.sent_mark.set(false);
+            self.is_counted = false;
+        }
+        sent
+    }
+
+    async fn send_to_best(
+        &mut self,
+        size: Option<&CallSize>,
+        inputs: &[String],
+        last_event: Option<u64>,
     ) -> Result<Result<Answer, AttemptError>, Refusal> {
         // The request may have been quarantined since it was admitted, or since the last attempt.
         if let Some(refusal) = crashes::refusal(&self.app, &self.req, self.may_have_run()) {
             return Err(refusal);
         }
         active_requests::set_wait_reason(&self.app, self.req.active_key, WaitReason::Target);
-        self.sent_mark = SentMark::default();
-        self.is_counted = false;
         let (mut attempt, permit) = self.choose(size).await?;
         active_requests::set_wait_reason(&self.app, self.req.active_key, WaitReason::Answer);
         self.attempted.push(attempt.pick.key);
@@ -272,20 +327,21 @@
             // so the attempt is abandoned. `true`, since what was sent may run.
             refusal = crashes::until_refused(&self.app, &self.req, true) => return Err(refusal),
         };
+        if mark.is_set() {
+            self.has_unused_retry = false;
+        }
         let result = match sent {
             Ok((answer, connection)) => self.read(answer, connection, &mut attempt).await,
             Err(SendError::NotSent(why)) => {
                 attempt.end(TargetOutcome::Unreachable);
-                self.sent -= 1;
-                self.unreachable += 1;
+                self.record_unreached(attempt.pick.key);
                 slog::debug!(self.app.log, "target not reached"; "target" => %target.id,
                     "why" => why);
                 Err(AttemptError::NotReached)
             }
             Err(SendError::Withheld) => {
                 attempt.end(TargetOutcome::Abandoned);
-                self.sent -= 1;
-                self.unreachable += 1;
+                self.record_unreached(attempt.pick.key);
                 Err(AttemptError::NotReached)
             }
             Err(SendError::Broke(why)) => {
@@ -311,6 +367,13 @@
         })
     }
 
+    /// Records that the target of the attempt under way got nothing.
+    fn record_unreached(&mut self, target: TargetKey) {
+        self.sent -= 1;
+        self.unreachable += 1;
+        self.unreached.push(target);
+    }
+
     /// Records that an attempt gave no answer.
     fn record_error(&self, error: &AttemptError) {
         active_requests::set_wait_reason(&self.app, self.req.active_key, WaitReason::Target);
@@ -538,26 +601,41 @@
     /// Whether another attempt may follow one that ended with `error`. Takes a retry from the
     /// fleet's budget if one is needed.
     pub(crate) fn take_retry(&mut self, error: &AttemptError) -> bool {
-        if matches!(error, AttemptError::Lost(_)) && !self.req.entry.repeatable {
-            return false;
-        }
+        self.is_allowed_after(error)
+            && (*error == AttemptError::NotReached || self.take_from_budget())
+    }
+
+    /// Whether [`Attempts::take_retry`] would return true.
+    pub(crate) fn may_retry(&self, error: &AttemptError) -> bool {
+        let has_retry =
+            || self.app.state.with(|shared, now| shared.has_retry(&self.req.service, now));
+        self.is_allowed_after(error) && (*error == AttemptError::NotReached || has_retry())
+    }
+
+    /// Whether another attempt may follow one that ended with `error`, whatever is left in the
+    /// fleet's budget.
+    pub(crate) fn is_allowed_after(&self, error: &AttemptError) -> bool {
         let in_time = time_until(self.req.deadline) > Duration::ZERO;
-        match error {
-            AttemptError::NotReached => return in_time && self.unreachable < MAX_UNREACHABLE,
-            // The target that was meant got nothing, so no attempt is counted. Without this, 1.4%
-            // of the requests of an entry with one attempt were refused, after all their stages had
-            // run, because a target had crashed and restarted as another one.
-            AttemptError::Replaced => {
-                return in_time && self.unreachable < MAX_UNREACHABLE && self.take_from_budget();
+        let attempts_left = self.sent < self.req.entry.max_attempts.max(1);
+        in_time
+            && match error {
+                // The target that was meant got nothing, so no attempt is counted. Without this,
+                // 1.4% of the requests of an entry with one attempt were refused, after all their
+                // stages had run, because a target had crashed and restarted as another one.
+                AttemptError::NotReached | AttemptError::Replaced => {
+                    self.unreachable < MAX_UNREACHABLE
+                }
+                AttemptError::Declined | AttemptError::InputGone => attempts_left,
+                AttemptError::Lost(_) => attempts_left && self.req.entry.repeatable,
             }
-            AttemptError::Declined | AttemptError::InputGone | AttemptError::Lost(_) => {}
-        }
-        self.sent < self.req.entry.max_attempts.max(1) && in_time && self.take_from_budget()
     }
 
     /// Takes a retry from the fleet's retry budget. Returns false if none is left.
-    fn take_from_budget(&self) -> bool {
-        self.app.state.with(|shared, now| shared.try_take_retry(&self.req.service, now))
+    fn take_from_budget(&mut self) -> bool {
+        let taken =
+            self.app.state.with(|shared, now| shared.try_take_retry(&self.req.service, now));
+        self.has_unused_retry |= taken;
+        taken
     }
 
     /// Corrects a refusal for a request that an earlier attempt may have run: it must not claim
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -1,7 +1,7 @@
 //! HTTP/1 connections to targets. Idle connections are kept for reuse; a connection whose call is
 //! abandoned is closed.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -20,6 +20,7 @@
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
 use crate::app::App;
@@ -63,16 +64,22 @@
 /// Whether any byte of a call may have been sent; clones share the mark. It outlives a call that is
 /// dropped because its time is up.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct SentMark(Rc<Cell<bool>>);
+pub(crate) struct SentMark(Rc<watch::Sender<bool>>);
 
 impl SentMark {
     /// Whether the call may have reached its target.
     pub(crate) fn is_set(&self) -> bool {
-        self.0.get()
+        *self.0.borrow()
     }
 
-    fn set(&self, may_be_sent: bool) {
-        self.0.set(may_be_sent);
+    /// Waits until [`SentMark::is_set`] returns this value.
+    pub(crate) async fn until(&self, is_set: bool) {
+        // The sender lives as long as the mark.
+        drop(self.0.subscribe().wait_for(|value| *value == is_set).await);
+    }
+
+    pub(crate) fn set(&self, may_be_sent: bool) {
+        self.0.send_replace(may_be_sent);
     }
 }
 
@@ -160,6 +167,7 @@
             Ok(answer) => Ok((answer, connection)),
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
+                mark.set(!unsent);
                 let problem = e.into_error().to_string();
                 Err(if unsent { SendError::NotSent(problem) } else { SendError::Broke(problem) })
             }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -62,6 +62,7 @@
 mod stream_forwarding;
 mod stream_origins;
 mod stream_reader;
+mod stream_takeover;
 mod streams;
 mod submissions;
 mod target_announcements;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -281,6 +281,17 @@
         self.retry_budgets.entry(service.clone()).or_default().try_take(&self.retry_rules, vms, now)
     }
 
+    /// Whether a retry for a service is left in this VM's part of the budget.
+    pub(crate) fn has_retry(&mut self, service: &ServiceName, now: Instant) -> bool {
+        let vms = self.fleet.size();
+        self.retry_budgets.entry(service.clone()).or_default().is_left(&self.retry_rules, vms, now)
+    }
+
+    /// Returns a retry to the budget of a service, since nothing was sent for it.
+    pub(crate) fn put_back_retry(&mut self, service: &ServiceName) {
+        self.retry_budgets.entry(service.clone()).or_default().put_back();
+    }
+
     /// Adds a sample to the moving average of a service's time to the first event.
     pub(crate) fn record_first_event_time(&mut self, service: &ServiceName, took: Duration) {
         let average = self.first_event_times.entry(service.clone()).or_insert(took);
--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -1,7 +1,8 @@
-//! Forwards a stream's events to its caller, and resumes the stream at another engine where that is
-//! allowed.
+//! Forwards a stream's events to its caller. While its target is silent, another one is sought where
+//! that is allowed; the silent one is left only for a target that takes the stream over.
 
-use std::pin::Pin;
+use std::collections::VecDeque;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -15,31 +16,43 @@
 
 use crate::answers::StreamCut;
 use crate::app::App;
-use crate::attempts::{Answer, AttemptError, Attempts, HALL_UNREACHABLE};
+use crate::attempts::{Answer, Attempts, HALL_UNREACHABLE};
+use crate::crashes;
 use crate::events::Event;
-use crate::request_stages::run_stages;
 use crate::requests::AcceptedRequest;
 use crate::stages::StageResults;
 use crate::state_handle::now;
 use crate::stream_reader::{EventReader, NextEvent};
-use crate::{crashes, stream_origins};
+use crate::stream_takeover::{NotTakenOver, find_successor, overlap_end};
 
-/// A stream that pauses for this many of its longest event gaps is resumed at another engine, if
+/// After a pause of this many of its longest event gaps, another target is sought for a stream, if
 /// allowed.
 const STALL_GAPS: u32 = 3;
-/// Shortest pause that counts as a stall, and the limit for entries without a longest event gap.
+/// Shortest such pause, and the pause for entries without a longest event gap.
 const MIN_STALL: Duration = Duration::from_millis(1200);
+/// Why another target is sought for a stream that pauses.
+const STALLED: &str = "the stream stalled";
 
 /// A stream that is being forwarded.
 pub(crate) struct Stream {
-    pub(crate) app: Rc<App>,
-    pub(crate) req: Rc<AcceptedRequest>,
-    pub(crate) attempts: Attempts,
-    pub(crate) size: CallSize,
-    pub(crate) reader: Box<EventReader>,
-    pub(crate) results: Option<StageResults>,
+    app: Rc<App>,
+    req: Rc<AcceptedRequest>,
+    attempts: Attempts,
+    size: CallSize,
+    /// Reads from the stream's target; `None` once that was left.
+    reader: Option<Box<EventReader>>,
+    /// What was read and not forwarded yet.
+    held: VecDeque<NextEvent>,
+    results: Option<StageResults>,
     /// ID of the last event that was forwarded.
-    pub(crate) last_event: Option<u64>,
+    last_event: Option<u64>,
+    /// When the target's silence began for which another target was sought.
+    silent_since: Option<TokioInstant>,
+    /// Whether another target may be sought.
+    may_search: bool,
+    /// When the target's hall may next be taken for unreachable. An event that arrives disproves
+    /// that it is.
+    heeds_hall_from: TokioInstant,
 }
 
 /// How forwarding a stream ended.
@@ -50,15 +63,11 @@
 }
 
 /// Forwards a stream's events until it ends.
-pub(crate) async fn forward(
-    mut stream: Stream,
-    first: Vec<Event>,
-    tx: Sender<Result<Bytes, StreamCut>>,
-) {
+pub(crate) async fn forward(mut stream: Stream, tx: Sender<Result<Bytes, StreamCut>>) {
     // The engine has fetched the stages' results before it sent the first event, so the workers
     // need not keep them.
     stream.results = None;
-    let end = forward_events(&mut stream, first, &tx).await;
+    let end = forward_events(&mut stream, &tx).await;
     let (outcome, why) = match end {
         ForwardEnd::Whole => ("whole", None),
         ForwardEnd::CallerGone => ("caller gone", None),
@@ -76,15 +85,15 @@
         drop(tx.send(Err(StreamCut)).await);
         return;
     }
-    if outcome == "whole" {
+    if let ("whole", Some(reader)) = (outcome, stream.reader) {
         crashes::request_completed(&stream.app, req);
-        let took = now() - stream.attempts.started();
+        let EventReader { answer, .. } = *reader;
+        let Answer { parsed, connection, mut attempt, .. } = answer;
+        let took = now() - attempt.started();
         stream
             .app
             .state
             .with(|shared, _| shared.record_response_time(&stream.req.entry.name, took));
-        let EventReader { answer, .. } = *stream.reader;
-        let Answer { parsed, connection, mut attempt, .. } = answer;
         attempt.end(TargetOutcome::Answered);
         if !parsed.closes {
             stream.app.keep_connection(connection, parsed.keep_alive);
@@ -92,66 +101,59 @@
     }
 }
 
-/// Forwards the events in `first`, then those of the stream, resuming it where allowed.
-async fn forward_events(
-    stream: &mut Stream,
-    first: Vec<Event>,
-    tx: &Sender<Result<Bytes, StreamCut>>,
-) -> ForwardEnd {
-    for event in first {
-        if !stream.forward_event(event, tx).await {
-            return ForwardEnd::CallerGone;
-        }
-    }
+/// Forwards the events of the stream until it ends.
+async fn forward_events(stream: &mut Stream, tx: &Sender<Result<Bytes, StreamCut>>) -> ForwardEnd {
     let deadline = TokioInstant::from_std(stream.req.deadline);
-    let repeatable = stream.req.entry.repeatable;
     loop {
-        let limit = stream.stall_limit().min(deadline);
         let next = tokio::select! {
             biased;
             () = tx.closed() => return ForwardEnd::CallerGone,
-            next = timeout_at(limit, stream.reader.next(repeatable)) => next,
+            next = timeout_at(deadline, stream.next()) => next,
         };
-        let why = match next {
-            Ok(NextEvent::Event(event)) => {
+        match next {
+            Ok(Ok(Some(event))) => {
                 if !stream.forward_event(event, tx).await {
                     return ForwardEnd::CallerGone;
                 }
-                continue;
-            }
-            Ok(NextEvent::End) => return ForwardEnd::Whole,
-            Ok(NextEvent::Broken(why)) => {
-                crashes::check_broken_connection(
-                    &stream.app,
-                    &stream.req,
-                    &stream.reader.answer.attempt,
-                )
-                .await;
-                why
             }
-            Ok(NextEvent::HallUnreachable) => HALL_UNREACHABLE.to_owned(),
-            Err(_) if TokioInstant::now() >= deadline => {
-                return ForwardEnd::Cut("the deadline has passed".into());
+            Ok(Ok(None)) => return ForwardEnd::Whole,
+            Ok(Err(why)) => return ForwardEnd::Cut(why),
+            Err(_) if stream.silent_since.is_some() => {
+                return ForwardEnd::Cut(format!("{STALLED}; the deadline has passed"));
             }
-            Err(_) => "the stream stalled".to_owned(),
-        };
-        stream.reader.answer.attempt.end(TargetOutcome::Failed);
-        let resumed = tokio::select! {
-            biased;
-            () = tx.closed() => return ForwardEnd::CallerGone,
-            resumed = timeout_at(deadline, stream.resume(&why)) => resumed,
-        };
-        match resumed {
-            Ok(Ok(())) => {}
-            Ok(Err(further)) => return ForwardEnd::Cut(format!("{why}; {further}")),
-            Err(_) => return ForwardEnd::Cut(format!("{why}; the deadline has passed")),
+            Err(_) => return ForwardEnd::Cut("the deadline has passed".to_owned()),
         }
     }
 }
 
 impl Stream {
+    /// A stream that has begun with these events.
+    pub(crate) fn new(
+        attempts: Attempts,
+        size: CallSize,
+        reader: Box<EventReader>,
+        first: Vec<Event>,
+        results: Option<StageResults>,
+    ) -> Self {
+        let req = Rc::clone(attempts.req());
+        Stream {
+            app: Rc::clone(attempts.app()),
+            attempts,
+            size,
+            reader: Some(reader),
+            held: first.into_iter().map(NextEvent::Event).collect(),
+            results,
+            last_event: None,
+            silent_since: None,
+            may_search: req.entry.repeatable,
+            heeds_hall_from: TokioInstant::now(),
+            req,
+        }
+    }
+
     /// Forwards an event, unless it was forwarded before. Returns false if the caller is gone.
     async fn forward_event(&mut self, event: Event, tx: &Sender<Result<Bytes, StreamCut>>) -> bool {
+        self.log_going_on();
         let seen =
             matches!((event.id, self.last_event), (Some(id), Some(last_event)) if id <= last_event);
         if seen {
@@ -161,53 +163,167 @@
         tx.send(Ok(event.bytes)).await.is_ok()
     }
 
-    /// When a pause counts as a stall, if the stream may be resumed elsewhere; otherwise the
-    /// request's deadline.
-    fn stall_limit(&self) -> TokioInstant {
-        if !self.req.entry.repeatable {
-            return TokioInstant::from_std(self.req.deadline);
+    /// The next event, from whichever target goes on with the stream; `None` at its end.
+    ///
+    /// # Errors
+    /// Why the stream is cut.
+    async fn next(&mut self) -> Result<Option<Event>, String> {
+        let mut trouble = String::new();
+        loop {
+            let next = match (self.held.pop_front(), &mut self.reader) {
+                (Some(held), _) => Ok(held),
+                (None, None) => return Err(trouble),
+                (None, Some(reader)) => {
+                    let heeds_hall = self.may_search && self.heeds_hall_from <= TokioInstant::now();
+                    let limit = if self.may_search {
+                        TokioInstant::now() + stall_time(&self.req)
+                    } else {
+                        TokioInstant::from_std(self.req.deadline)
+                    };
+                    timeout_at(limit, reader.next(heeds_hall)).await
+                }
+            };
+            let why = match next {
+                Ok(NextEvent::Event(event)) => return Ok(Some(event)),
+                Ok(NextEvent::End) => return Ok(None),
+                Ok(NextEvent::Broken(why)) => {
+                    self.leave_broken().await;
+                    why
+                }
+                Ok(NextEvent::HallUnreachable) => HALL_UNREACHABLE.to_owned(),
+                Err(_) => STALLED.to_owned(),
+            };
+            if let Err(further) = self.look_elsewhere(&why).await {
+                trouble = format!("{why}; {}", further.why());
+            }
         }
-        let stall =
-            self.req.entry.max_event_gap.map_or(MIN_STALL, |gap| (gap * STALL_GAPS).max(MIN_STALL));
-        TokioInstant::now() + stall
     }
 
-    /// Resumes the stream at another target, after the last event that was forwarded.
-    async fn resume(&mut self, why: &str) -> Result<(), String> {
-        let mut error = AttemptError::Lost(why.to_owned());
-        loop {
-            if !self.req.entry.repeatable {
-                return Err("no further attempt is allowed".to_owned());
-            }
-            if stream_origins::is_uncertain(&self.app, &self.req) {
-                return Err("the version that began it is not known".to_owned());
-            }
-            // Its stages would run in vain.
-            if !self.attempts.has_target() {
-                return Err("no target of its version could be used".to_owned());
+    /// Looks for a target that takes the stream over, as long as its own one is silent. An event of
+    /// its own one ends the search until something may have been sent to another. From then on the
+    /// stream goes on at that one, unless that one has not begun to run it.
+    async fn look_elsewhere(&mut self, why: &str) -> Result<(), NotTakenOver> {
+        if self.reader.is_some() {
+            self.log_silence(why);
+        }
+        self.attempts.begin_search();
+        let found = self.search(why).await;
+        self.attempts.withdraw();
+        self.heeds_hall_from = TokioInstant::now() + stall_time(&self.req);
+        match found {
+            Ok(Some(successor)) => {
+                self.take_over(successor, why);
+                Ok(())
             }
-            if !self.attempts.take_retry(&error) {
-                return Err("no further attempt is allowed".to_owned());
+            Ok(None) => Ok(()),
+            Err(e) => {
+                self.may_search &= matches!(e, NotTakenOver::ForNow(_));
+                Err(e)
             }
-            let last_event = self.last_event.ok_or("no event with an ID was forwarded")?;
-            info!(self.app.log, "stream resumed at another target"; "request" => %self.req.id,
-                "after" => last_event, "why" => why);
-            let stages = run_stages(&self.app, &self.req, self.req.deadline, None).await;
-            let results = stages.map_err(|_| "its stages could not be run again")?;
-            let inputs = results.as_ref().map(StageResults::inputs).unwrap_or_default();
-            let sent = self.attempts.send(Some(&self.size), &inputs, Some(last_event)).await;
-            match sent.map_err(|_| "no target could be used")? {
-                Ok(answer) if answer.head.status.is_success() => {
-                    let mut reader = EventReader::new(&self.app, answer);
-                    reader.answer.attempt.prompt_read();
-                    *self.reader = reader;
-                    return Ok(());
+        }
+    }
+
+    /// The target that takes the stream over; `None` if its own one went on before. What its own
+    /// one sends after the call to another may have been sent is held back: it must not be
+    /// followed by events of a run that began at an earlier event.
+    async fn search(&mut self, why: &str) -> Result<Option<Box<EventReader>>, NotTakenOver> {
+        let Stream { app, req, attempts, reader, held, .. } = self;
+        let mark = attempts.sent_mark();
+        let mut overlap = pin!(overlap_end(&mark));
+        let mut search = pin!(find_successor(attempts, &self.size, self.last_event, why));
+        loop {
+            let next = tokio::select! {
+                biased;
+                next = next_of(reader) => next,
+                () = &mut overlap, if reader.is_some() => {
+                    end_attempt(reader);
+                    held.clear();
+                    continue;
+                }
+                () = mark.until(false), if !held.is_empty() => return Ok(None),
+                found = &mut search => return found.map(Some),
+            };
+            match next {
+                NextEvent::Broken(_) => {
+                    check_broken(app, req, reader).await;
+                    end_attempt(reader);
+                    held.clear();
+                }
+                next => {
+                    let is_end = matches!(next, NextEvent::End);
+                    held.push_back(next);
+                    if is_end || !mark.is_set() {
+                        return Ok(None);
+                    }
                 }
-                Ok(answer) => error = AttemptError::Lost(format!("status {}", answer.head.status)),
-                Err(further) => error = further,
             }
         }
     }
+
+    /// Goes on at another target.
+    fn take_over(&mut self, successor: Box<EventReader>, why: &str) {
+        end_attempt(&mut self.reader);
+        self.held.clear();
+        let mut successor = successor;
+        successor.answer.attempt.prompt_read();
+        info!(self.app.log, "stream resumed at another target"; "request" => %self.req.id,
+            "target" => %successor.answer.attempt.pick.target.id, "after" => self.last_event,
+            "why" => why);
+        if self.silent_since.take().is_some() {
+            self.app.metrics.stream_silence_ended(self.req.service.as_str(), "taken over");
+        }
+        self.reader = Some(successor);
+    }
+
+    /// Leaves a target whose connection ended, once it is known whether it crashed.
+    async fn leave_broken(&mut self) {
+        check_broken(&self.app, &self.req, &self.reader).await;
+        end_attempt(&mut self.reader);
+    }
+
+    /// Logs that another target is sought for the stream.
+    fn log_silence(&mut self, why: &str) {
+        let since =
+            *self.silent_since.get_or_insert_with(|| TokioInstant::now() - stall_time(&self.req));
+        info!(self.app.log, "stream silent"; "request" => %self.req.id,
+            "after" => self.last_event, "silent_ms" => since.elapsed().as_millis(), "why" => why);
+    }
+
+    /// Logs that the stream goes on at its target, if that was silent.
+    fn log_going_on(&mut self) {
+        if let Some(since) = self.silent_since.take() {
+            info!(self.app.log, "stream went on"; "request" => %self.req.id,
+                "after" => self.last_event, "silent_ms" => since.elapsed().as_millis());
+            self.app.metrics.stream_silence_ended(self.req.service.as_str(), "went on");
+        }
+    }
+}
+
+/// Pause after which another target is sought for a stream.
+fn stall_time(req: &AcceptedRequest) -> Duration {
+    req.entry.max_event_gap.map_or(MIN_STALL, |gap| (gap * STALL_GAPS).max(MIN_STALL))
+}
+
+/// What the stream's target gives next, however long it takes; nothing if the target was left.
+async fn next_of(reader: &mut Option<Box<EventReader>>) -> NextEvent {
+    match reader {
+        Some(reader) => reader.next(false).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Checks whether the target of a broken connection crashed.
+async fn check_broken(app: &Rc<App>, req: &AcceptedRequest, reader: &Option<Box<EventReader>>) {
+    if let Some(reader) = reader {
+        crashes::check_broken_connection(app, req, &reader.answer.attempt).await;
+    }
+}
+
+/// Closes the connection to a target that the stream leaves.
+fn end_attempt(reader: &mut Option<Box<EventReader>>) {
+    if let Some(mut reader) = reader.take() {
+        reader.answer.attempt.end(TargetOutcome::Failed);
+    }
 }
 
 /// The body of a streamed answer, fed with events by [`forward`].
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 use platform_interface::callers::Refusal;
@@ -54,19 +53,14 @@
     guard: Guard,
 ) -> (Response<AnswerBody>, &'static str) {
     match start_stream(app, req).await {
-        Ok(Started::Stream(stream, first)) => {
+        Ok(Started::Stream(stream, head)) => {
             active_requests::update(app, req.active_key, |request| request.head_sent = true);
-            let mut answer = Response::new(whole(Bytes::new()));
-            let head = &stream.reader.answer.head;
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = (app.adapter.calls.answer_headers)(&head.headers);
             let (tx, rx) = channel(EVENT_QUEUE_LEN);
             spawn_local(async move {
-                forward(*stream, first, tx).await;
+                forward(*stream, tx).await;
                 drop(guard);
             });
-            *answer.body_mut() = EventBody { rx }.boxed_unsync();
-            (answer, "stream begun")
+            (head.map(|()| EventBody { rx }.boxed_unsync()), "stream begun")
         }
         Ok(Started::Whole(answer)) => (answer, "failed"),
         Err(rejection) => (refusal(app, rejection, Some(&req.id)), outcome_of(rejection)),
@@ -75,8 +69,8 @@
 
 /// A stream that has started, or the answer given instead.
 enum Started {
-    /// A stream, with its first event if it has any.
-    Stream(Box<Stream>, Vec<Event>),
+    /// A stream, and the head of its answer.
+    Stream(Box<Stream>, Response<()>),
     /// The target gave an answer that is no stream.
     Whole(Response<AnswerBody>),
 }
@@ -104,9 +98,9 @@
                     stream_origins::stream_begun(app, req, target);
                 }
                 attempts.bind(target.version.clone());
-                let (app, req) = (Rc::clone(app), Rc::clone(req));
-                let stream = Stream { app, req, attempts, size, reader, results, last_event: None };
-                return Ok(Started::Stream(Box::new(stream), first));
+                let head = answer_head(app, &reader.answer.head);
+                let stream = Stream::new(attempts, size, reader, first, results);
+                return Ok(Started::Stream(Box::new(stream), head));
             }
             Ok(Ok(Ok(Reply::Whole(answer)))) => return whole_answer(app, req, *answer).await,
             Ok(Ok(Err(error))) => error,
@@ -260,8 +254,13 @@
     } else {
         TargetOutcome::Answered
     });
-    let mut answer = Response::new(whole(body.to_bytes()));
+    Ok(Started::Whole(answer_head(app, &head).map(|()| whole(body.to_bytes()))))
+}
+
+/// The head of an answer to the caller.
+fn answer_head(app: &App, head: &http::response::Parts) -> Response<()> {
+    let mut answer = Response::new(());
     *answer.status_mut() = head.status;
     *answer.headers_mut() = (app.adapter.calls.answer_headers)(&head.headers);
-    Ok(Started::Whole(answer))
+    answer
 }
