Close a caller's connection only when nothing of a request is on it

Callers saw kept connections end with no byte, after they had sent a whole request on them: as idle, and in a stop.

Ruled out: targets (nothing ran there), and a request that crosses a close: the tests ask while the process stands still whether the connection is open, and count the requests that are sent on open ones only.

Change: the socket is shared between the HTTP library and the closing, and records when bytes last moved. A connection is closed at rest if no request is in work, no answer is being sent, nothing has moved for the time that was in force when the rest began or is now, whichever is longer, and the kernel holds no unread byte right before its sending side is closed. The HTTP library is polled first. In a stop the rest is 0.5 s since the last byte, bounded by the exit of the process; what arrives meanwhile is answered with `Connection: close`. A head that has begun to arrive has the time of a head.

What remains: a request that arrives between the look at the socket and its closing, which are two calls in a row.

--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -16,6 +16,7 @@
 use telemetry::Metrics;
 use tokio::sync::Notify;
 
+use crate::caller_connections::CallerConnections;
 use crate::connections::Connections;
 use crate::held_results::HeldResults;
 use crate::outbound_links::{DialerSender, Link};
@@ -74,8 +75,8 @@
     pub(crate) relayed_for_peers: Cell<usize>,
     /// Number of checks of paths to targets in progress.
     pub(crate) path_checks: Cell<usize>,
-    /// Number of open callers' connections.
-    pub(crate) open_caller_connections: Cell<usize>,
+    /// The open connections of callers.
+    pub(crate) caller_connections: CallerConnections,
     /// Becomes true when callers' idle connections are to be closed during shutdown.
     pub(crate) closing: tokio::sync::watch::Sender<bool>,
 }
--- /dev/null
+++ b/gateway/src/caller_connections.rs
@@ -0,0 +1,160 @@
+//! The open connections of callers: what each has in work, and when it may be closed.
+
+use std::cell::{Cell, RefCell};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use slotmap::{SlotMap, new_key_type};
+use tokio::net::TcpStream;
+
+use crate::answers::{AnswerBody, StreamCut};
+use crate::app::App;
+use crate::caller_stream::CallerSocket;
+use crate::idle_rest::{Rest, RestLimits};
+
+/// Limits of connections at rest while no configuration is known.
+const DEFAULT_LIMITS: RestLimits =
+    RestLimits { idle: Duration::from_secs(60), head: Duration::from_secs(60) };
+
+new_key_type! {
+    /// Key of an open connection.
+    pub(crate) struct ConnectionKey;
+}
+
+/// The open connections of callers. A stop waits for them, since an answer may not have been
+/// written yet.
+#[derive(Default)]
+pub(crate) struct CallerConnections(RefCell<SlotMap<ConnectionKey, Rc<CallerConnection>>>);
+
+impl CallerConnections {
+    /// Number of open connections.
+    pub(crate) fn len(&self) -> usize {
+        self.0.borrow().len()
+    }
+}
+
+/// A caller's connection.
+pub(crate) struct CallerConnection {
+    pub(crate) socket: Rc<CallerSocket>,
+    requests_in_work: Cell<u32>,
+    /// Limits in force when the connection last began to rest.
+    limits: Cell<RestLimits>,
+}
+
+impl CallerConnection {
+    /// When the connection may be closed, if no bytes arrive by then; `None` while it has a request
+    /// in work or bytes to send.
+    pub(crate) fn rest_ends_at(&self, app: &App, is_closing: bool) -> Option<Instant> {
+        if self.requests_in_work.get() > 0 || self.socket.is_write_blocked() {
+            return None;
+        }
+        let rest = Rest {
+            since: self.socket.moved_at(),
+            limits: self.limits.get(),
+            request_begun: self.socket.has_read_unanswered(),
+        };
+        let exits_at = is_closing.then(|| exits_at(app)).flatten();
+        Some(exits_at.map_or_else(
+            || rest.ends_at(limits_in_force(app)),
+            |exits_at| rest.ends_in_stop_at(exits_at),
+        ))
+    }
+}
+
+/// Keeps a connection among the open ones until dropped.
+pub(crate) struct OpenConnection {
+    app: Rc<App>,
+    key: ConnectionKey,
+    connection: Rc<CallerConnection>,
+}
+
+impl OpenConnection {
+    /// Registers an accepted connection.
+    pub(crate) fn new(app: &Rc<App>, stream: TcpStream) -> Self {
+        let connection = Rc::new(CallerConnection {
+            socket: CallerSocket::new(stream),
+            requests_in_work: Cell::new(0),
+            limits: Cell::new(limits_in_force(app)),
+        });
+        let key = app.caller_connections.0.borrow_mut().insert(Rc::clone(&connection));
+        OpenConnection { app: Rc::clone(app), key, connection }
+    }
+
+    /// The connection.
+    pub(crate) fn connection(&self) -> &Rc<CallerConnection> {
+        &self.connection
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.app.caller_connections.0.borrow_mut().remove(self.key);
+    }
+}
+
+/// Marks its connection as not at rest until dropped, at the end of the answer.
+pub(crate) struct RequestInWork {
+    app: Rc<App>,
+    connection: Rc<CallerConnection>,
+}
+
+impl RequestInWork {
+    /// Registers a request whose head was read.
+    pub(crate) fn new(app: &Rc<App>, connection: &Rc<CallerConnection>) -> Self {
+        connection.requests_in_work.update(|requests| requests + 1);
+        RequestInWork { app: Rc::clone(app), connection: Rc::clone(connection) }
+    }
+}
+
+impl Drop for RequestInWork {
+    fn drop(&mut self) {
+        self.connection.requests_in_work.update(|requests| requests - 1);
+        self.connection.limits.set(limits_in_force(&self.app));
+        self.connection.socket.set_answered();
+    }
+}
+
+/// The body of an answer, whose request is in work until the body has been taken to its end.
+pub(crate) struct TrackedBody {
+    pub(crate) body: AnswerBody,
+    pub(crate) _request: RequestInWork,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = StreamCut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// The limits that are in force.
+fn limits_in_force(app: &App) -> RestLimits {
+    app.state.with(|shared, _| {
+        shared.intent.as_ref().map_or(DEFAULT_LIMITS, |intent| RestLimits {
+            idle: intent.bounds.idle_wait,
+            head: intent.bounds.head_wait,
+        })
+    })
+}
+
+/// When the process exits, if it is stopping.
+fn exits_at(app: &App) -> Option<Instant> {
+    app.state.with(|shared, _| shared.stop.map(|plan| plan.exits_at()))
+}
--- /dev/null
+++ b/gateway/src/caller_stream.rs
@@ -0,0 +1,136 @@
+//! A caller's TCP connection that records when bytes last moved on it, and that can tell without
+//! waiting whether bytes have arrived that were not read.
+
+use std::cell::{Cell, RefCell};
+use std::io::{ErrorKind, IoSlice, Result};
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Instant;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::state_handle::now;
+
+/// The socket of a caller's connection, shared by the HTTP library and by who decides when to close
+/// it.
+pub(crate) struct CallerSocket {
+    stream: RefCell<TcpStream>,
+    moved_at: Cell<Instant>,
+    read_unanswered: Cell<bool>,
+    write_blocked: Cell<bool>,
+}
+
+impl CallerSocket {
+    /// Takes over an accepted connection.
+    pub(crate) fn new(stream: TcpStream) -> Rc<Self> {
+        // Without TCP_NODELAY, an event waits until earlier ones are acknowledged. A failure is
+        // harmless: the connection works without it.
+        drop(stream.set_nodelay(true));
+        Rc::new(CallerSocket {
+            stream: RefCell::new(stream),
+            moved_at: Cell::new(now()),
+            read_unanswered: Cell::new(false),
+            write_blocked: Cell::new(false),
+        })
+    }
+
+    /// When the last byte was read or written; at first, when the connection was accepted.
+    pub(crate) fn moved_at(&self) -> Instant {
+        self.moved_at.get()
+    }
+
+    /// Whether bytes were read since the last call of [`CallerSocket::set_answered`].
+    pub(crate) fn has_read_unanswered(&self) -> bool {
+        self.read_unanswered.get()
+    }
+
+    /// Records that what was read so far has its answer.
+    pub(crate) fn set_answered(&self) {
+        self.read_unanswered.set(false);
+    }
+
+    /// Whether the last write waits for the caller to read.
+    pub(crate) fn is_write_blocked(&self) -> bool {
+        self.write_blocked.get()
+    }
+
+    /// Closes the sending side, which tells the caller that no answer will follow, unless bytes or
+    /// an end have arrived that were not read; whether it did.
+    pub(crate) fn close_if_silent(&self) -> bool {
+        let is_silent = self.peek().is_err_and(|e| e.kind() == ErrorKind::WouldBlock);
+        if is_silent {
+            // A failure means that the connection is closed already.
+            drop(SockRef::from(&*self.stream.borrow()).shutdown(Shutdown::Write));
+        }
+        is_silent
+    }
+
+    /// Number of unread bytes, one at most; 0 at the end of what the caller sends.
+    fn peek(&self) -> Result<usize> {
+        SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()])
+    }
+
+    fn record_write(&self, result: Poll<Result<usize>>) -> Poll<Result<usize>> {
+        self.write_blocked.set(result.is_pending());
+        if matches!(result, Poll::Ready(Ok(1..))) {
+            self.moved_at.set(now());
+        }
+        result
+    }
+}
+
+/// The connection as the HTTP library reads and writes it.
+pub(crate) struct CallerStream(pub(crate) Rc<CallerSocket>);
+
+impl CallerStream {
+    fn with<R>(&self, f: impl FnOnce(Pin<&mut TcpStream>) -> R) -> R {
+        f(Pin::new(&mut self.0.stream.borrow_mut()))
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buf.filled().len();
+        let result = self.with(|stream| stream.poll_read(cx, buf));
+        if buf.filled().len() > before {
+            self.0.moved_at.set(now());
+            self.0.read_unanswered.set(true);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+        self.0.record_write(self.with(|stream| stream.poll_write(cx, buf)))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        self.0.record_write(self.with(|stream| stream.poll_write_vectored(cx, bufs)))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.with(|stream| stream.poll_flush(cx))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        self.with(|stream| stream.poll_shutdown(cx))
+    }
+}
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -1,7 +1,6 @@
-//! Accepts callers' HTTP/1 connections and serves each in a task of its own. Closes those that are
-//! idle for too long, and all idle ones during shutdown.
+//! Accepts callers' HTTP/1 connections and serves each in a task of its own, until it is idle for
+//! too long or the process stops. No connection is closed while it holds a request or unread bytes.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,9 +11,11 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use crate::app::App;
+use crate::caller_connections::{CallerConnection, OpenConnection, RequestInWork, TrackedBody};
+use crate::caller_stream::CallerStream;
 use crate::requests;
 use crate::state_handle::now;
 
@@ -22,11 +23,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Interval at which a connection is checked for being idle too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
-/// Factor on the configured idle time, so that a caller that keeps to that time is never
-/// disconnected.
-const IDLE_GRACE_FACTOR: f64 = 1.2;
-/// Idle time that is allowed while no configuration is known.
-const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(60);
+/// The same interval while idle connections are closed during shutdown.
+const CLOSING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Accepts callers' connections until idle connections are closed during shutdown.
 pub(crate) async fn accept(app: Rc<App>, listener: TcpListener) {
@@ -48,82 +46,50 @@
     }
 }
 
-/// Counts a caller's connection as open while this exists. Shutdown waits for it, since an answer
-/// may not have been written to the connection yet.
-struct OpenConnection(Rc<App>);
-
-impl OpenConnection {
-    fn new(app: &Rc<App>) -> Self {
-        app.open_caller_connections.update(|open| open + 1);
-        OpenConnection(Rc::clone(app))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.open_caller_connections.update(|open| open - 1);
-    }
-}
-
 /// Serves the requests of one connection until it is closed.
 async fn serve(app: Rc<App>, stream: TcpStream) {
-    let _open = OpenConnection::new(&app);
-    // Without TCP_NODELAY, an event waits until earlier ones are acknowledged. A failure is
-    // harmless: the connection works without it.
-    drop(stream.set_nodelay(true));
-    let active_requests = Rc::new(Cell::new(0u32));
-    let idle_since = Rc::new(Cell::new(now()));
-    let was_used = Rc::new(Cell::new(false));
-    let service = service_fn({
-        let (app, active_requests, idle_since) =
-            (Rc::clone(&app), Rc::clone(&active_requests), Rc::clone(&idle_since));
-        let was_used = Rc::clone(&was_used);
-        move |req| {
-            was_used.set(true);
-            let (app, active_requests, idle_since) =
-                (Rc::clone(&app), Rc::clone(&active_requests), Rc::clone(&idle_since));
-            async move {
-                active_requests.set(active_requests.get() + 1);
-                let mut answer = requests::answer(Rc::clone(&app), req).await;
-                if *app.stopping.borrow() {
-                    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-                }
-                active_requests.set(active_requests.get() - 1);
-                idle_since.set(now());
-                Ok::<_, Infallible>(answer)
+    let open = OpenConnection::new(&app, stream);
+    let connection = open.connection();
+    let service = service_fn(|req| {
+        let request = RequestInWork::new(&app, connection);
+        let app = Rc::clone(&app);
+        async move {
+            let mut answer = requests::answer(Rc::clone(&app), req).await;
+            if *app.stopping.borrow() {
+                answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
+            Ok::<_, Infallible>(answer.map(|body| TrackedBody { body, _request: request }))
         }
     });
     let mut builder = http1::Builder::new();
     builder.timer(TokioTimer::new()).header_read_timeout(None);
-    let connection = builder.serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
+    let stream = TokioIo::new(CallerStream(Rc::clone(&connection.socket)));
+    let mut http = std::pin::pin!(builder.serve_connection(stream, service));
+    tokio::select! {
+        biased;
+        // Errors need no handling: the connection's requests ended with it.
+        _ = http.as_mut() => {}
+        () = closed_at_rest(&app, connection) => {}
+    }
+}
+
+/// Waits until a connection is at rest for as long as it may be, and closes it.
+async fn closed_at_rest(app: &App, connection: &CallerConnection) {
     let mut closing = app.closing.subscribe();
-    let mut is_closing = false;
     loop {
+        let is_closing = *closing.borrow_and_update();
+        let ends_at = connection.rest_ends_at(app, is_closing);
+        let is_due = ends_at.is_some_and(|ends_at| ends_at <= now());
+        // The HTTP library was polled just before, but bytes may have arrived since.
+        if is_due && connection.socket.close_if_silent() {
+            return;
+        }
+        let interval = if is_closing { CLOSING_CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
+        let check_at = now() + interval;
+        let check_at = ends_at.filter(|_| !is_due).map_or(check_at, |at| at.min(check_at));
         tokio::select! {
-            // Errors need no handling: the connection's requests ended with it.
-            _ = connection.as_mut() => return,
-            _ = closing.wait_for(|closing| *closing), if !is_closing => {
-                // hyper's graceful shutdown would wait for the first request of the connection.
-                if !was_used.get() {
-                    return;
-                }
-                is_closing = true;
-                connection.as_mut().graceful_shutdown();
-            }
-            () = sleep(IDLE_CHECK_INTERVAL) => {
-                let allowed = app.state.with(|shared, _| {
-                    shared
-                        .intent
-                        .as_ref()
-                        .map_or(DEFAULT_IDLE_TIME, |intent| intent.bounds.idle_wait)
-                });
-                let is_overdue = now() - idle_since.get() > allowed.mul_f64(IDLE_GRACE_FACTOR);
-                if active_requests.get() == 0 && is_overdue {
-                    connection.as_mut().graceful_shutdown();
-                }
-            }
+            _ = closing.changed(), if !is_closing => {}
+            () = sleep_until(check_at.into()) => {}
         }
     }
 }
--- /dev/null
+++ b/gateway/src/idle_rest.rs
@@ -0,0 +1,50 @@
+//! Decides when a caller's connection that is at rest may be closed.
+
+use std::time::{Duration, Instant};
+
+/// Factor on the configured times, so that a caller that keeps to them is never disconnected.
+const GRACE_FACTOR: f64 = 1.2;
+/// Time for which a connection stays open in a stop after the last byte moved on it. Its caller may
+/// have learned nothing of the stop, and sends the next request once it has read the answer before.
+const STOP_REST: Duration = Duration::from_millis(500);
+
+/// Configured limits of connections at rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RestLimits {
+    /// Longest time without a request.
+    pub idle: Duration,
+    /// Longest time from the first byte of a request's head to its last one.
+    pub head: Duration,
+}
+
+/// A connection on which no request is in work.
+#[derive(Debug, Clone, Copy)]
+pub struct Rest {
+    /// When the last byte moved.
+    pub since: Instant,
+    /// The limits in force when the last answer ended, or the connection was accepted.
+    pub limits: RestLimits,
+    /// Whether a part of the next request has arrived.
+    pub request_begun: bool,
+}
+
+impl Rest {
+    /// When the connection may be closed, by the limits in force now. Callers that began to rest
+    /// under longer limits keep these, since nothing tells them of the change.
+    pub fn ends_at(&self, in_force: RestLimits) -> Instant {
+        let idle = self.limits.idle.max(in_force.idle);
+        let head = self.limits.head.max(in_force.head);
+        let allowed = if self.request_begun { idle.max(head) } else { idle };
+        self.since + allowed.mul_f64(GRACE_FACTOR)
+    }
+
+    /// When the connection may be closed in a stop of a process that exits at `exits_at`.
+    pub fn ends_in_stop_at(&self, exits_at: Instant) -> Instant {
+        let allowed = if self.request_begun {
+            self.limits.head.mul_f64(GRACE_FACTOR).max(STOP_REST)
+        } else {
+            STOP_REST
+        };
+        (self.since + allowed).min(exits_at)
+    }
+}
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -20,6 +20,7 @@
 use tokio::time::{interval, sleep};
 
 use crate::app::App;
+use crate::caller_connections::CallerConnections;
 use crate::connections::Connections;
 use crate::held_results::HeldResults;
 use crate::settings::Settings;
@@ -76,7 +77,7 @@
             stopping: watch::channel(false).0,
             relayed_for_peers: Cell::new(0),
             path_checks: Cell::new(0),
-            open_caller_connections: Cell::new(0),
+            caller_connections: CallerConnections::default(),
             closing: watch::channel(false).0,
         });
         serve(&app, &path).await
@@ -185,16 +186,15 @@
             shared.stop.iter_mut().for_each(|plan| plan.record_timer_delay(timer_delay))
         });
         let in_work = app.state.with(|shared, _| shared.active_requests.len());
-        let is_idle = in_work == 0
-            && app.open_caller_connections.get() == 0
-            && app.relayed_for_peers.get() == 0;
+        let is_idle =
+            in_work == 0 && app.caller_connections.len() == 0 && app.relayed_for_peers.get() == 0;
         if !closing && now >= plan.closes_idle_at() {
             closing = true;
             app.closing.send_replace(true);
         }
         if (closing && is_idle) || now >= plan.exits_at() {
             info!(app.log, "serving ended"; "in_work" => in_work,
-                "open_connections" => app.open_caller_connections.get());
+                "open_connections" => app.caller_connections.len());
             shutdown::log_closed_requests(app);
             break;
         }
--- a/standins/src/serving_path/callers.rs
+++ b/standins/src/serving_path/callers.rs
@@ -59,6 +59,11 @@
         bytes
     }
 
+    /// Writes the request on a connection without reading the answer; false if the write failed.
+    pub fn write_on(&self, conn: &mut HttpConnection) -> bool {
+        conn.write(&self.bytes())
+    }
+
     /// Sends the request on a connection; `None` if the connection ends before a complete response
     /// head.
     pub fn send_on(&self, conn: &mut HttpConnection) -> Option<HttpMessage> {
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -98,7 +98,7 @@
     }
 
     /// Whether the peer has closed the connection, as far as can be told without blocking.
-    pub(crate) fn is_closed(&self) -> bool {
+    pub fn is_closed(&self) -> bool {
         let stream = self.reader.get_ref();
         if stream.set_nonblocking(true).is_err() {
             return true;
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -151,6 +151,21 @@
         assert!(sent.success());
     }
 
+    /// Has the process stand still until [`Vm::go_on`]; returns once it does.
+    pub fn stand_still(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        wait_until("the process stands still", || {
+            let stat = std::fs::read_to_string(&stat).unwrap_or_default();
+            stat.rsplit_once(") ").is_some_and(|(_, state)| state.starts_with('T'))
+        });
+    }
+
+    /// Has a process that stands still go on.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
     /// Waits for the end of the process; returns the exit code.
     pub fn wait_exit(&mut self) -> Option<i32> {
         let mut code = None;
--- /dev/null
+++ b/tests/kept_connections.rs
@@ -0,0 +1,272 @@
+//! Callers' kept connections: each whole request that is sent on a connection which the VM has not
+//! closed gets an answer, beside idle times, changes of the configuration, stops, and a process
+//! that stands still.
+
+// A failing `expect` in a fixture fails the test.
+#![allow(clippy::expect_used)]
+
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standins::fleet::wait_until;
+use standins::serving_path::callers::Call;
+use standins::serving_path::runners::Behavior;
+use standins::serving_path::site::{HOST, Site, Vm, default_configuration, get};
+use standins::serving_path::{HttpConnection, HttpMessage};
+
+/// Callers with a kept connection each.
+const CALLERS: usize = 60;
+/// Settings of a stop: notice period and grace period. Idle connections are closed 4.4 s after the
+/// signal.
+const STOP: &str = "stop: {notice_ms: 1000, grace_s: 8}\n";
+/// Grace period of [`STOP`].
+const GRACE: Duration = Duration::from_secs(8);
+/// Time after the signal at which the process stands still, until idle connections are due.
+const BEFORE_CLOSING: Duration = Duration::from_millis(4200);
+/// Time for which the process stands still then.
+const STANDSTILL: Duration = Duration::from_millis(600);
+/// Timeout of requests, in milliseconds.
+const TIMEOUT_MS: u32 = 20_000;
+
+/// Writes the default configuration with another idle time, and requests that may take
+/// [`TIMEOUT_MS`].
+fn put_configuration(site: &Site, version: u64, idle_ms: u64) {
+    let mut config = default_configuration(version);
+    config["limits"]["idle_timeout_ms"] = json!(idle_ms);
+    for route in config["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = json!(TIMEOUT_MS);
+    }
+    site.store.put("op/config", &config);
+}
+
+fn wait_in_force(vm: &Vm, version: u64) {
+    wait_until("the configuration is in force", || vm.state()["configuration"] == json!(version));
+}
+
+/// A site whose connections may be idle for so long, and a VM.
+fn start(name: &str, idle_ms: u64) -> (Site, Vm) {
+    let site = Site::start();
+    put_configuration(&site, 2, idle_ms);
+    let vm = site.start_vm(name, STOP);
+    wait_in_force(&vm, 2);
+    (site, vm)
+}
+
+fn open(vm: &Vm) -> HttpConnection {
+    HttpConnection::new(TcpStream::connect(vm.callers).expect("a connection"))
+}
+
+/// Connections that have had no request.
+fn open_connections(vm: &Vm) -> Vec<HttpConnection> {
+    (0..CALLERS).map(|_| open(vm)).collect()
+}
+
+/// Connections that have each had an answer.
+fn used_connections(vm: &Vm) -> Vec<HttpConnection> {
+    let mut conns = open_connections(vm);
+    for (number, conn) in conns.iter_mut().enumerate() {
+        let answer = get("/repeat/", &format!("first-{number}")).send_on(conn);
+        assert_eq!(answer.expect("an answer").status(), 200);
+    }
+    conns
+}
+
+/// A request that may take [`TIMEOUT_MS`].
+fn long_call(path: &str, id: &str) -> Call {
+    Call::new("GET", HOST, path, id).with_header("Deadline-Milliseconds", &TIMEOUT_MS.to_string())
+}
+
+/// Sends a request on each connection that is open while the process stands still for `standstill`,
+/// and returns their answers.
+fn send_in_standstill(
+    vm: &Vm,
+    conns: &mut [HttpConnection],
+    standstill: Duration,
+) -> Vec<Option<HttpMessage>> {
+    let began = Instant::now();
+    vm.stand_still();
+    let mut sent = Vec::new();
+    for (number, conn) in conns.iter_mut().enumerate() {
+        if !conn.is_closed() {
+            assert!(long_call("/repeat/", &format!("next-{number}")).write_on(conn));
+            sent.push(conn);
+        }
+    }
+    thread::sleep(standstill.saturating_sub(began.elapsed()));
+    vm.go_on();
+    sent.into_iter().map(HttpConnection::read).collect()
+}
+
+/// Asserts that so many requests were sent on open connections, and each has an answer.
+fn assert_all_answered(answers: &[Option<HttpMessage>], sent: usize) {
+    let nothing = answers.iter().filter(|answer| answer.is_none()).count();
+    assert_eq!(nothing, 0, "of {} requests got nothing", answers.len());
+    assert_eq!(answers.len(), sent, "connections that were open");
+    for answer in answers.iter().flatten() {
+        assert!(answer.is_complete, "{answer:?}");
+        assert!([200, 503].contains(&answer.status()), "{answer:?}");
+    }
+}
+
+#[test]
+fn no_request_is_lost_when_the_idle_time_falls_while_its_connection_rests() {
+    let (site, vm) = start("kept-shorter", 15_000);
+    let mut conns = used_connections(&vm);
+    thread::sleep(Duration::from_millis(2300));
+    put_configuration(&site, 3, 1000);
+    thread::sleep(Duration::from_millis(60));
+
+    let answers = send_in_standstill(&vm, &mut conns, Duration::from_millis(900));
+
+    assert_all_answered(&answers, CALLERS);
+}
+
+#[test]
+fn a_shorter_idle_time_does_not_close_connections_that_began_to_rest_before() {
+    let (site, vm) = start("kept-rest", 5000);
+    let mut conns = used_connections(&vm);
+    put_configuration(&site, 3, 1000);
+    wait_in_force(&vm, 3);
+    thread::sleep(Duration::from_millis(3800));
+
+    let answers = send_in_standstill(&vm, &mut conns, Duration::ZERO);
+
+    assert_all_answered(&answers, CALLERS);
+}
+
+/// Connections that are idle for longer than allowed are still closed.
+#[test]
+fn idle_connections_are_closed() {
+    let (_site, vm) = start("kept-idle", 1000);
+    let mut conns = used_connections(&vm);
+
+    wait_until("all are closed", || conns.iter_mut().all(|conn| conn.is_closed()));
+}
+
+#[test]
+fn no_request_is_lost_that_arrives_when_its_connection_is_due_to_be_closed_as_idle() {
+    let (_site, vm) = start("kept-due", 2000);
+    let mut conns = used_connections(&vm);
+    thread::sleep(Duration::from_millis(1000));
+
+    let answers = send_in_standstill(&vm, &mut conns, Duration::from_millis(2200));
+
+    assert_all_answered(&answers, CALLERS);
+}
+
+#[test]
+fn the_connection_of_a_stream_longer_than_the_idle_time_takes_the_next_request() {
+    let (site, vm) = start("kept-stream", 1000);
+    for engine in &site.engines {
+        engine.queue_behaviors(&vec![Behavior::SlowStream(45, Duration::from_millis(100)); 8]);
+    }
+    let results: Vec<_> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|number| {
+                let vm = &vm;
+                scope.spawn(move || {
+                    let mut conn = open(vm);
+                    let stream =
+                        long_call("/stream/", &format!("stream-{number}")).send_on(&mut conn);
+                    thread::sleep(Duration::from_millis(5));
+                    let next = long_call("/repeat/", &format!("next-{number}")).send_on(&mut conn);
+                    (stream, next)
+                })
+            })
+            .collect();
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect()
+    });
+
+    let (streams, next): (Vec<_>, Vec<_>) = results.into_iter().unzip();
+    assert_all_answered(&streams, 8);
+    assert_all_answered(&next, 8);
+}
+
+#[test]
+fn a_request_whose_head_arrives_slowly_is_not_idle() {
+    let (_site, vm) = start("kept-slow-head", 1000);
+    let mut conn = used_connections(&vm).remove(0);
+    thread::sleep(Duration::from_millis(500));
+    let head = format!(
+        "GET /repeat/ HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: slow\r\n\
+                        Deadline-Milliseconds: 9000\r\n\r\n"
+    );
+
+    for bytes in head.as_bytes().chunks(head.len().div_ceil(14)) {
+        thread::sleep(Duration::from_millis(200));
+        assert!(conn.write(bytes));
+    }
+    let answer = conn.read();
+
+    assert_all_answered(&[answer], 1);
+}
+
+#[test]
+fn no_request_is_lost_that_arrives_when_a_stop_closes_idle_connections() {
+    let (_site, mut vm) = start("kept-stop", 15_000);
+    let mut conns = used_connections(&vm);
+
+    let answers = stop_and_send(&mut vm, &mut conns);
+
+    assert_all_answered(&answers, CALLERS);
+    assert!(answers.iter().flatten().all(|answer| answer.header("connection") == "close"));
+}
+
+#[test]
+fn no_first_request_is_lost_that_arrives_when_a_stop_closes_idle_connections() {
+    let (_site, mut vm) = start("kept-unused", 15_000);
+    let mut conns = open_connections(&vm);
+
+    let answers = stop_and_send(&mut vm, &mut conns);
+
+    assert_all_answered(&answers, CALLERS);
+}
+
+/// Stops the VM, and has it stand still when idle connections are due to be closed; returns the
+/// answers to the requests sent meanwhile.
+fn stop_and_send(vm: &mut Vm, conns: &mut [HttpConnection]) -> Vec<Option<HttpMessage>> {
+    let signalled = Instant::now();
+    vm.signal("-TERM");
+    thread::sleep(BEFORE_CLOSING);
+    let answers = send_in_standstill(vm, conns, STANDSTILL);
+    assert_eq!(vm.wait_exit(), Some(0));
+    assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
+    answers
+}
+
+#[test]
+fn the_connection_of_a_stream_that_ends_late_in_a_stop_takes_the_next_request() {
+    let (site, mut vm) = start("kept-late-stream", 15_000);
+    for engine in &site.engines {
+        engine.queue_behaviors(&vec![Behavior::SlowStream(50, Duration::from_millis(100)); 8]);
+    }
+    let signalled = Instant::now();
+    let results: Vec<_> = thread::scope(|scope| {
+        let callers: Vec<_> = (0..8)
+            .map(|number| {
+                let address = vm.callers;
+                scope.spawn(move || {
+                    let stream = TcpStream::connect(address).expect("a connection");
+                    let mut conn = HttpConnection::new(stream);
+                    let call = long_call("/stream/", &format!("stream-{number}"));
+                    let stream = call.send_on(&mut conn);
+                    thread::sleep(Duration::from_millis(5));
+                    let next = long_call("/repeat/", &format!("next-{number}")).send_on(&mut conn);
+                    (stream, next)
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(300));
+        vm.signal("-TERM");
+        callers.into_iter().map(|caller| caller.join().expect("no panic")).collect()
+    });
+
+    let (streams, next): (Vec<_>, Vec<_>) = results.into_iter().unzip();
+    assert_all_answered(&streams, 8);
+    assert!(streams.iter().flatten().all(|stream| stream.header("connection") != "close"));
+    assert_all_answered(&next, 8);
+    assert_eq!(vm.wait_exit(), Some(0));
+    assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
+}
