Serve the connections that wait in a listener's queue before it closes

Callers that connected just before a stop closed the listener, and sent a whole request, got nothing: the kernel resets what waits in the queue of a listener that ends.

Cause: the accepting task returned on the signal to close, with connections left in the queue; and a stop that had nothing else in work could end the process before that task had run.

Change: the task accepts until the queue is empty, then closes; the stop waits for it. What it accepts is answered as other requests in a stop.

What remains: a connection that arrives between the last look at the queue and the close, which are two calls in a row.

--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -2,6 +2,7 @@
 //! too long or the process stops. No connection is closed while it holds a request or unread bytes.
 
 use std::convert::Infallible;
+use std::io::{ErrorKind, Result};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,7 +33,7 @@
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.changed() => return,
+            _ = closing.changed() => break,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -44,6 +45,27 @@
             }
         }
     }
+    if let Err(e) = accept_queued(&app, listener) {
+        slog::warn!(app.log, "accepting a caller's connection failed"; "why" => %e);
+    }
+}
+
+/// Accepts all connections that wait in the listener's queue, and closes it: the kernel resets those
+/// that still wait then.
+fn accept_queued(app: &Rc<App>, listener: TcpListener) -> Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                spawn_local(serve(Rc::clone(app), TcpStream::from_std(stream)?));
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e)
+                if [ErrorKind::ConnectionAborted, ErrorKind::Interrupted].contains(&e.kind()) => {}
+            Err(e) => return Err(e),
+        }
+    }
 }
 
 /// Serves the requests of one connection until it is closed.
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{Notify, watch};
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{interval, sleep};
 
 use crate::app::App;
@@ -96,7 +96,7 @@
         spawn_local(http_endpoints::serve(Rc::clone(app), listen(address).await?));
     }
     spawn_local(http_endpoints::serve(Rc::clone(app), ready_listener));
-    spawn_local(callers::accept(Rc::clone(app), callers_listener));
+    let accepting = spawn_local(callers::accept(Rc::clone(app), callers_listener));
     spawn_local(inbound_links::accept(Rc::clone(app), peers_listener));
     spawn_local(link_dialer::maintain_links(Rc::clone(app)));
     spawn_local(hall_reachability::monitor(Rc::clone(app)));
@@ -123,7 +123,7 @@
             }
         };
         info!(app.log, "stopping"; "signal" => name);
-        stop(app).await;
+        stop(app, &accepting).await;
         info!(app.log, "stopped");
         return Ok(());
     }
@@ -170,7 +170,7 @@
 /// Announces the shutdown to the balancer and peers, stops accepting and closes callers' idle
 /// connections once they have had time to notice, and returns when all requests have ended or the
 /// process must exit.
-async fn stop(app: &Rc<App>) {
+async fn stop(app: &Rc<App>, accepting: &JoinHandle<()>) {
     let limits =
         Limits { notice: app.cfg.stop.notice(), grace: app.cfg.stop.grace(), cores: app.cfg.cores };
     let plan = StopPlan::new(now(), limits);
@@ -186,8 +186,10 @@
             shared.stop.iter_mut().for_each(|plan| plan.record_timer_delay(timer_delay))
         });
         let in_work = app.state.with(|shared, _| shared.active_requests.len());
-        let is_idle =
-            in_work == 0 && app.caller_connections.len() == 0 && app.relayed_for_peers.get() == 0;
+        let is_idle = accepting.is_finished()
+            && in_work == 0
+            && app.caller_connections.len() == 0
+            && app.relayed_for_peers.get() == 0;
         if !closing && now >= plan.closes_idle_at() {
             closing = true;
             app.closing.send_replace(true);
--- a/tests/kept_connections.rs
+++ b/tests/kept_connections.rs
@@ -236,6 +236,27 @@
     answers
 }
 
+#[test]
+fn no_request_is_lost_in_the_queue_of_a_listener_that_a_stop_closes() {
+    let (_site, mut vm) = start("kept-queue", 15_000);
+    let signalled = Instant::now();
+    vm.signal("-TERM");
+    thread::sleep(BEFORE_CLOSING);
+    vm.stand_still();
+    let mut conns = open_connections(&vm);
+    for (number, conn) in conns.iter_mut().enumerate() {
+        assert!(long_call("/repeat/", &format!("queued-{number}")).write_on(conn));
+    }
+    thread::sleep(STANDSTILL);
+    vm.go_on();
+
+    let answers: Vec<_> = conns.iter_mut().map(HttpConnection::read).collect();
+
+    assert_all_answered(&answers, CALLERS);
+    assert_eq!(vm.wait_exit(), Some(0));
+    assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
+}
+
 #[test]
 fn the_connection_of_a_stream_that_ends_late_in_a_stop_takes_the_next_request() {
     let (site, mut vm) = start("kept-late-stream", 15_000);
