Keep crashes cleared when a VM returns that still counts them

What callers saw: nothing recorded. A part of prompts that some target had survived could be refused for up to ten minutes once a VM returned that was cut off when its crashes were cleared.

Cause: a cleared crash of a part was forgotten 30 s after the lifetime's end. A VM that was away for longer told it as counting, and nobody knew better: the set that VMs tell each other lost an element that a peer still held. A part that was cleared later than 30 s after its crashes was forgotten at once, so that even a VM that linked 20 s later was not told.

Ruled out: to keep each cleared crash for longer. How long a VM counts a crash is not bounded (a later crash renews its record, and a VM that starts hears of it anew), and a part that all requests share would fill its 1,024 lifetimes.

Change: a crash is told with its age, a cleared one with the time since a target survived the suspect. A crash counts only if it came later than 30 s after it, so it is cleared again however late it is told, also by a VM that was only told of the survival. Only the VM that saw a survival tells its time: ages leave out what messages take. Cleared crashes are kept for 30 s from when they were cleared. An older build sends no age: its crashes count as new, as before.

Existing tests only name the new field of `Crash`.

A crash takes 2 to 4 bytes more on the wire in its first half hour (computed).

Open: the survivals are not in the store. If all VMs that know of one are replaced before the VM returns, its crashes count.

--- a/components/quarantine/src/crash.rs
+++ b/components/quarantine/src/crash.rs
@@ -47,6 +47,11 @@
     /// Whether the crash no longer counts, because a target survived the suspect or an operator
     /// released it. Once set, it stays set.
     pub cleared: bool,
+    /// When the lifetime ended or, if the crash is cleared, when a target survived the suspect. All
+    /// crashes until shortly after that time are cleared, also those that a VM tells only later.
+    /// `None` if that is not known: a VM of an older build told it, or the VM that cleared it did not
+    /// see the survival itself.
+    pub at: Option<Instant>,
 }
 
 /// Most lifetimes that are kept for one suspect, which takes 32 KB.
@@ -56,9 +61,10 @@
 #[derive(Debug, Clone, Copy)]
 struct EndedLifetime {
     lifetime: LifetimeId,
-    cleared: bool,
-    /// When its end became known.
-    at: Instant,
+    /// When it ended, by the earliest report.
+    ended_at: Instant,
+    /// When it became known that the crash does not count; `None` if it counts.
+    cleared_at: Option<Instant>,
 }
 
 /// The crashes with one suspect: each lifetime that ended, and whether its crash no longer counts.
@@ -66,19 +72,37 @@
 pub(crate) struct Crashes(Vec<EndedLifetime>);
 
 impl Crashes {
-    /// Merges one crash; returns false if it changes nothing. A crash for which there is no room is
-    /// dropped. It must not replace another one: a peer would send that one again, and VMs would
-    /// exchange the two without end. A VM that drops a crash does not relay it, so that no VM which
-    /// could clear it may hear of it; there is room for all engines that end at a time.
-    pub(crate) fn merge(&mut self, lifetime: LifetimeId, cleared: bool, now: Instant) -> bool {
-        if let Some(known) = self.0.iter_mut().find(|known| known.lifetime == lifetime) {
-            let newly_cleared = cleared && !known.cleared;
-            known.cleared |= cleared;
-            return newly_cleared;
+    /// Merges a crash that counts; returns false if it changes nothing. A crash for which there is
+    /// no room is dropped. It must not replace another one: a peer would send that one again, and VMs
+    /// would exchange the two without end. A VM that drops a crash does not relay it, so that no VM
+    /// which could clear it may hear of it; there is room for all engines that end at a time.
+    pub(crate) fn merge_counted(&mut self, lifetime: LifetimeId, ended_at: Instant) -> bool {
+        if let Some(known) = self.find(lifetime) {
+            known.ended_at = ended_at.min(known.ended_at);
+            return false;
         }
+        self.push(EndedLifetime { lifetime, ended_at, cleared_at: None })
+    }
+
+    /// Merges a crash that does not count; returns false if it changes nothing.
+    pub(crate) fn merge_cleared(&mut self, lifetime: LifetimeId, now: Instant) -> bool {
+        let Some(known) = self.find(lifetime) else {
+            return self.push(EndedLifetime { lifetime, ended_at: now, cleared_at: Some(now) });
+        };
+        let newly_cleared = known.cleared_at.is_none();
+        known.cleared_at.get_or_insert(now);
+        newly_cleared
+    }
+
+    fn find(&mut self, lifetime: LifetimeId) -> Option<&mut EndedLifetime> {
+        self.0.iter_mut().find(|known| known.lifetime == lifetime)
+    }
+
+    /// Adds a lifetime; returns false if there is no room.
+    fn push(&mut self, ended: EndedLifetime) -> bool {
         let has_room = !self.is_full();
         if has_room {
-            self.0.push(EndedLifetime { lifetime, cleared, at: now });
+            self.0.push(ended);
         }
         has_room
     }
@@ -98,9 +122,10 @@
         self.0.iter().any(|known| known.lifetime == lifetime)
     }
 
-    /// Removes crashes that no longer count and became known longer than `ttl` ago.
+    /// Removes crashes that were cleared longer than `ttl` ago.
     pub(crate) fn remove_cleared(&mut self, ttl: Duration, now: Instant) {
-        self.0.retain(|known| !known.cleared || now.saturating_duration_since(known.at) < ttl);
+        let is_old = |cleared_at: Instant| now.saturating_duration_since(cleared_at) >= ttl;
+        self.0.retain(|known| !known.cleared_at.is_some_and(is_old));
     }
 
     /// Returns the number of lifetimes that count.
@@ -110,6 +135,12 @@
 
     /// Returns the lifetimes that count, which are those not cleared.
     pub(crate) fn counted(&self) -> impl Iterator<Item = LifetimeId> {
-        self.0.iter().filter(|known| !known.cleared).map(|known| known.lifetime)
+        self.0.iter().filter(|known| known.cleared_at.is_none()).map(|known| known.lifetime)
+    }
+
+    /// Returns the lifetimes that count and ended before a time.
+    pub(crate) fn counted_before(&self, time: Instant) -> Vec<LifetimeId> {
+        let counted = self.0.iter().filter(|known| known.cleared_at.is_none());
+        counted.filter(|known| known.ended_at < time).map(|known| known.lifetime).collect()
     }
 }
--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -9,8 +9,8 @@
 mod attribution;
 mod change_log;
 mod crash;
-mod recent_completions;
 mod request_digest;
+mod survivals;
 mod suspect;
 mod table;
 
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -12,15 +12,16 @@
 use crate::attribution::{Candidate, JointRefusal, attribute_crashes};
 use crate::change_log::ChangeLog;
 use crate::crash::Crashes;
-use crate::recent_completions::RecentCompletions;
+use crate::survivals::{EXCUSED_FOR, Survivals};
 use crate::{Crash, CrashCursor, LifetimeHash, LifetimeId, Suspect};
 
 /// Most suspects of each kind that are kept. The one with the fewest crashes is evicted first, and
 /// of several such the oldest. Each request that is in progress at an engine when it crashes gets a
 /// record, and so does each part of its prompt.
 const MAX_RECORDS: usize = 1024;
-/// Time for which crashes that no longer count against a part of prompts are kept. By then all VMs
-/// know that they don't.
+/// Time for which crashes that were cleared of a part of prompts are kept, so that all linked VMs are
+/// told. A VM that was cut off for longer may still tell them as counting; by when targets survived
+/// the part they are cleared again.
 const CLEARED_PART_TTL: Duration = Duration::from_secs(30);
 /// A lost connection counts as a crash if the end of its target becomes known within this time. It
 /// is three heartbeats of a target's entry, after which the platform removes the entry.
@@ -100,8 +101,11 @@
     /// Known ends of targets, from which [`Quarantine::current_lifetime`] tells a later lifetime
     /// apart.
     ends: HashMap<LifetimeHash, Ends>,
-    completed_requests: RecentCompletions,
-    survived_parts: RecentCompletions,
+    /// Survivals that this VM saw.
+    survivals: Survivals,
+    /// Survivals for which crashes were cleared at any VM. They are kept apart, since a VM sees many
+    /// others.
+    clearances: Survivals,
     changes: ChangeLog,
 }
 
@@ -114,8 +118,8 @@
             joint_refusals: Vec::new(),
             losses: VecDeque::new(),
             ends: HashMap::new(),
-            completed_requests: RecentCompletions::default(),
-            survived_parts: RecentCompletions::default(),
+            survivals: Survivals::default(),
+            clearances: Survivals::default(),
             changes: ChangeLog::default(),
         }
     }
@@ -161,15 +165,16 @@
         let mut new = Vec::new();
         for loss in lost.iter().filter(|loss| !is_old(loss)) {
             for suspect in &loss.suspects {
-                let cleared = self.is_recently_survived(suspect, now);
+                let (suspect, lifetime) = (*suspect, loss.lifetime);
                 // Most parts that are in use are in some request whenever an engine ends.
-                if cleared && suspect.is_prompt_part() {
+                if suspect.is_prompt_part() && self.is_excused(&suspect, now) {
                     continue;
                 }
-                let crash = Crash { suspect: *suspect, lifetime: loss.lifetime, cleared };
-                if self.merge_crash(crash, now) {
-                    self.mark_unwritten(suspect);
-                    new.push(crash);
+                let crash = Crash { suspect, lifetime, cleared: false, at: Some(now) };
+                let changes = self.merge_crash(crash, now);
+                if !changes.is_empty() {
+                    self.mark_unwritten(&suspect);
+                    new.extend(changes);
                 }
             }
         }
@@ -181,16 +186,23 @@
 
     /// Records that a target survived a suspect, which clears it of its crashes.
     pub fn survived(&mut self, suspect: Suspect, now: Instant) {
-        self.completions_of(&suspect).record(suspect, now);
-        self.clear(&suspect, now);
+        self.survivals.record(suspect, now);
+        self.clear_counted(&suspect, now, now);
     }
 
     /// Releases a suspect: its crashes so far no longer count. Returns false if none counted.
     pub fn clear(&mut self, suspect: &Suspect, now: Instant) -> bool {
+        // Unlike after a survival, the next crash counts.
+        self.clear_counted(suspect, now.checked_sub(EXCUSED_FOR).unwrap_or(now), now)
+    }
+
+    /// Clears a suspect of its crashes so far, since a target survived it at a time. Returns false if
+    /// none counted.
+    fn clear_counted(&mut self, suspect: &Suspect, survived_at: Instant, now: Instant) -> bool {
         let Some(record) = self.records.get(suspect) else { return false };
         let counted: Vec<LifetimeId> = record.crashes.counted().collect();
         for lifetime in &counted {
-            self.merge_crash(Crash { suspect: *suspect, lifetime: *lifetime, cleared: true }, now);
+            self.merge_crash(cleared_crash(*suspect, *lifetime, Some(survived_at)), now);
         }
         self.update_refusals();
         !counted.is_empty()
@@ -202,11 +214,7 @@
         for crash in crashes {
             // The end of that lifetime applies to connections that this VM lost as well.
             new.extend(self.lifetime_ended(crash.lifetime, now));
-            let cleared = crash.cleared || self.is_recently_survived(&crash.suspect, now);
-            let crash = Crash { cleared, ..*crash };
-            if self.merge_crash(crash, now) {
-                new.push(crash);
-            }
+            new.extend(self.merge_crash(*crash, now));
         }
         self.update_refusals();
         new
@@ -337,15 +345,10 @@
         (!left.is_zero()).then_some(left)
     }
 
-    fn completions_of(&mut self, suspect: &Suspect) -> &mut RecentCompletions {
-        match suspect {
-            Suspect::Request(_) => &mut self.completed_requests,
-            Suspect::PromptPart(_) => &mut self.survived_parts,
-        }
-    }
-
-    fn is_recently_survived(&mut self, suspect: &Suspect, now: Instant) -> bool {
-        self.completions_of(suspect).contains(suspect, now)
+    /// Whether a crash at a time does not count, since a target had survived the suspect.
+    fn is_excused(&self, suspect: &Suspect, ended_at: Instant) -> bool {
+        let last = self.survivals.last(suspect).max(self.clearances.last(suspect));
+        last.is_some_and(|survived_at| survived_at + EXCUSED_FOR > ended_at)
     }
 
     /// Has to follow each change of the records.
@@ -364,28 +367,70 @@
         }
     }
 
-    /// Merges a crash; returns false if it changes nothing.
-    fn merge_crash(&mut self, crash: Crash, now: Instant) -> bool {
-        if !self.records.contains_key(&crash.suspect) {
-            self.evict_least_suspect(crash.suspect.is_prompt_part());
+    /// Merges a crash; returns what changes. That may be more than this crash: the time at which a
+    /// target survived the suspect clears all crashes before.
+    fn merge_crash(&mut self, crash: Crash, now: Instant) -> Vec<Crash> {
+        let Crash { suspect, lifetime, cleared, at } = crash;
+        let crash = if !cleared && self.is_excused(&suspect, at.unwrap_or(now)) {
+            cleared_crash(suspect, lifetime, self.survivals.last(&suspect))
+        } else {
+            crash
+        };
+        let mut changes: Vec<Crash> = self.merge_lifetime(crash, now).into_iter().collect();
+        if let (true, Some(survived_at)) = (crash.cleared, crash.at) {
+            changes.extend(self.record_clearance(suspect, survived_at, now));
+        }
+        changes.iter().for_each(|change| self.changes.push(*change));
+        changes
+    }
+
+    /// Merges a crash as it is; returns it if it changes anything.
+    fn merge_lifetime(&mut self, crash: Crash, now: Instant) -> Option<Crash> {
+        let Crash { suspect, lifetime, cleared, at } = crash;
+        if !self.records.contains_key(&suspect) {
+            self.evict_least_suspect(suspect.is_prompt_part());
         }
         let new_record =
             || Record { crashes: Crashes::default(), last: now, refused: 0, unwritten: false };
-        let record = self.records.entry(crash.suspect).or_insert_with(new_record);
-        let is_new = record.crashes.merge(crash.lifetime, crash.cleared, now);
+        let record = self.records.entry(suspect).or_insert_with(new_record);
+        let ended_at = at.unwrap_or(now);
+        let is_new = if cleared {
+            record.crashes.merge_cleared(lifetime, now)
+        } else {
+            record.crashes.merge_counted(lifetime, ended_at)
+        };
         // A crash for which there is no room still shows that the suspect is at fault.
-        if !crash.cleared && (is_new || record.crashes.is_full()) {
+        if !cleared && (is_new || record.crashes.is_full()) {
             record.last = now;
         }
         if !is_new {
-            return false;
+            return None;
         }
-        let ends =
-            self.ends.entry(crash.lifetime.lifetime_hash).or_insert(Ends { count: 0, last: now });
-        ends.count = ends.count.max(crash.lifetime.ends_before.saturating_add(1));
+        let ends = self.ends.entry(lifetime.lifetime_hash).or_insert(Ends { count: 0, last: now });
+        ends.count = ends.count.max(lifetime.ends_before.saturating_add(1));
         ends.last = now;
-        self.changes.push(crash);
-        true
+        let at = if cleared { at } else { Some(ended_at) };
+        Some(Crash { suspect, lifetime, cleared, at })
+    }
+
+    /// Records when a target survived a suspect, and clears the crashes that no longer count
+    /// therefore; returns these.
+    fn record_clearance(
+        &mut self,
+        suspect: Suspect,
+        survived_at: Instant,
+        now: Instant,
+    ) -> Vec<Crash> {
+        self.clearances.record(suspect, survived_at);
+        let Some(record) = self.records.get_mut(&suspect) else { return Vec::new() };
+        let excused = record.crashes.counted_before(survived_at + EXCUSED_FOR);
+        let clear = |lifetime: LifetimeId| {
+            record.crashes.merge_cleared(lifetime, now);
+            // Ages include the time that messages took. If each VM told when another one saw the
+            // survival, it would move on with each crash, and no crash might ever count.
+            cleared_crash(suspect, lifetime, None)
+        };
+        excused.into_iter().map(clear).collect()
     }
 
     /// Makes room for one more record of a kind, if there is none, by removing the one with the
@@ -403,3 +448,8 @@
         }
     }
 }
+
+/// A crash that does not count, since a target survived the suspect at a time.
+fn cleared_crash(suspect: Suspect, lifetime: LifetimeId, at: Option<Instant>) -> Crash {
+    Crash { suspect, lifetime, cleared: true, at }
+}
--- a/components/quarantine/tests/parts.rs
+++ b/components/quarantine/tests/parts.rs
@@ -223,6 +223,7 @@
         suspect,
         lifetime: LifetimeId { lifetime_hash: LifetimeHash(number), ends_before: 0 },
         cleared: false,
+        at: Some(now),
     };
     let crashes: Vec<Crash> = (1..=4)
         .flat_map(|number| {
--- a/components/quarantine/tests/table.rs
+++ b/components/quarantine/tests/table.rs
@@ -128,7 +128,8 @@
     other.survived(bystander, now);
     send_changes(&mut one, &other, now);
     // The store, or a VM that did not learn of the completion, reports a crash again.
-    one.merge(&[Crash { suspect: bystander, lifetime: lifetime(2), cleared: false }], now);
+    let again = Crash { suspect: bystander, lifetime: lifetime(2), cleared: false, at: Some(now) };
+    one.merge(&[again], now);
 
     assert_eq!(one.refused_for(&bystander, now), None);
     assert_eq!(other.refused_for(&bystander, now), None);
@@ -323,6 +324,7 @@
                 suspect: digest(*number),
                 lifetime: lifetime(*lifetime_hash),
                 cleared: *cleared,
+                at: Some(now),
             })
             .collect();
         let mut shuffled = crashes.clone();
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -288,11 +288,14 @@
 
 /// Decodes a peer's reports of what crashes targets; invalid ones are left out.
 pub(crate) fn decode_crashes(message: &Crashes) -> Vec<Crash> {
+    let now = crate::state_handle::now();
+    let before = |age_ms: u32| now.checked_sub(Duration::from_millis(u64::from(age_ms)));
     let crash = |crash: &work::Crash| {
         let suspect = Suspect::from_bytes(&crash.content)?;
         let lifetime =
             LifetimeId { lifetime_hash: LifetimeHash(crash.birth), ends_before: crash.ends_before };
-        Some(Crash { suspect, lifetime, cleared: crash.cleared })
+        let at = crash.age_ms.and_then(before);
+        Some(Crash { suspect, lifetime, cleared: crash.cleared, at })
     };
     message.crashes.iter().filter_map(crash).collect()
 }
@@ -358,13 +361,17 @@
 }
 
 fn take_unsent_crashes(app: &App, cursor: &mut CrashCursor) -> Option<Crashes> {
-    let (changes, up_to) = app.state.with(|shared, _| shared.quarantine.changes_after(*cursor));
+    let (changes, up_to, now) = app.state.with(|shared, now| {
+        let (changes, up_to) = shared.quarantine.changes_after(*cursor);
+        (changes, up_to, now)
+    });
     *cursor = up_to;
     let crash = |crash: Crash| work::Crash {
         content: crash.suspect.to_bytes().to_vec(),
         birth: crash.lifetime.lifetime_hash.0,
         ends_before: crash.lifetime.ends_before,
         cleared: crash.cleared,
+        age_ms: crash.at.map(|at| millis(now.saturating_duration_since(at))),
     };
     (!changes.is_empty()).then(|| Crashes { crashes: changes.into_iter().map(crash).collect() })
 }
--- a/gateway/src/stored_refusals.rs
+++ b/gateway/src/stored_refusals.rs
@@ -67,8 +67,8 @@
             return true;
         };
         let lifetimes = stored.ended.iter().filter_map(|text| LifetimeId::parse(text));
-        let crashes: Vec<Crash> =
-            lifetimes.map(|lifetime| Crash { suspect, lifetime, cleared: false }).collect();
+        let crash = |lifetime| Crash { suspect, lifetime, cleared: false, at: None };
+        let crashes: Vec<Crash> = lifetimes.map(crash).collect();
         self.merge_crashes(&crashes, "store", now);
         self.quarantine.renew(&suspect, now);
         true
