--- a/components/store_view/src/catch_up.rs
+++ b/components/store_view/src/catch_up.rs
@@ -18,6 +18,27 @@
     pub changes: BatchRequest,
 }
 
+/// What a peer asks for, in the form of its build.
+#[derive(Debug, Clone, Copy)]
+pub enum PeerRequest<'a> {
+    /// What it lacks, in the order of keys.
+    Content(&'a ContentRequest),
+    /// Changes in the order of revisions, for an older build.
+    Changes(&'a BatchRequest),
+}
+
+impl<'a> From<&'a ContentRequest> for PeerRequest<'a> {
+    fn from(request: &'a ContentRequest) -> Self {
+        PeerRequest::Content(request)
+    }
+}
+
+impl<'a> From<&'a BatchRequest> for PeerRequest<'a> {
+    fn from(request: &'a BatchRequest) -> Self {
+        PeerRequest::Changes(request)
+    }
+}
+
 /// A peer's reply to a [`Request`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reply {
@@ -46,35 +67,43 @@
 }
 
 impl View {
-    /// The reply to a peer. `max_bytes` is as for [`View::next_batch`]. `None` while the content of
-    /// the latest era is not complete: some of it has already replaced that of the era before.
-    pub fn reply(&self, request: &ContentRequest, max_bytes: usize) -> Option<Reply> {
+    /// The reply to a peer, in the form that its build understands. `max_bytes` is as for
+    /// [`View::next_batch`]. `None` while the content of the latest era is not complete: some of it
+    /// has already replaced that of the era before.
+    pub fn reply<'a>(
+        &self,
+        request: impl Into<PeerRequest<'a>>,
+        max_bytes: usize,
+    ) -> Option<Reply> {
         if self.era > self.as_of.era {
             return None;
         }
+        Some(match request.into() {
+            PeerRequest::Content(request) => self.reply_with_content(request, max_bytes),
+            PeerRequest::Changes(request) => self.reply_with_changes(request, max_bytes),
+        })
+    }
+
+    fn reply_with_content(&self, request: &ContentRequest, max_bytes: usize) -> Reply {
         let batch = self.next_content(request, max_bytes);
-        Some(Reply {
+        Reply {
             parts: batch.parts,
             as_of: self.as_of,
             is_last: batch.is_last,
             is_whole: batch.is_whole,
             history: Some(self.history),
-        })
+        }
     }
 
-    /// The reply to a peer of an older build.
-    pub fn reply_to_older_build(&self, request: &BatchRequest, max_bytes: usize) -> Option<Reply> {
-        if self.era > self.as_of.era {
-            return None;
-        }
+    fn reply_with_changes(&self, request: &BatchRequest, max_bytes: usize) -> Reply {
         let batch = self.next_batch(request, max_bytes);
-        Some(Reply {
+        Reply {
             parts: batch.parts.into_iter().map(Part::Value).collect(),
             as_of: self.as_of,
             is_last: batch.is_last,
             is_whole: false,
             history: None,
-        })
+        }
     }
 }
 
--- a/components/store_view/src/lib.rs
+++ b/components/store_view/src/lib.rs
@@ -21,7 +21,7 @@
 use bytes::Bytes;
 use ids::StoreRevision;
 
-pub use catch_up::{CatchUp, Reply, Request, Step};
+pub use catch_up::{CatchUp, PeerRequest, Reply, Request, Step};
 pub use contact::{Reporter, SILENCE_TIMEOUT, StoreContact};
 pub use content::{ContentRequest, Part};
 pub use content_check::{Comparison, ContentCheck, KnownContent};
--- a/gateway/src/store_messages.rs
+++ b/gateway/src/store_messages.rs
@@ -76,7 +76,7 @@
         }
         None => {
             let after = Position { revision: revision(ask.known_revision), key: ask.known_key };
-            view.reply_to_older_build(&BatchRequest { after, partial }, PART_BYTES)?
+            view.reply(&BatchRequest { after, partial }, PART_BYTES)?
         }
     };
     Some(News {
