Stand-ins that fall silent for a time and go on

Runners and the store have fall_silent: nothing is read, written or accepted meanwhile, no connection breaks, and all goes on where it was, also amid an answer or an event (the behaviors SlowAnswer and SplitStream pause there).

No code of the daemon is changed.

--- a/standins/src/serving_path/behavior.rs
+++ b/standins/src/serving_path/behavior.rs
@@ -41,6 +41,8 @@
     BreakUnframedStream(u64),
     /// It runs the request and answers after this time.
     Hang(Duration),
+    /// It sends half of a complete answer, and the rest after this time.
+    SlowAnswer(Duration),
     /// It streams events up to this number.
     Stream(u64),
     /// It streams events up to this number from the first on, ignoring `Last-Event-Id`.
@@ -49,6 +51,8 @@
     BreakStream(u64),
     /// It streams events up to this number, with a pause after each.
     SlowStream(u64, Duration),
+    /// Like [`Behavior::SlowStream`], with half of each pause in the middle of an event.
+    SplitStream(u64, Duration),
     /// It answers that an input is gone, without running the request.
     InputGone,
     /// It has no memory for the result of the last piece of a call, and runs the others for this
@@ -82,7 +86,9 @@
             | Behavior::Stream(_)
             | Behavior::StreamFromFirst(_)
             | Behavior::BreakStream(_)
+            | Behavior::SlowAnswer(_)
             | Behavior::SlowStream(..)
+            | Behavior::SplitStream(..)
             | Behavior::InputGone
             | Behavior::NoRoomForLast(_) => true,
         }
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -12,6 +12,7 @@
 pub mod removal_soak;
 pub mod runners;
 pub mod scenarios;
+mod silence;
 pub mod site;
 pub mod soak;
 mod soak_checks;
@@ -31,6 +32,8 @@
 
 use socket2::SockRef;
 
+use silence::{Silence, SilencedStream};
+
 /// Time after which a read from a silent connection fails.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -76,15 +79,20 @@
 
 /// A TCP connection that reads HTTP messages and writes raw bytes.
 pub struct HttpConnection {
-    reader: BufReader<TcpStream>,
+    reader: BufReader<SilencedStream>,
 }
 
 impl HttpConnection {
     /// Wraps a connection; sets TCP_NODELAY and the read timeout.
     pub fn new(stream: TcpStream) -> Self {
+        HttpConnection::with_silence(stream, Silence::default())
+    }
+
+    /// Like [`HttpConnection::new`], for a stand-in that may fall silent.
+    fn with_silence(stream: TcpStream, silence: Silence) -> Self {
         drop(stream.set_nodelay(true));
         drop(stream.set_read_timeout(Some(READ_TIMEOUT)));
-        HttpConnection { reader: BufReader::new(stream) }
+        HttpConnection { reader: BufReader::new(SilencedStream { stream, silence }) }
     }
 
     /// Writes bytes; false if the write failed.
@@ -94,12 +102,12 @@
 
     /// Has the connection reset when it is closed.
     pub(crate) fn reset(&self) {
-        drop(SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)));
+        drop(SockRef::from(&self.reader.get_ref().stream).set_linger(Some(Duration::ZERO)));
     }
 
     /// Whether the peer has closed the connection, as far as can be told without blocking.
     pub fn is_closed(&self) -> bool {
-        let stream = self.reader.get_ref();
+        let stream = &self.reader.get_ref().stream;
         if stream.set_nonblocking(true).is_err() {
             return true;
         }
@@ -159,15 +167,18 @@
 }
 
 /// Runs `serve` for each accepted connection, on a thread of its own, until the process ends.
-pub(crate) fn serve_connections(
+/// Connections that arrive in a silence are served after it.
+fn serve_connections(
     listener: std::net::TcpListener,
+    silence: Silence,
     serve: impl Fn(HttpConnection) + Send + Sync + 'static,
 ) {
     let serve = std::sync::Arc::new(serve);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let serve = std::sync::Arc::clone(&serve);
-            std::thread::spawn(move || serve(HttpConnection::new(stream)));
+            silence.wait_for_end();
+            let (serve, silence) = (std::sync::Arc::clone(&serve), silence.clone());
+            std::thread::spawn(move || serve(HttpConnection::with_silence(stream, silence)));
         }
     });
 }
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 pub use super::behavior::Behavior;
+use super::silence::Silence;
 use super::{HttpConnection, HttpMessage, response_bytes, serve_connections};
 
 /// Time for the first half of an answer to arrive before its connection is reset.
@@ -58,13 +59,21 @@
     break_after: Option<u64>,
     /// Pause after each event.
     pause: Duration,
+    /// Whether half of the pause comes in the middle of each event.
+    splits_events: bool,
     /// Whether the answer has chunks; if not, it ends with its connection.
     has_chunks: bool,
 }
 
 impl Default for StreamPlan {
     fn default() -> Self {
-        StreamPlan { last: u64::MAX, break_after: None, pause: Duration::ZERO, has_chunks: true }
+        StreamPlan {
+            last: u64::MAX,
+            break_after: None,
+            pause: Duration::ZERO,
+            splits_events: false,
+            has_chunks: true,
+        }
     }
 }
 
@@ -155,6 +164,7 @@
     pub id: String,
     state: Arc<Mutex<State>>,
     pub(super) next_handle: Arc<AtomicU64>,
+    pub(super) silence: Silence,
 }
 
 impl Runner {
@@ -164,7 +174,7 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let runner = Runner::unserved(id, listener.local_addr()?, default_behavior);
         let serving = runner.clone();
-        serve_connections(listener, move |conn| {
+        serve_connections(listener, runner.silence.clone(), move |conn| {
             serving.with(|state| state.open_connections += 1);
             serving.serve(conn);
             serving.with(|state| state.open_connections -= 1);
@@ -181,6 +191,7 @@
             id: id.to_owned(),
             state: Arc::new(Mutex::new(state)),
             next_handle: Arc::default(),
+            silence: Silence::default(),
         }
     }
 
@@ -190,6 +201,12 @@
             "version": "v1", "slots": 4, "state": state, "cold_remaining_ms": 0, "sequence": 1})
     }
 
+    /// Falls silent for `time`: it reads, writes and accepts nothing meanwhile, then goes on where it
+    /// was, also amid a stream.
+    pub fn fall_silent(&self, time: Duration) {
+        self.silence.begin(time);
+    }
+
     /// Appends behaviors for the next requests; after them it behaves as usual again.
     pub fn queue_behaviors(&self, behaviors: &[Behavior]) {
         self.with(|state| state.script.extend_from_slice(behaviors));
@@ -438,9 +455,15 @@
                 false
             }
             Behavior::Hang(time) | Behavior::NoRoomForLast(time) => {
-                sleep(*time);
+                self.silence.work(*time);
                 conn.write(&answer)
             }
+            Behavior::SlowAnswer(time) => {
+                let (begin, rest) = answer.split_at(answer.len() - body.len() / 2);
+                let written = conn.write(begin);
+                self.silence.work(*time);
+                written && conn.write(rest)
+            }
             Behavior::Stream(events) => {
                 self.stream(conn, id, req, &StreamPlan { last: *events, ..StreamPlan::default() })
             }
@@ -457,6 +480,10 @@
                 let plan = StreamPlan { last: *events, pause: *pause, ..StreamPlan::default() };
                 self.stream(conn, id, req, &plan)
             }
+            Behavior::SplitStream(events, pause) => {
+                let plan = StreamPlan { last: *events, pause: *pause, ..StreamPlan::default() };
+                self.stream(conn, id, req, &StreamPlan { splits_events: true, ..plan })
+            }
             Behavior::UnframedStream(events, pause) => {
                 let plan = StreamPlan { last: *events, pause: *pause, ..StreamPlan::default() };
                 self.stream(conn, id, req, &StreamPlan { has_chunks: false, ..plan })
@@ -491,12 +518,21 @@
                 return false;
             }
             let event = format!("id: {number}\nevent: {}\ndata: {id}/{number}\n\n", self.id);
-            sent = sent && conn.write(&plan.frame(&event));
+            let frame = plan.frame(&event);
+            let (first_half, pause) = match plan.splits_events {
+                true => (frame.len() / 2, plan.pause / 2),
+                false => (0, plan.pause),
+            };
+            if first_half > 0 {
+                sent = sent && conn.write(&frame[..first_half]);
+                self.silence.work(pause);
+            }
+            sent = sent && conn.write(&frame[first_half..]);
             if !sent {
                 self.with(|state| state.aborted_streams += 1);
                 return false;
             }
-            sleep(plan.pause);
+            self.silence.work(pause);
         }
         plan.has_chunks && conn.write(b"0\r\n\r\n")
     }
--- a/standins/src/serving_path/stage_calls.rs
+++ b/standins/src/serving_path/stage_calls.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -52,12 +51,12 @@
             Behavior::Lose => return false,
             _ => {}
         }
-        sleep(FETCH_TIME);
+        self.silence.work(FETCH_TIME);
         let is_gone = |item| {
             behavior == Behavior::InputGone || inputs_of(item).any(|input| is_released(&input))
         };
         let inputs_gone: Vec<bool> = items.iter().map(is_gone).collect();
-        sleep(behavior.running_time().saturating_sub(FETCH_TIME));
+        self.silence.work(behavior.running_time().saturating_sub(FETCH_TIME));
         self.with(|state| state.call_sizes.push(items.len()));
         let caller_gone = conn.is_closed();
         let room_for = items.len() - usize::from(matches!(behavior, Behavior::NoRoomForLast(_)));
@@ -77,7 +76,7 @@
             state.waiting += 1;
             std::mem::take(&mut state.queue_delay)
         });
-        sleep(time);
+        self.silence.work(time);
         self.with(|state| state.waiting -= 1);
     }
 
--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -9,6 +9,7 @@
 
 use serde_json::{Value, json};
 
+use super::silence::Silence;
 use super::{HttpConnection, HttpMessage, response_bytes, serve_connections};
 
 /// Most events in the answer to a watch.
@@ -73,6 +74,7 @@
     state: Arc<Mutex<State>>,
     /// Addresses that are replaced in the values it returns.
     replaced: Arc<Vec<AddressReplacement>>,
+    silence: Silence,
 }
 
 /// An address in the values of a store, and what a view of the store returns instead.
@@ -102,9 +104,11 @@
     ) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let store = Store { address, state, replaced: Arc::new(replaced) };
+        let silence = Silence::default();
+        let store =
+            Store { address, state, replaced: Arc::new(replaced), silence: silence.clone() };
         let serving = store.clone();
-        serve_connections(listener, move |conn| serving.serve(conn));
+        serve_connections(listener, silence, move |conn| serving.serve(conn));
         Ok(store)
     }
 
@@ -142,6 +146,12 @@
         self.with(|state| state.mode = mode);
     }
 
+    /// Falls silent for `time`: it answers nothing meanwhile, then all calls that came. Other views
+    /// of the store answer.
+    pub fn fall_silent(&self, time: Duration) {
+        self.silence.begin(time);
+    }
+
     /// Compacts all history: watches from a revision before the current one are answered 410.
     pub fn compact_history(&self) {
         self.with(|state| state.compacted_revision = state.revision);
