--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,8 +1,8 @@
 //! Command line tool for randomized tests of the serving path; a seed determines the faults:
-//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --streams | --removals | --turns | --results]`.
+//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --silences | --streams | --removals | --turns | --results]`.
 //!
-//! Without a flag it injects faults into a running site; `--stops` stops and restarts VMs instead, and
-//! `--streams` takes up streams while engines of several versions serve, and `--removals` changes the
+//! Without a flag it injects faults into a running site; `--stops` stops and restarts VMs instead,
+//! `--silences` lets runners, the store and VMs stand still for a time, and `--streams` takes up streams while engines of several versions serve, and `--removals` changes the
 //! store while some VMs miss it and others are down.
 //! `--turns` and `--results` run one short scenario per seed and ignore `--seconds`, `--vms` and
 //! `--callers`. The exit code is 1 if a check failed.
@@ -14,7 +14,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use standins::serving_path::scenarios::{QueuedCallScenario, ResultReleaseScenario};
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{removal_soak, stop_soak, stream_soak};
+use standins::serving_path::{removal_soak, silence_soak, stop_soak, stream_soak};
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
@@ -62,6 +62,7 @@
         .arg(number("vms", "3", "Number of VMs"))
         .arg(number("callers", "4", "Number of callers"))
         .arg(flag("stops", "Planned stops only"))
+        .arg(flag("silences", "Silences beside stops and changes of the configuration"))
         .arg(flag("streams", "Streams that callers take up while versions come and go"))
         .arg(flag("removals", "Changes of the store that VMs miss while others are down"))
         .arg(flag("turns", "Scenarios with calls that wait in the queue of a pool"))
@@ -77,6 +78,7 @@
     }
     let run = match () {
         () if args.get_flag("stops") => stop_soak::run,
+        () if args.get_flag("silences") => silence_soak::run,
         () if args.get_flag("streams") => stream_soak::run,
         () if args.get_flag("removals") => removal_soak::run,
         () => soak::run,
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -13,6 +13,8 @@
 pub mod runners;
 pub mod scenarios;
 mod silence;
+mod silence_checks;
+pub mod silence_soak;
 pub mod site;
 pub mod soak;
 mod soak_checks;
--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -51,7 +51,7 @@
 /// Remaining cold start times that runners report, in milliseconds.
 const COLD_START_MS: std::ops::Range<u64> = 100..1500;
 /// Time within which the VMs have to recover after the last fault.
-const RECOVERY_TIMEOUT: Duration = Duration::from_secs(8);
+pub(super) const RECOVERY_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Number of runners of the service `fragile`, which crash on a fatal request.
 const CRASHING_RUNNERS: usize = 3;
@@ -204,11 +204,7 @@
     check_notices(&site, &answered, &interruptions, &mut report);
     check_rates(&site, &answered, &interruptions, &mut report);
     restart_runners(&site);
-    if !recovers(&addresses, seed) {
-        report.violations.push(format!(
-            "not every VM serves requests within {RECOVERY_TIMEOUT:?} after the last fault"
-        ));
-    }
+    check_recovery(&addresses, seed, &mut report);
     check_contents(&vms, RECOVERY_TIMEOUT, &mut report);
     check_results(&site, &interruptions, &mut report);
     report
@@ -388,7 +384,7 @@
 }
 
 /// Pauses a VM's process.
-fn pause(vm: &Vm, time: Duration) {
+pub(super) fn pause(vm: &Vm, time: Duration) {
     vm.signal("-STOP");
     thread::sleep(time);
     vm.signal("-CONT");
@@ -425,7 +421,15 @@
     pick(rng, &site.pool).queue_behaviors(&[pool[rng.random_range(0..pool.len())].clone()]);
 }
 
-/// Whether every VM serves again within [`RECOVERY_TIMEOUT`].
+/// Checks that every VM serves again within [`RECOVERY_TIMEOUT`].
+pub(super) fn check_recovery(addresses: &[SocketAddr], seed: u64, report: &mut Report) {
+    if !recovers(addresses, seed) {
+        report.violations.push(format!(
+            "not every VM serves requests within {RECOVERY_TIMEOUT:?} after the last fault"
+        ));
+    }
+}
+
 fn recovers(addresses: &[SocketAddr], seed: u64) -> bool {
     let end = Instant::now() + RECOVERY_TIMEOUT;
     let serves = |address: SocketAddr, number: usize| {
--- a/standins/src/serving_path/stop_soak.rs
+++ b/standins/src/serving_path/stop_soak.rs
@@ -33,7 +33,7 @@
 /// itself.
 const GRACE_PERIOD: Duration = Duration::from_secs(2);
 /// Deadline of requests, in milliseconds: long enough for several stops and starts.
-const DEADLINE_MS: u64 = 8000;
+pub(super) const DEADLINE_MS: u64 = 8000;
 /// Time between two stops of a VM, in milliseconds.
 const UPTIME_MS: std::ops::Range<u64> = 100..2500;
 /// Pause between two signals during a stop, in milliseconds.
@@ -43,23 +43,24 @@
 /// How long runners hang, in milliseconds: up to twice the grace period.
 const HANG_MS: std::ops::Range<u64> = 200..4000;
 /// Delay with which some callers read their answers, in milliseconds.
-const READ_DELAY_MS: std::ops::Range<u64> = 50..900;
+pub(super) const READ_DELAY_MS: std::ops::Range<u64> = 50..900;
 /// Size of a large answer, in bytes: more than the socket buffers of a connection hold.
 const LARGE_ANSWER_BYTES: usize = 16 << 20;
 
 /// A VM that is stopped and started again, and the log of each of its earlier processes.
-struct StoppedVm {
-    vm: Mutex<Vm>,
-    logs: Mutex<Vec<String>>,
-    address: SocketAddr,
+pub(super) struct StoppedVm {
+    pub(super) vm: Mutex<Vm>,
+    pub(super) logs: Mutex<Vec<String>>,
+    pub(super) address: SocketAddr,
 }
 
 /// Runs stops for `time`, then the checks.
 pub fn run(seed: u64, time: Duration, size: Size) -> Report {
     let site = Site::start();
     site.store.put("op/config", &configuration_with_long_timeouts(2));
-    let stopped_vms: Vec<StoppedVm> =
-        (0..size.vms).map(|number| start_vm(&site, seed, number)).collect();
+    let stopped_vms: Vec<StoppedVm> = (0..size.vms)
+        .map(|number| StoppedVm::start(&site, &format!("stops-{seed}-{number}"), STOP_SETTINGS))
+        .collect();
     let (over, sent) = (AtomicBool::new(false), AtomicU64::new(0));
     let (answered, report) = (Mutex::new(Vec::new()), Mutex::new(Report::default()));
     thread::scope(|scope| {
@@ -87,14 +88,15 @@
     report
 }
 
-fn start_vm(site: &Site, seed: u64, number: usize) -> StoppedVm {
-    let vm = site.start_vm(&format!("stops-{seed}-{number}"), STOP_SETTINGS);
-    StoppedVm { address: vm.callers, vm: Mutex::new(vm), logs: Mutex::default() }
-}
-
 impl StoppedVm {
+    /// Starts a VM with further settings.
+    pub(super) fn start(site: &Site, name: &str, settings: &str) -> Self {
+        let vm = site.start_vm(name, settings);
+        StoppedVm { address: vm.callers, vm: Mutex::new(vm), logs: Mutex::default() }
+    }
+
     /// The logs of all processes of the VM, in order.
-    fn all_logs(&self) -> String {
+    pub(super) fn all_logs(&self) -> String {
         let last = self.vm.lock().unwrap_or_else(PoisonError::into_inner).log();
         let mut logs = self.logs.lock().unwrap_or_else(PoisonError::into_inner);
         logs.push(last);
@@ -103,7 +105,7 @@
 }
 
 /// The default configuration with request timeouts that are longer than a stop.
-fn configuration_with_long_timeouts(version: u64) -> serde_json::Value {
+pub(super) fn configuration_with_long_timeouts(version: u64) -> serde_json::Value {
     let mut cfg = default_configuration(version);
     for route in cfg["routes"].as_array_mut().expect("routes") {
         route["timeout_ms"] = json!(DEADLINE_MS);
@@ -172,8 +174,8 @@
             let read_delay = Duration::from_millis(rng.random_range(READ_DELAY_MS));
             let read_delay = if rng.random_bool(0.3) { read_delay } else { Duration::ZERO };
             let at = Instant::now();
-            let answer =
-                call_with_long_deadline(kind, &id).send_on_and_read_after(&mut conn, read_delay);
+            let answer = call_with_long_deadline(REQUEST_KINDS[kind].0, &id)
+                .send_on_and_read_after(&mut conn, read_delay);
             let closes = |answer: &super::HttpMessage| answer.header("connection") == "close";
             is_open = answer.as_ref().is_some_and(|answer| answer.is_complete && !closes(answer));
             let request = AnsweredRequest { id, kind, vm, sent: at, answer };
@@ -182,8 +184,8 @@
     }
 }
 
-fn call_with_long_deadline(kind: usize, id: &str) -> Call {
-    let path = REQUEST_KINDS[kind].0;
+/// A request with a long deadline to a path of one of the [`REQUEST_KINDS`].
+pub(super) fn call_with_long_deadline(path: &str, id: &str) -> Call {
     let call = Call::new("POST", HOST, path, id)
         .with_header("Deadline-Milliseconds", &DEADLINE_MS.to_string())
         .body(b"a body");
@@ -249,6 +251,6 @@
 }
 
 /// Whether a line has a word, delimited by spaces.
-fn has_word(line: &str, word: &str) -> bool {
+pub(super) fn has_word(line: &str, word: &str) -> bool {
     line.split(' ').any(|other| other == word)
 }
