Keep a target that does not answer in time beside the next one

Callers of requests that may be repeated got 502 or 504 though the target that had their request went on and would have answered before their deadline.

Cause: after three latency goals (whole answers) or one (first event of a stream) the attempt was dropped, and its connection closed, before it was known whether attempts, the retry budget or a target allowed another one, and whether that one would answer sooner.

Ruled out: keeping the first one only if no other attempt may be sent. Two targets that are silent for the same time then still fail the request, as the second one starts anew (first test).

Change: the first attempt goes on while a second one is sent; the first answer counts and the other call is closed at once. An attempt of which nothing was sent is still dropped for another target. If no other attempt may be sent, or it is declined or fails, the first one is awaited until the deadline. A stream's first target is kept for 250 ms at most after the second call may have been sent. `Attempts` is shared by the attempts of a request; what one of them has sent is in its `AttemptState`, so that the count of targets and the budget hold for both. The stand-in runners can now begin a stream late.

Not measured: what the longer life of the first call costs targets under overload. The number of calls is bounded as before.

Conclusion: a request that may be repeated ends with a failure only if every target that has it ends or its deadline passes.

--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -1,6 +1,7 @@
 //! Attempts to send a request to targets: choosing a target, recording the outcome, and deciding
 //! whether another attempt follows.
 
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -42,29 +43,45 @@
 /// Why an attempt is abandoned when its target's hall becomes unreachable.
 pub(crate) const HALL_UNREACHABLE: &str = "the target's hall is unreachable";
 
-/// The attempts of one request.
+/// The attempts of one request. Several may be under way at a time.
 pub(crate) struct Attempts {
     app: Rc<App>,
     req: Rc<AcceptedRequest>,
-    /// When the last attempt started.
-    started: Instant,
     /// Targets that were tried.
-    attempted: Vec<TargetKey>,
+    attempted: RefCell<Vec<TargetKey>>,
     /// Version of the target that began the stream, once it has events: another version can't go on
     /// with it.
     bound: Option<TargetVersion>,
     /// Attempts that may have reached their target; the entry limits their number.
-    sent: u32,
+    sent: Cell<u32>,
     /// Attempts that did not reach their target.
-    unreachable: u32,
+    unreachable: Cell<u32>,
     /// Targets that were tried and got nothing.
-    unreached: Vec<TargetKey>,
-    /// Whether any byte of the attempt under way may have been sent.
-    sent_mark: SentMark,
-    /// Whether the last attempt is under way and counted in `sent`; it is once its target was chosen.
-    is_counted: bool,
+    unreached: RefCell<Vec<TargetKey>>,
     /// Whether a retry was taken from the budget for which nothing was sent yet.
-    has_unused_retry: bool,
+    has_unused_retry: Cell<bool>,
+}
+
+/// How far an attempt under way has come. It outlives an attempt that is dropped.
+#[derive(Debug, Default)]
+pub(crate) struct AttemptState {
+    /// Its target, once that was chosen and the attempt is counted.
+    target: Cell<Option<TargetKey>>,
+    /// Whether any byte may have been sent.
+    mark: SentMark,
+}
+
+impl AttemptState {
+    /// The mark of its call; it is clear while there is none.
+    pub(crate) fn mark(&self) -> &SentMark {
+        &self.mark
+    }
+
+    /// Prepares for the next attempt.
+    pub(crate) fn reset(&self) {
+        self.mark.set(false);
+        self.target.set(None);
+    }
 }
 
 /// An attempt under way. If dropped before its end, it is recorded as abandoned.
@@ -87,6 +104,8 @@
     route: String,
     /// When the target was chosen.
     started: Instant,
+    /// When sending began, after the wait for a permit.
+    sent_at: Instant,
     ended: bool,
     /// Prompt tokens that are counted as load of the target until it has read them.
     unread_tokens: u64,
@@ -102,9 +121,9 @@
         }
     }
 
-    /// When its target was chosen.
-    pub(crate) fn started(&self) -> Instant {
-        self.started
+    /// When sending began.
+    pub(crate) fn sent_at(&self) -> Instant {
+        self.sent_at
     }
 
     /// Records that the target has read the prompt.
@@ -168,15 +187,12 @@
         Attempts {
             app: Rc::clone(app),
             req: Rc::clone(req),
-            started: now(),
-            attempted: Vec::new(),
+            attempted: RefCell::default(),
             bound: None,
-            sent: 0,
-            unreachable: 0,
-            unreached: Vec::new(),
-            sent_mark: SentMark::default(),
-            is_counted: false,
-            has_unused_retry: false,
+            sent: Cell::default(),
+            unreachable: Cell::default(),
+            unreached: RefCell::default(),
+            has_unused_retry: Cell::default(),
         }
     }
 
@@ -189,70 +205,55 @@
         &self.req
     }
 
-    /// When the last attempt started.
-    pub(crate) fn started(&self) -> Instant {
-        self.started
-    }
-
     /// Sends further attempts only to targets of the version that began the stream.
     pub(crate) fn bind(&mut self, version: TargetVersion) {
         self.bound = Some(version);
     }
 
-    /// Records that the last attempt was abandoned because its time was up; `why` tells what was
-    /// awaited. Returns what is known of the attempt.
-    pub(crate) fn record_timeout(&mut self, why: &str) -> AttemptError {
-        if !self.is_counted {
+    /// Records that an attempt was abandoned because its time was up; `why` tells what was awaited.
+    /// Returns what is known of the attempt.
+    pub(crate) fn record_timeout(&self, state: &AttemptState, why: &str) -> AttemptError {
+        let Some(target) = state.target.get() else {
             // No target was chosen yet.
             return AttemptError::NotReached;
-        }
-        self.check_last_path();
-        if !self.sent_mark.is_set() {
-            if let Some(key) = self.attempted.last() {
-                self.record_unreached(*key);
-            }
+        };
+        self.check_path(state);
+        if !state.mark.is_set() {
+            self.record_unreached(target);
             return AttemptError::NotReached;
         }
         self.set_may_have_run();
-        if let Some(key) = self.attempted.last() {
-            self.app.state.with(|shared, now| shared.targets.record_timeout(*key, now));
-        }
+        self.app.state.with(|shared, now| shared.targets.record_timeout(target, now));
         AttemptError::Lost(why.to_owned())
     }
 
-    /// The mark of the attempt under way; it is clear while there is none.
-    pub(crate) fn sent_mark(&self) -> SentMark {
-        self.sent_mark.clone()
-    }
-
-    /// Begins a search for a further target while the last attempt may go on. Targets that got
-    /// nothing in an earlier search may be tried once more.
-    pub(crate) fn begin_search(&mut self) {
-        self.sent_mark.set(false);
-        self.is_counted = false;
-        let unreached = std::mem::take(&mut self.unreached);
-        self.attempted.retain(|key| !unreached.contains(key));
-        self.unreachable = 0;
+    /// Lets targets that got nothing be tried once more.
+    pub(crate) fn forget_unreached(&self) {
+        let unreached = self.unreached.take();
+        self.attempted.borrow_mut().retain(|key| !unreached.contains(key));
+        self.unreachable.set(0);
     }
 
     /// Takes back an attempt that was dropped, unless something was sent, and a retry for which
     /// nothing was sent.
-    pub(crate) fn withdraw(&mut self) {
-        if self.is_counted && !self.sent_mark.is_set() {
-            self.is_counted = false;
-            self.sent -= 1;
-            self.attempted.pop();
+    pub(crate) fn withdraw(&self, state: &AttemptState) {
+        if state.mark.is_set() {
+            return;
+        }
+        if let Some(target) = state.target.take() {
+            self.sent.update(|sent| sent - 1);
+            self.attempted.borrow_mut().retain(|key| *key != target);
         }
-        let has_unused_retry = std::mem::take(&mut self.has_unused_retry);
-        if has_unused_retry && !self.sent_mark.is_set() {
+        if self.has_unused_retry.take() {
             self.app.state.with(|shared, _| shared.put_back_retry(&self.req.service));
         }
     }
 
-    /// Checks the path to the target of the last attempt.
-    fn check_last_path(&self) {
-        let Some(key) = self.attempted.last() else { return };
-        let target = self.app.state.with(|shared, _| shared.targets.get_by_key(*key).cloned());
+    /// Checks the path to the target of an attempt.
+    pub(crate) fn check_path(&self, state: &AttemptState) {
+        let target = state.target.get().and_then(|key| {
+            self.app.state.with(|shared, _| shared.targets.get_by_key(key).cloned())
+        });
         if let Some(target) = target {
             target_connecting::check_path(&self.app, &target);
         }
@@ -264,23 +265,23 @@
     /// # Errors
     /// The refusal for the caller, if no further attempt may follow.
     pub(crate) async fn send(
-        &mut self,
+        &self,
+        state: &AttemptState,
         size: Option<&CallSize>,
         inputs: &[String],
         last_event: Option<u64>,
     ) -> Result<Result<Answer, AttemptError>, Refusal> {
-        self.sent_mark.set(false);
-        self.is_counted = false;
-        let sent = self.send_to_best(size, inputs, last_event).await;
+        state.reset();
+        let sent = self.send_to_best(state, size, inputs, last_event).await;
         if !matches!(sent, Ok(Ok(_))) {
-            self.sent_mark.set(false);
-            self.is_counted = false;
+            state.reset();
         }
         sent
     }
 
     async fn send_to_best(
-        &mut self,
+        &self,
+        state: &AttemptState,
         size: Option<&CallSize>,
         inputs: &[String],
         last_event: Option<u64>,
@@ -292,8 +293,8 @@
         active_requests::set_wait_reason(&self.app, self.req.active_key, WaitReason::Target);
         let (mut attempt, permit) = self.choose(size).await?;
         active_requests::set_wait_reason(&self.app, self.req.active_key, WaitReason::Answer);
-        self.attempted.push(attempt.pick.key);
-        self.started = now();
+        self.attempted.borrow_mut().push(attempt.pick.key);
+        attempt.sent_at = now();
         let target = attempt.pick.target.clone();
         let head = CallHead {
             time_left: time_until(self.req.deadline),
@@ -304,11 +305,11 @@
             inputs,
         };
         let headers = (self.app.adapter.calls.call_headers)(&self.req.parts.headers, &head);
-        self.sent += 1;
-        self.is_counted = true;
-        let mark = self.sent_mark.clone();
+        self.sent.update(|sent| sent + 1);
+        state.target.set(Some(attempt.pick.key));
+        let mark = &state.mark;
         let call = build_call(&self.req, headers);
-        let sending = self.app.connections.send(&self.app, &target, call, permit, &mark);
+        let sending = self.app.connections.send(&self.app, &target, call, permit, mark);
         let mut unreachable = self.app.unreachable_halls.subscribe();
         let sent = tokio::select! {
             sent = sending => sent,
@@ -328,7 +329,7 @@
             refusal = crashes::until_refused(&self.app, &self.req, true) => return Err(refusal),
         };
         if mark.is_set() {
-            self.has_unused_retry = false;
+            self.has_unused_retry.set(false);
         }
         let result = match sent {
             Ok((answer, connection)) => self.read(answer, connection, &mut attempt).await,
@@ -368,10 +369,10 @@
     }
 
     /// Records that the target of the attempt under way got nothing.
-    fn record_unreached(&mut self, target: TargetKey) {
-        self.sent -= 1;
-        self.unreachable += 1;
-        self.unreached.push(target);
+    fn record_unreached(&self, target: TargetKey) {
+        self.sent.update(|sent| sent - 1);
+        self.unreachable.update(|unreachable| unreachable + 1);
+        self.unreached.borrow_mut().push(target);
     }
 
     /// Records that an attempt gave no answer.
@@ -400,8 +401,8 @@
     }
 
     /// Chooses the best target that was not tried and that may be sent another request now.
-    async fn choose(&mut self, size: Option<&CallSize>) -> Result<(Attempt, Permit), Refusal> {
-        let mut excluded = self.attempted.clone();
+    async fn choose(&self, size: Option<&CallSize>) -> Result<(Attempt, Permit), Refusal> {
+        let mut excluded = self.attempted.borrow().clone();
         let mut permit_requests = 0;
         loop {
             let mut attempt = self.pick(size, &excluded).ok_or_else(|| self.no_target())?;
@@ -457,6 +458,7 @@
                 rate: shared.rates.limit(&pick.target),
                 route: self.req.entry.name.clone(),
                 started: now,
+                sent_at: now,
                 pick,
                 ended: false,
                 progress: AnswerProgress::new(&self.req.prompt_parts),
@@ -466,11 +468,12 @@
 
     /// Whether some target that was not tried may be sent the next attempt.
     pub(crate) fn has_target(&self) -> bool {
+        let attempted = self.attempted.borrow();
         self.app.state.with(|shared, now| {
             let Some(versions) = &self.versions(shared) else { return false };
             let wanted = SelectionRequest {
                 service: &self.req.service,
-                exclude: &self.attempted,
+                exclude: &attempted,
                 size: None,
                 halls: &self.req.allowed_halls,
                 versions,
@@ -500,7 +503,7 @@
         match &self.bound {
             Some(version) => shared.rollouts.versions(service).for_resumption(version),
             None => {
-                let is_first = self.attempted.is_empty();
+                let is_first = self.attempted.borrow().is_empty();
                 Some(if stream_origins::is_resumable(&self.req) {
                     shared.rollout_versions_for_stream(&self.req, is_first)
                 } else {
@@ -512,7 +515,7 @@
 
     /// Reads the head of an answer and records what it says about the target.
     async fn read(
-        &mut self,
+        &self,
         answer: Response<Incoming>,
         connection: TargetConnection,
         attempt: &mut Attempt,
@@ -520,7 +523,12 @@
         let (head, body) = answer.into_parts();
         let parsed = (self.app.adapter.calls.read_head)(&head, &self.req.id);
         target_announcements::report_unknown_headers(&self.app, &attempt.pick.target, &head);
-        target_announcements::apply_answer(&self.app, &attempt.pick.target, &parsed, self.started);
+        target_announcements::apply_answer(
+            &self.app,
+            &attempt.pick.target,
+            &parsed,
+            attempt.sent_at,
+        );
         let key = attempt.pick.key;
         if let (Some(load), true) = (parsed.load, parsed.evidence != Evidence::OtherRequest) {
             self.app.state.with(|shared, now| {
@@ -542,8 +550,8 @@
             }
             Evidence::OtherTarget => {
                 attempt.end(TargetOutcome::Unreachable);
-                self.sent -= 1;
-                self.unreachable += 1;
+                self.sent.update(|sent| sent - 1);
+                self.unreachable.update(|unreachable| unreachable + 1);
                 self.app
                     .state
                     .with(|shared, now| shared.target_replaced(&attempt.pick.target, now));
@@ -600,7 +608,7 @@
 
     /// Whether another attempt may follow one that ended with `error`. Takes a retry from the
     /// fleet's budget if one is needed.
-    pub(crate) fn take_retry(&mut self, error: &AttemptError) -> bool {
+    pub(crate) fn take_retry(&self, error: &AttemptError) -> bool {
         self.is_allowed_after(error)
             && (*error == AttemptError::NotReached || self.take_from_budget())
     }
@@ -616,14 +624,14 @@
     /// fleet's budget.
     pub(crate) fn is_allowed_after(&self, error: &AttemptError) -> bool {
         let in_time = time_until(self.req.deadline) > Duration::ZERO;
-        let attempts_left = self.sent < self.req.entry.max_attempts.max(1);
+        let attempts_left = self.sent.get() < self.req.entry.max_attempts.max(1);
         in_time
             && match error {
                 // The target that was meant got nothing, so no attempt is counted. Without this,
                 // 1.4% of the requests of an entry with one attempt were refused, after all their
                 // stages had run, because a target had crashed and restarted as another one.
                 AttemptError::NotReached | AttemptError::Replaced => {
-                    self.unreachable < MAX_UNREACHABLE
+                    self.unreachable.get() < MAX_UNREACHABLE
                 }
                 AttemptError::Declined | AttemptError::InputGone => attempts_left,
                 AttemptError::Lost(_) => attempts_left && self.req.entry.repeatable,
@@ -631,10 +639,12 @@
     }
 
     /// Takes a retry from the fleet's retry budget. Returns false if none is left.
-    fn take_from_budget(&mut self) -> bool {
+    fn take_from_budget(&self) -> bool {
         let taken =
             self.app.state.with(|shared, now| shared.try_take_retry(&self.req.service, now));
-        self.has_unused_retry |= taken;
+        if taken {
+            self.has_unused_retry.set(true);
+        }
         taken
     }
 
@@ -673,7 +683,7 @@
     pub(crate) fn no_target(&self) -> Refusal {
         match self.refusal() {
             Refusal::NotRun { .. } if self.is_bound_in_vain() => Refusal::NotResumable,
-            Refusal::NotRun { .. } if self.sent == 0 => {
+            Refusal::NotRun { .. } if self.sent.get() == 0 => {
                 Refusal::NotRun { retry_after: self.retry_after_time(NO_TARGET_RETRY_AFTER) }
             }
             other => other,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod logs;
 mod missing_inputs;
 mod outbound_links;
+mod overlapping_attempts;
 mod own_calls;
 mod own_entry;
 mod owner_selection;
--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -16,14 +16,14 @@
 
 use crate::answers::StreamCut;
 use crate::app::App;
-use crate::attempts::{Answer, Attempts, HALL_UNREACHABLE};
+use crate::attempts::{Answer, AttemptState, Attempts, HALL_UNREACHABLE};
 use crate::crashes;
 use crate::events::Event;
 use crate::requests::AcceptedRequest;
 use crate::stages::StageResults;
 use crate::state_handle::now;
 use crate::stream_reader::{EventReader, NextEvent};
-use crate::stream_takeover::{NotTakenOver, find_successor, overlap_end};
+use crate::stream_takeover::{NotTakenOver, OVERLAP, find_successor, overlap_end};
 
 /// After a pause of this many of its longest event gaps, another target is sought for a stream, if
 /// allowed.
@@ -89,7 +89,7 @@
         crashes::request_completed(&stream.app, req);
         let EventReader { answer, .. } = *reader;
         let Answer { parsed, connection, mut attempt, .. } = answer;
-        let took = now() - attempt.started();
+        let took = now() - attempt.sent_at();
         stream
             .app
             .state
@@ -206,9 +206,10 @@
         if self.reader.is_some() {
             self.log_silence(why);
         }
-        self.attempts.begin_search();
-        let found = self.search(why).await;
-        self.attempts.withdraw();
+        self.attempts.forget_unreached();
+        let state = AttemptState::default();
+        let found = self.search(&state, why).await;
+        self.attempts.withdraw(&state);
         self.heeds_hall_from = TokioInstant::now() + stall_time(&self.req);
         match found {
             Ok(Some(successor)) => {
@@ -226,11 +227,15 @@
     /// The target that takes the stream over; `None` if its own one went on before. What its own
     /// one sends after the call to another may have been sent is held back: it must not be
     /// followed by events of a run that began at an earlier event.
-    async fn search(&mut self, why: &str) -> Result<Option<Box<EventReader>>, NotTakenOver> {
+    async fn search(
+        &mut self,
+        state: &AttemptState,
+        why: &str,
+    ) -> Result<Option<Box<EventReader>>, NotTakenOver> {
         let Stream { app, req, attempts, reader, held, .. } = self;
-        let mark = attempts.sent_mark();
-        let mut overlap = pin!(overlap_end(&mark));
-        let mut search = pin!(find_successor(attempts, &self.size, self.last_event, why));
+        let mark = state.mark();
+        let mut overlap = pin!(overlap_end(mark, OVERLAP));
+        let mut search = pin!(find_successor(attempts, state, &self.size, self.last_event, why));
         loop {
             let next = tokio::select! {
                 biased;
--- a/gateway/src/stream_takeover.rs
+++ b/gateway/src/stream_takeover.rs
@@ -5,7 +5,7 @@
 use selection::CallSize;
 use tokio::time::sleep;
 
-use crate::attempts::{AttemptError, Attempts};
+use crate::attempts::{AttemptError, AttemptState, Attempts};
 use crate::connections::SentMark;
 use crate::request_stages::run_stages;
 use crate::stages::StageResults;
@@ -15,7 +15,7 @@
 /// Longest time for which the silent target of a stream is kept after the call to another one may
 /// have been sent. Two targets must not work on a stream for longer than 400 ms; the rest is left
 /// for the news that the connection was closed.
-const OVERLAP: Duration = Duration::from_millis(250);
+pub(crate) const OVERLAP: Duration = Duration::from_millis(250);
 
 /// Why no other target takes over a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,7 +40,8 @@
 /// # Errors
 /// [`NotTakenOver`] if no target does.
 pub(crate) async fn find_successor(
-    attempts: &mut Attempts,
+    attempts: &Attempts,
+    state: &AttemptState,
     size: &CallSize,
     last_event: Option<u64>,
     why: &str,
@@ -61,14 +62,15 @@
         if !attempts.take_retry(&error) {
             return Err(NotTakenOver::ForNow("no retry is left in the budget"));
         }
-        let sent = attempts.send(Some(size), &inputs.unwrap_or_default(), Some(last_event)).await;
+        let sent =
+            attempts.send(state, Some(size), &inputs.unwrap_or_default(), Some(last_event)).await;
         match sent.map_err(|_| NotTakenOver::ForNow("no target could be used"))? {
             Ok(answer) if answer.head.status.is_success() => {
                 return Ok(Box::new(EventReader::new(attempts.app(), answer)));
             }
             Ok(answer) => {
                 error = AttemptError::Lost(format!("status {}", answer.head.status));
-                attempts.sent_mark().set(false);
+                state.reset();
             }
             Err(further) => error = further,
         }
@@ -92,12 +94,12 @@
     Ok(())
 }
 
-/// Waits until the call with this mark may have been sent for [`OVERLAP`].
-pub(crate) async fn overlap_end(mark: &SentMark) {
+/// Waits until the call with this mark may have been sent for `overlap`.
+pub(crate) async fn overlap_end(mark: &SentMark, overlap: Duration) {
     loop {
         mark.until(true).await;
         tokio::select! {
-            () = sleep(OVERLAP) => return,
+            () = sleep(overlap) => return,
             () = mark.until(false) => {}
         }
     }
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -11,13 +11,14 @@
 use slog::info;
 use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
-use tokio::time::{Instant as TokioInstant, timeout_at};
+use tokio::time::Instant as TokioInstant;
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
-use crate::attempts::{Answer, AttemptError, Attempts, HALL_UNREACHABLE};
+use crate::attempts::{Answer, AttemptError, AttemptState, Attempts, HALL_UNREACHABLE};
 use crate::events::Event;
 use crate::missing_inputs::Cause;
+use crate::overlapping_attempts::{Attempted, Attempting, OverlapRules, first_answer};
 use crate::request_stages::{call_size, run_stages};
 use crate::requests::AcceptedRequest;
 use crate::shutdown::RETRY_ELSEWHERE_AFTER;
@@ -25,13 +26,14 @@
 use crate::state_handle::now;
 use crate::stream_forwarding::{EventBody, Stream, forward};
 use crate::stream_reader::{EventReader, NextEvent};
+use crate::stream_takeover::OVERLAP;
 use crate::whole_answers::outcome_of;
 use crate::{active_requests, admission, crashes, stream_origins};
 
 /// Most events queued for a caller that reads slowly.
 const EVENT_QUEUE_LEN: usize = 64;
-/// If the first event does not arrive within this many latency goals, another target is tried where
-/// that is allowed.
+/// If the first event does not arrive within this many latency goals, another target is tried as
+/// well where that is allowed.
 const FIRST_EVENT_LATENCY_GOALS: u32 = 1;
 /// Callers abandon a stream after a pause of this many latency goals; work for it is useless then.
 const CALLER_TIMEOUT_LATENCY_GOALS: u32 = 4;
@@ -85,13 +87,17 @@
     loop {
         let size = call_size(app, req, results.as_ref());
         let inputs = results.as_ref().map(StageResults::inputs).unwrap_or_default();
-        let limit = first_event_limit(req, deadline);
-        let attempting = first_event(&mut attempts, &size, &inputs);
-        let attempting = release_once_fetched(attempting, req, results.as_mut());
-        let error = match timeout_at(limit, attempting).await {
-            Ok(Ok(Ok(Reply::Stream(reader, first)))) => {
+        let begin = |state: Rc<AttemptState>| -> Attempting<'_, Reply> {
+            let (attempts, size, inputs) = (&attempts, &size, &inputs);
+            Box::pin(async move { first_event(attempts, &state, size, inputs).await })
+        };
+        let rules = overlap_rules(req, deadline);
+        let attempting = first_answer(&attempts, &rules, begin);
+        let error = match release_once_fetched(attempting, req, results.as_mut()).await {
+            Ok(Ok(Reply::Stream(reader, first))) => {
                 app.state.with(|shared, now| {
-                    shared.record_first_event_time(&req.service, now - attempts.started());
+                    let took = now - reader.answer.attempt.sent_at();
+                    shared.record_first_event_time(&req.service, took);
                 });
                 let target = &reader.answer.attempt.pick.target;
                 if !first.is_empty() {
@@ -102,10 +108,9 @@
                 let stream = Stream::new(attempts, size, reader, first, results);
                 return Ok(Started::Stream(Box::new(stream), head));
             }
-            Ok(Ok(Ok(Reply::Whole(answer)))) => return whole_answer(app, req, *answer).await,
-            Ok(Ok(Err(error))) => error,
-            Ok(Err(rejection)) => return Err(rejection),
-            Err(_) => attempts.record_timeout("no event in time"),
+            Ok(Ok(Reply::Whole(answer))) => return whole_answer(app, req, *answer).await,
+            Ok(Err(error)) => error,
+            Err(rejection) => return Err(rejection),
         };
         let expired = now() >= deadline;
         if expired || !attempts.take_retry(&error) {
@@ -177,11 +182,15 @@
     (req.arrived + by_latency_goal.max(by_gap)).min(req.deadline) - REPLY_MARGIN
 }
 
-/// When to stop waiting for the first event of an attempt.
-fn first_event_limit(req: &AcceptedRequest, deadline: Instant) -> TokioInstant {
-    let retry_at = now() + req.entry.latency_goal * FIRST_EVENT_LATENCY_GOALS;
+/// When another target is tried beside one that sends no event.
+fn overlap_rules(req: &AcceptedRequest, deadline: Instant) -> OverlapRules {
     let may_retry = req.entry.repeatable && req.entry.max_attempts > 1;
-    TokioInstant::from_std(if may_retry { retry_at.min(deadline) } else { deadline })
+    OverlapRules {
+        retry_after: may_retry.then(|| req.entry.latency_goal * FIRST_EVENT_LATENCY_GOALS),
+        overlap: Some(OVERLAP),
+        until: TokioInstant::from_std(deadline),
+        awaited: "no event in time",
+    }
 }
 
 /// What a target answered.
@@ -194,12 +203,13 @@
 
 /// Sends the request and reads its answer up to the first event.
 async fn first_event(
-    attempts: &mut Attempts,
+    attempts: &Attempts,
+    state: &AttemptState,
     size: &CallSize,
     inputs: &[String],
-) -> Result<Result<Reply, AttemptError>, Refusal> {
+) -> Attempted<Reply> {
     let last_event = attempts.req().head.last_event;
-    let answer = match attempts.send(Some(size), inputs, last_event).await? {
+    let answer = match attempts.send(state, Some(size), inputs, last_event).await? {
         Ok(answer) => answer,
         Err(error) => return Ok(Err(error)),
     };
--- a/gateway/src/whole_answers.rs
+++ b/gateway/src/whole_answers.rs
@@ -7,16 +7,16 @@
 use hyper::Response;
 use platform_interface::callers::Refusal;
 use selection::TargetOutcome;
-use tokio::time::timeout_at;
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
-use crate::attempts::{Answer, AttemptError, Attempts};
+use crate::attempts::{Answer, AttemptError, AttemptState, Attempts};
 use crate::crashes;
+use crate::overlapping_attempts::{Attempted, Attempting, OverlapRules, first_answer};
 use crate::requests::AcceptedRequest;
 use crate::state_handle::now;
 
-/// A repeatable request is sent to another target if no answer arrived within this many latency
+/// A repeatable request is sent to another target as well if no answer arrived within this many latency
 /// goals.
 const ATTEMPT_LATENCY_GOALS: u32 = 3;
 /// A refusal at the deadline is sent this much earlier so that it still reaches the caller in time.
@@ -27,18 +27,24 @@
     app: &Rc<App>,
     req: &Rc<AcceptedRequest>,
 ) -> (Response<AnswerBody>, &'static str) {
-    let mut attempts = Attempts::new(app, req);
+    let attempts = Attempts::new(app, req);
+    let reply_by = tokio::time::Instant::from_std(req.deadline - REPLY_MARGIN);
+    let may_retry = req.entry.repeatable && req.entry.max_attempts > 1;
+    let rules = OverlapRules {
+        retry_after: may_retry.then(|| req.entry.latency_goal * ATTEMPT_LATENCY_GOALS),
+        overlap: None,
+        until: reply_by,
+        awaited: "no answer in time",
+    };
     loop {
-        let reply_by = tokio::time::Instant::from_std(req.deadline - REPLY_MARGIN);
-        let retry_at =
-            tokio::time::Instant::from_std(now() + req.entry.latency_goal * ATTEMPT_LATENCY_GOALS);
-        let may_retry = req.entry.repeatable && req.entry.max_attempts > 1 && retry_at < reply_by;
-        let limit = if may_retry { retry_at } else { reply_by };
-        let error = match timeout_at(limit, try_targets(app, &mut attempts)).await {
-            Ok(Ok(Ok(answer))) => return answer,
-            Ok(Ok(Err(error))) => error,
-            Ok(Err(reason)) => return (refusal(app, reason, Some(&req.id)), outcome_of(reason)),
-            Err(_) => attempts.record_timeout("no answer in time"),
+        let begin = |state: Rc<AttemptState>| -> Attempting<'_, Served> {
+            let attempts = &attempts;
+            Box::pin(async move { try_targets(app, attempts, &state).await })
+        };
+        let error = match first_answer(&attempts, &rules, begin).await {
+            Ok(Ok(answer)) => return answer,
+            Ok(Err(error)) => error,
+            Err(reason) => return (refusal(app, reason, Some(&req.id)), outcome_of(reason)),
         };
         let expired = tokio::time::Instant::now() >= reply_by;
         if expired || !attempts.take_retry(&error) {
@@ -69,9 +75,10 @@
 /// Sends the request to one target, and again after a server error if a retry is allowed.
 async fn try_targets(
     app: &Rc<App>,
-    attempts: &mut Attempts,
-) -> Result<Result<Served, AttemptError>, Refusal> {
-    let answer = match attempts.send(None, &[], None).await? {
+    attempts: &Attempts,
+    state: &AttemptState,
+) -> Attempted<Served> {
+    let answer = match attempts.send(state, None, &[], None).await? {
         Ok(answer) => answer,
         Err(error) => return Ok(Err(error)),
     };
@@ -90,7 +97,7 @@
     }
     // A target that answers with an error of its own has survived the request as well.
     crashes::request_completed(app, attempts.req());
-    let took = now() - attempts.started();
+    let took = now() - attempt.sent_at();
     app.state.with(|shared, _| shared.record_response_time(&attempts.req().entry.name, took));
     let own_failure = head.status.is_server_error();
     attempt.end(if own_failure { TargetOutcome::OwnFailure } else { TargetOutcome::Answered });
@@ -98,7 +105,7 @@
         attempts.set_may_have_run();
         let error = AttemptError::Lost(format!("status {}", head.status.as_u16()));
         if attempts.take_retry(&error) {
-            return Box::pin(try_targets(app, attempts)).await;
+            return Box::pin(try_targets(app, attempts, state)).await;
         }
     }
     let mut answer = Response::new(whole(body));
--- a/standins/src/serving_path/behavior.rs
+++ b/standins/src/serving_path/behavior.rs
@@ -53,6 +53,8 @@
     SlowStream(u64, Duration),
     /// Like [`Behavior::SlowStream`], with half of each pause in the middle of an event.
     SplitStream(u64, Duration),
+    /// It streams events up to this number, the first one after this time.
+    LateStream(u64, Duration),
     /// It answers that an input is gone, without running the request.
     InputGone,
     /// It has no memory for the result of the last piece of a call, and runs the others for this
@@ -71,6 +73,7 @@
             | Behavior::Garbage
             | Behavior::Unsigned
             | Behavior::Encoded
+            | Behavior::LateStream(..)
             | Behavior::Hang(_) => false,
             Behavior::Answer
             | Behavior::Large(_)
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -467,6 +467,10 @@
             Behavior::Stream(events) => {
                 self.stream(conn, id, req, &StreamPlan { last: *events, ..StreamPlan::default() })
             }
+            Behavior::LateStream(events, wait) => {
+                sleep(*wait);
+                self.stream(conn, id, req, &StreamPlan { last: *events, ..StreamPlan::default() })
+            }
             Behavior::StreamFromFirst(events) => {
                 let without_last_event = HttpMessage::default();
                 let plan = StreamPlan { last: *events, ..StreamPlan::default() };
--- a/tests/silent_targets.rs
+++ b/tests/silent_targets.rs
@@ -11,7 +11,9 @@
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
 use standins::serving_path::runners::{Behavior, Runner};
-use standins::serving_path::site::{HOST, Site, Vm, default_configuration, event_ids};
+use standins::serving_path::site::{
+    HOST, Site, Vm, default_configuration, event_ids, post, send_expecting_answer,
+};
 
 /// Timeout of requests, in milliseconds.
 const TIMEOUT_MS: u32 = 20_000;
@@ -19,6 +21,9 @@
 const LATENCY_GOAL_MS: u32 = 2500;
 /// How long a silent target pauses; longer than the pause after which a stream may be resumed.
 const SILENCE: Duration = Duration::from_millis(1500);
+/// How long a target waits before it answers a request of the default configuration; longer than the
+/// time after which another target may be tried, and shorter than the request's deadline.
+const LATE_ANSWER: Duration = Duration::from_millis(1200);
 /// Requests in each case.
 const REQUESTS: usize = 8;
 /// Pause between two requests.
@@ -106,3 +111,47 @@
     assert!(!served.is_empty(), "{answers:?}");
     assert_eq!(served, vec![(vec![1, 2, 3], true); served.len()]);
 }
+
+/// Guards against requests that fail since a VM gives up a silent target for another silent one.
+#[test]
+fn a_request_is_answered_while_all_of_its_targets_are_silent() {
+    let site = Site::start();
+    let vm = site.start_vm("late-answers", "");
+    set_behavior(&site.plain, &Behavior::Hang(LATE_ANSWER));
+
+    let answer = send_expecting_answer(&post("/repeat/", "late"), &vm);
+
+    assert_eq!(answer.status(), 200, "{}", vm.log());
+    assert!(answer.is_complete);
+    assert_eq!(site.runs("late"), 2, "as many as are allowed");
+}
+
+/// Guards against requests that fail since no other target takes them over from a silent one.
+#[test]
+fn a_request_waits_for_its_silent_target_if_no_other_takes_it() {
+    let site = Site::start();
+    let vm = site.start_vm("late-or-declined", "");
+    set_behavior(&site.plain[..1], &Behavior::Hang(LATE_ANSWER));
+    set_behavior(&site.plain[1..], &Behavior::Decline);
+
+    let answers: Vec<u16> = (0..3)
+        .map(|n| send_expecting_answer(&post("/repeat/", &format!("late-{n}")), &vm).status())
+        .collect();
+
+    assert_eq!(answers, [200; 3], "{}", vm.log());
+}
+
+/// Guards against streams that fail since a VM gives up a silent target before its first event.
+#[test]
+fn a_stream_begins_at_its_silent_target_if_no_other_takes_it() {
+    let site = Site::start();
+    let vm = site.start_vm("late-or-no-stream", "");
+    set_behavior(&site.engines[..1], &Behavior::LateStream(3, LATE_ANSWER));
+    set_behavior(&site.engines[1..], &Behavior::Decline);
+
+    let answers: Vec<Option<HttpMessage>> = (0..3)
+        .map(|n| Some(send_expecting_answer(&post("/resumed/", &format!("late-{n}")), &vm)))
+        .collect();
+
+    assert_eq!(streams(&answers), vec![(vec![1, 2, 3], true); 3], "{}", vm.log());
+}
