Keep calls whose target reads nothing for a while

Callers of large requests that may run once got 502 though their target only paused and then ran the request.

Cause: connections to targets have a limit of 1.5 s for bytes that are not acknowledged. The kernel applies it to a receiver with a full window as well, and to a silent path, and ends the connection under a request whose target goes on.

Ruled out: a larger limit for all, since it is what tells a request that may go elsewhere, and pool calls, to do so.

Change: the limit of a connection is set with each call. It stays at 1.5 s where another target may be tried; otherwise it is the time that is left to the request. A target that ends still breaks the connection at once.

Not covered: connections that a peer relays (the relaying VM keeps its limit of 1.5 s), and requests that may be repeated, while another target may be tried. A request that may run once and whose target is gone without a reset is now told so at its deadline, not after 1.5 s.

Conclusion: a request that can go nowhere else is not ended by a pause.

--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -19,7 +19,7 @@
 use crate::active_requests::{self, WaitReason};
 use crate::answer_progress::AnswerProgress;
 use crate::app::App;
-use crate::connections::{SendError, SentMark, TargetConnection};
+use crate::connections::{SendError, SentMark, TargetConnection, UNACKED_TIMEOUT};
 use crate::permits::{self, Permit, RateLimited};
 use crate::requests::{AcceptedRequest, build_call};
 use crate::shared::Shared;
@@ -309,7 +309,9 @@
         state.target.set(Some(attempt.pick.key));
         let mark = &state.mark;
         let call = build_call(&self.req, headers);
-        let sending = self.app.connections.send(&self.app, &target, call, permit, mark);
+        let unacked_limit = self.unacked_limit();
+        let connections = &self.app.connections;
+        let sending = connections.send(&self.app, &target, call, permit, mark, unacked_limit);
         let mut unreachable = self.app.unreachable_halls.subscribe();
         let sent = tokio::select! {
             sent = sending => sent,
@@ -368,6 +370,16 @@
         })
     }
 
+    /// Time within which the target has to acknowledge what it is sent. As long as the answer is of
+    /// use, unless another target may be tried: a target that reads nothing for a while is not gone.
+    fn unacked_limit(&self) -> Duration {
+        let lost = AttemptError::Lost(String::new());
+        if self.has_target() && self.may_retry(&lost) {
+            return UNACKED_TIMEOUT;
+        }
+        time_until(self.req.deadline).max(UNACKED_TIMEOUT)
+    }
+
     /// Records that the target of the attempt under way got nothing.
     fn record_unreached(&self, target: TargetKey) {
         self.sent.update(|sent| sent - 1);
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -1,7 +1,7 @@
 //! HTTP/1 connections to targets. Idle connections are kept for reuse; a connection whose call is
 //! abandoned is closed.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioIo;
 use ids::{TargetName, VmName};
 use intent::Target;
-use socket2::SockRef;
+use socket2::{SockRef, Socket};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -32,8 +32,8 @@
 /// after a second or more, long after another target could have been tried.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// A connection fails if sent bytes are not acknowledged within this time: the other end is then
-/// taken as unreachable.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1500);
+/// taken as unreachable. The kernel counts a target that reads nothing as well.
+pub(crate) const UNACKED_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time that a connection stays idle before it is reused, so that an unexpected extra answer to the
 /// last request is noticed and closes the connection.
 pub(crate) const REUSE_DELAY: Duration = Duration::from_millis(12);
@@ -97,6 +97,8 @@
     target: TargetName,
     sender: SendRequest<CallBody>,
     task: AbortHandle,
+    /// The socket, to set its options; `None` if a peer relays the connection or it has ended.
+    socket: Rc<Cell<Option<Socket>>>,
     /// The peer that relays the connection, if it is not a direct one.
     relay: Option<VmName>,
 }
@@ -106,6 +108,15 @@
     pub(crate) fn relay(&self) -> Option<&VmName> {
         self.relay.as_ref()
     }
+
+    /// Sets the time within which sent bytes have to be acknowledged.
+    fn set_unacked_limit(&self, limit: Duration) {
+        if let Some(socket) = self.socket.take() {
+            // Without it the limit stays as it is.
+            drop(socket.set_tcp_user_timeout(Some(limit)));
+            self.socket.set(Some(socket));
+        }
+    }
 }
 
 /// A connection that has been idle since `since` and may be reused until `until`.
@@ -123,7 +134,8 @@
 
 impl Connections {
     /// Sends a call, which uses up a permit, and waits for the head of its answer. Sets `mark` as
-    /// soon as bytes may be sent.
+    /// soon as bytes may be sent. The connection fails if bytes are not acknowledged within
+    /// `unacked_limit`.
     ///
     /// # Errors
     /// `Withheld` if the permit is no longer valid, `NotSent` if no byte was sent, `Broke` if the
@@ -135,6 +147,7 @@
         req: Request<CallBody>,
         permit: Permit,
         mark: &SentMark,
+        unacked_limit: Duration,
     ) -> Result<(Response<Incoming>, TargetConnection), SendError> {
         let mut req = req;
         if !permit.is_valid() {
@@ -143,6 +156,7 @@
         // The target may have closed an idle connection before anything was written; then the next
         // one is tried.
         while let Some(mut connection) = self.take(&target.id) {
+            connection.set_unacked_limit(unacked_limit);
             mark.set(true);
             match connection.sender.try_send_request(req).await {
                 Ok(answer) => return Ok((answer, connection)),
@@ -162,6 +176,7 @@
         if !permit.is_valid() {
             return Err(SendError::Withheld);
         }
+        connection.set_unacked_limit(unacked_limit);
         mark.set(true);
         match connection.sender.try_send_request(req).await {
             Ok(answer) => Ok((answer, connection)),
@@ -260,10 +275,13 @@
     let stream = target_connecting::connect_to(app, target).await;
     let id = target.id.clone();
     match stream.map_err(|e| SendError::NotSent(e.to_string()))? {
-        TargetStream::Direct(stream) => start_http(id, stream, None).await,
+        TargetStream::Direct(stream) => {
+            let socket = SockRef::from(&stream).try_clone().ok();
+            start_http(id, stream, socket, None).await
+        }
         TargetStream::Relayed(relayed) => {
             let Relayed { vm, stream } = *relayed;
-            start_http(id, stream, Some(vm)).await
+            start_http(id, stream, None, Some(vm)).await
         }
     }
 }
@@ -272,6 +290,7 @@
 async fn start_http<S>(
     target: TargetName,
     stream: S,
+    socket: Option<Socket>,
     relay: Option<VmName>,
 ) -> Result<TargetConnection, SendError>
 where
@@ -279,9 +298,15 @@
 {
     let handshake = Builder::new().handshake::<_, CallBody>(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|e| SendError::NotSent(e.to_string()))?;
-    // The sender notices the end of the connection; the error adds nothing.
-    let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-    Ok(TargetConnection { target, sender, task, relay })
+    let socket = Rc::new(Cell::new(socket));
+    let open_socket = Rc::clone(&socket);
+    let running = async move {
+        // The sender notices the end of the connection; the error adds nothing.
+        drop(connection.await);
+        drop(open_socket.take());
+    };
+    let task = tokio::task::spawn_local(running).abort_handle();
+    Ok(TargetConnection { target, sender, task, socket, relay })
 }
 
 /// Opens a TCP connection with a connect timeout and a limit for unacknowledged data.
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -11,7 +11,7 @@
 use slog::debug;
 
 use crate::app::App;
-use crate::connections::{SendError, SentMark};
+use crate::connections::{SendError, SentMark, UNACKED_TIMEOUT};
 use crate::permits::Permit;
 use crate::state_handle::now;
 use crate::target_announcements;
@@ -52,7 +52,8 @@
         req.headers_mut().insert(http::header::HOST, host);
     }
     let started = now();
-    let sent = app.connections.send(app, target, req, permit, &SentMark::default()).await;
+    let mark = SentMark::default();
+    let sent = app.connections.send(app, target, req, permit, &mark, UNACKED_TIMEOUT).await;
     let (answer, connection) = sent.map_err(|error| {
         debug!(app.log, "call failed"; "target" => %target.id, "why" => ?error);
         match error {
--- a/tests/silent_targets.rs
+++ b/tests/silent_targets.rs
@@ -10,6 +10,7 @@
 use standins::fleet::wait_until;
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
+use standins::serving_path::faulty_link::{FaultyLink, LinkMode};
 use standins::serving_path::runners::{Behavior, Runner};
 use standins::serving_path::site::{
     HOST, Site, Vm, default_configuration, event_ids, post, send_expecting_answer,
@@ -24,6 +25,10 @@
 /// How long a target waits before it answers a request of the default configuration; longer than the
 /// time after which another target may be tried, and shorter than the request's deadline.
 const LATE_ANSWER: Duration = Duration::from_millis(1200);
+/// How long a target reads nothing; longer than the limit for bytes that are not acknowledged.
+const READ_PAUSE: Duration = Duration::from_millis(3500);
+/// Size of a request that fills the buffers of a connection, in bytes.
+const LARGE_BODY: usize = 16_000_000;
 /// Requests in each case.
 const REQUESTS: usize = 8;
 /// Pause between two requests.
@@ -155,3 +160,34 @@
 
     assert_eq!(streams(&answers), vec![(vec![1, 2, 3], true); 3], "{}", vm.log());
 }
+
+/// Guards against large requests that fail since their target reads nothing for a while.
+#[test]
+fn a_request_that_may_run_once_waits_for_a_target_that_reads_nothing_for_a_while() {
+    let site = start_site();
+    let mut config = site.store.value("op/config");
+    config["limits"]["max_body_bytes"] = json!(2 * LARGE_BODY);
+    site.store.put("op/config", &config);
+    let link = FaultyLink::start(site.plain[0].address).expect("a link starts");
+    site.store.remove("servers/i-plain-2");
+    let mut entry = site.plain[0].entry("plain", "hall-a", "ready");
+    entry["address"] = json!(link.address.to_string());
+    site.store.put("servers/i-plain-1", &entry);
+    let vm = start_vm(&site, "reads-nothing");
+    link.set(LinkMode::Blackhole);
+
+    let answer = thread::scope(|scope| {
+        let caller = scope.spawn(|| {
+            Call::new("POST", HOST, "/once/", "large")
+                .with_header("Deadline-Milliseconds", &TIMEOUT_MS.to_string())
+                .body(&vec![b'x'; LARGE_BODY])
+                .send(vm.callers)
+        });
+        thread::sleep(READ_PAUSE);
+        link.set(LinkMode::Normal);
+        caller.join().expect("no panic")
+    });
+
+    assert_eq!(answer.map(|answer| answer.status()), Some(200), "{}", vm.log());
+    assert_eq!(site.runs("large"), 1);
+}
