Log and count callers' connections that end with work left

Change: `connection ended with work left` with why, in_work, half_read, unsent and unread; `saddlerail_connections_ended_with_work` by cause: caller gone, connection error, malformed request, answer cut, exit of the process, closed at rest, closed after an answer that said so. A request that crosses a close shows as `closed at rest` with `unread=true`.

Tests: a caller that leaves amid a request, half a request that stops, a stream that the exit of the process cuts; and none for idle connections.

--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -70,6 +70,9 @@
     /// Number of requests ended because the shutdown left no time for them, by what they were
     /// waiting for.
     pub const ENDED_BY_STOP: &str = "saddlerail_requests_ended_by_stop";
+    /// Number of callers' connections that ended with a request in work, or with bytes that were not
+    /// read or sent, by cause.
+    pub const CONNECTIONS_ENDED_WITH_WORK: &str = "saddlerail_connections_ended_with_work";
     /// Number of connections to targets that a peer relayed for this VM, by service.
     pub const CONNECTIONS_RELAYED: &str = "saddlerail_connections_relayed";
     /// Number of connections to targets that peers asked this VM to relay, by result.
@@ -102,6 +105,7 @@
         STREAM_SILENCES,
         CLOSED_BY_STOP,
         ENDED_BY_STOP,
+        CONNECTIONS_ENDED_WITH_WORK,
         CONNECTIONS_RELAYED,
         RELAYS_SERVED,
         CUT_OFF,
@@ -136,6 +140,7 @@
     stream_silences: Counter<u64>,
     closed_by_stop: Counter<u64>,
     ended_by_stop: Counter<u64>,
+    connections_ended_with_work: Counter<u64>,
     connections_relayed: Counter<u64>,
     relays_served: Counter<u64>,
     cut_off: Gauge<u64>,
@@ -183,6 +188,9 @@
             stream_resumptions: meter.u64_counter(metric_names::STREAM_RESUMPTIONS).build(),
             closed_by_stop: meter.u64_counter(metric_names::CLOSED_BY_STOP).build(),
             ended_by_stop: meter.u64_counter(metric_names::ENDED_BY_STOP).build(),
+            connections_ended_with_work: meter
+                .u64_counter(metric_names::CONNECTIONS_ENDED_WITH_WORK)
+                .build(),
             connections_relayed: meter.u64_counter(metric_names::CONNECTIONS_RELAYED).build(),
             relays_served: meter.u64_counter(metric_names::RELAYS_SERVED).build(),
             cut_off: meter.u64_gauge(metric_names::CUT_OFF).build(),
@@ -237,6 +245,11 @@
         self.closed_by_stop.add(1, &[KeyValue::new("waits_for", waits_for)]);
     }
 
+    /// Counts a caller's connection that ended with work left, by cause.
+    pub fn connection_ended_with_work(&self, cause: &'static str) {
+        self.connections_ended_with_work.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
     /// Counts a connection to a target of the service that a peer relayed for this VM.
     pub fn connection_relayed(&self, service: &str) {
         self.connections_relayed.add(1, &[KeyValue::new("service", service.to_owned())]);
--- a/gateway/src/caller_connections.rs
+++ b/gateway/src/caller_connections.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use slog::info;
 use slotmap::{SlotMap, new_key_type};
 use tokio::net::TcpStream;
 
@@ -35,6 +36,11 @@
     pub(crate) fn len(&self) -> usize {
         self.0.borrow().len()
     }
+
+    /// Records what the exit of the process takes from each open connection.
+    pub(crate) fn record_exit(&self, app: &App) {
+        self.0.borrow().values().for_each(|connection| connection.record_end(app, "exit"));
+    }
 }
 
 /// A caller's connection.
@@ -63,6 +69,27 @@
             |exits_at| rest.ends_in_stop_at(exits_at),
         ))
     }
+
+    /// Logs and counts the end of the connection if it leaves a request without its whole answer,
+    /// or bytes that were not read.
+    pub(crate) fn record_end(&self, app: &App, why: &'static str) {
+        let has_work = self.requests_in_work.get() > 0
+            || self.socket.has_read_unanswered()
+            || self.socket.is_write_blocked()
+            || self.socket.has_unread();
+        if has_work {
+            self.record_failure(app, why);
+        }
+    }
+
+    /// Logs and counts that the connection ended amid a request or an answer.
+    pub(crate) fn record_failure(&self, app: &App, why: &'static str) {
+        info!(app.log, "connection ended with work left"; "why" => why,
+            "in_work" => self.requests_in_work.get(),
+            "half_read" => self.requests_in_work.get() == 0 && self.socket.has_read_unanswered(),
+            "unsent" => self.socket.is_write_blocked(), "unread" => self.socket.has_unread());
+        app.metrics.connection_ended_with_work(why);
+    }
 }
 
 /// Keeps a connection among the open ones until dropped.
--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -59,6 +59,11 @@
         self.write_blocked.get()
     }
 
+    /// Whether bytes have arrived that were not read.
+    pub(crate) fn has_unread(&self) -> bool {
+        matches!(self.peek(), Ok(1..))
+    }
+
     /// Closes the sending side, which tells the caller that no answer will follow, unless bytes or
     /// an end have arrived that were not read; whether it did.
     pub(crate) fn close_if_silent(&self) -> bool {
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -87,11 +87,14 @@
     builder.timer(TokioTimer::new()).header_read_timeout(None);
     let stream = TokioIo::new(CallerStream(Rc::clone(&connection.socket)));
     let mut http = std::pin::pin!(builder.serve_connection(stream, service));
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        // Errors need no handling: the connection's requests ended with it.
-        _ = http.as_mut() => {}
-        () = closed_at_rest(&app, connection) => {}
+        ended = http.as_mut() => ended.map(|()| "closed"),
+        () = closed_at_rest(&app, connection) => Ok("closed at rest"),
+    };
+    match ended {
+        Ok(why) => connection.record_end(&app, why),
+        Err(e) => connection.record_failure(&app, failure_cause(&e)),
     }
 }
 
@@ -115,3 +118,16 @@
         }
     }
 }
+
+/// Why a connection failed, as logged.
+fn failure_cause(error: &hyper::Error) -> &'static str {
+    if error.is_incomplete_message() {
+        "caller gone"
+    } else if error.is_user() {
+        "answer cut"
+    } else if error.is_parse() {
+        "malformed request"
+    } else {
+        "connection error"
+    }
+}
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -204,4 +204,5 @@
     }
     // The connections' own tasks still need time to write the last answers.
     sleep(STOP_CHECK_INTERVAL * 2).await;
+    app.caller_connections.record_exit(app);
 }
--- a/tests/kept_connections.rs
+++ b/tests/kept_connections.rs
@@ -140,9 +140,9 @@
 #[test]
 fn idle_connections_are_closed() {
     let (_site, vm) = start("kept-idle", 1000);
-    let mut conns = used_connections(&vm);
+    let conns = used_connections(&vm);
 
-    wait_until("all are closed", || conns.iter_mut().all(|conn| conn.is_closed()));
+    wait_until("all are closed", || conns.iter().all(HttpConnection::is_closed));
 }
 
 #[test]
@@ -291,3 +291,57 @@
     assert_eq!(vm.wait_exit(), Some(0));
     assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
 }
+
+/// Log lines about connections that ended with work left.
+fn ended_with_work(vm: &Vm) -> Vec<String> {
+    let lines = vm.log();
+    let lines = lines.lines().filter(|line| line.contains("connection ended with work left"));
+    lines.map(str::to_owned).collect()
+}
+
+#[test]
+fn a_connection_that_ends_with_a_request_is_logged_and_counted_by_cause() {
+    let (site, vm) = start("kept-log", 1000);
+    let idle = used_connections(&vm);
+    drop(idle);
+    let unused = open(&vm);
+    wait_until("a connection is closed at rest", || unused.is_closed());
+    assert_eq!(ended_with_work(&vm), [""; 0], "nothing was on these connections");
+
+    let call = long_call("/once/", "left");
+    Site::queue_behavior(&site.plain, &Behavior::Hang(Duration::from_secs(3)));
+    call.send_and_disconnect(vm.callers, Duration::from_millis(300));
+    wait_until("the end is logged", || !ended_with_work(&vm).is_empty());
+    let mut conn = open(&vm);
+    assert!(conn.write(b"GET /repeat/ HTTP/1.1\r\nHost: h"));
+    wait_until("the half request is closed", || conn.is_closed());
+    wait_until("the end is logged", || ended_with_work(&vm).len() == 2);
+
+    let lines = ended_with_work(&vm);
+    let is_line = |line: &str, words: &[&str]| words.iter().all(|word| line.contains(word));
+    assert!(is_line(&lines[0], &["caller gone", "in_work=1"]), "{lines:?}");
+    assert!(is_line(&lines[1], &["closed at rest", "half_read=true"]), "{lines:?}");
+    let metrics = vm.operations_page("/metrics");
+    for cause in ["caller gone", "closed at rest"] {
+        let name = "saddlerail_connections_ended_with_work_total";
+        let line = metrics.lines().find(|line| line.starts_with(name) && line.contains(cause));
+        assert!(line.is_some_and(|line| line.ends_with(" 1")), "{metrics}");
+    }
+}
+
+#[test]
+fn a_stream_that_the_exit_of_the_process_cuts_is_logged() {
+    let (site, mut vm) = start("kept-exit", 15_000);
+    Site::queue_behavior(&site.engines, &Behavior::SlowStream(100, Duration::from_millis(100)));
+
+    let answer = long_call("/stream/", "cut").send_and_read_after(vm.callers, || {
+        thread::sleep(Duration::from_millis(300));
+        vm.signal("-TERM");
+    });
+
+    assert!(answer.is_some_and(|answer| !answer.is_complete));
+    assert_eq!(vm.wait_exit(), Some(0));
+    let lines = ended_with_work(&vm);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert!(lines[0].contains("why=exit") && lines[0].contains("in_work=1"), "{lines:?}");
+}
