Test closes of 300 connections with a process that stands still amid them

Eight VMs with 300 kept connections each stand still for 0.6 s at a moment from 50 ms before to 15 ms after idle connections are closed in a stop, and from 200 ms before to the end of the idle time. Each request sent on a connection that is open then must have an answer; one that crossed the close of its connection must be named so in the log, one for a VM at most.

--- a/tests/kept_connections.rs
+++ b/tests/kept_connections.rs
@@ -27,6 +27,8 @@
 const BEFORE_CLOSING: Duration = Duration::from_millis(4200);
 /// Time for which the process stands still then.
 const STANDSTILL: Duration = Duration::from_millis(600);
+/// Time after which a line of the log is written.
+const LOG_WRITE_TIME: Duration = Duration::from_millis(500);
 /// Timeout of requests, in milliseconds.
 const TIMEOUT_MS: u32 = 20_000;
 
@@ -292,6 +294,60 @@
     assert!(signalled.elapsed() < GRACE, "{:?}", signalled.elapsed());
 }
 
+/// Asserts that each request sent on an open connection has an answer, except those that crossed
+/// the close of their connection, which the log names one by one.
+fn assert_only_crossed_unanswered(vm: &Vm, answers: &[Option<HttpMessage>]) {
+    let nothing = answers.iter().filter(|answer| answer.is_none()).count();
+    let lines = ended_with_work(vm);
+    let crossed = lines.iter().filter(|line| line.contains("unread=true")).count();
+    assert_eq!(nothing, crossed, "of {} requests got nothing: {lines:?}", answers.len());
+    let one_per_cut_short_close = 1;
+    assert!(crossed <= one_per_cut_short_close, "{lines:?}");
+}
+
+/// A process can be cut short between its last look at one connection and the close of this one,
+/// and no others.
+#[test]
+fn no_request_is_lost_wherever_a_process_stands_still_around_the_close_of_hundreds() {
+    /// Whether the VM stops, and times in milliseconds after the signal, or after the connections
+    /// were used, at which the process stands still.
+    const CASES: [(bool, u64); 8] = [
+        (true, 4350),
+        (true, 4395),
+        (true, 4405),
+        (true, 4415),
+        (false, 1000),
+        (false, 1100),
+        (false, 1190),
+        (false, 1200),
+    ];
+    thread::scope(|scope| {
+        for (stops, after_ms) in CASES {
+            scope.spawn(move || {
+                let idle_ms = if stops { 15_000 } else { 1000 };
+                let (_site, mut vm) = start(&format!("kept-{stops}-{after_ms}"), idle_ms);
+                let mut conns: Vec<_> = (0..5).flat_map(|_| open_connections(&vm)).collect();
+                for (number, conn) in conns.iter_mut().enumerate() {
+                    assert!(long_call("/repeat/", &format!("first-{number}")).write_on(conn));
+                }
+                assert!(conns.iter_mut().all(|conn| conn.read().is_some()));
+                if stops {
+                    vm.signal("-TERM");
+                }
+                thread::sleep(Duration::from_millis(after_ms));
+
+                let answers = send_in_standstill(&vm, &mut conns, STANDSTILL);
+
+                if stops {
+                    assert_eq!(vm.wait_exit(), Some(0));
+                }
+                thread::sleep(LOG_WRITE_TIME);
+                assert_only_crossed_unanswered(&vm, &answers);
+            });
+        }
+    });
+}
+
 /// Log lines about connections that ended with work left.
 fn ended_with_work(vm: &Vm) -> Vec<String> {
     let lines = vm.log();
