Answer what has arrived when a stop closes connections of the own form

The product's own form had the faults of the serving path: beside a process that stands still while its notice period ends, whole requests got nothing.

Cause: hyper closes an idle connection without reading what has arrived on it; the select asked the stop and the connection in no order; the listener closed with connections in its queue; and a stop with nothing in work ended the process without waiting for connections.

Change: what the kernel holds is read first, the queue is accepted, and the stop waits until all connections are closed, for its limit at most. A caller that does not read its answer now holds a stop up to that limit.

Not touched: idle connections outside a stop. hyper reads before it looks at the time of a head, and starts it after the answer.

--- a/components/http_server/src/lib.rs
+++ b/components/http_server/src/lib.rs
@@ -4,6 +4,8 @@
 //! It uses hyper because tiny_http can neither abort a streamed response nor limit the time for
 //! receiving a request's head; see `docs/design/libraries.md`.
 
+mod shared_stream;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
@@ -20,7 +22,9 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, watch};
+
+use crate::shared_stream::{SharedStream, has_unread};
 
 /// Error of a response body that is aborted: the connection is closed without a final chunk, so the
 /// client sees that the body is incomplete.
@@ -54,9 +58,11 @@
 const DISCARD_LIMIT_FACTOR: usize = 8;
 /// Delay before the next accept after one failed, for example because no file descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Interval at which a connection that is about to close is checked for unread bytes.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Serves connections until `stop` becomes true. From then on no further request is read from any
-/// connection, and the function returns when all running requests have been answered.
+/// Serves connections until `stop` becomes true. From then on only requests that have arrived are
+/// read, and the function returns when all of them have been answered.
 pub async fn serve<H, F>(
     listener: TcpListener,
     limits: ConnectionLimits,
@@ -67,6 +73,14 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let permits = Arc::new(Semaphore::new(limits.connections));
+    let stopped = stop.clone();
+    let spawn = |socket, permit: OwnedSemaphorePermit| {
+        let connection = serve_connection(socket, limits, stopped.clone(), handle.clone());
+        tokio::spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    };
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
@@ -79,17 +93,26 @@
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let connection = serve_connection(socket, limits, stop.clone(), handle.clone());
-        tokio::spawn(async move {
-            connection.await;
-            drop(permit);
-        });
+        spawn(socket, permit);
+    }
+    // The kernel resets connections that wait in the queue of a listener when it closes.
+    if let Ok(listener) = listener.into_std() {
+        while let Ok(permit) = Arc::clone(&permits).acquire_owned().await {
+            let Ok(socket) = accept_queued(&listener) else { break };
+            spawn(socket, permit);
+        }
     }
-    drop(listener);
     let max_connections = u32::try_from(limits.connections).unwrap_or(u32::MAX);
     let _all_closed = permits.acquire_many(max_connections).await;
 }
 
+/// Accepts a connection that waits in the listener's queue.
+fn accept_queued(listener: &std::net::TcpListener) -> std::io::Result<TcpStream> {
+    let (socket, _) = listener.accept()?;
+    socket.set_nonblocking(true)?;
+    TcpStream::from_std(socket)
+}
+
 async fn serve_connection<H, F>(
     socket: TcpStream,
     limits: ConnectionLimits,
@@ -101,6 +124,7 @@
 {
     // A streamed token is a small packet, which Nagle's algorithm would delay.
     let _ = socket.set_nodelay(true);
+    let socket = Arc::new(socket);
     let service = service_fn(move |req| {
         let response = handle(req);
         async move { Ok::<_, Infallible>(response.await) }
@@ -109,12 +133,22 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_wait)
         .max_buf_size(MAX_HEAD_BYTES)
-        .serve_connection(TokioIo::new(socket), service);
+        .serve_connection(TokioIo::new(SharedStream(Arc::clone(&socket))), service);
     tokio::pin!(connection);
     tokio::select! {
+        biased;
         _ended = connection.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    // hyper closes an idle connection without reading what has arrived on it.
+    while has_unread(&socket) {
+        tokio::select! {
+            biased;
+            _ended = connection.as_mut() => return,
+            () = tokio::time::sleep(UNREAD_CHECK_INTERVAL) => {}
+        }
     }
+    connection.as_mut().graceful_shutdown();
     let _ended = connection.await;
 }
 
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::{Notify, Semaphore, watch};
+use tokio::task::JoinHandle;
 
 use crate::callers::{self, CallerServer};
 use crate::dispatcher_messages::{Message, Setup};
@@ -143,24 +144,31 @@
     let server = Arc::new(CallerServer { pipeline, permits: Arc::clone(&permits), abort });
     let connection_limits =
         ConnectionLimits { connections: cfg.limits.connections, head_wait: cfg.limits.head_wait() };
-    runtime.spawn(http_server::serve(callers_listener, connection_limits, stop, move |req| {
-        callers::handle(Arc::clone(&server), req)
-    }));
-    Ok(ShutdownHandles { dispatcher, permits })
+    let serving =
+        runtime.spawn(http_server::serve(callers_listener, connection_limits, stop, move |req| {
+            callers::handle(Arc::clone(&server), req)
+        }));
+    Ok(ShutdownHandles { dispatcher, permits, serving })
 }
 
 /// What the shutdown needs to start draining and to tell whether requests are still in progress.
 struct ShutdownHandles {
     dispatcher: DispatcherHandle,
     permits: Arc<Semaphore>,
+    /// Ends when the stop has closed all connections of callers.
+    serving: JoinHandle<()>,
 }
 
 impl ShutdownHandles {
-    /// Whether requests are in progress. Permits are checked too, because a request holds its
-    /// permit before the dispatcher knows of it and until its thread ends.
+    /// Whether requests are in progress, or connections on which they may have arrived are open.
+    /// Permits are checked too, because a request holds its permit before the dispatcher knows of it
+    /// and until its thread ends.
     fn in_work(&self, cfg: &Settings) -> bool {
         let permits_held = self.permits.available_permits() < cfg.limits.requests;
-        permits_held || self.dispatcher.ask(Message::InWork).is_ok_and(|count| count > 0)
+        let is_serving = !self.serving.is_finished();
+        is_serving
+            || permits_held
+            || self.dispatcher.ask(Message::InWork).is_ok_and(|count| count > 0)
     }
 }
 
--- a/tests/stops.rs
+++ b/tests/stops.rs
@@ -6,12 +6,14 @@
 
 mod support;
 
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
+use standins::serving_path::HttpConnection;
 use support::{
     CallerRequest, Fleet, Reply, StopOnDrop, agent, caller_request, usual_fleet, wait_until,
 };
@@ -175,3 +177,56 @@
     );
     assert_eq!(not_repeatable.body["reason"], "stopping");
 }
+
+/// Connections of callers in the tests of kept connections.
+const CONNECTIONS: usize = 60;
+
+fn open_connections(to: SocketAddr) -> Vec<HttpConnection> {
+    let open = || HttpConnection::new(TcpStream::connect(to).expect("a connection"));
+    (0..CONNECTIONS).map(|_| open()).collect()
+}
+
+/// Writes a request on each connection; false if a write failed.
+fn write_requests(conns: &mut [HttpConnection]) -> bool {
+    let body = "{\"q\":1}";
+    let request = format!(
+        "POST /v1/services/hold HTTP/1.1\r\nhost: a\r\nsaddlerail-customer: small\r\n\
+         saddlerail-deadline-ms: 9000\r\nsaddlerail-repeatable: yes\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    conns.iter_mut().all(|conn| conn.write(request.as_bytes()))
+}
+
+/// Number of connections that end without an answer.
+fn unanswered(conns: &mut [HttpConnection]) -> usize {
+    let answers = conns.iter_mut().map(HttpConnection::read);
+    answers.filter(|answer| !answer.as_ref().is_some_and(|answer| answer.is_complete)).count()
+}
+
+#[test]
+fn no_request_is_lost_that_arrives_when_a_stop_closes_connections() {
+    let mut fleet = support::Fleet::start(&support::usual_pools());
+    assert!(fleet.apply(&fleet.catalogue(support::SERVICES)).status.success());
+    fleet.start_vm("hall-a", "limits: {notice_ms: 500, stop_ms: 6000}\n");
+    let to = fleet.vms[0].callers;
+    let (mut used, mut unused) = (open_connections(to), open_connections(to));
+    assert!(write_requests(&mut used));
+    assert_eq!(unanswered(&mut used), 0);
+
+    fleet.signal(0, "TERM");
+    thread::sleep(Duration::from_millis(300));
+    // The process stands still when its notice period ends.
+    fleet.signal(0, "STOP");
+    thread::sleep(Duration::from_millis(50));
+    let mut queued = open_connections(to);
+    for conns in [&mut used, &mut unused, &mut queued] {
+        assert!(conns.iter().all(|conn| !conn.is_closed()));
+        assert!(write_requests(conns));
+    }
+    thread::sleep(Duration::from_millis(450));
+    fleet.signal(0, "CONT");
+
+    let unanswered = [&mut used, &mut unused, &mut queued].map(|conns| unanswered(conns));
+    assert_eq!(unanswered, [0, 0, 0], "on used, unused and queued connections");
+}
