--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{removal_soak, stop_soak, stream_soak};
+use standins::serving_path::{removal_soak, silence_soak, stop_soak, stream_soak};
 
 /// Seeds of runs with random faults.
 ///
@@ -16,6 +16,11 @@
 /// Seeds of runs with planned stops. Both guard against a stopping VM that doesn't answer the
 /// requests that it can't serve.
 const STOP_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of runs with silences. Both guard against streams that are cut since their targets are
+/// silent, and against connections that are closed though a request has arrived.
+const SILENCE_SEEDS: [u64; 2] = [1, 2];
+/// Number of callers in a run with silences, most of whose connections are at rest.
+const SILENCE_CALLERS: u64 = 32;
 /// Seeds of runs with streams that are taken up. Each guards against VMs that go on with a stream at
 /// another software version than the one that began it.
 const STREAM_SEEDS: [u64; 2] = [1, 2];
@@ -51,6 +56,18 @@
     }
 }
 
+#[test]
+fn requests_are_answered_and_streams_whole_beside_silences_stops_and_changes() {
+    for seed in SILENCE_SEEDS {
+        let size = Size { callers: SILENCE_CALLERS, ..Size::default() };
+
+        let report = silence_soak::run(seed, FAULT_TIME * 3 / 2, size);
+
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(report.complete > 20 && report.faults > 5, "seed {seed}: {report:?}");
+    }
+}
+
 #[test]
 fn streams_stay_at_their_version_under_random_faults() {
     for seed in STREAM_SEEDS {
