Soak with silences: engines answer with streams only

The engines of the soak also had the behavior Hang, whose answer is a plain body: a VM takes it for a stream that ends within an event, and cuts it. Workers and plain targets keep it; silences delay the heads of streams. A violation also names how many answers its connection had before.

--- a/standins/src/serving_path/silence_checks.rs
+++ b/standins/src/serving_path/silence_checks.rs
@@ -89,7 +89,8 @@
         (!is_allowed).then(|| {
             format!(
                 "{path} {id}: {what}, VM {vm}, {took:?} after sending, {stop:?} after the signal of \
-                 a stop; {last:?}"
+                 a stop, {} answers before on the connection; {last:?}",
+                call.answers_before
             )
         })
     }
--- a/standins/src/serving_path/silence_soak.rs
+++ b/standins/src/serving_path/silence_soak.rs
@@ -84,6 +84,8 @@
 /// A request that was sent on a kept connection.
 pub(super) struct Call {
     pub(super) request: AnsweredRequest,
+    /// Number of answers on its connection before.
+    pub(super) answers_before: usize,
     /// Whether it crossed the close of its connection.
     pub(super) crossed: bool,
     /// When its answer, or the connection, had ended.
@@ -202,7 +204,6 @@
                 (plain, Behavior::SlowAnswer(work)),
                 (engines, Behavior::SlowStream(STREAM_EVENTS, work)),
                 (engines, Behavior::SplitStream(STREAM_EVENTS, work)),
-                (engines, Behavior::Hang(work)),
                 (pool, Behavior::Hang(work)),
             ];
             let (runners, behavior) = choices.choose(&mut rng).expect("a choice");
@@ -299,8 +300,10 @@
                 continue;
             };
             let mut conn = HttpConnection::new(stream);
+            let mut answers_before = 0;
             while self.rest(&mut rng, &conn, vm) {
-                let call = self.send(&mut rng, &mut conn, vm);
+                let call = self.send(&mut rng, &mut conn, vm, answers_before);
+                answers_before += 1;
                 let answer = call.request.answer.as_ref();
                 let is_kept = answer.is_some_and(|answer| {
                     answer.is_complete && answer.header("connection") != "close"
@@ -334,7 +337,13 @@
     }
 
     /// Sends a random request, and reads the answer at once or late.
-    fn send(&self, rng: &mut StdRng, conn: &mut HttpConnection, vm: usize) -> Call {
+    fn send(
+        &self,
+        rng: &mut StdRng,
+        conn: &mut HttpConnection,
+        vm: usize,
+        answers_before: usize,
+    ) -> Call {
         let kind = rng.random_range(0..REQUEST_KINDS.len());
         let number = self.sent.fetch_add(1, Ordering::Relaxed);
         let id = format!("silences-{}-{number}", self.seed);
@@ -351,7 +360,7 @@
         }
         let answer = conn.read();
         let request = AnsweredRequest { id, kind, vm, sent, answer };
-        Call { request, crossed, ended: Instant::now() }
+        Call { request, answers_before, crossed, ended: Instant::now() }
     }
 }
 
