Soak with silences: results last longer than the requests that need them

Ruled out: a release that is lost, no VM tried one. In this soak workers now keep results for 30 s, and the check is stricter: a stop of a VM excuses no result any more. The check names what isn't released, and how old it is, in every soak.

--- a/standins/src/serving_path/silence_checks.rs
+++ b/standins/src/serving_path/silence_checks.rs
@@ -8,7 +8,7 @@
 
 use super::silence_soak::{Call, Close, MAX_REST, ROUTE_TIMEOUTS_MS, Run, lock};
 use super::site::{SETTLE_TIME, Vm};
-use super::soak::{Interruption, RECOVERY_TIMEOUT, REQUEST_KINDS, Report, check_recovery};
+use super::soak::{RECOVERY_TIMEOUT, REQUEST_KINDS, Report, check_recovery};
 use super::soak_checks::{check_answer, check_contents, check_results};
 use super::stop_soak::{DEADLINE_MS, StoppedVm, has_word};
 
@@ -24,14 +24,6 @@
     /// Checks the run. The logs of one that failed are kept in the directory for temporary files.
     pub(super) fn check(self) -> Report {
         let mut report = std::mem::take(&mut *lock(&self.report));
-        let ended = |(_, at): &(Instant, Instant)| *at;
-        let stops = self.stops.iter().enumerate();
-        let interruptions: Vec<Interruption> = stops
-            .flat_map(|(vm, stops)| {
-                let ends: Vec<Instant> = lock(stops).iter().map(ended).collect();
-                ends.into_iter().map(move |at| Interruption { vm, at, process_ended: true })
-            })
-            .collect();
         let addresses: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.address).collect();
         check_recovery(&addresses, self.seed, &mut report);
         // VMs write their logs at intervals.
@@ -43,16 +35,16 @@
             report.violations.extend(self.loss(call, &logs[call.request.vm]));
         }
         report.violations.extend(lock(&self.closes).iter().filter_map(|close| self.early(close)));
+        let vm = |vm: StoppedVm| vm.vm.into_inner().unwrap_or_else(PoisonError::into_inner);
+        let vms: Vec<Vm> = self.vms.into_iter().map(vm).collect();
+        check_contents(&vms, RECOVERY_TIMEOUT, &mut report);
+        check_results(&self.site, &[], &mut report);
         if !report.violations.is_empty() {
             for (number, log) in logs.iter().enumerate() {
                 let name = format!("silences-{}-{number}.log", self.seed);
                 drop(std::fs::write(std::env::temp_dir().join(name), log));
             }
         }
-        let vm = |vm: StoppedVm| vm.vm.into_inner().unwrap_or_else(PoisonError::into_inner);
-        let vms: Vec<Vm> = self.vms.into_iter().map(vm).collect();
-        check_contents(&vms, RECOVERY_TIMEOUT, &mut report);
-        check_results(&self.site, &interruptions, &mut report);
         report
     }
 
--- a/standins/src/serving_path/silence_soak.rs
+++ b/standins/src/serving_path/silence_soak.rs
@@ -60,6 +60,8 @@
 /// A request crosses the close of its connection if that arrives within this time after its last
 /// byte was written. It may then be lost if the VM has not read it.
 const CROSSING_TIME: Duration = Duration::from_millis(2);
+/// Time for which workers keep results, in seconds.
+const RESULT_LIFE_S: u64 = 30;
 /// Work of runners on an answer, and pauses between two events, in milliseconds.
 const WORK_MS: Range<u64> = 20..700;
 /// Service that has runners of its own and that requests go to in some versions.
@@ -384,6 +386,8 @@
         }
     }
     let services = cfg["services"].as_array_mut().expect("services");
+    // Results last longer than a request that waits for a silent engine.
+    services[1]["pieces"]["handle_s"] = json!(RESULT_LIFE_S);
     if uses_spare {
         let mut spare = services[0].clone();
         spare["name"] = json!(SPARE);
--- a/standins/src/serving_path/soak_checks.rs
+++ b/standins/src/serving_path/soak_checks.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use super::HttpMessage;
 use super::crashing::CrashingRunner;
@@ -130,14 +130,22 @@
     report.results = expected.len();
     loop {
         let released: BTreeSet<String> = site.pool.iter().flat_map(Runner::released).collect();
-        let unreleased = expected.iter().filter(|made| !released.contains(&made.handle)).count();
-        if unreleased == 0 {
+        let unreleased = expected.iter().filter(|made| !released.contains(&made.handle));
+        let count = unreleased.clone().count();
+        if count == 0 {
             return;
         }
         if Instant::now() > until {
-            report
-                .violations
-                .push(format!("{unreleased} of {} results are not released", expected.len()));
+            let ages: Vec<_> = unreleased
+                .map(|made| (&made.handle, made.called.elapsed(), made.at.elapsed()))
+                .collect();
+            let what = format!(
+                "{count} of {} results are not released; handle, time since the call and since the \
+                 result at {}: {ages:?}",
+                expected.len(),
+                SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+            );
+            report.violations.push(what);
             return;
         }
         thread::sleep(Duration::from_millis(50));
