Keep calls of silent workers open until somebody has made their pieces

What callers saw: streams with stages are refused with 503 although their time limit is 20 s, if all workers of the pool take 1.5 s for each call.

Cause: a call of a pool counted as failed 2.5 times its expected time and 0.25 s after it was sent. Its pieces were called again, after a backoff of the worker, and four such calls made a piece fail. A worker that went on after 1.5 s made results that were released at once ('results of a late answer released'). So a request was refused after its four tries (4.2 s); those whose pieces waited behind it for the workers' backoffs waited for nothing until 10 s, four latency goals.

Ruled out: the stop (the same without a signal), and the room at the workers (room_used 1,000 to 4,000 of 1,000,000 bytes in the log).

Change: a call that is not answered in time is overdue and stays in progress, while its pieces wait in the queue as well. The first result of a piece counts; later ones are released, also at a worker that left the pool meanwhile. An overdue call is no failed attempt; a piece is in four calls at most that made no result, and the fourth is waited for. The late answer ends the worker's backoff. A piece without inputs, room or worker elsewhere is left to its open call. After two calls without a result a piece shares calls with its own request only, as before, whether they failed or are overdue.

Conclusion: work is given up only once another worker has made it, or its deadline is over.

--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -79,8 +79,10 @@
     pub fetch_time: Option<Duration>,
     /// Time that the call should take by the pool's configuration.
     pub expected: Duration,
-    /// Time after which the call is given up.
-    pub timeout: Duration,
+    /// Time after which the call is overdue; see [`Pool::call_overdue`](crate::Pool::call_overdue).
+    pub overdue_after: Duration,
+    /// Latest deadline of its pieces: later results are useless.
+    pub deadline: Instant,
 }
 
 /// Results to be released at a worker. Their room counts as used until
@@ -106,7 +108,7 @@
     TargetGone,
     /// The target's hall is unreachable.
     HallUnreachable,
-    /// The call failed or timed out.
+    /// The call failed, or no answer came while it was of use.
     Failed,
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -72,6 +72,7 @@
 mod target_announcements;
 mod target_connecting;
 mod target_entries;
+mod unused_results;
 mod version_plans;
 mod whole_answers;
 
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -27,8 +27,6 @@
     NotReached,
     /// The connection ended before the answer was complete.
     Broke,
-    /// No answer arrived in time.
-    TimedOut,
     /// The answer has an error status.
     Failed,
 }
@@ -37,7 +35,7 @@
 ///
 /// # Errors
 /// Why there is no answer with a success status. There is no timeout here: the calling functions
-/// set their own, for which [`OwnCallError::TimedOut`] is meant.
+/// set their own.
 pub(crate) async fn own_call(
     app: &Rc<App>,
     target: &Target,
