--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -80,7 +80,7 @@
     /// Whether this VM is cut off from targets: 1 or 0.
     pub const CUT_OFF: &str = "saddlerail_cut_off";
     /// Names of all metrics, for the test that compares them with the documentation.
-    pub const ALL: [&str; 27] = [
+    pub const ALL: [&str; 28] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
