Test that a stream is joined only at the event named in the second call

A silent target that goes on while another one is called must add no event: one case sends its event after it was left, one between the call and the first event of the other.

The time for which both targets have the stream is not checked: a stand-in notices a closed connection only when it writes.

--- a/tests/silent_targets.rs
+++ b/tests/silent_targets.rs
@@ -117,6 +117,46 @@
     assert_eq!(served, vec![(vec![1, 2, 3], true); served.len()]);
 }
 
+/// Sends a request for a stream to the first engine, with a second engine that appears once it has
+/// begun; returns the answer.
+fn stream_with_second_engine(name: &str, first: Behavior, second: Behavior) -> (Site, HttpMessage) {
+    let site = Site::start();
+    site.store.remove("servers/i-engine-2");
+    let vm = site.start_vm(name, "");
+    set_behavior(&site.engines[..1], &first);
+    set_behavior(&site.engines[1..], &second);
+    let call = Call::new("POST", HOST, "/resumed/", "two").body(b"a body");
+    let answer = thread::scope(|scope| {
+        let caller = scope.spawn(|| call.send(vm.callers).expect("an answer"));
+        wait_until("the first engine has the call", || !site.engines[0].messages().is_empty());
+        site.register_runner(&site.engines[1], "engine", "hall-a", Duration::ZERO);
+        caller.join().expect("no panic")
+    });
+    (site, answer)
+}
+
+/// Guards against streams that are joined from two runs which both go on.
+#[test]
+fn a_silent_target_that_goes_on_while_another_takes_over_adds_no_event() {
+    let cases = [("late", 1600, 1000), ("meanwhile", 1300, 150)];
+    for (name, pause_ms, wait_ms) in cases {
+        let first = Behavior::SlowStream(8, Duration::from_millis(pause_ms));
+        let second = Behavior::LateStream(5, Duration::from_millis(wait_ms));
+
+        let (site, answer) = stream_with_second_engine(&format!("two-{name}"), first, second);
+
+        assert!(answer.is_complete, "{name}: {answer:?}");
+        assert_eq!(event_ids(&answer), [1, 2, 3, 4, 5], "{name}");
+        let by_first = answer.text().matches("event: i-engine-1\n").count();
+        let calls = site.engines[1].messages();
+        assert_eq!(calls.len(), 1, "{name}");
+        assert_eq!(calls[0].header("last-event-id"), by_first.to_string(), "{name}");
+        wait_until("the first engine's stream is aborted", || {
+            site.engines[0].aborted_streams() == 1
+        });
+    }
+}
+
 /// Guards against requests that fail since a VM gives up a silent target for another silent one.
 #[test]
 fn a_request_is_answered_while_all_of_its_targets_are_silent() {
