Bound the time of a head by its first byte

Since idle time counts from the last byte, a caller that sends a head byte by byte could keep its connection for ever. Found by reading for the table of what ends an answer; not seen.

Change: a request of which a part has arrived has the longer of the head's and the idle time from its first byte on.

After: idle_rest 4 of 4, kept_connections 14 of 14 (the slow head within its time included), serving_stops 7 of 7.

--- a/gateway/src/caller_connections.rs
+++ b/gateway/src/caller_connections.rs
@@ -61,7 +61,7 @@
         let rest = Rest {
             since: self.socket.moved_at(),
             limits: self.limits.get(),
-            request_begun: self.socket.has_read_unanswered(),
+            request_begun: self.socket.unanswered_since(),
         };
         let exits_at = is_closing.then(|| exits_at(app)).flatten();
         Some(exits_at.map_or_else(
@@ -74,7 +74,7 @@
     /// or bytes that were not read.
     pub(crate) fn record_end(&self, app: &App, why: &'static str) {
         let has_work = self.requests_in_work.get() > 0
-            || self.socket.has_read_unanswered()
+            || self.socket.unanswered_since().is_some()
             || self.socket.is_write_blocked()
             || self.socket.has_unread();
         if has_work {
@@ -86,7 +86,8 @@
     pub(crate) fn record_failure(&self, app: &App, why: &'static str) {
         info!(app.log, "connection ended with work left"; "why" => why,
             "in_work" => self.requests_in_work.get(),
-            "half_read" => self.requests_in_work.get() == 0 && self.socket.has_read_unanswered(),
+            "half_read" => self.requests_in_work.get() == 0
+                && self.socket.unanswered_since().is_some(),
             "unsent" => self.socket.is_write_blocked(), "unread" => self.socket.has_unread());
         app.metrics.connection_ended_with_work(why);
     }
--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -21,7 +21,7 @@
 pub(crate) struct CallerSocket {
     stream: RefCell<TcpStream>,
     moved_at: Cell<Instant>,
-    read_unanswered: Cell<bool>,
+    unanswered_since: Cell<Option<Instant>>,
     write_blocked: Cell<bool>,
 }
 
@@ -34,7 +34,7 @@
         Rc::new(CallerSocket {
             stream: RefCell::new(stream),
             moved_at: Cell::new(now()),
-            read_unanswered: Cell::new(false),
+            unanswered_since: Cell::new(None),
             write_blocked: Cell::new(false),
         })
     }
@@ -44,14 +44,14 @@
         self.moved_at.get()
     }
 
-    /// Whether bytes were read since the last call of [`CallerSocket::set_answered`].
-    pub(crate) fn has_read_unanswered(&self) -> bool {
-        self.read_unanswered.get()
+    /// When the first byte was read since the last call of [`CallerSocket::set_answered`].
+    pub(crate) fn unanswered_since(&self) -> Option<Instant> {
+        self.unanswered_since.get()
     }
 
     /// Records that what was read so far has its answer.
     pub(crate) fn set_answered(&self) {
-        self.read_unanswered.set(false);
+        self.unanswered_since.set(None);
     }
 
     /// Whether the last write waits for the caller to read.
@@ -107,8 +107,9 @@
         let before = buf.filled().len();
         let result = self.with(|stream| stream.poll_read(cx, buf));
         if buf.filled().len() > before {
-            self.0.moved_at.set(now());
-            self.0.read_unanswered.set(true);
+            let now = now();
+            self.0.moved_at.set(now);
+            self.0.unanswered_since.update(|since| since.or(Some(now)));
         }
         result
     }
--- a/gateway/src/idle_rest.rs
+++ b/gateway/src/idle_rest.rs
@@ -24,8 +24,8 @@
     pub since: Instant,
     /// The limits in force when the last answer ended, or the connection was accepted.
     pub limits: RestLimits,
-    /// Whether a part of the next request has arrived.
-    pub request_begun: bool,
+    /// When the first byte of the next request arrived, if a part of it has.
+    pub request_begun: Option<Instant>,
 }
 
 impl Rest {
@@ -34,17 +34,17 @@
     pub fn ends_at(&self, in_force: RestLimits) -> Instant {
         let idle = self.limits.idle.max(in_force.idle);
         let head = self.limits.head.max(in_force.head);
-        let allowed = if self.request_begun { idle.max(head) } else { idle };
-        self.since + allowed.mul_f64(GRACE_FACTOR)
+        match self.request_begun {
+            Some(begun) => begun + idle.max(head).mul_f64(GRACE_FACTOR),
+            None => self.since + idle.mul_f64(GRACE_FACTOR),
+        }
     }
 
     /// When the connection may be closed in a stop of a process that exits at `exits_at`.
     pub fn ends_in_stop_at(&self, exits_at: Instant) -> Instant {
-        let allowed = if self.request_begun {
-            self.limits.head.mul_f64(GRACE_FACTOR).max(STOP_REST)
-        } else {
-            STOP_REST
-        };
-        (self.since + allowed).min(exits_at)
+        let head_ends_at =
+            self.request_begun.map(|begun| begun + self.limits.head.mul_f64(GRACE_FACTOR));
+        let rest_ends_at = self.since + STOP_REST;
+        head_ends_at.map_or(rest_ends_at, |at| at.max(rest_ends_at)).min(exits_at)
     }
 }
