Pass on crashes that replace others once

Cause: a new suspect takes the place of the least one, a peer tells the latter again, it takes the place of another, and so on.

Ruled out: to pass on nothing that replaces another record. VMs more than a link away would not hear of a part at fault that comes meanwhile.

What a VM sees itself is told as before.

With 24 VMs all hear of a part at fault that comes after the others (test).

--- a/components/quarantine/src/lib.rs
+++ b/components/quarantine/src/lib.rs
@@ -9,6 +9,7 @@
 mod attribution;
 mod change_log;
 mod crash;
+mod passed_on;
 mod request_digest;
 mod survivals;
 mod suspect;
--- a/components/quarantine/src/table.rs
+++ b/components/quarantine/src/table.rs
@@ -12,6 +12,7 @@
 use crate::attribution::{Candidate, JointRefusal, attribute_crashes};
 use crate::change_log::ChangeLog;
 use crate::crash::Crashes;
+use crate::passed_on::PassedOn;
 use crate::survivals::{EXCUSED_FOR, Survivals};
 use crate::{Crash, CrashCursor, LifetimeHash, LifetimeId, Suspect};
 
@@ -49,6 +50,24 @@
     refused: u64,
     /// Whether this VM still has to write it to the store.
     unwritten: bool,
+    /// Whether it took the place of another record.
+    is_replacement: bool,
+}
+
+impl Record {
+    fn new(is_replacement: bool, now: Instant) -> Self {
+        let crashes = Crashes::default();
+        Record { crashes, last: now, refused: 0, unwritten: false, is_replacement }
+    }
+}
+
+/// Where this VM learned of a crash from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// It saw the crash, or what clears it, itself.
+    Own,
+    /// A peer or the store told it.
+    Told,
 }
 
 /// A connection that was lost during a request.
@@ -107,6 +126,8 @@
     /// others.
     clearances: Survivals,
     changes: ChangeLog,
+    /// Crashes of records that took the place of others, as far as they were passed on.
+    passed_on: PassedOn,
 }
 
 impl Quarantine {
@@ -121,6 +142,7 @@
             survivals: Survivals::default(),
             clearances: Survivals::default(),
             changes: ChangeLog::default(),
+            passed_on: PassedOn::default(),
         }
     }
 
@@ -171,7 +193,7 @@
                     continue;
                 }
                 let crash = Crash { suspect, lifetime, cleared: false, at: Some(now) };
-                let changes = self.merge_crash(crash, now);
+                let changes = self.merge_crash(crash, Source::Own, now);
                 if !changes.is_empty() {
                     self.mark_unwritten(&suspect);
                     new.extend(changes);
@@ -202,7 +224,8 @@
         let Some(record) = self.records.get(suspect) else { return false };
         let counted: Vec<LifetimeId> = record.crashes.counted().collect();
         for lifetime in &counted {
-            self.merge_crash(cleared_crash(*suspect, *lifetime, Some(survived_at)), now);
+            let cleared = cleared_crash(*suspect, *lifetime, Some(survived_at));
+            self.merge_crash(cleared, Source::Own, now);
         }
         self.update_refusals();
         !counted.is_empty()
@@ -214,7 +237,7 @@
         for crash in crashes {
             // The end of that lifetime applies to connections that this VM lost as well.
             new.extend(self.lifetime_ended(crash.lifetime, now));
-            new.extend(self.merge_crash(*crash, now));
+            new.extend(self.merge_crash(*crash, Source::Told, now));
         }
         self.update_refusals();
         new
@@ -318,6 +341,7 @@
     /// refused is kept for as long again, so that a single further crash has it refused again.
     pub fn remove_expired(&mut self, now: Instant) {
         let Rules { crashes, duration } = self.rules;
+        self.passed_on.remove_expired(duration, now);
         self.ends.retain(|_, ends| now.saturating_duration_since(ends.last) < duration);
         self.records.retain(|suspect, record| {
             if suspect.is_prompt_part() {
@@ -369,7 +393,7 @@
 
     /// Merges a crash; returns what changes. That may be more than this crash: the time at which a
     /// target survived the suspect clears all crashes before.
-    fn merge_crash(&mut self, crash: Crash, now: Instant) -> Vec<Crash> {
+    fn merge_crash(&mut self, crash: Crash, source: Source, now: Instant) -> Vec<Crash> {
         let Crash { suspect, lifetime, cleared, at } = crash;
         let crash = if !cleared && self.is_excused(&suspect, at.unwrap_or(now)) {
             cleared_crash(suspect, lifetime, self.survivals.last(&suspect))
@@ -380,19 +404,28 @@
         if let (true, Some(survived_at)) = (crash.cleared, crash.at) {
             changes.extend(self.record_clearance(suspect, survived_at, now));
         }
-        changes.iter().for_each(|change| self.changes.push(*change));
+        changes.iter().for_each(|change| self.tell(*change, source, now));
         changes
     }
 
+    /// Has a change told to peers. What took the place of another record is passed on once: the
+    /// other one may be told again, and VMs would exchange the two without end.
+    fn tell(&mut self, change: Crash, source: Source, now: Instant) {
+        let record = self.records.get(&change.suspect);
+        let is_replacement = record.is_some_and(|record| record.is_replacement);
+        let is_passed_on = source == Source::Told && is_replacement;
+        if !is_passed_on || self.passed_on.record(&change, now) {
+            self.changes.push(change);
+        }
+    }
+
     /// Merges a crash as it is; returns it if it changes anything.
     fn merge_lifetime(&mut self, crash: Crash, now: Instant) -> Option<Crash> {
         let Crash { suspect, lifetime, cleared, at } = crash;
-        if !self.records.contains_key(&suspect) {
-            self.evict_least_suspect(suspect.is_prompt_part());
-        }
-        let new_record =
-            || Record { crashes: Crashes::default(), last: now, refused: 0, unwritten: false };
-        let record = self.records.entry(suspect).or_insert_with(new_record);
+        let is_replacement = !self.records.contains_key(&suspect)
+            && self.evict_least_suspect(suspect.is_prompt_part());
+        let record =
+            self.records.entry(suspect).or_insert_with(|| Record::new(is_replacement, now));
         let ended_at = at.unwrap_or(now);
         let is_new = if cleared {
             record.crashes.merge_cleared(lifetime, now)
@@ -434,18 +467,17 @@
     }
 
     /// Makes room for one more record of a kind, if there is none, by removing the one with the
-    /// fewest crashes.
-    fn evict_least_suspect(&mut self, are_parts: bool) {
+    /// fewest crashes; returns whether one was removed.
+    fn evict_least_suspect(&mut self, are_parts: bool) -> bool {
         let same_kind =
             || self.records.iter().filter(|(suspect, _)| suspect.is_prompt_part() == are_parts);
         if self.records.len() < MAX_RECORDS || same_kind().count() < MAX_RECORDS {
-            return;
+            return false;
         }
         let least_suspect =
             same_kind().min_by_key(|(_, record)| (record.crashes.counted_len(), record.last));
-        if let Some(suspect) = least_suspect.map(|(suspect, _)| *suspect) {
-            self.records.remove(&suspect);
-        }
+        let least_suspect = least_suspect.map(|(suspect, _)| *suspect);
+        least_suspect.is_some_and(|suspect| self.records.remove(&suspect).is_some())
     }
 }
 
--- a/components/quarantine/tests/fleets.rs
+++ b/components/quarantine/tests/fleets.rs
@@ -284,6 +284,65 @@
     let told_before = fleet.told;
     (0..50).for_each(|_| fleet.exchange());
 
+    println!("{told_before} told, then {}", fleet.told - told_before);
     assert_eq!(fleet.told, told_before, "changes are still told");
     assert!(fleet.vms.iter().all(|vm| vm.refused_for(&SHARED, now).is_none()));
 }
+
+/// Engines that end at the same moment, each under parts of its own.
+const ENGINES_WITH_PARTS: usize = 50;
+/// Parts of the requests at each of them.
+const PARTS_PER_ENGINE: usize = 40;
+
+/// Ends engines at the same moment, under more parts than a VM keeps.
+fn end_engines_under_many_parts(fleet: &mut Fleet) {
+    let (vms, now) = (fleet.vms.len(), fleet.now);
+    for engine in 0..ENGINES_WITH_PARTS {
+        let lifetime = fleet.lifetime(engine);
+        let first = FIRST_RARE + (engine * PARTS_PER_ENGINE) as u64;
+        let parts = (first..first + PARTS_PER_ENGINE as u64).map(Suspect::PromptPart);
+        let vm = &mut fleet.vms[engine % vms];
+        vm.connection_lost(parts.collect(), lifetime, now);
+        vm.lifetime_ended(lifetime, now);
+    }
+}
+
+fn exchange_for(fleet: &mut Fleet, ticks: u32) {
+    for _ in 0..ticks {
+        fleet.now += TICK;
+        fleet.exchange();
+    }
+}
+
+/// Guards against crashes that VMs tell each other without end: more parts than a VM keeps were
+/// present when engines ended.
+#[test]
+fn vms_stop_exchanging_crashes_when_more_parts_are_suspect_than_are_kept() {
+    let mut fleet = Fleet::new(7, ENGINES_WITH_PARTS, 1);
+    end_engines_under_many_parts(&mut fleet);
+
+    exchange_for(&mut fleet, 15);
+    let told_before = fleet.told;
+    exchange_for(&mut fleet, 15);
+
+    println!("{told_before} changes told, then {}", fleet.told - told_before);
+    assert_eq!(fleet.told, told_before, "changes are still told");
+}
+
+#[test]
+fn all_vms_hear_of_a_fatal_part_while_more_parts_are_suspect_than_are_kept() {
+    let mut fleet = Fleet::new(24, ENGINES_WITH_PARTS + 3, 1);
+    end_engines_under_many_parts(&mut fleet);
+    exchange_for(&mut fleet, 15);
+
+    for number in 0..3 {
+        let lifetime = fleet.lifetime(ENGINES_WITH_PARTS + number);
+        let (vm, now) = (&mut fleet.vms[number * 8], fleet.now);
+        vm.connection_lost(vec![FATAL], lifetime, now);
+        vm.lifetime_ended(lifetime, now);
+    }
+    exchange_for(&mut fleet, 10);
+
+    let refusing = fleet.vms.iter().filter(|vm| vm.refused_for(&FATAL, fleet.now).is_some());
+    assert_eq!(refusing.count(), 24);
+}
