Let a caller that is still sending read its refusal

Change: after an answer that ends its connection, the sending side is closed and what still arrives is read and discarded, until the caller closes too, for 0.5 s at most. The request itself has ended by then; a stop waits for it.

What remains: a caller that sends for longer than that after its answer.

--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -2,6 +2,7 @@
 //! waiting whether bytes have arrived that were not read.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io::{ErrorKind, IoSlice, Result};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
@@ -16,6 +17,9 @@
 
 use crate::state_handle::now;
 
+/// Bytes that are discarded at once.
+const DISCARD_BYTES: usize = 8 * 1024;
+
 /// The socket of a caller's connection, shared by the HTTP library and by who decides when to close
 /// it.
 pub(crate) struct CallerSocket {
@@ -75,6 +79,23 @@
         is_silent
     }
 
+    /// Reads and discards what arrives until the caller closes its side. The kernel resets a
+    /// connection that is closed with unread bytes, and a reset may take from the caller the answer
+    /// that it has not read.
+    pub(crate) async fn discard_rest(&self) {
+        let mut buf = vec![0; DISCARD_BYTES];
+        loop {
+            let read = poll_fn(|cx| {
+                let mut buf = ReadBuf::new(&mut buf);
+                let result = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, &mut buf);
+                result.map_ok(|()| buf.filled().len())
+            });
+            if !matches!(read.await, Ok(1..)) {
+                return;
+            }
+        }
+    }
+
     /// Number of unread bytes, one at most; 0 at the end of what the caller sends.
     fn peek(&self) -> Result<usize> {
         SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()])
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -12,7 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::app::App;
 use crate::caller_connections::{CallerConnection, OpenConnection, RequestInWork, TrackedBody};
@@ -26,6 +26,8 @@
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(3);
 /// The same interval while idle connections are closed during shutdown.
 const CLOSING_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which a connection whose sending side was closed after an answer is still read.
+const LINGER_TIME: Duration = Duration::from_millis(500);
 
 /// Accepts callers' connections until idle connections are closed during shutdown.
 pub(crate) async fn accept(app: Rc<App>, listener: TcpListener) {
@@ -68,13 +70,29 @@
     }
 }
 
-/// Serves the requests of one connection until it is closed.
+/// Serves the requests of one connection and closes it.
 async fn serve(app: Rc<App>, stream: TcpStream) {
     let open = OpenConnection::new(&app, stream);
-    let connection = open.connection();
+    if serve_requests(&app, open.connection()).await == End::Answered {
+        // A caller that gets an answer before it has sent its whole request goes on sending.
+        drop(timeout(LINGER_TIME, open.connection().socket.discard_rest()).await);
+    }
+}
+
+/// How serving a connection ended.
+#[derive(Debug, PartialEq, Eq)]
+enum End {
+    /// After an answer, or with the caller's closing it.
+    Answered,
+    /// At rest, or amid a request.
+    Closed,
+}
+
+/// Serves the requests of one connection until it is to be closed.
+async fn serve_requests(app: &Rc<App>, connection: &Rc<CallerConnection>) -> End {
     let service = service_fn(|req| {
-        let request = RequestInWork::new(&app, connection);
-        let app = Rc::clone(&app);
+        let request = RequestInWork::new(app, connection);
+        let app = Rc::clone(app);
         async move {
             let mut answer = requests::answer(Rc::clone(&app), req).await;
             if *app.stopping.borrow() {
@@ -89,12 +107,22 @@
     let mut http = std::pin::pin!(builder.serve_connection(stream, service));
     let ended = tokio::select! {
         biased;
-        ended = http.as_mut() => ended.map(|()| "closed"),
-        () = closed_at_rest(&app, connection) => Ok("closed at rest"),
+        ended = http.as_mut() => ended,
+        () = closed_at_rest(app, connection) => {
+            connection.record_end(app, "closed at rest");
+            return End::Closed;
+        }
     };
     match ended {
-        Ok(why) => connection.record_end(&app, why),
-        Err(e) => connection.record_failure(&app, failure_cause(&e)),
+        Ok(()) => {
+            connection.record_end(app, "closed");
+            End::Answered
+        }
+        Err(e) => {
+            connection.record_failure(app, failure_cause(&e));
+            // The HTTP library answers a malformed request itself.
+            if e.is_parse() { End::Answered } else { End::Closed }
+        }
     }
 }
 
--- a/tests/kept_connections.rs
+++ b/tests/kept_connections.rs
@@ -401,3 +401,14 @@
     assert_eq!(lines.len(), 1, "{lines:?}");
     assert!(lines[0].contains("why=exit") && lines[0].contains("in_work=1"), "{lines:?}");
 }
+
+#[test]
+fn a_refusal_reaches_a_caller_that_is_still_sending_its_body() {
+    let (_site, vm) = start("kept-large", 15_000);
+    let call = long_call("/repeat/", "large").body(&vec![b'x'; 4 << 20]);
+
+    let answers: Vec<_> = (0..8).map(|_| call.send(vm.callers)).collect();
+
+    let statuses: Vec<_> = answers.iter().flatten().map(HttpMessage::status).collect();
+    assert_eq!(statuses, [413; 8]);
+}
