Count an accepted connection as open before its task runs

Cause: a connection was registered when its task first ran. A stop that has nothing else in work can end between the accept and that moment, in a process whose processor is behind and whose queue is long.

Change: it is registered where it is accepted.

--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -38,9 +38,7 @@
             _ = closing.changed() => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                spawn_local(serve(Rc::clone(&app), stream));
-            }
+            Ok((stream, _)) => serve_in_task(&app, stream),
             Err(e) => {
                 slog::warn!(app.log, "accepting a caller's connection failed"; "why" => %e);
                 sleep(ACCEPT_PAUSE).await;
@@ -60,7 +58,7 @@
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
-                spawn_local(serve(Rc::clone(app), TcpStream::from_std(stream)?));
+                serve_in_task(app, TcpStream::from_std(stream)?);
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
             Err(e)
@@ -70,9 +68,15 @@
     }
 }
 
+/// Begins to serve a connection. It counts as open at once: a stop must not end before its task has
+/// run.
+fn serve_in_task(app: &Rc<App>, stream: TcpStream) {
+    let open = OpenConnection::new(app, stream);
+    spawn_local(serve(Rc::clone(app), open));
+}
+
 /// Serves the requests of one connection and closes it.
-async fn serve(app: Rc<App>, stream: TcpStream) {
-    let open = OpenConnection::new(&app, stream);
+async fn serve(app: Rc<App>, open: OpenConnection) {
     if serve_requests(&app, open.connection()).await == End::Answered {
         // A caller that gets an answer before it has sent its whole request goes on sending.
         drop(timeout(LINGER_TIME, open.connection().socket.discard_rest()).await);
