Await a target whose hall is out of reach beside another one

Callers of requests that may be repeated got 502 0.8 s after they were sent, though their target went on and would have answered: while its hall's VMs were silent for 1.2 s and new connections to its targets were refused.

The belief that a hall is out of reach dropped the call, and only then it was asked whether another target may be tried.

Change: the belief has another target tried at once, beside the first one, which goes on as after a silence. A call of which nothing was sent is dropped as before.

--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -6,15 +6,18 @@
 use std::time::{Duration, Instant};
 
 use eligibility::RateLimit;
+use fleet::UnreachableHalls;
 use hyper::Response;
 use hyper::body::Incoming;
-use ids::{StoreRevision, VmName};
+use ids::{HallName, StoreRevision, VmName};
+use intent::Target;
 use platform_interface::callers::Refusal;
 use platform_interface::calls::{AnswerHead, CallHead, Evidence};
 use quarantine::LifetimeId;
 use rollout::{Observation, TargetVersion, Versions};
 use selection::{Availability, CallSize, Pick, SelectionRequest, TargetKey, TargetOutcome};
 use slog::info;
+use tokio::sync::watch::Receiver;
 
 use crate::active_requests::{self, WaitReason};
 use crate::answer_progress::AnswerProgress;
@@ -222,6 +225,7 @@
             self.record_unreached(target);
             return AttemptError::NotReached;
         }
+        self.has_unused_retry.set(false);
         self.set_may_have_run();
         self.app.state.with(|shared, now| shared.targets.record_timeout(target, now));
         AttemptError::Lost(why.to_owned())
@@ -238,6 +242,7 @@
     /// nothing was sent.
     pub(crate) fn withdraw(&self, state: &AttemptState) {
         if state.mark.is_set() {
+            self.has_unused_retry.set(false);
             return;
         }
         if let Some(target) = state.target.take() {
@@ -249,16 +254,28 @@
         }
     }
 
+    /// The target of an attempt, if it was chosen and is still known.
+    fn target_of(&self, state: &AttemptState) -> Option<Target> {
+        let key = state.target.get()?;
+        self.app.state.with(|shared, _| shared.targets.get_by_key(key).cloned())
+    }
+
     /// Checks the path to the target of an attempt.
     pub(crate) fn check_path(&self, state: &AttemptState) {
-        let target = state.target.get().and_then(|key| {
-            self.app.state.with(|shared, _| shared.targets.get_by_key(key).cloned())
-        });
-        if let Some(target) = target {
+        if let Some(target) = self.target_of(state) {
             target_connecting::check_path(&self.app, &target);
         }
     }
 
+    /// Waits until the target of an attempt may have been sent the request and its hall is
+    /// unreachable.
+    pub(crate) async fn until_hall_unreachable(&self, state: &AttemptState) {
+        state.mark.until(true).await;
+        let Some(target) = self.target_of(state) else { return std::future::pending().await };
+        let mut unreachable = self.app.unreachable_halls.subscribe();
+        hall_reachability::until_unreachable(&mut unreachable, &target.hall).await;
+    }
+
     /// Sends the request to the best target that was not tried yet and reads the head of its
     /// answer.
     ///
@@ -315,16 +332,12 @@
         let mut unreachable = self.app.unreachable_halls.subscribe();
         let sent = tokio::select! {
             sent = sending => sent,
-            // A request that must not run twice keeps waiting: the target's hall may become
-            // reachable again, and the answer arrive.
-            () = hall_reachability::until_unreachable(&mut unreachable, &target.hall),
+            // What was sent is awaited: the target's hall may become reachable again, and the answer
+            // arrive.
+            () = unreachable_before_sending(&mut unreachable, &target.hall, mark),
                 if self.req.entry.repeatable =>
             {
-                Err(if mark.is_set() {
-                    SendError::GivenUp(HALL_UNREACHABLE.to_owned())
-                } else {
-                    SendError::NotSent(HALL_UNREACHABLE.to_owned())
-                })
+                Err(SendError::NotSent(HALL_UNREACHABLE.to_owned()))
             }
             // A quarantined request may still be queued at the target and would crash it as well,
             // so the attempt is abandoned. `true`, since what was sent may run.
@@ -352,10 +365,6 @@
                 attempt.end(TargetOutcome::Failed);
                 Err(AttemptError::Lost(why))
             }
-            Err(SendError::GivenUp(why)) => {
-                attempt.end(TargetOutcome::Failed);
-                Err(AttemptError::Lost(why))
-            }
         };
         let relay = result.as_ref().ok().and_then(|(.., connection)| connection.relay());
         self.log_attempt(&attempt, result.as_ref().err(), relay);
@@ -702,3 +711,18 @@
         }
     }
 }
+
+/// Waits until a hall is unreachable while nothing was sent to its target.
+async fn unreachable_before_sending(
+    unreachable: &mut Receiver<UnreachableHalls>,
+    hall: &HallName,
+    mark: &SentMark,
+) {
+    loop {
+        hall_reachability::until_unreachable(unreachable, hall).await;
+        if !mark.is_set() {
+            return;
+        }
+        mark.until(false).await;
+    }
+}
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -57,8 +57,6 @@
     Withheld,
     /// The connection ended after part of the call may have been sent, so it may have run.
     Broke(String),
-    /// The call was given up and may have run.
-    GivenUp(String),
 }
 
 /// Whether any byte of a call may have been sent; clones share the mark. It outlives a call that is
--- a/gateway/src/overlapping_attempts.rs
+++ b/gateway/src/overlapping_attempts.rs
@@ -23,7 +23,8 @@
 
 /// When attempts overlap.
 pub(crate) struct OverlapRules {
-    /// Time after which another target is tried; `None` if none may be.
+    /// Time after which another target is tried, or earlier if the hall of the first one becomes
+    /// unreachable; `None` if none may be.
     pub(crate) retry_after: Option<Duration>,
     /// Longest time for which the earlier target is kept after the call to the later one may have
     /// been sent; `None` for no limit.
@@ -53,7 +54,9 @@
     };
     let mut running = vec![begin()];
     let mut retry_at = rules.retry_after.map(|time| Instant::now() + time);
+    let mut heeds_hall = rules.retry_after.is_some();
     loop {
+        let first = Rc::clone(&running[0].state);
         let may_begin = retry_at.filter(|_| running.len() == 1);
         let later_mark = running.get(1).map(|later| later.state.mark().clone());
         tokio::select! {
@@ -78,6 +81,10 @@
             () = overlap_over(later_mark, rules.overlap) => {
                 attempts.record_timeout(&running.remove(0).state, rules.awaited);
             }
+            () = attempts.until_hall_unreachable(&first), if heeds_hall && may_begin.is_some() => {
+                heeds_hall = false;
+                retry_at = Some(Instant::now());
+            }
             () = sleep_until(may_begin.unwrap_or(rules.until)), if may_begin.is_some() => {
                 let only = &running[0].state;
                 let is_sent = only.mark().is_set();
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -57,7 +57,7 @@
         match error {
             SendError::Broke(_) => OwnCallError::Broke,
             SendError::Withheld => OwnCallError::Declined,
-            SendError::NotSent(_) | SendError::GivenUp(_) => OwnCallError::NotReached,
+            SendError::NotSent(_) => OwnCallError::NotReached,
         }
     })?;
     let (head, body) = answer.into_parts();
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -218,7 +218,7 @@
     }
     let mut reader = EventReader::new(attempts.app(), answer);
     let next = tokio::select! {
-        next = reader.next(attempts.req().entry.repeatable) => next,
+        next = reader.next(false) => next,
         // The engine has begun to run the request, but not crashed yet.
         refusal = crashes::until_refused(attempts.app(), attempts.req(), true) => {
             return Err(refusal);
--- a/tests/silent_targets.rs
+++ b/tests/silent_targets.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use standins::fleet::wait_until;
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
@@ -15,6 +15,8 @@
 use standins::serving_path::site::{
     HOST, Site, Vm, default_configuration, event_ids, post, send_expecting_answer,
 };
+use standins::serving_path::store::AddressReplacement;
+use standins::serving_path::target_path::{PathCut, TargetPath};
 
 /// Timeout of requests, in milliseconds.
 const TIMEOUT_MS: u32 = 20_000;
@@ -34,18 +36,30 @@
 /// Pause between two requests.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// A site whose requests have a timeout of [`TIMEOUT_MS`].
-fn start_site() -> Site {
-    let site = Site::start();
+/// A configuration whose requests have a timeout of [`TIMEOUT_MS`].
+fn configuration() -> Value {
     let mut config = default_configuration(2);
     for route in config["routes"].as_array_mut().expect("routes") {
         route["timeout_ms"] = json!(TIMEOUT_MS);
         route["target_latency_ms"] = json!(LATENCY_GOAL_MS);
     }
-    site.store.put("op/config", &config);
+    config
+}
+
+/// A site with this configuration.
+fn start_site() -> Site {
+    let site = Site::start();
+    site.store.put("op/config", &configuration());
     site
 }
 
+/// A request with a deadline of [`TIMEOUT_MS`].
+fn long_call(path: &str, id: &str) -> Call {
+    Call::new("POST", HOST, path, id)
+        .with_header("Deadline-Milliseconds", &TIMEOUT_MS.to_string())
+        .body(b"a body")
+}
+
 fn start_vm(site: &Site, name: &str) -> Vm {
     let vm = site.start_vm(name, "");
     wait_until("the configuration is in force", || vm.state()["configuration"] == json!(2));
@@ -66,10 +80,7 @@
                 let address = vms[number % vms.len()].callers;
                 scope.spawn(move || {
                     thread::sleep(PAUSE * u32::try_from(number).unwrap_or(u32::MAX));
-                    Call::new("POST", HOST, path, &format!("r-{number}"))
-                        .with_header("Deadline-Milliseconds", &TIMEOUT_MS.to_string())
-                        .body(b"a body")
-                        .send(address)
+                    long_call(path, &format!("r-{number}")).send(address)
                 })
             })
             .collect();
@@ -231,3 +242,54 @@
     assert_eq!(answer.map(|answer| answer.status()), Some(200), "{}", vm.log());
     assert_eq!(site.runs("large"), 1);
 }
+
+/// A VM in hall-a whose only targets are in hall-b, the paths to them, and the only VM of hall-b.
+fn start_beside_other_hall(site: &Site, name: &str) -> (Vm, Vec<TargetPath>, Vm) {
+    let runners = site.services().into_iter().flat_map(|(_, runners)| runners);
+    let (paths, replaced) = runners
+        .map(|runner| {
+            let path = TargetPath::start(runner.address).expect("a path");
+            let replaced = AddressReplacement { stored: runner.address, returned: path.address };
+            (path, replaced)
+        })
+        .unzip::<_, _, Vec<_>, Vec<_>>();
+    let view = site.store.view_with_addresses(replaced).expect("a view of the store");
+    let vm = Vm::start(name, "hall-a", view.address, "");
+    let other = Vm::start(&format!("{name}-other"), "hall-b", site.store.address, "");
+    site.wait_for_all_runners(&vm);
+    wait_until("the VMs are linked", || vm.linked_peers() == 1 && other.linked_peers() == 1);
+    (vm, paths, other)
+}
+
+/// Guards against requests that fail since the hall of their only target was silent for a time.
+#[test]
+fn a_request_waits_for_its_only_target_while_that_ones_hall_is_out_of_reach() {
+    for (path, late) in [
+        ("/repeat/", Behavior::Hang(SILENCE * 3 / 2)),
+        ("/resumed/", Behavior::LateStream(3, SILENCE * 3 / 2)),
+    ] {
+        let site = Site::start_in(["hall-b", "hall-b"]);
+        site.store.put("op/config", &configuration());
+        site.store.remove("servers/i-plain-2");
+        site.store.remove("servers/i-engine-2");
+        set_behavior(&site.plain, &late);
+        set_behavior(&site.engines, &late);
+        let name = format!("far-hall-{}", path.trim_matches('/'));
+        let (vm, paths, other) = start_beside_other_hall(&site, &name);
+        wait_until("the configuration is in force", || vm.state()["configuration"] == json!(2));
+
+        let answer = thread::scope(|scope| {
+            let caller = scope.spawn(|| send_expecting_answer(&long_call(path, "r-1"), &vm));
+            wait_until("the target has the request", || site.runs("r-1") == 1);
+            other.stand_still();
+            paths.iter().for_each(|path| path.cut(PathCut::RefuseNew));
+            wait_until("the hall is out of reach", || vm.log().contains("hall out of reach"));
+            thread::sleep(PAUSE);
+            paths.iter().for_each(TargetPath::heal);
+            other.go_on();
+            caller.join().expect("no panic")
+        });
+
+        assert_eq!((answer.status(), answer.is_complete), (200, true), "{path}: {answer:?}");
+    }
+}
