Admit requests while all workers of a pool are silent for a moment

What callers saw: of 8 requests with stages, 0.1 s apart, that come while all workers of the pool take 1.5 s for each call, three are refused at once and told to come back 4.0 to 4.6 s later, when the workers have long gone on.

Cause: a worker whose call is overdue is in backoff, and the forecast counts no workers in backoff. With none left the pool was taken to make one piece per second: 8.7 to 10.2 s were expected where the aim is 2.5 s.

A higher rate for silent workers in general: parts of a pool whose workers are silent would then look idle to submissions that may go elsewhere.

Change: a pool says for how long all of its workers in service have been silent, and the rate at which it makes pieces once they go on. A silence is expected to last as long again as it has lasted, so that requests are refused at once as soon as that exceeds their aim. The rate in force stays zero for the choice among parts.

Conclusion: a moment's silence is no reason to refuse, a long one still is.

--- a/components/batching/src/completion.rs
+++ b/components/batching/src/completion.rs
@@ -48,10 +48,10 @@
         if std::mem::replace(&mut call.is_overdue, true) {
             return;
         }
-        let (worker, pieces) = (call.worker, call.pieces.clone());
+        let (worker, pieces, began) = (call.worker, call.pieces.clone(), call.began);
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.active_calls = worker.active_calls.saturating_sub(1);
-            worker.record_failure(now);
+            worker.record_silence(began, now);
         }
         for pending in pieces {
             let Some(job) = self.jobs.get_mut(pending.job) else { continue };
--- a/components/batching/tests/overdue_calls.rs
+++ b/components/batching/tests/overdue_calls.rs
@@ -169,3 +169,23 @@
 
     assert_eq!(pool.next_call(now).unwrap().pieces.len(), 1);
 }
+
+#[test]
+fn a_pool_is_silent_while_all_of_its_workers_in_service_are() {
+    let now = Instant::now();
+    let mut pool = pool(&[worker("m", "a"), worker("n", "a")]);
+    let usual_rate = pool.rate(now);
+    pool.submit(submission("r", 1, now + CALL * 9), now);
+    let first = overdue_call(&mut pool, now);
+    let first_overdue_at = now + first.overdue_after;
+    assert_eq!(pool.silence(first_overdue_at), None, "one worker may answer");
+    let second = overdue_call(&mut pool, first_overdue_at);
+    let second_overdue_at = first_overdue_at + second.overdue_after;
+
+    let silence = pool.silence(second_overdue_at);
+
+    assert_eq!(silence.map(|silence| silence.lasted), Some(second.overdue_after));
+    assert!(silence.is_some_and(|silence| silence.rate > usual_rate * 0.5), "{silence:?}");
+    pool.call_ended(first.key, stored("m/1"), second_overdue_at);
+    assert_eq!(pool.silence(second_overdue_at), None, "it has answered");
+}
--- a/tests/silent_workers.rs
+++ b/tests/silent_workers.rs
@@ -23,8 +23,10 @@
 const SILENCE: Duration = Duration::from_millis(1500);
 /// Requests in each case.
 const REQUESTS: usize = 8;
-/// Pause between two requests; all of them together arrive before a call is overdue.
+/// Pause between two requests that all arrive before a call is overdue.
 const PAUSE: Duration = Duration::from_millis(25);
+/// Pause between two requests some of which arrive when all workers are known to be silent.
+const LONG_PAUSE: Duration = Duration::from_millis(100);
 /// Settings of a stop whose grace period is long enough for all requests.
 const STOP: &str = "stop: {notice_ms: 1000, grace_s: 12}\n";
 
@@ -60,15 +62,15 @@
         .body(b"a body")
 }
 
-/// Sends requests with a piece in each of two stages at intervals of [`PAUSE`], without waiting for
+/// Sends requests with a piece in each of two stages at intervals of `pause`, without waiting for
 /// answers, and calls `meanwhile`; returns the answers.
-fn send_all(vm: &Vm, meanwhile: impl FnOnce()) -> Vec<Option<HttpMessage>> {
+fn send_all(vm: &Vm, pause: Duration, meanwhile: impl FnOnce()) -> Vec<Option<HttpMessage>> {
     let address = vm.callers;
     thread::scope(|scope| {
         let callers: Vec<_> = (0..REQUESTS)
             .map(|number| {
                 scope.spawn(move || {
-                    thread::sleep(PAUSE * u32::try_from(number).unwrap_or(u32::MAX));
+                    thread::sleep(pause * u32::try_from(number).unwrap_or(u32::MAX));
                     chain(&format!("r-{number}"), "1,1").send(address)
                 })
             })
@@ -99,12 +101,24 @@
     let vm = start_vm(&site, "all-silent");
     set_behavior(&site.pool, &Behavior::Hang(SILENCE));
 
-    let answers = send_all(&vm, || ());
+    let answers = send_all(&vm, PAUSE, || ());
 
     assert_eq!(outcomes(&answers), [(200, true); REQUESTS]);
     wait_all_released(&site);
 }
 
+/// Guards against requests that are refused because all workers have been silent for a moment.
+#[test]
+fn requests_that_arrive_while_all_workers_are_silent_are_served() {
+    let site = start_site();
+    let vm = start_vm(&site, "arrive-silent");
+    set_behavior(&site.pool, &Behavior::Hang(SILENCE));
+
+    let answers = send_all(&vm, LONG_PAUSE, || ());
+
+    assert_eq!(outcomes(&answers), [(200, true); REQUESTS]);
+}
+
 /// Guards against requests that a stopping VM refuses because their workers are silent.
 #[test]
 fn requests_are_served_by_a_stopping_vm_although_all_workers_are_silent() {
@@ -112,7 +126,7 @@
     let mut vm = start_vm(&site, "stop-silent");
     set_behavior(&site.pool, &Behavior::Hang(SILENCE));
 
-    let answers = send_all(&vm, || {
+    let answers = send_all(&vm, PAUSE, || {
         thread::sleep(PAUSE * 4);
         vm.signal("-TERM");
     });
