Read what has arrived before a stream counts as silent

Found by a review.

Cause: after a standstill the timer is due while events still wait in the kernel. The search for another target marked its call as sent before they were read, and events that come later are held back.

Change: when the time is over, the target is read once more, for 50 ms.

--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -12,7 +12,7 @@
 use selection::{CallSize, TargetOutcome};
 use slog::info;
 use tokio::sync::mpsc::{Receiver, Sender};
-use tokio::time::{Instant as TokioInstant, timeout_at};
+use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
 use crate::answers::StreamCut;
 use crate::app::App;
@@ -33,6 +33,9 @@
 /// Why another target is sought for a stream that pauses.
 const STALLED: &str = "the stream stalled";
 
+/// Time to read an event that had already arrived when a pause counts as a stall.
+const LAST_READ_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// A stream that is being forwarded.
 pub(crate) struct Stream {
     app: Rc<App>,
@@ -180,7 +183,13 @@
                     } else {
                         TokioInstant::from_std(self.req.deadline)
                     };
-                    timeout_at(limit, reader.next(heeds_hall)).await
+                    match timeout_at(limit, reader.next(heeds_hall)).await {
+                        // A process that stood still has not read what has arrived meanwhile.
+                        Err(_) if self.may_search => {
+                            timeout(LAST_READ_TIMEOUT, reader.next(false)).await
+                        }
+                        next => next,
+                    }
                 }
             };
             let why = match next {
--- a/tests/silent_targets.rs
+++ b/tests/silent_targets.rs
@@ -294,3 +294,32 @@
         assert_eq!((answer.status(), answer.is_complete), (200, true), "{path}: {answer:?}");
     }
 }
+
+/// Guards against streams that leave a sound target since their VM itself stood still.
+#[test]
+fn a_stream_stays_at_its_target_while_its_vm_stands_still() {
+    let site = start_site();
+    let vms = [start_vm(&site, "stands-still")];
+    // Leaves more idle connections to the engines than the streams need.
+    set_behavior(&site.engines, &Behavior::SlowStream(1, SILENCE));
+    thread::scope(|scope| {
+        (0..2).for_each(|_| drop(scope.spawn(|| send_all(&vms, "/stream/"))));
+    });
+    site.engines.iter().for_each(Runner::clear_script);
+    set_behavior(&site.engines, &Behavior::SlowStream(40, PAUSE));
+    let runs = |site: &Site| (0..REQUESTS).map(|n| site.runs(&format!("r-{n}"))).sum::<usize>();
+    let earlier_runs = runs(&site);
+
+    let answers = thread::scope(|scope| {
+        let callers = scope.spawn(|| send_all(&vms, "/resumed/"));
+        wait_until("all streams run", || runs(&site) == earlier_runs + REQUESTS);
+        thread::sleep(PAUSE * 5);
+        vms[0].stand_still();
+        thread::sleep(SILENCE);
+        vms[0].go_on();
+        callers.join().expect("no panic")
+    });
+
+    assert_eq!(streams(&answers), vec![((1..=40).collect(), true); REQUESTS]);
+    assert_eq!(runs(&site), earlier_runs + REQUESTS, "no stream runs twice");
+}
