--- a/components/quarantine/tests/cut_off.rs
+++ b/components/quarantine/tests/cut_off.rs
@@ -150,8 +150,7 @@
     to.merge(&changes.into_iter().map(late).collect::<Vec<_>>(), now + secs(1));
 }
 
-/// Guards against survivals that seem later each time that a VM tells them: crashes would be cleared
-/// for as long as they go on.
+/// Guards against survivals that get a later time with each VM that tells them.
 #[test]
 fn a_survival_does_not_excuse_later_crashes_at_vms_whose_messages_take_long() {
     let request = Suspect::Request(RequestDigest::from_bytes(&[7; 16]).expect("16 bytes"));
--- a/components/quarantine/tests/fleets.rs
+++ b/components/quarantine/tests/fleets.rs
@@ -314,8 +314,7 @@
     }
 }
 
-/// Guards against crashes that VMs tell each other without end: more parts than a VM keeps were
-/// present when engines ended.
+/// Guards against VMs that tell each other without end of more suspects than they keep.
 #[test]
 fn vms_stop_exchanging_crashes_when_more_parts_are_suspect_than_are_kept() {
     let mut fleet = Fleet::new(7, ENGINES_WITH_PARTS, 1);
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -25,8 +25,8 @@
     unused_results,
 };
 
-/// Time to read an answer that has already arrived when its call is overdue. A VM that was paused
-/// has not read it yet, and nobody else learns the results' handles.
+/// Time to read an answer that has already arrived when its call is overdue: a VM that was paused
+/// has not read it yet, and would call the pieces again.
 const LAST_READ_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Makes the calls of a pool that can be made now, and schedules the next check of its queue.
--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -171,11 +171,11 @@
     /// # Errors
     /// Why the stream is cut.
     async fn next(&mut self) -> Result<Option<Event>, String> {
-        let mut trouble = String::new();
+        let mut problem = String::new();
         loop {
             let next = match (self.held.pop_front(), &mut self.reader) {
                 (Some(held), _) => Ok(held),
-                (None, None) => return Err(trouble),
+                (None, None) => return Err(problem),
                 (None, Some(reader)) => {
                     let heeds_hall = self.may_search && self.heeds_hall_from <= TokioInstant::now();
                     let limit = if self.may_search {
@@ -203,7 +203,7 @@
                 Err(_) => STALLED.to_owned(),
             };
             if let Err(further) = self.look_elsewhere(&why).await {
-                trouble = format!("{why}; {}", further.why());
+                problem = format!("{why}; {}", further.why());
             }
         }
     }
--- a/tests/kept_connections.rs
+++ b/tests/kept_connections.rs
@@ -305,8 +305,7 @@
     assert!(crossed <= one_per_cut_short_close, "{lines:?}");
 }
 
-/// A process can be cut short between its last look at one connection and the close of this one,
-/// and no others.
+/// Guards against closes at which a process stands still: one request a VM may cross its close.
 #[test]
 fn no_request_is_lost_wherever_a_process_stands_still_around_the_close_of_hundreds() {
     /// Whether the VM stops, and times in milliseconds after the signal, or after the connections
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,8 +16,7 @@
 /// Seeds of runs with planned stops. Both guard against a stopping VM that doesn't answer the
 /// requests that it can't serve.
 const STOP_SEEDS: [u64; 2] = [1, 2];
-/// Seeds of runs with silences. Each guards against streams that are cut since their targets are
-/// silent, and against connections that are closed though a request has arrived.
+/// Seeds of runs with silences; each guards against cut streams and unanswered requests.
 const SILENCE_SEEDS: [u64; 3] = [1, 2, 7];
 /// Number of callers in a run with silences, most of whose connections are at rest.
 const SILENCE_CALLERS: u64 = 32;
