Revert calls of silent workers that stay open, and requests admitted meanwhile

Supposed: a close drops a call that waits in its worker's queue. Calls are late there by waiting, not by silence, and were made twice once they stayed open.

What is open again: eight requests whose workers all take 1.5 s are refused as not run, some after 4 and 10 s.

--- a/components/batching/src/completion.rs
+++ b/components/batching/src/completion.rs
@@ -5,11 +5,11 @@
 
 use platform_interface::calls::PieceAnswer;
 
-use crate::pool::{ActiveCall, PendingPiece, PieceProgress, Pool};
+use crate::pool::{ActiveCall, PendingPiece, Pool};
 use crate::submission::{CallEnd, CallKey, FinishedPiece, JobKey, PieceOutcome};
 use crate::worker::WorkerKey;
 
-/// Maximum number of calls of a piece that make no result.
+/// Maximum number of failed attempts of a piece.
 const MAX_PIECE_ATTEMPTS: u32 = 4;
 /// Lower bound of [`Pool::room_fraction`], however often a result found no room.
 const MIN_ROOM_FRACTION: f64 = 0.6;
@@ -40,38 +40,9 @@
         fetched_jobs
     }
 
-    /// Records that a call is overdue. It stays in progress, since its worker may only be silent
-    /// for a while, but its pieces wait to be called again. Of several results of a piece the
-    /// first one counts; the others are released.
-    pub fn call_overdue(&mut self, key: CallKey, now: Instant) {
-        let Some(call) = self.calls.get_mut(key) else { return };
-        if std::mem::replace(&mut call.is_overdue, true) {
-            return;
-        }
-        let (worker, pieces, began) = (call.worker, call.pieces.clone(), call.began);
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.active_calls = worker.active_calls.saturating_sub(1);
-            worker.record_silence(began, now);
-        }
-        for pending in pieces {
-            let Some(job) = self.jobs.get_mut(pending.job) else { continue };
-            let Some(progress) = job.unfinished.get_mut(&pending.piece) else { continue };
-            if !progress.is_waiting && progress.attempts() < MAX_PIECE_ATTEMPTS {
-                progress.is_waiting = true;
-                job.unfetched += 1;
-                self.waiting.push(PendingPiece { fetched: false, ..pending });
-            }
-        }
-    }
-
     /// Records the end of a call; returns the finished pieces.
     pub fn call_ended(&mut self, key: CallKey, end: CallEnd, now: Instant) -> Vec<FinishedPiece> {
         let Some(call) = self.calls.remove(key) else { return Vec::new() };
-        for piece in &call.pieces {
-            if let Some(progress) = self.progress_mut(piece) {
-                progress.open_calls = progress.open_calls.saturating_sub(1);
-            }
-        }
         let took = now.saturating_duration_since(call.began);
         if matches!(end, CallEnd::Failed | CallEnd::HallUnreachable) {
             // The worker may have made all of the results, and nobody knows their handles.
@@ -80,7 +51,7 @@
             self.free_room(call.worker, call.reserved_bytes);
         }
         if let Some(worker) = self.workers.get_mut(call.worker) {
-            worker.active_calls = worker.active_calls.saturating_sub(u32::from(!call.is_overdue));
+            worker.active_calls = worker.active_calls.saturating_sub(1);
             match end {
                 CallEnd::Answered(_) => worker.record_answer(took, call.expected_duration),
                 CallEnd::Full => worker.record_full(now),
@@ -126,11 +97,7 @@
                     continue;
                 }
             };
-            // Another call may still make the piece.
-            let is_open = self.progress(pending).is_some_and(|progress| progress.open_calls > 0);
-            if outcome.handle().is_some() || !is_open {
-                finished.extend(self.finish(pending, outcome));
-            }
+            finished.extend(self.finish(pending, outcome));
         }
         finished
     }
@@ -157,11 +124,11 @@
         }
     }
 
-    /// Records a result that a worker stores. If its submission is gone or the piece already has a
-    /// result, this one is queued for release.
+    /// Records a result that a worker stores. If its submission is gone, the result is queued for
+    /// release.
     fn store_result(&mut self, key: WorkerKey, pending: &PendingPiece, handle: &str, now: Instant) {
         let job = self.jobs.get(pending.job);
-        if self.progress(pending).is_none() {
+        if job.is_none() {
             self.queued_releases.push(handle.to_owned());
         }
         let bytes = job.map_or(0, |job| job.submission.result_bytes);
@@ -173,73 +140,35 @@
     }
 
     /// Finishes a piece and removes its submission after its last one; `None` if the submission is
-    /// gone or the piece is already finished.
+    /// gone.
     pub(crate) fn finish(
         &mut self,
         pending: &PendingPiece,
         outcome: PieceOutcome,
     ) -> Option<FinishedPiece> {
         let job = self.jobs.get_mut(pending.job)?;
-        let progress = job.unfinished.remove(&pending.piece)?;
-        if progress.is_waiting {
-            let is_same =
-                |other: &PendingPiece| (other.job, other.piece) == (pending.job, pending.piece);
-            self.waiting.retain(|waiting| !is_same(waiting));
-            job.unfetched = job.unfetched.saturating_sub(1);
-        }
-        if job.unfinished.is_empty() {
+        job.unfinished -= 1;
+        let finished = FinishedPiece { job: pending.job, piece: pending.piece, outcome };
+        if job.unfinished == 0 {
             self.jobs.remove(pending.job);
         }
-        Some(FinishedPiece { job: pending.job, piece: pending.piece, outcome })
+        Some(finished)
     }
 
-    /// Finishes a piece that was removed from the queue, unless a call in progress may still make
-    /// it.
-    pub(crate) fn give_up(
-        &mut self,
-        pending: &PendingPiece,
-        outcome: PieceOutcome,
-    ) -> Option<FinishedPiece> {
-        let job = self.jobs.get_mut(pending.job)?;
-        let progress = job.unfinished.get_mut(&pending.piece)?;
-        progress.is_waiting = false;
-        job.unfetched = job.unfetched.saturating_sub(1);
-        if progress.open_calls > 0 {
-            return None;
-        }
-        self.finish(pending, outcome)
-    }
-
-    /// Requeues pieces of a call that ended, adding `new_failures` to their failed attempts.
-    /// Finishes those without attempts left as failed and returns them.
+    /// Requeues pieces, adding `new_failures` to their failed attempts. Finishes those without
+    /// attempts left as failed and returns them.
     fn requeue(&mut self, pieces: Vec<PendingPiece>, new_failures: u32) -> Vec<FinishedPiece> {
         let mut failed = Vec::new();
-        for pending in pieces {
+        for mut pending in pieces {
             let Some(job) = self.jobs.get_mut(pending.job) else { continue };
-            let Some(progress) = job.unfinished.get_mut(&pending.piece) else { continue };
-            job.unfetched = job.unfetched.saturating_sub(usize::from(!pending.fetched));
-            progress.failed_attempts += new_failures;
-            if progress.is_waiting {
+            job.unfetched += usize::from(std::mem::take(&mut pending.fetched));
+            pending.failed_attempts += new_failures;
+            if pending.failed_attempts < MAX_PIECE_ATTEMPTS {
+                self.waiting.push(pending);
                 continue;
             }
-            if progress.attempts() < MAX_PIECE_ATTEMPTS {
-                progress.is_waiting = true;
-                job.unfetched += 1;
-                self.waiting.push(PendingPiece { fetched: false, ..pending });
-            } else if progress.open_calls == 0 {
-                failed.extend(self.finish(&pending, PieceOutcome::Failed));
-            }
+            failed.extend(self.finish(&pending, PieceOutcome::Failed));
         }
         failed
     }
-
-    /// Progress of a piece; `None` if it is finished or its submission is gone.
-    pub(crate) fn progress(&self, pending: &PendingPiece) -> Option<&PieceProgress> {
-        self.jobs.get(pending.job)?.unfinished.get(&pending.piece)
-    }
-
-    /// Like [`Pool::progress`], to change it.
-    pub(crate) fn progress_mut(&mut self, pending: &PendingPiece) -> Option<&mut PieceProgress> {
-        self.jobs.get_mut(pending.job)?.unfinished.get_mut(&pending.piece)
-    }
 }
--- a/components/batching/src/filling.rs
+++ b/components/batching/src/filling.rs
@@ -15,17 +15,16 @@
 /// stages precede requests of low value with few. It decides only among pieces that can still be in
 /// time. A smaller step lets more pieces of low urgency with an early due time precede urgent ones.
 const URGENCY_STEP: Duration = Duration::from_millis(400);
-/// A call that takes longer than this multiple of the expected time, plus [`OVERDUE_MARGIN`], is
-/// overdue.
-const OVERDUE_FACTOR: f64 = 2.5;
-/// Time added to [`OVERDUE_FACTOR`] times the expected time of a call.
-const OVERDUE_MARGIN: Duration = Duration::from_millis(250);
-/// After this many attempts without a result, a piece shares calls only with pieces of its own
-/// request: a piece that crashes every worker must not use up the attempts of others, nor make
-/// them look like the cause. Without this limit, all four requests of a call shared all four
-/// failed calls of such a piece; with it they share two (`a_piece_that_fails_its_calls_...` in
-/// `tests/pool.rs`). After a single failed call, pieces still share calls: most often the worker
-/// crashed by itself.
+/// A call that takes longer than this multiple of the expected time, plus [`TIMEOUT_MARGIN`], is
+/// given up and its pieces are requeued.
+const TIMEOUT_FACTOR: f64 = 2.5;
+/// Time added to [`TIMEOUT_FACTOR`] times the expected time of a call to get its timeout.
+const TIMEOUT_MARGIN: Duration = Duration::from_millis(250);
+/// After this many failed attempts, a piece shares calls only with pieces of its own request: a
+/// piece that crashes every worker must not use up the attempts of others, nor make them look like
+/// the cause. Without this limit, all four requests of a call shared all four failed calls of such
+/// a piece; with it they share two (`a_piece_that_fails_its_calls_...` in `tests/pool.rs`). After a
+/// single failed call, pieces still share calls: most often the worker crashed by itself.
 const ISOLATION_ATTEMPTS: u32 = 2;
 /// Weight of a new call in the moving average of pieces in a call.
 const PIECES_WEIGHT: f64 = 0.2;
@@ -49,9 +48,15 @@
     due + URGENCY_STEP * u32::from(urgency)
 }
 
-/// Returns the time after which a call is overdue.
-fn overdue_after(expected: Duration) -> Duration {
-    expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_MARGIN
+/// Whether a piece may join a call whose first piece is `first`.
+fn may_share(first: &PendingPiece, other: &PendingPiece) -> bool {
+    let is_isolated = |piece: &PendingPiece| piece.failed_attempts >= ISOLATION_ATTEMPTS;
+    first.job == other.job || (!is_isolated(first) && !is_isolated(other))
+}
+
+/// Returns the time after which a call is given up.
+fn call_timeout(expected: Duration) -> Duration {
+    expected.mul_f64(TIMEOUT_FACTOR) + TIMEOUT_MARGIN
 }
 
 impl Pool {
@@ -162,7 +167,7 @@
             if selected.len() == max_pieces {
                 break;
             }
-            if !self.may_share(&first_piece, waiting) || !self.may_run(waiting, worker) {
+            if !may_share(&first_piece, waiting) || !self.may_run(waiting, worker) {
                 continue;
             }
             let Some(job) = self.jobs.get(waiting.job) else { continue };
@@ -179,15 +184,6 @@
         selected
     }
 
-    /// Whether a piece may join a call whose first piece is `first`.
-    fn may_share(&self, first: &PendingPiece, other: &PendingPiece) -> bool {
-        let is_isolated = |pending: &PendingPiece| {
-            let progress = self.progress(pending);
-            progress.is_some_and(|progress| progress.attempts() >= ISOLATION_ATTEMPTS)
-        };
-        first.job == other.job || (!is_isolated(first) && !is_isolated(other))
-    }
-
     /// Whether a worker is in a hall in which the piece's request may be served.
     fn may_run(&self, waiting: &PendingPiece, worker: &Worker) -> bool {
         let submission = self.submission(waiting.job);
@@ -234,12 +230,6 @@
         for index in indexes.iter().rev() {
             self.waiting.remove(*index);
         }
-        for piece in &pieces {
-            if let Some(progress) = self.progress_mut(piece) {
-                progress.is_waiting = false;
-                progress.open_calls += 1;
-            }
-        }
         let bytes_of = |piece: &PendingPiece| {
             self.jobs.get(piece.job).map_or(0, |job| job.submission.result_bytes)
         };
@@ -257,9 +247,11 @@
         let (target, room_used) = (worker.target.clone(), worker.room_used);
         self.reclaim(key);
         let members = pieces.iter().map(|piece| (piece.job, piece.piece)).collect();
-        let jobs = || pieces.iter().filter_map(|piece| self.jobs.get(piece.job));
-        let first_submitted = jobs().map(|job| job.submitted).min();
-        let deadline = jobs().map(|job| job.submission.deadline).max().unwrap_or(now);
+        let first_submitted = pieces
+            .iter()
+            .filter_map(|piece| self.jobs.get(piece.job))
+            .map(|job| job.submitted)
+            .min();
         let waited = first_submitted
             .map_or(Duration::ZERO, |submitted| now.saturating_duration_since(submitted));
         let call = ActiveCall {
@@ -269,7 +261,6 @@
             expected_duration,
             reserved_bytes,
             room_before,
-            is_overdue: false,
         };
         Call {
             key: self.calls.insert(call),
@@ -280,8 +271,7 @@
             still_waiting: self.waiting.len(),
             fetch_time,
             expected: expected_duration,
-            overdue_after: overdue_after(expected_duration),
-            deadline,
+            timeout: call_timeout(expected_duration),
         }
     }
 
--- a/components/batching/src/forecast.rs
+++ b/components/batching/src/forecast.rs
@@ -9,15 +9,6 @@
 use crate::queue::QueueCounts;
 use crate::worker::Worker;
 
-/// Silence of all workers of a pool that are in service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Silence {
-    /// How long it has lasted: the shortest time of a worker. It is expected to last as long again.
-    pub lasted: Duration,
-    /// Pieces per second that the pool makes once the workers go on.
-    pub rate: f64,
-}
-
 /// Exponent with which the wait for a free worker grows with the fraction of busy workers.
 const WAIT_EXPONENT: i32 = 2;
 
@@ -25,24 +16,6 @@
     /// Returns the pieces per second that the pool makes with calls as full as its workers' room
     /// allows.
     pub fn rate(&self, now: Instant) -> f64 {
-        let schedulable = |worker: &Worker| {
-            self.is_in_service(worker, now) && worker.can_take_call(u32::MAX, now)
-        };
-        self.rate_of(self.workers.values().filter(|worker| schedulable(worker)))
-    }
-
-    /// Returns the silence of the pool; `None` if a worker in service is not silent or none is in
-    /// service.
-    pub fn silence(&self, now: Instant) -> Option<Silence> {
-        let in_service = || self.workers.values().filter(|worker| self.is_in_service(worker, now));
-        let silent: Option<Vec<Duration>> =
-            in_service().map(|worker| worker.silent_for(now)).collect();
-        let lasted = silent?.into_iter().min()?;
-        Some(Silence { lasted, rate: self.rate_of(in_service()) })
-    }
-
-    /// Returns the pieces per second that workers make with calls as full as their room allows.
-    fn rate_of<'a>(&self, workers: impl Iterator<Item = &'a Worker>) -> f64 {
         let largest_result =
             self.jobs.values().map(|job| job.submission.result_bytes).max().unwrap_or(0);
         // Half of the room holds results that wait to be used.
@@ -53,14 +26,15 @@
         let call_secs = self.spec.call.as_secs_f64() + full * self.spec.piece.as_secs_f64();
         let calls_per_s =
             f64::from(self.spec.at_once.max(1)) / call_secs.max(MIN_DURATION.as_secs_f64());
-        workers.map(|worker| calls_per_s.min(worker.max_call_rate())).sum::<f64>() * full
+        let schedulable = self.workers.values().filter(|worker| self.is_schedulable(worker, now));
+        schedulable.map(|worker| calls_per_s.min(worker.max_call_rate())).sum::<f64>() * full
     }
 
-    /// Whether a worker and its hall accept calls now, or once the worker's rate limit allows the
-    /// next one.
-    fn is_in_service(&self, worker: &Worker, now: Instant) -> bool {
+    /// Whether a worker may be called now, or once its rate limit allows the next call.
+    fn is_schedulable(&self, worker: &Worker, now: Instant) -> bool {
         let eligibility = self.halls.eligibility(&worker.target, now);
-        matches!(eligibility, Eligibility::Open | Eligibility::Limited)
+        let is_open = matches!(eligibility, Eligibility::Open | Eligibility::Limited);
+        is_open && worker.can_take_call(u32::MAX, now)
     }
 
     /// Returns the expected time from submitting a piece, if no others wait, until its result is
--- a/components/batching/src/lib.rs
+++ b/components/batching/src/lib.rs
@@ -22,7 +22,6 @@
 mod worker;
 
 pub use filling::effective_due;
-pub use forecast::Silence;
 pub use pool::Pool;
 pub use queue::QueueCounts;
 pub use room_use::RoomUse;
--- a/components/batching/src/pool.rs
+++ b/components/batching/src/pool.rs
@@ -1,7 +1,7 @@
 //! State of a pool at its owner: workers, waiting pieces, calls in progress, and results stored at
 //! workers.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
 use eligibility::{AllowedHalls, Halls};
@@ -28,38 +28,20 @@
     pub(crate) submission: Submission,
     /// When it was submitted.
     pub(crate) submitted: Instant,
-    /// Pieces that are not finished, by number.
-    pub(crate) unfinished: BTreeMap<u32, PieceProgress>,
-    /// Occurrences of its pieces in the queue and in calls whose target has not fetched the inputs
-    /// yet.
+    /// Pieces that are not finished.
+    pub(crate) unfinished: usize,
+    /// Pieces whose target has not fetched the inputs yet.
     pub(crate) unfetched: usize,
 }
 
-/// Progress of a piece that is not finished.
-#[derive(Debug, Clone, Copy, Default)]
-pub(crate) struct PieceProgress {
-    /// Number of failed attempts.
-    pub(crate) failed_attempts: u32,
-    /// Number of calls in progress that make it. All but the latest are overdue.
-    pub(crate) open_calls: u32,
-    /// Whether it waits to be called.
-    pub(crate) is_waiting: bool,
-}
-
-impl PieceProgress {
-    /// Number of calls that made no result so far.
-    pub(crate) fn attempts(&self) -> u32 {
-        self.failed_attempts + self.open_calls
-    }
-}
-
-/// A piece that waits or is in a call. While a call is overdue, its pieces may wait or be in
-/// another call as well.
+/// A piece that waits or is in a call.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PendingPiece {
     pub(crate) job: JobKey,
     /// Number of the piece in its stage.
     pub(crate) piece: u32,
+    /// Number of failed attempts.
+    pub(crate) failed_attempts: u32,
     /// Whether its target has fetched the inputs.
     pub(crate) fetched: bool,
 }
@@ -77,8 +59,6 @@
     /// Room used by this owner's other calls and results at the worker when the call started, in
     /// bytes.
     pub(crate) room_before: u64,
-    /// Whether the answer did not come in time.
-    pub(crate) is_overdue: bool,
 }
 
 /// A pool as seen by its owner.
@@ -211,7 +191,7 @@
         let (unservable, left): (Vec<PendingPiece>, Vec<PendingPiece>) =
             self.waiting.iter().partition(is_unservable);
         self.waiting = left;
-        unservable.iter().filter_map(|piece| self.give_up(piece, PieceOutcome::Failed)).collect()
+        unservable.iter().filter_map(|piece| self.finish(piece, PieceOutcome::Failed)).collect()
     }
 
     /// Returns the submissions that have waiting pieces.
@@ -227,7 +207,13 @@
         let (removed, left) = self.waiting.iter().partition(|waiting| waiting.job == job);
         self.waiting = left;
         let removed: Vec<PendingPiece> = removed;
-        removed.iter().filter_map(|piece| self.give_up(piece, outcome.clone())).collect()
+        removed.iter().filter_map(|piece| self.finish(piece, outcome.clone())).collect()
+    }
+
+    /// Whether this is the only call in progress at its worker.
+    pub fn is_only_call(&self, call: CallKey) -> bool {
+        let Some(worker) = self.calls.get(call).map(|call| call.worker) else { return false };
+        self.calls.values().filter(|other| other.worker == worker).count() == 1
     }
 
     /// Whether no piece waits and no call is in progress.
@@ -244,11 +230,9 @@
     pub fn submit(&mut self, submission: Submission, now: Instant) -> JobKey {
         let pieces = submission.pieces.clone();
         self.grant_limited_pieces(pieces.len());
-        let waiting = PieceProgress { is_waiting: true, ..PieceProgress::default() };
-        let unfinished = pieces.iter().map(|piece| (*piece, waiting)).collect();
-        let unfetched = pieces.len();
+        let (unfinished, unfetched) = (pieces.len(), pieces.len());
         let job = self.jobs.insert(Job { submission, submitted: now, unfinished, unfetched });
-        let pending = |piece| PendingPiece { job, piece, fetched: false };
+        let pending = |piece| PendingPiece { job, piece, failed_attempts: 0, fetched: false };
         self.waiting.extend(pieces.into_iter().map(pending));
         job
     }
--- a/components/batching/src/submission.rs
+++ b/components/batching/src/submission.rs
@@ -79,10 +79,8 @@
     pub fetch_time: Option<Duration>,
     /// Time that the call should take by the pool's configuration.
     pub expected: Duration,
-    /// Time after which the call is overdue; see [`Pool::call_overdue`](crate::Pool::call_overdue).
-    pub overdue_after: Duration,
-    /// Latest deadline of its pieces: later results are useless.
-    pub deadline: Instant,
+    /// Time after which the call is given up.
+    pub timeout: Duration,
 }
 
 /// Results to be released at a worker. Their room counts as used until
@@ -108,7 +106,7 @@
     TargetGone,
     /// The target's hall is unreachable.
     HallUnreachable,
-    /// The call failed, or no answer came while it was of use.
+    /// The call failed or timed out.
     Failed,
 }
 
--- a/components/batching/src/worker.rs
+++ b/components/batching/src/worker.rs
@@ -42,10 +42,8 @@
     /// Moving average of the time that calls take, as a multiple of the time expected from the
     /// pool's configuration.
     pub(crate) slowdown: f64,
-    /// Number of failed and overdue calls since the last answer.
+    /// Number of failed calls since the last answered one.
     failures: u32,
-    /// Start of the earliest overdue call, if the worker has said nothing since.
-    silent_since: Option<Instant>,
     backoff_until: Option<Instant>,
     foreign: Option<ForeignRoom>,
 }
@@ -58,7 +56,6 @@
             room_used: 0,
             slowdown: 1.0,
             failures: 0,
-            silent_since: None,
             backoff_until: None,
             foreign: None,
         }
@@ -83,7 +80,6 @@
     /// Ends the backoff after an answered call and updates the slowdown.
     pub(crate) fn record_answer(&mut self, took: Duration, expected: Duration) {
         self.failures = 0;
-        self.silent_since = None;
         self.backoff_until = None;
         let ratio = took.as_secs_f64() / expected.as_secs_f64().max(f64::EPSILON);
         self.slowdown += SLOWDOWN_WEIGHT * (ratio - self.slowdown);
@@ -91,7 +87,6 @@
 
     /// Starts a backoff because the worker was full.
     pub(crate) fn record_full(&mut self, now: Instant) {
-        self.silent_since = None;
         self.backoff_until = Some(now + FULL_BACKOFF);
     }
 
@@ -100,25 +95,8 @@
         self.backoff_until = Some(now + NO_ROOM_BACKOFF);
     }
 
-    /// Starts a backoff after a failed call.
+    /// Starts a backoff that doubles with each consecutive failure.
     pub(crate) fn record_failure(&mut self, now: Instant) {
-        self.silent_since = None;
-        self.back_off(now);
-    }
-
-    /// Starts a backoff because a call, sent at `sent`, is overdue.
-    pub(crate) fn record_silence(&mut self, sent: Instant, now: Instant) {
-        self.silent_since = self.silent_since.or(Some(sent));
-        self.back_off(now);
-    }
-
-    /// Returns how long the worker has been silent; `None` if no call is overdue.
-    pub(crate) fn silent_for(&self, now: Instant) -> Option<Duration> {
-        self.silent_since.map(|since| now.saturating_duration_since(since))
-    }
-
-    /// Starts a backoff that doubles with each consecutive failed or overdue call.
-    fn back_off(&mut self, now: Instant) {
         let backoff = INITIAL_BACKOFF.saturating_mul(1 << self.failures.min(8)).min(MAX_BACKOFF);
         self.failures = self.failures.saturating_add(1);
         self.backoff_until = Some(now + backoff);
@@ -138,7 +116,7 @@
         (bytes as f64 * left_fraction) as u64
     }
 
-    /// Whether a call of the worker failed or was overdue and none was answered since.
+    /// Whether a call of the worker failed and none was answered since.
     pub(crate) fn last_call_failed(&self) -> bool {
         self.failures > 0
     }
--- a/components/fleet/src/peer.rs
+++ b/components/fleet/src/peer.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use batching::{QueueCounts, Silence};
+use batching::QueueCounts;
 use ids::{HallName, StoreRevision};
 use serde::{Deserialize, Serialize};
 use store_view::{History, KnownContent};
@@ -36,8 +36,6 @@
     pub incoming: f64,
     /// Pieces that the pool can make per second.
     pub rate: f64,
-    /// Silence of all of its workers, if they are.
-    pub silence: Option<Silence>,
     /// When this report was received; for this VM's own load, when it was computed.
     pub received_at: Instant,
 }
@@ -51,14 +49,9 @@
     }
 
     /// Expected time from submission to result of a piece that will be submitted after `delay`.
-    /// `ahead` pieces are queued before it now, some of which will be made by then. Silent workers
-    /// are expected to go on.
+    /// `ahead` pieces are queued before it now, some of which will be made by then.
     pub fn expected_time(&self, delay: Duration, ahead: f64) -> Duration {
-        let wait = self.silence.map_or_else(
-            || self.time_for(ahead),
-            |silence| silence.lasted + Duration::from_secs_f64(ahead / silence.rate.max(1.0)),
-        );
-        wait.saturating_sub(delay) + self.turnaround
+        self.time_for(ahead).saturating_sub(delay) + self.turnaround
     }
 
     /// Time to make `pieces` pieces; a rate below one piece per second counts as one.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -72,7 +72,6 @@
 mod target_announcements;
 mod target_connecting;
 mod target_entries;
-mod unused_results;
 mod version_plans;
 mod whole_answers;
 
--- a/gateway/src/link_messages.rs
+++ b/gateway/src/link_messages.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use batching::{PieceOutcome, QueueCounts, Silence, Submission};
+use batching::{PieceOutcome, QueueCounts, Submission};
 use eligibility::{AllowedHalls, ChangeCursor, Departure};
 use fleet::VmEntry;
 use ids::{HallName, RequestId, ServiceName, StoreRevision, TargetName, VmName};
@@ -96,8 +96,6 @@
                 waiting: encode_queue(&load.queue),
                 late: load.late as u32,
                 coming: load.incoming as u32,
-                silent_ms: load.silence.map_or(0, |silence| millis(silence.lasted).max(1)),
-                rate_after_silence: load.silence.map_or(0.0, |silence| silence.rate as f32),
             })
             .collect(),
         rollouts: shared
@@ -172,14 +170,10 @@
             let queue = decode_queue(&pool.waiting);
             let (rate, incoming) = (f64::from(pool.rate), f64::from(pool.coming));
             let late = f64::from(pool.late);
-            let silence = (pool.silent_ms > 0).then(|| Silence {
-                lasted: Duration::from_millis(u64::from(pool.silent_ms)),
-                rate: f64::from(pool.rate_after_silence),
-            });
-            let received_at = now;
-            let load =
-                fleet::PoolLoad { turnaround, rate, queue, late, incoming, silence, received_at };
-            (pool.pool.clone(), load)
+            (
+                pool.pool.clone(),
+                fleet::PoolLoad { turnaround, rate, queue, late, incoming, received_at: now },
+            )
         });
         shared.targets.record_peer_load(peer_hash(vm), &loads, now);
         for BrittleService { service, limit, said_ms, requests } in &beat.brittle {
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -27,6 +27,8 @@
     NotReached,
     /// The connection ended before the answer was complete.
     Broke,
+    /// No answer arrived in time.
+    TimedOut,
     /// The answer has an error status.
     Failed,
 }
@@ -35,7 +37,7 @@
 ///
 /// # Errors
 /// Why there is no answer with a success status. There is no timeout here: the calling functions
-/// set their own.
+/// set their own, for which [`OwnCallError::TimedOut`] is meant.
 pub(crate) async fn own_call(
     app: &Rc<App>,
     target: &Target,
--- a/gateway/src/owner_selection.rs
+++ b/gateway/src/owner_selection.rs
@@ -160,7 +160,6 @@
             late: late as f64,
             incoming: self.incoming_pieces(name, now),
             rate: pool.rate(now),
-            silence: pool.silence(now),
             received_at: now,
         })
     }
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -8,10 +8,9 @@
 
 use batching::{Call, CallEnd, CallKey, FinishedPiece, JobKey, PieceOutcome, Pool};
 use ids::ServiceName;
-use platform_interface::calls::{OwnCall, PieceCall};
+use platform_interface::calls::{OwnCall, PieceAnswer, PieceCall};
 use slog::info;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
 
 use crate::app::App;
 use crate::call_counts::{PieceCounts, end_name};
@@ -19,14 +18,13 @@
 use crate::own_calls::{OwnCallError, own_call};
 use crate::permits::Permit;
 use crate::piece_events::{PeerSink, PieceEvent, Sink};
-use crate::state_handle::{now, time_until};
+use crate::state_handle::now;
 use crate::{
     crashes, hall_reachability, input_fetches, link_messages, permits, releases, target_connecting,
-    unused_results,
 };
 
-/// Time to read an answer that has already arrived when its call is overdue: a VM that was paused
-/// has not read it yet, and would call the pieces again.
+/// Time to read an answer that has already arrived when its call times out. A VM that was paused
+/// has not read it yet, and nobody else learns the results' handles.
 const LAST_READ_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// Makes the calls of a pool that can be made now, and schedules the next check of its queue.
@@ -157,13 +155,11 @@
     if end == CallEnd::TargetGone {
         app.state.with(|shared, now| shared.target_replaced(&call.target, now));
     }
-    let made = unused_results::results_of(&end);
     let (finished, pending_releases) =
         app.state.with(|shared, now| match shared.pools.get_mut(&pool) {
             Some(pool) => (pool.call_ended(call.key, end, now), pool.release_queued()),
             None => (Vec::new(), Vec::new()),
         });
-    unused_results::release(&app, made, &finished, &pending_releases);
     releases::reclaim(&app, &pool, pending_releases);
     deliver(&app, &pool, finished);
     dispatch_calls(&app, &pool);
@@ -172,8 +168,8 @@
 /// The connection of a call ended before its answer was complete.
 struct ConnectionBroke;
 
-/// Sends a pool's call and waits for its end. Once the call is overdue, its pieces may be made
-/// elsewhere as well: its worker may be silent for a while and then go on.
+/// Sends a pool's call and, meanwhile, notifies the waiting requests when its inputs have been
+/// fetched.
 async fn send(
     app: &Rc<App>,
     pool: &ServiceName,
@@ -181,62 +177,63 @@
     req: OwnCall,
     permit: Permit,
 ) -> Result<CallEnd, ConnectionBroke> {
-    let mut end = std::pin::pin!(wait_for_end(app, call, req, permit));
-    let in_time = notify_once_fetched(app, pool, call, &mut end);
-    if let Ok(end) = timeout(call.overdue_after, in_time).await {
-        return end;
-    }
-    if let Ok(end) = timeout(LAST_READ_TIMEOUT, &mut end).await {
-        return end;
-    }
-    call_overdue(app, pool, call);
-    let life = app.state.with(|shared, _| shared.pools.get(pool).map(Pool::result_life));
-    let limit = time_until(call.deadline).max(life.unwrap_or_default());
-    timeout(limit, end).await.unwrap_or(Ok(CallEnd::Failed))
-}
-
-/// Sends a call; returns its end: the answer, or that the worker's hall became unreachable.
-async fn wait_for_end(
-    app: &Rc<App>,
-    call: &Call,
-    req: OwnCall,
-    permit: Permit,
-) -> Result<CallEnd, ConnectionBroke> {
+    let mut sent = Box::pin({
+        let (app, target) = (Rc::clone(app), call.target.clone());
+        async move { own_call(&app, &target, req, permit).await }
+    });
+    let mut timeout = std::pin::pin!(tokio::time::sleep(call.timeout));
+    let mut fetch = std::pin::pin!(input_fetches::wait_until_fetched(app, call));
     let mut unreachable = app.unreachable_halls.subscribe();
-    tokio::select! {
-        sent = own_call(app, &call.target, req, permit) => call_end(app, sent),
-        () = hall_reachability::until_unreachable(&mut unreachable, &call.target.hall) =>
-            Ok(CallEnd::HallUnreachable),
+    let mut fetch_pending = true;
+    loop {
+        tokio::select! {
+            sent = &mut sent => return call_end(app, sent),
+            () = &mut timeout => {
+                let arrived = tokio::time::timeout(LAST_READ_TIMEOUT, &mut sent).await;
+                if arrived.is_err() && is_running(app, pool, call.key) {
+                    spawn_local(release_late_results(Rc::clone(app), pool.clone(), sent));
+                }
+                if arrived.is_err() {
+                    target_connecting::check_path(app, &call.target);
+                }
+                return call_end(app, arrived.unwrap_or(Err(OwnCallError::TimedOut)));
+            }
+            () = &mut fetch, if fetch_pending => {
+                fetch_pending = false;
+                notify_fetched(app, pool, call.key);
+            }
+            () = hall_reachability::until_unreachable(&mut unreachable, &call.target.hall) =>
+                return Ok(CallEnd::HallUnreachable),
+        }
     }
 }
 
-/// Waits for the end of a call and, meanwhile, notifies the waiting requests when its inputs have
-/// been fetched.
-async fn notify_once_fetched<T>(
-    app: &Rc<App>,
-    pool: &ServiceName,
-    call: &Call,
-    end: impl Future<Output = T> + Unpin,
-) -> T {
-    let mut end = end;
-    tokio::select! {
-        end = &mut end => return end,
-        () = input_fetches::wait_until_fetched(app, call) => notify_fetched(app, pool, call.key),
-    }
-    end.await
+/// Whether the worker is taken to be running a call: it is the only call of this VM there. Closing
+/// the connection does not stop a running call. If this VM has another call there, this one may
+/// still wait in the worker's queue, and closing the connection removes it from that queue.
+fn is_running(app: &App, pool: &ServiceName, call: CallKey) -> bool {
+    app.state.with(|shared, _| shared.pools.get(pool).is_some_and(|pool| pool.is_only_call(call)))
 }
 
-/// Lets the pieces of an overdue call be made elsewhere as well.
-fn call_overdue(app: &Rc<App>, pool: &ServiceName, call: &Call) {
-    info!(app.log, "pool call overdue"; "pool" => %pool, "target" => %call.target.id,
-        "pieces" => call.pieces.len());
-    app.state.with(|shared, now| {
-        if let Some(pool) = shared.pools.get_mut(pool) {
-            pool.call_overdue(call.key, now);
-        }
+/// Releases the results of a call that timed out, once the worker has made them: nobody else learns
+/// their handles.
+async fn release_late_results(
+    app: Rc<App>,
+    pool: ServiceName,
+    sent: impl Future<Output = Result<bytes::Bytes, OwnCallError>>,
+) {
+    let life = app.state.with(|shared, _| shared.pools.get(&pool).map(Pool::result_life));
+    let Ok(Ok(body)) = tokio::time::timeout(life.unwrap_or_default(), sent).await else { return };
+    let Ok(answers) = (app.adapter.calls.read_pool_answer)(&body) else { return };
+    let handles = answers.into_iter().filter_map(|answer| match answer {
+        PieceAnswer::Stored(handle) => Some(handle),
+        _ => None,
     });
-    target_connecting::check_path(app, &call.target);
-    dispatch_calls(app, pool);
+    let handles: Vec<String> = handles.collect();
+    info!(app.log, "results of a late answer released"; "pool" => %pool,
+        "results" => handles.len());
+    app.metrics.results_given_up("late_answer", handles.len());
+    drop(releases::release_as_owner(&app, handles));
 }
 
 /// Tells the waiting requests that their inputs are no longer needed, so that these can be released
@@ -293,7 +290,9 @@
         Err(OwnCallError::Declined) => CallEnd::Full,
         Err(OwnCallError::OtherTarget) => CallEnd::TargetGone,
         Err(OwnCallError::Broke) => return Err(ConnectionBroke),
-        Err(OwnCallError::NotReached | OwnCallError::Failed) => CallEnd::Failed,
+        Err(OwnCallError::NotReached | OwnCallError::TimedOut | OwnCallError::Failed) => {
+            CallEnd::Failed
+        }
     })
 }
 
