Review, case 2: an entry whose key holds a space stops every listing of the store

Another writer's entry ends a page of the runners' entries, and its key holds a space. VMs that start never read the next page: they know 3 of 6 runners, and no configuration reaches them any more, so that requests with a key that was taken away go on to run (CONFIG).

--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! What the cases share: a small deployment of entry VMs as processes of their own, started with the
 //! command of the deploy file, and the record of what was seen.
 
+pub mod store;
+
 use std::fs::File;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
