Bound the time of a failure's body on a streaming route

Callers of a streaming route got no answer at all when a target sent the head of a failure and half of its body and then nothing more: neither the failure nor a 504 at the route's time.

Cause: an answer of a streaming route without a success status was read after `first_answer` had returned, and `first_answer` is what bounds the time of attempts. The same wait on routes without streams lies inside of it. Ruled out: the caller's connection (its log line has no close) and the target's choice (each such request had reached the faulty target).

Change: the body is read within the attempt. The target's outcome follows from the head, whether or not the body arrives, so that its next requests go elsewhere at once. A body that breaks off may be tried again where that is allowed, as on other routes.

The new test fails on the code before (no answer within 20 s) and passes.

--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -108,7 +108,7 @@
                 let stream = Stream::new(attempts, size, reader, first, results);
                 return Ok(Started::Stream(Box::new(stream), head));
             }
-            Ok(Ok(Reply::Whole(answer))) => return whole_answer(app, req, *answer).await,
+            Ok(Ok(Reply::Whole(answer))) => return Ok(Started::Whole(answer)),
             Ok(Err(error)) => error,
             Err(rejection) => return Err(rejection),
         };
@@ -197,8 +197,8 @@
 enum Reply {
     /// A stream, with its first event if it has any.
     Stream(Box<EventReader>, Vec<Event>),
-    /// An answer with another status than success, which is no stream.
-    Whole(Box<Answer>),
+    /// An answer with another status than success, which is no stream, read to its end.
+    Whole(Response<AnswerBody>),
 }
 
 /// Sends the request and reads its answer up to the first event.
@@ -214,7 +214,7 @@
         Err(error) => return Ok(Err(error)),
     };
     if !answer.head.status.is_success() {
-        return Ok(Ok(Reply::Whole(Box::new(answer))));
+        return Ok(whole_answer(attempts, answer).await.map(Reply::Whole));
     }
     let mut reader = EventReader::new(attempts.app(), answer);
     let next = tokio::select! {
@@ -244,27 +244,32 @@
     }
 }
 
-/// Forwards an answer that is no stream.
+/// Reads an answer that is no stream. Its time is bounded by that of the attempt.
 async fn whole_answer(
-    app: &Rc<App>,
-    req: &AcceptedRequest,
+    attempts: &Attempts,
     answer: Answer,
-) -> Result<Started, Refusal> {
+) -> Result<Response<AnswerBody>, AttemptError> {
+    let (app, req) = (attempts.app(), attempts.req());
     let Answer { head, parsed, body, connection, mut attempt } = answer;
-    let Ok(body) = body.collect().await else {
-        crashes::check_broken_connection(app, req, &attempt).await;
-        return Err(Refusal::Failed);
-    };
-    if !parsed.closes {
-        app.keep_connection(connection, parsed.keep_alive);
-    }
-    crashes::request_completed(app, req);
+    // What the head says of the target holds whether or not the body arrives.
     attempt.end(if head.status.is_server_error() {
         TargetOutcome::OwnFailure
     } else {
         TargetOutcome::Answered
     });
-    Ok(Started::Whole(answer_head(app, &head).map(|()| whole(body.to_bytes()))))
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            crashes::check_broken_connection(app, req, &attempt).await;
+            attempts.set_may_have_run();
+            return Err(AttemptError::Lost(e.to_string()));
+        }
+    };
+    if !parsed.closes {
+        app.keep_connection(connection, parsed.keep_alive);
+    }
+    crashes::request_completed(app, req);
+    Ok(answer_head(app, &head).map(|()| whole(body)))
 }
 
 /// The head of an answer to the caller.
--- a/standins/src/serving_path/behavior.rs
+++ b/standins/src/serving_path/behavior.rs
@@ -2,6 +2,25 @@
 
 use std::time::Duration;
 
+/// A part of what a runner sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Part {
+    /// The head of an answer.
+    Head,
+    /// Informational answers before the head.
+    Interim,
+    /// The body of a successful answer.
+    Success,
+    /// The body of a 500.
+    Failure,
+    /// The body of a 503 that says that the request has not run.
+    Decline,
+    /// An event of a stream.
+    Event,
+    /// What follows a whole answer.
+    Tail,
+}
+
 /// How a runner handles a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Behavior {
@@ -43,6 +62,10 @@
     Hang(Duration),
     /// It sends half of a complete answer, and the rest after this time.
     SlowAnswer(Duration),
+    /// It sends half of this part and then nothing more; the connection stays open.
+    Stall(Part),
+    /// It sends this part without an end, until the VM closes the connection.
+    Endless(Part),
     /// It streams events up to this number.
     Stream(u64),
     /// It streams events up to this number from the first on, ignoring `Last-Event-Id`.
@@ -63,6 +86,19 @@
 }
 
 impl Behavior {
+    /// Whether the runner says that it did not run the request.
+    pub(super) fn declines(&self) -> bool {
+        matches!(
+            self,
+            Behavior::Decline
+                | Behavior::DeclineFor(_)
+                | Behavior::Misdirected
+                | Behavior::InputGone
+                | Behavior::Stall(Part::Decline)
+                | Behavior::Endless(Part::Decline)
+        )
+    }
+
     /// Whether the runner answers at once and the VM accepts the answer as this runner's. Only in
     /// such an answer do the runner's notices count: that it is leaving, and its rate limit.
     pub(super) fn answers_at_once(&self) -> bool {
@@ -74,6 +110,8 @@
             | Behavior::Unsigned
             | Behavior::Encoded
             | Behavior::LateStream(..)
+            | Behavior::Stall(Part::Head | Part::Interim)
+            | Behavior::Endless(Part::Head | Part::Interim)
             | Behavior::Hang(_) => false,
             Behavior::Answer
             | Behavior::Large(_)
@@ -82,6 +120,8 @@
             | Behavior::DeclineFor(_)
             | Behavior::CutBody
             | Behavior::Extra
+            | Behavior::Stall(_)
+            | Behavior::Endless(_)
             | Behavior::Unframed
             | Behavior::ResetUnframed
             | Behavior::UnframedStream(..)
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -8,6 +8,7 @@
 mod behavior;
 pub mod callers;
 pub mod crashing;
+mod endless;
 pub mod faulty_link;
 pub mod removal_soak;
 pub mod runners;
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -12,7 +12,7 @@
 
 use serde_json::{Value, json};
 
-pub use super::behavior::Behavior;
+pub use super::behavior::{Behavior, Part};
 use super::silence::Silence;
 use super::{HttpConnection, HttpMessage, response_bytes, serve_connections};
 
@@ -343,14 +343,7 @@
             behavior
         });
         let behavior = if expected == self.id { behavior } else { Behavior::Misdirected };
-        let not_run = matches!(
-            behavior,
-            Behavior::Decline
-                | Behavior::DeclineFor(_)
-                | Behavior::Misdirected
-                | Behavior::InputGone
-        );
-        if !not_run {
+        if !behavior.declines() {
             self.with(|state| state.ran.push(id.clone()));
         }
         self.respond(conn, &behavior, &id, req)
@@ -464,6 +457,8 @@
                 self.silence.work(*time);
                 written && conn.write(rest)
             }
+            Behavior::Stall(part) => self.stall(conn, *part, id),
+            Behavior::Endless(part) => self.send_endlessly(conn, *part, id),
             Behavior::Stream(events) => {
                 self.stream(conn, id, req, &StreamPlan { last: *events, ..StreamPlan::default() })
             }
--- a/standins/src/serving_path/stage_calls.rs
+++ b/standins/src/serving_path/stage_calls.rs
@@ -49,6 +49,8 @@
                 return conn.write(&self.reply("503 Full", &refusal, b""));
             }
             Behavior::Lose => return false,
+            Behavior::Stall(part) => return self.stall(conn, part, ""),
+            Behavior::Endless(part) => return self.send_endlessly(conn, part, ""),
             _ => {}
         }
         self.silence.work(FETCH_TIME);
