Bound the memory that bodies of answers take together

A target whose answers have no end brought a VM past its memory, at which the platform kills it with all that it serves; callers saw closed connections.

Cause: bodies were collected whatever their size until the request's time was over. Ruled out as a fix: a limit for each body alone. Hundreds of bodies just below a limit that leaves sound answers whole take more than a small VM has.

Change: all bodies share a third of the process' memory (`memory_mb`, a new setting), while they are read and until their callers have them. The attempt counts as failed, and another target is tried where that is allowed. A read takes its bounds in bytes and time as a type, and the log and a metric tell "too long", "too late" and "broken off" apart.

--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -25,6 +25,8 @@
     pub const COST: &str = "saddlerail_stage_cost";
     /// Number of responses that were discarded because they named another attempt, by target.
     pub const MISMATCHED_ANSWERS: &str = "saddlerail_crossed_answers";
+    /// Number of answers whose body was not read to its end, by service and cause.
+    pub const ANSWERS_NOT_READ: &str = "saddlerail_answers_not_read";
     /// Bytes of control messages exchanged with peers, by direction.
     pub const CONTROL_BYTES: &str = "saddlerail_control_bytes";
     /// Number of calls to the platform, by kind and result.
@@ -80,7 +82,7 @@
     /// Whether this VM is cut off from targets: 1 or 0.
     pub const CUT_OFF: &str = "saddlerail_cut_off";
     /// Names of all metrics, for the test that compares them with the documentation.
-    pub const ALL: [&str; 28] = [
+    pub const ALL: [&str; 29] = [
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -108,6 +110,7 @@
         CONNECTIONS_ENDED_WITH_WORK,
         CONNECTIONS_RELAYED,
         RELAYS_SERVED,
+        ANSWERS_NOT_READ,
         CUT_OFF,
     ];
 }
@@ -121,6 +124,7 @@
     attempts: Counter<u64>,
     cost: Counter<u64>,
     mismatched_answers: Counter<u64>,
+    answers_not_read: Counter<u64>,
     control_bytes: Counter<u64>,
     platform_calls: Counter<u64>,
     in_work: Gauge<u64>,
@@ -168,6 +172,7 @@
                 .build(),
             attempts: meter.u64_counter(metric_names::ATTEMPTS).build(),
             cost: meter.u64_counter(metric_names::COST).build(),
+            answers_not_read: meter.u64_counter(metric_names::ANSWERS_NOT_READ).build(),
             mismatched_answers: meter.u64_counter(metric_names::MISMATCHED_ANSWERS).build(),
             control_bytes: meter.u64_counter(metric_names::CONTROL_BYTES).build(),
             platform_calls: meter.u64_counter(metric_names::PLATFORM_CALLS).build(),
@@ -307,6 +312,12 @@
         self.mismatched_answers.add(1, &[KeyValue::new("target", target.to_owned())]);
     }
 
+    /// Counts an answer whose body was not read to its end.
+    pub fn answer_not_read(&self, service: &str, why: &'static str) {
+        let labels = [KeyValue::new("service", service.to_owned()), KeyValue::new("why", why)];
+        self.answers_not_read.add(1, &labels);
+    }
+
     /// Adds the sizes of control messages, in bytes.
     pub fn control_bytes(&self, sent: u64, received: u64) {
         self.control_bytes.add(sent, &[KeyValue::new("direction", "sent")]);
--- a/gateway/src/answers.rs
+++ b/gateway/src/answers.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Empty};
 use hyper::Response;
 use ids::RequestId;
 use platform_interface::callers::Refusal;
 
+use crate::answer_memory::WholeBody;
 use crate::app::App;
 
 /// Error of a stream that ended early. It makes the connection close without the last chunk, so
@@ -30,14 +31,19 @@
 pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, StreamCut>;
 
 /// A body whose bytes are complete.
-pub(crate) fn whole(body: Bytes) -> AnswerBody {
-    Full::new(body).map_err(|never: Infallible| match never {}).boxed_unsync()
+pub(crate) fn whole(body: WholeBody) -> AnswerBody {
+    body.map_err(|never: Infallible| match never {}).boxed_unsync()
+}
+
+/// A body without bytes.
+fn empty() -> AnswerBody {
+    Empty::new().map_err(|never: Infallible| match never {}).boxed_unsync()
 }
 
 /// The answer for a refusal, in the form that the platform prescribes.
 pub(crate) fn refusal(app: &App, refusal: Refusal, id: Option<&RequestId>) -> Response<AnswerBody> {
     let (status, headers) = (app.adapter.callers.refuse)(refusal, id);
-    let mut answer = Response::new(whole(Bytes::new()));
+    let mut answer = Response::new(empty());
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
     answer
--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -16,6 +16,7 @@
 use telemetry::Metrics;
 use tokio::sync::Notify;
 
+use crate::answer_memory::AnswerMemory;
 use crate::caller_connections::CallerConnections;
 use crate::connections::Connections;
 use crate::held_results::HeldResults;
@@ -32,6 +33,8 @@
     pub(crate) adapter: PlatformAdapter,
     /// Access to the shared state.
     pub(crate) state: StateHandle,
+    /// Memory for the bodies of answers.
+    pub(crate) answer_memory: AnswerMemory,
     /// Connections to targets.
     pub(crate) connections: Connections,
     pub(crate) log: Logger,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod active_requests;
 mod admission;
+pub mod answer_memory;
 mod answer_progress;
 mod answers;
 mod app;
 mod attempts;
+mod bounded_reads;
 mod call_counts;
 mod caller_connections;
 mod caller_stream;
@@ -21,6 +23,7 @@
 pub mod events;
 mod hall_reachability;
 mod halls;
+
 mod held_results;
 mod http_endpoints;
 pub mod idle_rest;
@@ -70,6 +73,7 @@
 mod streams;
 mod submissions;
 mod target_announcements;
+mod target_answers;
 mod target_connecting;
 mod target_entries;
 mod version_plans;
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -19,6 +19,7 @@
 use tokio::task::{JoinHandle, LocalSet, spawn_local};
 use tokio::time::{interval, sleep};
 
+use crate::answer_memory::AnswerMemory;
 use crate::app::App;
 use crate::caller_connections::CallerConnections;
 use crate::connections::Connections;
@@ -55,6 +56,7 @@
     let result = runtime.block_on(tasks.run_until(async move {
         let app = Rc::new(App {
             state: StateHandle::new(shared),
+            answer_memory: AnswerMemory::new(cfg.answer_memory_bytes()),
             cfg,
             adapter,
             connections: Connections::default(),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -34,6 +34,9 @@
     /// CPU cores that the process may use; a VM with more cores owns a larger share of the pools.
     #[serde(default = "default_cores")]
     pub cores: f64,
+    /// Memory that the process may use, in megabytes; a third of it is for bodies of answers.
+    #[serde(default = "default_memory_mb")]
+    pub memory_mb: f64,
     /// Peers to contact while the store doesn't list any.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -74,6 +77,11 @@
     1.0
 }
 
+/// In megabytes; a small VM has as much.
+fn default_memory_mb() -> f64 {
+    256.0
+}
+
 /// In milliseconds; operators expect changes to take effect within seconds.
 fn default_in_force_ms() -> u64 {
     2000
@@ -86,8 +94,18 @@
         let limit_ms = self.evacuation_ms.map_or(self.in_force_ms, |ms| ms.min(self.in_force_ms));
         Duration::from_millis(limit_ms)
     }
+
+    /// Bytes that bodies of answers may take together.
+    pub(crate) fn answer_memory_bytes(&self) -> usize {
+        (self.memory_mb * MEGABYTE / ANSWER_MEMORY_DIVISOR) as usize
+    }
 }
 
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
+/// Fraction (1/n) of the process' memory that bodies of answers may take.
+const ANSWER_MEMORY_DIVISOR: f64 = 3.0;
+
 /// How far a cold target may exceed the rate that its service declares: `rate * overshoot + slack`.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
 #[serde(from = "RawColdMargin")]
@@ -299,6 +317,7 @@
     let ranges = [
         ("in_force_ms", cfg.in_force_ms as f64, 10.0, 600_000.0),
         ("cores", cfg.cores, 0.001, 1024.0),
+        ("memory_mb", cfg.memory_mb, 16.0, 1e6),
         ("evacuation_ms", cfg.evacuation_ms.unwrap_or(cfg.in_force_ms) as f64, 10.0, 600_000.0),
         ("cold.overshoot", cfg.cold.overshoot, 1.0, MAX_OVERSHOOT),
         ("cold.slack", cfg.cold.slack, 0.0, f64::MAX),
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use platform_interface::callers::Refusal;
-use selection::{CallSize, TargetOutcome};
+use selection::CallSize;
 use slog::info;
 use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
@@ -15,7 +15,7 @@
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
-use crate::attempts::{Answer, AttemptError, AttemptState, Attempts, HALL_UNREACHABLE};
+use crate::attempts::{AttemptError, AttemptState, Attempts, HALL_UNREACHABLE};
 use crate::events::Event;
 use crate::missing_inputs::Cause;
 use crate::overlapping_attempts::{Attempted, Attempting, OverlapRules, first_answer};
@@ -27,6 +27,7 @@
 use crate::stream_forwarding::{EventBody, Stream, forward};
 use crate::stream_reader::{EventReader, NextEvent};
 use crate::stream_takeover::OVERLAP;
+use crate::target_answers::read_whole;
 use crate::whole_answers::outcome_of;
 use crate::{active_requests, admission, crashes, stream_origins};
 
@@ -87,11 +88,12 @@
     loop {
         let size = call_size(app, req, results.as_ref());
         let inputs = results.as_ref().map(StageResults::inputs).unwrap_or_default();
+        let rules = overlap_rules(req, deadline);
+        let until = rules.until;
         let begin = |state: Rc<AttemptState>| -> Attempting<'_, Reply> {
             let (attempts, size, inputs) = (&attempts, &size, &inputs);
-            Box::pin(async move { first_event(attempts, &state, size, inputs).await })
+            Box::pin(async move { first_event(attempts, &state, size, inputs, until).await })
         };
-        let rules = overlap_rules(req, deadline);
         let attempting = first_answer(&attempts, &rules, begin);
         let error = match release_once_fetched(attempting, req, results.as_mut()).await {
             Ok(Ok(Reply::Stream(reader, first))) => {
@@ -207,6 +209,7 @@
     state: &AttemptState,
     size: &CallSize,
     inputs: &[String],
+    until: TokioInstant,
 ) -> Attempted<Reply> {
     let last_event = attempts.req().head.last_event;
     let answer = match attempts.send(state, Some(size), inputs, last_event).await? {
@@ -214,7 +217,11 @@
         Err(error) => return Ok(Err(error)),
     };
     if !answer.head.status.is_success() {
-        return Ok(whole_answer(attempts, answer).await.map(Reply::Whole));
+        let read = read_whole(attempts, answer, until).await;
+        let app = attempts.app();
+        return Ok(
+            read.map(|(head, body)| Reply::Whole(answer_head(app, &head).map(|()| whole(body))))
+        );
     }
     let mut reader = EventReader::new(attempts.app(), answer);
     let next = tokio::select! {
@@ -244,34 +251,6 @@
     }
 }
 
-/// Reads an answer that is no stream. Its time is bounded by that of the attempt.
-async fn whole_answer(
-    attempts: &Attempts,
-    answer: Answer,
-) -> Result<Response<AnswerBody>, AttemptError> {
-    let (app, req) = (attempts.app(), attempts.req());
-    let Answer { head, parsed, body, connection, mut attempt } = answer;
-    // What the head says of the target holds whether or not the body arrives.
-    attempt.end(if head.status.is_server_error() {
-        TargetOutcome::OwnFailure
-    } else {
-        TargetOutcome::Answered
-    });
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            crashes::check_broken_connection(app, req, &attempt).await;
-            attempts.set_may_have_run();
-            return Err(AttemptError::Lost(e.to_string()));
-        }
-    };
-    if !parsed.closes {
-        app.keep_connection(connection, parsed.keep_alive);
-    }
-    crashes::request_completed(app, req);
-    Ok(answer_head(app, &head).map(|()| whole(body)))
-}
-
 /// The head of an answer to the caller.
 fn answer_head(app: &App, head: &http::response::Parts) -> Response<()> {
     let mut answer = Response::new(());
--- a/gateway/src/whole_answers.rs
+++ b/gateway/src/whole_answers.rs
@@ -3,18 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::Response;
 use platform_interface::callers::Refusal;
-use selection::TargetOutcome;
+use tokio::time::Instant;
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
-use crate::attempts::{Answer, AttemptError, AttemptState, Attempts};
-use crate::crashes;
+use crate::attempts::{AttemptError, AttemptState, Attempts};
 use crate::overlapping_attempts::{Attempted, Attempting, OverlapRules, first_answer};
 use crate::requests::AcceptedRequest;
 use crate::state_handle::now;
+use crate::target_answers::read_whole;
 
 /// A repeatable request is sent to another target as well if no answer arrived within this many latency
 /// goals.
@@ -28,7 +27,7 @@
     req: &Rc<AcceptedRequest>,
 ) -> (Response<AnswerBody>, &'static str) {
     let attempts = Attempts::new(app, req);
-    let reply_by = tokio::time::Instant::from_std(req.deadline - REPLY_MARGIN);
+    let reply_by = Instant::from_std(req.deadline - REPLY_MARGIN);
     let may_retry = req.entry.repeatable && req.entry.max_attempts > 1;
     let rules = OverlapRules {
         retry_after: may_retry.then(|| req.entry.latency_goal * ATTEMPT_LATENCY_GOALS),
@@ -39,14 +38,14 @@
     loop {
         let begin = |state: Rc<AttemptState>| -> Attempting<'_, Served> {
             let attempts = &attempts;
-            Box::pin(async move { try_targets(app, attempts, &state).await })
+            Box::pin(async move { try_targets(app, attempts, &state, reply_by).await })
         };
         let error = match first_answer(&attempts, &rules, begin).await {
             Ok(Ok(answer)) => return answer,
             Ok(Err(error)) => error,
             Err(reason) => return (refusal(app, reason, Some(&req.id)), outcome_of(reason)),
         };
-        let expired = tokio::time::Instant::now() >= reply_by;
+        let expired = Instant::now() >= reply_by;
         if expired || !attempts.take_retry(&error) {
             let reason = match (expired, attempts.may_have_run()) {
                 (true, true) => Refusal::TimedOut,
@@ -77,35 +76,27 @@
     app: &Rc<App>,
     attempts: &Attempts,
     state: &AttemptState,
+    until: Instant,
 ) -> Attempted<Served> {
     let answer = match attempts.send(state, None, &[], None).await? {
         Ok(answer) => answer,
         Err(error) => return Ok(Err(error)),
     };
-    let Answer { head, parsed, body, connection, mut attempt } = answer;
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            crashes::check_broken_connection(app, attempts.req(), &attempt).await;
-            attempt.end(TargetOutcome::Failed);
-            attempts.set_may_have_run();
-            return Ok(Err(AttemptError::Lost(e.to_string())));
-        }
-    };
-    if !parsed.closes {
-        app.keep_connection(connection, parsed.keep_alive);
+    let sent_at = answer.attempt.sent_at();
+    let own_failure = answer.head.status.is_server_error();
+    if own_failure {
+        attempts.set_may_have_run();
     }
-    // A target that answers with an error of its own has survived the request as well.
-    crashes::request_completed(app, attempts.req());
-    let took = now() - attempt.sent_at();
+    let (head, body) = match read_whole(attempts, answer, until).await {
+        Ok(answer) => answer,
+        Err(error) => return Ok(Err(error)),
+    };
+    let took = now() - sent_at;
     app.state.with(|shared, _| shared.record_response_time(&attempts.req().entry.name, took));
-    let own_failure = head.status.is_server_error();
-    attempt.end(if own_failure { TargetOutcome::OwnFailure } else { TargetOutcome::Answered });
     if own_failure {
-        attempts.set_may_have_run();
         let error = AttemptError::Lost(format!("status {}", head.status.as_u16()));
         if attempts.take_retry(&error) {
-            return Box::pin(try_targets(app, attempts, state)).await;
+            return Box::pin(try_targets(app, attempts, state, until)).await;
         }
     }
     let mut answer = Response::new(whole(body));
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -166,6 +166,15 @@
         self.signal("-CONT");
     }
 
+    /// The most memory that the process has taken so far, in megabytes; 0 if it has ended.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
+        kilobytes.unwrap_or(0) * 1024 / 1_000_000
+    }
+
     /// Waits for the end of the process; returns the exit code.
     pub fn wait_exit(&mut self) -> Option<i32> {
         let mut code = None;
--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -3,14 +3,106 @@
 // A failing `expect` in a fixture fails the test.
 #![allow(clippy::expect_used)]
 
+use std::thread::spawn;
 use std::time::{Duration, Instant};
 
-use standins::serving_path::runners::{Behavior, Part};
-use standins::serving_path::site::{Site, get, send_expecting_answer};
+use standins::serving_path::HttpMessage;
+use standins::serving_path::callers::Call;
+use standins::serving_path::runners::{Behavior, Part, Runner};
+use standins::serving_path::site::{Site, Vm, get, post, send_expecting_answer};
 
 /// When an answer has to be there: the request's time, which is 2 s, and half a second.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
 
+/// Memory of a small VM, in megabytes; a process that takes more is killed.
+const MEMORY_MB: u64 = 260;
+/// Callers that meet answers without an end at a time.
+const CALLERS: usize = 24;
+/// Size of a large sound answer, in bytes.
+const LARGE: usize = 8_000_000;
+
+/// Sends requests at a time; returns the answers and how long each took.
+fn send_at_once(calls: Vec<Call>, vm: &Vm) -> Vec<(Option<HttpMessage>, Duration)> {
+    let address = vm.callers;
+    let send = |call: Call| {
+        spawn(move || {
+            let began = Instant::now();
+            let answer = call.send(address);
+            (answer, began.elapsed())
+        })
+    };
+    let sending: Vec<_> = calls.into_iter().map(send).collect();
+    sending.into_iter().map(|sending| sending.join().expect("a caller")).collect()
+}
+
+/// Has runners handle all their next requests in this way.
+fn behave(runners: &[Runner], behavior: &Behavior) {
+    for runner in runners {
+        runner.clear_script();
+        runner.queue_behaviors(&vec![behavior.clone(); 4 * CALLERS]);
+    }
+}
+
+fn calls(path: &str, name: &str, count: usize) -> Vec<Call> {
+    let call = |number| {
+        let id = format!("{name}-{number}-{}", path.trim_matches('/'));
+        if path == "/once/" { post(path, &id) } else { get(path, &id) }
+    };
+    (0..count).map(call).collect()
+}
+
+/// Checks that all callers have an answer in time, and that none has a success.
+fn assert_all_fail_in_time(answers: &[(Option<HttpMessage>, Duration)], what: &str) {
+    for (answer, took) in answers {
+        let status = answer.as_ref().map_or(0, HttpMessage::status);
+        assert!(status >= 500, "{what}: {status} after {took:?}");
+        assert!(*took < ANSWERED_WITHIN, "{what}: {status} after {took:?}");
+    }
+}
+
+/// Guards against VMs that are killed for their memory, because answers without an end were kept
+/// until their requests' time was over.
+#[test]
+fn answers_without_an_end_take_bounded_memory_and_time() {
+    let site = Site::start();
+    let vm = site.start_vm("endless-bodies", "");
+    let cases = [
+        ("/once/", &site.plain, Part::Success),
+        ("/once/", &site.plain, Part::Failure),
+        ("/repeat/", &site.plain, Part::Success),
+        ("/repeat/", &site.plain, Part::Failure),
+        ("/stream/", &site.engines, Part::Failure),
+    ];
+    for (path, runners, part) in cases {
+        let what = format!("{path} {part:?}");
+        behave(runners, &Behavior::Endless(part));
+
+        let answers = send_at_once(calls(path, &format!("{part:?}"), CALLERS), &vm);
+
+        assert_all_fail_in_time(&answers, &what);
+        let peak = vm.peak_memory_mb();
+        assert!(peak > 0 && peak < MEMORY_MB, "{what}: {peak} MB");
+    }
+}
+
+/// Guards against bounds that cut sound answers.
+#[test]
+fn large_answers_stay_whole_beside_answers_without_an_end() {
+    let site = Site::start();
+    let vm = site.start_vm("large-beside-endless", "");
+    behave(&site.plain[..1], &Behavior::Endless(Part::Success));
+    behave(&site.plain[1..], &Behavior::Large(LARGE));
+
+    let answers = send_at_once(calls("/repeat/", "large", CALLERS / 4), &vm);
+
+    let whole = answers.iter().filter_map(|(answer, _)| answer.as_ref());
+    let whole = whole.filter(|answer| answer.status() == 200);
+    let whole: Vec<_> = whole.map(|answer| (answer.is_complete, answer.body.len())).collect();
+    assert!(!whole.is_empty(), "no answer of the sound target");
+    assert!(whole.iter().all(|whole| *whole == (true, LARGE)), "{whole:?}");
+    assert!(vm.peak_memory_mb() < MEMORY_MB, "{} MB", vm.peak_memory_mb());
+}
+
 /// Guards against callers of a streaming route that never get an answer, because the body of a
 /// failure was awaited without a limit.
 #[test]
