Act on the head of a declined or failed answer without awaiting its body

Callers of a target that said "not run" in an answer's head, and then sent no more of it, got 504 at the route's time instead of 503 at once. A repeatable request waited for the body of a failure before another target was tried.

Cause: what the head says was acted on after the body had been read, which was only needed for the reuse of the connection. Ruled out: the targets' queueing (the head arrives within a millisecond).

Change: the rest of such an answer is read in the background, up to 64 KiB and 250 ms, and its connection is used again if it ends by then. Whether a failing target survived the request is still seen from that rest.

Repeatable requests beside a failing target: the test fails before (answers after three latency goals) and passes.

--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -559,7 +559,8 @@
                 if parsed.evidence == Evidence::Declined {
                     self.app.state.with(|shared, now| shared.targets.record_turned_away(key, now));
                 }
-                self.finish_declined(body, connection, parsed).await;
+                // The head has said all: neither the caller nor the next target waits for the body.
+                self.app.discard_body(body, connection, &parsed);
                 if parsed.evidence == Evidence::InputGone {
                     return Err(AttemptError::InputGone);
                 }
@@ -586,19 +587,6 @@
         }
     }
 
-    /// Keeps the connection of a declined call for reuse if its short body was read.
-    async fn finish_declined(
-        &self,
-        body: Incoming,
-        connection: TargetConnection,
-        parsed: AnswerHead,
-    ) {
-        use http_body_util::BodyExt;
-        if let (Ok(_), false) = (body.collect().await, parsed.closes) {
-            self.app.keep_connection(connection, parsed.keep_alive);
-        }
-    }
-
     /// Logs and counts an attempt.
     fn log_attempt(&self, attempt: &Attempt, error: Option<&AttemptError>, relay: Option<&VmName>) {
         let pick = &attempt.pick;
--- a/gateway/src/bounded_reads.rs
+++ b/gateway/src/bounded_reads.rs
@@ -1,6 +1,8 @@
 //! Reads bodies that other processes send. Each read is bounded in bytes and in time; what lies
 //! beyond a bound is not read, and the connection is closed.
 
+use std::time::Duration;
+
 use displaydoc::Display;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -8,6 +10,12 @@
 
 use crate::answer_memory::{AnswerMemory, GrowingBody, WholeBody};
 
+/// Most bytes of a body whose content is of no use; it is read only so that the connection can be
+/// used again.
+const MAX_UNUSED_BYTES: usize = 64 * 1024;
+/// Longest time to read such a body.
+const MAX_UNUSED_TIME: Duration = Duration::from_millis(250);
+
 /// Bounds of one read.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ReadBounds {
@@ -83,3 +91,19 @@
         read.push(data).map_err(|_| ReadError::TooLong)?;
     }
 }
+
+/// Reads a body whose content is of no use, so that its connection can be used again.
+///
+/// # Errors
+/// Why it was not read to its end.
+pub(crate) async fn discard(mut body: Incoming) -> Result<(), ReadError> {
+    let until = Instant::now() + MAX_UNUSED_TIME;
+    let mut left = MAX_UNUSED_BYTES;
+    loop {
+        let next = timeout_at(until, body.frame()).await.map_err(|_| ReadError::TooLate)?;
+        let Some(frame) = next else { return Ok(()) };
+        let frame = frame.map_err(|e| ReadError::BrokenOff(e.to_string()))?;
+        let len = frame.data_ref().map_or(0, bytes::Bytes::len);
+        left = left.checked_sub(len).ok_or(ReadError::TooLong)?;
+    }
+}
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use ids::{TargetName, VmName};
 use intent::Target;
+use platform_interface::calls::AnswerHead;
 use socket2::{SockRef, Socket};
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
@@ -24,6 +25,7 @@
 use tokio::task::AbortHandle;
 
 use crate::app::App;
+use crate::bounded_reads::discard;
 use crate::permits::Permit;
 use crate::state_handle::now;
 use crate::target_connecting::{self, Relayed, TargetStream};
@@ -241,6 +243,25 @@
 }
 
 impl App {
+    /// Reads the rest of an answer that is of no use, in the background, and keeps its connection for
+    /// reuse if that ends soon.
+    pub(crate) fn discard_body(
+        self: &Rc<Self>,
+        body: Incoming,
+        connection: TargetConnection,
+        answer: &AnswerHead,
+    ) {
+        if answer.closes {
+            return;
+        }
+        let (app, keep_alive) = (Rc::clone(self), answer.keep_alive);
+        tokio::task::spawn_local(async move {
+            if discard(body).await.is_ok() {
+                app.keep_connection(connection, keep_alive);
+            }
+        });
+    }
+
     /// Keeps a connection for reuse after its answer was read to its end. All VMs together keep no
     /// more idle connections to a target than it accepts.
     pub(crate) fn keep_connection(
--- a/gateway/src/whole_answers.rs
+++ b/gateway/src/whole_answers.rs
@@ -5,11 +5,15 @@
 
 use hyper::Response;
 use platform_interface::callers::Refusal;
+use selection::TargetOutcome;
+use tokio::task::spawn_local;
 use tokio::time::Instant;
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
-use crate::attempts::{AttemptError, AttemptState, Attempts};
+use crate::attempts::{Answer, AttemptError, AttemptState, Attempts};
+use crate::bounded_reads::{ReadError, discard};
+use crate::crashes;
 use crate::overlapping_attempts::{Attempted, Attempting, OverlapRules, first_answer};
 use crate::requests::AcceptedRequest;
 use crate::state_handle::now;
@@ -86,6 +90,11 @@
     let own_failure = answer.head.status.is_server_error();
     if own_failure {
         attempts.set_may_have_run();
+        let error = AttemptError::Lost(format!("status {}", answer.head.status.as_u16()));
+        if attempts.take_retry(&error) {
+            leave_failure(attempts, answer);
+            return Box::pin(try_targets(app, attempts, state, until)).await;
+        }
     }
     let (head, body) = match read_whole(attempts, answer, until).await {
         Ok(answer) => answer,
@@ -93,14 +102,30 @@
     };
     let took = now() - sent_at;
     app.state.with(|shared, _| shared.record_response_time(&attempts.req().entry.name, took));
-    if own_failure {
-        let error = AttemptError::Lost(format!("status {}", head.status.as_u16()));
-        if attempts.take_retry(&error) {
-            return Box::pin(try_targets(app, attempts, state, until)).await;
-        }
-    }
     let mut answer = Response::new(whole(body));
     *answer.status_mut() = head.status;
     *answer.headers_mut() = (app.adapter.calls.answer_headers)(&head.headers);
     Ok(Ok((answer, if own_failure { "failed" } else { "whole" })))
 }
+
+/// Leaves a failure for which another target is tried. The head has said all; the body only shows
+/// whether the target survived the request, and is read in the background.
+fn leave_failure(attempts: &Attempts, answer: Answer) {
+    let (app, req) = (Rc::clone(attempts.app()), Rc::clone(attempts.req()));
+    let Answer { parsed, body, connection, mut attempt, .. } = answer;
+    attempt.end(TargetOutcome::OwnFailure);
+    spawn_local(async move {
+        match discard(body).await {
+            Ok(()) => {
+                crashes::request_completed(&app, &req);
+                if !parsed.closes {
+                    app.keep_connection(connection, parsed.keep_alive);
+                }
+            }
+            Err(ReadError::BrokenOff(_)) => {
+                crashes::check_broken_connection(&app, &req, &attempt).await;
+            }
+            Err(ReadError::TooLong | ReadError::TooLate) => {}
+        }
+    });
+}
--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -14,6 +14,9 @@
 /// When an answer has to be there: the request's time, which is 2 s, and half a second.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
 
+/// When what is known from a head has to be answered: before the three latency goals of 300 ms after
+/// which another target is tried beside a silent one.
+const AT_ONCE: Duration = Duration::from_millis(800);
 /// Memory of a small VM, in megabytes; a process that takes more is killed.
 const MEMORY_MB: u64 = 260;
 /// Callers that meet answers without an end at a time.
@@ -44,6 +47,7 @@
 }
 
 fn calls(path: &str, name: &str, count: usize) -> Vec<Call> {
+    let name = name.replace(['(', ')'], "-");
     let call = |number| {
         let id = format!("{name}-{number}-{}", path.trim_matches('/'));
         if path == "/once/" { post(path, &id) } else { get(path, &id) }
@@ -103,6 +107,47 @@
     assert!(vm.peak_memory_mb() < MEMORY_MB, "{} MB", vm.peak_memory_mb());
 }
 
+/// Guards against refusals that come at a request's deadline, because the body of an answer was awaited
+/// whose head says that the request has not run.
+#[test]
+fn a_declined_request_is_refused_at_once_whatever_follows_the_head() {
+    let site = Site::start();
+    let vm = site.start_vm("declined-heads", "");
+    let routes = [("/once/", &site.plain), ("/repeat/", &site.plain), ("/stream/", &site.engines)];
+    for (path, runners) in routes {
+        for behavior in [Behavior::Stall(Part::Decline), Behavior::Endless(Part::Decline)] {
+            behave(runners, &behavior);
+
+            let answers = send_at_once(calls(path, &format!("{behavior:?}"), CALLERS), &vm);
+
+            for (answer, took) in answers {
+                let status = answer.map_or(0, |answer| answer.status());
+                assert!(status == 503 && took < AT_ONCE, "{path} {behavior:?}: {status}, {took:?}");
+            }
+        }
+    }
+    assert!(vm.peak_memory_mb() < MEMORY_MB, "{} MB", vm.peak_memory_mb());
+}
+
+/// Guards against repeatable requests that wait for the body of a failure before another target is
+/// tried.
+#[test]
+fn a_repeatable_request_is_tried_elsewhere_at_the_head_of_a_failure() {
+    let site = Site::start();
+    let vm = site.start_vm("failed-heads", "");
+    for part in [Behavior::Stall(Part::Failure), Behavior::Endless(Part::Failure)] {
+        behave(&site.plain[..1], &part);
+
+        // Fewer than the retry budget has for a window.
+        let answers = send_at_once(calls("/repeat/", &format!("{part:?}"), 4), &vm);
+
+        for (answer, took) in answers {
+            let status = answer.map_or(0, |answer| answer.status());
+            assert!(status == 200 && took < AT_ONCE, "{part:?}: {status} after {took:?}");
+        }
+    }
+}
+
 /// Guards against callers of a streaming route that never get an answer, because the body of a
 /// failure was awaited without a limit.
 #[test]
