Bound the size of an event, and of the events that wait for a caller

An event without an end was kept until its request's time was over, and its buffer was searched from the start at each read, so that the process did little else; callers got 504 at their deadline.

Cause: an event was collected until its blank line, without a bound. Ruled out: the queue to the caller, which no part of such an event reaches.

Change: an event of more than 256 KiB ends its attempt like a stream that broke, which goes on elsewhere where that is allowed. Events that have begun take part in the memory of all answers. The search goes on where it stopped. The events that wait for a caller are bounded in bytes too: 64 of the largest would be 16 MB for each caller that does not read.

--- a/gateway/src/events.rs
+++ b/gateway/src/events.rs
@@ -2,6 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Bytes of the longest line ends that make a blank line.
+const MAX_BLANK_LINE_BYTES: usize = 4;
+
 /// A complete event, including the blank line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
@@ -15,6 +18,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    /// Bytes at the beginning in which no event ends.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -25,12 +30,23 @@
 
     /// Removes and returns the first complete event; `None` if there is none yet.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.buf)?;
-        let bytes = self.buf.split_to(end).freeze();
+        // The line ends of a blank line may have arrived apart.
+        let from = self.searched.saturating_sub(MAX_BLANK_LINE_BYTES - 1);
+        let Some(end) = end_of_event(&self.buf[from..]) else {
+            self.searched = self.buf.len();
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.buf.split_to(from + end).freeze();
         let id = id_of(&bytes);
         Some(Event { bytes, id })
     }
 
+    /// Number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Whether bytes of an incomplete event are buffered.
     pub fn has_incomplete_event(&self) -> bool {
         !self.buf.is_empty()
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod connections;
 mod content_check;
 mod crashes;
+mod event_queue;
 pub mod events;
 mod hall_reachability;
 mod halls;
--- a/gateway/src/stream_forwarding.rs
+++ b/gateway/src/stream_forwarding.rs
@@ -2,22 +2,18 @@
 //! that is allowed; the silent one is left only for a target that takes the stream over.
 
 use std::collections::VecDeque;
-use std::pin::{Pin, pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
-use hyper::body::{Body, Frame};
 use selection::{CallSize, TargetOutcome};
 use slog::info;
-use tokio::sync::mpsc::{Receiver, Sender};
 use tokio::time::{Instant as TokioInstant, timeout, timeout_at};
 
-use crate::answers::StreamCut;
 use crate::app::App;
 use crate::attempts::{Answer, AttemptState, Attempts, HALL_UNREACHABLE};
 use crate::crashes;
+use crate::event_queue::EventSender;
 use crate::events::Event;
 use crate::requests::AcceptedRequest;
 use crate::stages::StageResults;
@@ -66,7 +62,7 @@
 }
 
 /// Forwards a stream's events until it ends.
-pub(crate) async fn forward(mut stream: Stream, tx: Sender<Result<Bytes, StreamCut>>) {
+pub(crate) async fn forward(mut stream: Stream, tx: EventSender) {
     // The engine has fetched the stages' results before it sent the first event, so the workers
     // need not keep them.
     stream.results = None;
@@ -84,8 +80,8 @@
     let customer = req.customer.as_ref().map_or("-", |name| name.as_str());
     stream.app.metrics.request_ended(&req.entry.name, customer, outcome, now() - req.arrived);
     if why.is_some() {
-        // The error makes the connection close. Sending it fails if the caller is gone already.
-        drop(tx.send(Err(StreamCut)).await);
+        // The connection closes.
+        tx.cut().await;
         return;
     }
     if let ("whole", Some(reader)) = (outcome, stream.reader) {
@@ -105,7 +101,7 @@
 }
 
 /// Forwards the events of the stream until it ends.
-async fn forward_events(stream: &mut Stream, tx: &Sender<Result<Bytes, StreamCut>>) -> ForwardEnd {
+async fn forward_events(stream: &mut Stream, tx: &EventSender) -> ForwardEnd {
     let deadline = TokioInstant::from_std(stream.req.deadline);
     loop {
         let next = tokio::select! {
@@ -155,7 +151,7 @@
     }
 
     /// Forwards an event, unless it was forwarded before. Returns false if the caller is gone.
-    async fn forward_event(&mut self, event: Event, tx: &Sender<Result<Bytes, StreamCut>>) -> bool {
+    async fn forward_event(&mut self, event: Event, tx: &EventSender) -> bool {
         self.log_going_on();
         let seen =
             matches!((event.id, self.last_event), (Some(id), Some(last_event)) if id <= last_event);
@@ -163,7 +159,7 @@
             return true;
         }
         self.last_event = event.id.or(self.last_event);
-        tx.send(Ok(event.bytes)).await.is_ok()
+        tx.send(event.bytes).await
     }
 
     /// The next event, from whichever target goes on with the stream; `None` at its end.
@@ -339,20 +335,3 @@
         reader.answer.attempt.end(TargetOutcome::Failed);
     }
 }
-
-/// The body of a streamed answer, fed with events by [`forward`].
-pub(crate) struct EventBody {
-    pub(crate) rx: Receiver<Result<Bytes, StreamCut>>,
-}
-
-impl Body for EventBody {
-    type Data = Bytes;
-    type Error = StreamCut;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
-        self.rx.poll_recv(cx).map(|event| event.map(|event| event.map(Frame::data)))
-    }
-}
--- a/gateway/src/stream_reader.rs
+++ b/gateway/src/stream_reader.rs
@@ -6,15 +6,22 @@
 use selection::TargetOutcome;
 use tokio::sync::watch;
 
+use crate::answer_memory::Share;
 use crate::app::App;
 use crate::attempts::{Answer, AttemptError, Attempts};
 use crate::events::{Event, EventSplitter};
 use crate::hall_reachability;
 
+/// Largest event that is read, in bytes. Engines put some tokens into an event, thousands of times
+/// less.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Reads one attempt's events one by one.
 pub(crate) struct EventReader {
     pub(crate) answer: Answer,
     splitter: EventSplitter,
+    /// Memory for an event that has begun.
+    share: Share,
     /// The halls that are unreachable.
     unreachable: watch::Receiver<UnreachableHalls>,
 }
@@ -35,6 +42,7 @@
         EventReader {
             answer,
             splitter: EventSplitter::default(),
+            share: app.answer_memory.begin(false),
             unreachable: app.unreachable_halls.subscribe(),
         }
     }
@@ -49,11 +57,11 @@
     /// Waits for the next event. For a repeatable request it returns early if the target's hall
     /// becomes unreachable, so that another target may continue the stream.
     pub(crate) async fn next(&mut self, repeatable: bool) -> NextEvent {
-        let EventReader { answer, splitter, unreachable } = self;
+        let EventReader { answer, splitter, share, unreachable } = self;
         let hall = &answer.attempt.pick.target.hall;
         let next = tokio::select! {
             biased;
-            next = next_event(&mut answer.body, splitter) => next,
+            next = next_event(&mut answer.body, splitter, share) => next,
             () = hall_reachability::until_unreachable(unreachable, hall), if repeatable =>
                 NextEvent::HallUnreachable,
         };
@@ -64,13 +72,22 @@
     }
 }
 
-/// Reads from the body until a whole event or the end of the stream.
-async fn next_event(body: &mut Incoming, splitter: &mut EventSplitter) -> NextEvent {
+/// Reads from the body until a whole event or the end of the stream. Its time is bounded by its
+/// callers: the pause after which another target is sought, or the request's time.
+async fn next_event(body: &mut Incoming, splitter: &mut EventSplitter, share: &Share) -> NextEvent {
     loop {
         if let Some(event) = splitter.next_event() {
             return NextEvent::Event(event);
         }
-        match body.frame().await {
+        let is_in_bounds = splitter.buffered() <= MAX_EVENT_BYTES;
+        if !is_in_bounds || share.resize(splitter.buffered()).is_err() {
+            return too_long(splitter);
+        }
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = share.until_given_up() => return too_long(splitter),
+        };
+        match frame {
             Some(Ok(frame)) => {
                 if let Some(data) = frame.data_ref() {
                     splitter.push(data);
@@ -84,3 +101,7 @@
         }
     }
 }
+
+fn too_long(splitter: &EventSplitter) -> NextEvent {
+    NextEvent::Broken(format!("an event is too long: {} bytes", splitter.buffered()))
+}
--- a/gateway/src/streams.rs
+++ b/gateway/src/streams.rs
@@ -9,13 +9,13 @@
 use platform_interface::callers::Refusal;
 use selection::CallSize;
 use slog::info;
-use tokio::sync::mpsc::channel;
 use tokio::task::spawn_local;
 use tokio::time::Instant as TokioInstant;
 
 use crate::answers::{AnswerBody, refusal, whole};
 use crate::app::App;
 use crate::attempts::{AttemptError, AttemptState, Attempts, HALL_UNREACHABLE};
+use crate::event_queue::event_queue;
 use crate::events::Event;
 use crate::missing_inputs::Cause;
 use crate::overlapping_attempts::{Attempted, Attempting, OverlapRules, first_answer};
@@ -24,15 +24,13 @@
 use crate::shutdown::RETRY_ELSEWHERE_AFTER;
 use crate::stages::StageResults;
 use crate::state_handle::now;
-use crate::stream_forwarding::{EventBody, Stream, forward};
+use crate::stream_forwarding::{Stream, forward};
 use crate::stream_reader::{EventReader, NextEvent};
 use crate::stream_takeover::OVERLAP;
 use crate::target_answers::read_whole;
 use crate::whole_answers::outcome_of;
 use crate::{active_requests, admission, crashes, stream_origins};
 
-/// Most events queued for a caller that reads slowly.
-const EVENT_QUEUE_LEN: usize = 64;
 /// If the first event does not arrive within this many latency goals, another target is tried as
 /// well where that is allowed.
 const FIRST_EVENT_LATENCY_GOALS: u32 = 1;
@@ -58,12 +56,12 @@
     match start_stream(app, req).await {
         Ok(Started::Stream(stream, head)) => {
             active_requests::update(app, req.active_key, |request| request.head_sent = true);
-            let (tx, rx) = channel(EVENT_QUEUE_LEN);
+            let (tx, body) = event_queue();
             spawn_local(async move {
                 forward(*stream, tx).await;
                 drop(guard);
             });
-            (head.map(|()| EventBody { rx }.boxed_unsync()), "stream begun")
+            (head.map(|()| body.boxed_unsync()), "stream begun")
         }
         Ok(Started::Whole(answer)) => (answer, "failed"),
         Err(rejection) => (refusal(app, rejection, Some(&req.id)), outcome_of(rejection)),
@@ -239,6 +237,9 @@
         // A stream without events is an answer too, if it was read to its end.
         NextEvent::End => Ok(Ok(Reply::Stream(Box::new(reader), Vec::new()))),
         NextEvent::Broken(why) => {
+            info!(attempts.app().log, "answer not read to its end";
+                "request" => %attempts.req().id,
+                "target" => %reader.answer.attempt.pick.target.id, "why" => &why);
             crashes::check_broken_connection(
                 attempts.app(),
                 attempts.req(),
--- a/gateway/tests/events.rs
+++ b/gateway/tests/events.rs
@@ -34,3 +34,17 @@
     assert!(splitter.next_event().is_none());
     assert!(splitter.has_incomplete_event());
 }
+
+#[test]
+fn events_are_complete_when_each_byte_arrives_alone() {
+    let mut splitter = EventSplitter::default();
+
+    let mut events = Vec::new();
+    for byte in STREAM {
+        splitter.push(&[*byte]);
+        events.extend(splitter.next_event());
+    }
+
+    let bytes: Vec<u8> = events.iter().flat_map(|event| event.bytes.to_vec()).collect();
+    assert_eq!((events.len(), bytes.as_slice()), (3, STREAM));
+}
--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -76,6 +76,8 @@
         ("/repeat/", &site.plain, Part::Success),
         ("/repeat/", &site.plain, Part::Failure),
         ("/stream/", &site.engines, Part::Failure),
+        ("/stream/", &site.engines, Part::Event),
+        ("/resumed/", &site.engines, Part::Event),
     ];
     for (path, runners, part) in cases {
         let what = format!("{path} {part:?}");
@@ -129,6 +131,22 @@
     assert!(vm.peak_memory_mb() < MEMORY_MB, "{} MB", vm.peak_memory_mb());
 }
 
+/// Guards against a VM that keeps an event without an end, and searches it from its start at each
+/// read, until its request's time is over.
+#[test]
+fn an_event_without_an_end_is_left_once_it_is_too_long() {
+    let site = Site::start();
+    let vm = site.start_vm("endless-events", "");
+    behave(&site.engines, &Behavior::Endless(Part::Event));
+
+    let answers = send_at_once(calls("/stream/", "event", CALLERS), &vm);
+
+    for (answer, took) in answers {
+        let status = answer.map_or(0, |answer| answer.status());
+        assert!(status == 502 && took < AT_ONCE, "{status} after {took:?}");
+    }
+}
+
 /// Guards against repeatable requests that wait for the body of a failure before another target is
 /// tried.
 #[test]
