Bound the bytes of an answer's head

A target that sends informational answers without an end kept the process busy until the request's time was over, and beyond it: callers of all its requests got 504 late.

Cause: the HTTP library bounds the size of one head, but neither the sum of informational heads before it nor, at 408 KB each, the sum over hundreds of connections.

Change: connections to targets and to the store count the bytes from a call to the end of its answer's head; more than 128 KiB end the connection. One head may take 64 KiB.

--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -12,9 +12,9 @@
 use displaydoc::Display;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::TrySendError;
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use ids::{TargetName, VmName};
 use intent::Target;
 use platform_interface::calls::AnswerHead;
@@ -26,6 +26,7 @@
 
 use crate::app::App;
 use crate::bounded_reads::discard;
+use crate::head_limit::{HeadAllowance, start_http1};
 use crate::permits::Permit;
 use crate::state_handle::now;
 use crate::target_connecting::{self, Relayed, TargetStream};
@@ -96,6 +97,8 @@
 pub(crate) struct TargetConnection {
     target: TargetName,
     sender: SendRequest<CallBody>,
+    /// Bounds the bytes of an answer's head.
+    head: HeadAllowance,
     task: AbortHandle,
     /// The socket, to set its options; `None` if a peer relays the connection or it has ended.
     socket: Rc<Cell<Option<Socket>>>,
@@ -109,6 +112,17 @@
         self.relay.as_ref()
     }
 
+    /// Sends a call and waits for the head of its answer.
+    async fn call(
+        &mut self,
+        req: Request<CallBody>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<CallBody>>> {
+        self.head.begin();
+        let answer = self.sender.try_send_request(req).await;
+        self.head.end();
+        answer
+    }
+
     /// Sets the time within which sent bytes have to be acknowledged.
     fn set_unacked_limit(&self, limit: Duration) {
         if let Some(socket) = self.socket.take() {
@@ -158,7 +172,7 @@
         while let Some(mut connection) = self.take(&target.id) {
             connection.set_unacked_limit(unacked_limit);
             mark.set(true);
-            match connection.sender.try_send_request(req).await {
+            match connection.call(req).await {
                 Ok(answer) => return Ok((answer, connection)),
                 Err(mut e) => match e.take_message() {
                     Some(unsent) => {
@@ -178,7 +192,7 @@
         }
         connection.set_unacked_limit(unacked_limit);
         mark.set(true);
-        match connection.sender.try_send_request(req).await {
+        match connection.call(req).await {
             Ok(answer) => Ok((answer, connection)),
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
@@ -315,8 +329,9 @@
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let handshake = Builder::new().handshake::<_, CallBody>(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|e| SendError::NotSent(e.to_string()))?;
+    let head = HeadAllowance::default();
+    let started = start_http1(stream, &head).await;
+    let (sender, connection) = started.map_err(|e| SendError::NotSent(e.to_string()))?;
     let socket = Rc::new(Cell::new(socket));
     let open_socket = Rc::clone(&socket);
     let running = async move {
@@ -325,7 +340,7 @@
         drop(open_socket.take());
     };
     let task = tokio::task::spawn_local(running).abort_handle();
-    Ok(TargetConnection { target, sender, task, socket, relay })
+    Ok(TargetConnection { target, sender, head, task, socket, relay })
 }
 
 /// Opens a TCP connection with a connect timeout and a limit for unacknowledged data.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod events;
 mod hall_reachability;
 mod halls;
+pub mod head_limit;
 
 mod held_results;
 mod http_endpoints;
--- a/gateway/src/store_connection.rs
+++ b/gateway/src/store_connection.rs
@@ -9,9 +9,8 @@
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use platform_interface::store::StoreCall;
 use store_view::SILENCE_TIMEOUT;
 use tokio::task::AbortHandle;
@@ -19,6 +18,7 @@
 
 use crate::app::App;
 use crate::connections::connect;
+use crate::head_limit::{HeadAllowance, start_http1};
 use crate::state_handle::now;
 use crate::store_era;
 
@@ -46,6 +46,8 @@
     app: Rc<App>,
     /// The open HTTP connection, and the task that drives it.
     open: Option<(SendRequest<Full<Bytes>>, AbortHandle)>,
+    /// Bounds the bytes of an answer's head.
+    head: HeadAllowance,
 }
 
 /// A complete answer.
@@ -73,7 +75,7 @@
 
 impl StoreConnection {
     pub(crate) fn new(app: &Rc<App>) -> Self {
-        StoreConnection { app: Rc::clone(app), open: None }
+        StoreConnection { app: Rc::clone(app), open: None, head: HeadAllowance::default() }
     }
 
     /// Closes the connection, with any call on it.
@@ -186,9 +188,13 @@
             .header(http::header::CONTENT_TYPE, "application/json")
             .body(Full::new(call.body))
             .map_err(|e| e.to_string())?;
+        let head = self.head.clone();
         let sender = self.sender().await?;
         sender.ready().await.map_err(|e| e.to_string())?;
-        sender.send_request(req).await.map_err(|e| e.to_string())
+        head.begin();
+        let answer = sender.send_request(req).await;
+        head.end();
+        answer.map_err(|e| e.to_string())
     }
 
     /// The open connection, or a new one.
@@ -196,9 +202,8 @@
         if self.open.as_ref().is_none_or(|(sender, _)| sender.is_closed()) {
             self.close();
             let stream = connect(self.app.cfg.store).await.map_err(|e| e.to_string())?;
-            let handshake_result =
-                Builder::new().handshake::<_, Full<Bytes>>(TokioIo::new(stream)).await;
-            let (sender, connection) = handshake_result.map_err(|e| e.to_string())?;
+            let started = start_http1(stream, &self.head).await;
+            let (sender, connection) = started.map_err(|e| e.to_string())?;
             // `SendRequest::is_closed` shows when the connection has ended.
             let task = tokio::task::spawn_local(async move { drop(connection.await) });
             self.open = Some((sender, task.abort_handle()));
--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -147,6 +147,25 @@
     }
 }
 
+/// Guards against heads, and informational answers before them, that are read until a request's time
+/// is over; and against bytes behind a whole answer.
+#[test]
+fn heads_without_an_end_and_bytes_behind_an_answer_are_left() {
+    let site = Site::start();
+    let vm = site.start_vm("endless-heads", "");
+    for (part, expected) in [(Part::Head, 502), (Part::Interim, 502), (Part::Tail, 200)] {
+        behave(&site.plain, &Behavior::Endless(part));
+
+        let answers = send_at_once(calls("/once/", &format!("{part:?}"), CALLERS), &vm);
+
+        for (answer, took) in answers {
+            let status = answer.map_or(0, |answer| answer.status());
+            assert!(status == expected && took < AT_ONCE, "{part:?}: {status} after {took:?}");
+        }
+        assert!(vm.peak_memory_mb() < MEMORY_MB, "{part:?}: {} MB", vm.peak_memory_mb());
+    }
+}
+
 /// Guards against repeatable requests that wait for the body of a failure before another target is
 /// tried.
 #[test]
