Bound the answers to calls of our own in bytes and time

Answers of workers were kept whatever their size, for as long as the worker keeps results when their call had timed out: one worker without an end to its answers brought a VM past its memory.

Cause: calls of our own collected their bodies without a bound in bytes, and each calling function set its own time. Ruled out: the callers' requests, which ended in time before as well.

Change: such a call takes its time as a parameter and reads 1 MiB at most. What the head says is returned without the body: refusals, failures, and the success of a call that releases results. The rest is discarded as elsewhere.

--- a/gateway/src/input_fetches.rs
+++ b/gateway/src/input_fetches.rs
@@ -11,7 +11,7 @@
 use batching::Call;
 use intent::Target;
 use slog::debug;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::app::App;
 use crate::own_calls::{OwnCallError, own_call};
@@ -53,10 +53,10 @@
 async fn fetch_report(app: &Rc<App>, worker: &Target) -> CallProgress {
     let Some(permit) = permits::for_report(app, worker) else { return CallProgress::Unavailable };
     let call = (app.adapter.calls.report)(&worker.id);
-    match timeout(REPORT_TIMEOUT, own_call(app, worker, call, permit)).await {
-        Ok(Ok(body)) => parse_report(app, worker, &body),
-        Ok(Err(OwnCallError::Failed)) => CallProgress::Unavailable,
-        Ok(Err(_)) | Err(_) => CallProgress::SomeMayBeQueued,
+    match own_call(app, worker, call, permit, REPORT_TIMEOUT).await {
+        Ok(body) => parse_report(app, worker, &body),
+        Err(OwnCallError::Failed) => CallProgress::Unavailable,
+        Err(_) => CallProgress::SomeMayBeQueued,
     }
 }
 
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -177,9 +177,11 @@
     req: OwnCall,
     permit: Permit,
 ) -> Result<CallEnd, ConnectionBroke> {
+    // The results of a call that timed out are of use for as long as the worker keeps them.
+    let within = call.timeout + LAST_READ_TIMEOUT + result_life(app, pool);
     let mut sent = Box::pin({
         let (app, target) = (Rc::clone(app), call.target.clone());
-        async move { own_call(&app, &target, req, permit).await }
+        async move { own_call(&app, &target, req, permit, within).await }
     });
     let mut timeout = std::pin::pin!(tokio::time::sleep(call.timeout));
     let mut fetch = std::pin::pin!(input_fetches::wait_until_fetched(app, call));
@@ -208,6 +210,11 @@
     }
 }
 
+/// How long the workers of a pool keep results.
+fn result_life(app: &App, pool: &ServiceName) -> Duration {
+    app.state.with(|shared, _| shared.pools.get(pool).map(Pool::result_life)).unwrap_or_default()
+}
+
 /// Whether the worker is taken to be running a call: it is the only call of this VM there. Closing
 /// the connection does not stop a running call. If this VM has another call there, this one may
 /// still wait in the worker's queue, and closing the connection removes it from that queue.
@@ -222,8 +229,7 @@
     pool: ServiceName,
     sent: impl Future<Output = Result<bytes::Bytes, OwnCallError>>,
 ) {
-    let life = app.state.with(|shared, _| shared.pools.get(&pool).map(Pool::result_life));
-    let Ok(Ok(body)) = tokio::time::timeout(life.unwrap_or_default(), sent).await else { return };
+    let Ok(body) = sent.await else { return };
     let Ok(answers) = (app.adapter.calls.read_pool_answer)(&body) else { return };
     let handles = answers.into_iter().filter_map(|answer| match answer {
         PieceAnswer::Stored(handle) => Some(handle),
@@ -311,8 +317,7 @@
     let jobs: BTreeSet<JobKey> = finished.iter().map(|finished| finished.job).collect();
     let mut unread = Vec::new();
     let now = now();
-    let life = app.state.with(|shared, _| shared.pools.get(pool).map(Pool::result_life));
-    let life = life.unwrap_or_default();
+    let life = result_life(app, pool);
     for FinishedPiece { job, piece, outcome } in finished {
         match sinks.get(&(pool.clone(), job)) {
             Some(Sink::Local(tx, stage_submission)) => {
--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -166,6 +166,31 @@
     }
 }
 
+/// Guards against calls to workers whose answers are kept without a limit, for as long as the workers
+/// keep the results, and against releases and refusals that wait for a body.
+#[test]
+fn answers_of_workers_without_an_end_take_bounded_memory() {
+    let site = Site::start();
+    let vm = site.start_vm("endless-workers", "");
+    for part in [Part::Success, Part::Failure, Part::Decline] {
+        behave(&site.pool, &Behavior::Endless(part));
+
+        let answers = send_at_once(chains(&format!("{part:?}")), &vm);
+
+        assert_all_fail_in_time(&answers, &format!("{part:?}"));
+        assert!(vm.peak_memory_mb() < MEMORY_MB, "{part:?}: {} MB", vm.peak_memory_mb());
+    }
+    site.pool.iter().for_each(Runner::clear_script);
+    let chain = chains("sound").remove(0);
+    assert_eq!(chain.send_until_run(vm.callers).map(|answer| answer.status()), Some(200));
+}
+
+/// Requests with two stages of some pieces.
+fn chains(name: &str) -> Vec<Call> {
+    let chain = |call: Call| call.with_header("Pieces", "6,6").with_header("Piece-Key", "key");
+    calls("/chain/", name, CALLERS).into_iter().map(chain).collect()
+}
+
 /// Guards against repeatable requests that wait for the body of a failure before another target is
 /// tried.
 #[test]
