Bound the size of the store's answers

A store whose answers have no end brought each VM past its memory.

Cause: an answer of the store was read for up to 20 s as long as bytes arrived, whatever its size, and with an error status too, of which only the status is of use. Ruled out: the parsing of answers, which begins at their end.

Change: an answer of more than 8 MiB fails its call; a page holds about 1 MB of values. After a watch that was too long the VM lists the content anew, since pages are bounded.

--- a/gateway/src/store_connection.rs
+++ b/gateway/src/store_connection.rs
@@ -17,6 +17,7 @@
 use tokio::time::timeout;
 
 use crate::app::App;
+use crate::bounded_reads::discard;
 use crate::connections::connect;
 use crate::head_limit::{HeadAllowance, start_http1};
 use crate::state_handle::now;
@@ -27,6 +28,10 @@
 /// page of 1 MB takes this long on a link of 0.5 Mbit/s.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(20);
 
+/// Largest answer that is read, in bytes. A page holds about 1 MB of values, or one larger value, and
+/// values grow by a third on the way.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+
 /// Why a call to the store failed. The doc comments of the variants are the displayed texts.
 #[derive(Debug, Display)]
 pub(crate) enum StoreCallError {
@@ -36,6 +41,8 @@
     LeaseNotFound,
     /// a condition of the transaction does not hold
     ConditionFailed,
+    /// the answer is too long
+    TooLong,
     /// {0}; the call may have been executed
     Failed(String),
 }
@@ -133,42 +140,56 @@
         named.unwrap_or_else(|| self.app.state.with(|shared, _| shared.view.era()))
     }
 
-    /// Reads the body of an answer while bytes arrive, for at most [`MAX_ANSWER_TIME`].
+    /// Reads the body of an answer while bytes arrive, for at most [`MAX_ANSWER_TIME`]. What an error
+    /// status says does not depend on the body.
     ///
     /// # Errors
-    /// `Failed` if the body breaks off, pauses or takes too long, or for an error status other than
-    /// those of `HistoryCompacted`, `LeaseNotFound` and `ConditionFailed`.
+    /// `Failed` if the body breaks off, pauses or takes too long, `TooLong`, or for an error status
+    /// other than those of `HistoryCompacted`, `LeaseNotFound` and `ConditionFailed`.
     pub(crate) async fn finish(
         &mut self,
         begun: OpenAnswer,
     ) -> Result<StoreAnswer, StoreCallError> {
-        let OpenAnswer { era, kind, status, mut body, began } = begun;
+        let OpenAnswer { era, kind, status, body, began } = begun;
+        if status != StatusCode::OK {
+            if discard(body).await.is_err() {
+                self.close();
+            }
+            self.app.metrics.platform_call(kind, true);
+            return Err(error_of(status));
+        }
+        let body = match self.read(body, began).await {
+            Ok(body) => body,
+            Err(StoreCallError::Failed(problem)) => return Err(self.failed(kind, problem)),
+            Err(error) => {
+                drop(self.failed(kind, String::new()));
+                return Err(error);
+            }
+        };
+        self.app.metrics.platform_call(kind, true);
+        Ok(StoreAnswer { era, body })
+    }
+
+    /// Reads the body of a successful answer.
+    async fn read(&self, mut body: Incoming, began: Instant) -> Result<Bytes, StoreCallError> {
         let mut buf = BytesMut::new();
         loop {
             let frame = match timeout(SILENCE_TIMEOUT, body.frame()).await {
-                Ok(None) => break,
+                Ok(None) => return Ok(buf.freeze()),
                 Ok(Some(Ok(frame))) => frame,
-                Ok(Some(Err(e))) => return Err(self.failed(kind, e.to_string())),
-                Err(_) => return Err(self.failed(kind, silence_message(buf.len()))),
+                Ok(Some(Err(e))) => return Err(StoreCallError::Failed(e.to_string())),
+                Err(_) => return Err(StoreCallError::Failed(silence_message(buf.len()))),
             };
             buf.extend_from_slice(&frame.into_data().unwrap_or_default());
-            if status == StatusCode::OK {
-                self.app.state.with(|shared, now| shared.contact.record_bytes(now));
+            if buf.len() > MAX_ANSWER_BYTES {
+                return Err(StoreCallError::TooLong);
             }
+            self.app.state.with(|shared, now| shared.contact.record_bytes(now));
             if now() - began > MAX_ANSWER_TIME {
-                return Err(
-                    self.failed(kind, format!("answer not complete within {MAX_ANSWER_TIME:?}"))
-                );
+                let problem = format!("answer not complete within {MAX_ANSWER_TIME:?}");
+                return Err(StoreCallError::Failed(problem));
             }
         }
-        self.app.metrics.platform_call(kind, true);
-        match status {
-            StatusCode::OK => Ok(StoreAnswer { era, body: buf.freeze() }),
-            StatusCode::GONE => Err(StoreCallError::HistoryCompacted),
-            StatusCode::NOT_FOUND => Err(StoreCallError::LeaseNotFound),
-            StatusCode::PRECONDITION_FAILED => Err(StoreCallError::ConditionFailed),
-            other => Err(StoreCallError::Failed(format!("status {}", other.as_u16()))),
-        }
     }
 
     /// Counts a failed call, closes the connection and returns the error.
@@ -212,6 +233,16 @@
     }
 }
 
+/// What an error status says.
+fn error_of(status: StatusCode) -> StoreCallError {
+    match status {
+        StatusCode::GONE => StoreCallError::HistoryCompacted,
+        StatusCode::NOT_FOUND => StoreCallError::LeaseNotFound,
+        StatusCode::PRECONDITION_FAILED => StoreCallError::ConditionFailed,
+        other => StoreCallError::Failed(format!("status {}", other.as_u16())),
+    }
+}
+
 fn silence_message(bytes: usize) -> String {
     format!("silent for {SILENCE_TIMEOUT:?} after {bytes} bytes")
 }
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -75,6 +75,10 @@
             Err(error) => {
                 record_failure(app, "watch", &error);
                 backoff.pause().await;
+                // A watch from the same revision would be as long. Pages of a listing are not.
+                if matches!(error, StoreCallError::TooLong) {
+                    return;
+                }
             }
         }
     }
--- a/standins/src/serving_path/endless.rs
+++ b/standins/src/serving_path/endless.rs
@@ -25,6 +25,17 @@
     }
 }
 
+/// Sends chunks of a body without an end until the peer closes the connection.
+pub(super) fn write_chunks_endlessly(conn: &mut HttpConnection) {
+    write_endlessly(conn, &format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES)));
+}
+
+fn write_endlessly(conn: &mut HttpConnection, piece: &str) {
+    while conn.write(piece.as_bytes()) {
+        std::thread::sleep(PIECE_PAUSE);
+    }
+}
+
 impl Runner {
     /// Sends half of a part, then reads until the VM closes the connection.
     pub(super) fn stall(&self, conn: &mut HttpConnection, part: Part, id: &str) -> bool {
@@ -44,19 +55,20 @@
     /// Sends a part without an end until the VM closes the connection.
     pub(super) fn send_endlessly(&self, conn: &mut HttpConnection, part: Part, id: &str) -> bool {
         let head = headers(part, id, &self.id);
+        let filler = "x".repeat(PIECE_BYTES);
         let (head, piece) = match part {
-            Part::Head => (format!("{head}Filler: "), "x".repeat(PIECE_BYTES)),
+            Part::Head => (format!("{head}Filler: "), filler),
             Part::Interim => (String::new(), head.repeat(PIECE_BYTES / head.len())),
-            Part::Tail => (format!("{head}Content-Length: 2\r\n\r\nok"), "x".repeat(PIECE_BYTES)),
+            Part::Tail => (format!("{head}Content-Length: 2\r\n\r\nok"), filler),
             _ => {
-                let chunk = format!("{PIECE_BYTES:x}\r\n{}\r\n", "x".repeat(PIECE_BYTES));
-                (format!("{head}Transfer-Encoding: chunked\r\n\r\n"), chunk)
+                if conn.write(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes()) {
+                    write_chunks_endlessly(conn);
+                }
+                return false;
             }
         };
-        let mut is_open = conn.write(head.as_bytes());
-        while is_open {
-            is_open = conn.write(piece.as_bytes());
-            std::thread::sleep(PIECE_PAUSE);
+        if conn.write(head.as_bytes()) {
+            write_endlessly(conn, &piece);
         }
         false
     }
--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -9,6 +9,7 @@
 
 use serde_json::{Value, json};
 
+use super::endless::write_chunks_endlessly;
 use super::silence::Silence;
 use super::{HttpConnection, HttpMessage, response_bytes, serve_connections};
 
@@ -29,6 +30,8 @@
     Unavailable,
     /// It answers nothing until the mode changes.
     Unresponsive,
+    /// It answers every call with a body without an end, of this status.
+    Endless(&'static str),
 }
 
 #[derive(Default)]
@@ -260,6 +263,15 @@
                     // answered.
                     return;
                 }
+                StoreMode::Endless(status) => {
+                    let head = format!(
+                        "HTTP/1.1 {status}\r\n{ERA}: {era}\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    );
+                    if conn.write(head.as_bytes()) {
+                        write_chunks_endlessly(&mut conn);
+                    }
+                    return;
+                }
                 StoreMode::Normal => {}
             }
             let Some((status, mut body)) = self.answer_to(&req) else { return };
@@ -320,7 +332,8 @@
                 match (state.mode, was_unresponsive) {
                     (StoreMode::Unresponsive, _) => return None,
                     (StoreMode::Unavailable, _) | (StoreMode::Normal, true) => return Some(None),
-                    (StoreMode::Normal, false) => {}
+                    (StoreMode::Normal | StoreMode::Endless(_), false) => {}
+                    (StoreMode::Endless(_), true) => return Some(None),
                 }
                 if after < state.compacted_revision || after > state.revision {
                     return Some(Some(("410 Gone", json!({}))));
--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -6,10 +6,14 @@
 use std::thread::spawn;
 use std::time::{Duration, Instant};
 
+use standins::fleet::wait_until;
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
 use standins::serving_path::runners::{Behavior, Part, Runner};
-use standins::serving_path::site::{Site, Vm, get, post, send_expecting_answer};
+use standins::serving_path::site::{
+    Site, Vm, default_configuration, get, post, send_expecting_answer,
+};
+use standins::serving_path::store::StoreMode;
 
 /// When an answer has to be there: the request's time, which is 2 s, and half a second.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
@@ -21,6 +25,8 @@
 const MEMORY_MB: u64 = 260;
 /// Callers that meet answers without an end at a time.
 const CALLERS: usize = 24;
+/// How long the store sends answers without an end.
+const STORE_TROUBLE: Duration = Duration::from_secs(4);
 /// Size of a large sound answer, in bytes.
 const LARGE: usize = 8_000_000;
 
@@ -191,6 +197,28 @@
     calls("/chain/", name, CALLERS).into_iter().map(chain).collect()
 }
 
+/// Guards against VMs that are killed for their memory, because answers of the store were read for as
+/// long as bytes arrived.
+#[test]
+fn answers_of_the_store_without_an_end_take_bounded_memory() {
+    let site = Site::start();
+    let vm = site.start_vm("endless-store", "");
+    for status in ["200 OK", "503 Busy"] {
+        site.store.set_mode(StoreMode::Endless(status));
+        let requests = calls("/repeat/", status.split_at(3).0, CALLERS);
+        std::thread::sleep(STORE_TROUBLE);
+
+        let answers = send_at_once(requests, &vm);
+
+        assert!(answers.iter().all(|(answer, _)| answer.is_some()), "{status}");
+        assert!(vm.peak_memory_mb() < MEMORY_MB, "{status}: {} MB", vm.peak_memory_mb());
+        site.store.set_mode(StoreMode::Normal);
+        let version = if status == "200 OK" { 2 } else { 3 };
+        site.store.put("op/config", &default_configuration(version));
+        wait_until("the change is known", || vm.state()["configuration"] == version);
+    }
+}
+
 /// Guards against repeatable requests that wait for the body of a failure before another target is
 /// tried.
 #[test]
