Bound what a relaying VM and the product's own form read

Read in the code while listing each read of other processes' bytes:

- A stream's event in the product's own form had a bound for each line, not for all lines of an event.
It is now 256 KiB; `an_event_without_an_end_is_not_kept` fails before (its 1.6 MB were kept and parsed).
- A VM that relays a connection waited for the peer's first message without a time, and kept connections for peers that had lost power: nothing on its side ended them.
The first message has the time of a connection; connected peers are probed by the HTTP/2 library each 5 s and have 10 s to answer.
This part has no test of its own; the tests of `cut_off_vms` pass.

--- a/components/target_calls/src/stream.rs
+++ b/components/target_calls/src/stream.rs
@@ -11,6 +11,9 @@
 /// Longest line of an event, in bytes.
 const MAX_LINE_BYTES: u64 = 64 * 1024;
 
+/// Largest event, in bytes: all its lines together.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// An event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamEvent {
@@ -99,6 +102,7 @@
     fn read_event(&mut self) -> Result<RawEvent, CallFailure> {
         let mut event = RawEvent::default();
         let mut line = String::new();
+        let mut bytes = 0;
         loop {
             line.clear();
             let read = (&mut self.lines).take(MAX_LINE_BYTES).read_line(&mut line);
@@ -108,9 +112,14 @@
                 let problem = "the stream was cut before its end".to_owned();
                 return Err(CallFailure::MayHaveRun(problem));
             }
+            bytes += count;
+            if bytes > MAX_EVENT_BYTES {
+                return Err(CallFailure::MayHaveRun("an event is too long".to_owned()));
+            }
             let text = line.trim_end_matches(['\r', '\n']);
             if text.is_empty() {
                 if event.data.is_empty() {
+                    bytes = 0;
                     continue;
                 }
                 return Ok(event);
--- a/components/target_calls/tests/stream.rs
+++ b/components/target_calls/tests/stream.rs
@@ -99,3 +99,15 @@
         }
     }
 }
+
+/// Guards against an event that is kept for as long as its lines go on.
+#[test]
+fn an_event_without_an_end_is_not_kept() {
+    let attempt = attempt();
+    let endless = "data: x\n".repeat(200_000) + "\n";
+
+    let (numbers, ended) = read(endless.into_bytes(), &attempt);
+
+    let Err(CallFailure::MayHaveRun(why)) = ended else { panic!("{ended:?}") };
+    assert!(numbers.is_empty() && why.contains("too long"), "{why}");
+}
--- a/gateway/src/inbound_links.rs
+++ b/gateway/src/inbound_links.rs
@@ -58,6 +58,12 @@
 /// only its own relayed connection.
 const CONNECTION_WINDOW_BYTES: u32 = 1024 * 1024;
 
+/// Interval of keep-alive probes to connected peers, whose connections may hang for good when they
+/// lose power or are cut off: what they had relayed would stay open.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time within which a peer answers a probe. Long enough for one that stands still for a while.
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// The gRPC service; passes accepted links to [`serve_accepted`] and relays to [`relays::serve`].
 struct Acceptor {
     accepted: UnboundedSender<AcceptedLink>,
@@ -100,6 +106,8 @@
     let server = Server::builder()
         .max_concurrent_streams(MAX_CALLS_PER_CONNECTION)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .http2_keepalive_interval(Some(KEEP_ALIVE_INTERVAL))
+        .http2_keepalive_timeout(Some(KEEP_ALIVE_TIMEOUT))
         .add_service(WorkServer::new(Acceptor { accepted: tx, relays }));
     // Without TCP_NODELAY, small messages wait for the acknowledgement of the previous one, 40 ms
     // on some systems.
--- a/gateway/src/relays.rs
+++ b/gateway/src/relays.rs
@@ -19,10 +19,11 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::sync::mpsc::{Sender, UnboundedReceiver};
 use tokio::task::spawn_local;
+use tokio::time::timeout;
 use tonic::{Status, Streaming};
 
 use crate::app::App;
-use crate::connections::{ConnectError, connect};
+use crate::connections::{CONNECT_TIMEOUT, ConnectError, connect};
 
 /// Most connections that this VM relays at a time.
 const MAX_RELAYED: usize = 256;
@@ -67,8 +68,9 @@
 /// Opens a connection to the target that a peer names and forwards bytes until either side ends.
 async fn relay(app: Rc<App>, accepted: AcceptedRelay) {
     let AcceptedRelay { mut inbound, tx } = accepted;
-    let Ok(Some(ToTarget { kind: Some(to_target::Kind::Open(open)) })) = inbound.message().await
-    else {
+    // The peer waits for the connection for as long.
+    let first = timeout(CONNECT_TIMEOUT, inbound.message()).await;
+    let Ok(Ok(Some(ToTarget { kind: Some(to_target::Kind::Open(open)) }))) = first else {
         return;
     };
     let guard = RelayGuard::new(&app);
