--- a/gateway/src/store_listing.rs
+++ b/gateway/src/store_listing.rs
@@ -142,6 +142,10 @@
     so_far.as_of = Some(so_far.as_of.map_or(as_of, |first| first.min(as_of)));
     so_far.latest = so_far.latest.max(as_of);
     let more = page.truncated && !page.items.is_empty();
+    let last = page.items.last().map(|item| &item.key);
+    if more && last <= after.as_ref() {
+        return Err(StoreCallError::Failed("a page does not go on after the last one".to_owned()));
+    }
     so_far.items.extend(page.items.into_iter().map(|item| to_view_item(item, era)));
     Ok(more)
 }
--- a/standins/src/serving_path/store.rs
+++ b/standins/src/serving_path/store.rs
@@ -7,6 +7,7 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use super::endless::write_chunks_endlessly;
@@ -291,7 +292,8 @@
             req.path_and_query().split_once('?').unwrap_or((req.path_and_query(), ""));
         let param = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, v)| v.to_owned()).next()
+            let value = pairs.filter(|(key, _)| *key == name).map(|(_, v)| v).next()?;
+            Some(percent_decode_str(value).decode_utf8_lossy().into_owned())
         };
         let number = |name: &str| param(name).and_then(|v| v.parse().ok()).unwrap_or(0u64);
         let prefix = param("path_prefix").unwrap_or_default();
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -8,7 +8,9 @@
 
 use serde_json::json;
 use standins::fleet::wait_until;
-use standins::serving_path::site::{SETTLE_TIME, Site, get, send_expecting_answer};
+use standins::serving_path::site::{
+    SETTLE_TIME, Site, default_configuration, get, send_expecting_answer,
+};
 
 #[test]
 fn invalid_and_outdated_entries_are_ignored() {
@@ -65,3 +67,21 @@
     );
     assert_eq!(later_vm.targets(), target_count);
 }
+
+/// Guards against VMs whose listing of the store never ends, because a page ends at a key that is not
+/// a part of a URI as it stands.
+#[test]
+fn a_listing_goes_on_behind_keys_with_any_characters() {
+    let site = Site::start();
+    let runners = site.store.keys("servers/").len() as u64;
+    for key in ["i-2 (old)", "i-2+3", "i-2&path_prefix=x", "i-2%41", "i-2#x", "i-2?", "i-2é"] {
+        site.store.put(&format!("servers/{key}"), &json!("of another writer"));
+    }
+    site.store.set_page_size(1);
+
+    let vm = site.start_vm_expecting("strange-keys", runners);
+    site.store.put("op/config", &default_configuration(2));
+
+    wait_until("the change is known", || vm.state()["configuration"] == 2);
+    assert_eq!(send_expecting_answer(&get("/repeat/", "r"), &vm).status(), 200);
+}
