Refuse a worker's second answer to an earlier call of pieces

Calls of pieces have no id.

Cause: answers and calls were paired by their order on a connection alone. Ruled out: a longer pause before a connection is used again; a copy that waits for the next call comes after any pause.

Change: an answer whose results were named before on its connection, or that has another number of items than the call, belongs to another call: the connection is closed and the pieces run elsewhere. An answer that names no result, and a refusal, could not be told from a copy; their connections are closed. Calls of pieces have connections apart from releases and reports, whose copies then meet none of them. Weighed: no reuse at all, which costs a connection for each call.

--- a/components/platform_interface/src/calls.rs
+++ b/components/platform_interface/src/calls.rs
@@ -119,6 +119,16 @@
     Failed,
 }
 
+impl PieceAnswer {
+    /// The handle of the result; `None` if there is none.
+    pub fn handle(&self) -> Option<&str> {
+        match self {
+            PieceAnswer::Stored(handle) => Some(handle),
+            _ => None,
+        }
+    }
+}
+
 /// Report of a pool's worker on its calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WorkerReport {
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -22,7 +22,9 @@
 use crate::active_requests::{self, WaitReason};
 use crate::answer_progress::AnswerProgress;
 use crate::app::App;
-use crate::connections::{SendError, SentMark, TargetConnection, UNACKED_TIMEOUT};
+use crate::connections::{
+    Purpose, SendError, SendRules, SentMark, TargetConnection, UNACKED_TIMEOUT,
+};
 use crate::permits::{self, Permit, RateLimited};
 use crate::requests::{AcceptedRequest, build_call};
 use crate::shared::Shared;
@@ -326,9 +328,9 @@
         state.target.set(Some(attempt.pick.key));
         let mark = &state.mark;
         let call = build_call(&self.req, headers);
-        let unacked_limit = self.unacked_limit();
-        let connections = &self.app.connections;
-        let sending = connections.send(&self.app, &target, call, permit, mark, unacked_limit);
+        let rules =
+            SendRules { purpose: Purpose::Requests, mark, unacked_limit: self.unacked_limit() };
+        let sending = self.app.connections.send(&self.app, &target, call, permit, rules);
         let mut unreachable = self.app.unreachable_halls.subscribe();
         let sent = tokio::select! {
             sent = sending => sent,
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -27,6 +27,7 @@
 use crate::app::App;
 use crate::bounded_reads::discard;
 use crate::head_limit::{HeadAllowance, start_http1};
+use crate::named_results::NamedResults;
 use crate::permits::Permit;
 use crate::state_handle::now;
 use crate::target_connecting::{self, Relayed, TargetStream};
@@ -51,6 +52,27 @@
 /// The body of a call.
 pub(crate) type CallBody = Full<Bytes>;
 
+/// What a connection to a target is used for. Answers to requests name their request; those to the
+/// other calls are told apart by their connection only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Purpose {
+    /// Requests of callers.
+    Requests,
+    /// Calls that run pieces of stages.
+    Pieces,
+    /// Releases of results, and requests for a worker's report.
+    Notices,
+}
+
+/// How a call is sent.
+pub(crate) struct SendRules<'a> {
+    pub(crate) purpose: Purpose,
+    /// Set as soon as bytes may be sent.
+    pub(crate) mark: &'a SentMark,
+    /// Time within which sent bytes have to be acknowledged.
+    pub(crate) unacked_limit: Duration,
+}
+
 /// Why a call gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum SendError {
@@ -96,6 +118,9 @@
 /// A connection with a call under way. It is closed on drop.
 pub(crate) struct TargetConnection {
     target: TargetName,
+    purpose: Purpose,
+    /// The results that its answers named.
+    named_results: NamedResults,
     sender: SendRequest<CallBody>,
     /// Bounds the bytes of an answer's head.
     head: HeadAllowance,
@@ -107,6 +132,11 @@
 }
 
 impl TargetConnection {
+    /// The results that the answers on this connection named.
+    pub(crate) fn named_results(&mut self) -> &mut NamedResults {
+        &mut self.named_results
+    }
+
     /// The peer that relays the connection, if it is not a direct one.
     pub(crate) fn relay(&self) -> Option<&VmName> {
         self.relay.as_ref()
@@ -140,16 +170,15 @@
     until: Instant,
 }
 
-/// Idle connections, by target.
+/// Idle connections, by target and purpose.
 #[derive(Default)]
 pub(crate) struct Connections {
-    idle: RefCell<HashMap<TargetName, Vec<IdleConnection>>>,
+    idle: RefCell<HashMap<(TargetName, Purpose), Vec<IdleConnection>>>,
 }
 
 impl Connections {
-    /// Sends a call, which uses up a permit, and waits for the head of its answer. Sets `mark` as
-    /// soon as bytes may be sent. The connection fails if bytes are not acknowledged within
-    /// `unacked_limit`.
+    /// Sends a call, which uses up a permit, and waits for the head of its answer. The
+    /// connection fails if bytes are not acknowledged in time.
     ///
     /// # Errors
     /// `Withheld` if the permit is no longer valid, `NotSent` if no byte was sent, `Broke` if the
@@ -160,16 +189,16 @@
         target: &Target,
         req: Request<CallBody>,
         permit: Permit,
-        mark: &SentMark,
-        unacked_limit: Duration,
+        rules: SendRules<'_>,
     ) -> Result<(Response<Incoming>, TargetConnection), SendError> {
+        let SendRules { purpose, mark, unacked_limit } = rules;
         let mut req = req;
         if !permit.is_valid() {
             return Err(SendError::Withheld);
         }
         // The target may have closed an idle connection before anything was written; then the next
         // one is tried.
-        while let Some(mut connection) = self.take(&target.id) {
+        while let Some(mut connection) = self.take(&target.id, purpose) {
             connection.set_unacked_limit(unacked_limit);
             mark.set(true);
             match connection.call(req).await {
@@ -186,7 +215,7 @@
                 },
             }
         }
-        let mut connection = open(app, target).await?;
+        let mut connection = open(app, target, purpose).await?;
         if !permit.is_valid() {
             return Err(SendError::Withheld);
         }
@@ -216,7 +245,7 @@
             .map_or(MAX_IDLE_TIME, |keep_alive| keep_alive.mul_f64(KEEP_ALIVE_FRACTION))
             .min(MAX_IDLE_TIME);
         let mut idle = self.idle.borrow_mut();
-        let per_target = idle.entry(connection.target.clone()).or_default();
+        let per_target = idle.entry((connection.target.clone(), connection.purpose)).or_default();
         if per_target.len() < max_idle_count.min(MAX_IDLE_PER_TARGET) {
             per_target.push(IdleConnection { connection, since, until: since + max_idle_time });
         }
@@ -224,7 +253,7 @@
 
     /// Closes the idle connections to a target.
     pub(crate) fn close_idle(&self, target: &TargetName) {
-        self.idle.borrow_mut().remove(target);
+        self.idle.borrow_mut().retain(|(of, _), _| of != target);
     }
 
     /// Closes all idle connections.
@@ -243,10 +272,10 @@
     }
 
     /// Takes the most recently used connection that has been idle for [`REUSE_DELAY`].
-    fn take(&self, target: &TargetName) -> Option<TargetConnection> {
+    fn take(&self, target: &TargetName, purpose: Purpose) -> Option<TargetConnection> {
         let now = now();
         let mut idle = self.idle.borrow_mut();
-        let per_target = idle.get_mut(target)?;
+        let per_target = idle.get_mut(&(target.clone(), purpose))?;
         per_target.retain(|r| r.until > now && !r.connection.sender.is_closed());
         let is_reusable = |r: &IdleConnection| {
             now.saturating_duration_since(r.since) >= REUSE_DELAY && r.connection.sender.is_ready()
@@ -304,24 +333,28 @@
 }
 
 /// Opens a connection to a target.
-async fn open(app: &Rc<App>, target: &Target) -> Result<TargetConnection, SendError> {
+async fn open(
+    app: &Rc<App>,
+    target: &Target,
+    purpose: Purpose,
+) -> Result<TargetConnection, SendError> {
     let stream = target_connecting::connect_to(app, target).await;
-    let id = target.id.clone();
+    let to = (target.id.clone(), purpose);
     match stream.map_err(|e| SendError::NotSent(e.to_string()))? {
         TargetStream::Direct(stream) => {
             let socket = SockRef::from(&stream).try_clone().ok();
-            start_http(id, stream, socket, None).await
+            start_http(to, stream, socket, None).await
         }
         TargetStream::Relayed(relayed) => {
             let Relayed { vm, stream } = *relayed;
-            start_http(id, stream, None, Some(vm)).await
+            start_http(to, stream, None, Some(vm)).await
         }
     }
 }
 
 /// Starts HTTP on an open connection.
 async fn start_http<S>(
-    target: TargetName,
+    (target, purpose): (TargetName, Purpose),
     stream: S,
     socket: Option<Socket>,
     relay: Option<VmName>,
@@ -340,7 +373,16 @@
         drop(open_socket.take());
     };
     let task = tokio::task::spawn_local(running).abort_handle();
-    Ok(TargetConnection { target, sender, head, task, socket, relay })
+    Ok(TargetConnection {
+        target,
+        purpose,
+        named_results: NamedResults::default(),
+        sender,
+        head,
+        task,
+        socket,
+        relay,
+    })
 }
 
 /// Opens a TCP connection with a connect timeout and a limit for unacknowledged data.
--- a/gateway/src/input_fetches.rs
+++ b/gateway/src/input_fetches.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::app::App;
-use crate::own_calls::{OwnCallError, own_call};
+use crate::own_calls::{OwnCallError, ask_for_report};
 use crate::permits;
 
 /// Time within which a call arrives at its worker: many times the latency between halls.
@@ -52,8 +52,7 @@
 /// Asks a worker for its report on the calls that arrived there.
 async fn fetch_report(app: &Rc<App>, worker: &Target) -> CallProgress {
     let Some(permit) = permits::for_report(app, worker) else { return CallProgress::Unavailable };
-    let call = (app.adapter.calls.report)(&worker.id);
-    match own_call(app, worker, call, permit, REPORT_TIMEOUT).await {
+    match ask_for_report(app, worker, permit, REPORT_TIMEOUT).await {
         Ok(body) => parse_report(app, worker, &body),
         Err(OwnCallError::Failed) => CallProgress::Unavailable,
         Err(_) => CallProgress::SomeMayBeQueued,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod link_messages;
 mod logs;
 mod missing_inputs;
+pub mod named_results;
 mod outbound_links;
 mod overlapping_attempts;
 mod own_calls;
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -10,13 +10,15 @@
 use hyper::{Request, Response};
 use ids::RequestId;
 use intent::Target;
-use platform_interface::calls::{AnswerHead, Evidence, OwnCall};
+use platform_interface::calls::{AnswerHead, Evidence, OwnCall, PieceAnswer, PieceCall};
 use slog::{debug, info};
 use tokio::time::{Instant, timeout_at};
 
 use crate::app::App;
 use crate::bounded_reads::{ReadBounds, ReadError, Unread, read_body};
-use crate::connections::{SendError, SentMark, TargetConnection, UNACKED_TIMEOUT};
+use crate::connections::{
+    Purpose, SendError, SendRules, SentMark, TargetConnection, UNACKED_TIMEOUT,
+};
 use crate::permits::Permit;
 use crate::state_handle::now;
 use crate::target_announcements;
@@ -42,41 +44,91 @@
     Failed,
 }
 
-/// Sends a call and reads its answer, up to [`MAX_ANSWER_BYTES`], `within` a time.
+/// Asks a worker for its report.
 ///
 /// # Errors
-/// Why there is no answer with a success status.
-pub(crate) async fn own_call(
+/// Why there is no answer with a success status `within` the time.
+pub(crate) async fn ask_for_report(
     app: &Rc<App>,
-    target: &Target,
-    call: OwnCall,
+    worker: &Target,
     permit: Permit,
     within: Duration,
 ) -> Result<Bytes, OwnCallError> {
     let until = Instant::now() + within;
-    let Succeeded { head, body, connection } = head_of(app, target, call, permit, until).await?;
-    let bounds = ReadBounds { max_bytes: Some(MAX_ANSWER_BYTES), until };
-    let body = read_body(body, &app.answer_memory, bounds).await;
-    let body = body.map_err(|unread| body_error(app, target, unread))?;
+    let call = (app.adapter.calls.report)(&worker.id);
+    let succeeded = head_of(app, worker, call, permit, Purpose::Notices, until).await?;
+    let Succeeded { head, body, connection } = succeeded;
+    let body = read(app, worker, body, until).await?;
     if !head.closes {
         app.keep_connection(connection, head.keep_alive);
     }
-    Ok(body.to_bytes())
+    Ok(body)
 }
 
-/// Sends a call of whose answer only the status is of use.
+/// Has a worker run pieces; returns an answer for each of them.
 ///
 /// # Errors
-/// Why there is no answer with a success status `within` the time.
-pub(crate) async fn own_call_without_answer(
+/// Why there is no answer with a success status `within` the time, or that it belongs to another
+/// call.
+pub(crate) async fn run_pieces(
     app: &Rc<App>,
+    worker: &Target,
+    pieces: &[PieceCall],
+    permit: Permit,
+    within: Duration,
+) -> Result<Vec<PieceAnswer>, OwnCallError> {
+    let until = Instant::now() + within;
+    let call = (app.adapter.calls.pool_call)(&worker.id, pieces);
+    let succeeded = head_of(app, worker, call, permit, Purpose::Pieces, until).await?;
+    let Succeeded { head, body, mut connection } = succeeded;
+    let body = read(app, worker, body, until).await?;
+    let answers = (app.adapter.calls.read_pool_answer)(&body).map_err(|e| {
+        info!(app.log, "pool answer could not be parsed"; "why" => %e);
+        OwnCallError::Failed
+    })?;
+    let mut handles = answers.iter().filter_map(PieceAnswer::handle).peekable();
+    // A second copy of an answer that names no result could not be told from the next answer.
+    let may_reuse = handles.peek().is_some() && !head.closes;
+    let is_of_call = answers.len() == pieces.len() && connection.named_results().are_new(handles);
+    if !is_of_call {
+        info!(app.log, "answer of another call"; "target" => %worker.id,
+            "pieces" => pieces.len(), "answers" => answers.len());
+        app.metrics.answer_to_other_attempt(worker.id.as_str());
+        return Err(OwnCallError::Failed);
+    }
+    if may_reuse {
+        app.keep_connection(connection, head.keep_alive);
+    }
+    Ok(answers)
+}
+
+/// Reads the body of an answer, up to [`MAX_ANSWER_BYTES`].
+async fn read(
+    app: &App,
     target: &Target,
-    call: OwnCall,
+    body: Incoming,
+    until: Instant,
+) -> Result<Bytes, OwnCallError> {
+    let bounds = ReadBounds { max_bytes: Some(MAX_ANSWER_BYTES), until };
+    let body = read_body(body, &app.answer_memory, bounds).await;
+    body.map(|body| body.to_bytes()).map_err(|unread| body_error(app, target, unread))
+}
+
+/// Has a worker release results.
+///
+/// # Errors
+/// Why there is no answer with a success status `within` the time.
+pub(crate) async fn release(
+    app: &Rc<App>,
+    worker: &Target,
+    handles: &[String],
     permit: Permit,
     within: Duration,
 ) -> Result<(), OwnCallError> {
     let until = Instant::now() + within;
-    let Succeeded { head, body, connection } = head_of(app, target, call, permit, until).await?;
+    let call = (app.adapter.calls.release)(&worker.id, handles);
+    let succeeded = head_of(app, worker, call, permit, Purpose::Notices, until).await?;
+    let Succeeded { head, body, connection } = succeeded;
     app.discard_body(body, connection, &head);
     Ok(())
 }
@@ -95,10 +147,11 @@
     target: &Target,
     call: OwnCall,
     permit: Permit,
+    purpose: Purpose,
     until: Instant,
 ) -> Result<Succeeded, OwnCallError> {
     let started = now();
-    let sent = timeout_at(until, send(app, target, call, permit)).await;
+    let sent = timeout_at(until, send(app, target, call, permit, purpose)).await;
     let (answer, connection) = sent.map_err(|_| OwnCallError::TimedOut)??;
     let (parts, body) = answer.into_parts();
     let head = (app.adapter.calls.read_head)(&parts, &placeholder_id());
@@ -110,7 +163,10 @@
         _ if parts.status.is_success() => return Ok(Succeeded { head, body, connection }),
         _ => OwnCallError::Failed,
     };
-    app.discard_body(body, connection, &head);
+    // A second copy of a refusal could not be told from the next answer to a call of pieces.
+    if purpose != Purpose::Pieces {
+        app.discard_body(body, connection, &head);
+    }
     Err(error)
 }
 
@@ -120,6 +176,7 @@
     target: &Target,
     call: OwnCall,
     permit: Permit,
+    purpose: Purpose,
 ) -> Result<(Response<Incoming>, TargetConnection), OwnCallError> {
     let mut req = Request::new(Full::new(call.body));
     *req.method_mut() = call.method;
@@ -129,7 +186,8 @@
         req.headers_mut().insert(http::header::HOST, host);
     }
     let mark = SentMark::default();
-    let sent = app.connections.send(app, target, req, permit, &mark, UNACKED_TIMEOUT).await;
+    let rules = SendRules { purpose, mark: &mark, unacked_limit: UNACKED_TIMEOUT };
+    let sent = app.connections.send(app, target, req, permit, rules).await;
     sent.map_err(|error| {
         debug!(app.log, "call failed"; "target" => %target.id, "why" => ?error);
         match error {
--- a/gateway/src/pool_calls.rs
+++ b/gateway/src/pool_calls.rs
@@ -8,14 +8,14 @@
 
 use batching::{Call, CallEnd, CallKey, FinishedPiece, JobKey, PieceOutcome, Pool};
 use ids::ServiceName;
-use platform_interface::calls::{OwnCall, PieceAnswer, PieceCall};
+use platform_interface::calls::{PieceAnswer, PieceCall};
 use slog::info;
 use tokio::task::spawn_local;
 
 use crate::app::App;
 use crate::call_counts::{PieceCounts, end_name};
 use crate::held_results::{Origin, ResultExpiry};
-use crate::own_calls::{OwnCallError, own_call};
+use crate::own_calls::{OwnCallError, run_pieces};
 use crate::permits::Permit;
 use crate::piece_events::{PeerSink, PieceEvent, Sink};
 use crate::state_handle::now;
@@ -122,8 +122,7 @@
         app.state.with(|shared, _| (shared.entry_revision(&call.target.id), shared.view.as_of()));
     let end = if pieces.len() == call.pieces.len() {
         let lifetime = app.state.with(|shared, _| shared.lifetime_of(&call.target));
-        let req = (app.adapter.calls.pool_call)(&call.target.id, &pieces);
-        match send(&app, &pool, &call, req, permit).await {
+        match send(&app, &pool, &call, pieces, permit).await {
             Ok(end) => end,
             Err(ConnectionBroke) => {
                 crashes::check_broken_call(&app, &digests, &call.target, lifetime).await;
@@ -174,14 +173,14 @@
     app: &Rc<App>,
     pool: &ServiceName,
     call: &Call,
-    req: OwnCall,
+    pieces: Vec<PieceCall>,
     permit: Permit,
 ) -> Result<CallEnd, ConnectionBroke> {
     // The results of a call that timed out are of use for as long as the worker keeps them.
     let within = call.timeout + LAST_READ_TIMEOUT + result_life(app, pool);
     let mut sent = Box::pin({
         let (app, target) = (Rc::clone(app), call.target.clone());
-        async move { own_call(&app, &target, req, permit, within).await }
+        async move { run_pieces(&app, &target, &pieces, permit, within).await }
     });
     let mut timeout = std::pin::pin!(tokio::time::sleep(call.timeout));
     let mut fetch = std::pin::pin!(input_fetches::wait_until_fetched(app, call));
@@ -189,7 +188,7 @@
     let mut fetch_pending = true;
     loop {
         tokio::select! {
-            sent = &mut sent => return call_end(app, sent),
+            sent = &mut sent => return call_end(sent),
             () = &mut timeout => {
                 let arrived = tokio::time::timeout(LAST_READ_TIMEOUT, &mut sent).await;
                 if arrived.is_err() && is_running(app, pool, call.key) {
@@ -198,7 +197,7 @@
                 if arrived.is_err() {
                     target_connecting::check_path(app, &call.target);
                 }
-                return call_end(app, arrived.unwrap_or(Err(OwnCallError::TimedOut)));
+                return call_end(arrived.unwrap_or(Err(OwnCallError::TimedOut)));
             }
             () = &mut fetch, if fetch_pending => {
                 fetch_pending = false;
@@ -227,10 +226,9 @@
 async fn release_late_results(
     app: Rc<App>,
     pool: ServiceName,
-    sent: impl Future<Output = Result<bytes::Bytes, OwnCallError>>,
+    sent: impl Future<Output = Result<Vec<PieceAnswer>, OwnCallError>>,
 ) {
-    let Ok(body) = sent.await else { return };
-    let Ok(answers) = (app.adapter.calls.read_pool_answer)(&body) else { return };
+    let Ok(answers) = sent.await else { return };
     let handles = answers.into_iter().filter_map(|answer| match answer {
         PieceAnswer::Stored(handle) => Some(handle),
         _ => None,
@@ -281,18 +279,9 @@
 }
 
 /// Converts the answer to a call, or the lack of one, to its end.
-fn call_end(
-    app: &App,
-    sent: Result<bytes::Bytes, OwnCallError>,
-) -> Result<CallEnd, ConnectionBroke> {
+fn call_end(sent: Result<Vec<PieceAnswer>, OwnCallError>) -> Result<CallEnd, ConnectionBroke> {
     Ok(match sent {
-        Ok(body) => match (app.adapter.calls.read_pool_answer)(&body) {
-            Ok(answers) => CallEnd::Answered(answers),
-            Err(e) => {
-                info!(app.log, "pool answer could not be parsed"; "why" => %e);
-                CallEnd::Failed
-            }
-        },
+        Ok(answers) => CallEnd::Answered(answers),
         Err(OwnCallError::Declined) => CallEnd::Full,
         Err(OwnCallError::OtherTarget) => CallEnd::TargetGone,
         Err(OwnCallError::Broke) => return Err(ConnectionBroke),
--- a/gateway/src/releases.rs
+++ b/gateway/src/releases.rs
@@ -28,7 +28,7 @@
 use crate::held_results::{Origin, ReleaseBatch};
 use crate::inbound_links::has_process_ended;
 use crate::outbound_links::Link;
-use crate::own_calls::{OwnCallError, own_call_without_answer};
+use crate::own_calls::{OwnCallError, release};
 use crate::permits;
 use crate::pool_calls::dispatch_calls;
 use crate::state_handle::{now, time_until};
@@ -470,9 +470,8 @@
         }
         sleep(pause).await;
     }
-    let call = (app.adapter.calls.release)(&target.id, handles);
     let permit = permits::for_release(app, target);
-    match own_call_without_answer(app, target, call, permit, RELEASE_WAIT).await {
+    match release(app, target, handles, permit, RELEASE_WAIT).await {
         Ok(()) => SendOutcome::Confirmed,
         Err(OwnCallError::OtherTarget) => SendOutcome::Replaced,
         Err(OwnCallError::TimedOut) => SendOutcome::Unconfirmed("no answer in time".to_owned()),
--- a/standins/src/serving_path/behavior.rs
+++ b/standins/src/serving_path/behavior.rs
@@ -44,6 +44,9 @@
     Cross,
     /// It sends a complete answer, and the same one again 2 ms later.
     Extra,
+    /// It sends a complete answer to a call of pieces, and the same one again when the next call comes
+    /// on the connection, before it answers that one.
+    CopyBeforeNext,
     /// It sends bytes that are not HTTP.
     Garbage,
     /// It sends a successful answer without the `Response-Signature` header.
@@ -120,6 +123,7 @@
             | Behavior::DeclineFor(_)
             | Behavior::CutBody
             | Behavior::Extra
+            | Behavior::CopyBeforeNext
             | Behavior::Stall(_)
             | Behavior::Endless(_)
             | Behavior::Unframed
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -42,6 +42,8 @@
 pub struct StageResult {
     /// Handle that names the result.
     pub handle: String,
+    /// Id of the request for which it was made.
+    pub request: String,
     /// When the call arrived.
     pub called: Instant,
     /// When the result was computed.
@@ -393,7 +395,7 @@
         let answer_headers = [("Request-Id", id), ("Response-Signature", signature.as_str())];
         let answer = self.reply("200 OK", &answer_headers, body.as_bytes());
         match behavior {
-            Behavior::Answer => conn.write(&answer),
+            Behavior::Answer | Behavior::CopyBeforeNext => conn.write(&answer),
             Behavior::Large(bytes) => {
                 let large = "x".repeat(bytes.saturating_sub(body.len())) + &body;
                 conn.write(&self.reply("200 OK", &answer_headers, large.as_bytes()))
--- a/standins/src/serving_path/stage_calls.rs
+++ b/standins/src/serving_path/stage_calls.rs
@@ -69,7 +69,14 @@
         };
         let outcomes = items.iter().enumerate().map(outcome_of).collect::<Vec<_>>();
         drop(running_call);
-        conn.write(&self.reply("200 OK", &[], json!({ "items": outcomes }).to_string().as_bytes()))
+        let body = json!({ "items": outcomes }).to_string();
+        let answer = self.reply("200 OK", &[], body.as_bytes());
+        let written = conn.write(&answer);
+        if behavior == Behavior::CopyBeforeNext {
+            let Some(next) = conn.read() else { return false };
+            return conn.write(&answer) && self.answer(conn, &next);
+        }
+        written
     }
 
     /// Waits in the queue for as long as [`Runner::delay_next_call`] says.
@@ -100,10 +107,17 @@
     fn run_piece(&self, item: &Value, called: Instant, caller_gone: bool) -> Value {
         let number = |name: &str| item[name].as_u64().unwrap_or(u64::MAX);
         let id = item["id"].as_str().unwrap_or_default().to_owned();
+        let request = id.clone();
         self.with(|state| state.pieces.push((id, number("stage"), number("piece"))));
         let handle = self.next_handle.fetch_add(1, Ordering::Relaxed);
         let handle = format!("{}/{handle:x}", self.address);
-        let made = StageResult { handle: handle.clone(), called, at: Instant::now(), caller_gone };
+        let made = StageResult {
+            handle: handle.clone(),
+            request,
+            called,
+            at: Instant::now(),
+            caller_gone,
+        };
         self.with(|state| state.made.push(made));
         json!({ "handle": handle })
     }
