--- a/standins/src/serving_path/endless.rs
+++ b/standins/src/serving_path/endless.rs
@@ -59,7 +59,10 @@
         let (head, piece) = match part {
             Part::Head => (format!("{head}Filler: "), filler),
             Part::Interim => (String::new(), head.repeat(PIECE_BYTES / head.len())),
-            Part::Tail => (format!("{head}Content-Length: 2\r\n\r\nok"), filler),
+            Part::Tail => {
+                let body = format!("{} answers {id}", self.id);
+                (format!("{head}Content-Length: {}\r\n\r\n{body}", body.len()), filler)
+            }
             _ => {
                 if conn.write(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes()) {
                     write_chunks_endlessly(conn);
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -10,6 +10,7 @@
 pub mod crashing;
 mod endless;
 pub mod faulty_link;
+pub mod flood_soak;
 pub mod removal_soak;
 pub mod runners;
 pub mod scenarios;
--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -125,6 +125,8 @@
     pub crossed: Vec<String>,
     /// Number of attempts to take a stream up whose share is compared, see [`super::stream_soak`].
     pub resumed: usize,
+    /// Most memory that a VM took, in megabytes; 0 if that was not watched.
+    pub peak_memory_mb: u64,
     /// Descriptions of the checks that failed.
     pub violations: Vec<String>,
 }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{removal_soak, silence_soak, stop_soak, stream_soak};
+use standins::serving_path::{flood_soak, removal_soak, silence_soak, stop_soak, stream_soak};
 
 /// Seeds of runs with random faults.
 ///
@@ -26,7 +26,10 @@
 /// Seeds of runs with changes of the store that VMs miss. Both guard against VMs that keep what was
 /// removed while other VMs were down.
 const REMOVAL_SEEDS: [u64; 2] = [1, 3];
-/// Number of VMs in these runs.
+/// Seeds of runs with answers that stop or have no end. Both guard against VMs that take more memory
+/// than they have, and against requests without an answer in time.
+const FLOOD_SEEDS: [u64; 2] = [1, 2];
+/// Number of VMs in the runs with changes that VMs miss.
 const REMOVAL_VMS: usize = 5;
 /// Number of callers in a run with planned stops.
 const STOP_CALLERS: u64 = 12;
@@ -90,3 +93,15 @@
         assert!(report.complete > 20 && report.restarts > 3, "seed {seed}: {report:?}");
     }
 }
+
+#[test]
+fn requests_are_answered_in_bounded_memory_beside_answers_without_an_end() {
+    for seed in FLOOD_SEEDS {
+        let size = Size { callers: STOP_CALLERS, ..Size::default() };
+
+        let report = flood_soak::run(seed, FAULT_TIME * 2, size);
+
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(report.complete > 20 && report.faults > 5, "seed {seed}: {report:?}");
+    }
+}
