Keep idle connections within what a target accepts, for each purpose

By reading: since calls of pieces have connections apart from releases and reports, the VMs of a fleet of some eighty kept twice as many idle connections to a worker as it accepts (280 and more of 280 at 83 VMs, each with 3 for a purpose). The share of a VM is now divided by the purposes.

--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -22,9 +22,8 @@
 use crate::active_requests::{self, WaitReason};
 use crate::answer_progress::AnswerProgress;
 use crate::app::App;
-use crate::connections::{
-    Purpose, SendError, SendRules, SentMark, TargetConnection, UNACKED_TIMEOUT,
-};
+use crate::connections::{SendError, SendRules, SentMark, TargetConnection, UNACKED_TIMEOUT};
+use crate::idle_connections::Purpose;
 use crate::permits::{self, Permit, RateLimited};
 use crate::requests::{AcceptedRequest, build_call};
 use crate::shared::Shared;
--- a/gateway/src/connections.rs
+++ b/gateway/src/connections.rs
@@ -27,6 +27,7 @@
 use crate::app::App;
 use crate::bounded_reads::discard;
 use crate::head_limit::{HeadAllowance, start_http1};
+use crate::idle_connections::{Purpose, max_idle};
 use crate::named_results::NamedResults;
 use crate::permits::Permit;
 use crate::state_handle::now;
@@ -46,24 +47,10 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Fraction of the target's keep-alive time for which a connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
-/// Most idle connections to one target.
-const MAX_IDLE_PER_TARGET: usize = 6;
 
 /// The body of a call.
 pub(crate) type CallBody = Full<Bytes>;
 
-/// What a connection to a target is used for. Answers to requests name their request; those to the
-/// other calls are told apart by their connection only.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub(crate) enum Purpose {
-    /// Requests of callers.
-    Requests,
-    /// Calls that run pieces of stages.
-    Pieces,
-    /// Releases of results, and requests for a worker's report.
-    Notices,
-}
-
 /// How a call is sent.
 pub(crate) struct SendRules<'a> {
     pub(crate) purpose: Purpose,
@@ -233,7 +220,7 @@
     }
 
     /// Stores a connection whose answer was read to its end, unless its target already has
-    /// `max_idle_count` idle ones.
+    /// `max_idle_count` idle ones for the purpose.
     fn put(
         &self,
         connection: TargetConnection,
@@ -246,7 +233,7 @@
             .min(MAX_IDLE_TIME);
         let mut idle = self.idle.borrow_mut();
         let per_target = idle.entry((connection.target.clone(), connection.purpose)).or_default();
-        if per_target.len() < max_idle_count.min(MAX_IDLE_PER_TARGET) {
+        if per_target.len() < max_idle_count {
             per_target.push(IdleConnection { connection, since, until: since + max_idle_time });
         }
     }
@@ -319,10 +306,12 @@
         let max_idle_count = self.state.with(|shared, _| {
             let service = shared.targets.service_of(&connection.target)?;
             let limit = shared.intent.as_ref()?.services.get(service)?.connections;
-            let share = usize::try_from(limit).unwrap_or(usize::MAX) / shared.fleet.size();
-            (limit > 0).then_some(share)
+            let limit = usize::try_from(limit).ok().filter(|limit| *limit > 0);
+            Some(max_idle(connection.purpose, limit, shared.fleet.size()))
         });
-        self.connections.put(connection, keep_alive, max_idle_count.unwrap_or(MAX_IDLE_PER_TARGET));
+        let unlimited = || max_idle(connection.purpose, None, 1);
+        let max_idle_count = max_idle_count.unwrap_or_else(unlimited);
+        self.connections.put(connection, keep_alive, max_idle_count);
     }
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod held_results;
 mod http_endpoints;
+pub mod idle_connections;
 pub mod idle_rest;
 mod inbound_links;
 mod input_fetches;
--- a/gateway/src/own_calls.rs
+++ b/gateway/src/own_calls.rs
@@ -16,9 +16,8 @@
 
 use crate::app::App;
 use crate::bounded_reads::{ReadBounds, ReadError, Unread, read_body};
-use crate::connections::{
-    Purpose, SendError, SendRules, SentMark, TargetConnection, UNACKED_TIMEOUT,
-};
+use crate::connections::{SendError, SendRules, SentMark, TargetConnection, UNACKED_TIMEOUT};
+use crate::idle_connections::Purpose;
 use crate::permits::Permit;
 use crate::state_handle::now;
 use crate::target_announcements;
