--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -6,6 +6,8 @@
 use std::thread::spawn;
 use std::time::{Duration, Instant};
 
+use peering::WorkClient;
+use peering::work::ToTarget;
 use standins::fleet::wait_until;
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
@@ -14,6 +16,9 @@
     Site, Vm, default_configuration, get, post, send_expecting_answer,
 };
 use standins::serving_path::store::StoreMode;
+use tokio::sync::mpsc::unbounded_channel;
+use tokio_stream::wrappers::UnboundedReceiverStream;
+use tonic::transport::Endpoint;
 
 /// When an answer has to be there: the request's time, which is 2 s, and half a second.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
@@ -25,6 +30,8 @@
 const MEMORY_MB: u64 = 260;
 /// Callers that meet answers without an end at a time.
 const CALLERS: usize = 24;
+/// When a relayed connection without a target has to have ended; connections have 0.4 s.
+const RELAY_ENDS_WITHIN: Duration = Duration::from_secs(2);
 /// How long the store sends answers without an end.
 const STORE_TROUBLE: Duration = Duration::from_secs(4);
 /// Size of a large sound answer, in bytes.
@@ -255,3 +262,19 @@
         site.engines.iter().for_each(|engine| engine.clear_script());
     }
 }
+
+/// Guards against a peer that has a connection relayed and never says to which target.
+#[tokio::test]
+async fn a_relayed_connection_without_a_target_ends() {
+    let site = Site::start();
+    let vm = site.start_vm("relay-without-target", "");
+    let peers = Endpoint::from_shared(format!("http://{}", vm.peers())).expect("an address");
+    let mut client = WorkClient::new(peers.connect().await.expect("a connection"));
+    let (_tx, rx) = unbounded_channel::<ToTarget>();
+
+    let relayed = client.relay(UnboundedReceiverStream::new(rx)).await;
+    let mut answers = relayed.expect("a call").into_inner();
+    let ended = tokio::time::timeout(RELAY_ENDS_WITHIN, answers.message()).await;
+
+    assert!(matches!(ended, Ok(Ok(None) | Err(_))), "{ended:?}");
+}
