Forget requests that are older than the retry budget's window as they come

Change: a request that is counted drops those older than the window. The test fails before with 100,000 kept where 10,001 lie within the window.

--- a/components/selection/src/retry_budget.rs
+++ b/components/selection/src/retry_budget.rs
@@ -28,11 +28,18 @@
 }
 
 impl FleetRetryBudget {
-    /// Counts a request from a caller.
-    pub fn record_request(&mut self, now: Instant) {
+    /// Counts a request from a caller, and forgets those that are older than the budget's `window`:
+    /// a service without retries never looks at its budget.
+    pub fn record_request(&mut self, window: Duration, now: Instant) {
+        remove_expired(&mut self.requests, window, now);
         self.requests.push_back(now);
     }
 
+    /// Number of requests that are kept.
+    pub fn kept_requests(&self) -> usize {
+        self.requests.len()
+    }
+
     /// Returns the number of requests from callers within the last `time`, which is at most the
     /// budget's window.
     pub fn requests_within(&self, time: Duration, now: Instant) -> usize {
--- a/components/selection/tests/choice.rs
+++ b/components/selection/tests/choice.rs
@@ -187,6 +187,22 @@
     assert_eq!(unread(1, now + Duration::from_millis(3)), 60, "evicted by the second");
 }
 
+/// Guards against a VM whose memory grows with each request of a service that never retries.
+#[test]
+fn a_budget_without_retries_keeps_the_requests_of_its_window_only() {
+    let window = Duration::from_secs(10);
+    let start = Instant::now();
+    let mut budget = FleetRetryBudget::default();
+
+    for millis in 0..100_000 {
+        budget.record_request(window, start + Duration::from_millis(millis));
+    }
+
+    assert_eq!(budget.kept_requests(), 10_001);
+    let end = start + Duration::from_millis(99_999);
+    assert_eq!(budget.requests_within(window, end), 10_000);
+}
+
 #[test]
 fn fleet_stays_within_the_retry_budget_in_every_window() {
     let rules = FleetRetryRules { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
@@ -199,7 +215,7 @@
     for step in 0..3000 {
         let at = Duration::from_millis(step * 10);
         let budget = &mut budgets[step as usize % vms];
-        budget.record_request(start + at);
+        budget.record_request(rules.window, start + at);
         requests.push(at);
         // Every call fails, and each VM retries as often as its budget allows.
         while budget.try_take(&rules, vms, start + at) {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -237,7 +237,8 @@
 
     /// Counts a request of a service toward its retry budget.
     pub(crate) fn count_request(&mut self, service: &ServiceName, now: Instant) {
-        self.retry_budgets.entry(service.clone()).or_default().record_request(now);
+        let budget = self.retry_budgets.entry(service.clone()).or_default();
+        budget.record_request(self.retry_rules.window, now);
     }
 
     /// Returns the number of requests of a service that recently arrived at this VM.
