Wait out a new account in the test of refusals at a rate

Traced: a new account of a rate begins with a second's debt, so that its time to come back is 3.0 s less its age, plus a random part of up to 0.7 s.

--- a/tests/rates.rs
+++ b/tests/rates.rs
@@ -32,6 +32,9 @@
 const LOAD: Duration = Duration::from_secs(6);
 /// Pause after each request that [`load`] sends.
 const PAUSE: Duration = Duration::from_millis(40);
+/// Time for which a new account grants nothing; until then callers are told to come back later than
+/// the rate alone asks for.
+const NEW_ACCOUNT: Duration = Duration::from_secs(1);
 /// A request that was sent before its VM learned of a rate arrives within this time.
 const IN_FLIGHT: Duration = Duration::from_millis(500);
 /// Time for which a target is kept busy, so that another one is chosen.
@@ -237,7 +240,7 @@
     let vm = site.start_vm("at-its-rate", "");
     site.plain.iter().for_each(|target| target.set_rate(Some("0.5")));
     send_until_known(std::slice::from_ref(&vm), &repeat(), &site.plain, "first");
-    thread::sleep(IN_FLIGHT);
+    thread::sleep(NEW_ACCOUNT);
 
     // The accumulated permits are used first.
     let answers: Vec<_> = (0..12)
