Check answers at the head by their statuses instead of a time

The 0.8 s were no stated target, but what told the fixed code from the one before on an idle machine; 24 senders without an end and everything beside them take that long there. The status tells the two apart on any machine: who waits for the end is told 504 at the request's deadline. The checks ask for the status, and for an answer before the deadline. Where the status is the same, the line that is logged when a target has been silent for three latency goals must be absent.

--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -13,7 +13,7 @@
 use standins::serving_path::callers::Call;
 use standins::serving_path::runners::{Behavior, Part, Runner};
 use standins::serving_path::site::{
-    Site, Vm, default_configuration, get, post, send_expecting_answer,
+    SETTLE_TIME, Site, Vm, default_configuration, get, post, send_expecting_answer,
 };
 use standins::serving_path::store::StoreMode;
 use tokio::sync::mpsc::unbounded_channel;
@@ -23,9 +23,8 @@
 /// When an answer has to be there: the request's time, which is 2 s, and half a second.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
 
-/// When what is known from a head has to be answered: before the three latency goals of 300 ms after
-/// which another target is tried beside a silent one.
-const AT_ONCE: Duration = Duration::from_millis(800);
+/// Time of requests.
+const DEADLINE: Duration = Duration::from_secs(2);
 /// Memory of a small VM, in megabytes; a process that takes more is killed.
 const MEMORY_MB: u64 = 260;
 /// Callers that meet answers without an end at a time.
@@ -135,9 +134,13 @@
 
             let answers = send_at_once(calls(path, &format!("{behavior:?}"), CALLERS), &vm);
 
+            // One that waits for the body is told 504 at its deadline.
             for (answer, took) in answers {
                 let status = answer.map_or(0, |answer| answer.status());
-                assert!(status == 503 && took < AT_ONCE, "{path} {behavior:?}: {status}, {took:?}");
+                assert!(
+                    status == 503 && took < DEADLINE,
+                    "{path} {behavior:?}: {status}, {took:?}"
+                );
             }
         }
     }
@@ -154,9 +157,10 @@
 
     let answers = send_at_once(calls("/stream/", "event", CALLERS), &vm);
 
+    // One that waits for the end is told 504 at its deadline.
     for (answer, took) in answers {
         let status = answer.map_or(0, |answer| answer.status());
-        assert!(status == 502 && took < AT_ONCE, "{status} after {took:?}");
+        assert!(status == 502 && took < DEADLINE, "{status} after {took:?}");
     }
 }
 
@@ -173,7 +177,7 @@
 
         for (answer, took) in answers {
             let status = answer.map_or(0, |answer| answer.status());
-            assert!(status == expected && took < AT_ONCE, "{part:?}: {status} after {took:?}");
+            assert!(status == expected && took < DEADLINE, "{part:?}: {status} after {took:?}");
         }
         assert!(vm.peak_memory_mb() < MEMORY_MB, "{part:?}: {} MB", vm.peak_memory_mb());
     }
@@ -240,9 +244,12 @@
 
         for (answer, took) in answers {
             let status = answer.map_or(0, |answer| answer.status());
-            assert!(status == 200 && took < AT_ONCE, "{part:?}: {status} after {took:?}");
+            assert!(status == 200 && took < DEADLINE, "{part:?}: {status} after {took:?}");
         }
     }
+    // Logged when a target has been silent for three latency goals. VMs write their logs at intervals.
+    std::thread::sleep(SETTLE_TIME);
+    assert!(!vm.log().contains("another target tried"), "{}", vm.log());
 }
 
 /// Guards against callers of a streaming route that never get an answer, because the body of a
