--- a/tests/bounded_reads.rs
+++ b/tests/bounded_reads.rs
@@ -76,8 +76,7 @@
     }
 }
 
-/// Guards against VMs that are killed for their memory, because answers without an end were kept
-/// until their requests' time was over.
+/// Guards against VMs that are killed for the memory that answers without an end take.
 #[test]
 fn answers_without_an_end_take_bounded_memory_and_time() {
     let site = Site::start();
@@ -121,8 +120,7 @@
     assert!(vm.peak_memory_mb() < MEMORY_MB, "{} MB", vm.peak_memory_mb());
 }
 
-/// Guards against refusals that come at a request's deadline, because the body of an answer was awaited
-/// whose head says that the request has not run.
+/// Guards against refusals that wait for a body until the deadline.
 #[test]
 fn a_declined_request_is_refused_at_once_whatever_follows_the_head() {
     let site = Site::start();
@@ -147,8 +145,7 @@
     assert!(vm.peak_memory_mb() < MEMORY_MB, "{} MB", vm.peak_memory_mb());
 }
 
-/// Guards against a VM that keeps an event without an end, and searches it from its start at each
-/// read, until its request's time is over.
+/// Guards against an event without an end that is kept until the deadline.
 #[test]
 fn an_event_without_an_end_is_left_once_it_is_too_long() {
     let site = Site::start();
@@ -164,8 +161,7 @@
     }
 }
 
-/// Guards against heads, and informational answers before them, that are read until a request's time
-/// is over; and against bytes behind a whole answer.
+/// Guards against heads, and informational answers before them, that are read without a bound.
 #[test]
 fn heads_without_an_end_and_bytes_behind_an_answer_are_left() {
     let site = Site::start();
@@ -183,8 +179,7 @@
     }
 }
 
-/// Guards against calls to workers whose answers are kept without a limit, for as long as the workers
-/// keep the results, and against releases and refusals that wait for a body.
+/// Guards against answers of workers that are kept without a bound.
 #[test]
 fn answers_of_workers_without_an_end_take_bounded_memory() {
     let site = Site::start();
@@ -208,8 +203,7 @@
     calls("/chain/", name, CALLERS).into_iter().map(chain).collect()
 }
 
-/// Guards against VMs that are killed for their memory, because answers of the store were read for as
-/// long as bytes arrived.
+/// Guards against answers of the store that are kept without a bound.
 #[test]
 fn answers_of_the_store_without_an_end_take_bounded_memory() {
     let site = Site::start();
@@ -230,8 +224,7 @@
     }
 }
 
-/// Guards against repeatable requests that wait for the body of a failure before another target is
-/// tried.
+/// Guards against a repeatable request that waits for the body of a failure.
 #[test]
 fn a_repeatable_request_is_tried_elsewhere_at_the_head_of_a_failure() {
     let site = Site::start();
@@ -252,8 +245,7 @@
     assert!(!vm.log().contains("another target tried"), "{}", vm.log());
 }
 
-/// Guards against callers of a streaming route that never get an answer, because the body of a
-/// failure was awaited without a limit.
+/// Guards against callers of a streaming route that never get an answer.
 #[test]
 fn a_failure_of_a_streaming_route_that_stops_amid_its_body_is_answered_in_time() {
     let site = Site::start();
--- a/tests/copied_answers.rs
+++ b/tests/copied_answers.rs
@@ -47,8 +47,7 @@
     ids.flatten().collect()
 }
 
-/// Guards against a copy of an answer that is taken for the answer to the next call, so that callers
-/// get answers made from the data of others.
+/// Guards against callers who get answers made from the data of others.
 #[test]
 fn a_copy_of_an_answer_is_not_taken_for_the_answer_to_the_next_call() {
     let site = Site::start();
--- a/tests/foreign_entries.rs
+++ b/tests/foreign_entries.rs
@@ -68,8 +68,7 @@
     assert_eq!(later_vm.targets(), target_count);
 }
 
-/// Guards against VMs whose listing of the store never ends, because a page ends at a key that is not
-/// a part of a URI as it stands.
+/// Guards against a listing that never gets past a key that needs encoding.
 #[test]
 fn a_listing_goes_on_behind_keys_with_any_characters() {
     let site = Site::start();
