--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -78,6 +78,29 @@
         Vm { callers, ready, operations, peers, settings, log, child }
     }
 
+    /// Starts a VM whose process may have at most so many file descriptors. `extra` is appended to
+    /// its settings.
+    pub fn start_with_descriptors(
+        name: &str,
+        store: SocketAddr,
+        descriptors: u64,
+        extra: &str,
+    ) -> Self {
+        let mut vm = Vm::start(name, "hall-a", store, extra);
+        vm.kill();
+        let limited = format!("ulimit -n {descriptors} && exec \"$0\" serve --settings \"$1\"");
+        vm.child = Command::new("sh")
+            .arg("-c")
+            .arg(limited)
+            .arg(program_path("saddleraild"))
+            .arg(&vm.settings)
+            .stdout(to_file(&vm.log))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("saddleraild starts");
+        vm
+    }
+
     /// Starts a VM whose standard output, its log, is a pipe; returns the reading end, which may be
     /// read or left to fill. `extra` is appended to its settings.
     pub fn start_piped(name: &str, store: SocketAddr, extra: &str) -> (Self, ChildStdout) {
@@ -175,6 +198,17 @@
         kilobytes.unwrap_or(0) * 1024 / 1_000_000
     }
 
+    /// Number of file descriptors that the process has open; 0 if it has ended.
+    pub fn open_descriptors(&self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        open.map_or(0, Iterator::count)
+    }
+
+    /// Whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Waits for the end of the process; returns the exit code.
     pub fn wait_exit(&mut self) -> Option<i32> {
         let mut code = None;
