Bound the memory that bodies of callers' requests take together

What callers saw: with some hundred bodies of legal size at once, most short of their end, the process ran out of memory and all that it served was lost. Cause: each body was bounded, their sum was not; frames were kept as they came, so that one of a byte held 32 bytes and the buffer that it was cut from, and the whole was copied at the end.

A new component, caller_budget, counts what callers hold: a declared length at the head, chunks in steps of 64 KiB, until the last one that keeps the body drops it. Bodies share a sixth of memory_mb; bytes up to 8 KiB of each are not counted. Without room, bodies that have not arrived for a second or more make room, the oldest first, and their callers are told 503 (not run) with a time to come back, elsewhere at once; if nobody has to, the new one is told so at its head, before 100 Continue. A body is kept in one piece.

Ruled out: a limit for each caller alone (one that passes 4 MiB times hundreds is more than a small VM has); giving up the largest first (an honest large one would go before a crowd of small ones); waiting for room (it ends by deadlines only).

--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 
 use batching::JobKey;
+use caller_budget::CallerBudget;
 use fleet::UnreachableHalls;
 use ids::{ServiceName, VmName};
 use peering::work::Beat;
@@ -33,6 +34,8 @@
     pub(crate) adapter: PlatformAdapter,
     /// Access to the shared state.
     pub(crate) state: StateHandle,
+    /// Budget of what callers hold until they are answered.
+    pub(crate) caller_budget: CallerBudget,
     /// Memory for the bodies of answers.
     pub(crate) answer_memory: AnswerMemory,
     /// Connections to targets.
--- a/gateway/src/caller_connections.rs
+++ b/gateway/src/caller_connections.rs
@@ -7,10 +7,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use caller_budget::Place;
 use hyper::body::{Body, Frame, SizeHint};
 use slog::info;
 use slotmap::{SlotMap, new_key_type};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::answers::{AnswerBody, StreamCut};
 use crate::app::App;
@@ -47,6 +49,8 @@
 pub(crate) struct CallerConnection {
     pub(crate) socket: Rc<CallerSocket>,
     requests_in_work: Cell<u32>,
+    /// Notified when a request that has not arrived whole has to make room for others.
+    gives_way: Notify,
     /// Limits in force when the connection last began to rest.
     limits: Cell<RestLimits>,
 }
@@ -70,6 +74,21 @@
         ))
     }
 
+    /// Waits until the connection has to be closed to make room for others. A request of which only
+    /// a part has arrived is refused instead, which closes the connection as well.
+    pub(crate) async fn until_closed_for_others(&self) {
+        self.socket.until_given_up().await;
+        if self.requests_in_work.get() > 0 {
+            self.gives_way.notify_one();
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits until a request that has not arrived whole has to make room for others.
+    pub(crate) async fn until_request_gives_way(&self) {
+        self.gives_way.notified().await;
+    }
+
     /// Logs and counts the end of the connection if it leaves a request without its whole answer,
     /// or bytes that were not read.
     pub(crate) fn record_end(&self, app: &App, why: &'static str) {
@@ -102,10 +121,11 @@
 
 impl OpenConnection {
     /// Registers an accepted connection.
-    pub(crate) fn new(app: &Rc<App>, stream: TcpStream) -> Self {
+    pub(crate) fn new(app: &Rc<App>, stream: TcpStream, place: Place) -> Self {
         let connection = Rc::new(CallerConnection {
-            socket: CallerSocket::new(stream),
+            socket: CallerSocket::new(stream, place),
             requests_in_work: Cell::new(0),
+            gives_way: Notify::new(),
             limits: Cell::new(limits_in_force(app)),
         });
         let key = app.caller_connections.0.borrow_mut().insert(Rc::clone(&connection));
--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -11,6 +11,7 @@
 use std::task::{Context, Poll};
 use std::time::Instant;
 
+use caller_budget::{Activity, Charge, Place};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -27,11 +28,14 @@
     moved_at: Cell<Instant>,
     unanswered_since: Cell<Option<Instant>>,
     write_blocked: Cell<bool>,
+    place: Place,
+    /// What the place was told last.
+    activity: Cell<Activity>,
 }
 
 impl CallerSocket {
-    /// Takes over an accepted connection.
-    pub(crate) fn new(stream: TcpStream) -> Rc<Self> {
+    /// Takes over an accepted connection, which has a place among the callers' connections.
+    pub(crate) fn new(stream: TcpStream, place: Place) -> Rc<Self> {
         // Without TCP_NODELAY, an event waits until earlier ones are acknowledged. A failure is
         // harmless: the connection works without it.
         drop(stream.set_nodelay(true));
@@ -40,9 +44,37 @@
             moved_at: Cell::new(now()),
             unanswered_since: Cell::new(None),
             write_blocked: Cell::new(false),
+            place,
+            activity: Cell::new(Activity::Resting),
         })
     }
 
+    /// Begins to count bytes of a request.
+    pub(crate) fn charge(&self) -> Charge {
+        self.place.charge()
+    }
+
+    /// Waits until the connection has to make room for others.
+    pub(crate) async fn until_given_up(&self) {
+        self.place.until_given_up().await;
+    }
+
+    /// Whether the connection has to make room for others.
+    pub(crate) fn is_given_up(&self) -> bool {
+        self.place.is_given_up()
+    }
+
+    /// Records that a request has arrived whole.
+    pub(crate) fn set_in_work(&self) {
+        self.set_activity(Activity::InWork);
+    }
+
+    fn set_activity(&self, activity: Activity) {
+        if self.activity.replace(activity) != activity {
+            self.place.set_activity(activity, now());
+        }
+    }
+
     /// When the last byte was read or written; at first, when the connection was accepted.
     pub(crate) fn moved_at(&self) -> Instant {
         self.moved_at.get()
@@ -56,6 +88,14 @@
     /// Records that what was read so far has its answer.
     pub(crate) fn set_answered(&self) {
         self.unanswered_since.set(None);
+        self.rest_if_idle();
+    }
+
+    /// Records that the connection rests, unless a request or bytes to send are left.
+    fn rest_if_idle(&self) {
+        if self.unanswered_since.get().is_none() && !self.write_blocked.get() {
+            self.set_activity(Activity::Resting);
+        }
     }
 
     /// Whether the last write waits for the caller to read.
@@ -105,6 +145,7 @@
         self.write_blocked.set(result.is_pending());
         if matches!(result, Poll::Ready(Ok(1..))) {
             self.moved_at.set(now());
+            self.rest_if_idle();
         }
         result
     }
@@ -130,7 +171,10 @@
         if buf.filled().len() > before {
             let now = now();
             self.0.moved_at.set(now);
-            self.0.unanswered_since.update(|since| since.or(Some(now)));
+            if self.0.unanswered_since.get().is_none() {
+                self.0.unanswered_since.set(Some(now));
+                self.0.set_activity(Activity::Receiving);
+            }
         }
         result
     }
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -71,7 +71,8 @@
 /// Begins to serve a connection. It counts as open at once: a stop must not end before its task has
 /// run.
 fn serve_in_task(app: &Rc<App>, stream: TcpStream) {
-    let open = OpenConnection::new(app, stream);
+    let Ok(place) = app.caller_budget.connect(now()) else { return };
+    let open = OpenConnection::new(app, stream, place);
     spawn_local(serve(Rc::clone(app), open));
 }
 
@@ -96,10 +97,10 @@
 async fn serve_requests(app: &Rc<App>, connection: &Rc<CallerConnection>) -> End {
     let service = service_fn(|req| {
         let request = RequestInWork::new(app, connection);
-        let app = Rc::clone(app);
+        let (app, connection) = (Rc::clone(app), Rc::clone(connection));
         async move {
-            let mut answer = requests::answer(Rc::clone(&app), req).await;
-            if *app.stopping.borrow() {
+            let mut answer = requests::answer(Rc::clone(&app), &connection, req).await;
+            if *app.stopping.borrow() || connection.socket.is_given_up() {
                 answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
             Ok::<_, Infallible>(answer.map(|body| TrackedBody { body, _request: request }))
@@ -116,6 +117,10 @@
             connection.record_end(app, "closed at rest");
             return End::Closed;
         }
+        () = connection.until_closed_for_others() => {
+            connection.record_end(app, "closed for others");
+            return End::Closed;
+        }
     };
     match ended {
         Ok(()) => {
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -2,12 +2,12 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use eligibility::AllowedHalls;
 use http::request::Parts;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use ids::{CustomerName, RequestId, ServiceName};
@@ -19,12 +19,10 @@
 use crate::active_requests::{ActiveRequestGuard, ActiveRequestKey};
 use crate::answers::{AnswerBody, refusal};
 use crate::app::App;
+use crate::caller_connections::CallerConnection;
 use crate::shutdown::RETRY_ELSEWHERE_AFTER;
 use crate::state_handle::now;
-use crate::{active_requests, crashes, shutdown, streams, whole_answers};
-
-/// Longest time to read a request's body; the request's own deadline may be sooner.
-const BODY_READ_TIMEOUT: Duration = Duration::from_secs(20);
+use crate::{active_requests, caller_bodies, crashes, shutdown, streams, whole_answers};
 
 /// A request that passed the checks and may be served.
 pub(crate) struct AcceptedRequest {
@@ -71,14 +69,19 @@
 }
 
 /// Answers one caller request.
-pub(crate) async fn answer(app: Rc<App>, req: Request<Incoming>) -> Response<AnswerBody> {
+pub(crate) async fn answer(
+    app: Rc<App>,
+    connection: &CallerConnection,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
     let arrived = now();
     let (parts, body) = req.into_parts();
     let head = (app.adapter.callers.read)(&parts);
     let id = head.id.clone();
     let active = ActiveRequestGuard::new(&app, id.clone(), arrived);
     let accepted = tokio::select! {
-        accepted = accept(&app, parts, head, body, active.key()) => accepted,
+        accepted = accept(&app, connection, parts, head, body, active.key()) => accepted,
+        () = connection.until_request_gives_way() => Err(("gave way to others", retry_elsewhere())),
         rejection = shutdown::until_refused(&app, active.key()) => Err(("stopping", rejection)),
     };
     let accepted = match accepted {
@@ -139,15 +142,15 @@
 /// reason for the log and the refusal for the caller.
 async fn accept(
     app: &App,
+    connection: &CallerConnection,
     parts: Parts,
     head: CallerHead,
     body: Incoming,
     active_key: ActiveRequestKey,
 ) -> Result<AcceptedRequest, (&'static str, Refusal)> {
     let arrived = now();
-    let retry_elsewhere = Refusal::NotRun { retry_after: RETRY_ELSEWHERE_AFTER };
     let intent = app.state.with(|shared, _| shared.intent.clone());
-    let intent = intent.ok_or(("no configuration", retry_elsewhere))?;
+    let intent = intent.ok_or(("no configuration", retry_elsewhere()))?;
     if is_past_stop_notice(app) {
         return Err(("stopping", app.state.with(|shared, now| shared.retry_later_refusal(now))));
     }
@@ -157,7 +160,11 @@
     // is told to retry elsewhere instead of being denied.
     let deny = |why, denial| {
         let may_be_behind = app.state.with(|shared, now| shared.may_be_behind(now));
-        if may_be_behind { ("configuration may be behind", retry_elsewhere) } else { (why, denial) }
+        if may_be_behind {
+            ("configuration may be behind", retry_elsewhere())
+        } else {
+            (why, denial)
+        }
     };
     let entry = intent.entry(&host, parts.uri.path());
     let entry = Arc::clone(entry.ok_or_else(|| deny("no entry", Refusal::NoEntry))?);
@@ -167,7 +174,9 @@
     let service = service.ok_or(("no entry", Refusal::NoEntry))?;
     let time_left = head.time_left.unwrap_or(entry.max_duration).min(entry.max_duration);
     let deadline = arrived + time_left;
-    let body = read_body(body, intent.bounds.body_bytes, deadline).await?;
+    let body = caller_bodies::read(&connection.socket, body, intent.bounds.body_bytes, deadline);
+    let body = body.await.map_err(|e| (e.reason(), e.refusal()))?;
+    connection.socket.set_in_work();
     let response_time = app.state.with(|shared, now| {
         shared.count_request(&service, now);
         shared.response_time(&entry.name)
@@ -201,6 +210,11 @@
     })
 }
 
+/// The refusal of a request that another VM may serve.
+fn retry_elsewhere() -> Refusal {
+    Refusal::NotRun { retry_after: RETRY_ELSEWHERE_AFTER }
+}
+
 /// The id by which a service is drawn among those of the entry: a stream that the caller takes up
 /// stays at the service that began it.
 fn service_id<'a>(entry: &Entry, head: &'a CallerHead, id: &'a RequestId) -> &'a str {
@@ -252,23 +266,6 @@
     Some(host.to_ascii_lowercase())
 }
 
-/// Reads the body, up to `max_bytes`, before the deadline.
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Instant,
-) -> Result<Bytes, (&'static str, Refusal)> {
-    let deadline = tokio::time::Instant::from_std(deadline.min(now() + BODY_READ_TIMEOUT));
-    match tokio::time::timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(("body too large", Refusal::TooLarge))
-        }
-        Ok(Err(_)) => Err(("body not readable", Refusal::Malformed)),
-        Err(_) => Err(("body not read in time", Refusal::NotRunTimedOut)),
-    }
-}
-
 /// Builds a call to a target with the caller's method, path and body.
 pub(crate) fn build_call(req: &AcceptedRequest, headers: http::HeaderMap) -> Request<Full<Bytes>> {
     let mut call = Request::new(Full::new(req.body.clone()));
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use caller_budget::CallerBudget;
 use errors::{Error, Result};
 use fleet::UnreachableHalls;
 use platform_interface::PlatformAdapter;
@@ -56,6 +57,7 @@
     let result = runtime.block_on(tasks.run_until(async move {
         let app = Rc::new(App {
             state: StateHandle::new(shared),
+            caller_budget: CallerBudget::new(cfg.memory_plan().callers),
             answer_memory: AnswerMemory::new(cfg.answer_memory_bytes()),
             cfg,
             adapter,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 pub use settings::{LogLevel, Policy};
 
+use crate::memory_plan::MemoryPlan;
+
 /// Settings of the gateway process of one VM.
 #[derive(Debug, Clone, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -34,7 +36,7 @@
     /// CPU cores that the process may use; a VM with more cores owns a larger share of the pools.
     #[serde(default = "default_cores")]
     pub cores: f64,
-    /// Memory that the process may use, in megabytes; a third of it is for bodies of answers.
+    /// Memory that the process may use, in megabytes; [`MemoryPlan`] divides it.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: f64,
     /// Peers to contact while the store doesn't list any.
@@ -95,6 +97,11 @@
         Duration::from_millis(limit_ms)
     }
 
+    /// How the memory is divided among what is held for others.
+    pub(crate) fn memory_plan(&self) -> MemoryPlan {
+        MemoryPlan::new((self.memory_mb * MEGABYTE) as usize)
+    }
+
     /// Bytes that bodies of answers may take together.
     pub(crate) fn answer_memory_bytes(&self) -> usize {
         (self.memory_mb * MEGABYTE / ANSWER_MEMORY_DIVISOR) as usize
