Bound the heads of callers' requests by the configuration

What callers saw: heads over the limit or without an end, and empty lines without an end, took up to 400 KB each, the HTTP library's limit; some hundreds of them ended a small VM. max_header_bytes was decoded and never asked for: a head of 48 KB was served where 16 KB are allowed.

Beyond that the caller gets 431 and the connection is closed. The limit is the one in force when the head goes beyond the one before, so that a raise holds on old connections. Heads of more than 8 KiB count among what callers hold, with the library's buffer; at most 8 KiB are read at once, so that the buffer stays small.

Ruled out: the library's own limit, which is fixed when a connection is accepted.

Heads and bodies of exactly the limit are served before and after, also after a raise.

--- a/components/platform_interface/src/callers.rs
+++ b/components/platform_interface/src/callers.rs
@@ -64,6 +64,8 @@
     UnknownKey,
     /// The body exceeds the size limit.
     TooLarge,
+    /// The head exceeds the size limit.
+    HeadTooLarge,
     /// The request can't be parsed.
     Malformed,
 }
--- a/gateway/src/answers.rs
+++ b/gateway/src/answers.rs
@@ -48,3 +48,18 @@
     *answer.headers_mut() = headers;
     answer
 }
+
+/// A refusal as sent to a caller whose request has no head that could be answered; the connection is
+/// closed after it.
+pub(crate) fn refusal_bytes(app: &App, refusal: Refusal) -> Vec<u8> {
+    let (status, headers) = (app.adapter.callers.refuse)(refusal, None);
+    let mut bytes = format!("HTTP/1.1 {status}\r\n").into_bytes();
+    for (name, value) in &headers {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"content-length: 0\r\nconnection: close\r\n\r\n");
+    bytes
+}
--- a/gateway/src/caller_connections.rs
+++ b/gateway/src/caller_connections.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use caller_budget::Place;
 use hyper::body::{Body, Frame, SizeHint};
+use platform_interface::callers::Refusal;
 use slog::info;
 use slotmap::{SlotMap, new_key_type};
 use tokio::net::TcpStream;
@@ -16,8 +17,10 @@
 
 use crate::answers::{AnswerBody, StreamCut};
 use crate::app::App;
+use crate::caller_heads::HeadProblem;
 use crate::caller_stream::CallerSocket;
 use crate::idle_rest::{Rest, RestLimits};
+use crate::shutdown::RETRY_ELSEWHERE_AFTER;
 
 /// Limits of connections at rest while no configuration is known.
 const DEFAULT_LIMITS: RestLimits =
@@ -74,6 +77,21 @@
         ))
     }
 
+    /// Waits until the head of a request has to be refused.
+    pub(crate) async fn until_head_refused(&self, app: &App) -> Refusal {
+        loop {
+            self.socket.head.until_stopped().await;
+            match self.socket.head.problem(head_bytes_in_force(app)) {
+                Some(HeadProblem::TooLong) => return Refusal::HeadTooLarge,
+                Some(HeadProblem::NoRoom) => {
+                    return Refusal::NotRun { retry_after: RETRY_ELSEWHERE_AFTER };
+                }
+                // Being polled again, the HTTP library reads on.
+                None => {}
+            }
+        }
+    }
+
     /// Waits until the connection has to be closed to make room for others. A request of which only
     /// a part has arrived is refused instead, which closes the connection as well.
     pub(crate) async fn until_closed_for_others(&self) {
@@ -128,6 +146,7 @@
             gives_way: Notify::new(),
             limits: Cell::new(limits_in_force(app)),
         });
+        connection.socket.head.await_next(head_bytes_in_force(app));
         let key = app.caller_connections.0.borrow_mut().insert(Rc::clone(&connection));
         OpenConnection { app: Rc::clone(app), key, connection }
     }
@@ -154,6 +173,7 @@
     /// Registers a request whose head was read.
     pub(crate) fn new(app: &Rc<App>, connection: &Rc<CallerConnection>) -> Self {
         connection.requests_in_work.update(|requests| requests + 1);
+        connection.socket.head.complete();
         RequestInWork { app: Rc::clone(app), connection: Rc::clone(connection) }
     }
 }
@@ -163,6 +183,7 @@
         self.connection.requests_in_work.update(|requests| requests - 1);
         self.connection.limits.set(limits_in_force(&self.app));
         self.connection.socket.set_answered();
+        self.connection.socket.head.await_next(head_bytes_in_force(&self.app));
     }
 }
 
@@ -202,6 +223,11 @@
     })
 }
 
+/// The configured size of a head that is in force, in bytes.
+fn head_bytes_in_force(app: &App) -> Option<usize> {
+    app.state.with(|shared, _| shared.intent.as_ref().map(|intent| intent.bounds.head_bytes))
+}
+
 /// When the process exits, if it is stopping.
 fn exits_at(app: &App) -> Option<Instant> {
     app.state.with(|shared, _| shared.stop.map(|plan| plan.exits_at()))
--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -16,8 +16,12 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::caller_heads::HeadReading;
 use crate::state_handle::now;
 
+/// Most bytes that are read at once. It bounds the HTTP library's buffer, which grows with what it
+/// gets.
+const READ_BYTES: usize = 8 * 1024;
 /// Bytes that are discarded at once.
 const DISCARD_BYTES: usize = 8 * 1024;
 
@@ -29,6 +33,8 @@
     unanswered_since: Cell<Option<Instant>>,
     write_blocked: Cell<bool>,
     place: Place,
+    /// The head that is read or awaited.
+    pub(crate) head: HeadReading,
     /// What the place was told last.
     activity: Cell<Activity>,
 }
@@ -45,6 +51,7 @@
             unanswered_since: Cell::new(None),
             write_blocked: Cell::new(false),
             place,
+            head: HeadReading::default(),
             activity: Cell::new(Activity::Resting),
         })
     }
@@ -136,6 +143,19 @@
         }
     }
 
+    /// Writes bytes of our own in place of an answer of the HTTP library, which must have nothing left
+    /// to write.
+    pub(crate) async fn write_all(&self, mut bytes: &[u8]) -> Result<()> {
+        while !bytes.is_empty() {
+            let write = |cx: &mut Context<'_>| {
+                Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, bytes)
+            };
+            let written = poll_fn(write).await?;
+            bytes = &bytes[written..];
+        }
+        SockRef::from(&*self.stream.borrow()).shutdown(Shutdown::Write)
+    }
+
     /// Number of unread bytes, one at most; 0 at the end of what the caller sends.
     fn peek(&self) -> Result<usize> {
         SockRef::from(&*self.stream.borrow()).peek(&mut [MaybeUninit::uninit()])
@@ -160,6 +180,23 @@
     }
 }
 
+/// Reads `most` bytes at most.
+fn poll_read_up_to(
+    stream: Pin<&mut TcpStream>,
+    cx: &mut Context<'_>,
+    buf: &mut ReadBuf<'_>,
+    most: usize,
+) -> Poll<Result<()>> {
+    if buf.remaining() <= most {
+        return stream.poll_read(cx, buf);
+    }
+    let mut bytes = [0; READ_BYTES];
+    let mut part = ReadBuf::new(&mut bytes[..most]);
+    let result = stream.poll_read(cx, &mut part);
+    buf.put_slice(part.filled());
+    result
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -167,9 +204,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let before = buf.filled().len();
-        let result = self.with(|stream| stream.poll_read(cx, buf));
-        if buf.filled().len() > before {
+        let Some(most) = self.0.head.allowance(READ_BYTES, &self.0.place, now()) else {
+            return Poll::Pending;
+        };
+        let result = self.with(|stream| poll_read_up_to(stream, cx, buf, most));
+        let read = buf.filled().len() - before;
+        if read > 0 {
             let now = now();
+            self.0.head.record(read);
             self.0.moved_at.set(now);
             if self.0.unanswered_since.get().is_none() {
                 self.0.unanswered_since.set(Some(now));
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -10,10 +10,12 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use platform_interface::callers::Refusal;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, sleep_until, timeout};
 
+use crate::answers::refusal_bytes;
 use crate::app::App;
 use crate::caller_connections::{CallerConnection, OpenConnection, RequestInWork, TrackedBody};
 use crate::caller_stream::CallerStream;
@@ -117,6 +119,9 @@
             connection.record_end(app, "closed at rest");
             return End::Closed;
         }
+        refusal = connection.until_head_refused(app) => {
+            return refuse_head(app, connection, refusal).await;
+        }
         () = connection.until_closed_for_others() => {
             connection.record_end(app, "closed for others");
             return End::Closed;
@@ -135,6 +140,19 @@
     }
 }
 
+/// Tells the caller why its head is not read to its end. The HTTP library has no request to answer.
+async fn refuse_head(app: &App, connection: &CallerConnection, refusal: Refusal) -> End {
+    connection.record_end(app, "head refused");
+    if connection.socket.is_write_blocked() {
+        return End::Closed;
+    }
+    let bytes = refusal_bytes(app, refusal);
+    match timeout(LINGER_TIME, connection.socket.write_all(&bytes)).await {
+        Ok(Ok(())) => End::Answered,
+        _ => End::Closed,
+    }
+}
+
 /// Waits until a connection is at rest for as long as it may be, and closes it.
 async fn closed_at_rest(app: &App, connection: &CallerConnection) {
     let mut closing = app.closing.subscribe();
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod call_counts;
 mod caller_bodies;
 mod caller_connections;
+pub mod caller_heads;
 mod caller_stream;
 mod callers;
 mod configuration_lag;
--- a/gateway/src/whole_answers.rs
+++ b/gateway/src/whole_answers.rs
@@ -66,9 +66,11 @@
     match refusal {
         Refusal::NotRun { .. } | Refusal::NotResumable | Refusal::NotRunTimedOut => "not run",
         Refusal::Failed | Refusal::TimedOut => "unknown",
-        Refusal::NoEntry | Refusal::UnknownKey | Refusal::TooLarge | Refusal::Malformed => {
-            "refused"
-        }
+        Refusal::NoEntry
+        | Refusal::UnknownKey
+        | Refusal::TooLarge
+        | Refusal::HeadTooLarge
+        | Refusal::Malformed => "refused",
     }
 }
 
