Bound callers' and peers' connections by memory and descriptors

What callers saw: 400 connections that send nothing took all 300 descriptors of a VM, which targets, peers and the store share; an ordinary request got no answer. Nothing bounded the number of connections.

Callers may have a third of the descriptors open, and no more connections than a fifth of memory_mb holds at 72 KiB each. Beyond that, a new one takes the place of the connection that waits longest without ever having had a whole request; one that has sent nothing has no minimum stay, others a second. Connections whose requests are in work, or whose answers are being read, are never closed for others. The setting file_descriptors says how many there are; the operating system's limit holds if it is lower. Metrics tell what is held.

Readiness does not tell of a full VM: room is made at once, and all VMs would leave one by one.

--- a/components/caller_budget/src/ledger.rs
+++ b/components/caller_budget/src/ledger.rs
@@ -30,9 +30,10 @@
 impl Holder {
     /// Whether it makes room for others if that is needed.
     fn may_be_given_up(&self, now: Instant) -> bool {
+        let is_silent = !self.had_request && self.activity == Activity::Resting;
         !self.is_given_up
             && self.activity != Activity::InWork
-            && now.saturating_duration_since(self.since) >= MIN_STAY
+            && (is_silent || now.saturating_duration_since(self.since) >= MIN_STAY)
     }
 
     fn give_up(&mut self) {
--- a/components/caller_budget/src/lib.rs
+++ b/components/caller_budget/src/lib.rs
@@ -17,8 +17,9 @@
 pub use body::HeldBody;
 use ledger::{ChargeKey, Ledger, PlaceKey};
 
-/// Time for which a connection keeps its place and its bytes in any case while it waits for a
-/// request, or for the rest of one.
+/// Time for which a connection keeps its place and its bytes in any case while it waits for the rest
+/// of a request, or for the next one. A connection that has sent nothing yet has no such time, so
+/// that one which sends at once finds a place beside any number of silent ones.
 pub const MIN_STAY: Duration = Duration::from_secs(1);
 /// Bytes of a request, head and body apart, that are not counted: each connection has room for as
 /// much.
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -4,4 +4,4 @@
 mod metrics;
 
 pub use logs::{LogSetup, root_logger};
-pub use metrics::{Metrics, metric_names};
+pub use metrics::{Held, Metrics, metric_names};
--- a/components/telemetry/src/metrics.rs
+++ b/components/telemetry/src/metrics.rs
@@ -75,6 +75,16 @@
     /// Number of callers' connections that ended with a request in work, or with bytes that were not
     /// read or sent, by cause.
     pub const CONNECTIONS_ENDED_WITH_WORK: &str = "saddlerail_connections_ended_with_work";
+    /// Number of callers' connections that were refused since as many as possible were open.
+    pub const CONNECTIONS_REFUSED: &str = "saddlerail_connections_refused";
+    /// Number of callers' open connections.
+    pub const CONNECTIONS_OPEN: &str = "saddlerail_connections_open";
+    /// Bytes of callers' requests that are counted until they are answered.
+    pub const REQUEST_BYTES: &str = "saddlerail_request_bytes";
+    /// Bytes of targets' answers that are counted until callers have them.
+    pub const ANSWER_BYTES: &str = "saddlerail_answer_bytes";
+    /// Resident memory of the process, in bytes.
+    pub const RESIDENT_BYTES: &str = "saddlerail_resident_bytes";
     /// Number of connections to targets that a peer relayed for this VM, by service.
     pub const CONNECTIONS_RELAYED: &str = "saddlerail_connections_relayed";
     /// Number of connections to targets that peers asked this VM to relay, by result.
@@ -82,7 +92,12 @@
     /// Whether this VM is cut off from targets: 1 or 0.
     pub const CUT_OFF: &str = "saddlerail_cut_off";
     /// Names of all metrics, for the test that compares them with the documentation.
-    pub const ALL: [&str; 29] = [
+    pub const ALL: [&str; 34] = [
+        CONNECTIONS_REFUSED,
+        CONNECTIONS_OPEN,
+        REQUEST_BYTES,
+        ANSWER_BYTES,
+        RESIDENT_BYTES,
         REQUESTS,
         REQUEST_SECONDS,
         ATTEMPTS,
@@ -115,6 +130,19 @@
     ];
 }
 
+/// What the process holds for others.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Held {
+    /// Callers' open connections.
+    pub connections: u64,
+    /// Counted bytes of callers' requests.
+    pub request_bytes: u64,
+    /// Counted bytes of targets' answers.
+    pub answer_bytes: u64,
+    /// Resident memory of the process, in bytes; 0 if it is not known.
+    pub resident_bytes: u64,
+}
+
 /// Metrics of the process.
 pub struct Metrics {
     registry: Registry,
@@ -145,6 +173,11 @@
     closed_by_stop: Counter<u64>,
     ended_by_stop: Counter<u64>,
     connections_ended_with_work: Counter<u64>,
+    connections_refused: Counter<u64>,
+    connections_open: Gauge<u64>,
+    request_bytes: Gauge<u64>,
+    answer_bytes: Gauge<u64>,
+    resident_bytes: Gauge<u64>,
     connections_relayed: Counter<u64>,
     relays_served: Counter<u64>,
     cut_off: Gauge<u64>,
@@ -196,6 +229,11 @@
             connections_ended_with_work: meter
                 .u64_counter(metric_names::CONNECTIONS_ENDED_WITH_WORK)
                 .build(),
+            connections_refused: meter.u64_counter(metric_names::CONNECTIONS_REFUSED).build(),
+            connections_open: meter.u64_gauge(metric_names::CONNECTIONS_OPEN).build(),
+            request_bytes: meter.u64_gauge(metric_names::REQUEST_BYTES).build(),
+            answer_bytes: meter.u64_gauge(metric_names::ANSWER_BYTES).build(),
+            resident_bytes: meter.u64_gauge(metric_names::RESIDENT_BYTES).build(),
             connections_relayed: meter.u64_counter(metric_names::CONNECTIONS_RELAYED).build(),
             relays_served: meter.u64_counter(metric_names::RELAYS_SERVED).build(),
             cut_off: meter.u64_gauge(metric_names::CUT_OFF).build(),
@@ -255,6 +293,19 @@
         self.connections_ended_with_work.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a caller's connection that was refused for want of room.
+    pub fn connection_refused(&self) {
+        self.connections_refused.add(1, &[]);
+    }
+
+    /// Records what the process holds for others.
+    pub fn set_held(&self, held: Held) {
+        self.connections_open.record(held.connections, &[]);
+        self.request_bytes.record(held.request_bytes, &[]);
+        self.answer_bytes.record(held.answer_bytes, &[]);
+        self.resident_bytes.record(held.resident_bytes, &[]);
+    }
+
     /// Counts a connection to a target of the service that a peer relayed for this VM.
     pub fn connection_relayed(&self, service: &str) {
         self.connections_relayed.add(1, &[KeyValue::new("service", service.to_owned())]);
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -73,7 +73,10 @@
 /// Begins to serve a connection. It counts as open at once: a stop must not end before its task has
 /// run.
 fn serve_in_task(app: &Rc<App>, stream: TcpStream) {
-    let Ok(place) = app.caller_budget.connect(now()) else { return };
+    let Ok(place) = app.caller_budget.connect(now()) else {
+        app.metrics.connection_refused();
+        return;
+    };
     let open = OpenConnection::new(app, stream, place);
     spawn_local(serve(Rc::clone(app), open));
 }
--- a/gateway/src/inbound_links.rs
+++ b/gateway/src/inbound_links.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use batching::JobKey;
@@ -17,6 +18,7 @@
 use result_leases::{Holder, LinkKey};
 use slog::warn;
 use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, channel, unbounded_channel};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -32,6 +34,7 @@
     next_heartbeat, own_hello, record_peer, take_unsent,
 };
 use crate::outbound_links::DialerSender;
+use crate::peer_stream::PeerStream;
 use crate::piece_events::{PeerSink, Sink};
 use crate::relays::AcceptedRelay;
 use crate::rollout_messages::decode_report;
@@ -111,8 +114,11 @@
         .add_service(WorkServer::new(Acceptor { accepted: tx, relays }));
     // Without TCP_NODELAY, small messages wait for the acknowledgement of the previous one, 40 ms
     // on some systems.
-    let incoming = TcpListenerStream::new(listener)
-        .map(|stream| stream.and_then(|stream| stream.set_nodelay(true).map(|()| stream)));
+    let places = Arc::new(Semaphore::new(app.cfg.memory_plan().peer_connections));
+    let incoming = TcpListenerStream::new(listener).filter_map(move |stream| {
+        let accepted = stream.and_then(|stream| stream.set_nodelay(true).map(|()| stream));
+        PeerStream::accept(accepted, &places).transpose()
+    });
     if let Err(e) = server.serve_with_incoming(incoming).await {
         warn!(app.log, "link server ended"; "why" => %e);
     }
--- a/gateway/src/memory_plan.rs
+++ b/gateway/src/memory_plan.rs
@@ -1,21 +1,43 @@
-//! How the memory of the process is divided among what it holds for others. The table with all parts
-//! is `docs/design/memory.md`.
+//! How the memory and the file descriptors of the process are divided among what it holds for
+//! others. The table with all parts is `docs/design/memory.md`.
 
 use caller_budget::Limits;
 
+/// Fraction (1/n) of the memory for callers' connections.
+const CONNECTIONS_DIVISOR: usize = 5;
 /// Fraction (1/n) of the memory for bytes of callers' requests.
 const REQUESTS_DIVISOR: usize = 6;
+/// Memory that a caller's connection may take beside what is counted for its request and its answer,
+/// in bytes: the HTTP library's state and buffers, a small body, a small answer, and what the kernel
+/// has received for it.
+const CONNECTION_BYTES: usize = 72 * 1024;
+/// Fraction (1/n) of the file descriptors for callers' connections.
+const CALLERS_DESCRIPTORS_DIVISOR: usize = 3;
+/// Fraction (1/n) of the file descriptors for connections that peers open.
+const PEERS_DESCRIPTORS_DIVISOR: usize = 4;
+/// Fewest connections of callers, whatever the memory.
+const MIN_CONNECTIONS: usize = 8;
 
 /// What the process may hold for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MemoryPlan {
     /// What callers may hold until they are answered.
     pub callers: Limits,
+    /// Connections that peers may have open to this process.
+    pub peer_connections: usize,
 }
 
 impl MemoryPlan {
-    /// Divides `memory` bytes.
-    pub fn new(memory: usize) -> Self {
-        MemoryPlan { callers: Limits { connections: usize::MAX, bytes: memory / REQUESTS_DIVISOR } }
+    /// Divides `memory` bytes and `descriptors` file descriptors.
+    pub fn new(memory: usize, descriptors: usize) -> Self {
+        let by_memory = memory / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        let connections = by_memory.min(descriptors / CALLERS_DESCRIPTORS_DIVISOR);
+        MemoryPlan {
+            callers: Limits {
+                connections: connections.max(MIN_CONNECTIONS),
+                bytes: memory / REQUESTS_DIVISOR,
+            },
+            peer_connections: descriptors / PEERS_DESCRIPTORS_DIVISOR,
+        }
     }
 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 pub use settings::{LogLevel, Policy};
 
+use crate::descriptors;
 use crate::memory_plan::MemoryPlan;
 
 /// Settings of the gateway process of one VM.
@@ -39,6 +40,10 @@
     /// Memory that the process may use, in megabytes; [`MemoryPlan`] divides it.
     #[serde(default = "default_memory_mb")]
     pub memory_mb: f64,
+    /// File descriptors that the process may have open; the limit of the operating system if left out
+    /// or lower.
+    #[serde(default)]
+    pub file_descriptors: Option<usize>,
     /// Peers to contact while the store doesn't list any.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -99,7 +104,9 @@
 
     /// How the memory is divided among what is held for others.
     pub(crate) fn memory_plan(&self) -> MemoryPlan {
-        MemoryPlan::new((self.memory_mb * MEGABYTE) as usize)
+        let configured = self.file_descriptors.unwrap_or(usize::MAX);
+        let descriptors = configured.min(descriptors::process_limit());
+        MemoryPlan::new((self.memory_mb * MEGABYTE) as usize, descriptors)
     }
 
     /// Bytes that bodies of answers may take together.
@@ -325,6 +332,7 @@
         ("in_force_ms", cfg.in_force_ms as f64, 10.0, 600_000.0),
         ("cores", cfg.cores, 0.001, 1024.0),
         ("memory_mb", cfg.memory_mb, 16.0, 1e6),
+        ("file_descriptors", cfg.file_descriptors.unwrap_or(64) as f64, 64.0, 1e9),
         ("evacuation_ms", cfg.evacuation_ms.unwrap_or(cfg.in_force_ms) as f64, 10.0, 600_000.0),
         ("cold.overshoot", cfg.cold.overshoot, 1.0, MAX_OVERSHOOT),
         ("cold.slack", cfg.cold.slack, 0.0, f64::MAX),
