Bound the connections at the addresses for readiness and operations

What was seen: heads of 380 KB at the readiness address took 119 MB of 64. Both addresses kept any number of connections, without an end, each with the HTTP library's 400 KB for a head.

32 connections a address are kept; beyond that the oldest one is closed, so that a check that is sent at once is answered. A head has 8 KiB. Metrics tell resident memory, held requests and answers.

--- a/gateway/src/http_endpoints.rs
+++ b/gateway/src/http_endpoints.rs
@@ -1,6 +1,7 @@
 //! HTTP endpoints for the balancer, metric scrapers and operators: readiness, metrics, the state
 //! dump, and the release of a refused request from quarantine.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Instant;
@@ -17,8 +18,9 @@
 use quarantine::Suspect;
 use serde_json::{Value, json};
 use stream_versions::VersionPlan;
+use telemetry::Held;
 use tokio::net::TcpListener;
-use tokio::task::spawn_local;
+use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::sleep;
 
 use crate::app::App;
@@ -30,6 +32,12 @@
 
 /// Pause after a failed accept, for example because no file descriptor was free.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+/// Most connections that are open at a time on one address. Beyond them the oldest one is closed.
+const MAX_CONNECTIONS: usize = 32;
+/// Largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// File with the numbers of pages that the process takes.
+const PAGES_FILE: &str = "/proc/self/statm";
 /// Path of the readiness check of the balancer.
 const READY: &str = "/ready";
 /// Path of the metrics.
@@ -42,20 +50,28 @@
 
 /// Serves all endpoints on one listener.
 pub(crate) async fn serve(app: Rc<App>, listener: TcpListener) {
+    let mut open: VecDeque<AbortHandle> = VecDeque::new();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
+        open.retain(|connection| !connection.is_finished());
+        if open.len() >= MAX_CONNECTIONS {
+            open.pop_front().iter().for_each(AbortHandle::abort);
+        }
         let app = Rc::clone(&app);
-        spawn_local(async move {
+        let connection = spawn_local(async move {
             let service = service_fn(move |req| {
                 let answer = respond(&app, &req);
                 async move { Ok::<_, Infallible>(answer) }
             });
             // A failed connection needs no handling: the client asks again.
-            drop(http1::Builder::new().serve_connection(TokioIo::new(stream), service).await);
+            let mut http = http1::Builder::new();
+            http.max_buf_size(MAX_HEAD_BYTES);
+            drop(http.serve_connection(TokioIo::new(stream), service).await);
         });
+        open.push_back(connection.abort_handle());
     }
 }
 
@@ -102,12 +118,31 @@
         app.metrics.set_quarantine(refused);
         app.metrics.set_cut_off(shared.target_paths.is_cut_off());
     });
+    app.metrics.set_held(held(app));
     match app.metrics.render() {
         Ok(text) => (StatusCode::OK, text),
         Err(e) => (StatusCode::INTERNAL_SERVER_ERROR, e.to_string()),
     }
 }
 
+/// What this process holds for others.
+fn held(app: &App) -> Held {
+    let number = |number: usize| u64::try_from(number).unwrap_or(u64::MAX);
+    Held {
+        connections: number(app.caller_budget.connections()),
+        request_bytes: number(app.caller_budget.used_bytes()),
+        answer_bytes: number(app.answer_memory.used()),
+        resident_bytes: resident_bytes().unwrap_or(0),
+    }
+}
+
+/// Resident memory of the process; `None` if the system does not tell.
+fn resident_bytes() -> Option<u64> {
+    let pages = std::fs::read_to_string(PAGES_FILE).ok()?;
+    let resident: u64 = pages.split(' ').nth(1)?.parse().ok()?;
+    Some(resident * u64::try_from(rustix::param::page_size()).ok()?)
+}
+
 /// Why this VM is not ready for new connections; `None` if it is ready.
 fn unready(app: &App) -> Option<&'static str> {
     app.state.with(|shared, now| match () {
