Bound what is kept of the parts of prompts that callers name

What was seen: 600 requests whose heads name 1,800 parts of no tokens each, none of them twice, one after the other, took a VM to 123 MB of 64. Cause: for each target, the parts of prompts that were sent to it are kept until their tokens exceed its cache; parts without tokens never do, and half a million of one token each fit. The last eviction searched all of them for each part.

Found by reading for names from outside that become keys of maps.

--- a/components/selection/src/prefix_cache.rs
+++ b/components/selection/src/prefix_cache.rs
@@ -4,6 +4,9 @@
 use std::collections::HashMap;
 use std::time::Instant;
 
+/// Most prefixes that are kept for a target. It bounds those that add few tokens or none.
+const MAX_PREFIXES: usize = 4096;
+
 /// The prefixes of a prompt, shortest first: for each, the hash of its parts and its length in
 /// tokens.
 pub type Chain = Vec<(u64, u64)>;
@@ -49,10 +52,22 @@
                 self.tokens += own;
             }
         }
+        if self.cached.len() > MAX_PREFIXES {
+            self.evict_oldest(MAX_PREFIXES / 8);
+        }
         while self.tokens > capacity_tokens {
             let oldest = self.cached.iter().min_by_key(|(_, (at, _))| *at).map(|(hash, _)| *hash);
             let Some((_, own)) = oldest.and_then(|hash| self.cached.remove(&hash)) else { return };
             self.tokens -= own;
         }
     }
+
+    /// Evicts the prefixes that were used longest ago, `count` or a few more, in one pass.
+    fn evict_oldest(&mut self, count: usize) {
+        let mut used: Vec<Instant> = self.cached.values().map(|(at, _)| *at).collect();
+        let (_, last, _) = used.select_nth_unstable(count);
+        let last = *last;
+        self.cached.retain(|_, (at, _)| *at > last);
+        self.tokens = self.cached.values().map(|(_, own)| own).sum();
+    }
 }
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -29,6 +29,10 @@
 const FEW_DESCRIPTORS: u64 = 300;
 /// Callers that use up these descriptors.
 const MORE_THAN_DESCRIPTORS: usize = 400;
+/// Parts of a prompt that a head of the largest size has room for.
+const PARTS: usize = 1800;
+/// Requests with as many parts, one after the other.
+const REQUESTS_WITH_PARTS: usize = 600;
 /// Largest body, in bytes: `max_body_bytes` of the configuration.
 const BODY_BYTES: usize = 1 << 20;
 /// Largest head, in bytes: `max_header_bytes` of the configuration.
@@ -161,6 +165,27 @@
     }
 }
 
+/// Guards against parts of prompts that are kept for each engine whatever their number, such as parts
+/// without tokens.
+#[test]
+fn parts_of_prompts_that_nobody_names_again_take_bounded_memory() {
+    let _alone = alone();
+    let site = start_site();
+    let mut vm = start_vm(&site, "crowd-prompt-parts", MEMORY_MB, "");
+    for tokens in [0, 1] {
+        for number in 0..REQUESTS_WITH_PARTS {
+            let first = number * PARTS;
+            let parts: Vec<_> =
+                (first..first + PARTS).map(|part| format!("{part:x}:{tokens}")).collect();
+            let call = get("/stream/", &format!("parts-{tokens}-{number}"));
+
+            drop(call.with_header("Prompt-Prefix", &parts.join(",")).send(vm.callers));
+        }
+
+        assert_bears(&mut vm, MEMORY_MB, &format!("parts of {tokens} tokens"));
+    }
+}
+
 /// Guards against descriptors that are all used up by callers.
 #[test]
 fn a_crowd_that_sends_nothing_leaves_descriptors_for_ordinary_requests() {
