Bound the number of pieces that a request names

What was seen: one request with 'Pieces: 20000000,1' got no answer; a place for each piece was made and its number taken as it came, so that a head of some hundred bytes can end the process. '4294967295,1' overflows the sum.

A request has 1,024 pieces at most over the stages of its route, else 400; numbers beyond the stages are ignored. 256 bytes a piece count among what callers hold.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -17,7 +17,7 @@
 use crate::requests::AcceptedRequest;
 use crate::settings::Policy;
 use crate::shared::Shared;
-use crate::stages::min_time_after;
+use crate::stages::{min_time_after, pieces_of};
 use crate::state_handle::time_until;
 
 /// A request is refused if its expected time exceeds this fraction of its latency goal.
@@ -143,9 +143,9 @@
         return Err(Refusal::NotRun { retry_after });
     }
     let mut unsubmitted = UnsubmittedPieces { app: Rc::clone(app), by_stage: Vec::new() };
-    let pieces: u32 = req.head.pieces.iter().sum();
+    let has_pieces = pieces_of(&req.entry, &req.head).iter().any(|pieces| *pieces > 0);
     // The baseline policies admit every request.
-    if app.cfg.policy != Policy::Adaptive || req.entry.stages.is_empty() || pieces == 0 {
+    if app.cfg.policy != Policy::Adaptive || !has_pieces {
         return Ok(unsubmitted);
     }
     let (expected, allowed, age) = app.state.with(|shared, now| {
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use caller_budget::{Charge, NoRoom};
 use eligibility::AllowedHalls;
 use http::request::Parts;
 use http_body_util::Full;
@@ -24,6 +25,11 @@
 use crate::state_handle::now;
 use crate::{active_requests, caller_bodies, crashes, shutdown, streams, whole_answers};
 
+/// Most pieces of a request, over all its stages.
+const MAX_PIECES: u64 = 1024;
+/// Memory that a piece takes until the request has ended, in bytes.
+const PIECE_BYTES: usize = 256;
+
 /// A request that passed the checks and may be served.
 pub(crate) struct AcceptedRequest {
     pub(crate) id: RequestId,
@@ -35,6 +41,8 @@
     pub(crate) head: CallerHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// Counts the memory for its pieces.
+    _pieces: Charge,
     /// The configuration that the request was checked against.
     pub(crate) intent: Arc<Intent>,
     pub(crate) entry: Arc<Entry>,
@@ -174,6 +182,10 @@
     let service = service.ok_or(("no entry", Refusal::NoEntry))?;
     let time_left = head.time_left.unwrap_or(entry.max_duration).min(entry.max_duration);
     let deadline = arrived + time_left;
+    let pieces = piece_count(&head, &entry).ok_or(("too many pieces", Refusal::Malformed))?;
+    let charge = connection.socket.charge();
+    let counted = charge.resize(pieces * PIECE_BYTES, arrived);
+    counted.map_err(|NoRoom| ("no room for the pieces", retry_elsewhere()))?;
     let body = caller_bodies::read(&connection.socket, body, intent.bounds.body_bytes, deadline);
     let body = body.await.map_err(|e| (e.reason(), e.refusal()))?;
     connection.socket.set_in_work();
@@ -199,6 +211,7 @@
         head,
         parts,
         body,
+        _pieces: charge,
         intent,
         entry,
         service,
@@ -210,6 +223,13 @@
     })
 }
 
+/// Number of pieces of a request; `None` if it has more than [`MAX_PIECES`].
+fn piece_count(head: &CallerHead, entry: &Entry) -> Option<usize> {
+    let by_stage = head.pieces.iter().take(entry.stages.len());
+    let pieces: u64 = by_stage.map(|pieces| u64::from(*pieces)).sum();
+    usize::try_from(pieces).ok().filter(|_| pieces <= MAX_PIECES)
+}
+
 /// The refusal of a request that another VM may serve.
 fn retry_elsewhere() -> Refusal {
     Refusal::NotRun { retry_after: RETRY_ELSEWHERE_AFTER }
