Bound the events that wait for a caller by what the library holds too

What was seen, by reading: a caller that does not read a stream held 64 events or 256 KiB in the queue, and as much again in the HTTP library's buffer, which the queue's bound did not count.

An event takes its part of the queue until it is written; 16 KiB wait at most, a larger event waits alone. A target is not read meanwhile, as before.

No test shows it: the stand-ins' streams are shorter than the queue.

--- a/gateway/src/event_queue.rs
+++ b/gateway/src/event_queue.rs
@@ -14,15 +14,22 @@
 
 /// Most events that wait.
 const MAX_EVENTS: usize = 64;
-/// Most bytes that wait; an event that is larger waits alone.
-const MAX_BYTES: usize = 256 * 1024;
+/// Most bytes that wait, or that the HTTP library has not written; an event that is larger waits
+/// alone.
+const MAX_BYTES: usize = 16 * 1024;
 
-/// An event with its part of the queue's bytes.
+/// An event that takes its part of the queue's bytes until it has been written.
 struct QueuedEvent {
     bytes: Bytes,
     _room: OwnedSemaphorePermit,
 }
 
+impl AsRef<[u8]> for QueuedEvent {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// The end of the queue at which events enter.
 pub(crate) struct EventSender {
     tx: Sender<Result<QueuedEvent, StreamCut>>,
@@ -71,6 +78,8 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, StreamCut>>> {
         let next = self.0.poll_recv(cx);
-        next.map(|event| event.map(|event| event.map(|event| Frame::data(event.bytes))))
+        next.map(|event| {
+            event.map(|event| event.map(|event| Frame::data(Bytes::from_owner(event))))
+        })
     }
 }
