Close callers that don't read before other callers' answers are given up

What callers saw: beside 40 callers that read nothing of their answers of 8 MiB, another one's answer of 8 MiB was given up: 502 though its target had run it. A complete answer was kept for as long as its caller stayed, and what was given up was always an answer that was being read. Nothing bounded how long a caller may not read.

While memory for answers is short, the connection of the caller that has read nothing for longest is closed, if it has not for a second; only then an answer is given up. Without any shortage, a caller that reads nothing for 1.2 of the idle time is disconnected, since callers stay within that time.

--- a/gateway/src/caller_connections.rs
+++ b/gateway/src/caller_connections.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
@@ -19,8 +20,9 @@
 use crate::app::App;
 use crate::caller_heads::HeadProblem;
 use crate::caller_stream::CallerSocket;
-use crate::idle_rest::{Rest, RestLimits};
+use crate::idle_rest::{GRACE_FACTOR, Rest, RestLimits};
 use crate::shutdown::RETRY_ELSEWHERE_AFTER;
+use crate::state_handle::now;
 
 /// Limits of connections at rest while no configuration is known.
 const DEFAULT_LIMITS: RestLimits =
@@ -54,6 +56,8 @@
     requests_in_work: Cell<u32>,
     /// Notified when a request that has not arrived whole has to make room for others.
     gives_way: Notify,
+    /// Notified when the connection has to be closed, since its caller does not read its answer.
+    unread: Arc<Notify>,
     /// Limits in force when the connection last began to rest.
     limits: Cell<RestLimits>,
 }
@@ -77,6 +81,34 @@
         ))
     }
 
+    /// Is told when the connection has to be closed, since its caller does not read its answer.
+    pub(crate) fn unread(&self) -> &Arc<Notify> {
+        &self.unread
+    }
+
+    /// Waits until the connection has to be closed, since its caller does not read its answer.
+    pub(crate) async fn until_closed_as_unread(&self) {
+        loop {
+            self.unread.notified().await;
+            // The caller may have read the answer meanwhile.
+            if self.socket.is_write_blocked() {
+                return;
+            }
+        }
+    }
+
+    /// When the connection may be closed, since its caller has read nothing for as long as it might
+    /// be idle; `None` while nothing waits for it.
+    fn unread_ends_at(&self, app: &App) -> Option<Instant> {
+        let idle = self.limits.get().idle.max(limits_in_force(app).idle);
+        self.socket.write_blocked_since().map(|since| since + idle.mul_f64(GRACE_FACTOR))
+    }
+
+    /// Whether its caller has read nothing for as long as it might be idle.
+    pub(crate) fn is_unread_for_too_long(&self, app: &App) -> bool {
+        self.unread_ends_at(app).is_some_and(|ends_at| ends_at <= now())
+    }
+
     /// Waits until the head of a request has to be refused.
     pub(crate) async fn until_head_refused(&self, app: &App) -> Refusal {
         loop {
@@ -144,6 +176,7 @@
             socket: CallerSocket::new(stream, place),
             requests_in_work: Cell::new(0),
             gives_way: Notify::new(),
+            unread: Arc::default(),
             limits: Cell::new(limits_in_force(app)),
         });
         connection.socket.head.await_next(head_bytes_in_force(app));
--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -31,7 +31,7 @@
     stream: RefCell<TcpStream>,
     moved_at: Cell<Instant>,
     unanswered_since: Cell<Option<Instant>>,
-    write_blocked: Cell<bool>,
+    write_blocked_since: Cell<Option<Instant>>,
     place: Place,
     /// The head that is read or awaited.
     pub(crate) head: HeadReading,
@@ -49,7 +49,7 @@
             stream: RefCell::new(stream),
             moved_at: Cell::new(now()),
             unanswered_since: Cell::new(None),
-            write_blocked: Cell::new(false),
+            write_blocked_since: Cell::new(None),
             place,
             head: HeadReading::default(),
             activity: Cell::new(Activity::Resting),
@@ -100,14 +100,19 @@
 
     /// Records that the connection rests, unless a request or bytes to send are left.
     fn rest_if_idle(&self) {
-        if self.unanswered_since.get().is_none() && !self.write_blocked.get() {
+        if self.unanswered_since.get().is_none() && !self.is_write_blocked() {
             self.set_activity(Activity::Resting);
         }
     }
 
     /// Whether the last write waits for the caller to read.
     pub(crate) fn is_write_blocked(&self) -> bool {
-        self.write_blocked.get()
+        self.write_blocked_since.get().is_some()
+    }
+
+    /// Since when the last write waits for the caller to read.
+    pub(crate) fn write_blocked_since(&self) -> Option<Instant> {
+        self.write_blocked_since.get()
     }
 
     /// Whether bytes have arrived that were not read.
@@ -162,7 +167,11 @@
     }
 
     fn record_write(&self, result: Poll<Result<usize>>) -> Poll<Result<usize>> {
-        self.write_blocked.set(result.is_pending());
+        if result.is_ready() {
+            self.write_blocked_since.set(None);
+        } else if !self.is_write_blocked() {
+            self.write_blocked_since.set(Some(now()));
+        }
         if matches!(result, Poll::Ready(Ok(1..))) {
             self.moved_at.set(now());
             self.rest_if_idle();
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -125,6 +125,10 @@
         refusal = connection.until_head_refused(app) => {
             return refuse_head(app, connection, refusal).await;
         }
+        () = connection.until_closed_as_unread() => {
+            connection.record_failure(app, "answer not read");
+            return End::Closed;
+        }
         () = connection.until_closed_for_others() => {
             connection.record_end(app, "closed for others");
             return End::Closed;
@@ -156,13 +160,17 @@
     }
 }
 
-/// Waits until a connection is at rest for as long as it may be, and closes it.
+/// Waits until a connection is at rest, or its answer unread, for as long as it may be, and closes
+/// it.
 async fn closed_at_rest(app: &App, connection: &CallerConnection) {
     let mut closing = app.closing.subscribe();
     loop {
         let is_closing = *closing.borrow_and_update();
         let ends_at = connection.rest_ends_at(app, is_closing);
         let is_due = ends_at.is_some_and(|ends_at| ends_at <= now());
+        if connection.is_unread_for_too_long(app) {
+            return;
+        }
         // The HTTP library was polled just before, but bytes may have arrived since.
         if is_due && connection.socket.close_if_silent() {
             return;
--- a/gateway/src/idle_rest.rs
+++ b/gateway/src/idle_rest.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 /// Factor on the configured times, so that a caller that keeps to them is never disconnected.
-const GRACE_FACTOR: f64 = 1.2;
+pub(crate) const GRACE_FACTOR: f64 = 1.2;
 /// Time for which a connection stays open in a stop after the last byte moved on it. Its caller may
 /// have learned nothing of the stop, and sends the next request once it has read the answer before.
 const STOP_REST: Duration = Duration::from_millis(500);
--- a/gateway/src/memory_plan.rs
+++ b/gateway/src/memory_plan.rs
@@ -7,6 +7,8 @@
 const CONNECTIONS_DIVISOR: usize = 5;
 /// Fraction (1/n) of the memory for bytes of callers' requests.
 const REQUESTS_DIVISOR: usize = 6;
+/// Fraction (1/n) of the memory for bodies of answers.
+const ANSWERS_DIVISOR: usize = 5;
 /// Memory that a caller's connection may take beside what is counted for its request and its answer,
 /// in bytes: the HTTP library's state and buffers, a small body, a small answer, and what the kernel
 /// has received for it.
@@ -23,6 +25,8 @@
 pub struct MemoryPlan {
     /// What callers may hold until they are answered.
     pub callers: Limits,
+    /// Bytes that bodies of answers may take together.
+    pub answer_bytes: usize,
     /// Connections that peers may have open to this process.
     pub peer_connections: usize,
 }
@@ -37,6 +41,7 @@
                 connections: connections.max(MIN_CONNECTIONS),
                 bytes: memory / REQUESTS_DIVISOR,
             },
+            answer_bytes: memory / ANSWERS_DIVISOR,
             peer_connections: descriptors / PEERS_DESCRIPTORS_DIVISOR,
         }
     }
--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -16,6 +16,7 @@
 use platform_interface::callers::{CallerHead, Refusal};
 use quarantine::{RequestDigest, RequestParts, Suspect};
 use slog::info;
+use tokio::sync::Notify;
 
 use crate::active_requests::{ActiveRequestGuard, ActiveRequestKey};
 use crate::answers::{AnswerBody, refusal};
@@ -41,6 +42,8 @@
     pub(crate) head: CallerHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// Is told when the caller's connection has to be closed, since the caller does not read.
+    pub(crate) unread: Arc<Notify>,
     /// Counts the memory for its pieces.
     _pieces: Charge,
     /// The configuration that the request was checked against.
@@ -211,6 +214,7 @@
         head,
         parts,
         body,
+        unread: Arc::clone(connection.unread()),
         _pieces: charge,
         intent,
         entry,
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -58,7 +58,7 @@
         let app = Rc::new(App {
             state: StateHandle::new(shared),
             caller_budget: CallerBudget::new(cfg.memory_plan().callers),
-            answer_memory: AnswerMemory::new(cfg.answer_memory_bytes()),
+            answer_memory: AnswerMemory::new(cfg.memory_plan().answer_bytes),
             cfg,
             adapter,
             connections: Connections::default(),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -108,17 +108,10 @@
         let descriptors = configured.min(descriptors::process_limit());
         MemoryPlan::new((self.memory_mb * MEGABYTE) as usize, descriptors)
     }
-
-    /// Bytes that bodies of answers may take together.
-    pub(crate) fn answer_memory_bytes(&self) -> usize {
-        (self.memory_mb * MEGABYTE / ANSWER_MEMORY_DIVISOR) as usize
-    }
 }
 
 /// Bytes of a megabyte.
 const MEGABYTE: f64 = 1e6;
-/// Fraction (1/n) of the process' memory that bodies of answers may take.
-const ANSWER_MEMORY_DIVISOR: f64 = 3.0;
 
 /// How far a cold target may exceed the rate that its service declares: `rate * overshoot + slack`.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize, Serialize)]
--- a/gateway/src/target_answers.rs
+++ b/gateway/src/target_answers.rs
@@ -1,5 +1,7 @@
 //! Reads the answers of targets whole, for callers.
 
+use std::sync::Arc;
+
 use http::response::Parts;
 use selection::TargetOutcome;
 use slog::info;
@@ -27,6 +29,7 @@
     }
     match read_body(body, &app.answer_memory, ReadBounds { max_bytes: None, until }).await {
         Ok(body) => {
+            body.set_reader(Arc::clone(&req.unread));
             if !parsed.closes {
                 app.keep_connection(connection, parsed.keep_alive);
             }
--- a/gateway/tests/answer_memory.rs
+++ b/gateway/tests/answer_memory.rs
@@ -1,11 +1,16 @@
 //! Which bodies are given up once all of them together take too much memory, decided without a
 //! network.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, Waker};
+use std::time::{Duration, Instant};
 
-use gateway::answer_memory::{AnswerMemory, GivenUp, GrowingBody};
+use gateway::answer_memory::{AnswerMemory, GivenUp, GrowingBody, MIN_UNREAD};
+use http_body_util::BodyExt;
+use tokio::sync::Notify;
 
 /// Bytes of the memory in these tests.
 const CAPACITY: usize = 1_000_000;
@@ -95,3 +100,70 @@
 
     assert_eq!(pushed, [Ok(()); 10]);
 }
+
+fn is_told(reader: &Notify) -> bool {
+    let told = pin!(reader.notified());
+    told.poll(&mut Context::from_waker(Waker::noop())) == Poll::Ready(())
+}
+
+thread_local! {
+    /// Time by the clock of a test.
+    static TIME: Cell<Instant> = Cell::new(Instant::now());
+}
+
+fn advance(time: Duration) {
+    TIME.set(TIME.get() + time);
+}
+
+fn memory_with_clock() -> AnswerMemory {
+    AnswerMemory::with_clock(CAPACITY, || TIME.get())
+}
+
+#[test]
+fn a_caller_that_does_not_read_is_given_up_before_another_ones_answer() {
+    let memory = memory_with_clock();
+    let unread = body_of(&memory, true, 600_000).complete();
+    let reader = Arc::new(Notify::new());
+    unread.set_reader(Arc::clone(&reader));
+    advance(MIN_UNREAD);
+    let mut next = GrowingBody::new(&memory, true);
+
+    let pushed = next.push(&[0; 800_000]);
+
+    assert_eq!(pushed, Ok(()));
+    assert!(is_told(&reader));
+    assert_eq!(memory.used(), 800_000);
+}
+
+#[test]
+fn a_caller_that_reads_is_not_given_up() {
+    let memory = memory_with_clock();
+    let mut answer = body_of(&memory, true, 600_000).complete();
+    let reader = Arc::new(Notify::new());
+    answer.set_reader(Arc::clone(&reader));
+    advance(MIN_UNREAD);
+    // What was written is dropped.
+    let taken = pin!(answer.frame()).poll(&mut Context::from_waker(Waker::noop()));
+    drop(taken);
+    let mut next = GrowingBody::new(&memory, true);
+
+    let pushed = next.push(&[0; 800_000]);
+
+    assert_eq!(pushed, Err(GivenUp));
+    assert!(!is_told(&reader));
+}
+
+#[test]
+fn an_answer_that_was_given_up_is_counted_once() {
+    let memory = memory_with_clock();
+    let unread = body_of(&memory, true, 600_000).complete();
+    unread.set_reader(Arc::new(Notify::new()));
+    advance(MIN_UNREAD);
+    let next = body_of(&memory, true, 800_000);
+
+    drop(unread);
+    let beside = memory.used();
+    drop(next);
+
+    assert_eq!((beside, memory.used()), (800_000, 0));
+}
--- a/gateway/tests/settings.rs
+++ b/gateway/tests/settings.rs
@@ -78,6 +78,7 @@
         .replace("{{ip_address}}", "127.0.0.1")
         .replace("{{limits.cpu_share}}", "0.25")
         .replace("{{limits.memory_mb}}", "260")
+        .replace("{{limits.file_descriptors}}", "4100")
         .replace("{{seed_nodes}}", "127.0.0.1:9003,127.0.0.2:9003")
         .replace("{{platform_settings.address}}", "127.0.0.1:8004")
         .replace("{{bounds.retry_budget_ratio}}", "0.2")
@@ -96,6 +97,7 @@
     assert_eq!(cfg.seeds.len(), 2);
     assert_eq!(cfg.regions.len(), 2);
     assert_eq!(cfg.memory_mb, 260.0);
+    assert_eq!(cfg.file_descriptors, Some(4100));
     assert_eq!((cfg.rollouts.exposure_share, cfg.rollouts.exposure_slack), (0.1, 50.0));
     assert!(!filled.contains("{{"), "template placeholder that this test does not replace");
 }
