Bound what callers hold of the product's own form

What was seen: 300 bodies of 1 MiB, short of their end, took a daemon to 363 MB, where 256 are its machine's; limits.connections times limits.body_bytes is 4 GiB by default. Silent connections up to the limit kept others waiting for 5 s.

Its HTTP server uses the same budget as the serving path: bodies of requests share a twelfth of limits.memory_mb (new, 256 by default), since the stages take a copy, and connections are at most as many as a fifth of it holds. For a further connection the one that waits longest makes room; before, it waited in the listener's queue. A body without room gets 'not run' with a time to come back.

Not bounded yet: its pages for operators (a thread a request), its peers' port, and answers of stages, each 16 MiB at most.

--- a/components/caller_budget/src/ledger.rs
+++ b/components/caller_budget/src/ledger.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    pub(crate) fn receive(&mut self, place: PlaceKey, now: Instant) {
+        if self.holders.get(place).is_some_and(|holder| holder.activity == Activity::Resting) {
+            self.set_activity(place, Activity::Receiving, now);
+        }
+    }
+
     pub(crate) fn begin_charge(&mut self, holder: PlaceKey) -> ChargeKey {
         self.charges.insert(Counted { holder, bytes: 0 })
     }
--- a/components/caller_budget/src/lib.rs
+++ b/components/caller_budget/src/lib.rs
@@ -96,6 +96,11 @@
         self.budget.with(|ledger| ledger.set_activity(self.key, activity, now));
     }
 
+    /// Records that bytes have arrived: a connection at rest waits for the rest of a request.
+    pub fn receive(&self, now: Instant) {
+        self.budget.with(|ledger| ledger.receive(self.key, now));
+    }
+
     /// Begins to count bytes that the connection's caller sends.
     pub fn charge(&self) -> Charge {
         let key = self.budget.with(|ledger| ledger.begin_charge(self.key));
--- a/components/http_server/src/shared_stream.rs
+++ b/components/http_server/src/shared_stream.rs
@@ -7,13 +7,18 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
+use caller_budget::Place;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// A connection that is shared with the HTTP library.
-pub(crate) struct SharedStream(pub(crate) Arc<TcpStream>);
+pub(crate) struct SharedStream {
+    pub(crate) stream: Arc<TcpStream>,
+    pub(crate) place: Arc<Place>,
+}
 
 /// Whether bytes have arrived that were not read.
 pub(crate) fn has_unread(stream: &TcpStream) -> bool {
@@ -27,9 +32,12 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read(buf.initialize_unfilled()) {
                 Ok(read) => {
+                    if read > 0 {
+                        self.place.receive(Instant::now());
+                    }
                     buf.advance(read);
                     return Poll::Ready(Ok(()));
                 }
@@ -43,8 +51,8 @@
 impl AsyncWrite for SharedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write(buf) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -56,6 +64,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
     }
 }
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -46,8 +46,10 @@
 #[derive(Debug, Clone, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Limits {
-    /// Maximum number of concurrent connections from callers.
+    /// Maximum number of concurrent connections from callers; fewer if the memory holds fewer.
     pub connections: usize,
+    /// Memory that the process may use, in megabytes.
+    pub memory_mb: usize,
     /// Maximum number of concurrent requests.
     pub requests: usize,
     /// Maximum size of a request body, in bytes.
@@ -70,6 +72,7 @@
     fn default() -> Self {
         Limits {
             connections: 4096,
+            memory_mb: 256,
             requests: 1024,
             body_bytes: 1 << 20,
             head_ms: 5_000,
@@ -81,7 +84,27 @@
     }
 }
 
+/// Bytes of a megabyte.
+const MEGABYTE: usize = 1_000_000;
+/// Fraction (1/n) of the memory for callers' connections.
+const CONNECTIONS_DIVISOR: usize = 5;
+/// Memory that a caller's connection may take beside its request's body, in bytes.
+const CONNECTION_BYTES: usize = 72 * 1024;
+/// Fraction (1/n) of the memory for bodies of requests. The stages take a copy.
+const BODIES_DIVISOR: usize = 12;
+
 impl Limits {
+    /// Maximum number of concurrent connections that the memory holds.
+    pub fn max_connections(&self) -> usize {
+        let by_memory = self.memory_mb * MEGABYTE / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+        self.connections.min(by_memory).max(1)
+    }
+
+    /// Maximum size of all request bodies together, in bytes.
+    pub fn all_bodies_bytes(&self) -> usize {
+        self.memory_mb * MEGABYTE / BODIES_DIVISOR
+    }
+
     /// Timeout for receiving a request's head.
     pub fn head_wait(&self) -> Duration {
         Duration::from_millis(self.head_ms)
@@ -202,7 +225,8 @@
             return Err((key, format!("{address} is also the address of \"{other}\"")));
         }
     }
-    let ranges: [(&'static str, u64, u64, u64); 8] = [
+    let ranges: [(&'static str, u64, u64, u64); 9] = [
+        ("limits.memory_mb", cfg.limits.memory_mb as u64, 16, 1_000_000),
         ("limits.connections", cfg.limits.connections as u64, 1, 100_000),
         ("limits.requests", cfg.limits.requests as u64, 1, 16_384),
         ("limits.body_bytes", cfg.limits.body_bytes as u64, 1, 1 << 30),
--- a/daemon/src/callers.rs
+++ b/daemon/src/callers.rs
@@ -61,7 +61,8 @@
         limits.deadline_ms,
     )
     .map_err(with_id)?;
-    let body = read_body(req.into_body(), limits.body_bytes, limits.body_wait())
+    let (head, body) = req.into_parts();
+    let body = read_body(&head.extensions, body, limits.body_bytes, limits.body_wait())
         .await
         .map_err(|problem| with_id(body_refusal(problem, limits.body_bytes)))?;
     serde_json::from_slice::<IgnoredAny>(&body)
@@ -105,6 +106,10 @@
         BodyError::TooLarge => {
             Refusal::not_run(Reason::BodyTooLarge, format!("the limit is {limit} bytes"))
         }
+        BodyError::NoRoom => {
+            Refusal::not_run(Reason::QueueFull, "the bodies of other requests take all room")
+                .with_retry_after(FULL_RETRY_AFTER)
+        }
         BodyError::TooSlow => Refusal::not_run(Reason::BadRequest, "the body came too slowly"),
         BodyError::Broken => Refusal::not_run(Reason::BadRequest, "the body was cut"),
     }
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -142,8 +142,11 @@
     };
     let permits = Arc::new(Semaphore::new(cfg.limits.requests));
     let server = Arc::new(CallerServer { pipeline, permits: Arc::clone(&permits), abort });
-    let connection_limits =
-        ConnectionLimits { connections: cfg.limits.connections, head_wait: cfg.limits.head_wait() };
+    let connection_limits = ConnectionLimits {
+        connections: cfg.limits.max_connections(),
+        body_bytes: cfg.limits.all_bodies_bytes(),
+        head_wait: cfg.limits.head_wait(),
+    };
     let serving =
         runtime.spawn(http_server::serve(callers_listener, connection_limits, stop, move |req| {
             callers::handle(Arc::clone(&server), req)
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -64,7 +64,11 @@
     F: Future<Output = Response<Body>> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
-    let limits = ConnectionLimits { connections: 20_000, head_wait: Duration::from_secs(600) };
+    let limits = ConnectionLimits {
+        connections: 20_000,
+        body_bytes: usize::MAX,
+        head_wait: Duration::from_secs(600),
+    };
     // Never sent to: the server runs until the process ends.
     let (_running, stop) = watch::channel(false);
     http_server::serve(listener, limits, stop, move |req: Request<Incoming>| {
@@ -74,7 +78,8 @@
             let pairs = head.uri.query().unwrap_or_default().split('&');
             let query = pairs.filter_map(|pair| pair.split_once('='));
             let query = query.map(|(k, v)| (k.to_owned(), v.to_owned())).collect();
-            let Ok(body) = read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await else {
+            let Ok(body) = read_body(&head.extensions, body, MAX_BODY_BYTES, BODY_TIMEOUT).await
+            else {
                 return json_response(400, &"body");
             };
             let path = head.uri.path().to_owned();
