Let new callers in beside incomplete heads and connections that are drained

What was seen: in a run of all tests beside a release build, an ordinary request right after 250 heads over the limit found its connection closed (heads_over_the_limit_take_bounded_memory, once; the log of the run: 22 MB, no answer). Cause: each refused caller keeps its connection while what it still sends is drained for half a second, and had a second's right to its place; 173 of 173 places were taken by such, all younger.

A connection that is drained, or whose head is not whole, leaves its place at once when a new one needs it; the drained ones go first, then the one that waits longest. A caller that sends its head at once is the last of them. Bodies keep their second.

--- a/components/caller_budget/src/ledger.rs
+++ b/components/caller_budget/src/ledger.rs
@@ -28,12 +28,26 @@
 }
 
 impl Holder {
-    /// Whether it makes room for others if that is needed.
-    fn may_be_given_up(&self, now: Instant) -> bool {
-        let is_silent = !self.had_request && self.activity == Activity::Resting;
+    /// Whether it leaves its place to a new connection if that is needed.
+    fn may_leave(&self, now: Instant) -> bool {
+        let has_stayed = now.saturating_duration_since(self.since) >= MIN_STAY;
         !self.is_given_up
-            && self.activity != Activity::InWork
-            && (is_silent || now.saturating_duration_since(self.since) >= MIN_STAY)
+            && match self.activity {
+                Activity::InWork => false,
+                Activity::Closing | Activity::ReceivingHead => true,
+                Activity::Resting => has_stayed || !self.had_request,
+                Activity::ReceivingBody => has_stayed,
+            }
+    }
+
+    /// The order in which connections leave, the first one first.
+    fn leaving_order(&self) -> (bool, bool, Instant) {
+        (self.activity != Activity::Closing, self.had_request, self.since)
+    }
+
+    /// Whether it frees its bytes for others if that is needed.
+    fn may_free_bytes(&self, now: Instant) -> bool {
+        self.may_leave(now) && now.saturating_duration_since(self.since) >= MIN_STAY
     }
 
     fn give_up(&mut self) {
@@ -97,8 +111,8 @@
 
     /// The connection that is closed first for another one.
     fn next_to_leave(&self, now: Instant) -> Option<PlaceKey> {
-        let idle = self.holders.iter().filter(|(_, holder)| holder.may_be_given_up(now));
-        idle.min_by_key(|(_, holder)| (holder.had_request, holder.since)).map(|(key, _)| key)
+        let idle = self.holders.iter().filter(|(_, holder)| holder.may_leave(now));
+        idle.min_by_key(|(_, holder)| holder.leaving_order()).map(|(key, _)| key)
     }
 
     fn give_up(&mut self, place: PlaceKey) {
@@ -138,7 +152,7 @@
 
     pub(crate) fn receive(&mut self, place: PlaceKey, now: Instant) {
         if self.holders.get(place).is_some_and(|holder| holder.activity == Activity::Resting) {
-            self.set_activity(place, Activity::Receiving, now);
+            self.set_activity(place, Activity::ReceivingHead, now);
         }
     }
 
@@ -185,7 +199,7 @@
             .filter(|charge| charge.bytes > 0 && charge.holder != asking)
             .filter_map(|charge| {
                 let holder = self.holders.get(charge.holder)?;
-                holder.may_be_given_up(now).then_some((holder.since, charge.holder, charge.bytes))
+                holder.may_free_bytes(now).then_some((holder.since, charge.holder, charge.bytes))
             })
             .collect();
         if holding.iter().map(|(_, _, bytes)| bytes).sum::<usize>() < missing {
--- a/components/caller_budget/src/lib.rs
+++ b/components/caller_budget/src/lib.rs
@@ -17,9 +17,10 @@
 pub use body::HeldBody;
 use ledger::{ChargeKey, Ledger, PlaceKey};
 
-/// Time for which a connection keeps its place and its bytes in any case while it waits for the rest
-/// of a request, or for the next one. A connection that has sent nothing yet has no such time, so
-/// that one which sends at once finds a place beside any number of silent ones.
+/// Time for which a connection keeps its place in any case while it waits for the rest of a body, or
+/// for the next request, and its bytes while it waits for the rest of a request. Before a whole head
+/// there is no such time: a caller that sends its request at once finds a place beside any number of
+/// others that don't.
 pub const MIN_STAY: Duration = Duration::from_secs(1);
 /// Bytes of a request, head and body apart, that are not counted: each connection has room for as
 /// much.
@@ -39,10 +40,14 @@
 pub enum Activity {
     /// For the first byte of a request.
     Resting,
-    /// For the rest of a request.
-    Receiving,
+    /// For the rest of a request's head.
+    ReceivingHead,
+    /// For the rest of a request's body.
+    ReceivingBody,
     /// For the answer to a whole request, or for its caller to read it.
     InWork,
+    /// For its caller to close it, after its last answer.
+    Closing,
 }
 
 /// There is no room, and nobody has to make any.
--- a/components/caller_budget/tests/budget.rs
+++ b/components/caller_budget/tests/budget.rs
@@ -35,7 +35,7 @@
     now: Instant,
 ) -> (Place, Result<HeldBody, NoRoom>) {
     let place = connect(budget, now);
-    place.set_activity(Activity::Receiving, now);
+    place.set_activity(Activity::ReceivingBody, now);
     let body = HeldBody::begin(place.charge(), None, now);
     let body = body.and_then(|mut body| body.push(&vec![7; bytes], now).map(|()| body));
     (place, body)
@@ -50,7 +50,7 @@
     served.set_activity(Activity::Resting, began);
     let oldest = connect(&budget, began + Duration::from_millis(1));
     let dripping = connect(&budget, began + Duration::from_millis(2));
-    dripping.set_activity(Activity::Receiving, began + Duration::from_millis(2));
+    dripping.set_activity(Activity::ReceivingBody, began + Duration::from_millis(2));
 
     let places: Vec<_> = (0..3).map(|_| connect(&budget, began + 2 * MIN_STAY)).collect();
 
@@ -80,7 +80,7 @@
     let working = connect(&budget, began);
     working.set_activity(Activity::InWork, began);
     let young = connect(&budget, began + MIN_STAY);
-    young.set_activity(Activity::Receiving, began + MIN_STAY);
+    young.set_activity(Activity::ReceivingBody, began + MIN_STAY);
 
     let refused = budget.connect(began + MIN_STAY + MIN_STAY / 2).err();
 
@@ -93,7 +93,7 @@
     let began = Instant::now();
     let budget = budget(2);
     let receiving = connect(&budget, began);
-    receiving.set_activity(Activity::Receiving, began);
+    receiving.set_activity(Activity::ReceivingBody, began);
     let silent = connect(&budget, began);
 
     let new = budget.connect(began);
@@ -102,6 +102,28 @@
     assert!(is_given_up(&silent) && !is_given_up(&receiving));
 }
 
+/// Guards against callers that are refused and go on sending, which keep others out for a time.
+#[test]
+fn incomplete_heads_and_connections_that_are_closing_make_room_at_once() {
+    let began = Instant::now();
+    let budget = budget(3);
+    let head = connect(&budget, began);
+    head.receive(began);
+    let body = connect(&budget, began);
+    body.set_activity(Activity::ReceivingBody, began);
+    let closing = connect(&budget, began);
+    closing.set_activity(Activity::InWork, began);
+    closing.set_activity(Activity::Closing, began);
+
+    let first = budget.connect(began);
+    let after_first = [is_given_up(&closing), is_given_up(&head)];
+    let second = budget.connect(began);
+
+    assert!(first.is_ok() && second.is_ok());
+    assert_eq!(after_first, [true, false]);
+    assert!(is_given_up(&head) && !is_given_up(&body));
+}
+
 #[test]
 fn the_places_of_closed_connections_are_free() {
     let began = Instant::now();
@@ -161,8 +183,8 @@
     let began = Instant::now();
     let budget = budget(10);
     let (first, second) = (connect(&budget, began), connect(&budget, began));
-    first.set_activity(Activity::Receiving, began);
-    second.set_activity(Activity::Receiving, began);
+    first.set_activity(Activity::ReceivingBody, began);
+    second.set_activity(Activity::ReceivingBody, began);
 
     let mut body = HeldBody::begin(first.charge(), Some(700_000), began).expect("room");
     let refused = HeldBody::begin(second.charge(), Some(700_000), began).err();
--- a/components/http_server/src/lib.rs
+++ b/components/http_server/src/lib.rs
@@ -251,6 +251,7 @@
     limit: usize,
 ) -> Result<Bytes, BodyError> {
     let place = extensions.get::<Arc<Place>>().ok_or(BodyError::Broken)?;
+    place.set_activity(Activity::ReceivingBody, Instant::now());
     let declared = hyper::body::Body::size_hint(&body).exact();
     let declared = declared.and_then(|bytes| usize::try_from(bytes).ok());
     let declared = declared.filter(|bytes| *bytes <= limit);
--- a/gateway/src/caller_connections.rs
+++ b/gateway/src/caller_connections.rs
@@ -206,7 +206,7 @@
     /// Registers a request whose head was read.
     pub(crate) fn new(app: &Rc<App>, connection: &Rc<CallerConnection>) -> Self {
         connection.requests_in_work.update(|requests| requests + 1);
-        connection.socket.head.complete();
+        connection.socket.set_head_complete();
         RequestInWork { app: Rc::clone(app), connection: Rc::clone(connection) }
     }
 }
--- a/gateway/src/caller_stream.rs
+++ b/gateway/src/caller_stream.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 
 use crate::caller_heads::HeadReading;
+use crate::short_reads::poll_read_up_to;
 use crate::state_handle::now;
 
 /// Most bytes that are read at once. It bounds the HTTP library's buffer, which grows with what it
@@ -71,6 +72,17 @@
         self.place.is_given_up()
     }
 
+    /// Records that the head of a request has arrived whole.
+    pub(crate) fn set_head_complete(&self) {
+        self.head.complete();
+        self.set_activity(Activity::ReceivingBody);
+    }
+
+    /// Records that the connection's last answer was written.
+    pub(crate) fn set_closing(&self) {
+        self.set_activity(Activity::Closing);
+    }
+
     /// Records that a request has arrived whole.
     pub(crate) fn set_in_work(&self) {
         self.set_activity(Activity::InWork);
@@ -189,23 +201,6 @@
     }
 }
 
-/// Reads `most` bytes at most.
-fn poll_read_up_to(
-    stream: Pin<&mut TcpStream>,
-    cx: &mut Context<'_>,
-    buf: &mut ReadBuf<'_>,
-    most: usize,
-) -> Poll<Result<()>> {
-    if buf.remaining() <= most {
-        return stream.poll_read(cx, buf);
-    }
-    let mut bytes = [0; READ_BYTES];
-    let mut part = ReadBuf::new(&mut bytes[..most]);
-    let result = stream.poll_read(cx, &mut part);
-    buf.put_slice(part.filled());
-    result
-}
-
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -224,7 +219,7 @@
             self.0.moved_at.set(now);
             if self.0.unanswered_since.get().is_none() {
                 self.0.unanswered_since.set(Some(now));
-                self.0.set_activity(Activity::Receiving);
+                self.0.set_activity(Activity::ReceivingHead);
             }
         }
         result
--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -84,8 +84,13 @@
 /// Serves the requests of one connection and closes it.
 async fn serve(app: Rc<App>, open: OpenConnection) {
     if serve_requests(&app, open.connection()).await == End::Answered {
+        open.connection().socket.set_closing();
         // A caller that gets an answer before it has sent its whole request goes on sending.
-        drop(timeout(LINGER_TIME, open.connection().socket.discard_rest()).await);
+        let socket = &open.connection().socket;
+        tokio::select! {
+            _ = timeout(LINGER_TIME, socket.discard_rest()) => {}
+            () = socket.until_given_up() => {}
+        }
     }
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -64,6 +64,7 @@
 mod run;
 pub mod settings;
 mod shared;
+mod short_reads;
 mod shutdown;
 mod stages;
 mod state_handle;
