Divide the memory among all that a VM holds for others

Relayed connections (256 at 112 KiB) and what the kernel receives for callers (113 KiB each by default) did not follow from the VM's memory, and the library's buffer for an answer grew to 64 KiB and more with what arrived. The sum at 120 MB was more than the VM has.

--- a/gateway/src/head_limit.rs
+++ b/gateway/src/head_limit.rs
@@ -12,8 +12,13 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Largest head of an answer, and most bytes that are read at once.
+use crate::short_reads::poll_read_up_to;
+
+/// Largest head of an answer.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Most bytes that are read at once. It bounds the HTTP library's buffer, which grows with what it
+/// gets.
+const READ_BYTES: usize = 16 * 1024;
 /// Most bytes from a call to the end of its answer's head: a head, and what is read of the body
 /// together with its end.
 const MAX_BYTES_TO_HEAD: usize = 2 * MAX_HEAD_BYTES;
@@ -55,7 +60,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        std::task::ready!(Pin::new(&mut self.inner).poll_read(cx, buf))?;
+        std::task::ready!(poll_read_up_to(Pin::new(&mut self.inner), cx, buf, READ_BYTES))?;
         let Some(left) = self.allowance.0.get() else { return Poll::Ready(Ok(())) };
         let Some(left) = left.checked_sub(buf.filled().len() - before) else {
             return Poll::Ready(Err(io::Error::other("the head of the answer is too long")));
--- a/gateway/src/memory_plan.rs
+++ b/gateway/src/memory_plan.rs
@@ -4,15 +4,25 @@
 use caller_budget::Limits;
 
 /// Fraction (1/n) of the memory for callers' connections.
-const CONNECTIONS_DIVISOR: usize = 5;
+const CONNECTIONS_DIVISOR: usize = 4;
 /// Fraction (1/n) of the memory for bytes of callers' requests.
 const REQUESTS_DIVISOR: usize = 6;
 /// Fraction (1/n) of the memory for bodies of answers.
 const ANSWERS_DIVISOR: usize = 5;
+/// Fraction (1/n) of the memory for connections that are relayed for peers.
+const RELAYS_DIVISOR: usize = 20;
 /// Memory that a caller's connection may take beside what is counted for its request and its answer,
 /// in bytes: the HTTP library's state and buffers, a small body, a small answer, and what the kernel
 /// has received for it.
-const CONNECTION_BYTES: usize = 72 * 1024;
+const CONNECTION_BYTES: usize = 112 * 1024;
+/// Memory that a relayed connection may take, in bytes: messages that wait in both directions, and its
+/// window.
+const RELAY_BYTES: usize = 112 * 1024;
+/// Most connections that are relayed for peers, whatever the memory.
+const MAX_RELAYED: usize = 256;
+/// Bytes that the kernel receives for a caller's connection ahead of the process; Linux takes up to
+/// half as much again.
+pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
 /// Fraction (1/n) of the file descriptors for callers' connections.
 const CALLERS_DESCRIPTORS_DIVISOR: usize = 3;
 /// Fraction (1/n) of the file descriptors for connections that peers open.
@@ -27,6 +37,8 @@
     pub callers: Limits,
     /// Bytes that bodies of answers may take together.
     pub answer_bytes: usize,
+    /// Connections that this process relays for peers at a time.
+    pub relayed: usize,
     /// Connections that peers may have open to this process.
     pub peer_connections: usize,
 }
@@ -42,6 +54,7 @@
                 bytes: memory / REQUESTS_DIVISOR,
             },
             answer_bytes: memory / ANSWERS_DIVISOR,
+            relayed: (memory / RELAYS_DIVISOR / RELAY_BYTES).clamp(1, MAX_RELAYED),
             peer_connections: descriptors / PEERS_DESCRIPTORS_DIVISOR,
         }
     }
--- a/gateway/src/relays.rs
+++ b/gateway/src/relays.rs
@@ -25,8 +25,6 @@
 use crate::app::App;
 use crate::connections::{CONNECT_TIMEOUT, ConnectError, connect};
 
-/// Most connections that this VM relays at a time.
-const MAX_RELAYED: usize = 256;
 /// Most bytes of a message to the peer.
 const MESSAGE_BYTES: usize = 16 * 1024;
 /// Messages to a peer that wait for it to read. A target is not read meanwhile.
@@ -93,7 +91,7 @@
 /// Connects to a target for a peer.
 async fn connect_to(app: &Rc<App>, open: &RelayOpen) -> Result<TcpStream, RelayResult> {
     let target = find_target(app, open).ok_or(RelayResult::UnknownTarget)?;
-    let is_full = app.relayed_for_peers.get() > MAX_RELAYED;
+    let is_full = app.relayed_for_peers.get() > app.cfg.memory_plan().relayed;
     let (is_stopping, path) =
         app.state.with(|shared, _| (shared.is_stopping(), shared.target_paths.path_to(&target.id)));
     if is_full || is_stopping {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use fleet::UnreachableHalls;
 use platform_interface::PlatformAdapter;
 use slog::{info, warn};
+use socket2::SockRef;
 use stopping::{Limits, StopPlan};
 use telemetry::Metrics;
 use tokio::net::TcpListener;
@@ -25,6 +26,7 @@
 use crate::caller_connections::CallerConnections;
 use crate::connections::Connections;
 use crate::held_results::HeldResults;
+use crate::memory_plan::RECEIVE_BUFFER_BYTES;
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::state_handle::{StateHandle, now};
@@ -94,6 +96,8 @@
     let cfg = &app.cfg;
     let mut signals = Signals::new()?;
     let callers_listener = listen(cfg.callers).await?;
+    // Accepted connections inherit it. A failure leaves the system's own size.
+    drop(SockRef::from(&callers_listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES));
     let ready_listener = listen(cfg.ready).await?;
     let peers_listener = listen(cfg.peers).await?;
     if let Some(address) = cfg.operations {
--- /dev/null
+++ b/gateway/tests/memory_plan.rs
@@ -0,0 +1,37 @@
+//! What is held for others fits the memory and the descriptors, at the sizes of VMs that there are.
+
+use gateway::memory_plan::MemoryPlan;
+
+/// Memory of the process itself that has to be left beside what it holds for others, as a fraction.
+const OWN_SHARE: f64 = 0.3;
+/// Memory of a caller's connection, in bytes, as `docs/design/memory.md` adds it up.
+const CONNECTION_BYTES: usize = 112 * 1024;
+/// Largest body of the users' deployments, in bytes.
+const LARGEST_BODY: usize = 4 << 20;
+
+#[test]
+fn what_is_held_for_others_leaves_room_for_the_process_itself() {
+    for memory_mb in [120, 160, 260, 512] {
+        let memory = memory_mb * 1_000_000;
+
+        let plan = MemoryPlan::new(memory, 4100);
+
+        let held = plan.callers.connections * CONNECTION_BYTES
+            + plan.callers.bytes
+            + plan.answer_bytes
+            + plan.relayed * CONNECTION_BYTES;
+        assert!(held as f64 <= memory as f64 * (1.0 - OWN_SHARE), "{memory_mb} MB: {held}");
+        assert!(plan.callers.bytes > LARGEST_BODY, "{memory_mb} MB: {plan:?}");
+        assert!(plan.callers.connections >= 200, "{memory_mb} MB: {plan:?}");
+    }
+}
+
+#[test]
+fn callers_and_peers_leave_descriptors_for_targets_and_the_store() {
+    for descriptors in [64, 300, 3075, 4100, 8192] {
+        let plan = MemoryPlan::new(1 << 40, descriptors);
+
+        let taken = plan.callers.connections + plan.peer_connections;
+        assert!(taken * 10 <= descriptors * 6, "{descriptors}: {plan:?}");
+    }
+}
