Leave descriptors for two targets a request, and soak with crowds

By count: 133 callers, each with a request at two targets, are 399; the log of that process was overwritten by its restart, so that the split is worked out and not seen.

Callers may have a fifth of the descriptors open instead of a third. The soak, new: crowds of all kinds that overlap and keep their connections, beside reloads, stops and starts in series, changes of the configuration and a store that is away; memory, descriptors, exits and ordinary answers are checked.

--- a/gateway/src/memory_plan.rs
+++ b/gateway/src/memory_plan.rs
@@ -23,8 +23,9 @@
 /// Bytes that the kernel receives for a caller's connection ahead of the process; Linux takes up to
 /// half as much again.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
-/// Fraction (1/n) of the file descriptors for callers' connections.
-const CALLERS_DESCRIPTORS_DIVISOR: usize = 3;
+/// Fraction (1/n) of the file descriptors for callers' connections. Each may have a request at two
+/// targets, and half as many again may be closing.
+const CALLERS_DESCRIPTORS_DIVISOR: usize = 5;
 /// Fraction (1/n) of the file descriptors for connections that peers open.
 const PEERS_DESCRIPTORS_DIVISOR: usize = 4;
 /// Fewest connections of callers, whatever the memory.
--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -1,10 +1,10 @@
 //! Command line tool for randomized tests of the serving path; a seed determines the faults:
-//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --silences | --streams | --removals | --floods | --turns | --results]`.
+//! `soak --seed N --runs N --seconds N --vms N --callers N [--stops | --silences | --streams | --removals | --floods | --crowds | --turns | --results]`.
 //!
 //! Without a flag it injects faults into a running site; `--stops` stops and restarts VMs instead,
 //! `--silences` lets runners, the store and VMs stand still for a time, and `--streams` takes up streams while engines of several versions serve, and `--removals` changes the
 //! store while some VMs miss it and others are down. `--floods` lets parts of answers stop or have no
-//! end.
+//! end, and `--crowds` brings callers that keep to no limit.
 //! `--turns` and `--results` run one short scenario per seed and ignore `--seconds`, `--vms` and
 //! `--callers`. The exit code is 1 if a check failed.
 
@@ -15,7 +15,9 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use standins::serving_path::scenarios::{QueuedCallScenario, ResultReleaseScenario};
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{flood_soak, removal_soak, silence_soak, stop_soak, stream_soak};
+use standins::serving_path::{
+    crowd_soak, flood_soak, removal_soak, silence_soak, stop_soak, stream_soak,
+};
 
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
@@ -67,6 +69,7 @@
         .arg(flag("streams", "Streams that callers take up while versions come and go"))
         .arg(flag("removals", "Changes of the store that VMs miss while others are down"))
         .arg(flag("floods", "Parts of answers that stop or have no end, beside stops and changes"))
+        .arg(flag("crowds", "Callers that keep to no limit, beside stops and changes"))
         .arg(flag("turns", "Scenarios with calls that wait in the queue of a pool"))
         .arg(flag("results", "Scenarios with results whose owner or requester is killed or paused"))
         .get_matches();
@@ -83,6 +86,7 @@
         () if args.get_flag("silences") => silence_soak::run,
         () if args.get_flag("streams") => stream_soak::run,
         () if args.get_flag("removals") => removal_soak::run,
+        () if args.get_flag("crowds") => crowd_soak::run,
         () if args.get_flag("floods") => flood_soak::run,
         () => soak::run,
     };
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -8,6 +8,7 @@
 mod behavior;
 pub mod callers;
 pub mod crashing;
+pub mod crowd_soak;
 pub mod crowds;
 mod endless;
 pub mod faulty_link;
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -38,6 +38,8 @@
     peers: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
+    /// Most file descriptors that the process may have; that of the tests if not given.
+    descriptors: Option<u64>,
     child: Child,
 }
 
@@ -74,8 +76,8 @@
         );
         std::fs::write(&settings, text).expect("settings are written");
         let log = dir.join("log");
-        let child = spawn(&settings, out(&log));
-        Vm { callers, ready, operations, peers, settings, log, child }
+        let child = spawn(&settings, None, out(&log));
+        Vm { callers, ready, operations, peers, settings, log, descriptors: None, child }
     }
 
     /// Starts a VM whose process may have at most so many file descriptors. `extra` is appended to
@@ -87,17 +89,8 @@
         extra: &str,
     ) -> Self {
         let mut vm = Vm::start(name, "hall-a", store, extra);
-        vm.kill();
-        let limited = format!("ulimit -n {descriptors} && exec \"$0\" serve --settings \"$1\"");
-        vm.child = Command::new("sh")
-            .arg("-c")
-            .arg(limited)
-            .arg(program_path("saddleraild"))
-            .arg(&vm.settings)
-            .stdout(to_file(&vm.log))
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("saddleraild starts");
+        vm.descriptors = Some(descriptors);
+        vm.restart();
         vm
     }
 
@@ -236,7 +229,7 @@
 
     /// Starts another process with the same settings, after the end of the one before.
     pub fn start_again(&mut self) {
-        self.child = spawn(&self.settings, to_file(&self.log));
+        self.child = spawn(&self.settings, self.descriptors, to_file(&self.log));
     }
 }
 
@@ -244,8 +237,18 @@
     Stdio::from(std::fs::File::create(log).expect("a log file"))
 }
 
-fn spawn(settings: &PathBuf, out: Stdio) -> Child {
-    Command::new(program_path("saddleraild"))
+fn spawn(settings: &PathBuf, descriptors: Option<u64>, out: Stdio) -> Child {
+    let program = program_path("saddleraild");
+    let mut command = match descriptors {
+        None => Command::new(program),
+        Some(descriptors) => {
+            let mut shell = Command::new("sh");
+            let limited = format!("ulimit -n {descriptors} && exec \"$0\" \"$@\"");
+            shell.arg("-c").arg(limited).arg(program);
+            shell
+        }
+    };
+    command
         .arg("serve")
         .arg("--settings")
         .arg(settings)
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use standins::serving_path::soak::{self, Size};
-use standins::serving_path::{flood_soak, removal_soak, silence_soak, stop_soak, stream_soak};
+use standins::serving_path::{
+    crowd_soak, flood_soak, removal_soak, silence_soak, stop_soak, stream_soak,
+};
 
 /// Seeds of runs with random faults.
 ///
@@ -29,6 +31,9 @@
 /// Seeds of runs with answers that stop or have no end. Both guard against VMs that take more memory
 /// than they have, and against requests without an answer in time.
 const FLOOD_SEEDS: [u64; 2] = [1, 2];
+/// Seeds of runs with callers that keep to no limit. Both guard against VMs that take more memory or
+/// descriptors than they have.
+const CROWD_SEEDS: [u64; 2] = [1, 2];
 /// Number of VMs in the runs with changes that VMs miss.
 const REMOVAL_VMS: usize = 5;
 /// Number of callers in a run with planned stops.
@@ -105,3 +110,13 @@
         assert!(report.complete > 20 && report.faults > 5, "seed {seed}: {report:?}");
     }
 }
+
+#[test]
+fn processes_live_and_answers_are_sound_beside_callers_that_keep_to_no_limit() {
+    for seed in CROWD_SEEDS {
+        let report = crowd_soak::run(seed, FAULT_TIME * 2, Size::default());
+
+        assert_eq!(report.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(report.complete > 20 && report.faults > 5, "seed {seed}: {report:?}");
+    }
+}
