Bound the memory that answers of the store take together

All answers of the store share 8 MiB while they are read, in buffers of one size; the largest one is given up.

The soak now keeps the logs of ended processes and tells what a VM held.

--- a/gateway/src/app.rs
+++ b/gateway/src/app.rs
@@ -38,6 +38,8 @@
     pub(crate) caller_budget: CallerBudget,
     /// Memory for the bodies of answers.
     pub(crate) answer_memory: AnswerMemory,
+    /// Memory for answers of the store while they are read.
+    pub(crate) store_memory: AnswerMemory,
     /// Connections to targets.
     pub(crate) connections: Connections,
     pub(crate) log: Logger,
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -30,6 +30,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 use crate::state_handle::{StateHandle, now};
+use crate::store_connection::MAX_ANSWER_BYTES;
 use crate::{
     callers, content_check, hall_reachability, http_endpoints, inbound_links, link_dialer, logs,
     own_entry, peer_sync, pool_log, releases, rollouts, settings, shutdown, store_watch,
@@ -61,6 +62,7 @@
             state: StateHandle::new(shared),
             caller_budget: CallerBudget::new(cfg.memory_plan().callers),
             answer_memory: AnswerMemory::new(cfg.memory_plan().answer_bytes),
+            store_memory: AnswerMemory::new(MAX_ANSWER_BYTES),
             cfg,
             adapter,
             connections: Connections::default(),
--- a/gateway/src/store_connection.rs
+++ b/gateway/src/store_connection.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use displaydoc::Display;
 use http::StatusCode;
 use http_body_util::{BodyExt, Full};
@@ -16,6 +16,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::answer_memory::GrowingBody;
 use crate::app::App;
 use crate::bounded_reads::discard;
 use crate::connections::connect;
@@ -28,9 +29,9 @@
 /// page of 1 MB takes this long on a link of 0.5 Mbit/s.
 const MAX_ANSWER_TIME: Duration = Duration::from_secs(20);
 
-/// Largest answer that is read, in bytes. A page holds about 1 MB of values, or one larger value, and
-/// values grow by a third on the way.
-const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes of all answers of the store together while they are read. A page holds about 1 MB of values, or one larger value, and
+/// values grow by a third on the way. Beyond it the largest answer is given up.
+pub(crate) const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a call to the store failed. The doc comments of the variants are the displayed texts.
 #[derive(Debug, Display)]
@@ -172,18 +173,20 @@
 
     /// Reads the body of a successful answer.
     async fn read(&self, mut body: Incoming, began: Instant) -> Result<Bytes, StoreCallError> {
-        let mut buf = BytesMut::new();
+        let mut read = GrowingBody::new(&self.app.store_memory, false);
         loop {
-            let frame = match timeout(SILENCE_TIMEOUT, body.frame()).await {
-                Ok(None) => return Ok(buf.freeze()),
+            let next = tokio::select! {
+                next = timeout(SILENCE_TIMEOUT, body.frame()) => next,
+                () = read.until_given_up() => return Err(StoreCallError::TooLong),
+            };
+            let frame = match next {
+                Ok(None) => return Ok(read.complete().to_bytes()),
                 Ok(Some(Ok(frame))) => frame,
                 Ok(Some(Err(e))) => return Err(StoreCallError::Failed(e.to_string())),
-                Err(_) => return Err(StoreCallError::Failed(silence_message(buf.len()))),
+                Err(_) => return Err(StoreCallError::Failed(silence_message(read.len()))),
             };
-            buf.extend_from_slice(&frame.into_data().unwrap_or_default());
-            if buf.len() > MAX_ANSWER_BYTES {
-                return Err(StoreCallError::TooLong);
-            }
+            let data = frame.into_data().unwrap_or_default();
+            read.push(&data).map_err(|_| StoreCallError::TooLong)?;
             self.app.state.with(|shared, now| shared.contact.record_bytes(now));
             if now() - began > MAX_ANSWER_TIME {
                 let problem = format!("answer not complete within {MAX_ANSWER_TIME:?}");
--- a/standins/src/serving_path/crowd_soak.rs
+++ b/standins/src/serving_path/crowd_soak.rs
@@ -71,6 +71,8 @@
     /// Crowds whose connections are still open.
     crowds: Mutex<Vec<Crowd>>,
     calls: Mutex<Vec<AnsweredRequest>>,
+    /// Logs of processes that have ended.
+    logs: Mutex<Vec<String>>,
     sent: AtomicU64,
     report: Mutex<Report>,
     over: AtomicBool,
@@ -120,6 +122,7 @@
             vms: vms.into_iter().map(Mutex::new).collect(),
             crowds: Mutex::default(),
             calls: Mutex::default(),
+            logs: Mutex::default(),
             sent: AtomicU64::new(0),
             report: Mutex::default(),
             over: AtomicBool::new(false),
@@ -228,6 +231,7 @@
             }
         }
         let code = vm.wait_exit();
+        lock(&self.logs).push(vm.log());
         lock(&self.report).restarts += 1;
         if code != Some(0) {
             self.violation(format!("VM {number} ended with exit code {code:?}"));
@@ -244,7 +248,8 @@
     fn check_bounds(&self, number: usize, vm: &mut Vm) {
         let (peak, open) = (vm.peak_memory_mb(), vm.open_descriptors());
         if peak > MEMORY_MB {
-            self.violation(format!("VM {number} took {peak} MB of memory"));
+            let held = held_for_others(vm);
+            self.violation(format!("VM {number} took {peak} MB of memory; it holds {held}"));
         }
         if open as u64 >= DESCRIPTORS {
             self.violation(format!("VM {number} has {open} descriptors open"));
@@ -309,15 +314,24 @@
             check_answer(&self.site, request, &mut report);
         }
         if !report.violations.is_empty() {
-            for (number, vm) in self.vms.iter().enumerate() {
-                let name = format!("crowds-{}-{number}.log", self.seed);
-                drop(std::fs::write(std::env::temp_dir().join(name), lock(vm).log()));
-            }
+            let last = self.vms.iter().map(|vm| lock(vm).log());
+            let logs: String = lock(&self.logs).drain(..).chain(last).collect();
+            let name = format!("crowds-{}.log", self.seed);
+            drop(std::fs::write(std::env::temp_dir().join(name), logs));
         }
         report
     }
 }
 
+/// What a VM says that it holds for others, and its resident memory.
+fn held_for_others(vm: &Vm) -> String {
+    let names = ["connections_open", "request_bytes", "answer_bytes", "resident_bytes"];
+    let page = vm.operations_page("/metrics");
+    let is_held =
+        |line: &&str| names.iter().any(|name| line.starts_with(&format!("saddlerail_{name}")));
+    page.lines().filter(is_held).collect::<Vec<_>>().join(", ")
+}
+
 fn random_time(rng: &mut StdRng, millis: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(millis))
 }
