Say in the log why a connection with an unread answer is closed

Cause: the close of a connection whose caller reads nothing for 1.2 of the idle time was logged as one at rest. Another test shows that a declared length without room is refused at the head, before 100 Continue: 503 with a time to come back, not run.

--- a/gateway/src/callers.rs
+++ b/gateway/src/callers.rs
@@ -123,8 +123,8 @@
     let ended = tokio::select! {
         biased;
         ended = http.as_mut() => ended,
-        () = closed_at_rest(app, connection) => {
-            connection.record_end(app, "closed at rest");
+        why = closed_at_rest(app, connection) => {
+            connection.record_end(app, why);
             return End::Closed;
         }
         refusal = connection.until_head_refused(app) => {
@@ -166,19 +166,19 @@
 }
 
 /// Waits until a connection is at rest, or its answer unread, for as long as it may be, and closes
-/// it.
-async fn closed_at_rest(app: &App, connection: &CallerConnection) {
+/// it. Returns why, as logged.
+async fn closed_at_rest(app: &App, connection: &CallerConnection) -> &'static str {
     let mut closing = app.closing.subscribe();
     loop {
         let is_closing = *closing.borrow_and_update();
         let ends_at = connection.rest_ends_at(app, is_closing);
         let is_due = ends_at.is_some_and(|ends_at| ends_at <= now());
         if connection.is_unread_for_too_long(app) {
-            return;
+            return "answer not read";
         }
         // The HTTP library was polled just before, but bytes may have arrived since.
         if is_due && connection.socket.close_if_silent() {
-            return;
+            return "closed at rest";
         }
         let interval = if is_closing { CLOSING_CHECK_INTERVAL } else { IDLE_CHECK_INTERVAL };
         let check_at = now() + interval;
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -25,6 +25,8 @@
 const SMALLEST_VM_MB: u64 = 120;
 /// Memory of a daemon of the product's own form by default, in megabytes.
 const OWN_FORM_MB: u64 = 256;
+/// Memory of a VM that has no room for the largest body, in megabytes.
+const TINY_MB: u64 = 24;
 /// File descriptors of a process that has few.
 const FEW_DESCRIPTORS: u64 = 300;
 /// Callers that use up these descriptors.
@@ -314,6 +316,50 @@
     assert!(vm.peak_memory_mb() < SMALLEST_VM_MB, "{} MB", vm.peak_memory_mb());
 }
 
+/// Guards against a body that is asked for although there is no room for it.
+#[test]
+fn a_body_without_room_is_refused_at_its_head() {
+    let _alone = alone();
+    let site = start_site();
+    let vm = start_vm(&site, "no-room", TINY_MB, "");
+    let stream = std::net::TcpStream::connect(vm.callers).expect("a connection");
+    let mut conn = HttpConnection::new(stream);
+
+    conn.write(
+        format!(
+            "POST /once/ HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: no-room\r\n\
+             Deadline-Milliseconds: 2000\r\nContent-Length: {BODY_BYTES}\r\n\
+             Expect: 100-continue\r\n\r\n"
+        )
+        .as_bytes(),
+    );
+    let answer = conn.read().expect("an answer");
+
+    assert_eq!(answer.status(), 503, "{}", answer.start_line);
+    assert!(!answer.header("retry-after").is_empty());
+    assert_eq!(site.runs("no-room"), 0);
+    let small = get("/repeat/", "small").body(b"a body").send_until_run(vm.callers);
+    assert_eq!(small.map(|answer| answer.status()), Some(200));
+}
+
+/// Guards against answers that are kept for callers that never read them.
+#[test]
+fn a_caller_that_reads_nothing_for_longer_than_it_may_be_idle_is_disconnected() {
+    let _alone = alone();
+    let site = start_site();
+    let mut cfg = configuration(2);
+    cfg["limits"]["idle_timeout_ms"] = json!(1000);
+    site.store.put("op/config", &cfg);
+    let vm = start_vm(&site, "never-read", SMALLEST_VM_MB, "");
+    Site::queue_behavior(&site.plain, &Behavior::Large(16 * BODY_BYTES));
+
+    let mut crowd = Crowd::connect(vm.callers, Misuse::UnreadAnswer("/repeat/"), 1);
+    crowd.send_for(SENDING_TIME);
+
+    wait_until("the answer waits for its caller", || vm.state()["in_work"] == 1);
+    wait_until("the connection is closed", || vm.log().contains("why=\"answer not read\""));
+}
+
 /// Guards against heads that are served although they are longer than the configuration allows.
 #[test]
 fn a_head_over_the_limit_is_refused() {
