Play the waves of crowds at each size of the users' VMs

The test of waves ran at 120 MB; it now runs at 120, 160 and 260 MB with the same crowds and the same check.

--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -23,6 +23,8 @@
 const MEMORY_MB: u64 = 64;
 /// Memory of the smallest VMs that the users have, in megabytes.
 const SMALLEST_VM_MB: u64 = 120;
+/// Memory of the users' VMs, in megabytes.
+const VM_SIZES_MB: [u64; 3] = [SMALLEST_VM_MB, 160, 260];
 /// Memory of a daemon of the product's own form by default, in megabytes.
 const OWN_FORM_MB: u64 = 256;
 /// Memory of a VM that has no room for the largest body, in megabytes.
@@ -391,9 +393,15 @@
 /// them.
 #[test]
 fn waves_of_crowds_beside_reloads_stops_and_starts_take_bounded_memory() {
-    let _alone = alone();
+    for memory_mb in VM_SIZES_MB {
+        let _alone = alone();
+        bear_waves_of_crowds(memory_mb);
+    }
+}
+
+fn bear_waves_of_crowds(memory_mb: u64) {
     let site = start_site();
-    let mut vm = start_vm(&site, "crowd-waves", SMALLEST_VM_MB, STOP_SETTINGS);
+    let mut vm = start_vm(&site, &format!("crowd-waves-{memory_mb}"), memory_mb, STOP_SETTINGS);
     for wave in 0..3 {
         site.plain.iter().for_each(|runner| {
             runner.queue_behaviors(&vec![Behavior::Large(BODY_BYTES); 40]);
@@ -408,7 +416,7 @@
         });
 
         site.plain.iter().for_each(Runner::clear_script);
-        assert_bears(&mut vm, SMALLEST_VM_MB, &format!("wave {wave}"));
+        assert_bears(&mut vm, memory_mb, &format!("{memory_mb} MB, wave {wave}"));
         if wave == 1 {
             vm.signal("-TERM");
             assert_eq!(vm.wait_exit(), Some(0), "the exit code of a stop amid crowds");
