--- a/standins/src/bin/soak.rs
+++ b/standins/src/bin/soak.rs
@@ -5,6 +5,7 @@
 //! `--silences` lets runners, the store and VMs stand still for a time, and `--streams` takes up streams while engines of several versions serve, and `--removals` changes the
 //! store while some VMs miss it and others are down. `--floods` lets parts of answers stop or have no
 //! end, and `--crowds` brings callers that keep to no limit.
+//! `--aging` prints the memory of a VM after `--requests` requests and `--lifetimes` targets.
 //! `--turns` and `--results` run one short scenario per seed and ignore `--seconds`, `--vms` and
 //! `--callers`. The exit code is 1 if a check failed.
 
@@ -16,9 +17,12 @@
 use standins::serving_path::scenarios::{QueuedCallScenario, ResultReleaseScenario};
 use standins::serving_path::soak::{self, Size};
 use standins::serving_path::{
-    crowd_soak, flood_soak, removal_soak, silence_soak, stop_soak, stream_soak,
+    aging, crowd_soak, flood_soak, removal_soak, silence_soak, stop_soak, stream_soak,
 };
 
+/// Parts of a run of `--aging` after which the memory is printed.
+const AGING_STEPS: u64 = 5;
+
 fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
 }
@@ -70,6 +74,9 @@
         .arg(flag("removals", "Changes of the store that VMs miss while others are down"))
         .arg(flag("floods", "Parts of answers that stop or have no end, beside stops and changes"))
         .arg(flag("crowds", "Callers that keep to no limit, beside stops and changes"))
+        .arg(flag("aging", "Memory of a VM after many requests and lifetimes of targets"))
+        .arg(number("requests", "1000000", "Requests of --aging"))
+        .arg(number("lifetimes", "10000", "Lifetimes of targets of --aging"))
         .arg(flag("turns", "Scenarios with calls that wait in the queue of a pool"))
         .arg(flag("results", "Scenarios with results whose owner or requester is killed or paused"))
         .get_matches();
@@ -81,6 +88,13 @@
     if args.get_flag("results") {
         return run_scenarios(seeds, result_release_scenario);
     }
+    if args.get_flag("aging") {
+        let (requests, lifetimes) = (value(&args, "requests"), value(&args, "lifetimes"));
+        aging::run(requests, value(&args, "callers"), AGING_STEPS, lifetimes, |sample| {
+            println!("{sample:?}");
+        });
+        return ExitCode::SUCCESS;
+    }
     let run = match () {
         () if args.get_flag("stops") => stop_soak::run,
         () if args.get_flag("silences") => silence_soak::run,
--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -5,6 +5,7 @@
 //! The stand-ins use threads and plain sockets instead of an HTTP library, so that a fault can
 //! change any byte.
 
+pub mod aging;
 mod behavior;
 pub mod callers;
 pub mod crashing;
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -184,11 +184,21 @@
 
     /// The most memory that the process has taken so far, in megabytes; 0 if it has ended.
     pub fn peak_memory_mb(&self) -> u64 {
+        self.memory_bytes("VmHWM:") / 1_000_000
+    }
+
+    /// Memory that the process takes, in bytes; 0 if it has ended.
+    pub fn resident_bytes(&self) -> u64 {
+        self.memory_bytes("VmRSS:")
+    }
+
+    /// A line of the process' status that is in kilobytes, in bytes.
+    fn memory_bytes(&self, name: &str) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
         let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
         let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
-        kilobytes.unwrap_or(0) * 1024 / 1_000_000
+        kilobytes.unwrap_or(0) * 1024
     }
 
     /// Number of file descriptors that the process has open; 0 if it has ended.
