Bound the other addresses of the product's own form

What was seen: 400 silent connections each, or heads of 380 KB, at the addresses for operators and peers: 819 descriptors open, 117 MB. tiny_http, which served the operators' pages with a thread a request, bounds neither heads nor connections.

--- a/components/peering/src/lib.rs
+++ b/components/peering/src/lib.rs
@@ -14,7 +14,10 @@
 #[path = "generated/saddlerail.work.v1.rs"]
 pub mod work;
 
+mod peer_stream;
+
 pub use peer::peer_client::PeerClient;
 pub use peer::peer_server::{Peer, PeerServer};
+pub use peer_stream::PeerStream;
 pub use work::work_client::WorkClient;
 pub use work::work_server::{Work, WorkServer};
--- a/gateway/src/peer_stream.rs
+++ b/components/peering/src/peer_stream.rs
@@ -17,7 +17,7 @@
 const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A connection with its place among those that may be open.
-pub(crate) struct PeerStream {
+pub struct PeerStream {
     stream: TcpStream,
     /// Ends while nothing has been read; `None` once something has.
     first_byte: Option<Pin<Box<Sleep>>>,
@@ -29,10 +29,7 @@
     ///
     /// # Errors
     /// That of the connection.
-    pub(crate) fn accept(
-        accepted: Result<TcpStream>,
-        places: &Arc<Semaphore>,
-    ) -> Result<Option<Self>> {
+    pub fn accept(accepted: Result<TcpStream>, places: &Arc<Semaphore>) -> Result<Option<Self>> {
         let stream = accepted?;
         let place = Arc::clone(places).try_acquire_owned().ok();
         let first_byte = Some(Box::pin(sleep(FIRST_BYTE_TIMEOUT)));
--- a/daemon/src/operations.rs
+++ b/daemon/src/operations.rs
@@ -1,19 +1,24 @@
 //! HTTP server for operators: health, readiness, metrics, the state dump and explanations of
 //! requests.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::thread;
+use std::time::Duration;
 
-use errors::{Error, Result};
+use http_server::{Body, ConnectionLimits, full_body};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
 use ids::RequestId;
-use slog::{Logger, warn};
 use telemetry::Metrics;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 use crate::dispatcher_messages::Message;
 use crate::dispatcher_thread::{DispatcherHandle, DispatcherStopped};
 
+/// Limits of the address for operators, who send no bodies.
+const LIMITS: ConnectionLimits =
+    ConnectionLimits { connections: 32, body_bytes: 0, head_wait: Duration::from_secs(5) };
 /// Path prefix of an explanation; the request id follows.
 const EXPLAIN_PATH: &str = "/explain/";
 
@@ -21,7 +26,6 @@
 pub(crate) struct OperationsServer {
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) metrics: Arc<Metrics>,
-    pub(crate) log: Logger,
 }
 
 /// A response to an operator: status code, content type and body.
@@ -31,69 +35,41 @@
     text: String,
 }
 
-/// Starts the server's thread.
-///
-/// # Errors
-/// `Io` if the address can't be listened on.
-pub(crate) fn start(operations: OperationsServer, address: SocketAddr) -> Result<()> {
-    let server = Server::http(address).map_err(|e| {
-        Error::io(format!("listening on {address}"), std::io::Error::other(e.to_string()))
-    })?;
+/// Serves operators until the process ends.
+pub(crate) async fn serve(operations: OperationsServer, listener: TcpListener) {
     let operations = Arc::new(operations);
-    thread::spawn(move || operations.serve(server, address));
-    Ok(())
+    // Never sent to: the pages tell of a stop until the process ends.
+    let (_serving, stop) = watch::channel(false);
+    http_server::serve(listener, LIMITS, stop, move |req: Request<Incoming>| {
+        let operations = Arc::clone(&operations);
+        async move { operations.answer(&req).await }
+    })
+    .await;
 }
 
 impl OperationsServer {
-    /// Answers requests, each on its own thread, until the process ends.
-    fn serve(self: &Arc<Self>, mut server: Server, address: SocketAddr) {
-        loop {
-            match server.recv() {
-                Ok(req) => {
-                    // Each request has its own thread, so that a slow client does not delay health
-                    // checks.
-                    let operations = Arc::clone(self);
-                    thread::spawn(move || operations.answer(req));
-                }
-                Err(e) => {
-                    // The accept loop of `tiny_http` ends at its first error, so a new server is
-                    // needed.
-                    warn!(self.log, "operations page failed"; "problem" => %e);
-                    drop(server);
-                    server = loop {
-                        thread::sleep(std::time::Duration::from_millis(100));
-                        if let Ok(new_server) = Server::http(address) {
-                            break new_server;
-                        }
-                    };
-                }
-            }
-        }
-    }
-
-    fn answer(&self, req: Request) {
-        let page = match (req.method(), req.url()) {
-            (Method::Get, "/live") => text(200, "alive"),
-            (Method::Get, "/ready") => self.ready(),
-            (Method::Get, "/metrics") => self.metrics_page(),
-            (Method::Get, "/state") => self.json(self.dispatcher.ask(Message::Dump)),
-            (Method::Get, "/vms") => self.json(self.dispatcher.ask(Message::Fleet)),
-            (Method::Get, "/revision") => self.json(self.dispatcher.ask(Message::Revision)),
-            (Method::Get, url) if url.starts_with(EXPLAIN_PATH) => self.explain(url),
-            (Method::Get, _) => text(404, "no such page"),
+    async fn answer(&self, req: &Request<Incoming>) -> Response<Body> {
+        let page = match (req.method(), req.uri().path()) {
+            (&Method::GET, "/live") => text(200, "alive"),
+            (&Method::GET, "/ready") => self.ready().await,
+            (&Method::GET, "/metrics") => self.metrics_page(),
+            (&Method::GET, "/state") => json(self.dispatcher.ask_async(Message::Dump).await),
+            (&Method::GET, "/vms") => json(self.dispatcher.ask_async(Message::Fleet).await),
+            (&Method::GET, "/revision") => json(self.dispatcher.ask_async(Message::Revision).await),
+            (&Method::GET, path) if path.starts_with(EXPLAIN_PATH) => self.explain(path).await,
+            (&Method::GET, _) => text(404, "no such page"),
             _ => text(405, "expected method GET"),
         };
-        let header = Header::from_bytes("content-type", page.content_type);
-        let mut response = Response::from_string(page.text).with_status_code(page.status);
-        if let Ok(header) = header {
-            response.add_header(header);
-        }
-        // An error means that the client has disconnected.
-        let _ = req.respond(response);
+        let mut response = Response::new(full_body(page.text));
+        *response.status_mut() =
+            StatusCode::from_u16(page.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let content_type = HeaderValue::from_static(page.content_type);
+        response.headers_mut().insert(CONTENT_TYPE, content_type);
+        response
     }
 
-    fn ready(&self) -> Page {
-        match self.dispatcher.ask(Message::Ready) {
+    async fn ready(&self) -> Page {
+        match self.dispatcher.ask_async(Message::Ready).await {
             Ok(true) => text(200, "ready"),
             Ok(false) | Err(DispatcherStopped) => text(503, "not ready"),
         }
@@ -106,22 +82,22 @@
         }
     }
 
-    fn explain(&self, url: &str) -> Page {
-        match RequestId::new(url.trim_start_matches(EXPLAIN_PATH)) {
-            Ok(id) => self.json(self.dispatcher.ask(|reply| Message::Explain(id, reply))),
+    async fn explain(&self, path: &str) -> Page {
+        match RequestId::new(path.trim_start_matches(EXPLAIN_PATH)) {
+            Ok(id) => json(self.dispatcher.ask_async(|reply| Message::Explain(id, reply)).await),
             Err(e) => text(400, &e.to_string()),
         }
     }
+}
 
-    fn json<T: serde::Serialize>(&self, value: std::result::Result<T, DispatcherStopped>) -> Page {
-        match value {
-            Ok(value) => Page {
-                status: 200,
-                content_type: "application/json",
-                text: serde_json::to_string(&value).unwrap_or_default(),
-            },
-            Err(DispatcherStopped) => text(503, "the process is ending"),
-        }
+fn json<T: serde::Serialize>(value: std::result::Result<T, DispatcherStopped>) -> Page {
+    match value {
+        Ok(value) => Page {
+            status: 200,
+            content_type: "application/json",
+            text: serde_json::to_string(&value).unwrap_or_default(),
+        },
+        Err(DispatcherStopped) => text(503, "the process is ending"),
     }
 }
 
--- a/daemon/src/peer_links.rs
+++ b/daemon/src/peer_links.rs
@@ -8,13 +8,14 @@
 
 use ids::Revision;
 use peering::peer::{Announcement, CatalogueReply, CatalogueRequest, Heard, Hello, News};
-use peering::{Peer, PeerClient, PeerServer};
+use peering::{Peer, PeerClient, PeerServer, PeerStream};
 use prost::Message as _;
 use slog::{Logger, debug, warn};
 use telemetry::Metrics;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
+use tokio_stream::StreamExt;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::transport::{Channel, Endpoint, Server};
 use tonic::{Request, Response, Status};
@@ -37,6 +38,8 @@
 const FRAMING_BYTES: u64 = 185;
 /// Shortest time between two gossip rounds, even if there are changes to send at once.
 const MIN_ROUND_GAP: Duration = Duration::from_millis(20);
+/// Most connections that other processes may have open to this one.
+const MAX_CONNECTIONS: usize = 256;
 /// Largest catalogue message, in bytes.
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
@@ -54,7 +57,9 @@
 pub(crate) async fn serve(links: PeerLinks, listener: TcpListener) {
     let log = links.log.clone();
     let service = PeerServer::new(links).max_encoding_message_size(MAX_MESSAGE_BYTES);
-    let incoming = TcpListenerStream::new(listener);
+    let places = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let incoming = TcpListenerStream::new(listener)
+        .filter_map(move |accepted| PeerStream::accept(accepted, &places).transpose());
     if let Err(e) = Server::builder().add_service(service).serve_with_incoming(incoming).await {
         warn!(log, "peer service ended"; "problem" => %e);
     }
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -92,6 +92,7 @@
     };
     let callers_listener = listen(cfg.callers)?;
     let peers_listener = listen(cfg.peers)?;
+    let operations_listener = listen(cfg.operations)?;
 
     let dispatcher = dispatcher_thread::start(Setup {
         cfg: cfg.clone(),
@@ -100,12 +101,9 @@
         metrics: Arc::clone(&metrics),
         round_trigger: Arc::clone(&round_trigger),
     });
-    let operations_server = OperationsServer {
-        dispatcher: dispatcher.clone(),
-        metrics: Arc::clone(&metrics),
-        log: log.clone(),
-    };
-    operations::start(operations_server, cfg.operations)?;
+    let operations_server =
+        OperationsServer { dispatcher: dispatcher.clone(), metrics: Arc::clone(&metrics) };
+    runtime.spawn(operations::serve(operations_server, operations_listener));
 
     let store = store_client::Store::new(cfg.platform);
     platform_reader::start(PlatformReader {
--- a/gateway/src/caller_bodies.rs
+++ b/gateway/src/caller_bodies.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use caller_budget::{HeldBody, NoRoom};
-use displaydoc::Display;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use platform_interface::callers::Refusal;
@@ -18,16 +17,16 @@
 /// Longest time to read a request's body; the request's own deadline may be sooner.
 const BODY_READ_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Why a body was not read. The doc comments of the variants are the displayed texts.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+/// Why a body was not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum BodyError {
-    /// body too large
+    /// It is larger than configured.
     TooLarge,
-    /// body not readable
+    /// It is malformed, or the connection has ended.
     Unreadable,
-    /// body not read in time
+    /// Its time is over.
     TooLate,
-    /// no room for the body
+    /// What callers hold leaves no room for it.
     NoRoom,
 }
 
--- a/gateway/src/inbound_links.rs
+++ b/gateway/src/inbound_links.rs
@@ -14,7 +14,7 @@
 use peering::work::{
     FromDialer, FromOwner, FromTarget, Hello, Release, Released, ToTarget, from_dialer, from_owner,
 };
-use peering::{Work, WorkServer};
+use peering::{PeerStream, Work, WorkServer};
 use result_leases::{Holder, LinkKey};
 use slog::warn;
 use tokio::net::TcpListener;
@@ -34,7 +34,6 @@
     next_heartbeat, own_hello, record_peer, take_unsent,
 };
 use crate::outbound_links::DialerSender;
-use crate::peer_stream::PeerStream;
 use crate::piece_events::{PeerSink, Sink};
 use crate::relays::AcceptedRelay;
 use crate::rollout_messages::decode_report;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -46,7 +46,6 @@
 mod own_calls;
 mod own_entry;
 mod owner_selection;
-mod peer_stream;
 mod peer_sync;
 mod permits;
 mod piece_events;
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -456,3 +456,33 @@
         assert_eq!(reply.map(|reply| reply.status), Some(200), "{misuse:?}: {peak} MB");
     }
 }
+
+/// Guards against the other addresses of the product's own form, which have limits of their own.
+#[test]
+fn crowds_at_the_other_addresses_of_the_products_own_form_take_bounded_memory() {
+    for misuse in [Misuse::HeadShortOfEnd(380_000), Misuse::EmptyLines, Misuse::Silence] {
+        let _alone = alone();
+        let fleet = usual_fleet(1);
+        let vm = &fleet.vms[0];
+
+        let mut crowds = [vm.operations, vm.peers]
+            .map(|address| Crowd::connect_to_own_form(address, misuse, MORE_THAN_DESCRIPTORS));
+        crowds.iter_mut().for_each(|crowd| crowd.send_for(SENDING_TIME / 8));
+
+        let reply = caller_request("hold", 5000).send(vm.callers);
+        let (peak, open) = (peak_memory_mb(fleet.pid(0)), open_descriptors(fleet.pid(0)));
+        assert_eq!(
+            reply.map(|reply| reply.status),
+            Some(200),
+            "{misuse:?}: {peak} MB, {open} open"
+        );
+        assert!(peak < OWN_FORM_MB, "{misuse:?}: {peak} MB");
+        assert!(open < MORE_THAN_DESCRIPTORS, "{misuse:?}: {open} descriptors are open");
+        fleet.wait_ready(0);
+    }
+}
+
+/// Number of file descriptors that a process has open.
+fn open_descriptors(pid: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
+}
