--- a/gateway/src/memory_plan.rs
+++ b/gateway/src/memory_plan.rs
@@ -11,9 +11,9 @@
 /// Fraction (1/n) of the memory for callers' connections.
 const CONNECTIONS_DIVISOR: usize = 4;
 /// Fraction (1/n) of the memory for bytes of callers' requests.
-const REQUESTS_DIVISOR: usize = 6;
+const REQUESTS_DIVISOR: usize = 8;
 /// Fraction (1/n) of the memory for bodies of answers.
-const ANSWERS_DIVISOR: usize = 5;
+const ANSWERS_DIVISOR: usize = 4;
 /// Fraction (1/n) of the memory for connections that are relayed for peers.
 const RELAYS_DIVISOR: usize = 20;
 /// Memory that a caller's connection may take beside what is counted for its request and its answer,
--- a/gateway/tests/memory_plan.rs
+++ b/gateway/tests/memory_plan.rs
@@ -10,6 +10,8 @@
 const TARGET_BUFFER_BYTES: usize = 32 * 1024;
 /// Memory of a caller's connection, in bytes, as `docs/design/memory.md` adds it up.
 const CONNECTION_BYTES: usize = 112 * 1024;
+/// An answer that a VM of the default size passes on whole, in bytes.
+const LARGE_ANSWER: usize = 48 << 20;
 /// Largest body of the users' deployments, in bytes.
 const LARGEST_BODY: usize = 4 << 20;
 
@@ -30,6 +32,13 @@
     }
 }
 
+#[test]
+fn a_vm_of_the_default_size_has_room_for_a_large_answer() {
+    let plan = MemoryPlan::new(256_000_000, 4100);
+
+    assert!(plan.answer_bytes > LARGE_ANSWER, "{plan:?}");
+}
+
 #[test]
 fn callers_and_peers_leave_descriptors_for_targets_and_the_store() {
     for descriptors in [64, 300, 3075, 4100, 8192] {
