--- a/gateway/src/caller_heads.rs
+++ b/gateway/src/caller_heads.rs
@@ -29,7 +29,8 @@
 /// The head that a connection reads, or awaits.
 #[derive(Default)]
 pub struct HeadReading {
-    /// Whether a head is read or awaited, and not a body or the end of an answer.
+    /// Whether the head is complete: what arrives until the answer belongs to a body, or to the next
+    /// request.
     is_complete: Cell<bool>,
     bytes: Cell<usize>,
     /// Configured size that was in force when it was last looked up; `None` without a configuration.
