review: a copy of a refusal taken for the answer to the next request

Case 6: a runner that turned a request away sends that answer again before the answer to the next request on the channel. The request runs and its caller gets 503. The stand-ins take ports below those that the system gives out, after one start in nine did not come up.

--- a/review/harness-2/daemon.rs
+++ b/review/harness-2/daemon.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -138,9 +139,17 @@
     Ok(())
 }
 
-/// A free loopback address.
+/// A free loopback address, with a port below those that the system gives out by itself.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = u16::try_from(std::process::id() % 97).unwrap_or(0) * 100;
+    loop {
+        let port = 20_000 + (first + NEXT.fetch_add(1, Ordering::SeqCst)) % 10_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// Fills the template as the platform does. Each process has a port of its own for its figures, since
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -12,6 +12,7 @@
 mod runners;
 mod store;
 
+mod copies;
 mod inputs;
 mod watches;
 
@@ -28,6 +29,7 @@
     let record = record::Record::create(record);
     record.line(&format!("case {case}, trouble {trouble}"));
     let run = || match case.as_str() {
+        "copies" => copies::run(repository, trouble, &record),
         "inputs" => inputs::run(repository, trouble, &record),
         "watches" => watches::run(repository, trouble, &record),
         _ => Err(format!("no case {case}")),
