--- a/review/harness-2/daemon.rs
+++ b/review/harness-2/daemon.rs
@@ -107,6 +107,12 @@
         answer.map_or(Json::Null, |answer| Json::parse(&answer.text()))
     }
 
+    /// Sends the process a SIGHUP.
+    pub fn hang_up(&self) {
+        let id = self.child.lock().unwrap().id();
+        Command::new("kill").args(["-HUP", &id.to_string()]).status().ok();
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let mut child = self.child.lock().unwrap();
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -14,6 +14,7 @@
 
 mod copies;
 mod inputs;
+mod silences;
 mod watches;
 
 use std::process::exit;
@@ -31,6 +32,7 @@
     let run = || match case.as_str() {
         "copies" => copies::run(repository, trouble, &record),
         "inputs" => inputs::run(repository, trouble, &record),
+        "silences" => silences::run(repository, trouble, &record),
         "watches" => watches::run(repository, trouble, &record),
         _ => Err(format!("no case {case}")),
     };
