review: end the processes of a case whichever way it ends

A script that was ended by a signal left three daemons and a folder behind; seen by ending case 5 after 6 s with SIGTERM. Now none is left after SIGTERM, SIGINT and SIGKILL of the script, nor after a SIGKILL of its stand-ins.

--- a/review/harness-2/daemon.rs
+++ b/review/harness-2/daemon.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::fs::{File, create_dir_all, read_to_string, write};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::parent_id;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -44,10 +45,13 @@
 /// Every process that was started.
 static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
 
-/// Ends a case that takes too long, with all its processes.
+/// Ends the case, with all its processes, if it takes too long or the script that runs it has ended.
 pub fn end_after(time: Duration) {
+    let (until, script) = (Instant::now() + time, parent_id());
     std::thread::spawn(move || {
-        std::thread::sleep(time);
+        while Instant::now() < until && parent_id() == script {
+            std::thread::sleep(Duration::from_millis(100));
+        }
         for child in STARTED.lock().unwrap().iter() {
             child.lock().unwrap().kill().ok();
         }
