Submit a stage only with the results of all stages that it needs

Cause: after a needed stage was reset, since another stage had found its results gone, the loss of a pool's owner led to `resubmit`, which called `submit_stage` directly. That took the results that were there for the inputs, and no results for a stage that needs none. Only `submit_ready` checked that the needed stages were done.

Ruled out by the test's and the case's record: a wrong pairing of results (the piece names no input at all), the owner's side (it passes on what it was handed), a loss on the link (the requester's own pool runs it).

Change: inputs are a value, `StageInputs`, that can be built only while all needed stages are done; `submit_stage` takes it, and `submit_ready` is the only place that submits. The state of a stage moves to a module of its own.

Conclusion: an incomplete set of inputs can't be submitted any more, by type.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -65,6 +65,7 @@
 mod shared;
 mod short_reads;
 mod shutdown;
+mod stage_run;
 mod stages;
 mod state_handle;
 mod store_calls;
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -28,8 +28,9 @@
 use crate::releases;
 use crate::requests::AcceptedRequest;
 use crate::shared::Shared;
+use crate::stage_run::{Retention, StageInputs, StageRun};
 use crate::state_handle::now;
-use crate::submissions::{self, SubmissionGuard};
+use crate::submissions;
 
 /// Most submissions of one stage. A stage is submitted again after the owner of its pool was lost,
 /// or after a result that it needs was gone.
@@ -66,94 +67,6 @@
     last: Vec<usize>,
 }
 
-/// State of one stage of a request.
-struct StageRun {
-    app: Rc<App>,
-    /// Number of pieces.
-    pieces: u32,
-    /// Handles of the results, by piece; `None` for pieces that are not finished.
-    handles: Vec<Option<String>>,
-    /// The latest submission; `None` if the missing pieces have to be submitted.
-    submitted: Option<SubmissionGuard>,
-    /// Number of submissions so far.
-    submissions: u32,
-    retention: Retention,
-    /// Whether the workers have fetched this stage's inputs.
-    fetched: bool,
-}
-
-/// Whether the workers keep a stage's results.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Retention {
-    Kept,
-    /// Only while their workers have room to spare.
-    IfRoom,
-    Released,
-}
-
-impl StageRun {
-    fn new(app: &Rc<App>, pieces: u32) -> Self {
-        let handles = vec![None; pieces as usize];
-        StageRun {
-            app: Rc::clone(app),
-            pieces,
-            handles,
-            submitted: None,
-            submissions: 0,
-            retention: Retention::Kept,
-            fetched: false,
-        }
-    }
-
-    fn is_done(&self) -> bool {
-        self.handles.iter().all(Option::is_some)
-    }
-
-    /// Indices of the pieces that are not finished.
-    fn missing(&self) -> Vec<u32> {
-        (0..self.pieces).filter(|piece| self.handles[*piece as usize].is_none()).collect()
-    }
-
-    /// Records the result of a piece, whichever submission made it. Returns false if the piece
-    /// already has a result or does not exist.
-    fn record_result(&mut self, piece: u32, handle: &str) -> bool {
-        let slot = self.handles.get_mut(piece as usize).filter(|slot| slot.is_none());
-        slot.map(|slot| *slot = Some(handle.to_owned())).is_some()
-    }
-
-    /// Allows the missing pieces to be submitted again; finished pieces are kept.
-    fn reopen(&mut self) {
-        self.submitted = None;
-        self.fetched = false;
-    }
-
-    /// Releases the results at their workers.
-    fn release(&mut self) {
-        if std::mem::replace(&mut self.retention, Retention::Released) != Retention::Released {
-            releases::release_results(&self.app, &self.results());
-        }
-    }
-
-    /// Lets the workers drop the results as soon as their room is scarce.
-    fn release_if_scarce(&mut self) {
-        if self.retention == Retention::Kept {
-            self.retention = Retention::IfRoom;
-            releases::release_results_if_scarce(&self.app, &self.results());
-        }
-    }
-
-    /// Handles of the finished pieces.
-    fn results(&self) -> Vec<String> {
-        self.handles.iter().flatten().cloned().collect()
-    }
-}
-
-impl Drop for StageRun {
-    fn drop(&mut self) {
-        self.release();
-    }
-}
-
 impl StageResults {
     /// Handles that the engine needs as inputs of the request.
     pub(crate) fn inputs(&self) -> Vec<String> {
@@ -379,7 +292,8 @@
     needs.into_iter().try_for_each(|need| reset_stage(ctx, runs, need))
 }
 
-/// Submits a stage again after its owner was lost, unless it was submitted too often.
+/// Submits a stage again after its owner was lost, unless it was submitted too often. While a stage
+/// that it needs is made again, it is submitted after that one.
 fn resubmit(
     ctx: &StagesContext<'_>,
     runs: &mut [StageRun],
@@ -389,17 +303,18 @@
     if runs[index].submissions >= MAX_SUBMISSIONS {
         return Err(StagesError::Broken);
     }
-    submit_stage(ctx, runs, index, tx);
+    submit_ready(ctx, runs, tx);
     Ok(())
 }
 
 /// Submits every stage that is not submitted yet and whose inputs are ready.
 fn submit_ready(ctx: &StagesContext<'_>, runs: &mut [StageRun], tx: &UnboundedSender<PieceEvent>) {
     for index in 0..runs.len() {
-        let is_pending = runs[index].submitted.is_none() && !runs[index].is_done();
-        let ready = ctx.entry.stages[index].needs.iter().all(|need| runs[*need].is_done());
-        if is_pending && ready {
-            submit_stage(ctx, runs, index, tx);
+        if runs[index].submitted.is_some() || runs[index].is_done() {
+            continue;
+        }
+        if let Some(inputs) = StageInputs::of(runs, &ctx.entry.stages[index].needs) {
+            submit_stage(ctx, runs, index, inputs, tx);
         }
     }
 }
@@ -409,16 +324,16 @@
     ctx: &StagesContext<'_>,
     runs: &mut [StageRun],
     index: usize,
+    inputs: StageInputs,
     tx: &UnboundedSender<PieceEvent>,
 ) {
     let stage = &ctx.entry.stages[index];
-    let needs = stage.needs.iter();
-    let inputs: Vec<String> =
-        needs.flat_map(|need| runs[*need].handles.iter().flatten().cloned()).collect();
+    let inputs = inputs.handles;
     let bytes_of =
         |need: &usize| ctx.entry.stages[*need].result_bytes * u64::from(runs[*need].pieces);
     let input_bytes = stage.needs.iter().map(bytes_of).sum();
     let preferred_hall = preferred_hall_for(ctx, runs, index, &inputs);
+    // Complete inputs are empty if no stage is needed, or those that are needed have no pieces.
     let piece_key = inputs.is_empty().then(|| ctx.head.piece_key.clone()).flatten();
     runs[index].submissions += 1;
     let stage_submission = StageSubmission {
