Make results that several stages need again once

What callers saw: more work and refusals. After one of two stages had found the results of a third one gone, these were made again for each of the two, and each time counts towards the four submissions after which a request is refused.

Cause: resetting a stage drops its results and has their workers release them. Another stage that was submitted with them was left with its workers; it found its inputs gone in its turn and reset the stage that was under way or done again.

Ruled out: released results that a third stage still needs (they are given up only with the reset), late news of an earlier submission (`is_current` leaves it out).

Change: a reset submits the other stages that have not fetched the results again, once these are made; a stage that finds its inputs gone resets only those that were not reset since it was submitted.

Conclusion: what is made again for one stage is used by all.

--- a/gateway/src/stage_run.rs
+++ b/gateway/src/stage_run.rs
@@ -17,6 +17,11 @@
     pub(crate) submitted: Option<SubmissionGuard>,
     /// Number of submissions so far.
     pub(crate) submissions: u32,
+    /// How often its results were made again from the first piece on.
+    pub(crate) resets: u32,
+    /// For each stage that it needs, the resets of that stage when its results were submitted as
+    /// inputs.
+    pub(crate) input_resets: Vec<u32>,
     pub(crate) retention: Retention,
     /// Whether the workers have fetched this stage's inputs.
     pub(crate) fetched: bool,
@@ -40,6 +45,8 @@
             handles,
             submitted: None,
             submissions: 0,
+            resets: 0,
+            input_resets: Vec::new(),
             retention: Retention::Kept,
             fetched: false,
         }
@@ -61,6 +68,18 @@
         slot.map(|slot| *slot = Some(handle.to_owned())).is_some()
     }
 
+    /// Whether it was submitted, is not finished and may still fetch its inputs.
+    pub(crate) fn awaits_inputs(&self) -> bool {
+        self.submitted.is_some() && !self.fetched && !self.is_done()
+    }
+
+    /// Drops the results, so that all pieces are made again.
+    pub(crate) fn reset(&mut self) {
+        let mut run = StageRun::new(&self.app, self.pieces);
+        (run.submissions, run.resets) = (self.submissions, self.resets + 1);
+        *self = run;
+    }
+
     /// Allows the missing pieces to be submitted again; finished pieces are kept.
     pub(crate) fn reopen(&mut self) {
         self.submitted = None;
@@ -98,12 +117,15 @@
 /// stage is submitted with some of its inputs.
 pub(crate) struct StageInputs {
     pub(crate) handles: Vec<String>,
+    /// Resets of each of these stages.
+    pub(crate) resets: Vec<u32>,
 }
 
 impl StageInputs {
     /// The results of the stages `needs`; `None` if one of these is not done.
     pub(crate) fn of(runs: &[StageRun], needs: &[usize]) -> Option<Self> {
         let handles = needs.iter().flat_map(|need| runs[*need].handles.iter().cloned());
-        handles.collect::<Option<_>>().map(|handles| StageInputs { handles })
+        let resets = needs.iter().map(|need| runs[*need].resets).collect();
+        handles.collect::<Option<_>>().map(|handles| StageInputs { handles, resets })
     }
 }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -259,13 +259,22 @@
         return Err(StagesError::Broken);
     }
     runs[index].reopen();
-    for need in &ctx.entry.stages[index].needs {
-        reset_stage(ctx, runs, *need)?;
+    for need in needs_to_reset(ctx, runs, index) {
+        reset_stage(ctx, runs, need)?;
     }
     submit_ready(ctx, runs, tx);
     Ok(())
 }
 
+/// The stages whose results a stage was given and found gone. Those that are made again since, for
+/// another stage, are not among them.
+fn needs_to_reset(ctx: &StagesContext<'_>, runs: &[StageRun], index: usize) -> Vec<usize> {
+    let needs = ctx.entry.stages[index].needs.iter().copied();
+    let given = needs.zip(&runs[index].input_resets);
+    let unchanged = |(need, resets): &(usize, &u32)| runs[*need].resets == **resets;
+    given.filter(unchanged).map(|(need, _)| need).collect()
+}
+
 /// Why a result that a stage needs is gone.
 fn missing_input_cause(ctx: &StagesContext<'_>, runs: &[StageRun], index: usize) -> Cause {
     let needs = ctx.entry.stages[index].needs.iter();
@@ -274,18 +283,21 @@
 }
 
 /// Drops the results of a stage so that it runs again, and likewise those of the stages that it
-/// needs if their results were released.
+/// needs if their results were released. Other stages that were submitted with the results are
+/// submitted again once these are made, unless they have fetched them.
 fn reset_stage(
     ctx: &StagesContext<'_>,
     runs: &mut [StageRun],
     index: usize,
 ) -> Result<(), StagesError> {
-    let submissions = runs[index].submissions;
-    if submissions >= MAX_SUBMISSIONS {
+    if runs[index].submissions >= MAX_SUBMISSIONS {
         return Err(StagesError::Broken);
     }
-    runs[index] = StageRun::new(ctx.app, runs[index].pieces);
-    runs[index].submissions = submissions;
+    runs[index].reset();
+    let dependents = runs.iter_mut().zip(&ctx.entry.stages);
+    let waiting =
+        dependents.filter(|(run, stage)| stage.needs.contains(&index) && run.awaits_inputs());
+    waiting.for_each(|(run, _)| run.reopen());
     let may_be_gone = |need: &&usize| runs[**need].retention != Retention::Kept;
     let needs: Vec<usize> =
         ctx.entry.stages[index].needs.iter().filter(may_be_gone).copied().collect();
@@ -328,6 +340,7 @@
     tx: &UnboundedSender<PieceEvent>,
 ) {
     let stage = &ctx.entry.stages[index];
+    runs[index].input_resets = inputs.resets;
     let inputs = inputs.handles;
     let bytes_of =
         |need: &usize| ctx.entry.stages[*need].result_bytes * u64::from(runs[*need].pieces);
--- a/tests/shared_stages.rs
+++ b/tests/shared_stages.rs
@@ -23,6 +23,10 @@
 /// Running time of the first stage when it is made again: longer than a lost owner stays unnoticed.
 const SECOND_MAKING: Duration = Duration::from_millis(1000);
 
+/// Time for which a call of the second stage waits in its worker's queue: longer than the third stage
+/// takes to find its inputs gone.
+const IN_QUEUE: Duration = Duration::from_millis(800);
+
 /// Two linked VMs before one worker for each pool: the owner of the pool `second`, and the requester,
 /// at which the request arrives.
 struct Scene {
@@ -132,3 +136,20 @@
     check_inputs(&second);
     check_inputs(&third);
 }
+
+/// Guards against results that are made once for each stage that needs them, after one of these
+/// stages found them gone.
+#[test]
+fn results_that_two_stages_need_are_made_again_once() {
+    let scene = Scene::start("shared-made-once");
+    let [_, second, third] = scene.workers.clone();
+    second.delay_next_call(IN_QUEUE);
+    third.queue_behaviors(&[Behavior::InputGone]);
+
+    let sender = scene.send();
+
+    check_answer(sender);
+    check_inputs(&second);
+    check_inputs(&third);
+    assert_eq!(scene.calls(0), 2, "calls of the first stage");
+}
