Notice a silent watch of the store at each VM that watches

Cause: a watch call waited for 20 s. Its silence was to be shown by the renewals of the lease, which have a connection of their own and go on, or by a peer that knows more. When the watches of all VMs fall silent at one moment no peer does.

Change: a watch call waits for half of the time within which changes must be in force, so that a silent connection is noticed 0.9 s after that and the watch goes on in time. A silent watch is followed by a probe on a new connection; only if that fails too does the store count as lost, so that entries that lapse are not kept as in an outage. A log line tells of it.

Watch calls of a VM at rest: one in 20 s before, by the constants; one a second where changes must be in force within 2 s.

Conclusion: each VM that watches proves its watch by itself, whatever its peers know.

--- a/gateway/src/store_connection.rs
+++ b/gateway/src/store_connection.rs
@@ -44,6 +44,8 @@
     ConditionFailed,
     /// the answer is too long
     TooLong,
+    /// no answer in time; the call may have been executed
+    Silent,
     /// {0}; the call may have been executed
     Failed(String),
 }
@@ -112,15 +114,19 @@
     /// [`Self::call`].
     ///
     /// # Errors
-    /// `Failed` if there is no connection, no head in time, or an answer of an earlier era.
+    /// `Silent` if there is no head in time, `Failed` if there is no connection or an answer of an
+    /// earlier era.
     pub(crate) async fn begin(
         &mut self,
         kind: &'static str,
         call: StoreCall,
         wait: Duration,
     ) -> Result<OpenAnswer, StoreCallError> {
-        let sent = timeout(wait + SILENCE_TIMEOUT, self.send(call)).await;
-        match sent.unwrap_or_else(|_| Err("no answer in time".to_owned())) {
+        let Ok(sent) = timeout(wait + SILENCE_TIMEOUT, self.send(call)).await else {
+            drop(self.failed(kind, String::new()));
+            return Err(StoreCallError::Silent);
+        };
+        match sent {
             Ok(answer) => {
                 let era = self.era_of(&answer);
                 let known = self.app.state.with(|shared, _| shared.view.era());
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -1,13 +1,14 @@
 //! Follows the platform's store: watches for changes after [`crate::store_listing`] listed its
 //! content.
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
 use fleet::HEARTBEAT_INTERVAL;
 use ids::StoreRevision;
 use platform_interface::store::{Freshness, Page};
-use slog::info;
+use slog::{info, warn};
 use store_view::Completion;
 use tokio::time::sleep;
 
@@ -18,15 +19,18 @@
 use crate::store_connection::{OpenAnswer, StoreCallError, StoreConnection};
 use crate::store_listing::list_all;
 
-/// Longest wait of one watch call. It is long because the platform counts each call. It need not be
-/// short to detect that the store is unreachable: the renewals of this VM's lease show that sooner,
-/// and cost a tenth of a watch call each.
-const MAX_WATCH_TIME: Duration = Duration::from_secs(20);
+/// A watch call waits for this fraction (1/n) of the time within which changes must be in force. A
+/// connection that fell silent delivers not even the end of the wait, which shows its silence: other
+/// connections may be sound. The rest of the time is left for that and for a new watch.
+const WAIT_DIVISOR: u32 = 2;
+/// Shortest and longest wait of one watch call. The platform counts each call.
+const WATCH_TIMES: RangeInclusive<Duration> = Duration::from_millis(250)..=Duration::from_secs(20);
 /// After a change the watch pauses for this fraction (1/n) of the time within which changes must be
 /// in force, so that many changes in a row cost few calls.
 const BATCH_DIVISOR: u32 = 2;
 /// The same if other VMs receive changes from this VM: the rest of the time is left for them.
 const RELAYED_BATCH_DIVISOR: u32 = 4;
+
 /// Follows the store; runs as long as the process.
 pub(crate) async fn follow(app: Rc<App>) {
     let mut store = StoreConnection::new(&app);
@@ -56,10 +60,7 @@
             return;
         }
         if !*app.store_reachable.borrow() {
-            if let Err(error) = probe(app, store).await {
-                record_failure(app, "probe", &error);
-                backoff.pause().await;
-            }
+            probe_or_pause(app, store, &mut backoff).await;
             continue;
         }
         match watch(app, store, known).await {
@@ -72,6 +73,10 @@
                     "after" => %known);
                 return;
             }
+            Err(StoreCallError::Silent) => {
+                warn!(app.log, "watch of the store fell silent"; "as_of" => %known);
+                probe_or_pause(app, store, &mut backoff).await;
+            }
             Err(error) => {
                 record_failure(app, "watch", &error);
                 backoff.pause().await;
@@ -132,6 +137,12 @@
     Ok(as_of)
 }
 
+/// How long a watch call waits for a change.
+fn watch_time(app: &App) -> Duration {
+    let time = app.cfg.max_apply_time() / WAIT_DIVISOR;
+    time.clamp(*WATCH_TIMES.start(), *WATCH_TIMES.end())
+}
+
 /// Fraction (1/n) of the time within which changes must be in force for which this VM pauses after
 /// a change.
 fn batch_divisor(app: &App) -> u32 {
@@ -139,8 +150,16 @@
     if is_relayed { RELAYED_BATCH_DIVISOR } else { BATCH_DIVISOR }
 }
 
-/// Reads this VM's own entry from a store that was unreachable: an answer shows that it is back.
-/// The read may be stale, since such a read costs only a tenth of a call, and refused calls are
+/// Probes the store; after a failure the store counts as unreachable, and a pause follows.
+async fn probe_or_pause(app: &Rc<App>, store: &mut StoreConnection, backoff: &mut Backoff) {
+    if let Err(error) = probe(app, store).await {
+        record_failure(app, "probe", &error);
+        backoff.pause().await;
+    }
+}
+
+/// Reads this VM's own entry on a new connection: an answer shows that a store that was unreachable
+/// is back, or that only the connection of a watch fell silent. The read may be stale, since such a read costs only a tenth of a call, and refused calls are
 /// counted too: each VM sends a dozen probes in an outage of 5 s.
 async fn probe(app: &Rc<App>, store: &mut StoreConnection) -> Result<(), StoreCallError> {
     let key = format!("{}{}", vms_prefix(&app.adapter), app.cfg.vm);
@@ -158,9 +177,10 @@
 ) -> Result<Option<OpenAnswer>, StoreCallError> {
     let mut reachable = app.store_reachable.subscribe();
     // One watch over all keys: the platform counts each watch, and all keys share one revision.
-    let call = (app.adapter.store.watch)("", known.number, MAX_WATCH_TIME);
+    let wait = watch_time(app);
+    let call = (app.adapter.store.watch)("", known.number, wait);
     tokio::select! {
-        begun = store.begin("watch", call, MAX_WATCH_TIME) => return begun.map(Some),
+        begun = store.begin("watch", call, wait) => return begun.map(Some),
         () = wait_until_unreachable(&mut reachable) => {}
         () = app.watch_stalled.notified() => {}
     }
--- a/tests/silent_watches.rs
+++ b/tests/silent_watches.rs
@@ -9,12 +9,15 @@
 use serde_json::json;
 use standins::fleet::wait_until;
 use standins::serving_path::faulty_link::FaultyLink;
-use standins::serving_path::site::{Site, Vm, get, send_expecting_answer};
+use standins::serving_path::site::{Site, Vm, default_configuration, get, send_expecting_answer};
 
 /// Time after the announcement of a departure from which the platform tolerates no requests at the
 /// target.
 const NO_REQUESTS_AFTER: Duration = Duration::from_secs(2);
 
+/// Time after a change of the configuration within which the platform expects it to be in force.
+const IN_FORCE_AFTER: Duration = Duration::from_secs(2);
+
 /// Whether the VM has logged that a target leaves.
 fn has_logged_departure(vm: &Vm) -> bool {
     vm.log().contains("leaving=true")
@@ -54,3 +57,34 @@
         "requests after the departure"
     );
 }
+
+/// Guards against keys that are accepted after their removal, for as long as watches may wait that
+/// are silent at all VMs.
+#[test]
+fn changes_are_in_force_in_time_though_the_watches_of_all_vms_are_silent() {
+    let site = Site::start();
+    let links: Vec<FaultyLink> =
+        (0..3).map(|_| FaultyLink::start(site.store.address).expect("a link")).collect();
+    let start = |(number, link): (usize, &FaultyLink)| {
+        Vm::start(&format!("all-silent-{number}"), "hall-a", link.address, "")
+    };
+    let vms: Vec<Vm> = links.iter().enumerate().map(start).collect();
+    vms.iter().for_each(|vm| site.wait_for_all_runners(vm));
+    wait_until("the VMs are linked", || vms.iter().all(|vm| vm.linked_peers() == 2));
+    // Lets the VMs begin their watches: only connections that wait for an answer become silent.
+    std::thread::sleep(Duration::from_secs(1));
+    let with_key = |number: usize| {
+        get("/keyed/", &format!("k-{number}")).with_header("Authorization", "Bearer key-1")
+    };
+    assert_eq!(send_expecting_answer(&with_key(0), &vms[0]).status(), 200);
+
+    links.iter().for_each(FaultyLink::blackhole_waiting);
+    let mut config = default_configuration(2);
+    config["tenants"][0]["api_keys"] = json!(["key-2"]);
+    site.store.put("op/config", &config);
+    std::thread::sleep(IN_FORCE_AFTER);
+
+    let statuses: Vec<u16> =
+        vms.iter().map(|vm| send_expecting_answer(&with_key(1), vm).status()).collect();
+    assert_eq!(statuses, [401, 401, 401], "answers to the removed key");
+}
