Take a status that no answer has for a faulty target's bytes

Here 000, 099, 100 and 199 ended as 502: the HTTP library refuses or passes over them. 101 and 600 to 999, with the request's id and a signature, were passed on.

Cause: what an answer proves was read from its headers; the status counted only where it is 2xx, 409 or 421.

Ruled out: the product's own form, which takes 200 alone as an answer; answers of workers and of the store, where all but a success is a failure.

--- a/components/platform_interface/src/calls.rs
+++ b/components/platform_interface/src/calls.rs
@@ -49,8 +49,8 @@
     Answered,
     /// The answer belongs to another request, or names none.
     OtherRequest,
-    /// The answer is not a target's or was altered on the way: a success without a signature, or
-    /// any answer whose body is encoded.
+    /// The answer is not a target's or was altered on the way: one with a status that no final answer
+    /// has, a success without a signature, or any whose body is encoded.
     Invalid,
 }
 
--- a/standins/src/serving_path/behavior.rs
+++ b/standins/src/serving_path/behavior.rs
@@ -30,6 +30,9 @@
     Large(usize),
     /// It runs the request and answers 500.
     Fail,
+    /// It runs the request and answers with this status, of three digits, whether or not an answer may
+    /// have it.
+    Status(u16),
     /// It answers 503 without running the request.
     Decline,
     /// It answers 503 without running the request, with this `Retry-After` value in seconds.
@@ -110,6 +113,7 @@
             | Behavior::Lose
             | Behavior::Cross
             | Behavior::Garbage
+            | Behavior::Status(_)
             | Behavior::Unsigned
             | Behavior::Encoded
             | Behavior::LateStream(..)
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -401,6 +401,9 @@
                 conn.write(&self.reply("200 OK", &answer_headers, large.as_bytes()))
             }
             Behavior::Fail => conn.write(&self.reply("500 Oops", &answer_headers, b"failed")),
+            Behavior::Status(status) => {
+                conn.write(&self.reply(&format!("{status:03} Odd"), &answer_headers, b"odd"))
+            }
             Behavior::Decline => conn.write(&self.reply("503 Full", &[("Not-Executed", "1")], b"")),
             Behavior::DeclineFor(seconds) => {
                 let refusal = [("Not-Executed", "1"), ("Retry-After", *seconds)];
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -105,6 +105,34 @@
     }
 }
 
+/// Statuses of three digits that no final answer has.
+const ODD_STATUSES: [u16; 7] = [0, 99, 100, 101, 199, 600, 999];
+
+/// Guards against bytes of a faulty runner that callers get as an answer, by their status.
+#[test]
+fn an_answer_whose_status_no_answer_has_does_not_reach_callers() {
+    let site = Site::start();
+    // With this slack the retry budget permits all repeats of this test.
+    let vm = site.start_vm("odd-status", "repeats: {slack: 100}\n");
+    for status in ODD_STATUSES {
+        for (path, runners) in [("/once/", &site.plain), ("/stream/", &site.engines)] {
+            Site::queue_behavior(runners, &Behavior::Status(status));
+            let id = format!("odd-{status}-{}", path.trim_matches('/'));
+            let answer = send_expecting_answer(&post(path, &id), &vm);
+
+            assert_eq!((answer.status(), site.runs(&id)), (502, 1), "{path} {status}");
+            runners.iter().for_each(Runner::clear_script);
+        }
+        site.plain[0].queue_behaviors(&[Behavior::Status(status)]);
+        let id = format!("odd-{status}-repeat");
+        let answer = send_expecting_answer(&get("/repeat/", &id), &vm);
+
+        assert_eq!(answer.status(), 200, "{status}");
+        assert!(answer.text().ends_with(&format!("answers {id}")), "{status}: {answer:?}");
+        site.plain.iter().for_each(Runner::clear_script);
+    }
+}
+
 #[test]
 fn a_declined_request_is_tried_elsewhere_or_refused_with_retry_after() {
     let site = Site::start();
