A VM that was out of step does not go on with streams by an outdated plan

Cause: a VM that no peer answers reads the plan of versions from the store and works out at which version a stream began. The others begin streams at the version that joined as soon as the planned one is leaving; the plan that names it is written up to a quarter of a second, and 0.3 s for each rank, later. Until then the plan says the earlier version, and this VM has not heard that its engines leave. In its log: `known_by=shares version=v1`, 3 ms before "target known" of the new version.

Ruled out by the other scenes of the test (a VM cut off from its peers, from the store, from both; the earlier version stays): peers that answer wrongly (none answered), shares replaced meanwhile (they disagree with the earlier ones, so that the stream is refused).

Change: such a VM waits until it knows the targets as of the plan, and goes on by the plan only if that names the versions of all of them; else the caller is told that the request has not run and when to come back. The same for callers that don't name the request that began their stream.

Conclusion: fixed for plans that lag behind the targets. Not shown and open: a stream that begins at another planned version since none of its own can be used, in the milliseconds until that is stored.

--- a/components/fleet/src/lib.rs
+++ b/components/fleet/src/lib.rs
@@ -189,6 +189,11 @@
         self.listed.len() + unlisted + 1
     }
 
+    /// Whether this VM knows others, of which none was heard from lately.
+    pub fn is_alone(&self, now: Instant) -> bool {
+        self.size() > 1 && !self.peers.values().any(|peer| peer.is_fresh(now))
+    }
+
     /// Data halls of all known VMs, including this one.
     pub fn halls(&self) -> BTreeSet<&HallName> {
         self.other_vms().map(|(_, entry)| &entry.hall).chain([&self.own_entry.hall]).collect()
--- a/components/selection/src/targets.rs
+++ b/components/selection/src/targets.rs
@@ -1,6 +1,6 @@
 //! The targets that this VM knows, and the selection among them.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -149,6 +149,12 @@
         slots
     }
 
+    /// Returns the versions of a service's targets, whether or not they may be sent requests.
+    pub fn versions(&self, service: &ServiceName) -> BTreeSet<&TargetVersion> {
+        let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
+        keys.iter().filter_map(|key| self.states.get(*key)).map(|s| &s.target.version).collect()
+    }
+
     /// Returns the service of a target.
     pub fn service_of(&self, id: &TargetName) -> Option<&ServiceName> {
         self.states.get(*self.by_id.get(id)?).map(|state| &state.target.service)
--- a/components/stream_versions/src/plan.rs
+++ b/components/stream_versions/src/plan.rs
@@ -158,6 +158,19 @@
         versions.into_iter().next().filter(|_| is_sole)
     }
 
+    /// Whether the shares of the last `horizon` name all of these versions. If not, streams may have
+    /// begun at one of them since, before all VMs could know that from the store.
+    pub fn covers<'a>(
+        &self,
+        versions: impl IntoIterator<Item = &'a TargetVersion>,
+        horizon: Duration,
+        now: Instant,
+    ) -> bool {
+        let past = self.recent_past(horizon, now).flat_map(Shares::versions);
+        let named: BTreeSet<_> = self.current.versions().into_iter().chain(past).collect();
+        versions.into_iter().all(|version| named.contains(version))
+    }
+
     /// The plan to store next, given the shares that the targets would have now; `None` if the stored
     /// one holds. A service with one version from the start needs none.
     pub fn next(&self, wanted: &Shares, horizon: Duration, now: Instant) -> Option<Plan> {
--- a/components/stream_versions/tests/plans.rs
+++ b/components/stream_versions/tests/plans.rs
@@ -238,3 +238,18 @@
 
     assert!(serde_json::to_vec(&plan).expect("a plan").len() < 16 * 1024);
 }
+
+/// Guards against a VM that trusts a plan although a version serves that it does not name.
+#[test]
+fn a_plan_covers_the_versions_that_its_shares_name_or_named() {
+    let now = Instant::now();
+    let mut vms = [starting_with(&[("v1", 2)])];
+    let (one, two) = (version("v1"), version("v2"));
+
+    let before = vms[0].covers([&one, &two], HORIZON, now);
+    store(&mut vms, &shares(&[("v2", 2)]), now);
+    let within = vms[0].covers([&one, &two], HORIZON, now);
+    let later = vms[0].covers([&one, &two], HORIZON, now + HORIZON);
+
+    assert_eq!((before, within, later), (false, true, false));
+}
--- a/gateway/src/stream_origins.rs
+++ b/gateway/src/stream_origins.rs
@@ -175,7 +175,7 @@
 pub(crate) async fn origin(app: &Rc<App>, req: &AcceptedRequest) -> Option<TargetVersion> {
     let found = match req.head.resumes.as_ref().map(|first| key(req, first)) {
         Some(stream) => find(app, &req.service, stream).await,
-        None => app.state.with(|shared, now| shared.sole_version(&req.service, now)),
+        None => find_sole(app, &req.service).await,
     };
     let source = found.as_ref().map_or("unknown", |(_, source)| source.name());
     let version = found.map(|(version, _)| version);
@@ -186,6 +186,17 @@
     version
 }
 
+/// The version of all streams of a service, if there is only one, for a caller that does not name the
+/// request that began the stream.
+async fn find_sole(app: &Rc<App>, service: &ServiceName) -> Option<(TargetVersion, Source)> {
+    if app.state.with(|shared, now| shared.fleet.is_alone(now))
+        && !version_plans::read_again(app, service).await
+    {
+        return None;
+    }
+    app.state.with(|shared, now| shared.sole_version(service, now))
+}
+
 /// Looks for the version of a stream in this VM's records, then in those of peers, then in the shares
 /// of the versions.
 async fn find(
--- a/gateway/src/version_plans.rs
+++ b/gateway/src/version_plans.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use ids::ServiceName;
+use ids::{ServiceName, StoreRevision};
 use platform_interface::store::{Condition, Freshness, Transaction, Write};
 use slog::{debug, info, warn};
 use stream_versions::{Plan, Shares};
@@ -29,6 +29,10 @@
 const DEVIATION_TURN: Duration = Duration::from_millis(2);
 /// Longest wait for a plan that is read again; the caller waits too.
 const READ_TIMEOUT: Duration = Duration::from_millis(200);
+/// Longest wait, after that, for the changes of the store up to the plan's revision.
+const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(300);
+/// Interval at which it is checked whether they have arrived.
+const CATCH_UP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Prefix of the keys of plans, below this system's own prefix.
 const KEY_PREFIX: &str = "versions/";
 
@@ -68,20 +72,37 @@
     }
 }
 
-/// Reads the plan of a service anew, for a VM that no peer answers; returns whether the store answered
-/// in time.
+/// Reads the plan of a service anew, for a VM that no peer answers, and waits until this VM knows the
+/// targets as of then. Returns whether the plan tells at which versions streams may have begun: others
+/// begin some at a version that has just joined before they have written the plan that names it.
 pub(crate) async fn read_again(app: &Rc<App>, service: &ServiceName) -> bool {
+    let Some(as_of) = read_plan(app, service).await else { return false };
+    let known = || app.state.with(|shared, _| shared.view.as_of());
+    let catching_up = async {
+        while known() < as_of {
+            sleep(CATCH_UP_POLL_INTERVAL).await;
+        }
+    };
+    if timeout(CATCH_UP_TIMEOUT, catching_up).await.is_err() {
+        return false;
+    }
+    app.state.with(|shared, now| shared.plan_covers_targets(service, now))
+}
+
+/// Reads the plan of a service from the store and applies it; returns the revision as of which it was
+/// read, or `None` if the store did not answer in time.
+async fn read_plan(app: &Rc<App>, service: &ServiceName) -> Option<StoreRevision> {
     let key = app.state.with(|shared, _| plan_key(shared, service));
     let call = (app.adapter.store.list)(&key, None, Freshness::Current);
     let mut store = StoreConnection::new(app);
     let answer = timeout(READ_TIMEOUT, store.call("versions", call, Duration::ZERO)).await;
-    let Ok(Ok(answer)) = answer else { return false };
-    let Ok(page) = (app.adapter.store.read_list)(&answer.body) else { return false };
+    let answer = answer.ok()?.ok()?;
+    let page = (app.adapter.store.read_list)(&answer.body).ok()?;
     if let Some(item) = page.items.iter().find(|item| item.key == key) {
         let value = item.value.as_deref();
         app.state.with(|shared, now| shared.apply_stored_plan(&key, value, now));
     }
-    true
+    Some(StoreRevision { era: answer.era, number: page.as_of })
 }
 
 /// Time for which this VM leaves a deviation to others that make the same one.
@@ -198,6 +219,13 @@
         due
     }
 
+    /// Whether the plan of a service names the versions of all of its targets.
+    fn plan_covers_targets(&self, service: &ServiceName, now: Instant) -> bool {
+        let horizon = self.stream_origins.horizon;
+        let plan = self.stream_origins.plans.get(service);
+        plan.is_some_and(|plan| plan.covers(self.targets.versions(service), horizon, now))
+    }
+
     /// The plan that says which streams of this VM begin at another version than planned.
     fn deviation_plan(&mut self, service: &ServiceName, now: Instant) -> Option<Plan> {
         let origins = &mut self.stream_origins;
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -4,7 +4,7 @@
 // A failed setup fails the test.
 #![allow(clippy::expect_used)]
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::time::Duration;
@@ -53,18 +53,28 @@
 impl Vm {
     /// Starts a VM that uses a store; `extra` is appended to its settings.
     pub fn start(name: &str, hall: &str, store: SocketAddr, extra: &str) -> Self {
-        Vm::start_with_output(name, hall, store, extra, to_file)
+        Vm::start_with_output(unique_loopback_address(), name, hall, store, extra, to_file)
     }
 
-    /// Like [`Vm::start`]; `out` opens the standard output, given the path of the log file.
+    /// Like [`Vm::start`], on a loopback address that is known before.
+    pub fn start_at(ip: IpAddr, name: &str, store: SocketAddr, extra: &str) -> Self {
+        Vm::start_with_output(ip, name, "hall-a", store, extra, to_file)
+    }
+
+    /// Address for peer links of a VM on a loopback address.
+    pub fn peers_at(ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, PORTS[2])
+    }
+
+    /// Starts a VM; `out` opens the standard output, given the path of the log file.
     fn start_with_output(
+        ip: IpAddr,
         name: &str,
         hall: &str,
         store: SocketAddr,
         extra: &str,
         out: fn(&PathBuf) -> Stdio,
     ) -> Self {
-        let ip = unique_loopback_address();
         let [callers, ready, peers, operations] = PORTS.map(|port| SocketAddr::new(ip, port));
         let dir = std::env::temp_dir().join(format!("saddlerail-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a directory for the test");
@@ -97,7 +107,10 @@
     /// Starts a VM whose standard output, its log, is a pipe; returns the reading end, which may be
     /// read or left to fill. `extra` is appended to its settings.
     pub fn start_piped(name: &str, store: SocketAddr, extra: &str) -> (Self, ChildStdout) {
-        let mut vm = Vm::start_with_output(name, "hall-a", store, extra, |_| Stdio::piped());
+        let mut vm =
+            Vm::start_with_output(unique_loopback_address(), name, "hall-a", store, extra, |_| {
+                Stdio::piped()
+            });
         let out = vm.child.stdout.take().expect("its standard output");
         (vm, out)
     }
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -9,13 +9,13 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standins::fleet::wait_until;
+use standins::fleet::{unique_loopback_address, wait_until};
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
 use standins::serving_path::faulty_link::{FaultyLink, LinkMode};
 use standins::serving_path::runners::{Behavior, Runner};
 use standins::serving_path::site::{SETTLE_TIME, Site, Vm, default_configuration, event_ids, post};
-use standins::serving_path::store::StoreMode;
+use standins::serving_path::store::{AddressReplacement, Store, StoreMode};
 
 /// Events of each stream.
 const EVENTS: u64 = 20;
@@ -441,3 +441,135 @@
     let resumed = (0..8).filter(|number| scene.versions_of(&format!("stream-{number}")).len() > 1);
     assert!(resumed.count() > 2, "some are resumed");
 }
+
+/// Time for which a VM is out of step before another version joins; its links have ended then.
+const OUT_OF_STEP: Duration = Duration::from_secs(3);
+
+/// What puts a VM out of step while engines of another version join.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OutOfStep {
+    /// It is cut off from the other VMs.
+    FromPeers,
+    /// It is cut off from the store.
+    FromStore,
+    /// It is cut off from both.
+    FromAll,
+    /// It stands still.
+    StandsStill,
+}
+
+/// Three VMs, the last of which can be cut off from the others and from the store.
+struct CutVms {
+    vms: Vec<Vm>,
+    links: Vec<FaultyLink>,
+    store: FaultyLink,
+}
+
+impl CutVms {
+    fn start(scene: &Versions, name: &str) -> Self {
+        let ips: [_; 3] = std::array::from_fn(|_| unique_loopback_address());
+        let replacements = ips.map(|ip| {
+            let stored = Vm::peers_at(ip);
+            let link = FaultyLink::start(stored).expect("a link");
+            (AddressReplacement { stored, returned: link.address }, link)
+        });
+        let [one, two, last] = replacements;
+        let links = vec![one.1, two.1, last.1];
+        let store = &scene.site.store;
+        let of_last = store.view_with_addresses(vec![one.0, two.0]).expect("a view");
+        let of_others = store.view_with_addresses(vec![last.0]).expect("a view");
+        let store = FaultyLink::start(of_last.address).expect("a link");
+        let address = |number: usize, view: &Store| {
+            if number == 2 { store.address } else { view.address }
+        };
+        let start = |(number, ip)| {
+            Vm::start_at(ip, &format!("{name}-{number}"), address(number, &of_others), "")
+        };
+        let vms: Vec<Vm> = ips.into_iter().enumerate().map(start).collect();
+        vms.iter().for_each(|vm| scene.site.wait_for_all_runners(vm));
+        wait_until("the VMs are linked", || vms.iter().all(|vm| vm.linked_peers() == 2));
+        thread::sleep(SETTLE_TIME);
+        CutVms { vms, links, store }
+    }
+
+    fn begin(&self, trouble: OutOfStep) {
+        match trouble {
+            OutOfStep::FromPeers => self.set_links(LinkMode::Blackhole),
+            OutOfStep::FromStore => self.store.set(LinkMode::Blackhole),
+            OutOfStep::FromAll => {
+                self.set_links(LinkMode::Blackhole);
+                self.store.set(LinkMode::Blackhole);
+            }
+            OutOfStep::StandsStill => self.vms[2].stand_still(),
+        }
+    }
+
+    fn end(&self, trouble: OutOfStep) {
+        if trouble == OutOfStep::StandsStill {
+            self.vms[2].go_on();
+        }
+        self.set_links(LinkMode::Normal);
+        self.store.set(LinkMode::Normal);
+    }
+
+    fn set_links(&self, mode: LinkMode) {
+        self.links.iter().for_each(|link| link.set(mode));
+    }
+}
+
+/// What becomes of the earlier version when another one joins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Earlier {
+    /// Its engines stay.
+    Stays,
+    /// Its engines say in their answers that they leave.
+    Leaves,
+}
+
+/// Guards against streams that go on at another version at a VM that missed that the version joined.
+#[test]
+fn streams_stay_at_their_version_at_a_vm_that_was_out_of_step() {
+    let troubles =
+        [OutOfStep::FromPeers, OutOfStep::FromStore, OutOfStep::FromAll, OutOfStep::StandsStill];
+    let earlier = [Earlier::Stays, Earlier::Leaves];
+    thread::scope(|scope| {
+        for (trouble, earlier) in troubles.into_iter().flat_map(|t| earlier.map(|e| (t, e))) {
+            for wait_ms in [0, 300] {
+                scope.spawn(move || play_out_of_step(trouble, earlier, wait_ms));
+            }
+        }
+    });
+}
+
+/// Has another version join while a VM is out of step; streams that begin at the other VMs are taken up
+/// at it, at once where it can be reached and again after the trouble.
+fn play_out_of_step(trouble: OutOfStep, earlier: Earlier, wait_ms: u64) {
+    let name = format!("out-{trouble:?}-{earlier:?}-{wait_ms}").to_lowercase();
+    let mut scene = Versions::start(&["v1", "v1"]);
+    let cut = CutVms::start(&scene, &name);
+
+    cut.begin(trouble);
+    thread::sleep(OUT_OF_STEP);
+    if earlier == Earlier::Leaves {
+        scene.engines.iter().for_each(|engine| engine.runner.set_leaving(true));
+        // Each answer tells of its own engine.
+        for number in 0..scene.engines.len() {
+            post("/resumed/", &format!("told-{number}"))
+                .send_and_disconnect_at(cut.vms[0].callers, "id: 1\n");
+        }
+    }
+    scene.add("v2");
+    scene.add("v2");
+    wait_until("the others know the version", || {
+        cut.vms[..2].iter().all(|vm| vm.targets() == scene.site.store.keys("servers/").len() as u64)
+    });
+    thread::sleep(Duration::from_millis(wait_ms));
+    let begun = scene.begin_streams(&cut.vms[0], 12);
+    let (first, second) = begun.split_at(if trouble == OutOfStep::StandsStill { 0 } else { 6 });
+    let in_trouble = scene.take_up(first, &cut.vms[2..]);
+    cut.end(trouble);
+    let after = scene.take_up(second, &cut.vms[2..]);
+
+    let versions: Vec<&str> = begun.iter().map(|stream| stream.version).collect();
+    assert_eq!((in_trouble.crossed, after.crossed), (0, 0), "{name}: {versions:?}");
+}
