Refuse a request whose body arrives after the notice period of a stop

Cause: whether a stopping VM still takes requests was asked when the head had arrived. A body may take up to the request's time, and what became complete seconds later was passed on however little was left.

Change: the check is repeated once the body has arrived.

Conclusion: what a stopping VM passes on has been complete when the notice period ended.

--- a/gateway/src/requests.rs
+++ b/gateway/src/requests.rs
@@ -162,9 +162,7 @@
     let arrived = now();
     let intent = app.state.with(|shared, _| shared.intent.clone());
     let intent = intent.ok_or(("no configuration", retry_elsewhere()))?;
-    if is_past_stop_notice(app) {
-        return Err(("stopping", app.state.with(|shared, now| shared.retry_later_refusal(now))));
-    }
+    check_takes_requests(app)?;
     let id = head.id.clone().ok_or(("no id", Refusal::Malformed))?;
     let host = host_of(&parts).unwrap_or_default();
     // A newer configuration may allow what this one denies: while this VM may be behind, the caller
@@ -191,6 +189,8 @@
     counted.map_err(|NoRoom| ("no room for the pieces", retry_elsewhere()))?;
     let body = caller_bodies::read(&connection.socket, body, intent.bounds.body_bytes, deadline);
     let body = body.await.map_err(|e| (e.reason(), e.refusal()))?;
+    // The body may have arrived long after the head.
+    check_takes_requests(app)?;
     connection.socket.set_in_work();
     let response_time = app.state.with(|shared, now| {
         shared.count_request(&service, now);
@@ -263,9 +263,15 @@
     })
 }
 
-/// Whether the process is stopping and its load balancer has had time to notice.
-fn is_past_stop_notice(app: &App) -> bool {
-    app.state.with(|shared, now| shared.stop.is_some_and(|plan| !plan.takes_requests(now)))
+/// Checks that the process is not stopping, or that its load balancer may not have noticed that yet.
+/// A request that is complete later might not end before the process.
+fn check_takes_requests(app: &App) -> Result<(), (&'static str, Refusal)> {
+    app.state.with(|shared, now| match shared.stop {
+        Some(plan) if !plan.takes_requests(now) => {
+            Err(("stopping", shared.retry_later_refusal(now)))
+        }
+        _ => Ok(()),
+    })
 }
 
 /// The customer whose key the request carries; `None` for public entries and for configurations
--- a/tests/serving_stops.rs
+++ b/tests/serving_stops.rs
@@ -289,3 +289,45 @@
     assert_eq!(vm.wait_exit(), Some(0));
     assert!(signalled.elapsed() < GRACE.mul_f64(0.75), "{:?}", signalled.elapsed());
 }
+
+/// Guards against requests that become complete late in a stop, are sent to a target and end without an
+/// answer at the end of the stop.
+#[test]
+fn a_request_whose_body_arrives_late_in_a_stop_is_refused_as_not_run() {
+    let long_stream = Behavior::SlowStream(1000, Duration::from_millis(50));
+    let site = start_site();
+    set_behavior(&site.engines, &long_stream);
+    set_behavior(&site.plain, &SILENT);
+    let mut vm = start_vm(&site, "stop-late-body");
+    // Another VM serves what this one refuses.
+    let peer = start_vm(&site, "stop-late-body-peer");
+    wait_until("the VMs are linked", || vm.linked_peers() == 1 && peer.linked_peers() == 1);
+    let begin = |path: &str| {
+        let mut conn = HttpConnection::new(TcpStream::connect(vm.callers).expect("a connection"));
+        let id = path.trim_matches('/');
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\n\
+             Deadline-Milliseconds: {TIMEOUT_MS}\r\nContent-Length: 6\r\n\r\na "
+        );
+        assert!(conn.write(head.as_bytes()));
+        (id.to_owned(), conn)
+    };
+
+    let mut begun: Vec<_> = ["/stream/", "/resumed/", "/once/", "/repeat/"].map(begin).into();
+    thread::sleep(PAUSE);
+    vm.signal("-TERM");
+    thread::sleep(NOTICE * 2);
+    begun.iter_mut().for_each(|(_, conn)| assert!(conn.write(b"body")));
+    let finish = |(id, mut conn): (String, HttpConnection)| {
+        let answer = conn.read().expect("an answer");
+        (id, answer.status(), answer.is_complete, !answer.header("retry-after").is_empty())
+    };
+    let answers: Vec<_> = begun.into_iter().map(finish).collect();
+
+    for (id, status, is_complete, has_retry_after) in &answers {
+        let runs = site.runs(id);
+        let told = (*status, *is_complete, *has_retry_after, runs);
+        assert_eq!(told, (503, true, true, 0), "{id}: {answers:?}");
+    }
+    assert_eq!(vm.wait_exit(), Some(0));
+}
