Bound the memory of targets' answers in the product's own form

Cause: each answer of a stage was read up to 16 MB whatever others took.

Ruled out: streams (a line and an event are bounded), heads (bounded by the HTTP library).

An answer that is given up counts as may have run, as one that breaks off.

Large sound answers may now fail beside many others: two of 16 MB at a time with the default memory.

--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -93,7 +93,15 @@
 /// Fraction (1/n) of the memory for bodies of requests. The stages take a copy.
 const BODIES_DIVISOR: usize = 12;
 
+/// Fraction (1/n) of the memory for answers of targets while they are read.
+const ANSWERS_DIVISOR: usize = 8;
+
 impl Limits {
+    /// Maximum size of all answers of targets that are read at a time, in bytes.
+    pub fn all_answers_bytes(&self) -> usize {
+        self.memory_mb * MEGABYTE / ANSWERS_DIVISOR
+    }
+
     /// Maximum number of concurrent connections that the memory holds.
     pub fn max_connections(&self) -> usize {
         let by_memory = self.memory_mb * MEGABYTE / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
--- a/components/target_calls/src/call.rs
+++ b/components/target_calls/src/call.rs
@@ -10,6 +10,7 @@
 use ureq::unversioned::transport::{Connector, TcpConnector};
 use ureq::{Agent, Body};
 
+use crate::answer_budget::AnswerBudget;
 use crate::stream::TokenStream;
 use crate::write_tracking::{self, TrackWrites};
 
@@ -30,7 +31,7 @@
 /// Timeout for opening a connection, and for a call that cancels an attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Largest answer of a stage that is read, in bytes.
-const MAX_ANSWER_BYTES: u64 = 16 << 20;
+const MAX_ANSWER_BYTES: usize = 16 << 20;
 /// Idle connections that are kept open to one target.
 const MAX_IDLE_CONNECTIONS_PER_TARGET: usize = 16;
 /// Idle connections that are kept open to all targets together.
@@ -113,15 +114,8 @@
     pooled: Agent,
     /// Opens a new connection for each call.
     fresh: Agent,
-}
-
-impl Default for TargetClient {
-    fn default() -> Self {
-        TargetClient {
-            pooled: agent(MAX_IDLE_CONNECTIONS_PER_TARGET, MAX_IDLE_CONNECTIONS),
-            fresh: agent(0, 0),
-        }
-    }
+    /// Bounds the memory of answers that are being read.
+    answers: AnswerBudget,
 }
 
 fn agent(idle_per_target: usize, idle: usize) -> Agent {
@@ -138,13 +132,23 @@
 }
 
 impl TargetClient {
+    /// A client whose answers take at most `answer_bytes` together while they are read, but at least
+    /// the size of the largest answer.
+    pub fn new(answer_bytes: usize) -> Self {
+        TargetClient {
+            pooled: agent(MAX_IDLE_CONNECTIONS_PER_TARGET, MAX_IDLE_CONNECTIONS),
+            fresh: agent(0, 0),
+            answers: AnswerBudget::new(answer_bytes.max(MAX_ANSWER_BYTES)),
+        }
+    }
+
     /// Calls a stage and reads the complete answer.
     pub fn call(&self, req: &CallRequest<'_>) -> CallOutcome<PlainAnswer> {
         let (response, status) = match self.send(req, "application/json") {
             Ok(answered) => answered,
             Err(failed) => return failed,
         };
-        CallOutcome { result: read_plain(response, req.attempt), status }
+        CallOutcome { result: self.read_plain(response, req.attempt), status }
     }
 
     /// Calls a stage and opens the stream of tokens that it answers with.
@@ -202,6 +206,25 @@
             Err(failure) => Err(CallOutcome { result: Err(failure), status }),
         }
     }
+
+    /// Reads the body of a complete answer and checks that it names the attempt.
+    fn read_plain(
+        &self,
+        response: Response<Body>,
+        attempt: &AttemptId,
+    ) -> Result<PlainAnswer, CallFailure> {
+        let may_have_run = |problem: String| CallFailure::MayHaveRun(problem);
+        let body = response.into_body().into_reader();
+        let bytes = self.answers.read(body, MAX_ANSWER_BYTES);
+        let bytes = bytes.map_err(|e| may_have_run(format!("the answer was cut: {e}")))?;
+        let body: AnswerBody = serde_json::from_slice(&bytes)
+            .map_err(|e| may_have_run(format!("the answer can't be read: {e}")))?;
+        if body.attempt != attempt.as_str() {
+            let problem = format!("the answer names attempt {}", body.attempt);
+            return Err(CallFailure::Crossed(problem));
+        }
+        Ok(PlainAnswer { output: body.output.get().as_bytes().to_vec(), cost: body.cost })
+    }
 }
 
 /// Classifies an error of the HTTP client by whether anything was written.
@@ -239,23 +262,3 @@
         status => Err(CallFailure::MayHaveRun(format!("answered {status}"))),
     }
 }
-
-/// Reads the body of a complete answer and checks that it names the attempt.
-fn read_plain(
-    mut response: Response<Body>,
-    attempt: &AttemptId,
-) -> Result<PlainAnswer, CallFailure> {
-    let may_have_run = |problem: String| CallFailure::MayHaveRun(problem);
-    let bytes = response
-        .body_mut()
-        .with_config()
-        .limit(MAX_ANSWER_BYTES)
-        .read_to_vec()
-        .map_err(|e| may_have_run(format!("the answer was cut: {e}")))?;
-    let body: AnswerBody = serde_json::from_slice(&bytes)
-        .map_err(|e| may_have_run(format!("the answer can't be read: {e}")))?;
-    if body.attempt != attempt.as_str() {
-        return Err(CallFailure::Crossed(format!("the answer names attempt {}", body.attempt)));
-    }
-    Ok(PlainAnswer { output: body.output.get().as_bytes().to_vec(), cost: body.cost })
-}
--- a/daemon/src/start.rs
+++ b/daemon/src/start.rs
@@ -133,7 +133,7 @@
         cfg: cfg.clone(),
         incarnation,
         dispatcher: dispatcher.clone(),
-        target_client: TargetClient::default(),
+        target_client: TargetClient::new(cfg.limits.all_answers_bytes()),
         store,
         log: log.clone(),
         metrics,
--- a/standins/src/bin/standin-target.rs
+++ b/standins/src/bin/standin-target.rs
@@ -34,8 +34,14 @@
     Crossed,
     /// Answers 503 without running the call.
     Busy,
+    /// Runs the call and sends bytes without an end as the body of the answer, until the connection is
+    /// closed.
+    Endless,
 }
 
+/// Bytes of one chunk of an answer without an end.
+const ENDLESS_CHUNK: usize = 64 * 1024;
+
 /// Latencies and faults of a target, set by `PUT /faults`. They stay in force until the next such
 /// request, which replaces all of them: a field that it leaves out is reset to the default below,
 /// not to the value from the command line.
@@ -63,6 +69,17 @@
     lose_event_every: u64,
 }
 
+/// An answer whose body has no end and no line end; a stream by its content type if `streams`.
+fn endless_answer(streams: bool) -> Response<Body> {
+    let (tx, rx) = mpsc::channel(2);
+    let chunk = Bytes::from(vec![b'x'; ENDLESS_CHUNK]);
+    tokio::spawn(async move { while tx.send(Ok(chunk.clone())).await.is_ok() {} });
+    let mut answer = Response::new(stream_body(rx));
+    let kind = if streams { "text/event-stream" } else { "application/json" };
+    answer.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static(kind));
+    answer
+}
+
 impl Default for TargetSettings {
     fn default() -> Self {
         TargetSettings {
@@ -290,6 +307,9 @@
         let prefill = if hit { 0 } else { settings.prefill_ms };
         let time_to_first_token = Duration::from_millis(settings.service_ms + prefill);
         tokio::time::sleep(time_to_first_token).await;
+        if fault == Fault::Endless {
+            return self.with_target_headers(endless_answer(streams), &reported_attempt, false);
+        }
         if fault == Fault::Error {
             return self.with_target_headers(
                 raw_response(500, Vec::new()),
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -9,6 +9,7 @@
 mod support;
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
@@ -17,7 +18,7 @@
 use standins::serving_path::crowds::{Crowd, Misuse};
 use standins::serving_path::runners::{Behavior, Runner};
 use standins::serving_path::site::{HOST, SETTLE_TIME, Site, Vm, default_configuration, get};
-use support::{caller_request, usual_fleet, wait_until};
+use support::{caller_request, fleet_of, usual_fleet, usual_pools, wait_until};
 
 /// Memory of the VMs, in megabytes: setting `memory_mb`, and bound of their resident size.
 const MEMORY_MB: u64 = 64;
@@ -482,6 +483,34 @@
     }
 }
 
+/// Targets whose answers have no end.
+const ENDLESS_TARGETS: u16 = 24;
+/// Requests that meet answers without an end at a time.
+const ENDLESS_REQUESTS: usize = 160;
+
+/// Guards against targets whose answers have no end, which are kept until the process runs out of
+/// memory.
+#[test]
+fn answers_without_an_end_take_bounded_memory_of_the_products_own_form() {
+    let _alone = alone();
+    let mut pools = usual_pools();
+    pools[0].count = ENDLESS_TARGETS;
+    let fleet = fleet_of(&pools, 1);
+    let endless = json!({ "fault": "endless", "service_ms": 2 });
+    (1..=ENDLESS_TARGETS).for_each(|n| fleet.set_faults(&format!("plain-{n}"), &endless));
+    let to = fleet.vms[0].callers;
+
+    let statuses: Vec<u16> = thread::scope(|scope| {
+        let send = || scope.spawn(|| caller_request("hold", 4000).send(to).map(|r| r.status));
+        let sending: Vec<_> = (0..ENDLESS_REQUESTS).map(|_| send()).collect();
+        sending.into_iter().map(|caller| caller.join().ok().flatten().unwrap_or(0)).collect()
+    });
+    let peak = peak_memory_mb(fleet.pid(0));
+
+    assert!(peak < OWN_FORM_MB, "{peak} MB, {statuses:?}");
+    assert!(!statuses.contains(&0), "requests without an answer: {statuses:?}");
+}
+
 /// Number of file descriptors that a process has open.
 fn open_descriptors(pid: u32) -> usize {
     std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -49,7 +49,12 @@
 /// Starts a fleet with the usual pools and services and with this many VMs, alternately in hall-a
 /// and hall-b; waits until the VMs know each other.
 pub fn usual_fleet(vms: usize) -> Fleet {
-    let mut fleet = Fleet::start(&usual_pools());
+    fleet_of(&usual_pools(), vms)
+}
+
+/// Like [`usual_fleet`], with these pools.
+pub fn fleet_of(pools: &[Pool], vms: usize) -> Fleet {
+    let mut fleet = Fleet::start(pools);
     let applied = fleet.apply(&fleet.catalogue(SERVICES));
     assert!(applied.status.success(), "{}", String::from_utf8_lossy(&applied.stderr));
     for index in 0..vms {
