Close a connection after a refusal that does not name its request

Cause: a refusal without a `Request-Id` counted as proof, and its connection was used again. A copy of it can't be told from the answer to the next request.

Ruled out: a longer rest before a connection is used again (the copy waits for the next request); copies that name a request (told apart by their id).

Change: an answer says whether it names a request; after a refusal that does not, the connection is closed.

Conclusion: "not run" is read from an answer only where no other request's answer can take its place.

--- a/components/platform_interface/src/calls.rs
+++ b/components/platform_interface/src/calls.rs
@@ -70,6 +70,9 @@
 pub struct AnswerHead {
     /// What the answer proves about the request.
     pub evidence: Evidence,
+    /// Whether the answer names a request. A second copy of one that names none can't be told from the
+    /// answer to the next request on the connection.
+    pub names_request: bool,
     /// The target's load, if it is reported.
     pub load: Option<Load>,
     /// Whether the target closes the connection after the answer.
--- a/gateway/src/attempts.rs
+++ b/gateway/src/attempts.rs
@@ -561,7 +561,9 @@
                     self.app.state.with(|shared, now| shared.targets.record_turned_away(key, now));
                 }
                 // The head has said all: neither the caller nor the next target waits for the body.
-                self.app.discard_body(body, connection, &parsed);
+                if parsed.names_request {
+                    self.app.discard_body(body, connection, &parsed);
+                }
                 if parsed.evidence == Evidence::InputGone {
                     return Err(AttemptError::InputGone);
                 }
--- a/standins/src/serving_path/behavior.rs
+++ b/standins/src/serving_path/behavior.rs
@@ -35,6 +35,9 @@
     Status(u16),
     /// It answers 503 without running the request.
     Decline,
+    /// Like [`Behavior::Decline`], and it sends the answer again when the next request comes on the
+    /// connection, before it answers that one.
+    DeclineTwice,
     /// It answers 503 without running the request, with this `Retry-After` value in seconds.
     DeclineFor(&'static str),
     /// It answers 421, as a different instance at the same address.
@@ -97,6 +100,7 @@
         matches!(
             self,
             Behavior::Decline
+                | Behavior::DeclineTwice
                 | Behavior::DeclineFor(_)
                 | Behavior::Misdirected
                 | Behavior::InputGone
@@ -124,6 +128,7 @@
             | Behavior::Large(_)
             | Behavior::Fail
             | Behavior::Decline
+            | Behavior::DeclineTwice
             | Behavior::DeclineFor(_)
             | Behavior::CutBody
             | Behavior::Extra
--- a/standins/src/serving_path/runners.rs
+++ b/standins/src/serving_path/runners.rs
@@ -405,6 +405,14 @@
                 conn.write(&self.reply(&format!("{status:03} Odd"), &answer_headers, b"odd"))
             }
             Behavior::Decline => conn.write(&self.reply("503 Full", &[("Not-Executed", "1")], b"")),
+            Behavior::DeclineTwice => {
+                let refusal = self.reply("503 Full", &[("Not-Executed", "1")], b"");
+                if !conn.write(&refusal) {
+                    return false;
+                }
+                let Some(next) = conn.read() else { return false };
+                conn.write(&refusal) && self.answer(conn, &next)
+            }
             Behavior::DeclineFor(seconds) => {
                 let refusal = [("Not-Executed", "1"), ("Retry-After", *seconds)];
                 conn.write(&self.reply("503 Full", &refusal, b""))
--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -410,6 +410,7 @@
         Behavior::Encoded,
         Behavior::Unframed,
         Behavior::Decline,
+        Behavior::DeclineTwice,
         Behavior::Fail,
         Behavior::Hang(time),
     ];
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -198,6 +198,27 @@
     }
 }
 
+/// Guards against a second copy of a refusal that is taken for the answer to the next request.
+#[test]
+fn a_copy_of_a_refusal_is_not_the_answer_to_the_next_request() {
+    let site = Site::start();
+    let vm = site.start_vm("refused-twice", "");
+    for round in 0..4 {
+        Site::queue_behavior(&site.plain, &Behavior::DeclineTwice);
+        let refused = send_expecting_answer(&post("/once/", &format!("full-{round}")), &vm);
+        assert_eq!(refused.status(), 503);
+        // Connections are used again after a short rest.
+        thread::sleep(SETTLE_TIME);
+
+        for number in 0..4 {
+            let id = format!("next-{round}-{number}");
+            let answer = send_expecting_answer(&post("/once/", &id), &vm);
+
+            assert_eq!((answer.status(), site.runs(&id)), (200, 1), "{id}");
+        }
+    }
+}
+
 #[test]
 fn another_lifetime_at_an_address_gets_no_requests() {
     let site = Site::start();
