Notice silent watches of the store in time in the product's own form

What callers would see: a change of the configuration that is in force only after 20 s, where operators are promised 5 s, when the connections on which the VMs watch the store fall silent together.

Cause: a watch on the head waited for 20 s and 1.5 s more; a silent connection shows only then, and no peer knows more.

Ruled out: a lost store (all other calls are answered in the test).

Change: a watch waits for 2 s.

A reader makes one watch call each 2 s, where it made one each 20 s, by the constants.

Conclusion: the five seconds hold whichever connection is silent.

--- a/daemon/src/platform_reader.rs
+++ b/daemon/src/platform_reader.rs
@@ -19,8 +19,9 @@
 use crate::dispatcher_messages::Message;
 use crate::dispatcher_thread::DispatcherHandle;
 
-/// Timeout of one watch on the head.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(20);
+/// Wait of one watch on the head. It and the timeout of a call are shorter than the time within which
+/// a change has to be in force, since a connection that fell silent shows only then.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Interval between two reads of the VM list by a reader.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
 /// Mean interval between two reads by a VM that is not a reader.
@@ -95,7 +96,7 @@
                 continue;
             }
             last_read = Some(Instant::now());
-            let wait = if is_reader && seen_version > 0 { WATCH_TIMEOUT } else { Duration::ZERO };
+            let wait = if is_reader && seen_version > 0 { WATCH_WAIT } else { Duration::ZERO };
             let result = self.read_head(&mut seen_version, current_revision, wait);
             self.metrics.platform_call("head", result.is_ok());
             let absent = matches!(result, Ok(None));
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -15,6 +15,7 @@
 use errors::Error;
 use ids::Revision;
 use serde_json::json;
+use standins::serving_path::faulty_link::FaultyLink;
 use store_client::{Store, publish, read_catalogue, read_head};
 use support::{Fleet, SERVICES, StopOnDrop, caller_request, usual_fleet, usual_pools, wait_until};
 use todc_utils::linearizability::WGLChecker;
@@ -213,6 +214,30 @@
     assert_eq!(state["source"], "peer");
 }
 
+/// Guards against watches of the store that are silent at all VMs and hide a change until the end of
+/// their longest wait.
+#[test]
+fn a_change_reaches_every_vm_within_five_seconds_though_all_watches_are_silent() {
+    let mut fleet = Fleet::start(&usual_pools());
+    assert!(fleet.apply(&fleet.catalogue(SERVICES)).status.success());
+    let links: Vec<FaultyLink> =
+        (0..2).map(|_| FaultyLink::start(fleet.platform).expect("a link")).collect();
+    for link in &links {
+        fleet.platform_for_vms = link.address;
+        fleet.start_vm("hall-a", "");
+    }
+    fleet.publish_vm_list(&[]);
+    fleet.wait_for_peer_discovery();
+    // Lets the VMs begin their watches: only connections that wait for an answer become silent.
+    thread::sleep(Duration::from_secs(1));
+
+    links.iter().for_each(FaultyLink::blackhole_waiting);
+    let changed = fleet.run_cli(&["label", "target/plain-1", "silent=yes", "--wait"]);
+
+    let message = String::from_utf8_lossy(&changed.stderr).into_owned();
+    assert!(changed.status.success(), "not in force at every VM within 5 s: {message}");
+}
+
 #[test]
 fn a_vm_without_store_and_peers_answers_503_with_the_reason() {
     let mut fleet = Fleet::start(&usual_pools());
