Soak: stages that share a third one, silent watches at all VMs, odd answers

Cause: no soak had two stages that need the same third one, silenced the watches of all VMs at a time, or played statuses that no answer has and refusals that come twice.

Change: a route `/fork/`, requests to it, workers that find inputs gone beside the other faults, and a check of what pieces and engines were given; silences of all connections to the store on which an answer is awaited; odd answers.

--- a/standins/src/serving_path/mod.rs
+++ b/standins/src/serving_path/mod.rs
@@ -24,6 +24,7 @@
 pub mod soak;
 mod soak_checks;
 mod soak_connections;
+mod soak_forks;
 mod soak_notices;
 mod stage_calls;
 pub mod steady;
--- a/standins/src/serving_path/site.rs
+++ b/standins/src/serving_path/site.rs
@@ -283,8 +283,9 @@
 
 /// The default configuration. Its routes: `/repeat/` and `/once/` to a plain service, repeatable
 /// and not; `/keyed/`, which needs an API key; `/stream/` and `/resumed/`, streams of an engine,
-/// the second one resumable; `/chain/`, two stages in a pool before an engine; and `/fragile/`,
-/// whose service has no runners unless a test starts some.
+/// the second one resumable; `/chain/`, two stages in a pool before an engine; `/fragile/`,
+/// whose service has no runners unless a test starts some; and `/fork/`, two stages that need a third
+/// one before an engine.
 pub fn default_configuration(version: u64) -> Value {
     let route = |path: &str, kind: &str, service: &str| {
         json!({"name": path.trim_matches('/'), "host": HOST, "path_prefix": path, "kind": kind,
@@ -298,6 +299,12 @@
     chain["stages"] = json!([
         {"service": "pool", "after_revision": [], "bytes": 1000},
         {"service": "pool", "after_revision": [0], "bytes": 1000}]);
+    let mut fork = route("/fork/", "streaming", "engine");
+    fork["target_latency_ms"] = json!(2000);
+    fork["stages"] = json!([
+        {"service": "pool", "after_revision": [], "bytes": 1000},
+        {"service": "pool", "after_revision": [0], "bytes": 1000},
+        {"service": "pool", "after_revision": [0], "bytes": 1000}]);
     let mut keyed = route("/keyed/", "idempotent", "plain");
     keyed["public"] = json!(false);
     let service =
@@ -311,7 +318,7 @@
             route("/repeat/", "idempotent", "plain"),
             route("/once/", "non_idempotent", "plain"),
             route("/stream/", "streaming", "engine"),
-            resumed, chain, keyed, route("/fragile/", "idempotent", "fragile")],
+            resumed, chain, keyed, route("/fragile/", "idempotent", "fragile"), fork],
         "services": [service("plain"), pool, engine, service("fragile")],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/standins/src/serving_path/soak.rs
+++ b/standins/src/serving_path/soak.rs
@@ -11,6 +11,8 @@
 //! - A request crashes each runner that runs it, and so does a part of prompts.
 //! - Most connections of callers go to one VM for some time.
 //! - Answers of runners have no length and end with their connection, whole or not.
+//! - Runners answer with statuses that no answer has, or send a refusal twice.
+//! - All connections to the store on which an answer is awaited fall silent at a time, at all VMs.
 //! - Halls are evacuated and restored.
 //! - The configuration changes in between.
 
@@ -37,6 +39,7 @@
     check_results,
 };
 use super::soak_connections::{CrowdedVm, leave_answers_unframed};
+use super::soak_forks::{check_forks, lose_inputs, send_forks};
 use super::soak_notices::{announce_leaving, announce_rates, restart_runners};
 use super::store::StoreMode;
 
@@ -67,6 +70,13 @@
 const PROMPT_PROBABILITY: f64 = 0.6;
 /// `Retry-After` values with which runners refuse requests, in seconds.
 const RETRY_AFTER_S: [&str; 3] = ["0.3", "1.5", "2.5"];
+/// Behaviors that are queued beside the other faults.
+const ODD_ANSWERS: [Behavior; 4] =
+    [Behavior::Status(0), Behavior::Status(101), Behavior::Status(600), Behavior::DeclineTwice];
+/// Pause between two of them, in milliseconds.
+const ODD_ANSWER_PAUSE_MS: std::ops::Range<u64> = 50..400;
+/// Pause between two silences of all watches, in milliseconds.
+const SILENCE_PAUSE_MS: std::ops::Range<u64> = 400..2500;
 /// Probability that a fault comes with a refusal that has a `Retry-After`.
 const REFUSAL_PROBABILITY: f64 = 0.3;
 
@@ -194,6 +204,11 @@
         scope.spawn(move || return_store(seed, time, site));
         scope.spawn(|| crowded.run(seed, time, size.vms));
         scope.spawn(move || leave_answers_unframed(seed, time, site));
+        scope.spawn(move || queue_odd_answers(seed, time, site));
+        let silenced = &links;
+        scope.spawn(move || silence_watches(seed, time, silenced));
+        scope.spawn(move || send_forks(seed, addresses, over));
+        scope.spawn(move || lose_inputs(seed, site, over));
         let faults = Faults { seed, time, site, links: &links };
         interruptions = inject_faults(&faults, &mut vms, &mut report);
         over.store(true, Ordering::Relaxed);
@@ -209,6 +224,7 @@
     restart_runners(&site);
     check_recovery(&addresses, seed, &mut report);
     check_contents(&vms, RECOVERY_TIMEOUT, &mut report);
+    check_forks(&site, &mut report);
     check_results(&site, &interruptions, RESULT_LIFE, &mut report);
     report
 }
@@ -251,6 +267,28 @@
     }
 }
 
+/// Has runners answer oddly, one request at a time.
+fn queue_odd_answers(seed: u64, time: Duration, site: &Site) {
+    let mut rng = StdRng::seed_from_u64(seed + 15 * SEED_OFFSET);
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        let runners = [&site.plain, &site.engines][rng.random_range(0..2)];
+        let odd = ODD_ANSWERS[rng.random_range(0..ODD_ANSWERS.len())].clone();
+        runners[rng.random_range(0..2)].queue_behaviors(&[odd]);
+        thread::sleep(Duration::from_millis(rng.random_range(ODD_ANSWER_PAUSE_MS)));
+    }
+}
+
+/// Silences the connections to the store on which an answer is awaited, at all VMs at a time.
+fn silence_watches(seed: u64, time: Duration, links: &[FaultyLink]) {
+    let mut rng = StdRng::seed_from_u64(seed + 16 * SEED_OFFSET);
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        thread::sleep(Duration::from_millis(rng.random_range(SILENCE_PAUSE_MS)));
+        links.iter().for_each(FaultyLink::blackhole_waiting);
+    }
+}
+
 /// Sends fatal and harmless requests to the service `fragile`, through random VMs.
 fn send_fatal_requests(seed: u64, addresses: &[SocketAddr], over: &AtomicBool) {
     let mut rng = StdRng::seed_from_u64(seed + 2 * SEED_OFFSET);
@@ -403,14 +441,10 @@
         Behavior::Cross,
         Behavior::Extra,
         Behavior::Garbage,
-        Behavior::Status(0),
-        Behavior::Status(101),
-        Behavior::Status(600),
         Behavior::Unsigned,
         Behavior::Encoded,
         Behavior::Unframed,
         Behavior::Decline,
-        Behavior::DeclineTwice,
         Behavior::Fail,
         Behavior::Hang(time),
     ];
