One line above each regression test, and clearer words on the waits of watches

Cause: read as a newcomer, some tests had two lines of story, and the constants of the watch said less than their reason.

Change: comments only; no code.

Conclusion: each new regression test says in one line which failure it guards against.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -19,12 +19,12 @@
 use crate::store_connection::{OpenAnswer, StoreCallError, StoreConnection};
 use crate::store_listing::list_all;
 
-/// A watch call waits for this fraction (1/n) of the time within which changes must be in force. A
-/// connection that fell silent delivers not even the end of the wait, which shows its silence: other
-/// connections may be sound. The rest of the time is left for that and for a new watch.
+/// A watch call waits for this fraction (1/n) of the time within which changes must be in force. On a
+/// connection that fell silent, even the end of the wait does not arrive; nothing else shows that,
+/// since calls on other connections are answered. The rest of the time is left for a new watch.
 const WAIT_DIVISOR: u32 = 2;
-/// Shortest and longest wait of one watch call; the platform counts each. A shorter one would save
-/// less than [`SILENCE_TIMEOUT`], after which the silence shows.
+/// Shortest and longest wait of one watch call; the platform counts each. A shorter one would gain
+/// little: a silence shows only [`SILENCE_TIMEOUT`] after the end of the wait.
 const WATCH_TIMES: RangeInclusive<Duration> = SILENCE_TIMEOUT..=Duration::from_secs(20);
 /// After a change the watch pauses for this fraction (1/n) of the time within which changes must be
 /// in force, so that many changes in a row cost few calls.
@@ -160,8 +160,9 @@
 }
 
 /// Reads this VM's own entry on a new connection: an answer shows that a store that was unreachable
-/// is back, or that only the connection of a watch fell silent. The read may be stale, since such a read costs only a tenth of a call, and refused calls are
-/// counted too: each VM sends a dozen probes in an outage of 5 s.
+/// is back, or that only the connection of a watch fell silent. The read may be stale, since such a
+/// read costs only a tenth of a call, and refused calls are counted too: each VM sends a dozen probes
+/// in an outage of 5 s.
 async fn probe(app: &Rc<App>, store: &mut StoreConnection) -> Result<(), StoreCallError> {
     let key = format!("{}{}", vms_prefix(&app.adapter), app.cfg.vm);
     let call = (app.adapter.store.list)(&key, None, Freshness::MayBeStale);
--- a/tests/caller_crowds.rs
+++ b/tests/caller_crowds.rs
@@ -488,8 +488,7 @@
 /// Requests that meet answers without an end at a time.
 const ENDLESS_REQUESTS: usize = 160;
 
-/// Guards against targets whose answers have no end, which are kept until the process runs out of
-/// memory.
+/// Guards against answers of targets without an end that are kept until memory runs out.
 #[test]
 fn answers_without_an_end_take_bounded_memory_of_the_products_own_form() {
     let _alone = alone();
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -214,8 +214,7 @@
     assert_eq!(state["source"], "peer");
 }
 
-/// Guards against watches of the store that are silent at all VMs and hide a change until the end of
-/// their longest wait.
+/// Guards against a change that waits for the end of watches that are silent at all VMs.
 #[test]
 fn a_change_reaches_every_vm_within_five_seconds_though_all_watches_are_silent() {
     let mut fleet = Fleet::start(&usual_pools());
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -378,8 +378,7 @@
 /// Time within which a VM notices that the store answers nothing any more.
 const OUTAGE_NOTICED_WITHIN: Duration = Duration::from_secs(4);
 
-/// Guards against calls that the platform counts beyond those that prove that the store and the watch
-/// are alive.
+/// Guards against calls beyond those that prove that the store and the watch are alive.
 #[test]
 fn an_idle_vm_calls_the_store_rarely_but_detects_its_silence() {
     let site = Site::start();
--- a/tests/serving_stops.rs
+++ b/tests/serving_stops.rs
@@ -290,8 +290,7 @@
     assert!(signalled.elapsed() < GRACE.mul_f64(0.75), "{:?}", signalled.elapsed());
 }
 
-/// Guards against requests that become complete late in a stop, are sent to a target and end without an
-/// answer at the end of the stop.
+/// Guards against requests that become complete late in a stop and are cut at its end.
 #[test]
 fn a_request_whose_body_arrives_late_in_a_stop_is_refused_as_not_run() {
     let long_stream = Behavior::SlowStream(1000, Duration::from_millis(50));
--- a/tests/shared_stages.rs
+++ b/tests/shared_stages.rs
@@ -115,8 +115,7 @@
     assert_eq!((answer.status(), answer.is_complete), (200, true), "{answer:?}");
 }
 
-/// Guards against a stage that runs without its inputs when the owner of its pool is lost while they
-/// are made again.
+/// Guards against a stage that runs without its inputs after the owner of its pool was lost.
 #[test]
 fn a_stage_waits_for_inputs_that_are_made_again_when_its_owner_is_lost() {
     let mut scene = Scene::start("shared-owner-lost");
@@ -137,8 +136,7 @@
     check_inputs(&third);
 }
 
-/// Guards against results that are made once for each stage that needs them, after one of these
-/// stages found them gone.
+/// Guards against lost results that are made again for each stage that needs them.
 #[test]
 fn results_that_two_stages_need_are_made_again_once() {
     let scene = Scene::start("shared-made-once");
--- a/tests/silent_watches.rs
+++ b/tests/silent_watches.rs
@@ -61,8 +61,7 @@
     );
 }
 
-/// Guards against keys that are accepted after their removal, for as long as watches may wait that
-/// are silent at all VMs.
+/// Guards against removed keys that are served while the watches of all VMs are silent.
 #[test]
 fn changes_are_in_force_in_time_though_the_watches_of_all_vms_are_silent() {
     let site = Site::start();
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -526,7 +526,7 @@
     Leaves,
 }
 
-/// Guards against streams that go on at another version at a VM that missed that the version joined.
+/// Guards against streams that change their version at a VM that missed a release.
 #[test]
 fn streams_stay_at_their_version_at_a_vm_that_was_out_of_step() {
     let troubles =
