Give a test an address that no other fixture takes

The test took a free port, let it go and used it as an address at which nothing listens. The store of another test of the same process had it meanwhile: its settings say `store: 127.0.0.1:36103`, the port in this test's log. The hall's target took connections, so that the hall was rightly not out of reach.

Ruled out: the VM (it noticed the silent peer after 1.0 s and knew the new address 0.5 s later); load (the probe connects at once).

Change: the address is on a loopback address that is given out once. The check is as it was.

Conclusion: a fault of the fixture, not of the system.

--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::json;
-use standins::fleet::wait_until;
+use standins::fleet::{unique_loopback_address, wait_until};
 use standins::serving_path::HttpMessage;
 use standins::serving_path::callers::Call;
 use standins::serving_path::runners::{Behavior, Runner};
@@ -460,10 +460,10 @@
     });
 }
 
-/// Returns an address at which nothing listens.
+/// Returns an address at which nothing listens. No other fixture takes it: its loopback address is
+/// given out once.
 fn closed_address() -> String {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address").to_string()
+    format!("{}:9", unique_loopback_address())
 }
 
 #[test]
